Serve a request from caller to upstream and back, as separate processes

Cause: the repository was empty. Change: a thin whole path. Router, control, hbctl, hbload and the stand-ins run as separate processes; control learns a signed bundle from the platform and feeds the router; chat completions stream through, calls to services that may not be repeated are claimed first. Conclusion: the path is whole; admission, picking, limits, membership and claims are still minimal.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+GO ?= go
+BINARIES := heatherbarrow-router heatherbarrow-control hbctl hbload heatherbarrow-standin
+VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
+LDFLAGS := -X heatherbarrow/internal/cli.Version=$(VERSION)
+
+.PHONY: build test lint format generate demo clean
+
+build:
+	@mkdir -p bin
+	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
+
+# test is what CI runs: formatter, linter, vet and the race-enabled tests.
+test: lint
+	$(GO) test -race ./...
+
+lint:
+	@unformatted=$$(gofmt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+format:
+	gofmt -w cmd internal
+
+# generate needs Debian's protobuf-compiler; the generated code is committed.
+generate:
+	./scripts/generate.sh
+
+demo: build
+	./scripts/demo.sh
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,86 @@
+// Package cli has what the command lines of all programs share.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"heatherbarrow/internal/settings"
+)
+
+// Version is set at link time.
+var Version = "unknown"
+
+// Exit codes of all programs.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2 // wrong command line or settings
+)
+
+// Options are the flags that every program has.
+type Options struct {
+	Config  string `long:"config" value-name:"FILE" description:"JSON settings file"`
+	Check   bool   `long:"check" description:"validate the settings and exit"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+// Main parses the common flags, loads the settings file into target and calls
+// run with a context that ends at the first SIGINT or SIGTERM. It returns the
+// process's exit code.
+func Main(name string, args []string, target any, run func(ctx context.Context) error) int {
+	return runMain(name, args, target, run, os.Stdout, os.Stderr)
+}
+
+func runMain(name string, args []string, target any, run func(ctx context.Context) error, stdout, stderr io.Writer) int {
+	var opts Options
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		return fail(stderr, name, err)
+	}
+	rest, err := parser.ParseArgs(args)
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, flagErr.Message)
+		return ExitOK
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		return fail(stderr, name, err)
+	}
+	if opts.Version {
+		fmt.Fprintln(stdout, name, Version)
+		return ExitOK
+	}
+	if opts.Config == "" {
+		return fail(stderr, name, errors.New("--config is missing"))
+	}
+	if err := settings.Load(opts.Config, target); err != nil {
+		return fail(stderr, name, fmt.Errorf("%s: %w", opts.Config, err))
+	}
+	if opts.Check {
+		fmt.Fprintln(stdout, opts.Config+": ok")
+		return ExitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+func fail(stderr io.Writer, name string, err error) int {
+	fmt.Fprintf(stderr, "%s: %v\n", name, err)
+	return ExitSettings
+}
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"net/netip"
+
+	"heatherbarrow/internal/rollout"
+	"heatherbarrow/internal/settings"
+	"heatherbarrow/internal/tlsconf"
+)
+
+// Settings are the static settings of heatherbarrow-control.
+type Settings struct {
+	Host             string            `json:"host"`
+	AvailabilityZone string            `json:"availability_zone"`
+	FeedListen       string            `json:"feed_listen"`     // router on this host, IP:port
+	PeerListen       string            `json:"peer_listen"`     // peers, IP:port
+	OperatorListen   string            `json:"operator_listen"` // hbctl and metrics, IP:port
+	Router           string            `json:"router"`          // internal address of the router on this host
+	Platform         string            `json:"platform"`        // base URL of the platform's object API
+	Peers            []Peer            `json:"peers,omitempty"` // hosts known from the start
+	Operators        map[string]string `json:"operators"`       // operator to Ed25519 public key in hex
+	LogLevel         string            `json:"log_level,omitempty"`
+	PlatformTLS      tlsconf.Files     `json:"platform_tls,omitzero"`
+	InternalTLS      tlsconf.Files     `json:"internal_tls,omitzero"` // mutual TLS between the system's processes
+	UpstreamTLS      tlsconf.Files     `json:"upstream_tls,omitzero"`
+}
+
+// Peer is another host.
+type Peer struct {
+	Host             string `json:"host"`
+	AvailabilityZone string `json:"availability_zone"`
+	Address          string `json:"address"` // IP:port of its peer listener
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	required := []struct{ path, value string }{
+		{"host", s.Host}, {"availability_zone", s.AvailabilityZone}, {"platform", s.Platform},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return settings.Errorf(r.path, "must not be empty")
+		}
+	}
+	addresses := []struct{ path, value string }{
+		{"feed_listen", s.FeedListen}, {"peer_listen", s.PeerListen},
+		{"operator_listen", s.OperatorListen}, {"router", s.Router},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return settings.Errorf(a.path, "%q is not an IP address with a port", a.value)
+		}
+	}
+	if len(s.Operators) < 2 {
+		return settings.Errorf("operators", "needs at least two operators, because the approver of a bundle differs from its author")
+	}
+	if _, err := rollout.ParseOperators(s.Operators); err != nil {
+		return settings.Errorf("operators", "%v", err)
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,287 @@
+// Package rollout keeps bundles, proposals and the version in force as objects
+// of the platform, and checks the operators' signatures.
+package rollout
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/platform"
+)
+
+// Kinds and names of the platform's objects.
+const (
+	KindContent  = "bundle"
+	KindProposal = "bundle-proposal"
+	KindCurrent  = "bundle-current"
+	NameCurrent  = "current"
+)
+
+// Errors of a rollout.
+var (
+	ErrUnknownOperator = errors.New("operator is not known")
+	ErrSameOperator    = errors.New("the approver must differ from the author")
+	ErrBadSignature    = errors.New("signature does not match")
+	ErrBadContent      = errors.New("content does not match its hash")
+	ErrNotApproved     = errors.New("proposal is not approved")
+	ErrStale           = errors.New("another bundle came into force since the proposal")
+)
+
+// Current is the value of the object that names the bundle in force. It is also
+// the value of a proposal; a proposal without approval has no Approver.
+type Current struct {
+	Generation        uint64 `json:"generation"` // 1 for the first bundle
+	SHA256            string `json:"sha256"`
+	Author            string `json:"author"`
+	AuthorSignature   []byte `json:"author_signature"`
+	Approver          string `json:"approver,omitempty"`
+	ApproverSignature []byte `json:"approver_signature,omitempty"`
+	ApprovedUnixMS    int64  `json:"approved_unix_ms,omitempty"`
+}
+
+// signedText is what both operators sign: the generation and the content.
+func signedText(generation uint64, sha256 string, role string) []byte {
+	text := []byte("heatherbarrow bundle " + role + " ")
+	text = binary.BigEndian.AppendUint64(text, generation)
+	return append(text, sha256...)
+}
+
+const (
+	roleAuthor   = "author"
+	roleApprover = "approver"
+)
+
+// Operators are the public keys that a program trusts, by operator's name.
+type Operators map[string]ed25519.PublicKey
+
+// ParseOperators reads keys in hex.
+func ParseOperators(keys map[string]string) (Operators, error) {
+	out := make(Operators, len(keys))
+	for name, text := range keys {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != ed25519.PublicKeySize {
+			return nil, eris.Errorf("key of operator %q is not an Ed25519 public key in hex", name)
+		}
+		out[name] = raw
+	}
+	return out, nil
+}
+
+func (o Operators) verify(name string, signature, text []byte) error {
+	key, ok := o[name]
+	if !ok {
+		return eris.Wrap(ErrUnknownOperator, name)
+	}
+	if !ed25519.Verify(key, text, signature) {
+		return eris.Wrap(ErrBadSignature, name)
+	}
+	return nil
+}
+
+// VerifyAuthor checks a proposal's author.
+func (o Operators) VerifyAuthor(c *Current) error {
+	return o.verify(c.Author, c.AuthorSignature, signedText(c.Generation, c.SHA256, roleAuthor))
+}
+
+// Verify checks author, approver and content of a bundle that is to come into
+// force, from whatever source it came.
+func (o Operators) Verify(c *Current, content []byte) error {
+	if bundle.Hash(content) != c.SHA256 {
+		return ErrBadContent
+	}
+	if c.Approver == "" {
+		return ErrNotApproved
+	}
+	if c.Approver == c.Author {
+		return ErrSameOperator
+	}
+	if err := o.VerifyAuthor(c); err != nil {
+		return err
+	}
+	return o.verify(c.Approver, c.ApproverSignature, signedText(c.Generation, c.SHA256, roleApprover))
+}
+
+// SignAuthor signs as author.
+func (c *Current) SignAuthor(name string, key ed25519.PrivateKey) {
+	c.Author = name
+	c.AuthorSignature = ed25519.Sign(key, signedText(c.Generation, c.SHA256, roleAuthor))
+}
+
+// SignApprover signs as approver.
+func (c *Current) SignApprover(name string, key ed25519.PrivateKey, now time.Time) {
+	c.Approver = name
+	c.ApproverSignature = ed25519.Sign(key, signedText(c.Generation, c.SHA256, roleApprover))
+	c.ApprovedUnixMS = now.UnixMilli()
+}
+
+// Store reads and writes the platform's objects.
+type Store struct {
+	Platform  *platform.Client
+	Operators Operators
+}
+
+// contentValue wraps canonical JSON, whose bytes must survive unchanged.
+type contentValue struct {
+	Content []byte `json:"content"`
+}
+
+// Current returns the bundle in force and the version of its object.
+// platform.ErrNotFound means that there is none yet.
+func (s *Store) Current(ctx context.Context) (Current, uint64, error) {
+	o, err := s.Platform.Get(ctx, KindCurrent, NameCurrent)
+	if err != nil {
+		return Current{}, 0, err
+	}
+	c, err := DecodeCurrent(o)
+	return c, o.Version, err
+}
+
+// Content returns the canonical JSON with the given hash.
+func (s *Store) Content(ctx context.Context, sha256 string) ([]byte, error) {
+	o, err := s.Platform.Get(ctx, KindContent, sha256)
+	if err != nil {
+		return nil, err
+	}
+	var v contentValue
+	if err := decode(o, &v); err != nil {
+		return nil, err
+	}
+	if bundle.Hash(v.Content) != sha256 {
+		return nil, ErrBadContent
+	}
+	return v.Content, nil
+}
+
+// Propose stores the content and a proposal for the generation after the one in
+// force, and returns the proposal. The proposal's name is its content's hash.
+func (s *Store) Propose(ctx context.Context, content []byte, author string, key ed25519.PrivateKey) (Current, error) {
+	if _, err := bundle.Parse(content); err != nil {
+		return Current{}, err
+	}
+	current, _, err := s.Current(ctx)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Current{}, err
+	}
+	proposal := Current{Generation: current.Generation + 1, SHA256: bundle.Hash(content)}
+	proposal.SignAuthor(author, key)
+	if err := s.Operators.VerifyAuthor(&proposal); err != nil {
+		return Current{}, err
+	}
+	if err := s.createContent(ctx, proposal.SHA256, content); err != nil {
+		return Current{}, err
+	}
+	return proposal, s.putProposal(ctx, &proposal)
+}
+
+func (s *Store) createContent(ctx context.Context, sha256 string, content []byte) error {
+	_, err := s.Platform.Create(ctx, KindContent, sha256, contentValue{Content: content})
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	if stored, readErr := s.Content(ctx, sha256); readErr == nil && stored != nil {
+		return nil
+	}
+	return err
+}
+
+func (s *Store) putProposal(ctx context.Context, proposal *Current) error {
+	o, err := s.Platform.Get(ctx, KindProposal, proposal.SHA256)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		_, err = s.Platform.Create(ctx, KindProposal, proposal.SHA256, proposal)
+	case err == nil:
+		_, err = s.Platform.Update(ctx, KindProposal, proposal.SHA256, o.Version, proposal)
+	}
+	return err
+}
+
+// Proposal returns a proposal and the version of its object.
+func (s *Store) Proposal(ctx context.Context, sha256 string) (Current, uint64, error) {
+	o, err := s.Platform.Get(ctx, KindProposal, sha256)
+	if err != nil {
+		return Current{}, 0, err
+	}
+	c, err := DecodeCurrent(o)
+	return c, o.Version, err
+}
+
+// Approve signs a proposal as approver.
+func (s *Store) Approve(ctx context.Context, sha256, approver string, key ed25519.PrivateKey, now time.Time) (Current, error) {
+	proposal, version, err := s.Proposal(ctx, sha256)
+	if err != nil {
+		return Current{}, err
+	}
+	content, err := s.Content(ctx, sha256)
+	if err != nil {
+		return Current{}, err
+	}
+	if _, err := bundle.Parse(content); err != nil {
+		return Current{}, err
+	}
+	proposal.SignApprover(approver, key, now)
+	if err := s.Operators.Verify(&proposal, content); err != nil {
+		return Current{}, err
+	}
+	_, err = s.Platform.Update(ctx, KindProposal, sha256, version, proposal)
+	return proposal, err
+}
+
+// RollOut puts an approved proposal in force. ErrStale means that another
+// bundle came first and nothing was changed.
+func (s *Store) RollOut(ctx context.Context, sha256 string) (Current, error) {
+	proposal, _, err := s.Proposal(ctx, sha256)
+	if err != nil {
+		return Current{}, err
+	}
+	content, err := s.Content(ctx, sha256)
+	if err != nil {
+		return Current{}, err
+	}
+	if err := s.Operators.Verify(&proposal, content); err != nil {
+		return Current{}, err
+	}
+	current, version, err := s.Current(ctx)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		if proposal.Generation != 1 {
+			return Current{}, ErrStale
+		}
+		_, err = s.Platform.Create(ctx, KindCurrent, NameCurrent, proposal)
+	case err != nil:
+		return Current{}, err
+	case current.Generation+1 != proposal.Generation:
+		return current, s.alreadyInForce(&current, &proposal)
+	default:
+		_, err = s.Platform.Update(ctx, KindCurrent, NameCurrent, version, proposal)
+	}
+	return s.confirm(ctx, &proposal, err)
+}
+
+func (s *Store) alreadyInForce(current, proposal *Current) error {
+	if current.Generation == proposal.Generation && current.SHA256 == proposal.SHA256 {
+		return nil
+	}
+	return ErrStale
+}
+
+// confirm resolves a lost answer by reading back which bundle is in force.
+func (s *Store) confirm(ctx context.Context, proposal *Current, err error) (Current, error) {
+	if err == nil {
+		return *proposal, nil
+	}
+	if !errors.Is(err, platform.ErrUncertain) && !errors.Is(err, platform.ErrConflict) {
+		return Current{}, err
+	}
+	current, _, readErr := s.Current(ctx)
+	if readErr != nil {
+		return Current{}, eris.Wrap(err, "the result is not known; run the command again")
+	}
+	return current, s.alreadyInForce(&current, proposal)
+}
--- /dev/null
+++ b/internal/router/feed.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling"
+)
+
+const (
+	watchWait    = 10 * time.Second
+	watchRetry   = 200 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
+)
+
+// Follow takes bundles and views from control until ctx ends. Traffic goes on
+// with the last ones while control cannot be reached.
+func (s *Server) Follow(ctx context.Context) {
+	var viewVersion uint64
+	for ctx.Err() == nil {
+		var generation uint64
+		if snapshot := s.snapshot.Load(); snapshot != nil {
+			generation = snapshot.Generation
+		}
+		response, err := s.Feed.Watch(ctx, &rpc.WatchRequest{
+			Generation: generation, ViewVersion: viewVersion, WaitMs: uint32(watchWait.Milliseconds()),
+		})
+		if err != nil {
+			s.Logger.Debug().Err(err).Msg("control cannot be reached")
+			viewVersion = 0
+			sleep(ctx, watchRetry)
+			continue
+		}
+		s.applyBundle(response)
+		if response.View != nil {
+			viewVersion = response.View.Version
+			s.Scheduler.Update(nil, viewFromRPC(response.View, time.Now()))
+		}
+	}
+}
+
+// Tick drives the scheduler's time-dependent work until ctx ends.
+func (s *Server) Tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.Scheduler.Tick()
+		}
+	}
+}
+
+func (s *Server) applyBundle(response *rpc.WatchResponse) {
+	record := response.Bundle
+	if record == nil || len(record.Content) == 0 {
+		if s.snapshot.Load() == nil && response.NotReady != "" {
+			s.notReady.Store(&response.NotReady)
+		}
+		return
+	}
+	if current := s.snapshot.Load(); current != nil && record.Generation <= current.Generation {
+		return
+	}
+	b, err := bundle.Parse(record.Content)
+	if err != nil {
+		s.Logger.Error().Err(err).Uint64("generation", record.Generation).Msg("bundle cannot be applied")
+		return
+	}
+	snapshot := bundle.Compile(b, record.Generation, record.Sha256)
+	s.snapshot.Store(snapshot)
+	s.Scheduler.Update(snapshot, nil)
+	s.notReady.Store(nil)
+	s.Logger.Info().Uint64("generation", record.Generation).Str("sha256", record.Sha256).Msg("bundle in force")
+}
+
+func viewFromRPC(v *rpc.View, now time.Time) *scheduling.View {
+	out := &scheduling.View{Version: v.Version, HostsInZone: int(v.HostsInZone)}
+	for _, r := range v.Replicas {
+		out.Replicas = append(out.Replicas, scheduling.ReplicaLoad{
+			ID:         scheduling.ReplicaID{Upstream: r.Upstream, Replica: r.Replica},
+			State:      replicaState(r.State),
+			HasReport:  r.HasLoad,
+			Running:    int(r.Running),
+			Waiting:    int(r.Waiting),
+			ReportedAt: now.Add(-time.Duration(r.ReportAgeMs) * time.Millisecond),
+			Models:     r.Models,
+		})
+	}
+	for _, q := range v.Quarantine {
+		out.Quarantine = append(out.Quarantine, scheduling.QuarantineEntry{
+			Fingerprint: q.Fingerprint,
+			Replicas:    replicaIDs(q.CrashedReplicas),
+			Expires:     time.UnixMilli(q.ExpiresUnixMs),
+			Released:    q.Released,
+		})
+	}
+	for _, share := range v.Shares {
+		out.Shares = append(out.Shares, scheduling.TeamShare{
+			Team:            share.Team,
+			TokensPerSecond: share.TokensPerSecond,
+			InProgress:      share.InProgress,
+			Expires:         now.Add(time.Duration(share.ValidMs) * time.Millisecond),
+		})
+	}
+	return out
+}
+
+func replicaState(s rpc.State) scheduling.ReplicaState {
+	switch s {
+	case rpc.State_STATE_LEAVING:
+		return scheduling.ReplicaLeaving
+	case rpc.State_STATE_DEAD:
+		return scheduling.ReplicaDead
+	default:
+		return scheduling.ReplicaLive
+	}
+}
+
+func replicaIDs(names []string) []scheduling.ReplicaID {
+	var out []scheduling.ReplicaID
+	for _, name := range names {
+		if id, ok := scheduling.ParseReplicaID(name); ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Answers implements rpc.Answers for control on this host.
+type Answers struct {
+	Server *Server
+	// Exit stops the process after a drain.
+	Exit func()
+}
+
+// Lookup implements rpc.Answers.
+func (a *Answers) Lookup(_ context.Context, request *rpc.LookupRequest) (*rpc.StoredAnswer, error) {
+	return a.Server.lookup(request.RequestId, request.Team), nil
+}
+
+// Drain implements rpc.Answers.
+func (a *Answers) Drain(_ context.Context, request *rpc.DrainRequest) (*rpc.DrainResponse, error) {
+	inProgress := a.Server.inFlight.Load()
+	go func() {
+		if a.Server.Drain(context.Background()) == nil && request.Exit {
+			a.Exit()
+		}
+	}()
+	return &rpc.DrainResponse{InProgress: uint32(inProgress)}, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/router/server.go
@@ -0,0 +1,124 @@
+// Package router serves callers: it authenticates requests, queues them, forwards
+// them to replicas and ends each in a truthful outcome.
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/forward"
+	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling"
+)
+
+const (
+	defaultBalancerLag = 2 * time.Second
+	recordCapacity     = 100_000
+	recordTTL          = 10 * time.Minute
+	readHeaderTimeout  = 10 * time.Second
+	idleTimeout        = 2 * time.Minute
+	drainPollInterval  = 20 * time.Millisecond
+)
+
+// Dependencies are what a Server works with.
+type Dependencies struct {
+	Settings  *Settings
+	Logger    zerolog.Logger
+	Scheduler *scheduling.Scheduler
+	Forward   *forward.Client
+	Feed      rpc.Feed // control on this host
+	Metrics   http.Handler
+}
+
+// Server is the callers' side of a host.
+type Server struct {
+	Dependencies
+	snapshot  atomic.Pointer[bundle.Snapshot]
+	notReady  atomic.Pointer[string] // why there is no bundle
+	draining  atomic.Bool
+	inFlight  atomic.Int64
+	records   *outcome.Store
+	drainOnce sync.Once
+	drained   chan struct{}
+}
+
+// NewServer returns a server without a bundle.
+func NewServer(d Dependencies) *Server {
+	s := &Server{
+		Dependencies: d,
+		records:      outcome.NewStore(recordCapacity, recordTTL),
+		drained:      make(chan struct{}),
+	}
+	reason := "no bundle received from control"
+	s.notReady.Store(&reason)
+	return s
+}
+
+// Handler returns the callers' HTTP interface.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	r.Get("/readyz", s.serveReady)
+	r.Method(http.MethodGet, "/metrics", s.Metrics)
+	r.Post("/v1/chat/completions", s.serveChat)
+	r.Get("/v1/requests/{id}", s.serveLookup)
+	r.HandleFunc("/services/{upstream}/*", s.serveService)
+	return r
+}
+
+// HTTPServer returns an HTTP server for the callers' interface.
+func (s *Server) HTTPServer() *http.Server {
+	return &http.Server{
+		Addr:              s.Settings.Listen,
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.Load() {
+		http.Error(w, "not ready: draining", http.StatusServiceUnavailable)
+		return
+	}
+	if reason := s.notReady.Load(); reason != nil {
+		http.Error(w, "not ready: "+*reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// Drain makes the host not ready, waits for the balancer's lag and then until
+// no request is in progress, or until ctx ends. Requests that arrive during the
+// balancer's lag are still served.
+func (s *Server) Drain(ctx context.Context) error {
+	s.drainOnce.Do(func() {
+		s.draining.Store(true)
+		s.Logger.Info().Int64("in_progress", s.inFlight.Load()).Msg("drain started")
+		go s.finishDrain()
+	})
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		s.Logger.Warn().Int64("in_progress", s.inFlight.Load()).Msg("drain ended with requests in progress")
+		return ctx.Err()
+	}
+}
+
+func (s *Server) finishDrain() {
+	time.Sleep(s.Settings.BalancerLag.Std())
+	for s.inFlight.Load() > 0 {
+		time.Sleep(drainPollInterval)
+	}
+	s.Logger.Info().Msg("drain finished")
+	close(s.drained)
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,310 @@
+// Package platform is a stand-in for the platform's object API, for tests and
+// the demo. It has switches for outages, slowness and lost answers, and counts
+// its calls.
+package platform
+
+import (
+	"cmp"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	client "heatherbarrow/internal/platform"
+)
+
+// watchWait is how long a watch waits before it returns without events.
+const watchWait = 10 * time.Second
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	Down             bool `json:"down"`                // refuse every call with status 503
+	DelayMS          int  `json:"delay_ms"`            // delay of every call
+	LoseWriteAnswers int  `json:"lose_write_answers"`  // number of writes that take effect without an answer
+	LoseEveryNthRead int  `json:"lose_every_nth_read"` // 0 loses none
+}
+
+// Counts are the calls answered, by kind of call.
+type Counts struct {
+	Reads     uint64 `json:"reads"`
+	Writes    uint64 `json:"writes"`
+	Watches   uint64 `json:"watches"`
+	Conflicts uint64 `json:"conflicts"`
+	Bytes     uint64 `json:"bytes"`
+}
+
+// Server is the stand-in.
+type Server struct {
+	mu      sync.Mutex
+	objects map[string]client.Object // by kind and name
+	version uint64
+	changed chan struct{} // closed at each change
+	hosts   client.HostList
+	faults  Faults
+	counts  Counts
+}
+
+// New returns an empty platform.
+func New() *Server {
+	return &Server{objects: make(map[string]client.Object), changed: make(chan struct{})}
+}
+
+// Handler returns the HTTP handler of the API and of the switches under /admin.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Route("/v1", func(r chi.Router) {
+		r.Use(s.applyFaults)
+		r.Get("/objects/{kind}", s.list)
+		r.Get("/objects/{kind}/{name}", s.get)
+		r.Put("/objects/{kind}/{name}", s.put)
+		r.Delete("/objects/{kind}/{name}", s.delete)
+		r.Get("/watch/{kind}", s.watch)
+		r.Get("/hosts", s.getHosts)
+	})
+	r.Put("/admin/faults", s.putFaults)
+	r.Put("/admin/hosts", s.putHosts)
+	r.Get("/admin/counts", s.getCounts)
+	return r
+}
+
+// SetFaults sets the switches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.notify()
+}
+
+// SetHosts sets the list of hosts.
+func (s *Server) SetHosts(hosts client.HostList) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = hosts
+}
+
+// Counts returns the calls so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Server) applyFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		faults := s.faults
+		s.countCall(r)
+		lost := s.loseAnswer(r)
+		s.mu.Unlock()
+		if faults.DelayMS > 0 {
+			select {
+			case <-time.After(time.Duration(faults.DelayMS) * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if faults.Down {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		if lost {
+			next.ServeHTTP(&discardWriter{header: make(http.Header)}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) countCall(r *http.Request) {
+	switch {
+	case r.Method != http.MethodGet:
+		s.counts.Writes++
+	case strings.HasPrefix(r.URL.Path, "/v1/watch/"):
+		s.counts.Watches++
+	default:
+		s.counts.Reads++
+	}
+	s.counts.Bytes += uint64(max(r.ContentLength, 0))
+}
+
+func (s *Server) loseAnswer(r *http.Request) bool {
+	if r.Method != http.MethodGet && s.faults.LoseWriteAnswers > 0 {
+		s.faults.LoseWriteAnswers--
+		return true
+	}
+	n := s.faults.LoseEveryNthRead
+	return r.Method == http.MethodGet && n > 0 && s.counts.Reads%uint64(n) == 0
+}
+
+type discardWriter struct{ header http.Header }
+
+func (d *discardWriter) Header() http.Header         { return d.header }
+func (d *discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (d *discardWriter) WriteHeader(int)             {}
+
+func objectKey(r *http.Request) string {
+	return chi.URLParam(r, "kind") + "\x00" + chi.URLParam(r, "name")
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	o, ok := s.objects[objectKey(r)]
+	s.mu.Unlock()
+	if !ok || o.Deleted {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, o)
+}
+
+type objectList struct {
+	Objects []client.Object `json:"objects"`
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	out := s.selectObjects(func(o *client.Object) bool {
+		return o.Kind == chi.URLParam(r, "kind") && strings.HasPrefix(o.Name, prefix) && !o.Deleted
+	})
+	slices.SortFunc(out, func(a, b client.Object) int { return cmp.Compare(a.Name, b.Name) })
+	writeJSON(w, objectList{Objects: out})
+}
+
+func (s *Server) selectObjects(match func(*client.Object) bool) []client.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []client.Object{}
+	for _, o := range s.objects {
+		if match(&o) {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, client.MaxValueBytes))
+	if err != nil || !json.Valid(body) {
+		http.Error(w, "value is too large or not JSON", http.StatusBadRequest)
+		return
+	}
+	o := client.Object{Kind: chi.URLParam(r, "kind"), Name: chi.URLParam(r, "name"), Value: body}
+	s.apply(w, r, o)
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	o := client.Object{Kind: chi.URLParam(r, "kind"), Name: chi.URLParam(r, "name"), Deleted: true}
+	s.apply(w, r, o)
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request, o client.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, exists := s.objects[objectKey(r)]
+	exists = exists && !old.Deleted
+	if !conditionHolds(r, old, exists) {
+		s.counts.Conflicts++
+		http.Error(w, "condition does not hold", http.StatusPreconditionFailed)
+		return
+	}
+	if o.Deleted && !exists {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	s.version++
+	o.Version = s.version
+	s.objects[objectKey(r)] = o
+	s.notify()
+	o.Value = nil
+	writeJSON(w, o)
+}
+
+func conditionHolds(r *http.Request, old client.Object, exists bool) bool {
+	if r.Header.Get("If-None-Match") == "*" {
+		return !exists
+	}
+	want, err := strconv.ParseUint(r.Header.Get("If-Match"), 10, 64)
+	return err == nil && exists && old.Version == want
+}
+
+// notify wakes all watches. s.mu must be held.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a version", http.StatusBadRequest)
+		return
+	}
+	deadline := time.NewTimer(watchWait)
+	defer deadline.Stop()
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		down := s.faults.Down
+		s.mu.Unlock()
+		if down {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		out := s.selectObjects(func(o *client.Object) bool {
+			return o.Kind == chi.URLParam(r, "kind") && o.Version > after
+		})
+		if len(out) > 0 {
+			slices.SortFunc(out, func(a, b client.Object) int { return cmp.Compare(a.Version, b.Version) })
+			writeJSON(w, objectList{Objects: out})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			writeJSON(w, objectList{Objects: []client.Object{}})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) getHosts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	hosts := s.hosts
+	s.mu.Unlock()
+	writeJSON(w, hosts)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) putHosts(w http.ResponseWriter, r *http.Request) {
+	var hosts client.HostList
+	if err := json.NewDecoder(r.Body).Decode(&hosts); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetHosts(hosts)
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Counts())
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,113 @@
+// Package service is a stand-in for a plain service, for tests and the demo. It
+// counts each effect by idempotency key, so that a second effect is seen.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	DelayMS     int  `json:"delay_ms"`     // delay of every answer
+	LoseAnswers int  `json:"lose_answers"` // number of calls that take effect without an answer
+	Refuse      bool `json:"refuse"`       // refuse with status 503 before any effect
+}
+
+// Server is the stand-in.
+type Server struct {
+	mu      sync.Mutex
+	effects map[string]int // by idempotency key
+	faults  Faults
+}
+
+// New returns a service without effects.
+func New() *Server {
+	return &Server{effects: make(map[string]int)}
+}
+
+// Handler returns the HTTP handler of the service and of its switches under /admin.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Put("/admin/faults", s.putFaults)
+	r.Get("/admin/effects", s.getEffects)
+	r.Get("/*", s.lookUp)
+	r.Post("/*", s.takeEffect)
+	return r
+}
+
+// SetFaults sets the switches.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Effects returns the number of effects by idempotency key.
+func (s *Server) Effects() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.effects))
+	for key, n := range s.effects {
+		out[key] = n
+	}
+	return out
+}
+
+func (s *Server) lookUp(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	writeJSON(w, map[string]string{"path": r.URL.Path, "state": "found"})
+}
+
+func (s *Server) takeEffect(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	faults := s.faults
+	if faults.Refuse {
+		s.mu.Unlock()
+		w.Header().Set("Heatherbarrow-Outcome", "not-run")
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	key := r.Header.Get("Idempotency-Key")
+	s.effects[key]++
+	lose := s.faults.LoseAnswers > 0
+	if lose {
+		s.faults.LoseAnswers--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	writeJSON(w, map[string]any{"path": r.URL.Path, "key": key, "bytes": len(body)})
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) getEffects(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Effects())
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,48 @@
+// Package telemetry sets up structured logs and metrics.
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally flushes counters into the scraped registry.
+const reportInterval = time.Second
+
+// NewLogger returns a JSON logger for one program on one host.
+func NewLogger(w io.Writer, level, program, host, zone string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Logger{}, err
+	}
+	logger := zerolog.New(w).Level(parsed).With().Timestamp().
+		Str("program", program).Str("host", host).Str("availability_zone", zone).Logger()
+	return logger, nil
+}
+
+// Metrics is a tally scope together with the handler that exposes it.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns metrics whose names begin with "heatherbarrow".
+func NewMetrics(host, zone string) *Metrics {
+	reporter := promreporter.NewReporter(promreporter.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "heatherbarrow",
+		Separator:      promreporter.DefaultSeparator,
+		Tags:           map[string]string{"host": host, "availability_zone": zone},
+		CachedReporter: reporter,
+	}, reportInterval)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close flushes and stops the scope.
+func (m *Metrics) Close() error { return m.closer.Close() }
