--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -13,6 +13,7 @@
 
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/scheduling"
 )
 
@@ -111,7 +112,7 @@
 	}
 }
 
-func (e *exchange) wait(ctx context.Context, request scheduling.Request) (*scheduling.Assignment, error) {
+func (e *exchange) wait(ctx context.Context, request scheduling.Request) (*scheduler.Assignment, error) {
 	ticket, err := e.server.Scheduler.Enqueue(request)
 	if err != nil {
 		return nil, err
@@ -126,11 +127,11 @@
 	}
 }
 
-func (c *chat) acquire(ctx context.Context, attempt int) (*scheduling.Assignment, error) {
+func (c *chat) acquire(ctx context.Context, attempt int) (*scheduler.Assignment, error) {
 	return c.wait(ctx, c.schedulingRequest(attempt))
 }
 
-func (e *exchange) logDecision(a *scheduling.Assignment, attempt int) {
+func (e *exchange) logDecision(a *scheduler.Assignment, attempt int) {
 	event := e.server.Logger.Info().Str("request", e.id).Str("class", e.class.Name).Str("team", e.team.Name).
 		Str("upstream", a.Replica.Upstream).Str("replica", a.Replica.Replica).
 		Float64("score", a.Decision.Score).Str("reason", a.Decision.Reason).
@@ -144,7 +145,7 @@
 }
 
 // attempt runs the request on one replica and passes its frames on.
-func (c *chat) attempt(ctx context.Context, a *scheduling.Assignment) error {
+func (c *chat) attempt(ctx context.Context, a *scheduler.Assignment) error {
 	before := c.position
 	stream, err := c.server.Forward.Chat(ctx, forward.Chat{
 		Address:      a.Address,
@@ -189,7 +190,7 @@
 	}
 }
 
-func (c *chat) passOn(stream *forward.Stream, a *scheduling.Assignment) error {
+func (c *chat) passOn(stream *forward.Stream, a *scheduler.Assignment) error {
 	for {
 		frame, err := stream.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -13,7 +13,7 @@
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/rpc"
-	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/telemetry"
 	"heatherbarrow/internal/tlsconf"
 )
@@ -100,7 +100,7 @@
 	return NewServer(Dependencies{
 		Settings: p.settings,
 		Logger:   logger,
-		Scheduler: scheduling.New(scheduling.Options{
+		Scheduler: scheduler.New(scheduler.Options{
 			Host: p.settings.Host, AvailabilityZone: p.settings.AvailabilityZone,
 			Clock: clockwork.NewRealClock(), Seed: uint64(time.Now().UnixNano()),
 		}),
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -16,7 +16,7 @@
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/rpc"
-	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduler"
 )
 
 const (
@@ -32,7 +32,7 @@
 type Dependencies struct {
 	Settings  *Settings
 	Logger    zerolog.Logger
-	Scheduler *scheduling.Scheduler
+	Scheduler *scheduler.Scheduler
 	Forward   *forward.Client
 	Feed      rpc.Feed // control on this host
 	Metrics   http.Handler
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -14,6 +14,7 @@
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/scheduling"
 )
 
@@ -157,7 +158,7 @@
 	return h.Sum(nil)
 }
 
-func (c *serviceCall) attempt(ctx context.Context, a *scheduling.Assignment) (*forward.ServiceAnswer, error) {
+func (c *serviceCall) attempt(ctx context.Context, a *scheduler.Assignment) (*forward.ServiceAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.route.Timeout.Std())
 	defer cancel()
 	header := make(http.Header)
--- a/internal/scheduling/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,4 +1,5 @@
-package scheduling
+// Package scheduler queues requests and assigns them to replicas.
+package scheduler
 
 import (
 	"sync"
@@ -7,6 +8,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/picker"
 )
 
 // Options configure a Scheduler.
@@ -22,39 +25,40 @@
 	opts Options
 
 	mu       sync.Mutex
+	picker   scheduling.Picker
 	snapshot *bundle.Snapshot
-	view     *View
-	states   map[ReplicaID]ReplicaState
 	waiting  []*Ticket
-	running  map[ReplicaID]int
 }
 
 // New returns a scheduler without a bundle.
 func New(opts Options) *Scheduler {
-	return &Scheduler{opts: opts, view: &View{}, running: make(map[ReplicaID]int)}
+	return &Scheduler{opts: opts, picker: picker.New(picker.Options{
+		AvailabilityZone: opts.AvailabilityZone, Clock: opts.Clock, Seed: opts.Seed,
+	})}
 }
 
 // Update installs a new bundle or view; a nil argument leaves the old one.
-func (s *Scheduler) Update(snapshot *bundle.Snapshot, view *View) {
+func (s *Scheduler) Update(snapshot *bundle.Snapshot, view *scheduling.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if snapshot != nil {
 		s.snapshot = snapshot
 	}
-	if view != nil {
-		s.view = view
-		s.states = make(map[ReplicaID]ReplicaState, len(view.Replicas))
-		for i := range view.Replicas {
-			s.states[view.Replicas[i].ID] = view.Replicas[i].State
-		}
-	}
+	s.picker.Update(snapshot, view)
 	s.dispatch()
 }
 
+// Report returns what this host measured and used since the last report.
+func (s *Scheduler) Report() scheduling.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return scheduling.Report{Replicas: s.picker.Measurements()}
+}
+
 // Ticket is a request in the queue.
 type Ticket struct {
 	scheduler *Scheduler
-	request   Request
+	request   scheduling.Request
 	granted   chan *Assignment
 }
 
@@ -69,17 +73,17 @@
 	t.scheduler.mu.Unlock()
 	select {
 	case a := <-t.granted:
-		a.Finish(Result{Canceled: true})
+		a.Finish(scheduling.Result{Canceled: true})
 	default:
 	}
 }
 
-// Enqueue queues a request. The error is a *RefusedError.
-func (s *Scheduler) Enqueue(r Request) (*Ticket, error) {
+// Enqueue queues a request. The error is a *scheduling.RefusedError.
+func (s *Scheduler) Enqueue(r scheduling.Request) (*Ticket, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(r.Upstreams) == 0 {
-		return nil, &RefusedError{Reason: ReasonNoReplica, RetryAfter: time.Second}
+		return nil, &scheduling.RefusedError{Reason: scheduling.ReasonNoReplica, RetryAfter: time.Second}
 	}
 	t := &Ticket{scheduler: s, request: r, granted: make(chan *Assignment, 1)}
 	s.waiting = append(s.waiting, t)
@@ -119,49 +123,25 @@
 }
 
 func (s *Scheduler) assign(t *Ticket) bool {
-	var best *Assignment
-	bestLoad := 0
-	for _, index := range t.request.Upstreams {
-		u := &s.snapshot.Bundle.Upstreams[index]
-		for i := range u.Replicas {
-			id := ReplicaID{Upstream: u.Name, Replica: u.Replicas[i].ID}
-			load := s.running[id]
-			if load >= u.Slots || s.states[id] != ReplicaLive || excluded(&t.request, id) {
-				continue
-			}
-			if best == nil || load < bestLoad {
-				best = &Assignment{scheduler: s, Replica: id, Address: u.Replicas[i].Address}
-				best.Decision.CrossZone = u.Replicas[i].AvailabilityZone != s.opts.AvailabilityZone
-				best.Decision.Reason = "least_outstanding"
-				bestLoad = load
-			}
-		}
-	}
-	if best == nil {
+	choice, ok := s.picker.Pick(&t.request)
+	if !ok {
 		return false
 	}
-	s.running[best.Replica]++
-	best.Decision.Score = float64(bestLoad)
-	best.preempted = make(chan struct{})
-	t.granted <- best
-	return true
-}
-
-func excluded(r *Request, id ReplicaID) bool {
-	for _, other := range r.Exclude {
-		if other == id {
-			return true
-		}
+	t.granted <- &Assignment{
+		Replica: choice.Replica, Address: choice.Address, Decision: choice.Decision,
+		scheduler: s, request: &t.request, granted: s.opts.Clock.Now(), preempted: make(chan struct{}),
 	}
-	return false
+	return true
 }
 
 // Assignment is a slot on a replica. Finish must be called exactly once.
 type Assignment struct {
-	Replica   ReplicaID
+	Replica   scheduling.ReplicaID
 	Address   string
-	Decision  Decision
+	Decision  scheduling.Decision
 	scheduler *Scheduler
+	request   *scheduling.Request
+	granted   time.Time
 	preempted chan struct{}
 }
 
@@ -170,15 +150,19 @@
 func (a *Assignment) Preempted() <-chan struct{} { return a.preempted }
 
 // FirstToken records that the first token arrived.
-func (a *Assignment) FirstToken() {}
+func (a *Assignment) FirstToken() {
+	a.scheduler.mu.Lock()
+	defer a.scheduler.mu.Unlock()
+	a.scheduler.picker.FirstToken(a.Replica, a.request, a.scheduler.opts.Clock.Since(a.granted))
+}
 
 // Token records n further tokens.
 func (a *Assignment) Token(n int) {}
 
 // Finish gives the slot back.
-func (a *Assignment) Finish(Result) {
+func (a *Assignment) Finish(result scheduling.Result) {
 	a.scheduler.mu.Lock()
 	defer a.scheduler.mu.Unlock()
-	a.scheduler.running[a.Replica]--
+	a.scheduler.picker.Finish(a.Replica, a.request, result)
 	a.scheduler.dispatch()
 }
