Name the bench and faults targets

Cause: several packages add benchmarks. Change: make bench runs each internal/bench/NAME/main.go, make faults the tests with the build tag faults. Conclusion: no behavior changed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X heatherbarrow/internal/cli.Version=$(VERSION)
 
-.PHONY: build test lint format generate demo clean
+.PHONY: build test lint format generate demo bench faults clean
 
 build:
 	@mkdir -p bin
@@ -29,5 +29,15 @@
 demo: build
 	./scripts/demo.sh
 
+# bench runs each program internal/bench/NAME/main.go, in order of name.
+bench: build
+	@for dir in $$(ls -d internal/bench/*/ | sort); do \
+		if [ -f $$dir/main.go ]; then $(GO) run ./$$dir || exit 1; fi; \
+	done
+
+# faults runs the fault matrix with real processes.
+faults: build
+	$(GO) test -tags faults -count=1 -timeout 60m ./internal/faults
+
 clean:
 	rm -rf bin out
