Queue by tier, share and deadline, and limit teams and retries

The scheduler kept one list of waiting requests and scanned it on every dispatch. It now keeps a heap per pool, class and deadline, and dispatch looks only at the first request of each lane. Added: early refusal at the measured service rate, refusal of waiting requests through Ticket.Refused and Ticket.Wait, headroom and preemption for the top tier, team limits, retry budgets and learned answer lengths.

--- /dev/null
+++ b/internal/scheduler/dispatch.go
@@ -0,0 +1,232 @@
+package scheduler
+
+import (
+	"time"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/scheduling"
+)
+
+const (
+	// lateInterval is the number of grants of a lane of which one goes to a
+	// request that can no longer meet its target, so that none starves.
+	lateInterval = 8
+	// ageFraction is the part of its deadline after which a waiting request may
+	// go before higher tiers.
+	ageFraction = 0.25
+	// agedInterval is the number of grants of a pool of which at most one is made
+	// because of age.
+	agedInterval = 16
+	// restrictedTries bounds the picks for a restricted lane in one pass.
+	restrictedTries = 4
+)
+
+// phase is the reason for which a lane gets the next slot; lower goes first.
+type phase int
+
+const (
+	phaseShare phase = iota // the class runs fewer requests than its share
+	phaseAged               // the class waits too long
+	phaseTier
+	phaseNone // no slot for the lane
+)
+
+type candidate struct {
+	lane  *lane
+	phase phase
+	tier  int
+	late  bool
+	by    int64 // earliest start that meets the target, or place in the order
+}
+
+func (c *candidate) before(other *candidate) bool {
+	switch {
+	case other.lane == nil:
+		return true
+	case c.phase != other.phase:
+		return c.phase < other.phase
+	case c.tier != other.tier:
+		return c.tier < other.tier
+	case c.late != other.late:
+		return other.late
+	default:
+		return c.by < other.by
+	}
+}
+
+// dispatch assigns waiting requests of the pools to replicas until none can be.
+// It looks only at the first request of each lane.
+func (s *Scheduler) dispatch(pools []*pool) {
+	s.pass++
+	now := s.opts.Clock.Now()
+	for {
+		best := s.next(pools, now)
+		if best.lane == nil {
+			return
+		}
+		s.serve(&best)
+	}
+}
+
+func (s *Scheduler) next(pools []*pool, now time.Time) candidate {
+	var best candidate
+	for _, p := range pools {
+		if p.waiting == 0 || p.free <= 0 || p.blocked == s.pass {
+			continue
+		}
+		for _, l := range p.lanes {
+			if l == nil || l.len() == 0 || l.blocked == s.pass {
+				continue
+			}
+			s.demote(l, now)
+			if c, ok := s.candidate(l, now); ok && c.before(&best) {
+				best = c
+			}
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) candidate(l *lane, now time.Time) (candidate, bool) {
+	if l.len() == 0 {
+		return candidate{}, false
+	}
+	t := l.head()
+	c := candidate{lane: l, tier: l.class.Tier, late: t.late, by: t.startBy.UnixNano()}
+	if s.tuning.fifo {
+		c.tier = 0
+		c.by = t.order.Key
+		c.phase = phaseTier
+		return c, true
+	}
+	c.phase = l.phase(now)
+	return c, c.phase != phaseNone
+}
+
+func (l *lane) phase(now time.Time) phase {
+	p := l.pool
+	running, slots := p.running(l.class)
+	switch {
+	case running < l.class.guaranteed(slots):
+		return phaseShare
+	case p.sinceAged >= agedInterval && l.aged(now):
+		return phaseAged
+	case l.class.Tier > bundle.TopTier && p.free <= p.headroom:
+		return phaseNone
+	default:
+		return phaseTier
+	}
+}
+
+func (l *lane) aged(now time.Time) bool {
+	limit := time.Duration(ageFraction * float64(l.class.Deadline.Std()))
+	return now.Sub(l.oldest().enqueued) > limit
+}
+
+// oldest returns the request that has waited longest, as far as the heads tell.
+func (l *lane) oldest() *Ticket {
+	if n := l.late.Min(); n != nil {
+		return n.Value
+	}
+	return l.fresh.Min().Value
+}
+
+// head returns the lane's next request.
+func (l *lane) head() *Ticket {
+	late := l.late.Min()
+	fresh := l.fresh.Min()
+	if fresh == nil || late != nil && l.turns >= lateInterval-1 {
+		return late.Value
+	}
+	return fresh.Value
+}
+
+// demote moves requests from the front that can no longer meet the class's target
+// behind those that can, and refuses those that cannot be served by their
+// deadline from there.
+func (s *Scheduler) demote(l *lane, now time.Time) {
+	for n := l.fresh.Min(); n != nil; n = l.fresh.Min() {
+		t := n.Value
+		if !t.startBy.Before(now) {
+			return
+		}
+		s.leave(t)
+		t.late = true
+		s.attach(t, l)
+		service := l.series.Estimate().ServiceP50
+		wait := s.expectedLateWait(l.pool, l.class)
+		if s.tuning.earlyRefusal && wait > 0 && now.Add(wait+service).After(t.request.Deadline) {
+			s.refuse(t, s.refusal(t, scheduling.ReasonDeadline))
+		}
+	}
+}
+
+// serve tries to assign the lane's next request.
+func (s *Scheduler) serve(c *candidate) {
+	l := c.lane
+	t := l.head()
+	if c.phase == phaseAged {
+		t = l.oldest()
+	}
+	choice, ok := s.picker.Pick(&t.request)
+	if !ok {
+		s.passOver(l, t)
+		return
+	}
+	p := l.pool
+	p.free--
+	p.sinceAged++
+	if c.phase == phaseAged {
+		p.sinceAged = 0
+	}
+	l.turns++
+	if t.late {
+		l.turns = 0
+	}
+	s.grant(t, choice)
+}
+
+// passOver handles a request that no replica can take now. If others of its pool
+// still find a slot, it moves to the restricted lane; else the pool is full.
+func (s *Scheduler) passOver(l *lane, t *Ticket) {
+	if l.restricted {
+		s.rotate(l, t)
+		return
+	}
+	s.refresh(l.pool)
+	if l.pool.free <= 0 {
+		l.pool.blocked = s.pass
+		return
+	}
+	s.leave(t)
+	s.attach(t, s.lane(l.pool, l.class, true))
+}
+
+// rotate puts a request behind the others of its restricted lane and ends the
+// lane's part in this pass after a few tries.
+func (s *Scheduler) rotate(l *lane, t *Ticket) {
+	s.leave(t)
+	t.order.Key = s.opts.Clock.Now().Add(l.class.Deadline.Std()).UnixNano()
+	s.attach(t, l)
+	l.failures++
+	if l.failures >= min(restrictedTries, l.len()) {
+		l.failures = 0
+		l.blocked = s.pass
+	}
+}
+
+// grant turns the ticket into an assignment.
+func (s *Scheduler) grant(t *Ticket, choice scheduling.Choice) {
+	now := s.opts.Clock.Now()
+	s.detach(t)
+	a := &t.assigned
+	a.Replica = choice.Replica
+	a.Address = choice.Address
+	a.Decision = choice.Decision
+	a.ticket = t
+	a.upstream = s.upstream(choice.Replica.Upstream)
+	a.grantedAt = now
+	a.flushed = now
+	s.enterUpstream(a)
+	t.end(granted)
+}
--- /dev/null
+++ b/internal/scheduler/fixture_test.go
@@ -0,0 +1,197 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/settings"
+)
+
+// fakePicker gives the first free slot of an upstream. It checks that no replica
+// runs more than its slots and that each slot is given back once.
+type fakePicker struct {
+	failf       func(format string, args ...any)
+	snapshot    *bundle.Snapshot
+	running     map[scheduling.ReplicaID]int
+	down        map[scheduling.ReplicaID]bool
+	quarantined map[uint64]bool
+	picks       int
+}
+
+func newFakePicker(failf func(string, ...any)) *fakePicker {
+	return &fakePicker{
+		failf:       failf,
+		running:     make(map[scheduling.ReplicaID]int),
+		down:        make(map[scheduling.ReplicaID]bool),
+		quarantined: make(map[uint64]bool),
+	}
+}
+
+func (p *fakePicker) Update(snapshot *bundle.Snapshot, _ *scheduling.View) {
+	if snapshot != nil {
+		p.snapshot = snapshot
+	}
+}
+
+func (p *fakePicker) each(r *scheduling.Request, visit func(scheduling.ReplicaID, int)) {
+	for _, i := range r.Upstreams {
+		u := &p.snapshot.Bundle.Upstreams[i]
+		for j := range u.Replicas {
+			id := scheduling.ReplicaID{Upstream: u.Name, Replica: u.Replicas[j].ID}
+			if !p.down[id] && !slices.Contains(r.Exclude, id) {
+				visit(id, u.Slots)
+			}
+		}
+	}
+}
+
+func (p *fakePicker) Pick(r *scheduling.Request) (scheduling.Choice, bool) {
+	p.picks++
+	var choice scheduling.Choice
+	found := false
+	p.each(r, func(id scheduling.ReplicaID, slots int) {
+		if !found && p.running[id] < slots {
+			choice.Replica = id
+			found = true
+		}
+	})
+	if found {
+		p.running[choice.Replica]++
+	}
+	return choice, found
+}
+
+func (p *fakePicker) Slots(r *scheduling.Request) (total, free int) {
+	p.each(r, func(id scheduling.ReplicaID, slots int) {
+		total += slots
+		free += max(slots-p.running[id], 0)
+	})
+	return total, free
+}
+
+func (p *fakePicker) Refusal(r *scheduling.Request) *scheduling.RefusedError {
+	if p.quarantined[r.Fingerprint] {
+		return &scheduling.RefusedError{Reason: scheduling.ReasonQuarantined}
+	}
+	return nil
+}
+
+func (p *fakePicker) FirstToken(scheduling.ReplicaID, *scheduling.Request, time.Duration) {}
+func (p *fakePicker) Tokens(scheduling.ReplicaID, int, time.Duration)                     {}
+
+func (p *fakePicker) Finish(id scheduling.ReplicaID, _ *scheduling.Request, _ scheduling.Result) {
+	p.running[id]--
+	if p.running[id] < 0 {
+		p.failf("a slot of %s was given back twice", id)
+	}
+}
+
+func (p *fakePicker) Tick()                                         {}
+func (p *fakePicker) Measurements() []scheduling.ReplicaMeasurement { return nil }
+
+// Classes of the test bundle by index.
+const (
+	classQuote = iota
+	classOrder
+	classReport
+	classDraft
+)
+
+// testBundle has four classes, one per tier, and pools of engines with one model
+// each.
+func testBundle(pools, replicas, slots, teams int) *bundle.Bundle {
+	seconds := func(n float64) settings.Duration { return settings.Duration(n * float64(time.Second)) }
+	names := []string{"quote", "order", "report", "draft"}
+	b := &bundle.Bundle{Format: bundle.Format, Classes: []bundle.Class{
+		{Name: names[0], Tier: 1, FirstTokenTarget: seconds(0.52), Deadline: seconds(30), Share: 0.1, MaxQueue: 256, RetryBudget: 0.1, ExpectedTokens: 40},
+		{Name: names[1], Tier: 2, FirstTokenTarget: seconds(2), Deadline: seconds(60), MaxQueue: 256, ExpectedTokens: 40},
+		{Name: names[2], Tier: 3, FirstTokenTarget: seconds(5), Deadline: seconds(120), Share: 0.05, MaxQueue: 256, ExpectedTokens: 100, Preemptible: true},
+		{Name: names[3], Tier: 4, FirstTokenTarget: seconds(10), Deadline: seconds(600), Share: 0.1, MaxQueue: 512, ExpectedTokens: 600, Preemptible: true},
+	}}
+	for i := range teams {
+		b.Teams = append(b.Teams, bundle.Team{
+			Name: fmt.Sprintf("team-%d", i), KeyHashes: []string{bundle.HashKey(fmt.Sprint(i))}, Classes: names,
+			TokensPerSecond: 1e9, MaxInProgress: 1e6,
+		})
+	}
+	for i := range pools {
+		u := bundle.Upstream{
+			Name: fmt.Sprintf("pool-%d", i), Kind: bundle.KindEngine, Classes: names,
+			Models: []string{fmt.Sprintf("model-%d", i)}, Resumable: true, Slots: slots,
+		}
+		for j := range replicas {
+			u.Replicas = append(u.Replicas, bundle.Replica{
+				ID: fmt.Sprintf("r%d", j), Address: fmt.Sprintf("127.0.0.1:%d", 10000+1000*i+j), AvailabilityZone: "ate",
+			})
+		}
+		b.Upstreams = append(b.Upstreams, u)
+	}
+	return b
+}
+
+type fixture struct {
+	t      testing.TB
+	clock  *clockwork.FakeClock
+	picker *fakePicker
+	bundle *bundle.Bundle
+	*Scheduler
+}
+
+func newFixture(t testing.TB, b *bundle.Bundle) *fixture {
+	require.NoError(t, b.Validate())
+	f := &fixture{t: t, clock: clockwork.NewFakeClock(), picker: newFakePicker(t.Fatalf), bundle: b}
+	f.Scheduler = New(Options{Clock: f.clock, Picker: f.picker})
+	f.Update(bundle.Compile(b, 1, ""), &scheduling.View{HostsInZone: 1, ZoneCount: 1})
+	return f
+}
+
+func (f *fixture) request(class, pool int) scheduling.Request {
+	now := f.clock.Now()
+	return scheduling.Request{
+		Class: class, Upstreams: []int{pool}, Model: fmt.Sprintf("model-%d", pool),
+		Arrived: now, Deadline: now.Add(f.bundle.Classes[class].Deadline.Std()), Resumable: true,
+	}
+}
+
+func (f *fixture) enqueue(r scheduling.Request) *Ticket {
+	t, err := f.Enqueue(r)
+	require.NoError(f.t, err)
+	return t
+}
+
+func (f *fixture) advance(d time.Duration) {
+	for ; d > 0; d -= 50 * time.Millisecond {
+		f.clock.Advance(min(d, 50*time.Millisecond))
+		f.Tick()
+	}
+}
+
+func grantOf(t *Ticket) *Assignment {
+	select {
+	case a := <-t.Granted():
+		return a
+	default:
+		return nil
+	}
+}
+
+func refusalOf(t *Ticket) *scheduling.RefusedError {
+	select {
+	case r := <-t.Refused():
+		return r
+	default:
+		return nil
+	}
+}
+
+func done(tokens int) scheduling.Result {
+	return scheduling.Result{Outcome: outcome.Completed, Tokens: tokens}
+}
--- /dev/null
+++ b/internal/scheduler/preempt.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"heatherbarrow/internal/bundle"
+)
+
+const (
+	// maxPreemptions bounds how often one request is preempted, so that each
+	// makes progress in the end.
+	maxPreemptions = 3
+	// minRun is how long a request runs at least before it is preempted; less
+	// would throw away its prompt's computation for nothing.
+	minRun = 500 * time.Millisecond
+	// minPreemptionRate is the least bound of preemptions per second in a pool.
+	minPreemptionRate = 2
+	// preemptionFraction of a pool's slots may be preempted per second.
+	preemptionFraction = 0.1
+	// victimScan bounds how many running requests of a tier are looked at.
+	victimScan = 32
+)
+
+// preempt interrupts lower-tier streams when top-tier requests wait in the pool
+// and fewer slots become free in time for their target than they need.
+func (s *Scheduler) preempt(p *pool) {
+	waiting := p.tiers[bundle.TopTier].fresh
+	if !s.tuning.preemption || waiting == 0 {
+		return
+	}
+	now := s.opts.Clock.Now()
+	needed := waiting - s.freedInTime(p, now)
+	if needed <= 0 {
+		return
+	}
+	s.adjustLimit(p, now)
+	for range needed {
+		victim := s.victim(p, now)
+		if victim == nil || !p.limiter.AllowN(now, 1) {
+			return
+		}
+		victim.preempt()
+	}
+}
+
+// freedInTime returns the slots that should become free before the first waiting
+// top-tier request must start, with those being freed by preemption.
+func (s *Scheduler) freedInTime(p *pool, now time.Time) int {
+	slack := time.Duration(0)
+	for _, l := range p.lanes {
+		if l == nil || l.class.Tier != bundle.TopTier || l.fresh.Len() == 0 {
+			continue
+		}
+		by := l.fresh.Min().Value.startBy.Sub(now)
+		if slack == 0 || by < slack {
+			slack = by
+		}
+	}
+	finished := 0.0
+	pending := 0
+	for _, u := range p.upstreams {
+		finished += u.finished.perSecond
+		pending += u.pending
+	}
+	return pending + int(finished*max(slack, 0).Seconds())
+}
+
+func (s *Scheduler) adjustLimit(p *pool, now time.Time) {
+	limit := max(minPreemptionRate, int(preemptionFraction*float64(p.total)))
+	if p.limiter.Burst() != limit {
+		p.limiter.SetLimitAt(now, rate.Limit(limit))
+		p.limiter.SetBurstAt(now, limit)
+	}
+}
+
+// victim returns the running request to preempt: of the lowest tier, and in it
+// the one that started last.
+func (s *Scheduler) victim(p *pool, now time.Time) *Assignment {
+	for tier := bundle.MaxTier; tier > bundle.TopTier; tier-- {
+		for _, u := range p.upstreams {
+			a := u.lists[tier].newest
+			for range victimScan {
+				if a == nil {
+					break
+				}
+				if a.mayPreempt(p, now) {
+					return a
+				}
+				a = a.older
+			}
+		}
+	}
+	return nil
+}
+
+// mayPreempt tells whether the request may be interrupted. A class is never
+// brought below its guaranteed share, as the next free slot would be its again.
+func (a *Assignment) mayPreempt(p *pool, now time.Time) bool {
+	if a.isPreempted || !a.preemptible() || a.ticket.request.Preemptions >= maxPreemptions {
+		return false
+	}
+	if now.Sub(a.grantedAt) < minRun {
+		return false
+	}
+	running, slots := p.running(a.ticket.class)
+	return running > a.ticket.class.guaranteed(slots)
+}
+
+func (a *Assignment) preempt() {
+	a.isPreempted = true
+	a.upstream.pending++
+	if a.preempted != nil {
+		close(a.preempted)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,7 +1,15 @@
-// Package scheduler queues requests and assigns them to replicas.
+// Package scheduler admits requests, queues them by tier, guaranteed share and
+// deadline, assigns them to replicas and preempts lower tiers.
+//
+// Enqueue refuses a request at once or returns a Ticket. A ticket ends in exactly
+// one of three ways: an Assignment, a refusal after all (for example when the
+// deadline can no longer be met) or a cancellation. Ticket.Wait waits for any of
+// them. The scheduler performs no I/O and starts no goroutines: it acts within
+// the calls of the traffic path and within Tick.
 package scheduler
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -9,7 +17,10 @@
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/estimator"
+	"heatherbarrow/internal/scheduling/limits"
 	"heatherbarrow/internal/scheduling/picker"
+	"heatherbarrow/internal/scheduling/queue"
 )
 
 // Options configure a Scheduler.
@@ -18,76 +29,111 @@
 	AvailabilityZone string
 	Clock            clockwork.Clock
 	Seed             uint64 // seed of the picker's random choice
+	// Picker replaces the default picker, for example in a benchmark.
+	Picker scheduling.Picker
 }
 
-// Scheduler queues requests and assigns them to replicas.
+// Scheduler queues requests and assigns them to replicas. It is safe for
+// concurrent use.
 type Scheduler struct {
-	opts Options
+	opts   Options
+	tuning tuning
+
+	mu              sync.Mutex
+	picker          scheduling.Picker
+	estimator       *estimator.Estimator
+	limiter         *limits.Limiter
+	snapshot        *bundle.Snapshot
+	previous        *bundle.Snapshot // for requests that were read under it
+	classes         []*class         // by index in the bundle
+	known           map[string]*class
+	upstreams       []*upstream // by index in the bundle
+	byName          map[string]*upstream
+	pools           map[poolKey]*pool
+	poolList        []*pool
+	expiry          queue.Heap[*Ticket] // waiting requests by the time of certain refusal
+	demand          map[demandKey]*scheduling.ClassDemand
+	pass            uint64 // number of the current dispatch pass
+	ticked          time.Time
+	sequence        int64   // of arrivals
+	meanEntitlement float64 // of the teams in tokens/s
+}
+
+// tuning selects the mechanisms in use; the comparisons under docs/decisions
+// switch them off one by one.
+type tuning struct {
+	fifo         bool // order of arrival only
+	headroom     bool // free slots are kept for the top tier
+	preemption   bool
+	freshFirst   bool // requests that can still meet their target go first
+	earlyRefusal bool
+	fairness     bool // among the teams of a class
+}
 
-	mu       sync.Mutex
-	picker   scheduling.Picker
-	snapshot *bundle.Snapshot
-	waiting  []*Ticket
+var defaultTuning = tuning{headroom: true, preemption: true, freshFirst: true, earlyRefusal: true, fairness: true}
+
+type demandKey struct {
+	class string
+	model string
 }
 
-// New returns a scheduler without a bundle.
+// New returns a scheduler without a bundle; it refuses all requests until Update
+// installs one.
 func New(opts Options) *Scheduler {
-	return &Scheduler{opts: opts, picker: picker.New(picker.Options{
-		AvailabilityZone: opts.AvailabilityZone, Clock: opts.Clock, Seed: opts.Seed,
-	})}
+	p := opts.Picker
+	if p == nil {
+		p = picker.New(picker.Options{
+			AvailabilityZone: opts.AvailabilityZone, Clock: opts.Clock, Seed: opts.Seed,
+		})
+	}
+	return &Scheduler{
+		opts:      opts,
+		tuning:    defaultTuning,
+		picker:    p,
+		estimator: estimator.New(opts.Clock),
+		limiter:   limits.New(limits.Options{AvailabilityZone: opts.AvailabilityZone, Clock: opts.Clock}),
+		known:     make(map[string]*class),
+		byName:    make(map[string]*upstream),
+		pools:     make(map[poolKey]*pool),
+		demand:    make(map[demandKey]*scheduling.ClassDemand),
+		ticked:    opts.Clock.Now(),
+	}
 }
 
 // Update installs a new bundle or view; a nil argument leaves the old one.
+// Waiting requests whose class, team or upstreams no longer exist are refused.
 func (s *Scheduler) Update(snapshot *bundle.Snapshot, view *scheduling.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.picker.Update(snapshot, view)
+	s.limiter.Update(snapshot, view)
 	if snapshot != nil {
-		s.snapshot = snapshot
+		s.install(snapshot)
 	}
-	s.picker.Update(snapshot, view)
-	s.dispatch()
-}
-
-// Report returns what this host measured and used since the last report.
-func (s *Scheduler) Report() scheduling.Report {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return scheduling.Report{Replicas: s.picker.Measurements()}
-}
-
-// Ticket is a request in the queue.
-type Ticket struct {
-	scheduler *Scheduler
-	request   scheduling.Request
-	granted   chan *Assignment
-}
-
-// Granted delivers the assignment once there is one.
-func (t *Ticket) Granted() <-chan *Assignment { return t.granted }
-
-// Cancel takes the request out of the queue. An assignment already granted is
-// finished as canceled.
-func (t *Ticket) Cancel() {
-	t.scheduler.mu.Lock()
-	t.scheduler.remove(t)
-	t.scheduler.mu.Unlock()
-	select {
-	case a := <-t.granted:
-		a.Finish(scheduling.Result{Canceled: true})
-	default:
+	if s.snapshot == nil {
+		return
 	}
+	s.refreshPools()
+	s.refuseQuarantined()
+	s.dispatch(s.poolList)
 }
 
-// Enqueue queues a request. The error is a *scheduling.RefusedError.
+// Enqueue admits a request. The error is a *scheduling.RefusedError. A request
+// that was preempted or whose earlier attempt failed comes back through Enqueue
+// with Attempt, Progress and Preemptions set; its deadline and place in the order
+// remain those of its arrival.
 func (s *Scheduler) Enqueue(r scheduling.Request) (*Ticket, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(r.Upstreams) == 0 {
-		return nil, &scheduling.RefusedError{Reason: scheduling.ReasonNoReplica, RetryAfter: time.Second}
+	t := &Ticket{scheduler: s, request: r}
+	if refused := s.admit(t); refused != nil {
+		return nil, refused
+	}
+	p := t.lane.pool
+	s.dispatch(p.self[:])
+	if t.state == waiting && t.class.Tier == bundle.TopTier {
+		s.preempt(p)
 	}
-	t := &Ticket{scheduler: s, request: r, granted: make(chan *Assignment, 1)}
-	s.waiting = append(s.waiting, t)
-	s.dispatch()
 	return t, nil
 }
 
@@ -95,74 +141,31 @@
 func (s *Scheduler) Tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatch()
-}
-
-func (s *Scheduler) remove(t *Ticket) {
-	for i, other := range s.waiting {
-		if other == t {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return
-		}
-	}
-}
-
-func (s *Scheduler) dispatch() {
+	s.picker.Tick()
 	if s.snapshot == nil {
 		return
 	}
-	for tier := bundle.TopTier; tier <= bundle.MaxTier; tier++ {
-		kept := s.waiting[:0]
-		for _, t := range s.waiting {
-			if s.snapshot.Bundle.Classes[t.request.Class].Tier != tier || !s.assign(t) {
-				kept = append(kept, t)
-			}
-		}
-		s.waiting = kept
+	s.updateRates()
+	s.refreshPools()
+	s.refuseExpired()
+	s.refuseUnreachable()
+	s.dispatch(s.poolList)
+	for _, p := range s.poolList {
+		s.preempt(p)
 	}
 }
 
-func (s *Scheduler) assign(t *Ticket) bool {
-	choice, ok := s.picker.Pick(&t.request)
-	if !ok {
-		return false
-	}
-	t.granted <- &Assignment{
-		Replica: choice.Replica, Address: choice.Address, Decision: choice.Decision,
-		scheduler: s, request: &t.request, granted: s.opts.Clock.Now(), preempted: make(chan struct{}),
+// Report returns what this host measured and used since the last report.
+func (s *Scheduler) Report() scheduling.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := scheduling.Report{Replicas: s.picker.Measurements(), Teams: s.limiter.Usage()}
+	for _, d := range s.demand {
+		if d.Requests > 0 || d.Tokens > 0 || d.Refused > 0 {
+			report.Demand = append(report.Demand, *d)
+			d.Requests, d.Tokens, d.Refused = 0, 0, 0
+		}
 	}
-	return true
-}
-
-// Assignment is a slot on a replica. Finish must be called exactly once.
-type Assignment struct {
-	Replica   scheduling.ReplicaID
-	Address   string
-	Decision  scheduling.Decision
-	scheduler *Scheduler
-	request   *scheduling.Request
-	granted   time.Time
-	preempted chan struct{}
-}
-
-// Preempted is closed when the slot is needed for a higher tier. The caller
-// then cancels the stream, finishes the assignment and queues the rest.
-func (a *Assignment) Preempted() <-chan struct{} { return a.preempted }
-
-// FirstToken records that the first token arrived.
-func (a *Assignment) FirstToken() {
-	a.scheduler.mu.Lock()
-	defer a.scheduler.mu.Unlock()
-	a.scheduler.picker.FirstToken(a.Replica, a.request, a.scheduler.opts.Clock.Since(a.granted))
-}
-
-// Token records n further tokens.
-func (a *Assignment) Token(n int) {}
-
-// Finish gives the slot back.
-func (a *Assignment) Finish(result scheduling.Result) {
-	a.scheduler.mu.Lock()
-	defer a.scheduler.mu.Unlock()
-	a.scheduler.picker.Finish(a.Replica, a.request, result)
-	a.scheduler.dispatch()
+	slices.SortFunc(report.Demand, compareDemand)
+	return report
 }
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,312 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/scheduling"
+)
+
+// Guards against a lower tier taking a slot for which a higher one waits.
+func TestHigherTierGoesFirst(t *testing.T) {
+	b := testBundle(1, 1, 1, 1)
+	b.Classes[classDraft].Share = 0
+	f := newFixture(t, b)
+	first := grantOf(f.enqueue(f.request(classQuote, 0)))
+	require.NotNil(t, first)
+	draft := f.enqueue(f.request(classDraft, 0))
+	quote := f.enqueue(f.request(classQuote, 0))
+	first.Finish(done(1))
+	require.Nil(t, grantOf(draft))
+	require.NotNil(t, grantOf(quote))
+}
+
+// Guards against starvation of a class that runs less than its share.
+func TestShareGetsTheNextFreeSlot(t *testing.T) {
+	f := newFixture(t, testBundle(1, 1, 10, 1))
+	var quotes []*Assignment
+	for range 10 {
+		quotes = append(quotes, grantOf(f.enqueue(f.request(classQuote, 0))))
+	}
+	quote := f.enqueue(f.request(classQuote, 0))
+	draft := f.enqueue(f.request(classDraft, 0))
+	quotes[0].Finish(done(1))
+	require.NotNil(t, grantOf(draft), "the draft class runs nothing and has a share of one slot")
+	require.Nil(t, grantOf(quote))
+	quotes[1].Finish(done(1))
+	require.NotNil(t, grantOf(quote))
+}
+
+// Guards against a class without a share waiting for ever behind higher tiers.
+func TestAgeBoundsTheWait(t *testing.T) {
+	b := testBundle(1, 1, 4, 1)
+	for i := range b.Classes {
+		b.Classes[i].Share = 0
+	}
+	f := newFixture(t, b)
+	quotes := make(map[*Ticket]bool)
+	for range 8 {
+		quotes[f.enqueue(f.request(classQuote, 0))] = true
+	}
+	draft := f.enqueue(f.request(classDraft, 0))
+	waited := time.Duration(0)
+	for draft.state == waiting {
+		for q := range quotes {
+			if a := grantOf(q); a != nil {
+				a.Finish(done(1))
+				delete(quotes, q)
+				quotes[f.enqueue(f.request(classQuote, 0))] = true
+			}
+		}
+		f.advance(time.Second)
+		waited += time.Second
+		require.Less(t, waited, 200*time.Second)
+	}
+	require.NotNil(t, grantOf(draft))
+}
+
+// Guards against one pool without free slots holding up another.
+func TestFullPoolDoesNotBlockOthers(t *testing.T) {
+	f := newFixture(t, testBundle(2, 1, 1, 1))
+	require.NotNil(t, grantOf(f.enqueue(f.request(classQuote, 0))))
+	require.Nil(t, grantOf(f.enqueue(f.request(classQuote, 0))))
+	f.picker.down[scheduling.ReplicaID{Upstream: "pool-0", Replica: "r0"}] = true
+	f.advance(time.Second)
+	require.NotNil(t, grantOf(f.enqueue(f.request(classDraft, 1))))
+}
+
+// Guards against a request that no replica can take holding up its class.
+func TestExcludedReplicaDoesNotBlockTheClass(t *testing.T) {
+	f := newFixture(t, testBundle(1, 2, 1, 1))
+	first := grantOf(f.enqueue(f.request(classQuote, 0)))
+	second := grantOf(f.enqueue(f.request(classQuote, 0)))
+	retry := f.request(classQuote, 0)
+	retry.Attempt = 1
+	retry.EarlierNotRun = true
+	retry.Exclude = []scheduling.ReplicaID{first.Replica}
+	retried := f.enqueue(retry)
+	other := f.enqueue(f.request(classQuote, 0))
+	first.Finish(done(1))
+	require.NotNil(t, grantOf(other))
+	second.Finish(done(1))
+	require.NotNil(t, grantOf(retried))
+}
+
+// Guards against a full queue refusing a higher tier while lower tiers wait in it,
+// and against the reverse.
+func TestFullQueueGivesWayToHigherTier(t *testing.T) {
+	b := testBundle(1, 1, 1, 1)
+	b.Classes[classQuote].MaxQueue = 1
+	b.Classes[classDraft].MaxQueue = 1
+	f := newFixture(t, b)
+	f.enqueue(f.request(classQuote, 0))
+	draft := f.enqueue(f.request(classDraft, 0))
+	f.enqueue(f.request(classQuote, 0))
+	f.enqueue(f.request(classQuote, 0))
+	refusal := refusalOf(draft)
+	require.NotNil(t, refusal)
+	require.Equal(t, scheduling.ReasonQueueFull, refusal.Reason)
+	require.Positive(t, refusal.RetryAfter)
+	_, err := f.Enqueue(f.request(classQuote, 0))
+	requireRefused(t, err, scheduling.ReasonQueueFull)
+	f.enqueue(f.request(classDraft, 0))
+	_, err = f.Enqueue(f.request(classDraft, 0))
+	requireRefused(t, err, scheduling.ReasonQueueFull)
+}
+
+func requireRefused(t *testing.T, err error, reason string) *scheduling.RefusedError {
+	t.Helper()
+	var refused *scheduling.RefusedError
+	require.True(t, errors.As(err, &refused), "error %v", err)
+	require.Equal(t, reason, refused.Reason)
+	return refused
+}
+
+// Guards against a caller waiting in vain once refusal is certain.
+func TestWaitingRequestIsRefusedWhenCertain(t *testing.T) {
+	b := testBundle(2, 1, 1, 1)
+	f := newFixture(t, b)
+	f.enqueue(f.request(classQuote, 0))
+	late := f.enqueue(f.request(classQuote, 0))
+	f.advance(31 * time.Second)
+	require.Equal(t, scheduling.ReasonDeadline, refusalOf(late).Reason)
+
+	poison := f.request(classQuote, 0)
+	poison.Fingerprint = 7
+	suspect := f.enqueue(poison)
+	f.picker.quarantined[7] = true
+	f.Update(nil, &scheduling.View{HostsInZone: 1, ZoneCount: 1})
+	require.Equal(t, scheduling.ReasonQuarantined, refusalOf(suspect).Reason)
+
+	running := grantOf(f.enqueue(f.request(classQuote, 1)))
+	left := f.enqueue(f.request(classQuote, 1))
+	f.picker.down[running.Replica] = true
+	f.advance(time.Second)
+	require.Nil(t, refusalOf(left), "the grace has not passed")
+	f.advance(2 * time.Second)
+	require.Equal(t, scheduling.ReasonNoReplica, refusalOf(left).Reason)
+	_, err := f.Enqueue(f.request(classQuote, 1))
+	requireRefused(t, err, scheduling.ReasonNoReplica)
+}
+
+// Guards against admitting what the measured service rate cannot serve in time,
+// and against a retry time without relation to it.
+func TestEarlyRefusalFollowsTheServiceRate(t *testing.T) {
+	b := testBundle(1, 1, 1, 1)
+	f := newFixture(t, b)
+	for range 10 { // 5 s each
+		a := grantOf(f.enqueue(f.request(classQuote, 0)))
+		f.advance(5 * time.Second)
+		a.Finish(done(40))
+	}
+	f.enqueue(f.request(classQuote, 0))
+	admitted := 0
+	for admitted < 20 {
+		_, err := f.Enqueue(f.request(classQuote, 0))
+		if err != nil {
+			refused := requireRefused(t, err, scheduling.ReasonDeadline)
+			require.InDelta(t, 2.5, refused.RetryAfter.Seconds(), 2.5)
+			break
+		}
+		admitted++
+	}
+	require.InDelta(t, 4, admitted, 1, "30 s hold the running request and four others")
+}
+
+// Guards against a top-tier request waiting for a long draft, and against
+// preempting what cannot continue.
+func TestPreemptsOnlyResumableLowerTiers(t *testing.T) {
+	b := testBundle(1, 1, 4, 1)
+	f := newFixture(t, b)
+	var drafts []*Assignment
+	for i := range 4 {
+		r := f.request(classDraft, 0)
+		r.Resumable = i >= 2
+		drafts = append(drafts, grantOf(f.enqueue(r)))
+		f.clock.Advance(10 * time.Millisecond)
+	}
+	f.advance(time.Second)
+	quote := f.enqueue(f.request(classQuote, 0))
+	preempted := 0
+	for i, a := range drafts {
+		select {
+		case <-a.Preempted():
+			require.GreaterOrEqual(t, i, 2)
+			preempted++
+			a.Finish(scheduling.Result{Canceled: true, Tokens: 10})
+		default:
+		}
+	}
+	require.Equal(t, 1, preempted)
+	require.NotNil(t, grantOf(quote))
+}
+
+// Guards against preemption that throws a stream out again and again.
+func TestPreemptionIsBounded(t *testing.T) {
+	f := newFixture(t, testBundle(1, 1, 2, 1))
+	r := f.request(classDraft, 0)
+	r.Preempted = true
+	r.Preemptions = maxPreemptions
+	f.enqueue(r)
+	kept := grantOf(f.enqueue(r))
+	f.advance(time.Second)
+	f.enqueue(f.request(classQuote, 0))
+	f.advance(time.Second)
+	select {
+	case <-kept.Preempted():
+		t.Fatal("preempted more often than the bound")
+	default:
+	}
+}
+
+// Guards against a request that comes back being refused for its team's limit and
+// against charging it twice.
+func TestPreemptedRequestIsChargedOnce(t *testing.T) {
+	b := testBundle(1, 1, 1, 1)
+	b.Teams[0].TokensPerSecond = 400 // a floor of 200/s and a burst of 400
+	f := newFixture(t, b)
+	r := f.request(classDraft, 0)
+	a := grantOf(f.enqueue(r))
+	_, err := f.Enqueue(r)
+	requireRefused(t, err, scheduling.ReasonTeamLimit)
+	a.Finish(scheduling.Result{Canceled: true, Tokens: 100})
+	r.Preempted, r.Preemptions, r.Progress = true, 1, 100
+	a = grantOf(f.enqueue(r))
+	a.Finish(done(500))
+	team := f.limiter.Team(0)
+	_, ok := team.Check(400)
+	require.False(t, ok)
+	f.clock.Advance(time.Second) // the debt of 600 - 400 tokens
+	_, ok = team.Check(1)
+	require.False(t, ok)
+	f.clock.Advance(2 * time.Second)
+	_, ok = team.Check(400)
+	require.True(t, ok)
+}
+
+// Guards against slots lost between a grant and a cancellation.
+func TestCancelGivesTheSlotBack(t *testing.T) {
+	f := newFixture(t, testBundle(1, 1, 1, 1))
+	granted := f.enqueue(f.request(classQuote, 0))
+	queued := f.enqueue(f.request(classQuote, 0))
+	queued.Cancel()
+	granted.Cancel()
+	granted.Cancel()
+	third := f.enqueue(f.request(classQuote, 0))
+	a, err := third.Wait(context.Background())
+	require.NoError(t, err)
+	third.Cancel()
+	require.Nil(t, grantOf(f.enqueue(f.request(classQuote, 0))), "a received assignment is the caller's")
+	a.Finish(done(1))
+	a.Finish(done(1))
+}
+
+// Guards against a flood from one team delaying the other teams of its class.
+func TestTeamsShareTheirClass(t *testing.T) {
+	f := newFixture(t, testBundle(1, 1, 1, 2))
+	running := grantOf(f.enqueue(f.request(classReport, 0)))
+	for range 100 {
+		f.enqueue(f.request(classReport, 0))
+	}
+	r := f.request(classReport, 0)
+	r.Team = 1
+	other := f.enqueue(r)
+	running.Finish(done(1))
+	require.NotNil(t, grantOf(other))
+}
+
+// Guards against requests going to the wrong class or upstream when a bundle
+// renumbers them, and against requests of removed classes waiting in vain.
+func TestBundleChangeMovesRequests(t *testing.T) {
+	f := newFixture(t, testBundle(2, 1, 1, 1))
+	running := grantOf(f.enqueue(f.request(classQuote, 1)))
+	quote := f.enqueue(f.request(classQuote, 1))
+	draft := f.enqueue(f.request(classDraft, 1))
+	next := testBundle(2, 1, 1, 1)
+	next.Classes = append([]bundle.Class{}, next.Classes[:3]...)
+	next.Classes[0], next.Classes[2] = next.Classes[2], next.Classes[0]
+	next.Upstreams[0], next.Upstreams[1] = next.Upstreams[1], next.Upstreams[0]
+	next.Teams[0].Classes = next.Teams[0].Classes[:3]
+	for i := range next.Upstreams {
+		next.Upstreams[i].Classes = next.Upstreams[i].Classes[:3]
+	}
+	require.NoError(t, next.Validate())
+	old := f.request(classQuote, 1)
+	old.Generation = 1
+	f.Update(bundle.Compile(next, 2, ""), nil)
+	require.NotNil(t, refusalOf(draft))
+	require.Equal(t, 2, quote.request.Class)
+	require.Equal(t, []int{0}, quote.request.Upstreams)
+	running.Finish(done(1))
+	require.Equal(t, "pool-1", grantOf(quote).Replica.Upstream)
+	renumbered := f.enqueue(old)
+	require.Equal(t, 2, renumbered.request.Class)
+	old.Generation = 7
+	_, err := f.Enqueue(old)
+	requireRefused(t, err, scheduling.ReasonNoReplica)
+}
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -36,8 +36,26 @@
 	Resumable    bool        // the stream may be preempted and continued
 	Attempt      int         // 0 for the first attempt
 	Exclude      []ReplicaID // replicas not to be used, for example after a failed attempt
+	// Generation is the bundle generation that the indexes above refer to; 0
+	// stands for the generation in force.
+	Generation uint64
+	// Progress is the number of tokens that earlier attempts passed on.
+	Progress int
+	// Preempted tells that the attempt before this one was preempted. The request
+	// was admitted before, so that neither the team's limits nor the retry budget
+	// nor the queue's bound apply to it again.
+	Preempted bool
+	// Preemptions counts how often the request was preempted so far.
+	Preemptions int
+	// EarlierNotRun tells that the attempt before this one was refused before it
+	// ran, so that this one does not count against the retry budget.
+	EarlierNotRun bool
 }
 
+// Returning tells whether the request was admitted before, as a retry or after a
+// preemption.
+func (r *Request) Returning() bool { return r.Attempt > 0 || r.Preempted }
+
 // ReplicaState is the membership state of a replica.
 type ReplicaState int
 
