--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -25,8 +25,8 @@
 type phase int
 
 const (
-	phaseShare phase = iota // the class runs fewer requests than its share
-	phaseAged               // the class waits too long
+	phaseAged  phase = iota // the class waits too long
+	phaseShare              // the class runs fewer requests than its share
 	phaseTier
 	phaseNone // no slot for the lane
 )
@@ -100,17 +100,27 @@
 		return c, true
 	}
 	c.phase = l.phase(now)
+	if c.phase == phaseAged {
+		// The one that is due longest goes first, whatever its tier: else the
+		// highest of the aged tiers would take every slot given by age.
+		c.tier = 0
+		c.late = false
+		c.by = l.agesAt().UnixNano()
+	}
 	return c, c.phase != phaseNone
 }
 
 func (l *lane) phase(now time.Time) phase {
 	p := l.pool
+	// Age goes before the shares: in a pool with fewer slots than classes with a
+	// share, the highest of these classes would take every slot as its share.
+	if l.class.Tier > bundle.TopTier && p.sinceAged >= agedInterval && l.agesAt().Before(now) {
+		return phaseAged
+	}
 	running, slots := p.running(l.class)
 	switch {
 	case running < l.class.guaranteed(slots):
 		return phaseShare
-	case p.sinceAged >= agedInterval && l.aged(now):
-		return phaseAged
 	case l.class.Tier > bundle.TopTier && p.free <= p.headroom:
 		return phaseNone
 	default:
@@ -118,9 +128,10 @@
 	}
 }
 
-func (l *lane) aged(now time.Time) bool {
+// agesAt returns when the lane's oldest request may go before higher tiers.
+func (l *lane) agesAt() time.Time {
 	limit := time.Duration(ageFraction * float64(l.class.Deadline.Std()))
-	return now.Sub(l.oldest().enqueued) > limit
+	return l.oldest().enqueued.Add(limit)
 }
 
 // oldest returns the request that has waited longest, as far as the heads tell.
