--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -154,9 +154,7 @@
 	if a.isPreempted {
 		u.pending--
 	}
-	for _, p := range u.pools {
-		p.free++
-	}
+	u.freed++
 }
 
 // assignmentList links the running requests of a tier in order of their grants.
--- /dev/null
+++ b/internal/scheduler/bench_test.go
@@ -0,0 +1,199 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/picker"
+)
+
+// The target scale of the design: 28 models with 21 or 22 replicas each.
+const (
+	scaleModels   = 28
+	scaleReplicas = 600
+	scaleTeams    = 7100
+	scaleSlots    = 32
+)
+
+// ringPicker gives the next replica of an upstream in constant time, so that the
+// benchmark shows the cost of the scheduler alone.
+type ringPicker struct {
+	fakePicker
+	upstreams []struct{ free, next int }
+	byName    map[string]int
+}
+
+func (p *ringPicker) Update(snapshot *bundle.Snapshot, view *scheduling.View) {
+	p.fakePicker.Update(snapshot, view)
+	if snapshot == nil {
+		return
+	}
+	p.byName = make(map[string]int)
+	p.upstreams = make([]struct{ free, next int }, len(snapshot.Bundle.Upstreams))
+	for i := range snapshot.Bundle.Upstreams {
+		u := &snapshot.Bundle.Upstreams[i]
+		p.byName[u.Name] = i
+		p.upstreams[i].free = u.Slots * len(u.Replicas)
+	}
+}
+
+func (p *ringPicker) Pick(r *scheduling.Request) (scheduling.Choice, bool) {
+	i := r.Upstreams[0]
+	u := &p.upstreams[i]
+	if u.free == 0 {
+		return scheduling.Choice{}, false
+	}
+	u.free--
+	definition := &p.snapshot.Bundle.Upstreams[i]
+	u.next = (u.next + 1) % len(definition.Replicas)
+	id := scheduling.ReplicaID{Upstream: definition.Name, Replica: definition.Replicas[u.next].ID}
+	return scheduling.Choice{Replica: id}, true
+}
+
+func (p *ringPicker) Slots(r *scheduling.Request) (total, free int) {
+	u := &p.snapshot.Bundle.Upstreams[r.Upstreams[0]]
+	return u.Slots * len(u.Replicas), p.upstreams[r.Upstreams[0]].free
+}
+
+func (p *ringPicker) Finish(id scheduling.ReplicaID, _ *scheduling.Request, _ scheduling.Result) {
+	p.upstreams[p.byName[id.Upstream]].free++
+}
+
+func scaleFixture(b *testing.B, p scheduling.Picker) *fixture {
+	return scaleFixtureOf(b, p, testBundle(scaleModels, scaleReplicas/scaleModels, scaleSlots, scaleTeams))
+}
+
+func scaleFixtureOf(b *testing.B, p scheduling.Picker, definition *bundle.Bundle) *fixture {
+	for i := range definition.Classes {
+		definition.Classes[i].MaxQueue = 1 << 20
+	}
+	f := &fixture{t: b, clock: clockwork.NewFakeClock(), bundle: definition}
+	f.Scheduler = New(Options{Clock: f.clock, Picker: p, AvailabilityZone: "ate"})
+	f.Update(bundle.Compile(definition, 1, ""), &scheduling.View{HostsInZone: 1, ZoneCount: 1})
+	return f
+}
+
+func scaleRequests(f *fixture) []scheduling.Request {
+	requests := make([]scheduling.Request, 0, 4*scaleTeams)
+	for i := range 4 * scaleTeams {
+		r := f.request(i%4, i%scaleModels)
+		r.Team = i % scaleTeams
+		r.Deadline = r.Arrived.Add(time.Hour)
+		requests = append(requests, r)
+	}
+	return requests
+}
+
+func benchmarkIdle(b *testing.B, p scheduling.Picker) {
+	f := scaleFixture(b, p)
+	requests := scaleRequests(f)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		t, err := f.Enqueue(requests[i%len(requests)])
+		if err != nil {
+			b.Fatal(err)
+		}
+		t.assigned.Finish(done(40))
+	}
+}
+
+// BenchmarkDecisionFree measures a request that finds a slot at once, from Enqueue
+// to Finish.
+func BenchmarkDecisionFree(b *testing.B) { benchmarkIdle(b, &ringPicker{}) }
+
+// BenchmarkDecisionFreeWithPicker is the same with the default picker.
+func BenchmarkDecisionFreeWithPicker(b *testing.B) {
+	benchmarkIdle(b, picker.New(picker.Options{AvailabilityZone: "ate"}))
+}
+
+// BenchmarkDecisionQueued measures a request that is queued and, with all slots
+// taken and n requests waiting, the finish that dispatches another.
+func BenchmarkDecisionQueued(b *testing.B) {
+	for _, n := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprint("waiting=", n), func(b *testing.B) {
+			f := scaleFixture(b, &ringPicker{})
+			requests := scaleRequests(f)
+			fill(b, f, requests, n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				if _, err := f.Enqueue(requests[i%len(requests)]); err != nil {
+					b.Fatal(err)
+				}
+				anyRunning(f.upstreams[i%scaleModels]).Finish(done(40))
+			}
+		})
+	}
+}
+
+// BenchmarkDecisionSharedUpstream is BenchmarkDecisionQueued with all models on
+// the replicas of one upstream, so that their requests compete for its slots.
+func BenchmarkDecisionSharedUpstream(b *testing.B) {
+	definition := testBundle(1, scaleReplicas, scaleSlots, scaleTeams)
+	for i := 1; i < scaleModels; i++ {
+		definition.Upstreams[0].Models = append(definition.Upstreams[0].Models, fmt.Sprint("model-", i))
+	}
+	f := scaleFixtureOf(b, &ringPicker{}, definition)
+	requests := scaleRequests(f)
+	for i := range requests {
+		requests[i].Upstreams = []int{0}
+	}
+	fill(b, f, requests, 10000)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		if _, err := f.Enqueue(requests[i%len(requests)]); err != nil {
+			b.Fatal(err)
+		}
+		anyRunning(f.upstreams[0]).Finish(done(40))
+	}
+}
+
+// fill takes all slots and queues n requests.
+func fill(b *testing.B, f *fixture, requests []scheduling.Request, n int) {
+	for i := 0; f.expiry.Len() < n; i++ {
+		if _, err := f.Enqueue(requests[i%len(requests)]); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func anyRunning(u *upstream) *Assignment {
+	for tier := range u.lists {
+		if a := u.lists[tier].newest; a != nil {
+			return a
+		}
+	}
+	return nil
+}
+
+// BenchmarkTick measures the periodic work with all pools full and 10,000 waiting.
+func BenchmarkTick(b *testing.B) {
+	f := scaleFixture(b, &ringPicker{})
+	requests := scaleRequests(f)
+	fill(b, f, requests, 10000)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		f.Tick()
+	}
+}
+
+// BenchmarkToken measures the cost per token of a stream.
+func BenchmarkToken(b *testing.B) {
+	f := scaleFixture(b, &ringPicker{})
+	t, err := f.Enqueue(scaleRequests(f)[0])
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for range b.N {
+		t.assigned.Token(1)
+	}
+}
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -9,8 +9,11 @@
 
 const (
 	// lateInterval is the number of grants of a lane of which one goes to a
-	// request that can no longer meet its target, so that none starves.
-	lateInterval = 8
+	// request that can no longer meet its target, so that none starves. The top
+	// tier's is longer: each grant to a late request there delays others past
+	// their target, and its queue is short.
+	lateInterval    = 8
+	topLateInterval = 32
 	// ageFraction is the part of its deadline after which a waiting request may
 	// go before higher tiers.
 	ageFraction = 0.25
@@ -71,7 +74,7 @@
 func (s *Scheduler) next(pools []*pool, now time.Time) candidate {
 	var best candidate
 	for _, p := range pools {
-		if p.waiting == 0 || p.free <= 0 || p.blocked == s.pass {
+		if p.waiting == 0 || p.free() <= 0 || p.blocked == s.pass {
 			continue
 		}
 		for _, l := range p.lanes {
@@ -121,7 +124,7 @@
 	switch {
 	case running < l.class.guaranteed(slots):
 		return phaseShare
-	case l.class.Tier > bundle.TopTier && p.free <= p.headroom:
+	case l.class.Tier > bundle.TopTier && p.free() <= p.headroom:
 		return phaseNone
 	default:
 		return phaseTier
@@ -142,11 +145,18 @@
 	return l.fresh.Min().Value
 }
 
+func (c *class) lateInterval() int {
+	if c.Tier == bundle.TopTier {
+		return topLateInterval
+	}
+	return lateInterval
+}
+
 // head returns the lane's next request.
 func (l *lane) head() *Ticket {
 	late := l.late.Min()
 	fresh := l.fresh.Min()
-	if fresh == nil || late != nil && l.turns >= lateInterval-1 {
+	if fresh == nil || late != nil && l.turns >= l.class.lateInterval()-1 {
 		return late.Value
 	}
 	return fresh.Value
@@ -185,7 +195,6 @@
 		return
 	}
 	p := l.pool
-	p.free--
 	p.sinceAged++
 	if c.phase == phaseAged {
 		p.sinceAged = 0
@@ -205,7 +214,7 @@
 		return
 	}
 	s.refresh(l.pool)
-	if l.pool.free <= 0 {
+	if l.pool.free() <= 0 {
 		l.pool.blocked = s.pass
 		return
 	}
@@ -239,5 +248,6 @@
 	a.grantedAt = now
 	a.flushed = now
 	s.enterUpstream(a)
+	t.lane.pool.take(a.upstream)
 	t.end(granted)
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -18,7 +18,7 @@
 	// minPreemptionRate is the least bound of preemptions per second in a pool.
 	minPreemptionRate = 2
 	// preemptionFraction of a pool's slots may be preempted per second.
-	preemptionFraction = 0.1
+	preemptionFraction = 0.25
 	// victimScan bounds how many running requests of a tier are looked at.
 	victimScan = 32
 )
--- a/internal/scheduler/rates.go
+++ b/internal/scheduler/rates.go
@@ -63,7 +63,7 @@
 		index = tier
 	}
 	finished, seconds, count := 0.0, 0.0, 0
-	slots := max(p.free, 0)
+	slots := max(p.free(), 0)
 	for _, u := range p.upstreams {
 		mean := &u.service[index]
 		finished += u.finished.perSecond
@@ -93,7 +93,7 @@
 // expectedWait returns how long a new request of the class would wait for a
 // replica, 0 when that is not known.
 func (s *Scheduler) expectedWait(p *pool, c *class) time.Duration {
-	ahead := p.tiers[c.Tier].fresh + p.tiers[c.Tier].late/lateInterval
+	ahead := p.tiers[c.Tier].fresh + p.tiers[c.Tier].late/c.lateInterval()
 	for tier := bundle.TopTier; tier < c.Tier; tier++ {
 		ahead += p.tiers[tier].fresh + p.tiers[tier].late
 	}
@@ -101,14 +101,23 @@
 }
 
 // expectedLateWait returns how long a request of the class waits that can no
-// longer meet its target.
+// longer meet its target, 0 when that is not known. Late requests get their part
+// of the grants or what the arrivals leave, whichever is more.
 func (s *Scheduler) expectedLateWait(p *pool, c *class) time.Duration {
-	ahead := p.tiers[c.Tier].fresh + p.tiers[c.Tier].late*lateInterval
-	return p.timeToServe(ahead, c)
+	rate := p.available(c)
+	if rate == 0 {
+		return 0
+	}
+	left := rate
+	for _, u := range p.upstreams {
+		left -= u.arrivals[c.Tier].perSecond
+	}
+	left = max(left, rate/float64(c.lateInterval()))
+	return time.Duration(float64(p.tiers[c.Tier].late) / left * float64(time.Second))
 }
 
 func (p *pool) timeToServe(ahead int, c *class) time.Duration {
-	ahead -= max(p.free, 0)
+	ahead -= max(p.free(), 0)
 	rate := p.available(c)
 	if ahead < 0 || rate == 0 {
 		return 0
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -65,6 +65,7 @@
 	finished meter
 	arrivals [bundle.MaxTier + 1]meter        // of the tier
 	service  [bundle.MaxTier + 1]meanDuration // of the tier; index 0 for all tiers
+	freed    int                              // slots given back since the last refresh and not taken since
 	pending  int                              // preempted requests that have not given their slot back
 }
 
@@ -126,7 +127,7 @@
 	waiting   int
 	tiers     [bundle.MaxTier + 1]struct{ fresh, late int } // waiting requests
 	total     int                                           // slots of the replicas that can be reached
-	free      int                                           // free ones, as of the last refresh and this pool's grants since
+	counted   int                                           // free slots at the last refresh, less this pool's grants and what the upstreams count as freed
 	topWindow time.Duration                                 // in which a top-tier arrival must find a slot; 0 without a top tier
 	headroom  int                                           // free slots kept for the top tier
 	emptyFrom time.Time                                     // since when no replica can be reached; zero when one can
@@ -193,7 +194,10 @@
 
 // refresh reads the pool's slots from the picker.
 func (s *Scheduler) refresh(p *pool) {
-	p.total, p.free = s.picker.Slots(&p.probe)
+	p.total, p.counted = s.picker.Slots(&p.probe)
+	for _, u := range p.upstreams {
+		p.counted -= u.freed
+	}
 	switch {
 	case p.total > 0:
 		p.emptyFrom = time.Time{}
@@ -202,7 +206,31 @@
 	}
 }
 
+// free returns the pool's free slots as far as known. Between two refreshes it may
+// be too high, when the freed slots are of replicas that the pool cannot use or
+// another pool took some; a pick that fails then corrects it.
+func (p *pool) free() int {
+	free := p.counted
+	for _, u := range p.upstreams {
+		free += u.freed
+	}
+	return free
+}
+
+// take counts a slot as taken by the pool, first one that was freed since the last
+// refresh: pools on the same upstream then do not all try for it.
+func (p *pool) take(u *upstream) {
+	if u.freed > 0 {
+		u.freed--
+		return
+	}
+	p.counted--
+}
+
 func (s *Scheduler) refreshPools() {
+	for _, u := range s.upstreams {
+		u.freed = 0
+	}
 	for _, p := range s.poolList {
 		s.refresh(p)
 		s.updateHeadroom(p)
@@ -212,7 +240,7 @@
 // running returns the number of requests of the class that run on the pool's
 // upstreams, and the slots that this host holds or could take there.
 func (p *pool) running(c *class) (running, slots int) {
-	slots = max(p.free, 0)
+	slots = max(p.free(), 0)
 	for _, u := range p.upstreams {
 		running += u.running[c.slot]
 		slots += u.total
