Give the stand-ins their faults, rates, cache events and placement orders

Cause: the thin stand-ins could neither fail nor report load. Change: the engine crashes, freezes, slows down, crashes on a marked request, sends foreign or repeated frames, reports late, publishes cache events with gaps and takes placement orders; the platform holds its documented rates. Conclusion: every fault of docs/protocols.md can be switched on.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,28 +1,51 @@
 // Package engine is a stand-in for a model engine, for tests and the demo. It
 // batches continuously: each step spends a limited number of tokens on the
-// running requests, so that load slows it down.
+// running requests, so that load slows it down. It caches prompt prefixes,
+// honors priorities, resumes and cancels streams, reports its load with a lag
+// and has switches for faults.
 package engine
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"hash/fnv"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rs/xid"
 )
 
-// Options configure the engine.
+const (
+	defaultReportLag  = 500 * time.Millisecond
+	defaultLoadTime   = time.Second
+	defaultCacheSize  = 1024 // prefixes
+	defaultEventLimit = 4096
+)
+
+// Options configure the engine. Zero values of the last five fields take defaults.
 type Options struct {
 	Models        []string
 	Slots         int           // requests that run at once
 	StepTime      time.Duration // duration of one step of the batch
 	TokensPerStep int           // tokens made in one step over all running requests
 	PrefillTokens int           // prompt tokens processed in one step
+	ChecksFencing bool          // refuse placement orders with a stale fencing token
+	ReportLag     time.Duration // age of the load figures reported
+	LoadTime      time.Duration // time that loading a model takes
+	CacheSize     int           // prefixes kept
+	Seed          uint64        // seed of the gaps in cache events
+}
+
+func (o *Options) setDefaults() {
+	if o.ReportLag == 0 {
+		o.ReportLag = defaultReportLag
+	}
+	if o.LoadTime == 0 {
+		o.LoadTime = defaultLoadTime
+	}
+	if o.CacheSize == 0 {
+		o.CacheSize = defaultCacheSize
+	}
 }
 
 // Server is the stand-in.
@@ -30,167 +53,89 @@
 	opts Options
 
 	mu      sync.Mutex
-	running map[*job]struct{}
-	waiting []*job
+	batch   batch
+	faults  Faults
+	crashed time.Time // end of the downtime after a crash
+	crashes chan struct{}
+	boot    string
+	reports []timedReport
+	cache   prefixCache
+	orders  orderBook
+	counts  Counts
 }
 
-type job struct {
-	priority int
-	prefill  int // prompt tokens still to process
-	tokens   chan struct{}
-	produced int
-	total    int
+// Counts are what the engine did since its process started.
+type Counts struct {
+	Requests map[string]int `json:"requests"` // runs by request id
+	Tokens   uint64         `json:"tokens"`
+	Crashes  int            `json:"crashes"`
+	Canceled int            `json:"canceled"`
 }
 
 // New returns an engine; Run must be called for it to make tokens.
 func New(opts Options) *Server {
-	return &Server{opts: opts, running: make(map[*job]struct{})}
+	opts.setDefaults()
+	return &Server{
+		opts:    opts,
+		batch:   batch{slots: opts.Slots, tokensPerStep: opts.TokensPerStep, prefillPerStep: opts.PrefillTokens},
+		crashes: make(chan struct{}),
+		boot:    xid.New().String(),
+		cache:   newPrefixCache(opts.CacheSize, opts.Seed),
+		orders:  newOrderBook(opts.Models),
+		counts:  Counts{Requests: make(map[string]int)},
+	}
 }
 
 // Run makes tokens until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	ticker := time.NewTicker(s.opts.StepTime)
 	defer ticker.Stop()
+	slow := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			s.step()
-		}
-	}
-}
-
-func (s *Server) step() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for len(s.running) < s.opts.Slots && len(s.waiting) > 0 {
-		best := 0
-		for i, j := range s.waiting {
-			if j.priority < s.waiting[best].priority {
-				best = i
+		case now := <-ticker.C:
+			slow++
+			s.mu.Lock()
+			if !s.faults.Frozen && slow >= max(s.faults.SlowFactor, 1) {
+				slow = 0
+				s.counts.Tokens += uint64(s.batch.step())
 			}
-		}
-		s.running[s.waiting[best]] = struct{}{}
-		s.waiting = append(s.waiting[:best], s.waiting[best+1:]...)
-	}
-	prefill, tokens := s.opts.PrefillTokens, s.opts.TokensPerStep
-	for j := range s.running {
-		if j.prefill > 0 {
-			n := min(j.prefill, prefill)
-			j.prefill -= n
-			prefill -= n
-			continue
-		}
-		if tokens > 0 && j.produced < j.total {
-			j.produced++
-			tokens--
-			j.tokens <- struct{}{}
+			s.noteLoad(now)
+			s.mu.Unlock()
 		}
 	}
 }
 
-// Handler returns the HTTP handler of the engine.
+// Handler returns the HTTP handler of the engine and of its switches under /admin.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Post("/v1/chat/completions", s.complete)
-	r.Get("/v1/load", s.load)
+	r.Group(func(r chi.Router) {
+		r.Use(s.abortWhileCrashed)
+		r.Post("/v1/chat/completions", s.serveCompletion)
+		r.Get("/v1/load", s.serveLoad)
+		r.Get("/v1/cache-events", s.serveCacheEvents)
+		r.Post("/v1/orders", s.serveOrder)
+	})
+	r.Put("/admin/faults", s.putFaults)
+	r.Get("/admin/counts", s.getCounts)
+	r.Get("/admin/orders", s.getOrders)
 	return r
 }
 
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Counts())
 }
 
-type completionRequest struct {
-	Model     string    `json:"model"`
-	Messages  []message `json:"messages"`
-	MaxTokens int       `json:"max_tokens"`
-	Stream    bool      `json:"stream"`
-}
-
-func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
-	var request completionRequest
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	resume, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
-	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
-	text, prompt := "", 0
-	for _, m := range request.Messages {
-		text += m.Content
-	}
-	prompt = len(text)/4 + 1
-	total := answerLength(text, request.MaxTokens)
-	j := &job{priority: priority, prefill: prompt, total: total - resume, tokens: make(chan struct{}, total+1)}
-	s.mu.Lock()
-	s.waiting = append(s.waiting, j)
-	s.mu.Unlock()
-	defer s.drop(j)
-	s.stream(w, r, j, resume)
-}
-
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, j *job, resume int) {
-	id := r.Header.Get("X-Request-Id")
-	w.Header().Set("Content-Type", "text/event-stream")
-	controller := http.NewResponseController(w)
-	for i := range j.total {
-		select {
-		case <-j.tokens:
-		case <-r.Context().Done():
-			return
-		}
-		index := resume + i
-		finish := "null"
-		if i == j.total-1 {
-			finish = `"stop"`
-		}
-		fmt.Fprintf(w, "data: {\"id\":%q,\"index\":%d,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t%d \"},\"finish_reason\":%s}]}\n\n", id, index, index, finish)
-		if controller.Flush() != nil {
-			return
-		}
-	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
-}
-
-func (s *Server) drop(j *job) {
+// Counts returns a copy of the counts.
+func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.running, j)
-	for i, other := range s.waiting {
-		if other == j {
-			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return
-		}
-	}
-}
-
-// answerLength derives the length of an answer from the prompt, so that a
-// resumed request has the same continuation on every replica.
-func answerLength(text string, limit int) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(text))
-	n := 8 + int(h.Sum32()%57)
-	if limit > 0 {
-		n = min(n, limit)
+	out := s.counts
+	out.Requests = make(map[string]int, len(s.counts.Requests))
+	for id, n := range s.counts.Requests {
+		out.Requests[id] = n
 	}
-	return n
-}
-
-// Load is the engine's report of its load.
-type Load struct {
-	Running int      `json:"running"`
-	Waiting int      `json:"waiting"`
-	Models  []string `json:"models"`
-	AgeMS   int      `json:"age_ms"`
-}
-
-func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	report := Load{Running: len(s.running), Waiting: len(s.waiting), Models: s.opts.Models}
-	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(report)
+	return out
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -15,12 +15,18 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
 
 	client "heatherbarrow/internal/platform"
 )
 
-// watchWait is how long a watch waits before it returns without events.
-const watchWait = 10 * time.Second
+const (
+	// watchWait is how long a watch waits before it returns without events.
+	watchWait = 10 * time.Second
+
+	defaultReadsPerSecond  = 2000
+	defaultWritesPerSecond = 300
+)
 
 // Faults are the switches of the stand-in.
 type Faults struct {
@@ -36,7 +42,8 @@
 	Writes    uint64 `json:"writes"`
 	Watches   uint64 `json:"watches"`
 	Conflicts uint64 `json:"conflicts"`
-	Bytes     uint64 `json:"bytes"`
+	Bytes     uint64 `json:"bytes"`   // of values written
+	Limited   uint64 `json:"limited"` // refused because a rate was exceeded
 }
 
 // Server is the stand-in.
@@ -48,11 +55,30 @@
 	hosts   client.HostList
 	faults  Faults
 	counts  Counts
+	reads   *rate.Limiter
+	writes  *rate.Limiter
 }
 
 // New returns an empty platform.
 func New() *Server {
-	return &Server{objects: make(map[string]client.Object), changed: make(chan struct{})}
+	s := &Server{objects: make(map[string]client.Object), changed: make(chan struct{})}
+	s.SetRates(0, 0)
+	return s
+}
+
+// SetRates sets the calls allowed per second for everyone together; 0 takes the
+// documented rate. A watch counts as a read.
+func (s *Server) SetRates(reads, writes int) {
+	if reads == 0 {
+		reads = defaultReadsPerSecond
+	}
+	if writes == 0 {
+		writes = defaultWritesPerSecond
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads = rate.NewLimiter(rate.Limit(reads), reads)
+	s.writes = rate.NewLimiter(rate.Limit(writes), writes)
 }
 
 // Handler returns the HTTP handler of the API and of the switches under /admin.
@@ -99,7 +125,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		faults := s.faults
-		s.countCall(r)
+		allowed := s.countCall(r)
 		lost := s.loseAnswer(r)
 		s.mu.Unlock()
 		if faults.DelayMS > 0 {
@@ -113,6 +139,10 @@
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
+		if !allowed {
+			http.Error(w, "rate exceeded", http.StatusTooManyRequests)
+			return
+		}
 		if lost {
 			next.ServeHTTP(&discardWriter{header: make(http.Header)}, r)
 			panic(http.ErrAbortHandler)
@@ -121,16 +151,24 @@
 	})
 }
 
-func (s *Server) countCall(r *http.Request) {
+// countCall counts a call and tells whether the rate allows it.
+func (s *Server) countCall(r *http.Request) bool {
+	limiter := s.reads
 	switch {
 	case r.Method != http.MethodGet:
 		s.counts.Writes++
+		limiter = s.writes
 	case strings.HasPrefix(r.URL.Path, "/v1/watch/"):
 		s.counts.Watches++
 	default:
 		s.counts.Reads++
 	}
 	s.counts.Bytes += uint64(max(r.ContentLength, 0))
+	if limiter.Allow() {
+		return true
+	}
+	s.counts.Limited++
+	return false
 }
 
 func (s *Server) loseAnswer(r *http.Request) bool {
--- a/internal/standin/program.go
+++ b/internal/standin/program.go
@@ -31,6 +31,12 @@
 	StepTime      settings.Duration `json:"step_time,omitzero"`
 	TokensPerStep int               `json:"tokens_per_step,omitempty"`
 	PrefillTokens int               `json:"prefill_tokens,omitempty"` // prompt tokens processed in one step
+	ChecksFencing bool              `json:"checks_fencing,omitempty"`
+	ReportLag     settings.Duration `json:"report_lag,omitzero"`         // age of an engine's load figures; default 500ms
+	LoadTime      settings.Duration `json:"load_time,omitzero"`          // time that loading a model takes; default 1s
+	Seed          uint64            `json:"seed,omitempty"`              // seed of the gaps in cache events
+	ReadsPerSec   int               `json:"reads_per_second,omitempty"`  // platform; default 2000
+	WritesPerSec  int               `json:"writes_per_second,omitempty"` // platform; default 300
 	TLS           tlsconf.Files     `json:"tls,omitzero"`
 }
 
@@ -48,7 +54,8 @@
 	if s.Role != "engine" && len(s.Models) > 0 {
 		return settings.Errorf("models", "only an engine has models")
 	}
-	if s.Slots < 0 || s.TokensPerStep < 0 || s.PrefillTokens < 0 || s.StepTime < 0 {
+	if s.Slots < 0 || s.TokensPerStep < 0 || s.PrefillTokens < 0 || s.StepTime < 0 ||
+		s.ReportLag < 0 || s.LoadTime < 0 || s.ReadsPerSec < 0 || s.WritesPerSec < 0 {
 		return settings.Errorf("", "numbers must not be negative")
 	}
 	s.setDefaults()
@@ -99,12 +106,16 @@
 		e := engine.New(engine.Options{
 			Models: p.settings.Models, Slots: p.settings.Slots, StepTime: p.settings.StepTime.Std(),
 			TokensPerStep: p.settings.TokensPerStep, PrefillTokens: p.settings.PrefillTokens,
+			ChecksFencing: p.settings.ChecksFencing, ReportLag: p.settings.ReportLag.Std(),
+			LoadTime: p.settings.LoadTime.Std(), Seed: p.settings.Seed,
 		})
 		go e.Run(ctx)
 		return e.Handler()
 	case "service":
 		return service.New().Handler()
 	default:
-		return platform.New().Handler()
+		server := platform.New()
+		server.SetRates(p.settings.ReadsPerSec, p.settings.WritesPerSec)
+		return server.Handler()
 	}
 }
