--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,7 +33,8 @@
 }
 
 // Main parses the common flags, loads the settings file into target and calls
-// run with a context that ends at the first SIGINT or SIGTERM. It returns the
+// run with a context that ends at the first SIGINT or SIGTERM; the context of
+// Forced ends at the second one, and a third ends the process. It returns the
 // process's exit code.
 func Main(name string, args []string, target any, run func(ctx context.Context) error) int {
 	return runMain(name, args, target, run, os.Stdout, os.Stderr)
@@ -71,8 +72,11 @@
 		fmt.Fprintln(stdout, opts.Config+": ok")
 		return ExitOK
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	signals := make(chan os.Signal, maxSignals)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	ctx, cancel := withSignals(signals)
+	defer cancel()
 	if err := run(ctx); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return ExitFailure
@@ -80,6 +84,46 @@
 	return ExitOK
 }
 
+// forcedKey is the key of the context that Forced returns.
+type forcedKey struct{}
+
+// maxSignals is the number of signals that are told apart.
+const maxSignals = 2
+
+// Forced returns a context that ends at the second signal, when the operator no
+// longer wants to wait for a graceful stop. ctx is the one passed to run, or one
+// derived from it; for any other context the result does not end.
+func Forced(ctx context.Context) context.Context {
+	if forced, ok := ctx.Value(forcedKey{}).(context.Context); ok {
+		return forced
+	}
+	return context.Background()
+}
+
+// withSignals returns a context that ends at the first signal and carries one
+// that ends at the second.
+func withSignals(signals chan os.Signal) (context.Context, context.CancelFunc) {
+	forced, force := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), forcedKey{}, forced))
+	returned := make(chan struct{})
+	go func() {
+		for _, end := range [maxSignals]context.CancelFunc{cancel, force} {
+			select {
+			case <-signals:
+				end()
+			case <-returned:
+				return
+			}
+		}
+		signal.Stop(signals)
+	}()
+	return ctx, func() {
+		close(returned)
+		cancel()
+		force()
+	}
+}
+
 func fail(stderr io.Writer, name string, err error) int {
 	fmt.Fprintf(stderr, "%s: %v\n", name, err)
 	return ExitSettings
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -3,21 +3,24 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
+	"net/url"
 
 	"github.com/rotisserie/eris"
 )
 
 // ServiceCall is one attempt of a call to a plain service.
 type ServiceCall struct {
-	Address string // IP:port of the replica
-	Method  string
-	Path    string // with query
-	Header  http.Header
-	Body    []byte
-	OnSend  func() // called before the first byte may be written
+	Address    string // IP:port of the replica
+	Method     string
+	Path       string // percent-encoded
+	Query      string // without the question mark
+	Header     http.Header
+	Body       []byte
+	Repeatable bool   // may use a connection that served another call
+	OnSend     func() // called before the first byte may be written
 }
 
 // ServiceAnswer is the whole answer of a plain service.
@@ -27,41 +30,57 @@
 	Body   []byte
 }
 
-// maxServiceAnswerBytes bounds the answer of a plain service.
-const maxServiceAnswerBytes = 16 << 20
+// maxServiceAnswerBytes bounds the answer of a plain service, which is held in
+// memory because its outcome is told before its first byte.
+const maxServiceAnswerBytes = 4 << 20
 
 // Service makes a call to a plain service and returns the whole answer. An
 // answer with status 5xx or 4xx is no error. ErrRefused means that the service
 // declared that it did not run the call.
 func (c *Client) Service(ctx context.Context, call ServiceCall) (*ServiceAnswer, error) {
-	tracker := &sentTracker{onSend: call.OnSend}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.gotConn})
-	request, err := http.NewRequestWithContext(ctx, call.Method, c.scheme+"://"+call.Address+call.Path, bytes.NewReader(call.Body))
+	path, err := url.PathUnescape(call.Path)
 	if err != nil {
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	// net/http sends a request again on its own when it has an Idempotency-Key
-	// and no body or a GetBody. A body of unknown type and no GetBody prevent it.
-	request.GetBody = nil
-	request.Body = io.NopCloser(bytes.NewReader(call.Body))
-	request.Header = call.Header.Clone()
-	response, err := c.http.Do(request)
+	transport := c.once
+	if call.Repeatable {
+		transport = c.repeatable
+	}
+	answer, reused, err := c.callService(ctx, transport, &call, path)
+	if reused && errors.Is(err, ErrNotSent) && ctx.Err() == nil {
+		// The replica had closed the idle connection; nothing was written to it.
+		answer, _, err = c.callService(ctx, transport, &call, path)
+	}
+	return answer, err
+}
+
+func (c *Client) callService(ctx context.Context, transport http.RoundTripper, call *ServiceCall, path string) (*ServiceAnswer, bool, error) {
+	request := &http.Request{
+		Method: call.Method,
+		URL:    &url.URL{Scheme: c.scheme, Host: call.Address, Path: path, RawPath: call.Path, RawQuery: call.Query},
+		Header: call.Header.Clone(),
+	}
+	if len(call.Body) > 0 {
+		// Without GetBody net/http cannot send the request again by itself. A
+		// non-repeatable call without a body relies on its new connection.
+		request.Body = io.NopCloser(bytes.NewReader(call.Body))
+		request.ContentLength = int64(len(call.Body))
+	}
+	tracker := &sendTracker{onSend: call.OnSend}
+	response, err := roundTrip(ctx, transport, request, tracker)
 	if err != nil {
-		if !tracker.sent.Load() {
-			return nil, eris.Wrap(ErrNotSent, err.Error())
-		}
-		return nil, eris.Wrap(ErrBroken, err.Error())
+		return nil, tracker.reused, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.Header.Get(refusalHeader) == "not-run" {
-		return nil, ErrRefused
+	if response.Header.Get(refusalHeader) == refusalValue {
+		return nil, false, ErrRefused
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxServiceAnswerBytes+1))
 	if err != nil {
-		return nil, eris.Wrap(ErrBroken, err.Error())
+		return nil, false, eris.Wrap(ErrBroken, err.Error())
 	}
 	if len(body) > maxServiceAnswerBytes {
-		return nil, eris.Wrap(ErrBroken, "answer is too large")
+		return nil, false, ErrTooLarge
 	}
-	return &ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return &ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, false, nil
 }
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,200 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	maxFrameBytes = 256 << 10
+	// readBufferSize is small because it is held for every open stream; the
+	// connection below has a buffer of its own.
+	readBufferSize = 2 << 10
+	// endTimeout bounds the wait for the end of a body after the end of its
+	// stream, so that the connection can be used again.
+	endTimeout = 50 * time.Millisecond
+)
+
+var doneMarker = []byte("[DONE]")
+
+// readers are kept for reuse, since each stream needs one.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+
+// Frame is one event of a stream.
+type Frame struct {
+	Data  []byte // the JSON document; valid until the next call of Next
+	Index int    // token position
+	Last  bool   // the frame has a finish reason
+}
+
+// Stream is an answer in progress. One goroutine uses it.
+type Stream struct {
+	frameTimer
+	id        string
+	prefix    []byte // beginning of a frame of this request in the common layout
+	next      int
+	body      io.ReadCloser
+	reader    *bufio.Reader
+	cancel    context.CancelFunc
+	timeout   time.Duration
+	waited    bool // the first frame was read, so timeout applies
+	finished  bool // the frame with the finish reason was read
+	ended     bool // the proper end was read
+	lineBytes []byte
+}
+
+func newStream(call *Chat, cancel context.CancelFunc) *Stream {
+	s := &Stream{
+		id: call.RequestID, prefix: commonPrefix(call.RequestID), next: call.ResumeFrom,
+		cancel: cancel, timeout: call.FrameTimeout,
+	}
+	s.start(call.FirstTimeout, cancel)
+	return s
+}
+
+func (s *Stream) read(body io.ReadCloser) {
+	s.body = body
+	s.reader = readers.Get().(*bufio.Reader)
+	s.reader.Reset(body)
+}
+
+// Next returns the next frame. It returns io.EOF after the proper end of the stream.
+func (s *Stream) Next() (Frame, error) {
+	data, err := s.nextData()
+	if err != nil {
+		return Frame{}, s.readError(err)
+	}
+	if !bytes.Equal(data, doneMarker) {
+		return s.check(data)
+	}
+	if !s.finished {
+		return Frame{}, ErrMissingEnd
+	}
+	s.ended = true
+	return Frame{}, io.EOF
+}
+
+func (s *Stream) check(data []byte) (Frame, error) {
+	index, last, ok := parseCommon(data, s.prefix)
+	if !ok {
+		var err error
+		if index, last, err = s.decode(data); err != nil {
+			return Frame{}, err
+		}
+	}
+	if index != s.next || s.finished {
+		return Frame{}, eris.Wrapf(ErrForeignFrame, "frame is not at position %d", s.next)
+	}
+	s.next++
+	s.finished = last
+	return Frame{Data: data, Index: index, Last: last}, nil
+}
+
+// chunk is the part of a frame that is checked.
+type chunk struct {
+	ID      string `json:"id"`
+	Index   *int   `json:"index"`
+	Choices []struct {
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// decode reads a frame in any layout.
+func (s *Stream) decode(data []byte) (index int, last bool, err error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return 0, false, eris.Wrap(ErrForeignFrame, err.Error())
+	}
+	if c.ID != s.id {
+		return 0, false, eris.Wrapf(ErrForeignFrame, "frame of request %q", c.ID)
+	}
+	if c.Index == nil {
+		return 0, false, eris.Wrap(ErrForeignFrame, "frame has no position")
+	}
+	last = len(c.Choices) > 0 && c.Choices[0].FinishReason != nil
+	return *c.Index, last, nil
+}
+
+func (s *Stream) readError(err error) error {
+	switch {
+	case s.timedOut.Load():
+		return ErrTimeout
+	case errors.Is(err, io.EOF):
+		return ErrMissingEnd
+	case errors.Is(err, bufio.ErrBufferFull):
+		return eris.Wrap(ErrForeignFrame, "frame is too large")
+	default:
+		return eris.Wrap(ErrBroken, err.Error())
+	}
+}
+
+// nextData returns the data of the next event. Events of the engines have one
+// data line each; other fields and comments are passed over.
+func (s *Stream) nextData() ([]byte, error) {
+	if s.waited && !s.Buffered() {
+		s.timer.Reset(s.timeout)
+	}
+	for {
+		line, err := s.readLine()
+		if err != nil {
+			return nil, err
+		}
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			s.waited = true
+			s.timer.Stop()
+			return bytes.TrimSpace(data), nil
+		}
+	}
+}
+
+func (s *Stream) readLine() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if err == nil {
+		return line, nil
+	}
+	s.lineBytes = append(s.lineBytes[:0], line...)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(s.lineBytes) > maxFrameBytes {
+			return nil, err
+		}
+		line, err = s.reader.ReadSlice('\n')
+		s.lineBytes = append(s.lineBytes, line...)
+	}
+	return s.lineBytes, err
+}
+
+// Buffered tells whether more of the stream than the end of the last event has
+// arrived, so that it is worth reading on before flushing.
+func (s *Stream) Buffered() bool {
+	pending, _ := s.reader.Peek(s.reader.Buffered())
+	return len(bytes.TrimLeft(pending, "\r\n")) > 0
+}
+
+// Position returns the position of the next frame.
+func (s *Stream) Position() int { return s.next }
+
+// Close ends the attempt; work still running on the replica is canceled. After
+// the proper end of the stream the connection is kept for the next request.
+func (s *Stream) Close() {
+	if s.ended {
+		s.timer.Reset(endTimeout)
+		_, _ = s.reader.Peek(s.reader.Buffered() + 1)
+	}
+	s.timer.Stop()
+	s.cancel()
+	if s.body == nil {
+		return
+	}
+	_ = s.body.Close()
+	s.reader.Reset(nil)
+	readers.Put(s.reader)
+	s.reader = nil
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -32,3 +32,15 @@
 	}
 	return false
 }
+
+// Combine returns the outcome of a request from those of two of its attempts
+// that did not complete. An attempt that may have run is never forgotten: not-run
+// is left only when both attempts did not run.
+func Combine(a, b Outcome) Outcome {
+	for _, o := range [...]Outcome{Unknown, Failed} {
+		if a == o || b == o {
+			return o
+		}
+	}
+	return NotRun
+}
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -2,34 +2,27 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
-	"strings"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/scheduling"
 )
 
-// charactersPerToken is a coarse ratio used to estimate a prompt's length.
-const charactersPerToken = 4
-
-// chatRequest is the part of a chat completion request that routing needs.
-type chatRequest struct {
-	Model    string `json:"model"`
-	Stream   bool   `json:"stream"`
-	Messages []struct {
-		Role    string          `json:"role"`
-		Content json.RawMessage `json:"content"`
-	} `json:"messages"`
-	MaxTokens int `json:"max_tokens"`
-}
+const (
+	// maxAttempts bounds the attempts of one request; the class's retry budget,
+	// which the scheduler keeps, bounds those of all requests.
+	maxAttempts = 3
+	// firstTokenFactor is how many times its class's first-token target a replica
+	// may take. It leaves the straggler detection time to act first.
+	firstTokenFactor = 4
+	minFirstTimeout  = time.Second
+)
 
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
@@ -38,122 +31,149 @@
 	if !ok {
 		return
 	}
-	var request chatRequest
-	if err := json.Unmarshal(e.body, &request); err != nil {
+	request, err := parseChatRequest(e.body)
+	if err != nil {
 		e.refuse(http.StatusBadRequest, "malformed_body", "the body is not a chat completion request: "+err.Error(), 0)
 		return
 	}
-	if request.Model == "" || len(request.Messages) == 0 {
-		e.refuse(http.StatusBadRequest, "malformed_body", "model and messages must be given", 0)
-		return
-	}
 	if !e.snapshot.HasModel(request.Model) {
 		e.refuse(http.StatusNotFound, "unknown_model", "no upstream serves model "+request.Model, 0)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
+	e.accepted = true
+	ctx, cancel := context.WithDeadlineCause(r.Context(), e.deadline, errDeadline)
 	defer cancel()
-	c := &chat{exchange: e, request: request, stream: request.Stream}
+	c := &chat{exchange: e, model: request.Model, maxTokens: request.MaxTokens, prompt: request.summary()}
+	c.answer = newAnswer(e, request)
 	c.run(ctx)
 }
 
 // chat is a chat completion in progress.
 type chat struct {
 	*exchange
-	request  chatRequest
-	stream   bool
-	position int  // frames passed on or collected
-	started  bool // the answer's header was sent
-	content  strings.Builder
-	tried    []scheduling.ReplicaID
+	answer    answer
+	model     string
+	maxTokens int
+	prompt    prompt
+	upstream  int // upstream of the last attempt
+	attempts  int // attempts that ended in an error
+	lastErr   error
+	tried     []scheduling.ReplicaID
 }
 
 func (c *chat) run(ctx context.Context) {
-	for attempt := 0; ; attempt++ {
-		assignment, err := c.acquire(ctx, attempt)
+	for {
+		assignment, err := c.acquire(ctx, c.schedulingRequest())
 		if err != nil {
-			c.refused(err)
+			c.giveUp(err)
 			return
 		}
+		_, c.upstream, _ = c.snapshot.Upstream(assignment.Replica.Upstream)
 		err = c.attempt(ctx, assignment)
-		if err == nil {
+		switch {
+		case err == nil:
 			c.complete()
 			return
-		}
-		if !c.mayRetry(ctx, err, attempt) {
-			c.failed(ctx, err)
+		case errors.Is(err, errPreempted):
+			// The delivered tokens are kept and the rest is queued again.
+		case c.mayRetry(ctx, assignment, err):
+			c.prepareRetry(assignment, err)
+		default:
+			c.giveUp(err)
 			return
 		}
-		c.tried = append(c.tried, assignment.Replica)
 	}
 }
 
-func (c *chat) schedulingRequest(attempt int) scheduling.Request {
-	text := make([]byte, 0, len(c.body))
-	text = append(text, c.request.Model...)
-	for i := range c.request.Messages {
-		text = append(text, 0)
-		text = append(text, c.request.Messages[i].Content...)
-	}
+func (c *chat) schedulingRequest() scheduling.Request {
 	return scheduling.Request{
 		ID:           c.id,
 		Class:        c.classIdx,
 		Team:         c.teamIdx,
-		Upstreams:    c.snapshot.Engines(c.request.Model, c.classIdx),
-		Model:        c.request.Model,
-		Fingerprint:  xxhash.Sum64(text),
-		PromptTokens: len(text)/charactersPerToken + 1,
-		MaxTokens:    c.request.MaxTokens,
+		Upstreams:    c.upstreams(),
+		Model:        c.model,
+		Fingerprint:  c.prompt.fingerprint,
+		PrefixHashes: c.prompt.prefixes,
+		PromptTokens: c.prompt.tokens,
+		MaxTokens:    c.maxTokens,
 		Arrived:      c.arrived,
 		Deadline:     c.deadline,
-		Resumable:    true,
-		Attempt:      attempt,
+		Resumable:    c.allResumable(),
+		Attempt:      c.attempts,
 		Exclude:      c.tried,
 	}
 }
 
-func (e *exchange) wait(ctx context.Context, request scheduling.Request) (*scheduler.Assignment, error) {
+// upstreams are those that may run the next attempt. Once frames were passed on,
+// only the same upstream continues the answer in the same way.
+func (c *chat) upstreams() []int {
+	if c.answer.position() > 0 {
+		return []int{c.upstream}
+	}
+	return c.snapshot.Engines(c.model, c.classIdx)
+}
+
+func (c *chat) allResumable() bool {
+	for _, u := range c.upstreams() {
+		if !c.snapshot.Bundle.Upstreams[u].Resumable {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *chat) resumable() bool { return c.snapshot.Bundle.Upstreams[c.upstream].Resumable }
+
+// acquire queues a request until a replica is assigned to it.
+func (e *exchange) acquire(ctx context.Context, request scheduling.Request) (*scheduler.Assignment, error) {
+	queued := time.Now()
 	ticket, err := e.server.Scheduler.Enqueue(request)
 	if err != nil {
 		return nil, err
 	}
 	select {
 	case assignment := <-ticket.Granted():
-		e.logDecision(assignment, request.Attempt)
+		e.server.metrics.queueWait[e.class.Tier].RecordDuration(time.Since(queued))
+		e.logDecision(assignment, request.Attempt, time.Since(queued))
 		return assignment, nil
 	case <-ctx.Done():
 		ticket.Cancel()
-		return nil, ctx.Err()
+		return nil, ended(ctx)
 	}
 }
 
-func (c *chat) acquire(ctx context.Context, attempt int) (*scheduler.Assignment, error) {
-	return c.wait(ctx, c.schedulingRequest(attempt))
-}
-
-func (e *exchange) logDecision(a *scheduler.Assignment, attempt int) {
+func (e *exchange) logDecision(a *scheduler.Assignment, attempt int, queued time.Duration) {
 	event := e.server.Logger.Info().Str("request", e.id).Str("class", e.class.Name).Str("team", e.team.Name).
 		Str("upstream", a.Replica.Upstream).Str("replica", a.Replica.Replica).
 		Float64("score", a.Decision.Score).Str("reason", a.Decision.Reason).
 		Bool("cross_zone", a.Decision.CrossZone).Int("attempt", attempt).
-		Dur("queued", time.Since(e.arrived))
-	for i, alternative := range a.Decision.Alternatives {
-		prefix := [...]string{"second", "third"}[i]
+		Dur("queued", queued)
+	for i, prefix := range [...]string{"second", "third"} {
+		if i >= len(a.Decision.Alternatives) {
+			break
+		}
+		alternative := &a.Decision.Alternatives[i]
 		event = event.Str(prefix, alternative.Replica.String()).Float64(prefix+"_score", alternative.Score)
 	}
 	event.Msg("routing decision")
 }
 
-// attempt runs the request on one replica and passes its frames on.
+// attempt runs the request on one replica and passes its frames on. It notes
+// the attempt's outcome and returns nil after the proper end of the stream.
 func (c *chat) attempt(ctx context.Context, a *scheduler.Assignment) error {
-	before := c.position
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if c.class.Preemptible && c.resumable() {
+		go cancelWhenPreempted(ctx, cancel, a)
+	}
+	before := c.answer.position()
 	stream, err := c.server.Forward.Chat(ctx, forward.Chat{
 		Address:      a.Address,
 		RequestID:    c.id,
 		Tier:         c.class.Tier,
-		ResumeFrom:   c.position,
+		ResumeFrom:   before,
 		Body:         c.body,
-		FirstTimeout: time.Until(c.deadline),
+		FirstTimeout: firstTimeout(c.class, &c.snapshot.Bundle.Limits),
 		FrameTimeout: c.snapshot.Bundle.Limits.FrameTimeout.Std(),
 		OnSend:       func() { c.server.records.Sent(c.id) },
 	})
@@ -161,184 +181,203 @@
 		err = c.passOn(stream, a)
 		stream.Close()
 	}
-	a.Finish(resultOf(ctx, err, c.position-before))
+	cause := ended(ctx)
+	a.Finish(resultOf(cause, err, c.answer.position()-before))
+	c.reportCrash(cause, err, a)
+	if err == nil {
+		return nil
+	}
+	c.outcome = outcome.Combine(c.outcome, outcomeOf(err))
+	if cause != nil {
+		return cause
+	}
 	return err
 }
 
-func resultOf(ctx context.Context, err error, tokens int) scheduling.Result {
+func cancelWhenPreempted(ctx context.Context, cancel context.CancelCauseFunc, a *scheduler.Assignment) {
+	select {
+	case <-a.Preempted():
+		cancel(errPreempted)
+	case <-ctx.Done():
+	}
+}
+
+// firstTimeout bounds the wait for the first frame of an attempt. The deadline
+// of the request bounds it too.
+func firstTimeout(class *bundle.Class, limits *bundle.Limits) time.Duration {
+	if class.FirstTokenTarget == 0 {
+		return limits.FrameTimeout.Std()
+	}
+	return max(firstTokenFactor*class.FirstTokenTarget.Std(), minFirstTimeout)
+}
+
+// resultOf tells the scheduler how an attempt ended. cause is why its context
+// ended, or nil.
+func resultOf(cause, err error, tokens int) scheduling.Result {
 	result := scheduling.Result{Tokens: tokens, Outcome: outcome.Completed}
 	if err == nil {
 		return result
 	}
 	result.Outcome = outcomeOf(err)
-	result.Canceled = ctx.Err() != nil
+	result.Canceled = errors.Is(cause, errCallerGone) || errors.Is(cause, errPreempted) || errors.Is(err, errCallerGone)
 	result.Refused = errors.Is(err, forward.ErrRefused)
-	result.TimedOut = errors.Is(err, forward.ErrTimeout)
-	result.Crashed = !result.Canceled && (errors.Is(err, forward.ErrBroken) || errors.Is(err, forward.ErrMissingEnd))
+	result.TimedOut = errors.Is(err, forward.ErrTimeout) || errors.Is(cause, errRouteTimeout)
+	result.Crashed = cause == nil && (errors.Is(err, forward.ErrBroken) || errors.Is(err, forward.ErrMissingEnd))
 	return result
 }
 
+// outcomeOf returns the outcome of an attempt that did not complete.
 func outcomeOf(err error) outcome.Outcome {
 	var status *forward.StatusError
 	switch {
 	case errors.Is(err, forward.ErrNotSent), errors.Is(err, forward.ErrRefused):
 		return outcome.NotRun
-	case errors.As(err, &status):
+	case errors.As(err, &status), errors.Is(err, forward.ErrTooLarge), errors.Is(err, errAnswerTooLong):
 		return outcome.Failed
 	default:
 		return outcome.Unknown
 	}
 }
 
+// mayRetry tells whether another attempt is made: the last one certainly did not
+// run, or the work may be repeated because no byte has reached the caller, or
+// the stream can continue from the position passed on.
+func (c *chat) mayRetry(ctx context.Context, a *scheduler.Assignment, err error) bool {
+	if ctx.Err() != nil || c.attempts+1 >= maxAttempts {
+		return false
+	}
+	if errors.Is(err, errCallerGone) || errors.Is(err, errAnswerTooLong) {
+		return false
+	}
+	var status *forward.StatusError
+	if errors.As(err, &status) && status.Status < http.StatusInternalServerError {
+		// Another replica would refuse the same request in the same way.
+		return false
+	}
+	if c.answer.position() > 0 && !c.resumable() && c.answer.started() {
+		return false
+	}
+	return c.hasUntried(c.retryUpstreams(), append(slices.Clip(c.tried), a.Replica))
+}
+
+// retryUpstreams are those that may run the attempt after a failed one.
+func (c *chat) retryUpstreams() []int {
+	if c.answer.position() > 0 && c.resumable() {
+		return []int{c.upstream}
+	}
+	return c.snapshot.Engines(c.model, c.classIdx)
+}
+
+// hasUntried tells whether an upstream has a replica that is not among tried.
+// Without one a request would wait in the queue until its deadline.
+func (e *exchange) hasUntried(upstreams []int, tried []scheduling.ReplicaID) bool {
+	for _, u := range upstreams {
+		upstream := &e.snapshot.Bundle.Upstreams[u]
+		for i := range upstream.Replicas {
+			id := scheduling.ReplicaID{Upstream: upstream.Name, Replica: upstream.Replicas[i].ID}
+			if !slices.Contains(tried, id) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *chat) prepareRetry(a *scheduler.Assignment, err error) {
+	c.attempts++
+	c.lastErr = err
+	c.tried = append(c.tried, a.Replica)
+	c.server.metrics.class(c.class).retries.Inc(1)
+	if c.answer.position() > 0 && !c.resumable() {
+		c.waste(wasteRetry)
+		c.answer.restart()
+	}
+}
+
+func (c *chat) waste(cause string) {
+	c.server.metrics.class(c.class).wasted[cause].Inc(int64(c.answer.position()))
+}
+
 func (c *chat) passOn(stream *forward.Stream, a *scheduler.Assignment) error {
-	for {
+	for received := 0; ; received++ {
 		frame, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
 		if err != nil {
-			return err
+			return c.endAttempt(err, a)
 		}
-		if c.position == 0 {
+		if received == 0 {
 			a.FirstToken()
 		}
-		a.Token(1)
-		if err := c.deliver(frame, stream.Buffered()); err != nil {
+		if err := c.answer.add(frame); err != nil {
+			return err
+		}
+		if stream.Buffered() {
+			continue
+		}
+		if err := c.flush(a); err != nil {
 			return err
 		}
-		c.position++
 	}
 }
 
-// errCallerGone means that the caller no longer reads the answer.
-var errCallerGone = errors.New("caller hung up")
-
-func (c *chat) deliver(frame forward.Frame, more bool) error {
-	if !c.stream {
-		return c.collect(frame)
-	}
-	if !c.started {
-		c.started = true
-		c.w.Header().Set("Content-Type", "text/event-stream")
-		c.w.Header().Set("Cache-Control", "no-store")
-		c.w.WriteHeader(http.StatusOK)
-	}
-	for _, part := range [][]byte{[]byte("data: "), frame.Data, []byte("\n\n")} {
-		if _, err := c.w.Write(part); err != nil {
-			return errCallerGone
-		}
-	}
-	if more {
+// endAttempt passes on what was received before the end of an attempt.
+func (c *chat) endAttempt(err error, a *scheduler.Assignment) error {
+	if isProperEnd(err) {
 		return nil
 	}
-	if err := http.NewResponseController(c.w).Flush(); err != nil {
-		return errCallerGone
+	c.answer.dropEnd()
+	if flushErr := c.flush(a); flushErr != nil {
+		return flushErr
 	}
-	return nil
+	return err
 }
 
-func (c *chat) collect(frame forward.Frame) error {
-	var chunk struct {
-		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
-		} `json:"choices"`
-	}
-	if err := json.Unmarshal(frame.Data, &chunk); err != nil {
-		return forward.ErrForeignFrame
-	}
-	if len(chunk.Choices) > 0 {
-		c.content.WriteString(chunk.Choices[0].Delta.Content)
+func (c *chat) flush(a *scheduler.Assignment) error {
+	n, err := c.answer.flush()
+	if n > 0 {
+		a.Token(n)
+		c.noteTokens(n)
 	}
-	return nil
+	return err
 }
 
-func (c *chat) mayRetry(ctx context.Context, err error, attempt int) bool {
-	const maxAttempts = 3
-	if ctx.Err() != nil || errors.Is(err, errCallerGone) || attempt+1 >= maxAttempts {
-		return false
+// noteTokens keeps the times that attainment is judged by. It is called once for
+// each batch of tokens.
+func (c *chat) noteTokens(n int) {
+	c.timing.tokens += n
+	c.timing.last = time.Now()
+	if c.timing.first.IsZero() {
+		c.timing.first = c.timing.last
+		c.server.metrics.class(c.class).firstToken.RecordDuration(c.timing.first.Sub(c.arrived))
 	}
-	return outcomeOf(err) == outcome.NotRun || !c.started
 }
 
-func (c *chat) refused(err error) {
-	var refusal *scheduling.RefusedError
-	o := outcome.NotRun
-	if c.position > 0 || len(c.tried) > 0 {
-		o = outcome.Unknown
-	}
-	switch {
-	case c.started:
-		c.endStream(o)
-	case errors.As(err, &refusal) && o == outcome.NotRun:
-		c.refuse(http.StatusTooManyRequests, refusal.Reason, refusal.Error(), refusal.RetryAfter)
-	case o == outcome.NotRun:
-		c.refuse(http.StatusServiceUnavailable, scheduling.ReasonDeadline, "no replica was free before the deadline", time.Second)
-	default:
-		c.fail(http.StatusBadGateway, o, "no_replica", "the request could not be continued")
+// complete passes the end of the answer on. The outcome is completed only when
+// the caller's connection took all of it.
+func (c *chat) complete() {
+	if err := c.answer.complete(); err != nil {
+		c.waste(wasteCanceled)
+		c.abandon(outcome.Unknown)
 	}
+	c.noteTokens(1)
+	c.finish(outcome.Completed, http.StatusOK, "")
 }
 
-func (c *chat) failed(_ context.Context, err error) {
-	o := outcomeOf(err)
-	if c.started {
-		c.endStream(o)
-		return
+// giveUp ends a request that no attempt completed.
+func (c *chat) giveUp(err error) {
+	if errors.Is(err, errCallerGone) {
+		c.waste(wasteCanceled)
+		c.abandon(c.outcome)
 	}
-	if o == outcome.NotRun {
-		c.refuse(http.StatusServiceUnavailable, "upstream_unavailable", err.Error(), time.Second)
-		return
+	c.waste(wasteBroken)
+	var refusal *scheduling.RefusedError
+	if errors.As(err, &refusal) && c.outcome != outcome.NotRun && c.lastErr != nil {
+		// A refused retry does not hide why it was needed.
+		err = c.lastErr
 	}
-	c.fail(http.StatusBadGateway, o, "upstream_error", err.Error())
-}
-
-func (c *chat) complete() {
-	if c.stream {
-		_, _ = io.WriteString(c.w, "data: [DONE]\n\n")
-		c.endStream(outcome.Completed)
+	if !c.answer.started() {
+		c.answerError(err)
 		return
 	}
-	answer := completion{ID: c.id, Object: "chat.completion", Model: c.request.Model, Choices: []choice{{
-		Message: answerMessage{Role: "assistant", Content: c.content.String()}, FinishReason: "stop",
-	}}}
-	answer.Usage.CompletionTokens = c.position
-	c.w.Header().Set("Content-Type", "application/json")
-	c.w.Header().Set(outcome.HeaderOutcome, string(outcome.Completed))
-	c.finish(outcome.Completed, http.StatusOK, "application/json", nil)
-	_ = json.NewEncoder(c.w).Encode(answer)
-}
-
-type completion struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   struct {
-		CompletionTokens int `json:"completion_tokens"`
-	} `json:"usage"`
-}
-
-type choice struct {
-	Index        int           `json:"index"`
-	Message      answerMessage `json:"message"`
-	FinishReason string        `json:"finish_reason"`
-}
-
-type answerMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-// endStream writes the outcome event that ends every stream.
-func (c *chat) endStream(o outcome.Outcome) {
-	c.finish(o, http.StatusOK, "text/event-stream", nil)
-	data, _ := json.Marshal(outcomeEvent{RequestID: c.id, Outcome: o})
-	_, _ = io.WriteString(c.w, "event: outcome\ndata: "+string(data)+"\n\n")
-	_ = http.NewResponseController(c.w).Flush()
-}
-
-type outcomeEvent struct {
-	RequestID string          `json:"request_id"`
-	Outcome   outcome.Outcome `json:"outcome"`
+	c.finish(c.outcome, http.StatusOK, errorCode(err))
+	c.answer.abort(c.outcome, errorCode(err))
 }
--- /dev/null
+++ b/internal/router/chat_test.go
@@ -0,0 +1,201 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/settings"
+)
+
+// Guards against an outcome that is not true of what the replicas did, above all
+// a not-run after an attempt that may have run, and a broken stream that ends
+// like a complete one.
+func TestOutcomeOfEveryEnd(t *testing.T) {
+	tests := []struct {
+		name   string
+		model  string // m is resumable, f is not
+		script []behavior
+		status int
+		want   outcome.Outcome
+		calls  int
+		text   string // of a stream
+	}{
+		{"whole answer", "m", []behavior{whole}, 200, outcome.Completed, 1, wholeText},
+		{"refused everywhere", "m", []behavior{refuse}, 503, outcome.NotRun, 2, ""},
+		{"refused once", "m", []behavior{refuse, whole}, 200, outcome.Completed, 2, wholeText},
+		{"broken before a frame, then refused", "m", []behavior{breakAfter(0), refuse}, 502, outcome.Unknown, 2, ""},
+		{"failed, then refused", "f", []behavior{status(500), refuse}, 502, outcome.Failed, 2, ""},
+		{"failed, then broken", "f", []behavior{status(500), breakAfter(0)}, 502, outcome.Unknown, 2, ""},
+		{"caller's error", "m", []behavior{status(422)}, 422, outcome.Failed, 1, ""},
+		{"redirect is not followed", "m", []behavior{status(302)}, 302, outcome.Failed, 1, ""},
+		{"broken before a frame", "f", []behavior{breakAfter(0), whole}, 200, outcome.Completed, 2, wholeText},
+		{"no frame in time", "f", []behavior{hangAfter(0), whole}, 200, outcome.Completed, 2, wholeText},
+		{"resumed after a break", "m", []behavior{breakAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
+		{"resumed after silence", "m", []behavior{hangAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
+		{"resumed after a foreign frame", "m", []behavior{foreignAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
+		{"resumed after a repeated frame", "m", []behavior{repeatAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
+		{"resumed after a missing end", "m", []behavior{endAfter(5), whole}, 200, outcome.Completed, 2, wholeText},
+		{"resumed, then refused", "m", []behavior{breakAfter(2), refuse}, 200, outcome.Unknown, 2, "t0 t1 "},
+		{"broken, cannot resume", "f", []behavior{breakAfter(2)}, 200, outcome.Unknown, 1, "t0 t1 "},
+		{"silent, cannot resume", "f", []behavior{hangAfter(2)}, 200, outcome.Unknown, 1, "t0 t1 "},
+		{"foreign frame, cannot resume", "f", []behavior{foreignAfter(2)}, 200, outcome.Unknown, 1, "t0 t1 "},
+		{"no end, cannot resume", "f", []behavior{endAfter(5)}, 200, outcome.Unknown, 1, "t0 t1 t2 t3 "},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, hostOptions{deadline: "3s"})
+			h.play(test.script...)
+			response, body := h.chat(t, test.model, true)
+			require.Equal(t, test.status, response.StatusCode, body)
+			require.Equal(t, test.calls, h.calls())
+			require.Eventually(t, func() bool { return h.recorded(response) == test.want }, patience, time.Millisecond)
+			if test.status != http.StatusOK {
+				requireError(t, response, body, test.want)
+				return
+			}
+			text, event := streamed(body)
+			require.Equal(t, test.text, text)
+			require.Contains(t, event, `"outcome":"`+string(test.want)+`"`)
+			require.Equal(t, test.want == outcome.Completed, containsDone(body))
+			require.Equal(t, test.want == outcome.Completed, containsFinish(body))
+		})
+	}
+}
+
+func requireError(t *testing.T, response *http.Response, body string, want outcome.Outcome) {
+	t.Helper()
+	var parsed errorBody
+	require.NoError(t, json.Unmarshal([]byte(body), &parsed))
+	require.Equal(t, want, parsed.Outcome)
+	require.NotEmpty(t, parsed.Error.Code)
+	require.Equal(t, string(want), response.Header.Get(outcome.HeaderOutcome))
+	require.Equal(t, parsed.RequestID, response.Header.Get(outcome.HeaderRequestID))
+	if want != outcome.NotRun {
+		require.Empty(t, response.Header.Get("Retry-After"))
+	}
+}
+
+func containsDone(body string) bool   { return strings.Contains(body, "data: [DONE]") }
+func containsFinish(body string) bool { return strings.Contains(body, `"finish_reason":"stop"`) }
+
+// Guards against fragments in a plain answer when an attempt broke half-way: the
+// second attempt starts again, or continues where the upstream can resume.
+func TestPlainAnswerAfterBreak(t *testing.T) {
+	for _, model := range []string{"m", "f"} {
+		h := newHost(t, hostOptions{})
+		h.play(breakAfter(2), whole)
+		response, body := h.chat(t, model, false)
+		require.Equal(t, http.StatusOK, response.StatusCode, body)
+		require.Equal(t, "completed", response.Header.Get(outcome.HeaderOutcome))
+		var answer completion
+		require.NoError(t, json.Unmarshal([]byte(body), &answer))
+		require.Equal(t, wholeText, answer.Choices[0].Message.Content)
+		require.Equal(t, "stop", answer.Choices[0].FinishReason)
+		require.Equal(t, testTokens, answer.Usage.CompletionTokens)
+	}
+}
+
+// Guards against work that goes on upstream after the caller hung up, before and
+// after the first frame, and against a request that stays in the queue.
+func TestCallerHangsUp(t *testing.T) {
+	for _, sent := range []int{0, 2} {
+		h := newHost(t, hostOptions{slots: 1})
+		h.play(hangAfter(sent))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			response, err := http.DefaultClient.Do(h.request(t, ctx, http.MethodPost, "/v1/chat/completions", chatBody("m", true)))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		}()
+		require.Eventually(t, func() bool { return h.calls() == 1 }, patience, time.Millisecond)
+		cancel()
+		<-done
+		require.Eventually(t, func() bool {
+			return len(h.engines[0].canceled)+len(h.engines[1].canceled) == 1
+		}, patience, time.Millisecond)
+		require.Eventually(t, func() bool { return h.server.inFlight.Load() == 0 }, patience, time.Millisecond)
+		require.Equal(t, 1, h.calls(), "a request given up on is not tried again")
+	}
+}
+
+// Guards against a queued request that outlives its caller or its deadline.
+func TestQueuedRequestEnds(t *testing.T) {
+	h := newHost(t, hostOptions{slots: 1, deadline: "1500ms"})
+	h.play(hangAfter(1))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range h.engines {
+		go func() {
+			if response, err := http.DefaultClient.Do(h.request(t, ctx, http.MethodPost, "/v1/chat/completions",
+				chatBody("m", true), outcome.HeaderClass, "draft", "Authorization", "Bearer other-key")); err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		}()
+	}
+	require.Eventually(t, func() bool { return h.calls() == 2 }, patience, time.Millisecond)
+	queued, hangUp := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, hangUp)
+	_, err := http.DefaultClient.Do(h.request(t, queued, http.MethodPost, "/v1/chat/completions", chatBody("m", true)))
+	require.ErrorIs(t, err, context.Canceled)
+	require.Eventually(t, func() bool { return h.server.inFlight.Load() <= 2 }, patience, time.Millisecond)
+}
+
+// Guards against a deadline that is not kept, and against calling a request that
+// was sent not-run.
+func TestDeadline(t *testing.T) {
+	h := newHost(t, hostOptions{deadline: "1s"})
+	h.play(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	response, body := h.chat(t, "m", false)
+	require.Equal(t, http.StatusGatewayTimeout, response.StatusCode, body)
+	requireError(t, response, body, outcome.Unknown)
+}
+
+// Guards against a caller that does not read and holds a replica's slot for
+// ever, and against an answer that piles up in memory meanwhile.
+func TestStalledCaller(t *testing.T) {
+	h := newHost(t, hostOptions{settings: Settings{WriteTimeout: settings.Duration(300 * time.Millisecond)}})
+	h.play(func(w http.ResponseWriter, r *http.Request) {
+		for i := 0; r.Context().Err() == nil; i++ {
+			writeFrame(w, r.Header.Get("X-Request-Id"), i, false)
+		}
+	})
+	response, err := http.DefaultClient.Do(h.request(t, context.Background(), http.MethodPost, "/v1/chat/completions", chatBody("m", true)))
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.Eventually(t, func() bool { return h.server.inFlight.Load() == 0 }, patience, time.Millisecond)
+	require.Equal(t, outcome.Unknown, h.recorded(response))
+}
+
+// Guards against a crash that control hears of late or without the data to
+// quarantine the request, and against waiting for control to send it back.
+func TestCrashIsReported(t *testing.T) {
+	h := newHost(t, hostOptions{})
+	h.play(breakAfter(1), whole)
+	_, body := h.chat(t, "m", true)
+	text, _ := streamed(body)
+	require.Equal(t, wholeText, text)
+	require.Eventually(t, func() bool {
+		h.server.viewMu.Lock()
+		defer h.server.viewMu.Unlock()
+		return h.server.view != nil && len(h.server.view.Quarantine) == 1
+	}, patience, time.Millisecond)
+	crash := h.feed.crashes[0]
+	require.Equal(t, "models", crash.Upstream)
+	require.Equal(t, "m", crash.Model)
+	require.NotZero(t, crash.Fingerprint)
+	require.Equal(t, crash.Fingerprint, h.server.view.Quarantine[0].Fingerprint)
+}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -15,22 +15,27 @@
 	watchWait    = 10 * time.Second
 	watchRetry   = 200 * time.Millisecond
 	tickInterval = 50 * time.Millisecond
+	// watchMargin is how much longer than its wait a watch may take before
+	// control counts as unreachable.
+	watchMargin = 3 * time.Second
 )
 
 // Follow takes bundles and views from control until ctx ends. Traffic goes on
 // with the last ones while control cannot be reached.
 func (s *Server) Follow(ctx context.Context) {
 	var viewVersion uint64
+	reachable := true
 	for ctx.Err() == nil {
-		var generation uint64
-		if snapshot := s.snapshot.Load(); snapshot != nil {
-			generation = snapshot.Generation
+		response, err := s.watch(ctx, viewVersion)
+		if err != nil && ctx.Err() != nil {
+			return
+		}
+		if (err == nil) != reachable {
+			reachable = err == nil
+			s.Logger.Warn().Err(err).Bool("reachable", reachable).Msg("reachability of control changed")
 		}
-		response, err := s.Feed.Watch(ctx, &rpc.WatchRequest{
-			Generation: generation, ViewVersion: viewVersion, WaitMs: uint32(watchWait.Milliseconds()),
-		})
 		if err != nil {
-			s.Logger.Debug().Err(err).Msg("control cannot be reached")
+			// A control that was started again numbers its views anew.
 			viewVersion = 0
 			sleep(ctx, watchRetry)
 			continue
@@ -38,11 +43,34 @@
 		s.applyBundle(response)
 		if response.View != nil {
 			viewVersion = response.View.Version
-			s.Scheduler.Update(nil, viewFromRPC(response.View, time.Now()))
+			s.applyView(viewFromRPC(response.View, time.Now()))
 		}
 	}
 }
 
+func (s *Server) watch(ctx context.Context, viewVersion uint64) (*rpc.WatchResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	defer cancel()
+	return s.Feed.Watch(ctx, &rpc.WatchRequest{
+		Generation: s.generation(), ViewVersion: viewVersion, WaitMs: uint32(watchWait.Milliseconds()),
+	})
+}
+
+// generation returns the generation of the bundle in force, 0 when there is none.
+func (s *Server) generation() uint64 {
+	if snapshot := s.snapshot.Load(); snapshot != nil {
+		return snapshot.Generation
+	}
+	return 0
+}
+
+func (s *Server) applyView(view *scheduling.View) {
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
+	s.view = view
+	s.Scheduler.Update(nil, view)
+}
+
 // Tick drives the scheduler's time-dependent work until ctx ends.
 func (s *Server) Tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -77,6 +105,7 @@
 	s.snapshot.Store(snapshot)
 	s.Scheduler.Update(snapshot, nil)
 	s.notReady.Store(nil)
+	s.metrics.generation.Update(float64(record.Generation))
 	s.Logger.Info().Uint64("generation", record.Generation).Str("sha256", record.Sha256).Msg("bundle in force")
 }
 
@@ -93,14 +122,7 @@
 			Models:     r.Models,
 		})
 	}
-	for _, q := range v.Quarantine {
-		out.Quarantine = append(out.Quarantine, scheduling.QuarantineEntry{
-			Fingerprint: q.Fingerprint,
-			Replicas:    replicaIDs(q.CrashedReplicas),
-			Expires:     time.UnixMilli(q.ExpiresUnixMs),
-			Released:    q.Released,
-		})
-	}
+	out.Quarantine = quarantineFromRPC(v.Quarantine)
 	for _, share := range v.Shares {
 		out.Shares = append(out.Shares, scheduling.TeamShare{
 			Team:            share.Team,
@@ -133,27 +155,17 @@
 	return out
 }
 
-// Answers implements rpc.Answers for control on this host.
-type Answers struct {
-	Server *Server
-	// Exit stops the process after a drain.
-	Exit func()
-}
-
-// Lookup implements rpc.Answers.
-func (a *Answers) Lookup(_ context.Context, request *rpc.LookupRequest) (*rpc.StoredAnswer, error) {
-	return a.Server.lookup(request.RequestId, request.Team), nil
-}
-
-// Drain implements rpc.Answers.
-func (a *Answers) Drain(_ context.Context, request *rpc.DrainRequest) (*rpc.DrainResponse, error) {
-	inProgress := a.Server.inFlight.Load()
-	go func() {
-		if a.Server.Drain(context.Background()) == nil && request.Exit {
-			a.Exit()
-		}
-	}()
-	return &rpc.DrainResponse{InProgress: uint32(inProgress)}, nil
+func quarantineFromRPC(entries []*rpc.QuarantineEntry) []scheduling.QuarantineEntry {
+	var out []scheduling.QuarantineEntry
+	for _, q := range entries {
+		out = append(out, scheduling.QuarantineEntry{
+			Fingerprint: q.Fingerprint,
+			Replicas:    replicaIDs(q.CrashedReplicas),
+			Expires:     time.UnixMilli(q.ExpiresUnixMs),
+			Released:    q.Released,
+		})
+	}
+	return out
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/router/lookup.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/rpc"
+)
+
+// lookupTimeout bounds the question to the host that ran a request.
+const lookupTimeout = 2 * time.Second
+
+// lookupAnswer is the answer to GET /v1/requests/{id}.
+type lookupAnswer struct {
+	RequestID string          `json:"request_id"`
+	Outcome   outcome.Outcome `json:"outcome"`
+}
+
+// serveLookup tells the outcome of a request of the caller's team. Errors carry
+// no outcome, since it could be taken for the outcome of the request asked about.
+func (s *Server) serveLookup(w http.ResponseWriter, r *http.Request) {
+	e := s.newExchange(w, r)
+	e.id = chi.URLParam(r, "id")
+	w.Header().Set(outcome.HeaderRequestID, e.id)
+	e.snapshot = s.snapshot.Load()
+	if e.snapshot == nil {
+		e.lookupError(http.StatusServiceUnavailable, "not_ready", "the host has no bundle yet")
+		return
+	}
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	team, _, ok := e.snapshot.TeamByKey(key)
+	if !ok {
+		e.lookupError(http.StatusUnauthorized, "wrong_key", "the key belongs to no team")
+		return
+	}
+	stored, err := s.find(r.Context(), e.id, team.Name)
+	switch {
+	case err != nil:
+		e.w.Header().Set("Retry-After", "1")
+		e.lookupError(http.StatusServiceUnavailable, "lookup_unavailable", "other hosts could not be asked")
+	case !stored.Found:
+		e.lookupError(http.StatusNotFound, "unknown_request", "no host that can be reached knows this request")
+	default:
+		w.Header().Set(outcome.HeaderOutcome, stored.Outcome)
+		writeJSON(w, lookupAnswer{RequestID: e.id, Outcome: outcome.Outcome(stored.Outcome)})
+	}
+}
+
+func (e *exchange) lookupError(status int, code, message string) {
+	e.writeError(status, "", code, message)
+}
+
+// find looks a request up on this host and then, through control, on others.
+func (s *Server) find(ctx context.Context, id, team string) (*rpc.StoredAnswer, error) {
+	if stored := s.lookup(id, team); stored.Found {
+		return stored, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	return s.Feed.Lookup(ctx, &rpc.LookupRequest{RequestId: id, Team: team})
+}
+
+// lookup returns the record of a request of the team. A request in progress has
+// the outcome that would be true if the host stopped now. The status is given
+// only together with the whole answer. An empty team, which only operators may
+// ask for, stands for every team and gets no answer.
+func (s *Server) lookup(id, team string) *rpc.StoredAnswer {
+	record, ok := s.records.Get(id)
+	if !ok || (team != "" && record.Team != team) {
+		return &rpc.StoredAnswer{}
+	}
+	stored := &rpc.StoredAnswer{Found: true, Outcome: string(record.Outcome)}
+	if record.HasBody && team != "" {
+		stored.Status = uint32(record.Status)
+		stored.ContentType = record.ContentType
+		stored.Body = record.Body
+	}
+	return stored
+}
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
+	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/rpc"
@@ -21,7 +22,10 @@
 const (
 	programName     = "heatherbarrow-router"
 	connsPerReplica = 1024
-	shutdownTimeout = 5 * time.Second
+	// idleInternal is the number of idle connections kept to control.
+	idleInternal = 64
+	// flushTimeout bounds the wait for control to take the last outcomes.
+	flushTimeout = 3 * time.Second
 )
 
 // Program is heatherbarrow-router.
@@ -32,33 +36,24 @@
 // NewProgram returns a program with settings that are filled in before Run.
 func NewProgram(s *Settings) *Program { return &Program{settings: s} }
 
-// Run serves until ctx ends, then drains and returns.
+// Run serves until ctx ends or control asks for an exit, then drains and
+// returns. It returns an error when requests were cut off.
 func (p *Program) Run(ctx context.Context) error {
 	logger, err := telemetry.NewLogger(os.Stderr, p.settings.LogLevel, programName, p.settings.Host, p.settings.AvailabilityZone)
 	if err != nil {
 		return err
 	}
-	server, err := p.newServer(logger)
+	metrics := telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone)
+	defer func() { _ = metrics.Close() }()
+	server, err := p.newServer(logger, metrics)
 	if err != nil {
 		return err
 	}
+	answers := NewAnswers(server)
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
-	exit := make(chan struct{})
-	registry := kernel.NewRegistry()
-	services := []kernel.Service{
-		&followService{server: server},
-		&listenService{name: "internal", address: p.settings.InternalListen, files: p.settings.InternalTLS, server: &http.Server{
-			Handler: rpc.NewAnswersServer(&Answers{Server: server, Exit: func() { close(exit) }}), ReadHeaderTimeout: readHeaderTimeout,
-		}},
-		&listenService{name: "callers", address: p.settings.Listen, files: p.settings.TLS, server: server.HTTPServer(), needs: []string{"follow"}},
-	}
-	for _, s := range services {
-		if err := registry.Register(s); err != nil {
-			return err
-		}
-	}
-	if err := registry.Provision(); err != nil {
+	registry, err := p.register(server, answers)
+	if err != nil {
 		return err
 	}
 	if err := registry.Start(work); err != nil {
@@ -67,36 +62,67 @@
 	logger.Info().Str("listen", p.settings.Listen).Msg("started")
 	select {
 	case <-ctx.Done():
-	case <-exit:
+	case <-answers.Exit():
 	}
-	p.drain(server)
-	stop, cancel := context.WithTimeout(work, shutdownTimeout)
-	defer cancel()
-	return registry.Stop(stop)
+	return p.stop(ctx, server, registry)
+}
+
+func (p *Program) register(server *Server, answers *Answers) (*kernel.Registry, error) {
+	registry := kernel.NewRegistry()
+	internal := &http.Server{Handler: rpc.NewAnswersServer(answers), ReadHeaderTimeout: readHeaderTimeout}
+	services := []kernel.Service{
+		&followService{server: server},
+		&listenService{name: "internal", address: p.settings.InternalListen, files: p.settings.InternalTLS, server: internal},
+		&listenService{
+			name: "callers", address: p.settings.Listen, files: p.settings.TLS,
+			server: server.HTTPServer(), needs: []string{"follow", "internal"},
+		},
+	}
+	for _, s := range services {
+		if err := registry.Register(s); err != nil {
+			return nil, err
+		}
+	}
+	return registry, registry.Provision()
 }
 
-func (p *Program) drain(server *Server) {
-	ctx := context.Background()
+// stop drains the host and then closes its listeners. Neither listener is closed
+// while a request is in progress, unless the drain timeout has passed or the
+// operator sent a second signal.
+func (p *Program) stop(ctx context.Context, server *Server, registry *kernel.Registry) error {
+	drain, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
 	if timeout := p.settings.DrainTimeout.Std(); timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, timeout)
+		drain, cancel = context.WithTimeout(drain, timeout)
 		defer cancel()
 	}
-	_ = server.Drain(ctx)
+	defer context.AfterFunc(cli.Forced(ctx), cancel)()
+	drainErr := server.Drain(drain)
+	flush, cancelFlush := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+	defer cancelFlush()
+	if drainErr == nil {
+		server.recorder.flush(flush)
+	}
+	// A request that came in after the last one ended is served under the same
+	// bound; without one it may take as long as it needs.
+	stopErr := registry.Stop(drain)
+	if drainErr != nil {
+		return errors.New("stopped with requests in progress: " + drainErr.Error())
+	}
+	return stopErr
 }
 
-func (p *Program) newServer(logger zerolog.Logger) (*Server, error) {
-	upstream, scheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{
+func (p *Program) newServer(logger zerolog.Logger, metrics *telemetry.Metrics) (*Server, error) {
+	client, err := forward.NewClient(tlsconf.TransportOptions{
 		TLS: p.settings.UpstreamTLS, ConnsPerHost: connsPerReplica, IdlePerHost: connsPerReplica,
 	})
 	if err != nil {
 		return nil, err
 	}
-	internal, internalScheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.InternalTLS, IdlePerHost: 64})
+	internal, internalScheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.InternalTLS, IdlePerHost: idleInternal})
 	if err != nil {
 		return nil, err
 	}
-	metrics := telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone)
 	return NewServer(Dependencies{
 		Settings: p.settings,
 		Logger:   logger,
@@ -104,13 +130,15 @@
 			Host: p.settings.Host, AvailabilityZone: p.settings.AvailabilityZone,
 			Clock: clockwork.NewRealClock(), Seed: uint64(time.Now().UnixNano()),
 		}),
-		Forward: forward.NewClient(upstream, scheme),
-		Feed:    rpc.NewFeedProtobufClient(internalScheme+"://"+p.settings.Control, &http.Client{Transport: internal}),
-		Metrics: metrics.Handler,
+		Forward:        client,
+		Feed:           rpc.NewFeedProtobufClient(internalScheme+"://"+p.settings.Control, &http.Client{Transport: internal}),
+		Metrics:        metrics.Scope,
+		MetricsHandler: metrics.Handler,
 	}), nil
 }
 
-// followService keeps the bundle and view up to date.
+// followService keeps the bundle and view up to date, reports to control and
+// hands over outcomes.
 type followService struct{ server *Server }
 
 func (f *followService) Name() string { return "follow" }
@@ -118,6 +146,8 @@
 func (f *followService) Start(ctx context.Context) error {
 	go f.server.Follow(ctx)
 	go f.server.Tick(ctx)
+	go f.server.Report(ctx)
+	go f.server.recorder.run(ctx)
 	return nil
 }
 
@@ -142,9 +172,11 @@
 	return nil
 }
 
+// Stop closes the listener and waits for its requests while ctx lasts.
 func (l *listenService) Stop(ctx context.Context) error {
-	if err := l.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+	err := l.server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		return l.server.Close()
 	}
-	return nil
+	return err
 }
--- /dev/null
+++ b/internal/router/report.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduler"
+	"heatherbarrow/internal/scheduling"
+)
+
+const (
+	reportInterval = 500 * time.Millisecond
+	// reportTimeout is longer than the interval, so that a slow control does not
+	// lose each report; reports are sent one at a time.
+	reportTimeout = 2 * time.Second
+	// crashRetries bounds the time in which a crash is reported again.
+	crashRetries = 10 * time.Second
+)
+
+// Report tells control what this host measured and used, until ctx ends.
+func (s *Server) Report(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.sendReport(ctx)
+		}
+	}
+}
+
+func (s *Server) sendReport(ctx context.Context) {
+	request := reportToRPC(s.Scheduler.Report())
+	request.Streams = uint32(s.inFlight.Load())
+	request.Generation = s.generation()
+	request.Draining = s.draining.Load()
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if _, err := s.Feed.Report(ctx, request); err != nil {
+		s.Logger.Debug().Err(err).Msg("report could not be sent")
+	}
+}
+
+func reportToRPC(report scheduling.Report) *rpc.ReportRequest {
+	out := &rpc.ReportRequest{}
+	for i := range report.Replicas {
+		m := &report.Replicas[i]
+		out.Replicas = append(out.Replicas, &rpc.ReplicaMeasurement{
+			Upstream: m.ID.Upstream, Replica: m.ID.Replica,
+			InProgress: uint32(m.InProgress), Dispatched: m.Dispatched, Completed: m.Completed, Failed: m.Failed,
+			FirstTokenP50Ms: uint32(m.FirstTokenP50.Milliseconds()),
+			InterTokenP50Ms: uint32(m.InterTokenP50.Milliseconds()),
+			Ejected:         m.Ejected,
+		})
+	}
+	for i := range report.Teams {
+		u := &report.Teams[i]
+		out.Teams = append(out.Teams, &rpc.TeamUsage{
+			Team: u.Team, Tokens: u.Tokens, InProgress: uint32(u.InProgress),
+			DemandedTokens: u.DemandedTokens, DemandedInProgress: uint32(u.DemandedInProgress),
+		})
+	}
+	for i := range report.Demand {
+		d := &report.Demand[i]
+		out.Demand = append(out.Demand, &rpc.ClassDemand{
+			Class: d.Class, Model: d.Model, Requests: d.Requests, Tokens: d.Tokens, Refused: d.Refused,
+		})
+	}
+	return out
+}
+
+// reportCrash tells control at once that a replica broke the connection while
+// it ran the request, without making the request wait.
+func (c *chat) reportCrash(cause, err error, a *scheduler.Assignment) {
+	if !resultOf(cause, err, 0).Crashed {
+		return
+	}
+	c.server.Logger.Warn().Str("request", c.id).Str("replica", a.Replica.String()).
+		Uint64("fingerprint", c.prompt.fingerprint).Err(err).Msg("replica crashed")
+	request := &rpc.CrashRequest{
+		Fingerprint: c.prompt.fingerprint, Upstream: a.Replica.Upstream, Replica: a.Replica.Replica, Model: c.model,
+	}
+	go c.server.sendCrash(request)
+}
+
+func (s *Server) sendCrash(request *rpc.CrashRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashRetries)
+	defer cancel()
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval = 50 * time.Millisecond
+	policy.MaxInterval = time.Second
+	response, err := backoff.Retry(ctx, func() (*rpc.CrashResponse, error) {
+		call, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		return s.Feed.ReportCrash(call, request)
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(crashRetries))
+	if err != nil {
+		s.Logger.Warn().Err(err).Uint64("fingerprint", request.Fingerprint).Msg("crash could not be reported")
+		return
+	}
+	s.mergeQuarantine(quarantineFromRPC(response.Quarantine))
+}
+
+// mergeQuarantine adds entries to the view in force without waiting for the
+// next view from control.
+func (s *Server) mergeQuarantine(entries []scheduling.QuarantineEntry) {
+	if len(entries) == 0 {
+		return
+	}
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
+	merged := scheduling.View{HostsInZone: 1}
+	if s.view != nil {
+		merged = *s.view
+	}
+	merged.Quarantine = mergeEntries(merged.Quarantine, entries)
+	s.view = &merged
+	s.Scheduler.Update(nil, &merged)
+}
+
+// mergeEntries returns old with the entries of added in place of those of the
+// same fingerprint, unless an operator's later release is already known.
+func mergeEntries(old, added []scheduling.QuarantineEntry) []scheduling.QuarantineEntry {
+	out := slices.Clone(old)
+	for _, entry := range added {
+		i := slices.IndexFunc(out, func(o scheduling.QuarantineEntry) bool { return o.Fingerprint == entry.Fingerprint })
+		switch {
+		case i < 0:
+			out = append(out, entry)
+		case entry.Released >= out[i].Released:
+			out[i] = entry
+		}
+	}
+	return out
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,27 +17,59 @@
 	"heatherbarrow/internal/outcome"
 )
 
+// statusCallerGone is logged for requests whose caller hung up. No caller sees it.
+const statusCallerGone = 499
+
+// Causes for which a request's or an attempt's context ends.
+var (
+	errCallerGone   = errors.New("caller hung up or does not read the answer")
+	errDeadline     = errors.New("deadline of the request has passed")
+	errRouteTimeout = errors.New("service did not answer within the route's timeout")
+	errPreempted    = errors.New("stream was preempted by a higher tier")
+)
+
 // exchange is one caller's request and its answer.
 type exchange struct {
-	server   *Server
-	snapshot *bundle.Snapshot
-	w        http.ResponseWriter
-	r        *http.Request
-	id       string
-	team     *bundle.Team
-	teamIdx  int
-	class    *bundle.Class
-	classIdx int
-	body     []byte
-	arrived  time.Time
-	deadline time.Time
+	server     *Server
+	snapshot   *bundle.Snapshot
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	r          *http.Request
+	id         string
+	team       *bundle.Team
+	teamIdx    int
+	class      *bundle.Class
+	classIdx   int
+	body       []byte
+	arrived    time.Time
+	deadline   time.Time
+	accepted   bool // the request was well-formed and its caller known
+	// outcome is what the attempts so far amount to, while none has completed.
+	outcome     outcome.Outcome
+	deadlineSet time.Time // when the write deadline was last set
+	timing      timing
+}
+
+// timing is what attainment is judged by.
+type timing struct {
+	first  time.Time // first token
+	last   time.Time // last token
+	tokens int
+}
+
+func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	e := &exchange{
+		server: s, w: w, controller: http.NewResponseController(w), r: r,
+		id: xid.New().String(), arrived: time.Now(), outcome: outcome.NotRun,
+	}
+	w.Header().Set(outcome.HeaderRequestID, e.id)
+	return e
 }
 
 // begin authenticates a request and reads its body. It answers and returns
 // false when the request cannot be accepted.
 func (s *Server) begin(w http.ResponseWriter, r *http.Request) (*exchange, bool) {
-	e := &exchange{server: s, w: w, r: r, id: xid.New().String(), arrived: time.Now()}
-	w.Header().Set(outcome.HeaderRequestID, e.id)
+	e := s.newExchange(w, r)
 	e.snapshot = s.snapshot.Load()
 	if e.snapshot == nil {
 		e.refuse(http.StatusServiceUnavailable, "not_ready", "the host has no bundle yet", time.Second)
@@ -55,6 +89,7 @@
 		e.refuse(http.StatusUnauthorized, "missing_key", "Authorization must be a Bearer key", 0)
 		return false
 	}
+	// The key is looked up by its hash, so the time taken tells nothing of the key.
 	e.team, e.teamIdx, ok = e.snapshot.TeamByKey(key)
 	if !ok {
 		e.refuse(http.StatusUnauthorized, "wrong_key", "the key belongs to no team", 0)
@@ -75,23 +110,51 @@
 
 func (e *exchange) readBody() bool {
 	limits := &e.snapshot.Bundle.Limits
-	controller := http.NewResponseController(e.w)
-	_ = controller.SetReadDeadline(time.Now().Add(limits.BodyTimeout.Std()))
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limits.MaxBodyBytes))
+	if e.r.ContentLength > limits.MaxBodyBytes {
+		e.refuseBody(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes")
+		return false
+	}
+	_ = e.controller.SetReadDeadline(time.Now().Add(limits.BodyTimeout.Std()))
+	body, err := readAll(http.MaxBytesReader(e.w, e.r.Body, limits.MaxBodyBytes), e.r.ContentLength)
 	var tooLarge *http.MaxBytesError
+	var timeout net.Error
 	switch {
+	case err == nil:
 	case errors.As(err, &tooLarge):
-		e.refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes", 0)
+		e.refuseBody(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes")
+		return false
+	case errors.As(err, &timeout) && timeout.Timeout():
+		e.refuseBody(http.StatusRequestTimeout, "body_timeout", "the body did not arrive within "+limits.BodyTimeout.Std().String())
 		return false
-	case err != nil:
-		e.refuse(http.StatusRequestTimeout, "body_incomplete", "the body did not arrive in time", 0)
+	default:
+		e.refuseBody(http.StatusBadRequest, "body_incomplete", "the body is not complete")
 		return false
 	}
-	_ = controller.SetReadDeadline(time.Time{})
+	_ = e.controller.SetReadDeadline(time.Time{})
 	e.body = body
 	return true
 }
 
+// readAll reads a body of a known length, or of -1, without growing the buffer
+// more often than needed.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(body, data)
+	return data, err
+}
+
+// refuseBody refuses a request whose body was not read to its end, so that its
+// connection cannot be used again.
+func (e *exchange) refuseBody(status int, code, message string) {
+	if e.r.ProtoMajor == 1 {
+		e.w.Header().Set("Connection", "close")
+	}
+	e.refuse(status, code, message, 0)
+}
+
 // errorBody is the body of every answer that reports an error.
 type errorBody struct {
 	Error struct {
@@ -99,7 +162,7 @@
 		Message string `json:"message"`
 	} `json:"error"`
 	RequestID string          `json:"request_id"`
-	Outcome   outcome.Outcome `json:"outcome"`
+	Outcome   outcome.Outcome `json:"outcome,omitempty"`
 }
 
 // refuse answers with outcome not-run. retryAfter 0 means that a retry cannot help.
@@ -108,28 +171,86 @@
 		seconds := int((retryAfter + time.Second - 1) / time.Second)
 		e.w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
+	e.server.metrics.refused(code)
 	e.fail(status, outcome.NotRun, code, message)
 }
 
-// fail answers with an error and records the outcome.
+// fail records the outcome and answers with an error.
 func (e *exchange) fail(status int, o outcome.Outcome, code, message string) {
-	e.finish(o, status, "", nil)
+	e.finish(o, status, code)
+	e.w.Header().Set(outcome.HeaderOutcome, string(o))
+	e.writeError(status, o, code, message)
+}
+
+func (e *exchange) writeError(status int, o outcome.Outcome, code, message string) {
 	body := errorBody{RequestID: e.id, Outcome: o}
 	body.Error.Code = code
 	body.Error.Message = message
-	e.w.Header().Set("Content-Type", "application/json")
-	e.w.Header().Set(outcome.HeaderOutcome, string(o))
+	data, _ := json.Marshal(body)
+	_ = e.writeWhole(status, "application/json", append(data, '\n'))
+}
+
+// writeWhole writes an answer of known length. No error means that the whole
+// answer was handed to the connection.
+func (e *exchange) writeWhole(status int, contentType string, body []byte) error {
+	if contentType != "" {
+		e.w.Header().Set("Content-Type", contentType)
+	}
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	e.extendWriteDeadline()
 	e.w.WriteHeader(status)
-	_ = json.NewEncoder(e.w).Encode(body)
+	if len(body) > 0 && e.r.Method != http.MethodHead {
+		if _, err := e.w.Write(body); err != nil {
+			return errCallerGone
+		}
+	}
+	if e.controller.Flush() != nil {
+		return errCallerGone
+	}
+	return nil
 }
 
-// finish records the outcome and logs it.
-func (e *exchange) finish(o outcome.Outcome, status int, contentType string, body []byte) {
-	e.server.records.Finish(e.id, o, status, contentType, body)
-	event := e.server.Logger.Info().Str("request", e.id).Str("outcome", string(o)).Int("status", status).
-		Dur("elapsed", time.Since(e.arrived))
+// extendWriteDeadline gives the caller the whole write timeout again. It skips
+// the call while most of the timeout is left, because it is made for each token.
+func (e *exchange) extendWriteDeadline() {
+	const fraction = 8
+	timeout := e.server.Settings.WriteTimeout.Std()
+	now := time.Now()
+	if now.Sub(e.deadlineSet) < timeout/fraction {
+		return
+	}
+	e.deadlineSet = now
+	_ = e.controller.SetWriteDeadline(now.Add(timeout))
+}
+
+// ended tells why a request's or attempt's context has ended; nil while it has not.
+func ended(ctx context.Context) error {
+	if ctx.Err() == nil {
+		return nil
+	}
+	cause := context.Cause(ctx)
+	if errors.Is(cause, context.Canceled) {
+		return errCallerGone
+	}
+	return cause
+}
+
+// finish records the outcome, counts and logs it.
+func (e *exchange) finish(o outcome.Outcome, status int, code string) {
+	e.server.records.Finish(e.id, o, status)
+	elapsed := time.Since(e.arrived)
+	event := e.server.Logger.Info().Str("request", e.id).Str("outcome", string(o)).Int("status", status).Dur("elapsed", elapsed)
+	if code != "" {
+		event = event.Str("code", code)
+	}
 	if e.class != nil && e.team != nil {
 		event = event.Str("class", e.class.Name).Str("team", e.team.Name)
 	}
+	if e.timing.tokens > 0 {
+		event = event.Int("tokens", e.timing.tokens).Dur("first_token", e.timing.first.Sub(e.arrived))
+	}
 	event.Msg("request finished")
+	e.server.metrics.finished(e, o, elapsed)
 }
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -11,31 +11,34 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/scheduler"
+	"heatherbarrow/internal/scheduling"
 )
 
 const (
-	defaultBalancerLag = 2 * time.Second
-	recordCapacity     = 100_000
-	recordTTL          = 10 * time.Minute
-	readHeaderTimeout  = 10 * time.Second
-	idleTimeout        = 2 * time.Minute
-	drainPollInterval  = 20 * time.Millisecond
+	recordCapacity    = 100_000
+	recordTTL         = 10 * time.Minute
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // Dependencies are what a Server works with.
 type Dependencies struct {
-	Settings  *Settings
-	Logger    zerolog.Logger
-	Scheduler *scheduler.Scheduler
-	Forward   *forward.Client
-	Feed      rpc.Feed // control on this host
-	Metrics   http.Handler
+	Settings       *Settings
+	Logger         zerolog.Logger
+	Scheduler      *scheduler.Scheduler
+	Forward        *forward.Client
+	Feed           rpc.Feed     // control on this host
+	Metrics        tally.Scope  // nil drops all metrics
+	MetricsHandler http.Handler // nil serves no /metrics
 }
 
 // Server is the callers' side of a host.
@@ -46,17 +49,26 @@
 	draining  atomic.Bool
 	inFlight  atomic.Int64
 	records   *outcome.Store
+	recorder  *recorder
+	metrics   *metrics
+	viewMu    sync.Mutex
+	view      *scheduling.View // last view from control, with the quarantine learned since
 	drainOnce sync.Once
 	drained   chan struct{}
 }
 
 // NewServer returns a server without a bundle.
 func NewServer(d Dependencies) *Server {
+	if d.Metrics == nil {
+		d.Metrics = tally.NoopScope
+	}
 	s := &Server{
 		Dependencies: d,
 		records:      outcome.NewStore(recordCapacity, recordTTL),
+		metrics:      newMetrics(d.Metrics),
 		drained:      make(chan struct{}),
 	}
+	s.recorder = newRecorder(d.Feed, d.Logger, s.metrics)
 	reason := "no bundle received from control"
 	s.notReady.Store(&reason)
 	return s
@@ -67,11 +79,31 @@
 	r := chi.NewRouter()
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	r.Get("/readyz", s.serveReady)
-	r.Method(http.MethodGet, "/metrics", s.Metrics)
+	if s.MetricsHandler != nil {
+		r.Method(http.MethodGet, "/metrics", s.MetricsHandler)
+	}
 	r.Post("/v1/chat/completions", s.serveChat)
 	r.Get("/v1/requests/{id}", s.serveLookup)
 	r.HandleFunc("/services/{upstream}/*", s.serveService)
-	return r
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		s.newExchange(w, r).refuse(http.StatusNotFound, "unknown_path", "nothing is served at "+r.URL.Path, 0)
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		s.newExchange(w, r).refuse(http.StatusMethodNotAllowed, "method_not_allowed", r.Method+" is not allowed at "+r.URL.Path, 0)
+	})
+	return s.boundConnections(r)
+}
+
+// boundConnections bounds the writing of every answer, and asks callers to leave
+// their connections while the host drains.
+func (s *Server) boundConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Settings.WriteTimeout.Std()))
+		if s.draining.Load() && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // HTTPServer returns an HTTP server for the callers' interface.
@@ -81,6 +113,7 @@
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
--- /dev/null
+++ b/internal/router/services_test.go
@@ -0,0 +1,155 @@
+package router
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/rpc"
+)
+
+func (h *host) order(t *testing.T, ctx context.Context) *http.Request {
+	return h.request(t, ctx, http.MethodPost, "/services/warehouse/orders?x=1", "{}", outcome.HeaderKey, "k1")
+}
+
+func reply(code int, body string) behavior {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(code)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// Guards against a non-repeatable call that is made twice, and against an
+// outcome, told or recorded, that is not true of what the service did.
+func TestOutcomeOfNonRepeatableCall(t *testing.T) {
+	tests := []struct {
+		name   string
+		act    behavior
+		status int
+		want   outcome.Outcome
+	}{
+		{"answered", reply(201, "done"), 201, outcome.Completed},
+		{"caller's error", reply(409, "no"), 409, outcome.Completed},
+		{"service's error", reply(500, "no"), 500, outcome.Failed},
+		{"refused", refuse, 503, outcome.NotRun},
+		{"answer lost", breakAfter(0), 502, outcome.Unknown},
+		{"no answer in time", hangAfter(0), 504, outcome.Unknown},
+		{"answer too large", reply(200, strings.Repeat("x", 5<<20)), 502, outcome.Failed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, hostOptions{})
+			h.feed.claim.Result = rpc.ClaimResult_CLAIM_RESULT_GRANTED
+			h.service.play(test.act)
+			response, body := h.send(t, h.order(t, context.Background()))
+			require.Equal(t, test.status, response.StatusCode, body)
+			require.Equal(t, string(test.want), response.Header.Get(outcome.HeaderOutcome))
+			require.Equal(t, test.want == outcome.NotRun, response.Header.Get("Retry-After") != "")
+			require.Equal(t, 1, h.service.count())
+			require.Eventually(t, func() bool { return len(h.feed.outcomes()) == 1 }, patience, time.Millisecond)
+			require.Equal(t, []string{string(test.want)}, h.feed.outcomes())
+			require.Equal(t, test.want, h.recorded(response))
+		})
+	}
+}
+
+// Guards against running a call without a claim of its own.
+func TestNoCallWithoutClaim(t *testing.T) {
+	tests := []struct {
+		claim  rpc.ClaimResult
+		status int
+		want   outcome.Outcome
+	}{
+		{rpc.ClaimResult_CLAIM_RESULT_UNAVAILABLE, 503, outcome.NotRun},
+		{rpc.ClaimResult_CLAIM_RESULT_CONFLICT, 409, outcome.NotRun},
+		{rpc.ClaimResult_CLAIM_RESULT_IN_PROGRESS, 409, outcome.Unknown},
+	}
+	h := newHost(t, hostOptions{})
+	h.service.play(reply(200, ""))
+	for _, test := range tests {
+		h.feed.claim.Result = test.claim
+		response, body := h.send(t, h.order(t, context.Background()))
+		require.Equal(t, test.status, response.StatusCode)
+		requireError(t, response, body, test.want)
+	}
+	h.feed.claimErr = io.ErrUnexpectedEOF
+	response, body := h.send(t, h.order(t, context.Background()))
+	requireError(t, response, body, outcome.NotRun)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Eventually(t, func() bool { return len(h.feed.outcomes()) == 1 }, patience, time.Millisecond, "a claim whose answer was lost is given back")
+	require.Zero(t, h.service.count())
+}
+
+// Guards against a repeated key that runs the call again or loses the answer
+// that the first caller did not receive.
+func TestRepeatedKeyGetsFirstAnswer(t *testing.T) {
+	h := newHost(t, hostOptions{})
+	h.service.play(reply(200, ""))
+	h.feed.claim = rpc.ClaimResponse{Result: rpc.ClaimResult_CLAIM_RESULT_FINISHED, Outcome: "unknown", FirstAttempt: "first"}
+	h.feed.answer = rpc.StoredAnswer{Found: true, Outcome: "unknown", Status: 201, Body: []byte("order 7")}
+	response, body := h.send(t, h.order(t, context.Background()))
+	require.Equal(t, 201, response.StatusCode)
+	require.Equal(t, "order 7", body)
+	require.Equal(t, "completed", response.Header.Get(outcome.HeaderOutcome))
+	h.feed.answer = rpc.StoredAnswer{}
+	response, body = h.send(t, h.order(t, context.Background()))
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	requireError(t, response, body, outcome.Unknown)
+	require.Zero(t, h.service.count())
+}
+
+// Guards against recording completed for a caller that has gone, and against
+// losing the answer that a repeated key is owed.
+func TestServiceCallerHangsUp(t *testing.T) {
+	h := newHost(t, hostOptions{})
+	h.feed.claim.Result = rpc.ClaimResult_CLAIM_RESULT_GRANTED
+	h.service.play(hangAfter(0))
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for h.service.count() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err := http.DefaultClient.Do(h.order(t, ctx))
+	require.ErrorIs(t, err, context.Canceled)
+	<-h.service.canceled
+	require.Eventually(t, func() bool { return len(h.feed.outcomes()) == 1 }, patience, time.Millisecond)
+	require.Equal(t, []string{"unknown"}, h.feed.outcomes())
+}
+
+// Guards against an outcome that is lost because control is away when the call ends.
+func TestOutcomeIsHandedOverWhenControlReturns(t *testing.T) {
+	h := newHost(t, hostOptions{})
+	h.feed.claim.Result = rpc.ClaimResult_CLAIM_RESULT_GRANTED
+	h.feed.down = true
+	h.service.play(reply(200, "done"))
+	response, _ := h.send(t, h.order(t, context.Background()))
+	require.Equal(t, 200, response.StatusCode, "the answer does not wait for control")
+	require.Empty(t, h.feed.outcomes())
+	h.feed.mu.Lock()
+	h.feed.down = false
+	h.feed.mu.Unlock()
+	h.server.recorder.flush(context.Background())
+	require.Equal(t, []string{"completed"}, h.feed.outcomes())
+}
+
+// Guards against a path that arrives at the service in another form than the
+// caller sent.
+func TestServiceRequestIsPassedOn(t *testing.T) {
+	h := newHost(t, hostOptions{})
+	got := make(chan string, 1)
+	h.service.play(func(w http.ResponseWriter, r *http.Request) {
+		got <- r.Method + " " + r.RequestURI + " " + r.Header.Get("X-Request-Id") + " " + r.Header.Get("Accept")
+	})
+	response, _ := h.send(t, h.request(t, context.Background(), http.MethodGet, "/services/warehouse/stock/a%20b%23c%2Fd?q=%41", "", "Accept", "text/plain"))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, "GET /stock/a%20b%23c%2Fd?q=%41 "+response.Header.Get(outcome.HeaderRequestID)+" text/plain", <-got)
+}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -2,11 +2,18 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"heatherbarrow/internal/settings"
 	"heatherbarrow/internal/tlsconf"
 )
 
+const (
+	defaultBalancerLag  = 2 * time.Second
+	defaultWriteTimeout = 30 * time.Second
+	defaultLogLevel     = "info"
+)
+
 // Settings are the static settings of heatherbarrow-router.
 type Settings struct {
 	Host             string            `json:"host"`
@@ -17,6 +24,7 @@
 	LogLevel         string            `json:"log_level,omitempty"`
 	BalancerLag      settings.Duration `json:"balancer_lag,omitzero"`  // wait between not ready and drain; default 2s
 	DrainTimeout     settings.Duration `json:"drain_timeout,omitzero"` // 0 waits without bound
+	WriteTimeout     settings.Duration `json:"write_timeout,omitzero"` // greatest time that a caller may leave an answer unread; default 30s
 	TLS              tlsconf.Files     `json:"tls,omitzero"`           // callers' listener
 	UpstreamTLS      tlsconf.Files     `json:"upstream_tls,omitzero"`  // client to replicas
 	InternalTLS      tlsconf.Files     `json:"internal_tls,omitzero"`  // mutual TLS with control
@@ -41,14 +49,50 @@
 	if s.Listen == s.InternalListen {
 		return settings.Errorf("internal_listen", "must differ from listen")
 	}
-	if s.LogLevel == "" {
-		s.LogLevel = "info"
+	if err := s.validateDurations(); err != nil {
+		return err
+	}
+	s.setDefaults()
+	return s.validateTLS()
+}
+
+func (s *Settings) validateDurations() error {
+	durations := []struct {
+		path  string
+		value settings.Duration
+	}{
+		{"balancer_lag", s.BalancerLag}, {"drain_timeout", s.DrainTimeout}, {"write_timeout", s.WriteTimeout},
 	}
-	if s.BalancerLag < 0 || s.DrainTimeout < 0 {
-		return settings.Errorf("balancer_lag", "durations must not be negative")
+	for _, d := range durations {
+		if d.value < 0 {
+			return settings.Errorf(d.path, "must not be negative")
+		}
+	}
+	return nil
+}
+
+func (s *Settings) setDefaults() {
+	if s.LogLevel == "" {
+		s.LogLevel = defaultLogLevel
 	}
 	if s.BalancerLag == 0 {
 		s.BalancerLag = settings.Duration(defaultBalancerLag)
 	}
-	return nil
+	if s.WriteTimeout == 0 {
+		s.WriteTimeout = settings.Duration(defaultWriteTimeout)
+	}
+}
+
+func (s *Settings) validateTLS() error {
+	if err := s.TLS.ValidateListener("tls"); err != nil {
+		return err
+	}
+	if err := s.UpstreamTLS.ValidateClient("upstream_tls"); err != nil {
+		return err
+	}
+	// internal_tls serves a listener and a client, so it may name a server.
+	if s.InternalTLS.Enabled() && s.InternalTLS.Certificate == "" {
+		return settings.Errorf("internal_tls.certificate", "must be given, because this program also listens with it")
+	}
+	return s.InternalTLS.ValidateClient("internal_tls")
 }
--- a/internal/tlsconf/http.go
+++ b/internal/tlsconf/http.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	dialTimeout  = 2 * time.Second
-	keepAlive    = 15 * time.Second
-	idleLifetime = time.Minute
+	dialTimeout      = 2 * time.Second
+	handshakeTimeout = 5 * time.Second
+	keepAlive        = 15 * time.Second
+	idleLifetime     = time.Minute
 )
 
 // TransportOptions configure a client's transport.
@@ -19,16 +20,24 @@
 	TLS          Files
 	ConnsPerHost int // greatest number of connections to one address; 0 is without bound
 	IdlePerHost  int
+	// NoKeepAlive makes a new connection for every request. net/http never sends
+	// a request again by itself on a new connection.
+	NoKeepAlive bool
+	// WrapConn, if set, wraps each TCP connection, below TLS.
+	WrapConn func(net.Conn) net.Conn
 }
 
-// NewTransport returns a transport and the scheme of its URLs.
+// NewTransport returns a transport and the scheme of its URLs. It speaks
+// HTTP/1.1 and uses no proxy.
 func NewTransport(o TransportOptions) (*http.Transport, string, error) {
+	dialer := &dialer{wrap: o.WrapConn, net: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}}
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext,
+		DialContext:         dialer.dial,
 		MaxConnsPerHost:     o.ConnsPerHost,
 		MaxIdleConnsPerHost: o.IdlePerHost,
 		IdleConnTimeout:     idleLifetime,
 		DisableCompression:  true,
+		DisableKeepAlives:   o.NoKeepAlive,
 	}
 	if !o.TLS.Enabled() {
 		return t, "http", nil
@@ -37,10 +46,48 @@
 	if err != nil {
 		return nil, "", err
 	}
-	t.TLSClientConfig = source.Client()
+	dialer.source = source
+	t.DialTLSContext = dialer.dialTLS
 	return t, "https", nil
 }
 
+// dialer opens the connections of a transport.
+type dialer struct {
+	net    net.Dialer
+	wrap   func(net.Conn) net.Conn
+	source *Source
+}
+
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.net.DialContext(ctx, network, address)
+	if err != nil || d.wrap == nil {
+		return conn, err
+	}
+	return d.wrap(conn), nil
+}
+
+// dialTLS takes the configuration anew for each connection, so that replaced
+// certificates apply without a restart and the address is verified; net/http
+// leaves out IP addresses from the name that a verification callback sees.
+func (d *dialer) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := d.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn := tls.Client(raw, d.source.Client(host))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 // Listen opens a listener, with TLS when the files are given.
 func Listen(ctx context.Context, address string, files Files) (net.Listener, error) {
 	var config net.ListenConfig
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"heatherbarrow/internal/settings"
 )
 
 // Files name the PEM files of one listener or client. All empty means plain
@@ -19,25 +21,57 @@
 	Certificate string `json:"certificate,omitempty"`
 	Key         string `json:"key,omitempty"`
 	CA          string `json:"ca,omitempty"`
+	// ServerName is the name that a client expects in the certificate of every
+	// server it connects to. When empty, a client expects the address it dials.
+	ServerName string `json:"server_name,omitempty"`
 }
 
-// reloadInterval is how often files are checked for changes.
-const reloadInterval = 5 * time.Second
-
-var errIncomplete = errors.New("certificate and key must be given together")
+var (
+	errIncomplete    = errors.New("certificate and key must be given together")
+	errNoCertificate = errors.New("a listener with TLS needs a certificate and a key")
+)
 
 // Enabled tells whether TLS is configured.
 func (f Files) Enabled() bool { return f != Files{} }
 
+// ValidateListener checks the files of a listener in the settings at path.
+func (f Files) ValidateListener(path string) error {
+	if f.Enabled() && f.Certificate == "" {
+		return settings.Errorf(path+".certificate", "%v", errNoCertificate)
+	}
+	if f.ServerName != "" {
+		return settings.Errorf(path+".server_name", "applies to clients only")
+	}
+	return f.validate(path)
+}
+
+// ValidateClient checks the files of a client in the settings at path.
+func (f Files) ValidateClient(path string) error { return f.validate(path) }
+
+func (f Files) validate(path string) error {
+	if !f.Enabled() {
+		return nil
+	}
+	if _, err := NewSource(f); err != nil {
+		return settings.Errorf(path, "%v", err)
+	}
+	return nil
+}
+
+// fileState tells whether a file was replaced.
+type fileState struct {
+	modified time.Time
+	size     int64
+}
+
 // Source holds the current certificate and authorities.
 type Source struct {
 	files Files
 
-	mu       sync.Mutex
-	checked  time.Time
-	modified time.Time
-	cert     *tls.Certificate
-	roots    *x509.CertPool
+	mu     sync.Mutex
+	loaded [3]fileState
+	cert   *tls.Certificate
+	roots  *x509.CertPool
 }
 
 // NewSource reads the files once and fails if they are not usable.
@@ -46,13 +80,15 @@
 		return nil, errIncomplete
 	}
 	s := &Source{files: files}
-	if err := s.load(); err != nil {
+	if err := s.load(s.states()); err != nil {
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *Source) load() error {
+// load reads the files, whose states were taken before, so that a file replaced
+// during the reading is read again.
+func (s *Source) load(states [3]fileState) error {
 	var cert *tls.Certificate
 	if s.files.Certificate != "" {
 		pair, err := tls.LoadX509KeyPair(s.files.Certificate, s.files.Key)
@@ -72,32 +108,31 @@
 			return eris.Errorf("%s has no certificate", s.files.CA)
 		}
 	}
-	s.cert, s.roots = cert, roots
-	s.checked = time.Now()
-	s.modified = s.newestModification()
+	s.cert, s.roots, s.loaded = cert, roots, states
 	return nil
 }
 
-func (s *Source) newestModification() time.Time {
-	var newest time.Time
-	for _, path := range []string{s.files.Certificate, s.files.Key, s.files.CA} {
-		if info, err := os.Stat(path); err == nil && info.ModTime().After(newest) {
-			newest = info.ModTime()
+func (s *Source) states() [3]fileState {
+	var states [3]fileState
+	for i, path := range [...]string{s.files.Certificate, s.files.Key, s.files.CA} {
+		if path == "" {
+			continue
+		}
+		if info, err := os.Stat(path); err == nil {
+			states[i] = fileState{modified: info.ModTime(), size: info.Size()}
 		}
 	}
-	return newest
+	return states
 }
 
-// current returns the newest usable certificate and authorities. Files that
-// cannot be read, for example while they are being replaced, leave the old ones.
+// current returns the newest usable certificate and authorities. It is called
+// once for each handshake. Files that cannot be used, for example while only one
+// of certificate and key is replaced, leave the old ones in force.
 func (s *Source) current() (*tls.Certificate, *x509.CertPool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.checked) > reloadInterval {
-		s.checked = time.Now()
-		if s.newestModification() != s.modified {
-			_ = s.load()
-		}
+	if states := s.states(); states != s.loaded {
+		_ = s.load(states)
 	}
 	return s.cert, s.roots
 }
@@ -109,9 +144,13 @@
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			cert, roots := s.current()
 			if cert == nil {
-				return nil, errIncomplete
+				return nil, errNoCertificate
+			}
+			c := &tls.Config{
+				MinVersion:   tls.VersionTLS12,
+				Certificates: []tls.Certificate{*cert},
+				NextProtos:   []string{"h2", "http/1.1"},
 			}
-			c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}, NextProtos: []string{"h2", "http/1.1"}}
 			if roots != nil {
 				c.ClientCAs = roots
 				c.ClientAuth = tls.RequireAndVerifyClientCert
@@ -121,30 +160,24 @@
 	}
 }
 
-// Client returns the configuration of a client. Authorities are verified by
-// hand so that a changed file is used for new connections.
-func (s *Source) Client() *tls.Config {
-	return &tls.Config{
+// Client returns the configuration of one connection to host, an IP address or
+// a name. The server's certificate must be valid for the settings' server name,
+// or else for host.
+func (s *Source) Client(host string) *tls.Config {
+	name := s.files.ServerName
+	if name == "" {
+		name = host
+	}
+	cert, roots := s.current()
+	c := &tls.Config{
 		MinVersion: tls.VersionTLS12,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, _ := s.current()
-			if cert == nil {
-				return &tls.Certificate{}, nil
-			}
-			return cert, nil
-		},
-		// VerifyConnection below checks the chain and the name.
-		InsecureSkipVerify: true,
-		VerifyConnection: func(state tls.ConnectionState) error {
-			_, roots := s.current()
-			intermediates := x509.NewCertPool()
-			for _, c := range state.PeerCertificates[1:] {
-				intermediates.AddCert(c)
-			}
-			_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
-				Roots: roots, Intermediates: intermediates, DNSName: state.ServerName,
-			})
-			return err
-		},
+		ServerName: name,
+		// RootCAs is read when the connection is made, so a replaced authority
+		// applies to the next connection.
+		RootCAs: roots,
+	}
+	if cert != nil {
+		c.Certificates = []tls.Certificate{*cert}
 	}
+	return c
 }
