--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,10 @@
 
 # faults runs the fault matrix with real processes.
 faults: build
-	$(GO) test -tags faults -count=1 -timeout 60m ./internal/faults
+	@mkdir -p out; rm -f out/faults.txt
+	@status=0; HEATHERBARROW_FAULTS_OUT=$(CURDIR)/out/faults.txt \
+	$(GO) test -tags faults -count=1 -timeout 60m -parallel 4 -run '^TestMatrix$$' ./internal/faults >out/faults.log 2>&1 || status=1; \
+	if [ -f out/faults.txt ]; then cat out/faults.txt; else cat out/faults.log; fi; exit $$status
 
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/internal/faults/full_test.go
@@ -0,0 +1,58 @@
+//go:build faults
+
+package faults
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestMatrix runs every fault at every step of a request.
+func TestMatrix(t *testing.T) {
+	r := newResults(t)
+	t.Run("requests", func(t *testing.T) {
+		for _, s := range steps {
+			for _, f := range append(append([]fault(nil), faults...), pairs...) {
+				if s.impossible != "" {
+					r.impossible(f.name, s.name, s.impossible)
+					continue
+				}
+				t.Run(f.name+"/"+s.name, func(t *testing.T) {
+					t.Parallel()
+					r.add(t, f.name, s.name, runRequestCell(t, s, f))
+				})
+			}
+		}
+	})
+	r.print(t)
+}
+
+// pairs are the combinations of two faults at once, and one fault twice.
+var pairs = []fault{
+	both("engine-crash", "platform-down"),
+	both("router-killed", "platform-write-lost"),
+	both("zone-cut-both", "engine-freeze"),
+	both("control-killed", "service-answer-lost"),
+	both("engine-crash", "engine-crash"),
+}
+
+func both(first, second string) fault {
+	a, b := faultNamed(first), faultNamed(second)
+	return fault{
+		name: first + "+" + second,
+		inject: func(c *cluster, caller *caller) {
+			a.inject(c, caller)
+			time.Sleep(200 * time.Millisecond)
+			b.inject(c, caller)
+		},
+		breaksCallers: a.breaksCallers || b.breaksCallers,
+		keepsCapacity: a.keepsCapacity && b.keepsCapacity,
+	}
+}
+
+func (r *results) impossible(faultName, stepName, reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, fmt.Sprintf("fault=%s step=%s cannot occur: %s", faultName, stepName, reason))
+}
