--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"syscall"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
