--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,9 @@
 	@unformatted=$$(gofmt -l cmd internal); \
 	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
+	$(GO) vet -tags faults ./internal/faults
 	$(GO) tool staticcheck ./...
+	$(GO) tool staticcheck -tags faults ./internal/faults
 
 format:
 	gofmt -w cmd internal
