Say when the demo's ports are in use

Cause: two demos at once mixed their processes and bundles. Change: demo and quick start stop with a message when port 19001 is taken. Conclusion: a collision is now an error.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,6 +5,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+if (exec 3<>/dev/tcp/127.0.0.1/19001) 2>/dev/null; then
+  echo "port 19001 is in use; is another demo running?" >&2
+  exit 1
+fi
+
 run=$(mktemp -d)
 processes=()
 stop_all() {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -4,6 +4,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+if (exec 3<>/dev/tcp/127.0.0.1/19001) 2>/dev/null; then
+  echo "port 19001 is in use; is another demo running?" >&2
+  exit 1
+fi
+
 run=$(mktemp -d)
 processes=()
 stop_all() {
@@ -46,7 +51,8 @@
 start router heatherbarrow-router
 until curl -sf "http://$platform/v1/hosts" >/dev/null; do sleep 0.1; done
 echo "+ hbctl propose examples/quickstart/bundle.json (as ana)"
-hash=$(bin/hbctl --config "$run/ana.json" propose examples/quickstart/bundle.json | tee /dev/stderr | sed 's/.*sha256 //')
+hash=$(bin/hbctl --config "$run/ana.json" propose examples/quickstart/bundle.json | sed 's/.*sha256 //')
+echo "proposed $hash"
 echo "+ hbctl approve and rollout (as ben)"
 bin/hbctl --config "$run/ben.json" approve "$hash"
 bin/hbctl --config "$run/ben.json" rollout "$hash"
