Run faults at the steps of a rollout

Cause: the bundle's promise (in force within seconds, never reverted) had no test with real processes. Conclusion: the full matrix has not run yet.

--- a/internal/faults/full_test.go
+++ b/internal/faults/full_test.go
@@ -25,6 +25,20 @@
 			}
 		}
 	})
+	t.Run("rollouts", func(t *testing.T) {
+		for _, s := range rolloutSteps {
+			for _, name := range rolloutFaults {
+				t.Run(name+"/"+s.name, func(t *testing.T) {
+					t.Parallel()
+					r.add(t, name, s.name, runRolloutCell(t, s.name, s.after, faultNamed(name)))
+				})
+			}
+		}
+		t.Run("operators-race/move-current", func(t *testing.T) {
+			t.Parallel()
+			r.add(t, "operators-race", "move-current", runRaceCell(t))
+		})
+	})
 	r.print(t)
 }
 
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -205,6 +205,14 @@
 				r.add(t, cell[1], cell[0], runRequestCell(t, stepNamed(cell[0]), faultNamed(cell[1])))
 			})
 		}
+		t.Run("platform-write-lost/move-current", func(t *testing.T) {
+			t.Parallel()
+			r.add(t, "platform-write-lost", "move-current", runRolloutCell(t, "move-current", 0, faultNamed("platform-write-lost")))
+		})
+		t.Run("operators-race/move-current", func(t *testing.T) {
+			t.Parallel()
+			r.add(t, "operators-race", "move-current", runRaceCell(t))
+		})
 	})
 	r.print(t)
 }
