--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -100,11 +100,16 @@
 	return context.Background()
 }
 
+// WithForced returns a context whose Forced context is forced.
+func WithForced(ctx, forced context.Context) context.Context {
+	return context.WithValue(ctx, forcedKey{}, forced)
+}
+
 // withSignals returns a context that ends at the first signal and carries one
 // that ends at the second.
 func withSignals(signals chan os.Signal) (context.Context, context.CancelFunc) {
 	forced, force := context.WithCancel(context.Background())
-	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), forcedKey{}, forced))
+	ctx, cancel := context.WithCancel(WithForced(context.Background(), forced))
 	returned := make(chan struct{})
 	go func() {
 		for _, end := range [maxSignals]context.CancelFunc{cancel, force} {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -60,6 +60,9 @@
 		URL:    &url.URL{Scheme: c.scheme, Host: call.Address, Path: path, RawPath: call.Path, RawQuery: call.Query},
 		Header: call.Header.Clone(),
 	}
+	if request.Header == nil {
+		request.Header = make(http.Header)
+	}
 	if len(call.Body) > 0 {
 		// Without GetBody net/http cannot send the request again by itself. A
 		// non-repeatable call without a body relies on its new connection.
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -31,6 +31,9 @@
 	add(f forward.Frame) error
 	// flush passes on the frames added and returns their number.
 	flush() (int, error)
+	// settle counts the frames that complete will pass on, among them the frame
+	// with the finish reason, and returns their number.
+	settle() int
 	// dropEnd forgets the frame with the finish reason.
 	dropEnd()
 	// position is the number of frames passed on, or kept for a plain answer.
@@ -121,6 +124,13 @@
 	return nil
 }
 
+func (a *streamAnswer) settle() int {
+	n := a.pending + 1
+	a.pending = 0
+	a.passed += n
+	return n
+}
+
 func (a *streamAnswer) dropEnd()      { a.held = nil }
 func (a *streamAnswer) position() int { return a.passed }
 func (a *streamAnswer) started() bool { return a.headerSent }
@@ -200,6 +210,13 @@
 	return n, nil
 }
 
+func (a *plainAnswer) settle() int {
+	n := a.added + 1
+	a.added = 0
+	a.frames++
+	return n
+}
+
 func (a *plainAnswer) dropEnd()      { a.end = "" }
 func (a *plainAnswer) position() int { return a.frames }
 func (a *plainAnswer) started() bool { return false }
@@ -213,7 +230,7 @@
 	body := completion{ID: a.id, Object: "chat.completion", Model: a.model, Choices: []choice{{
 		Message: answerMessage{Role: "assistant", Content: a.text.String() + a.end}, FinishReason: a.reason,
 	}}}
-	body.Usage.CompletionTokens = a.frames + 1
+	body.Usage.CompletionTokens = a.frames
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -322,6 +322,7 @@
 // endAttempt passes on what was received before the end of an attempt.
 func (c *chat) endAttempt(err error, a *scheduler.Assignment) error {
 	if isProperEnd(err) {
+		c.noteTokens(c.answer.settle(), a)
 		return nil
 	}
 	c.answer.dropEnd()
@@ -334,15 +335,15 @@
 func (c *chat) flush(a *scheduler.Assignment) error {
 	n, err := c.answer.flush()
 	if n > 0 {
-		a.Token(n)
-		c.noteTokens(n)
+		c.noteTokens(n, a)
 	}
 	return err
 }
 
 // noteTokens keeps the times that attainment is judged by. It is called once for
 // each batch of tokens.
-func (c *chat) noteTokens(n int) {
+func (c *chat) noteTokens(n int, a *scheduler.Assignment) {
+	a.Token(n)
 	c.timing.tokens += n
 	c.timing.last = time.Now()
 	if c.timing.first.IsZero() {
@@ -358,7 +359,6 @@
 		c.waste(wasteCanceled)
 		c.abandon(outcome.Unknown)
 	}
-	c.noteTokens(1)
 	c.finish(outcome.Completed, http.StatusOK, "")
 }
 
--- a/internal/router/outcomes.go
+++ b/internal/router/outcomes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -21,7 +22,8 @@
 	// outcomeTimeout bounds one call that hands an outcome to control.
 	outcomeTimeout = 2 * time.Second
 	// outcomeRetries bounds the time in which an outcome is handed over again.
-	outcomeRetries = 2 * time.Minute
+	outcomeRetries    = 2 * time.Minute
+	flushPollInterval = 10 * time.Millisecond
 )
 
 // recorder hands the outcomes of claimed calls to control behind the answers,
@@ -31,7 +33,7 @@
 	logger  zerolog.Logger
 	metrics *metrics
 	queue   chan *rpc.OutcomeRequest
-	pending sync.WaitGroup
+	pending atomic.Int64 // outcomes queued or being handed over
 }
 
 func newRecorder(feed rpc.Feed, logger zerolog.Logger, m *metrics) *recorder {
@@ -54,7 +56,7 @@
 			return
 		case request := <-r.queue:
 			r.handOver(ctx, request)
-			r.pending.Done()
+			r.pending.Add(-1)
 		}
 	}
 }
@@ -65,7 +67,7 @@
 	select {
 	case r.queue <- request:
 	default:
-		r.pending.Done()
+		r.pending.Add(-1)
 		r.lose(request, errors.New("too many outcomes wait for control"))
 	}
 }
@@ -111,13 +113,7 @@
 
 // flush waits until all outcomes are handed over or given up, or ctx ends.
 func (r *recorder) flush(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		r.pending.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	for r.pending.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, flushPollInterval)
 	}
 }
--- a/internal/router/services_test.go
+++ b/internal/router/services_test.go
@@ -137,6 +137,7 @@
 	h.feed.mu.Lock()
 	h.feed.down = false
 	h.feed.mu.Unlock()
+	require.Eventually(t, func() bool { return h.server.inFlight.Load() == 0 }, patience, time.Millisecond)
 	h.server.recorder.flush(context.Background())
 	require.Equal(t, []string{"completed"}, h.feed.outcomes())
 }
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
@@ -32,9 +34,13 @@
 	closer  io.Closer
 }
 
-// NewMetrics returns metrics whose names begin with "heatherbarrow".
+// NewMetrics returns metrics whose names begin with "heatherbarrow", beside those
+// of the Go runtime and the process. They have a registry of their own, so that
+// several programs can run in one process.
 func NewMetrics(host, zone string) *Metrics {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "heatherbarrow",
 		Separator:      promreporter.DefaultSeparator,
