Share membership, loads, quarantine and shares between hosts

Control only learned a bundle from the platform, so a host that was cut off from it, or restarted during an outage, had nothing to go by.

Hosts exchange bounded messages (news first, then repair in rotation) with a few peers per second; the one or two highest-ranked live hosts of a zone hold the platform watch. The bus now waits for the handler, because watermill otherwise delivers each event from its own goroutine and loses their order.

--- a/internal/bus/bus.go
+++ b/internal/bus/bus.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -11,32 +12,49 @@
 	"github.com/rotisserie/eris"
 )
 
-const (
-	topic      = "control"
-	bufferSize = 1024
+const topic = "control"
+
+// Errors of the bus.
+var (
+	// ErrPublish means that an event was not handed over.
+	ErrPublish = errors.New("event could not be published")
+	// ErrSubscribe means that no subscription was made.
+	ErrSubscribe = errors.New("events could not be subscribed to")
 )
 
 type eventKey struct{}
 
-// Bus delivers events in the order of their publication.
+// Bus delivers events one at a time.
 type Bus struct {
 	channel *gochannel.GoChannel
 }
 
 // New returns an empty bus.
 func New() *Bus {
+	// Publish waits for the handler: without that, watermill delivers each event
+	// from a goroutine of its own and the order of a publisher's events is lost.
 	return &Bus{channel: gochannel.NewGoChannel(gochannel.Config{
-		OutputChannelBuffer: bufferSize,
-		PreserveContext:     true,
+		BlockPublishUntilSubscriberAck: true,
+		PreserveContext:                true,
 	}, watermill.NopLogger{})}
 }
 
-// Publish hands an event to the subscriber. Events are passed by reference and
-// must not be changed afterwards.
+// Name implements kernel.Service.
+func (b *Bus) Name() string { return "bus" }
+
+// Stop implements kernel.Stopper.
+func (b *Bus) Stop(context.Context) error { return b.channel.Close() }
+
+// Publish hands an event to the subscriber and returns once it was handled, so
+// that results which the handler stores in the event can be read. The handler
+// itself must not publish. Without a subscriber the event is dropped.
 func (b *Bus) Publish(event any) error {
-	m := message.NewMessage(watermill.NewULID(), nil)
+	m := message.NewMessage("", nil)
 	m.SetContext(context.WithValue(context.Background(), eventKey{}, event))
-	return eris.Wrap(b.channel.Publish(topic, m), "publish event")
+	if err := b.channel.Publish(topic, m); err != nil {
+		return eris.Wrap(ErrPublish, err.Error())
+	}
+	return nil
 }
 
 // Subscribe calls handle for each event until ctx ends. It returns once the
@@ -44,7 +62,7 @@
 func (b *Bus) Subscribe(ctx context.Context, handle func(event any)) error {
 	messages, err := b.channel.Subscribe(ctx, topic)
 	if err != nil {
-		return eris.Wrap(err, "subscribe to events")
+		return eris.Wrap(ErrSubscribe, err.Error())
 	}
 	go func() {
 		for m := range messages {
--- /dev/null
+++ b/internal/bus/bus_test.go
@@ -0,0 +1,47 @@
+package bus
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against events of one publisher being handled out of order, and against
+// two events being handled at once.
+func TestEventsOfAPublisherAreHandledInOrder(t *testing.T) {
+	type numbered struct{ publisher, n int }
+	b := New()
+	defer func() { _ = b.Close() }()
+	last := map[int]int{}
+	require.NoError(t, b.Subscribe(context.Background(), func(event any) {
+		e := event.(numbered)
+		if e.n != last[e.publisher]+1 {
+			t.Errorf("publisher %d: event %d follows %d", e.publisher, e.n, last[e.publisher])
+		}
+		last[e.publisher] = e.n
+	}))
+	var publishers sync.WaitGroup
+	for p := range 8 {
+		publishers.Go(func() {
+			for n := 1; n <= 500; n++ {
+				_ = b.Publish(numbered{p, n})
+			}
+		})
+	}
+	publishers.Wait()
+}
+
+// Guards against a publisher that waits for ever after the subscriber is gone.
+func TestPublishWithoutSubscriberReturns(t *testing.T) {
+	b := New()
+	ctx, cancel := context.WithCancel(context.Background())
+	require.NoError(t, b.Subscribe(ctx, func(any) {}))
+	cancel()
+	for range 100 {
+		require.NoError(t, b.Publish(1))
+	}
+	require.NoError(t, b.Close())
+	require.ErrorIs(t, b.Publish(1), ErrPublish)
+}
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -4,54 +4,122 @@
 	"context"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
+	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/claims"
+	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/rpc"
 )
 
-// maxWatchWait bounds how long a watch of the router may wait.
-const maxWatchWait = 30 * time.Second
+const (
+	// maxWatchWait bounds how long a watch of the router may wait.
+	maxWatchWait = 30 * time.Second
+	// agedAfter is the age of a view from which its ages are corrected before it
+	// is sent.
+	agedAfter = 20 * time.Millisecond
+)
 
 // FeedServer implements rpc.Feed for the router on this host.
 type FeedServer struct {
-	Loop    *Loop
-	Claimer claims.Claimer
-	Answers rpc.Answers // the router on this host
+	bus     *bus.Bus
+	loop    *Loop
+	lookup  *Lookup
+	claimer claims.Claimer
+}
+
+// Name implements kernel.Service.
+func (f *FeedServer) Name() string { return ServiceFeed }
+
+// Dependencies implements kernel.Dependent.
+func (f *FeedServer) Dependencies() []string {
+	return []string{ServiceBus, ServiceLoop, ServiceLookup, ServiceClaimer}
+}
+
+// Provision implements kernel.Provisioner.
+func (f *FeedServer) Provision(r *kernel.Registry) (err error) {
+	if f.bus, err = kernel.Lookup[*bus.Bus](r, ServiceBus); err != nil {
+		return err
+	}
+	if f.loop, err = kernel.Lookup[*Loop](r, ServiceLoop); err != nil {
+		return err
+	}
+	if f.lookup, err = kernel.Lookup[*Lookup](r, ServiceLookup); err != nil {
+		return err
+	}
+	f.claimer, err = kernel.Lookup[claims.Claimer](r, ServiceClaimer)
+	return err
 }
 
 // Watch implements rpc.Feed.
 func (f *FeedServer) Watch(ctx context.Context, request *rpc.WatchRequest) (*rpc.WatchResponse, error) {
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, maxWatchWait)
-	s := f.Loop.Wait(ctx, request.Generation, request.ViewVersion, wait)
+	s := f.loop.Wait(ctx, request.Generation, request.ViewVersion, wait)
 	response := &rpc.WatchResponse{NotReady: s.NotReady}
 	if s.Bundle != nil && s.Bundle.Generation > request.Generation {
 		response.Bundle = s.Bundle
 	}
 	if s.View.Version != request.ViewVersion {
-		response.View = s.View
+		response.View = aged(s.View, f.loop.opts.Clock.Since(s.ViewAt))
 	}
 	return response, nil
 }
 
+// aged returns the view with its ages and remaining times corrected by d.
+func aged(v *rpc.View, d time.Duration) *rpc.View {
+	if d < agedAfter {
+		return v
+	}
+	add := millisOf(d)
+	out := &rpc.View{
+		Version: v.Version, Hosts: v.Hosts, Quarantine: v.Quarantine, HostsInZone: v.HostsInZone, ZoneCount: v.ZoneCount,
+		Replicas: make([]*rpc.ReplicaState, len(v.Replicas)),
+	}
+	for i, r := range v.Replicas {
+		out.Replicas[i] = &rpc.ReplicaState{
+			Upstream: r.Upstream, Replica: r.Replica, State: r.State, Mark: r.Mark, Role: r.Role, Models: r.Models,
+			HasLoad: r.HasLoad, Running: r.Running, Waiting: r.Waiting, TokensPerSecond: r.TokensPerSecond,
+			ReportAgeMs: r.ReportAgeMs + add,
+		}
+	}
+	for _, share := range v.Shares {
+		if share.ValidMs > add {
+			out.Shares = append(out.Shares, &rpc.TeamShare{
+				Team: share.Team, TokensPerSecond: share.TokensPerSecond, InProgress: share.InProgress, ValidMs: share.ValidMs - add,
+			})
+		}
+	}
+	return out
+}
+
 // Report implements rpc.Feed.
-func (f *FeedServer) Report(context.Context, *rpc.ReportRequest) (*rpc.ReportResponse, error) {
+func (f *FeedServer) Report(_ context.Context, request *rpc.ReportRequest) (*rpc.ReportResponse, error) {
+	if err := f.bus.Publish(UsageReported{Report: request}); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "control is stopping")
+	}
 	return &rpc.ReportResponse{}, nil
 }
 
-// ReportCrash implements rpc.Feed.
-func (f *FeedServer) ReportCrash(context.Context, *rpc.CrashRequest) (*rpc.CrashResponse, error) {
-	return &rpc.CrashResponse{}, nil
+// ReportCrash implements rpc.Feed. The answer has the zone's entries with this
+// crash, so that the router need not wait for the next view.
+func (f *FeedServer) ReportCrash(_ context.Context, request *rpc.CrashRequest) (*rpc.CrashResponse, error) {
+	e := &CrashReported{Request: request}
+	if err := f.bus.Publish(e); err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "control is stopping")
+	}
+	return &rpc.CrashResponse{Quarantine: e.Entries}, nil
 }
 
 // Claim implements rpc.Feed.
 func (f *FeedServer) Claim(ctx context.Context, request *rpc.ClaimRequest) (*rpc.ClaimResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond)
 	defer cancel()
-	return f.Claimer.Claim(ctx, request), nil
+	return f.claimer.Claim(ctx, request), nil
 }
 
 // RecordOutcome implements rpc.Feed.
 func (f *FeedServer) RecordOutcome(ctx context.Context, request *rpc.OutcomeRequest) (*rpc.OutcomeResponse, error) {
-	if err := f.Claimer.RecordOutcome(ctx, request); err != nil {
+	if err := f.claimer.RecordOutcome(ctx, request); err != nil {
 		return nil, err
 	}
 	return &rpc.OutcomeResponse{}, nil
@@ -59,43 +127,5 @@
 
 // Lookup implements rpc.Feed.
 func (f *FeedServer) Lookup(ctx context.Context, request *rpc.LookupRequest) (*rpc.StoredAnswer, error) {
-	return f.Answers.Lookup(ctx, request)
-}
-
-// OperatorServer implements rpc.Operator for hbctl.
-type OperatorServer struct {
-	Settings *Settings
-	Loop     *Loop
-	Answers  rpc.Answers
-}
-
-// Status implements rpc.Operator.
-func (o *OperatorServer) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusResponse, error) {
-	s := o.Loop.State()
-	response := &rpc.StatusResponse{
-		Self:     &rpc.HostState{Host: o.Settings.Host, AvailabilityZone: o.Settings.AvailabilityZone, State: rpc.State_STATE_LIVE},
-		NotReady: s.NotReady,
-		Replicas: s.View.Replicas,
-		Hosts:    s.View.Hosts,
-	}
-	if s.Bundle != nil {
-		response.Self.Generation = s.Bundle.Generation
-		response.Bundle = &rpc.BundleRecord{Generation: s.Bundle.Generation, Sha256: s.Bundle.Sha256, Author: s.Bundle.Author, Approver: s.Bundle.Approver}
-	}
-	return response, nil
-}
-
-// Drain implements rpc.Operator.
-func (o *OperatorServer) Drain(ctx context.Context, request *rpc.DrainRequest) (*rpc.DrainResponse, error) {
-	return o.Answers.Drain(ctx, request)
-}
-
-// ReleaseQuarantine implements rpc.Operator.
-func (o *OperatorServer) ReleaseQuarantine(context.Context, *rpc.ReleaseRequest) (*rpc.ReleaseResponse, error) {
-	return &rpc.ReleaseResponse{}, nil
-}
-
-// Lookup implements rpc.Operator.
-func (o *OperatorServer) Lookup(ctx context.Context, request *rpc.LookupRequest) (*rpc.StoredAnswer, error) {
-	return o.Answers.Lookup(ctx, request)
+	return f.lookup.Find(ctx, request)
 }
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -8,133 +8,297 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/bus"
-	"heatherbarrow/internal/platform"
+	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/rollout"
 	"heatherbarrow/internal/rpc"
 )
 
+const (
+	tickInterval      = 100 * time.Millisecond
+	heartbeatInterval = time.Second
+	// urgentViewInterval bounds how often urgent changes make a view, and
+	// viewInterval how often other changes do.
+	urgentViewInterval = 200 * time.Millisecond
+	viewInterval       = 500 * time.Millisecond
+	fetchBacklog       = 16
+)
+
 // State is an immutable snapshot of the control state.
 type State struct {
-	Bundle   *rpc.BundleRecord // with content; nil when the host has none
-	Parsed   *bundle.Bundle
-	View     *rpc.View
-	NotReady string // why there is no bundle
-	changed  chan struct{}
-}
-
-// BundleReceived is the event of a bundle learned from some source.
-type BundleReceived struct {
-	Record *rpc.BundleRecord
-	Source string
+	Bundle      *rpc.BundleRecord // with content; nil when the host has none
+	Parsed      *bundle.Bundle
+	InForceAt   time.Time
+	View        *rpc.View
+	ViewAt      time.Time // when the ages in View were true
+	NotReady    string    // why there is no bundle
+	Topology    *Topology
+	QuarantineN uint64 // changes with each quarantine entry that the platform must keep
+	Pushes      uint64 // changes with each change that peers must hear at once
+	compressed  func() []byte
+	changed     chan struct{}
 }
 
-// HostsReceived is the event of a new list from the platform.
-type HostsReceived struct{ List platform.HostList }
+// Changed returns a channel that is closed when a newer snapshot exists.
+func (s *State) Changed() <-chan struct{} { return s.changed }
 
-// SourceFailed is the event of a source that could not give a bundle.
-type SourceFailed struct {
-	Source string
-	Err    error
+// Options configure a Loop.
+type Options struct {
+	Bus       *bus.Bus
+	Operators rollout.Operators
+	Logger    zerolog.Logger
+	Clock     clockwork.Clock
+	Member    membership.Options
 }
 
 // Loop owns the control state.
 type Loop struct {
-	bus       *bus.Bus
-	operators rollout.Operators
-	logger    zerolog.Logger
-	state     atomic.Pointer[State]
+	opts     Options
+	state    atomic.Pointer[State]
+	fetches  chan Fetch
+	table    *membership.Table
+	admit    admission
+	sharing  sharing
+	platform probe
+
+	teamsOf     *bundle.Bundle // bundle to which teamIndex belongs
+	teamIndex   map[string]*bundle.Team
+	seenVersion uint64 // table version of the newest view
+	urgent      bool
+	pushed      uint64
+	quarantined uint64
+}
+
+// probe is whether the platform answers this host.
+type probe struct{ failed bool }
+
+// Fetch is a bundle that a peer has and this host has not.
+type Fetch struct {
+	Peer       membership.Peer
+	Generation uint64
 }
 
 // NewLoop returns a loop without a bundle.
-func NewLoop(b *bus.Bus, operators rollout.Operators, logger zerolog.Logger) *Loop {
-	l := &Loop{bus: b, operators: operators, logger: logger}
+func NewLoop(o Options) *Loop {
+	now := o.Clock.Now()
+	l := &Loop{opts: o, fetches: make(chan Fetch, fetchBacklog), table: membership.NewTable(o.Member, now)}
+	l.admit = admission{started: now, failures: make(map[string]string)}
+	l.sharing = newSharing()
 	l.state.Store(&State{
-		NotReady: "no bundle yet: the platform has not answered",
-		View:     &rpc.View{Version: uint64(time.Now().UnixNano())},
-		changed:  make(chan struct{}),
+		NotReady: "no bundle yet: no source has answered",
+		// The version differs after a restart, so that the router takes the view.
+		View: &rpc.View{Version: uint64(now.UnixNano())}, ViewAt: now,
+		Topology: buildTopology(l.table, nil, now), changed: make(chan struct{}),
 	})
 	return l
 }
 
+// Name implements kernel.Service.
+func (l *Loop) Name() string { return ServiceLoop }
+
+// Dependencies implements kernel.Dependent.
+func (l *Loop) Dependencies() []string { return []string{ServiceBus} }
+
 // State returns the newest snapshot.
 func (l *Loop) State() *State { return l.state.Load() }
 
-// Start subscribes to the bus.
+// Fetches returns the bundles to fetch from peers.
+func (l *Loop) Fetches() <-chan Fetch { return l.fetches }
+
+// Start subscribes to the bus and starts the clock's events.
 func (l *Loop) Start(ctx context.Context) error {
-	return l.bus.Subscribe(ctx, l.handle)
+	if err := l.opts.Bus.Subscribe(ctx, l.handle); err != nil {
+		return err
+	}
+	go l.every(ctx, tickInterval, Tick{})
+	go l.every(ctx, heartbeatInterval, HeartbeatDue{})
+	return nil
+}
+
+func (l *Loop) every(ctx context.Context, d time.Duration, event any) {
+	ticker := l.opts.Clock.NewTicker(d)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			_ = l.opts.Bus.Publish(event)
+		}
+	}
 }
 
 func (l *Loop) handle(event any) {
+	now := l.opts.Clock.Now()
+	if !l.handleBundle(event, now) && !l.handleMembership(event, now) {
+		l.handleShares(event, now)
+	}
+	l.afterEvent(now)
+}
+
+func (l *Loop) handleMembership(event any, now time.Time) bool {
 	switch e := event.(type) {
-	case BundleReceived:
-		l.applyBundle(e)
+	case Tick:
+	case HeartbeatDue:
+		l.beat(now)
 	case HostsReceived:
-		l.applyHosts(e.List)
-	case SourceFailed:
-		if l.State().Bundle == nil {
-			l.publish(func(s *State) { s.NotReady = "no bundle yet: " + e.Source + ": " + e.Err.Error() })
+		l.table.ApplyList(&e.List, now)
+		l.platform.failed = false
+	case PlatformProbed:
+		l.platform.failed = e.Failed
+	case *MessageDue:
+		e.Message = l.message(now, e.Remote, true)
+		if e.Names {
+			l.table.AddNames(e.Message)
 		}
+	case *MessageReceived:
+		l.receive(e, now)
+	case Observed:
+		for _, o := range e.Observations {
+			l.table.Observe(o)
+		}
+	case *StatusDue:
+		l.status(e, now)
+	case LeaveRequested:
+		l.table.Leave(now)
+	case *CrashReported:
+		l.recordCrash(e, now)
+	case *ReleaseRequested:
+		e.Found = l.table.ReleaseFingerprint(e.Fingerprint, l.quarantineTime(), now)
+		l.noteQuarantine()
+	case *QuarantineDue:
+		e.Entries, _ = l.table.Quarantine()
+	case QuarantineLoaded:
+		l.table.MergeQuarantine(e.Entries, now)
+	default:
+		return false
 	}
+	return true
 }
 
-// publish makes a changed copy of the state the newest snapshot and wakes those
-// that wait for it.
-func (l *Loop) publish(change func(*State)) {
-	old := l.State()
-	next := *old
-	next.changed = make(chan struct{})
-	change(&next)
-	l.state.Store(&next)
-	close(old.changed)
+func (l *Loop) beat(now time.Time) {
+	l.table.Beat(now, l.platform.failed)
+	l.sharing.expire(l.table, now)
+	topology := buildTopology(l.table, l.State().Parsed, now)
+	l.publish(func(s *State) { s.Topology = topology })
+}
+
+func (l *Loop) message(now time.Time, remote, opens bool) *rpc.ExchangeMessage {
+	m := l.table.Message(now, remote, opens)
+	if b := l.State().Bundle; b != nil {
+		m.Bundle = versionOnly(b)
+	}
+	return m
 }
 
-// applyBundle accepts a bundle only with a higher generation than the one in
-// force, so that no source can revert it.
-func (l *Loop) applyBundle(e BundleReceived) {
-	if current := l.State().Bundle; current != nil && e.Record.Generation <= current.Generation {
+func (l *Loop) receive(e *MessageReceived, now time.Time) {
+	e.WantList = l.table.Merge(e.Message, now)
+	if from := e.Message.From; from != nil && e.Message.Bundle != nil {
+		l.admit.announced = max(l.admit.announced, e.Message.Bundle.Generation)
+		l.wantBundle(from, e.Message.Bundle.Generation)
+	}
+	if !e.Answer {
 		return
 	}
-	version, content := rollout.FromRPC(e.Record)
-	if err := l.operators.Verify(&version, content); err != nil {
-		l.logger.Error().Err(err).Str("source", e.Source).Uint64("generation", e.Record.Generation).Msg("bundle refused")
+	e.Reply = l.message(now, e.Message.From.GetAvailabilityZone() != l.opts.Member.Zone, false)
+	e.Reply.WantList = e.WantList
+	l.table.Answer(e.Reply, e.Message, now)
+}
+
+// wantBundle asks the peer provider to fetch a bundle. The backlog is bounded:
+// a bundle that is not fetched now is announced again by the next exchange.
+func (l *Loop) wantBundle(from *rpc.HostState, generation uint64) {
+	if generation <= l.known() {
 		return
 	}
-	parsed, err := bundle.Parse(content)
-	if err != nil {
-		l.logger.Error().Err(err).Str("source", e.Source).Uint64("generation", e.Record.Generation).Msg("bundle refused")
+	peer := membership.Peer{Host: from.Host, Zone: from.AvailabilityZone, Address: from.PeerAddress}
+	select {
+	case l.fetches <- Fetch{Peer: peer, Generation: generation}:
+	default:
+	}
+}
+
+func (l *Loop) recordCrash(e *CrashReported, now time.Time) {
+	if e.Request.Fingerprint != 0 {
+		replica := e.Request.Upstream + "/" + e.Request.Replica
+		l.table.RecordCrash(e.Request.Fingerprint, replica, e.Request.Model, l.quarantineTime(), now)
+		l.noteQuarantine()
+	}
+	e.Entries, _ = l.table.Quarantine()
+}
+
+func (l *Loop) quarantineTime() time.Duration {
+	if parsed := l.State().Parsed; parsed != nil {
+		return parsed.Limits.QuarantineTime.Std()
+	}
+	return defaultQuarantineTime
+}
+
+// defaultQuarantineTime applies to crashes reported before there is a bundle.
+const defaultQuarantineTime = time.Hour
+
+func (l *Loop) noteQuarantine() { l.quarantined++ }
+
+// afterEvent publishes what the event changed: urgent changes at once, others
+// together.
+func (l *Loop) afterEvent(now time.Time) {
+	l.admitSettled(now)
+	if l.table.TakeUrgent() {
+		l.urgent = true
+		l.pushed++
+	}
+	s := l.State()
+	since := now.Sub(s.ViewAt)
+	due := l.table.Version() != l.seenVersion && since >= viewInterval
+	due = due || l.urgent && since >= urgentViewInterval
+	if !due && s.Pushes == l.pushed && s.QuarantineN == l.quarantined {
 		return
 	}
 	l.publish(func(s *State) {
-		s.Bundle = e.Record
-		s.Parsed = parsed
-		s.NotReady = ""
+		s.Pushes, s.QuarantineN = l.pushed, l.quarantined
+		if due {
+			s.View = l.buildView(s.View.Version+1, now)
+			s.ViewAt = now
+		}
 	})
-	l.logger.Info().Str("source", e.Source).Uint64("generation", e.Record.Generation).Str("sha256", e.Record.Sha256).Msg("bundle in force")
+	if due {
+		l.seenVersion = l.table.Version()
+		l.urgent = false
+	}
 }
 
-func (l *Loop) applyHosts(list platform.HostList) {
-	view := &rpc.View{Version: l.State().View.Version + 1}
-	for _, u := range list.Upstreams {
-		view.Replicas = append(view.Replicas, &rpc.ReplicaState{Upstream: u.Upstream, Replica: u.Replica, State: stateFromList(u.State)})
+func (l *Loop) buildView(version uint64, now time.Time) *rpc.View {
+	entries, _ := l.table.Quarantine()
+	return &rpc.View{
+		Version:     version,
+		Replicas:    l.table.Replicas(now),
+		Hosts:       l.table.Hosts(now),
+		Quarantine:  entries,
+		Shares:      l.sharing.current(now),
+		HostsInZone: uint32(l.table.HostsInZone(now)),
+		ZoneCount:   uint32(l.table.ZoneCount()),
 	}
-	l.publish(func(s *State) { s.View = view })
 }
 
-func stateFromList(text string) rpc.State {
-	if text == "leaving" {
-		return rpc.State_STATE_LEAVING
-	}
-	return rpc.State_STATE_LIVE
+// publish makes a changed copy of the state the newest snapshot and wakes those
+// that wait for it.
+func (l *Loop) publish(change func(*State)) {
+	old := l.State()
+	next := *old
+	next.changed = make(chan struct{})
+	change(&next)
+	l.state.Store(&next)
+	close(old.changed)
 }
 
 // Wait returns the newest snapshot once it differs from the given versions, or
 // after d, or when ctx ends.
 func (l *Loop) Wait(ctx context.Context, generation, viewVersion uint64, d time.Duration) *State {
-	timer := time.NewTimer(d)
+	timer := l.opts.Clock.NewTimer(d)
 	defer timer.Stop()
 	for {
 		s := l.State()
@@ -143,7 +307,7 @@
 		}
 		select {
 		case <-s.changed:
-		case <-timer.C:
+		case <-timer.Chan():
 			return s
 		case <-ctx.Done():
 			return s
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -3,48 +3,149 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"heatherbarrow/internal/bus"
+	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rollout"
 )
 
 const (
-	hostsInterval  = time.Second
-	platformRetry  = 500 * time.Millisecond
 	platformSource = "platform"
+	// hostsInterval is how often each of a zone's watchers reads the host list.
+	hostsInterval = time.Second
+	// hostsTimeout bounds one read. Two failures in a row hand the watch to the
+	// next host in rank.
+	hostsTimeout  = 1500 * time.Millisecond
+	failuresToTry = 2
+	platformRetry = 500 * time.Millisecond
+	readTimeout   = 3 * time.Second
+	// watchTimeout is longer than the platform's own wait of 10 s.
+	watchTimeout = 13 * time.Second
+	// firstBackoff and lastBackoff bound how long a host that got no answer
+	// leaves the watch to others before it tries again.
+	firstBackoff = 10 * time.Second
+	lastBackoff  = 60 * time.Second
 )
 
-// PlatformProvider learns the bundle and the list of hosts from the platform.
+// PlatformProvider learns the bundle and the list of hosts from the platform
+// while this host is one of its zone's watchers.
 type PlatformProvider struct {
-	Store *rollout.Store
-	Bus   *bus.Bus
+	store    *rollout.Store
+	bus      *bus.Bus
+	loop     *Loop
+	failures int
+	backoff  time.Duration
+	retryAt  time.Time
 }
 
-// Run publishes events until ctx ends.
-func (p *PlatformProvider) Run(ctx context.Context) {
+// Name implements kernel.Service.
+func (p *PlatformProvider) Name() string { return ServicePlatformProvider }
+
+// Dependencies implements kernel.Dependent.
+func (p *PlatformProvider) Dependencies() []string {
+	return []string{ServiceBus, ServiceLoop, ServiceStore}
+}
+
+// Provision implements kernel.Provisioner.
+func (p *PlatformProvider) Provision(r *kernel.Registry) error {
+	store, err := kernel.Lookup[*StoreService](r, ServiceStore)
+	if err != nil {
+		return err
+	}
+	p.store = store.Store
+	if p.bus, err = kernel.Lookup[*bus.Bus](r, ServiceBus); err != nil {
+		return err
+	}
+	p.loop, err = kernel.Lookup[*Loop](r, ServiceLoop)
+	return err
+}
+
+// Start implements kernel.Starter.
+func (p *PlatformProvider) Start(ctx context.Context) error {
+	go p.whileWatching(ctx, p.followBundle)
 	go p.followHosts(ctx)
+	return nil
+}
+
+// whileWatching runs work with a context that ends when this host is no longer
+// a watcher.
+func (p *PlatformProvider) whileWatching(ctx context.Context, work func(context.Context)) {
+	for ctx.Err() == nil {
+		if !p.loop.State().Topology.Watching {
+			p.waitForChange(ctx)
+			continue
+		}
+		watching, stop := context.WithCancel(ctx)
+		go func() {
+			defer stop()
+			for watching.Err() == nil && p.loop.State().Topology.Watching {
+				p.waitForChange(watching)
+			}
+		}()
+		work(watching)
+		stop()
+	}
+}
+
+func (p *PlatformProvider) waitForChange(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-p.loop.State().Changed():
+	}
+}
+
+func (p *PlatformProvider) followBundle(ctx context.Context) {
 	var version uint64
 	for ctx.Err() == nil {
-		objects, err := p.Store.Platform.Watch(ctx, rollout.KindCurrent, version)
+		next, err := p.watchOnce(ctx, version)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
-			_ = p.Bus.Publish(SourceFailed{Source: platformSource, Err: err})
+			_ = p.bus.Publish(SourceFailed{Err: platformError(err)})
 			pause(ctx, platformRetry)
 			continue
 		}
-		for _, o := range objects {
+		version = next
+	}
+}
+
+func (p *PlatformProvider) watchOnce(ctx context.Context, version uint64) (uint64, error) {
+	if version == 0 {
+		return p.readCurrent(ctx)
+	}
+	watch, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	objects, err := p.store.Platform.Watch(watch, rollout.KindCurrent, version)
+	if err != nil {
+		return version, err
+	}
+	for _, o := range objects {
+		if o.Name == rollout.NameCurrent && !o.Deleted {
 			if err := p.publishBundle(ctx, o); err != nil {
-				_ = p.Bus.Publish(SourceFailed{Source: platformSource, Err: err})
-				pause(ctx, platformRetry)
-				break
+				return version, err
 			}
-			version = max(version, o.Version)
-		}
-		if len(objects) == 0 && version == 0 {
-			_ = p.Bus.Publish(SourceFailed{Source: platformSource, Err: errors.New("no bundle has been rolled out")})
 		}
+		version = max(version, o.Version)
 	}
+	return version, nil
+}
+
+// readCurrent reads the object directly: a watch would wait where there is none.
+func (p *PlatformProvider) readCurrent(ctx context.Context) (uint64, error) {
+	read, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	o, err := p.store.Platform.Get(read, rollout.KindCurrent, rollout.NameCurrent)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, ErrNoBundle
+	}
+	if err != nil {
+		return 0, err
+	}
+	return o.Version, p.publishBundle(ctx, o)
 }
 
 func (p *PlatformProvider) publishBundle(ctx context.Context, o platform.Object) error {
@@ -52,22 +153,52 @@
 	if err != nil {
 		return err
 	}
-	content, err := p.Store.Content(ctx, current.SHA256)
-	if err != nil {
-		return err
+	if b := p.loop.State().Bundle; b == nil || current.Generation > b.Generation {
+		read, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		content, err := p.store.Content(read, current.SHA256)
+		if err != nil {
+			return err
+		}
+		if err := p.bus.Publish(BundleReceived{Record: current.ToRPC(content), Source: platformSource}); err != nil {
+			return err
+		}
 	}
-	return p.Bus.Publish(BundleReceived{Record: current.ToRPC(content), Source: platformSource})
+	return p.bus.Publish(SourceAnswered{Source: platformSource, Generation: current.Generation})
 }
 
+// followHosts reads the host list while this host is a watcher, and tells when
+// the platform does not answer, so that the next host in rank takes over.
 func (p *PlatformProvider) followHosts(ctx context.Context) {
 	for ctx.Err() == nil {
-		if list, err := p.Store.Platform.Hosts(ctx); err == nil {
-			_ = p.Bus.Publish(HostsReceived{List: list})
+		if p.loop.State().Topology.Watching {
+			p.readHosts(ctx)
+		}
+		if p.failures >= failuresToTry && time.Now().After(p.retryAt) {
+			p.failures = failuresToTry - 1
+			_ = p.bus.Publish(PlatformProbed{})
 		}
 		pause(ctx, hostsInterval)
 	}
 }
 
+func (p *PlatformProvider) readHosts(ctx context.Context) {
+	read, cancel := context.WithTimeout(ctx, hostsTimeout)
+	defer cancel()
+	list, err := p.store.Platform.Hosts(read)
+	if err == nil {
+		p.failures, p.backoff = 0, 0
+		_ = p.bus.Publish(HostsReceived{List: list})
+		return
+	}
+	if p.failures++; p.failures != failuresToTry {
+		return
+	}
+	p.backoff = min(max(2*p.backoff, firstBackoff), lastBackoff)
+	p.retryAt = time.Now().Add(p.backoff + rand.N(firstBackoff/2))
+	_ = p.bus.Publish(PlatformProbed{Failed: true})
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -7,9 +7,13 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/claims"
+	"heatherbarrow/internal/kernel"
+	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rollout"
 	"heatherbarrow/internal/rpc"
@@ -20,66 +24,177 @@
 const (
 	programName       = "heatherbarrow-control"
 	readHeaderTimeout = 10 * time.Second
-	shutdownTimeout   = 2 * time.Second
+	shutdownTimeout   = 500 * time.Millisecond
+	// leaveTimeout is how long a stopping control waits for peers to hear that
+	// its host leaves.
+	leaveTimeout   = 200 * time.Millisecond
+	idlePerPeer    = 2
+	idleToPlatform = 16
 )
 
 // Program is heatherbarrow-control.
 type Program struct {
 	settings *Settings
+	logger   *zerolog.Logger
 }
 
 // NewProgram returns a program with settings that are filled in before Run.
 func NewProgram(s *Settings) *Program { return &Program{settings: s} }
 
+// WithLogger replaces the logger that writes to standard error.
+func (p *Program) WithLogger(logger zerolog.Logger) *Program {
+	p.logger = &logger
+	return p
+}
+
 // Run works until ctx ends.
 func (p *Program) Run(ctx context.Context) error {
-	logger, err := telemetry.NewLogger(os.Stderr, p.settings.LogLevel, programName, p.settings.Host, p.settings.AvailabilityZone)
-	if err != nil {
-		return err
+	if p.logger == nil {
+		logger, err := telemetry.NewLogger(os.Stderr, p.settings.LogLevel, programName, p.settings.Host, p.settings.AvailabilityZone)
+		if err != nil {
+			return err
+		}
+		p.logger = &logger
 	}
-	operators, err := rollout.ParseOperators(p.settings.Operators)
+	clients, err := p.clients()
 	if err != nil {
 		return err
 	}
-	platformTransport, _, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.PlatformTLS, IdlePerHost: 16})
+	registry, err := p.registry(clients)
 	if err != nil {
 		return err
 	}
-	internal, scheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.InternalTLS, IdlePerHost: 16})
-	if err != nil {
+	if err := registry.Provision(); err != nil {
 		return err
 	}
-	client := platform.NewClient(p.settings.Platform, &http.Client{Transport: platformTransport})
-	answers := rpc.NewAnswersProtobufClient(scheme+"://"+p.settings.Router, &http.Client{Transport: internal})
-	events := bus.New()
-	loop := NewLoop(events, operators, logger)
-	if err := loop.Start(ctx); err != nil {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	if err := registry.Start(work); err != nil {
 		return err
 	}
-	provider := &PlatformProvider{Store: &rollout.Store{Platform: client, Operators: operators}, Bus: events}
-	go provider.Run(ctx)
-	metrics := telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone)
-	operator := chi.NewRouter()
-	operator.Method(http.MethodGet, "/metrics", metrics.Handler)
-	operator.Mount("/", rpc.NewOperatorServer(&OperatorServer{Settings: p.settings, Loop: loop, Answers: answers}))
-	feed := rpc.NewFeedServer(&FeedServer{Loop: loop, Claimer: &claims.Direct{Platform: client, Host: p.settings.Host}, Answers: answers})
-	servers := []*http.Server{
-		{Addr: p.settings.FeedListen, Handler: feed, ReadHeaderTimeout: readHeaderTimeout},
-		{Addr: p.settings.OperatorListen, Handler: operator, ReadHeaderTimeout: readHeaderTimeout},
-	}
-	for _, server := range servers {
-		listener, err := tlsconf.Listen(ctx, server.Addr, p.settings.InternalTLS)
-		if err != nil {
-			return err
-		}
-		go func() { _ = server.Serve(listener) }()
-	}
-	logger.Info().Msg("started")
+	p.logger.Info().Msg("started")
 	<-ctx.Done()
+	p.leave(registry)
+	stopWork()
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
-	for _, server := range servers {
-		_ = server.Shutdown(stop)
+	return registry.Stop(stop)
+}
+
+// leave tells peers that this host stops, so that they need not wait for its
+// heartbeats to fail.
+func (p *Program) leave(r *kernel.Registry) {
+	if events, err := kernel.Lookup[*bus.Bus](r, ServiceBus); err == nil {
+		_ = events.Publish(LeaveRequested{})
+		time.Sleep(leaveTimeout)
+	}
+}
+
+// registry registers all services; the kernel starts them in the order of their
+// dependencies.
+func (p *Program) registry(clients *clients) (*kernel.Registry, error) {
+	operators, err := rollout.ParseOperators(p.settings.Operators)
+	if err != nil {
+		return nil, err
+	}
+	events := bus.New()
+	services := []kernel.Service{
+		events,
+		NewLoop(Options{
+			Bus: events, Operators: operators, Logger: *p.logger, Clock: clockwork.NewRealClock(), Member: p.member(),
+		}),
+		&StoreService{Store: &rollout.Store{Platform: clients.platform, Operators: operators}},
+		&AnswersService{Answers: rpc.NewAnswersProtobufClient(clients.scheme+"://"+p.settings.Router, clients.internal)},
+		&claimerService{Claimer: &claims.Direct{Platform: clients.platform, Host: p.settings.Host}},
+		&PlatformProvider{},
+		&PeerProvider{HTTP: clients.internal, Scheme: clients.scheme},
+		&PeerServer{},
+		&LoadObserver{HTTP: clients.upstream, Scheme: clients.upstreamScheme},
+		&QuarantineKeeper{Zone: p.settings.AvailabilityZone},
+		&ShareClient{Host: p.settings.Host},
+		&Lookup{},
+		&FeedServer{},
+		&OperatorServer{},
 	}
-	return nil
+	registry := kernel.NewRegistry()
+	for _, s := range append(services, p.listeners()...) {
+		if err := registry.Register(s); err != nil {
+			return nil, err
+		}
+	}
+	return registry, nil
+}
+
+func (p *Program) member() membership.Options {
+	o := membership.Options{
+		Host: p.settings.Host, Zone: p.settings.AvailabilityZone, PeerAddress: p.settings.PeerListen,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	for _, peer := range p.settings.Peers {
+		o.Peers = append(o.Peers, membership.Peer{Host: peer.Host, Zone: peer.AvailabilityZone, Address: peer.Address})
+	}
+	return o
+}
+
+type clients struct {
+	platform       *platform.Client
+	internal       *http.Client
+	scheme         string
+	upstream       *http.Client
+	upstreamScheme string
+}
+
+func (p *Program) clients() (*clients, error) {
+	toPlatform, _, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.PlatformTLS, IdlePerHost: idleToPlatform})
+	if err != nil {
+		return nil, err
+	}
+	internal, scheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.InternalTLS, IdlePerHost: idlePerPeer})
+	if err != nil {
+		return nil, err
+	}
+	upstream, upstreamScheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.UpstreamTLS, IdlePerHost: 1})
+	if err != nil {
+		return nil, err
+	}
+	return &clients{
+		platform: platform.NewClient(p.settings.Platform, &http.Client{Transport: toPlatform}),
+		internal: &http.Client{Transport: internal}, scheme: scheme,
+		upstream: &http.Client{Transport: upstream}, upstreamScheme: upstreamScheme,
+	}, nil
+}
+
+func (p *Program) listeners() []kernel.Service {
+	return []kernel.Service{
+		&listenService{
+			name: "feed listener", address: p.settings.FeedListen, files: p.settings.InternalTLS, needs: []string{ServiceFeed},
+			handler: func(r *kernel.Registry) (http.Handler, error) {
+				feed, err := kernel.Lookup[*FeedServer](r, ServiceFeed)
+				return rpc.NewFeedServer(feed), err
+			},
+		},
+		&listenService{
+			name: "peer listener", address: p.settings.PeerListen, files: p.settings.InternalTLS, needs: []string{ServicePeerServer},
+			handler: func(r *kernel.Registry) (http.Handler, error) {
+				peer, err := kernel.Lookup[*PeerServer](r, ServicePeerServer)
+				return rpc.NewPeerServer(peer), err
+			},
+		},
+		&listenService{
+			name: "operator listener", address: p.settings.OperatorListen, files: p.settings.InternalTLS, needs: []string{ServiceOperator},
+			handler: p.operatorHandler,
+		},
+	}
+}
+
+func (p *Program) operatorHandler(r *kernel.Registry) (http.Handler, error) {
+	operator, err := kernel.Lookup[*OperatorServer](r, ServiceOperator)
+	if err != nil {
+		return nil, err
+	}
+	handler := chi.NewRouter()
+	metrics := telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone)
+	handler.Method(http.MethodGet, "/metrics", metrics.Handler)
+	handler.Mount("/", rpc.NewOperatorServer(operator))
+	return handler, nil
 }
