Complete hbctl and test shared state across cut zones

hbctl lacked diff, watch, quarantine and lookup, its status showed one line per host, and an operator who lost a race learned only that another bundle came first. A rollout whose write answer was lost could be reported as stale although nothing else was in force; writes now read what is stored and are repeated.

Tests run several controls in one process and cut connections between hosts, zones and the platform. They found that a publisher could read an event's result while a stopping handler still wrote it; Publish now fails in that case.

--- a/internal/bus/bus.go
+++ b/internal/bus/bus.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -24,6 +25,13 @@
 
 type eventKey struct{}
 
+// envelope carries an event and tells whether it was handled: a stopping
+// subscriber ends Publish early while the handler may still run.
+type envelope struct {
+	event   any
+	handled atomic.Bool
+}
+
 // Bus delivers events one at a time.
 type Bus struct {
 	channel *gochannel.GoChannel
@@ -47,13 +55,18 @@
 
 // Publish hands an event to the subscriber and returns once it was handled, so
 // that results which the handler stores in the event can be read. The handler
-// itself must not publish. Without a subscriber the event is dropped.
+// itself must not publish. With ErrPublish the event was not handled, or not
+// yet, and its results must not be read.
 func (b *Bus) Publish(event any) error {
+	e := &envelope{event: event}
 	m := message.NewMessage("", nil)
-	m.SetContext(context.WithValue(context.Background(), eventKey{}, event))
+	m.SetContext(context.WithValue(context.Background(), eventKey{}, e))
 	if err := b.channel.Publish(topic, m); err != nil {
 		return eris.Wrap(ErrPublish, err.Error())
 	}
+	if !e.handled.Load() {
+		return ErrPublish
+	}
 	return nil
 }
 
@@ -66,7 +79,9 @@
 	}
 	go func() {
 		for m := range messages {
-			handle(m.Context().Value(eventKey{}))
+			e := m.Context().Value(eventKey{}).(*envelope)
+			handle(e.event)
+			e.handled.Store(true)
 			m.Ack()
 		}
 	}()
--- a/internal/bus/bus_test.go
+++ b/internal/bus/bus_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -33,15 +35,18 @@
 	publishers.Wait()
 }
 
-// Guards against a publisher that waits for ever after the subscriber is gone.
-func TestPublishWithoutSubscriberReturns(t *testing.T) {
+// Guards against a publisher that waits for ever after the subscriber is gone,
+// and against one that takes a result which no handler has written.
+func TestPublishWithoutSubscriberFails(t *testing.T) {
 	b := New()
+	require.ErrorIs(t, b.Publish(1), ErrPublish)
 	ctx, cancel := context.WithCancel(context.Background())
-	require.NoError(t, b.Subscribe(ctx, func(any) {}))
+	var handled atomic.Int64
+	require.NoError(t, b.Subscribe(ctx, func(any) { handled.Add(1) }))
+	require.NoError(t, b.Publish(1))
+	require.EqualValues(t, 1, handled.Load())
 	cancel()
-	for range 100 {
-		require.NoError(t, b.Publish(1))
-	}
+	require.Eventually(t, func() bool { return b.Publish(1) != nil }, 10*time.Second, time.Millisecond)
 	require.NoError(t, b.Close())
 	require.ErrorIs(t, b.Publish(1), ErrPublish)
 }
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -70,7 +70,7 @@
 // Status implements rpc.Operator.
 func (o *OperatorServer) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusResponse, error) {
 	e := &StatusDue{}
-	if err := o.bus.Publish(e); err != nil || e.Self == nil {
+	if err := o.bus.Publish(e); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, "control is stopping")
 	}
 	s := o.loop.State()
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -176,7 +176,7 @@
 // Exchange opens one exchange with a peer.
 func (p *PeerProvider) Exchange(ctx context.Context, peer membership.Peer, remote bool) {
 	due := &MessageDue{Remote: remote}
-	if p.bus.Publish(due) != nil || due.Message == nil {
+	if p.bus.Publish(due) != nil {
 		return
 	}
 	answer, err := p.call(ctx, peer, due.Message)
@@ -185,7 +185,9 @@
 		return
 	}
 	received := &MessageReceived{Message: answer}
-	_ = p.bus.Publish(received)
+	if p.bus.Publish(received) != nil {
+		return
+	}
 	generation := answer.Bundle.GetGeneration()
 	if generation == 0 {
 		_ = p.bus.Publish(SourceFailed{Err: &SourceError{Source: "peer " + peer.Host, Reason: "has no bundle either"}})
@@ -199,7 +201,7 @@
 // exchangeList sends or asks for the names of the platform's list.
 func (p *PeerProvider) exchangeList(ctx context.Context, peer membership.Peer, remote, want bool) {
 	due := &MessageDue{Remote: remote, Names: true}
-	if p.bus.Publish(due) != nil || due.Message == nil {
+	if p.bus.Publish(due) != nil {
 		return
 	}
 	due.Message.WantList = want
--- a/internal/control/peerserver.go
+++ b/internal/control/peerserver.go
@@ -59,7 +59,7 @@
 		return nil, twirp.InvalidArgumentError("from", "names no host and zone")
 	}
 	e := &MessageReceived{Message: message, Answer: true}
-	if err := p.bus.Publish(e); err != nil || e.Reply == nil {
+	if err := p.bus.Publish(e); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, "control is stopping")
 	}
 	return e.Reply, nil
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -36,8 +37,13 @@
 type Program struct {
 	settings *Settings
 	logger   *zerolog.Logger
+	dial     Dial
+	metrics  http.Handler
 }
 
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewProgram returns a program with settings that are filled in before Run.
 func NewProgram(s *Settings) *Program { return &Program{settings: s} }
 
@@ -47,6 +53,20 @@
 	return p
 }
 
+// WithMetrics replaces the handler of /metrics; the usual one registers its
+// metrics once for the whole process.
+func (p *Program) WithMetrics(handler http.Handler) *Program {
+	p.metrics = handler
+	return p
+}
+
+// WithDial replaces how connections to the platform, peers and replicas are
+// opened, so that tests can cut them and benchmarks can count their bytes.
+func (p *Program) WithDial(dial Dial) *Program {
+	p.dial = dial
+	return p
+}
+
 // Run works until ctx ends.
 func (p *Program) Run(ctx context.Context) error {
 	if p.logger == nil {
@@ -145,25 +165,35 @@
 }
 
 func (p *Program) clients() (*clients, error) {
-	toPlatform, _, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.PlatformTLS, IdlePerHost: idleToPlatform})
+	toPlatform, _, err := p.client(p.settings.PlatformTLS, idleToPlatform)
 	if err != nil {
 		return nil, err
 	}
-	internal, scheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.InternalTLS, IdlePerHost: idlePerPeer})
+	internal, scheme, err := p.client(p.settings.InternalTLS, idlePerPeer)
 	if err != nil {
 		return nil, err
 	}
-	upstream, upstreamScheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: p.settings.UpstreamTLS, IdlePerHost: 1})
+	upstream, upstreamScheme, err := p.client(p.settings.UpstreamTLS, 1)
 	if err != nil {
 		return nil, err
 	}
 	return &clients{
-		platform: platform.NewClient(p.settings.Platform, &http.Client{Transport: toPlatform}),
-		internal: &http.Client{Transport: internal}, scheme: scheme,
-		upstream: &http.Client{Transport: upstream}, upstreamScheme: upstreamScheme,
+		platform: platform.NewClient(p.settings.Platform, toPlatform),
+		internal: internal, scheme: scheme, upstream: upstream, upstreamScheme: upstreamScheme,
 	}, nil
 }
 
+func (p *Program) client(files tlsconf.Files, idle int) (*http.Client, string, error) {
+	transport, scheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: files, IdlePerHost: idle})
+	if err != nil {
+		return nil, "", err
+	}
+	if p.dial != nil {
+		transport.DialContext = p.dial
+	}
+	return &http.Client{Transport: transport}, scheme, nil
+}
+
 func (p *Program) listeners() []kernel.Service {
 	return []kernel.Service{
 		&listenService{
@@ -193,8 +223,10 @@
 		return nil, err
 	}
 	handler := chi.NewRouter()
-	metrics := telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone)
-	handler.Method(http.MethodGet, "/metrics", metrics.Handler)
+	if p.metrics == nil {
+		p.metrics = telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone).Handler
+	}
+	handler.Method(http.MethodGet, "/metrics", p.metrics)
 	handler.Mount("/", rpc.NewOperatorServer(operator))
 	return handler, nil
 }
--- a/internal/hbctl/hbctl.go
+++ b/internal/hbctl/hbctl.go
@@ -19,7 +19,6 @@
 	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rollout"
-	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/settings"
 	"heatherbarrow/internal/tlsconf"
 )
@@ -61,9 +60,11 @@
 	scheme   string
 }
 
+// command is a subcommand without flags of its own.
 type command struct {
 	app     *app
 	offline bool // needs no settings
+	timeout time.Duration
 	run     func(ctx context.Context, args []string) error
 }
 
@@ -79,7 +80,11 @@
 		fmt.Fprintln(c.app.stdout, c.app.opts.Config+": ok")
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	timeout := c.timeout
+	if timeout == 0 {
+		timeout = commandTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return c.run(ctx, args)
 }
@@ -97,11 +102,9 @@
 		fmt.Fprintln(stderr, "hbctl:", err)
 		return cli.ExitFailure
 	}
-	for _, c := range a.commands() {
-		if _, err := parser.AddCommand(c.name, c.help, c.help, &command{app: a, offline: c.offline, run: c.run}); err != nil {
-			fmt.Fprintln(stderr, "hbctl:", err)
-			return cli.ExitFailure
-		}
+	if err := a.addCommands(parser.Command); err != nil {
+		fmt.Fprintln(stderr, "hbctl:", err)
+		return cli.ExitFailure
 	}
 	_, err := parser.ParseArgs(args)
 	if err == nil && parser.Active == nil {
@@ -144,24 +147,55 @@
 }
 
 type commandEntry struct {
-	name    string
-	help    string
-	offline bool
-	run     func(ctx context.Context, args []string) error
+	name string
+	help string
+	data any // a command, or a struct that embeds one beside its flags
 }
 
 func (a *app) commands() []commandEntry {
+	status := &statusCommand{command: command{app: a}}
+	status.run = status.print
+	watch := &watchCommand{command: command{app: a, timeout: watchTimeout}}
+	watch.run = watch.wait
+	diff := &diffCommand{command: command{app: a}}
+	diff.run = diff.print
+	lookup := &lookupCommand{command: command{app: a}}
+	lookup.run = lookup.find
 	return []commandEntry{
-		{"validate", "check a bundle file", true, a.validate},
-		{"public-key", "print the public key of an Ed25519 seed in hex", true, a.publicKey},
-		{"propose", "store a bundle file as a proposal", false, a.propose},
-		{"approve", "approve a proposal by its hash", false, a.approve},
-		{"rollout", "put an approved proposal in force", false, a.rollout},
-		{"status", "show hosts and the bundle in force", false, a.status},
-		{"drain", "drain a host by its operator address", false, a.drain},
+		{"validate", "check a bundle file", &command{app: a, offline: true, run: a.validate}},
+		{"public-key", "print the public key of an Ed25519 seed in hex", &command{app: a, offline: true, run: a.publicKey}},
+		{"diff", "compare a bundle file with the bundle in force", diff},
+		{"propose", "store a bundle file as a proposal", &command{app: a, run: a.propose}},
+		{"approve", "approve a proposal by its hash", &command{app: a, run: a.approve}},
+		{"rollout", "put an approved proposal in force", &command{app: a, run: a.rollout}},
+		{"watch", "wait until a generation is in force in all zones", watch},
+		{"status", "show hosts, replicas, zones and the bundle in force", status},
+		{"drain", "drain a host by its name or operator address", &command{app: a, run: a.drain}},
+		{"lookup", "show the outcome of a request", lookup},
 	}
 }
 
+func (a *app) addCommands(parser *flags.Command) error {
+	for _, c := range a.commands() {
+		if _, err := parser.AddCommand(c.name, c.help, c.help, c.data); err != nil {
+			return err
+		}
+	}
+	const help = "show or release quarantined requests"
+	quarantine, err := parser.AddCommand("quarantine", help, help, &struct{}{})
+	if err != nil {
+		return err
+	}
+	list := &quarantineList{command: command{app: a}}
+	list.run = list.print
+	if _, err := quarantine.AddCommand("list", "list quarantined requests by zone", "list quarantined requests by zone", list); err != nil {
+		return err
+	}
+	const release = "let a fingerprint run again in every zone"
+	_, err = quarantine.AddCommand("release", release, release, &command{app: a, run: a.releaseQuarantine})
+	return err
+}
+
 func (a *app) load() error {
 	if a.opts.Config == "" {
 		return errors.New("--config is missing")
@@ -252,84 +286,3 @@
 	fmt.Fprintf(a.stdout, "%s: ok, sha256 %s\n", path, hash)
 	return nil
 }
-
-func (a *app) propose(ctx context.Context, args []string) error {
-	path, err := one(args, "bundle file")
-	if err != nil {
-		return err
-	}
-	content, _, err := canonicalFile(path)
-	if err != nil {
-		return err
-	}
-	key, err := a.key()
-	if err != nil {
-		return err
-	}
-	proposal, err := a.store.Propose(ctx, content, a.settings.Operator, key)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(a.stdout, "proposed generation %d sha256 %s\n", proposal.Generation, proposal.SHA256)
-	return nil
-}
-
-func (a *app) approve(ctx context.Context, args []string) error {
-	hash, err := one(args, "proposal hash")
-	if err != nil {
-		return err
-	}
-	key, err := a.key()
-	if err != nil {
-		return err
-	}
-	proposal, err := a.store.Approve(ctx, hash, a.settings.Operator, key, time.Now())
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(a.stdout, "approved generation %d sha256 %s\n", proposal.Generation, proposal.SHA256)
-	return nil
-}
-
-func (a *app) rollout(ctx context.Context, args []string) error {
-	hash, err := one(args, "proposal hash")
-	if err != nil {
-		return err
-	}
-	current, err := a.store.RollOut(ctx, hash)
-	if errors.Is(err, rollout.ErrStale) {
-		return fmt.Errorf("%w: generation %d sha256 %s by %s, approved by %s", err, current.Generation, current.SHA256, current.Author, current.Approver)
-	}
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(a.stdout, "in force: generation %d sha256 %s\n", current.Generation, current.SHA256)
-	return nil
-}
-
-func (a *app) status(ctx context.Context, _ []string) error {
-	for _, address := range a.settings.Controls {
-		client := rpc.NewOperatorProtobufClient(a.scheme+"://"+address, a.http)
-		s, err := client.Status(ctx, &rpc.StatusRequest{})
-		if err != nil {
-			fmt.Fprintf(a.stdout, "%s: cannot be reached: %v\n", address, err)
-			continue
-		}
-		fmt.Fprintf(a.stdout, "%s host=%s zone=%s generation=%d %s\n", address, s.Self.Host, s.Self.AvailabilityZone, s.Self.Generation, s.NotReady)
-	}
-	return nil
-}
-
-func (a *app) drain(ctx context.Context, args []string) error {
-	address, err := one(args, "operator address")
-	if err != nil {
-		return err
-	}
-	client := rpc.NewOperatorProtobufClient(a.scheme+"://"+address, a.http)
-	response, err := client.Drain(ctx, &rpc.DrainRequest{Exit: true})
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(a.stdout, "drain started with %d requests in progress\n", response.InProgress)
-	return nil
-}
--- /dev/null
+++ b/internal/hbctl/hbctl_test.go
@@ -0,0 +1,203 @@
+package hbctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/rpc"
+	standin "heatherbarrow/internal/standin/platform"
+)
+
+// fakeControl answers like the control of one host.
+type fakeControl struct {
+	rpc.Operator
+	mu       sync.Mutex
+	status   rpc.StatusResponse
+	released []uint64
+}
+
+func (f *fakeControl) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &f.status, nil
+}
+
+func (f *fakeControl) ReleaseQuarantine(_ context.Context, r *rpc.ReleaseRequest) (*rpc.ReleaseResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.released = append(f.released, r.Fingerprint)
+	return &rpc.ReleaseResponse{Found: r.Fingerprint == 0xab}, nil
+}
+
+func (f *fakeControl) Lookup(_ context.Context, r *rpc.LookupRequest) (*rpc.StoredAnswer, error) {
+	return &rpc.StoredAnswer{Found: r.RequestId == "known" && r.Team == "counter", Outcome: "completed", Status: 200}, nil
+}
+
+type desk struct {
+	t        *testing.T
+	dir      string
+	controls []*fakeControl
+}
+
+// newDesk has a platform, two controls in two zones and settings of two operators.
+func newDesk(t *testing.T) *desk {
+	d := &desk{t: t, dir: t.TempDir()}
+	platform := httptest.NewServer(standin.New().Handler())
+	t.Cleanup(platform.Close)
+	var addresses []string
+	for i, zone := range []string{"ate", "callao"} {
+		name := []string{"h1", "h2"}[i]
+		c := &fakeControl{}
+		c.status.Self = &rpc.HostState{Host: name, AvailabilityZone: zone, State: rpc.State_STATE_LIVE}
+		c.status.Hosts = []*rpc.HostState{c.status.Self}
+		c.status.Replicas = []*rpc.ReplicaState{{Upstream: "models", Replica: "e1", State: rpc.State_STATE_LEAVING}}
+		c.status.Quarantine = []*rpc.QuarantineEntry{{Fingerprint: 0xab, CrashedReplicas: []string{"models/e1"}, ExpiresUnixMs: time.Now().Add(time.Hour).UnixMilli()}}
+		server := httptest.NewServer(rpc.NewOperatorServer(c))
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+		d.controls = append(d.controls, c)
+	}
+	keys := map[string]string{}
+	for i, name := range []string{"ana", "ben"} {
+		seed := bytes.Repeat([]byte{byte(i + 1)}, ed25519.SeedSize)
+		keys[name] = hex.EncodeToString(ed25519.NewKeyFromSeed(seed).Public().(ed25519.PublicKey))
+		d.write(name+".key", []byte(hex.EncodeToString(seed)))
+	}
+	for name := range keys {
+		settings, err := json.Marshal(map[string]any{
+			"platform": platform.URL, "operators": keys, "operator": name, "key_file": filepath.Join(d.dir, name+".key"), "controls": addresses,
+		})
+		require.NoError(t, err)
+		d.write(name+".json", settings)
+	}
+	return d
+}
+
+func (d *desk) write(name string, data []byte) string {
+	path := filepath.Join(d.dir, name)
+	require.NoError(d.t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+func (d *desk) run(operator string, args ...string) (string, int) {
+	var out bytes.Buffer
+	code := Main(append([]string{"--config", filepath.Join(d.dir, operator+".json")}, args...), &out, &out)
+	return out.String(), code
+}
+
+func (d *desk) must(operator string, args ...string) string {
+	out, code := d.run(operator, args...)
+	require.Equal(d.t, cli.ExitOK, code, out)
+	return out
+}
+
+func (d *desk) bundle(name, deadline string) string {
+	return d.write(name, []byte(`{"format":1,"classes":[{"name":"quote","tier":1,"answer_target":"1s","deadline":"`+deadline+`"}],
+		"teams":[{"name":"counter","key_hashes":["`+strings.Repeat("a", 64)+`"],"classes":["quote"],"tokens_per_second":10,"max_in_progress":1}],
+		"upstreams":[{"name":"models","kind":"engine","classes":["quote"],"models":["m"],"slots":1,"replicas":[]}]}`))
+}
+
+func (d *desk) approved(author, approver, path string) string {
+	fields := strings.Fields(d.must(author, "propose", path))
+	hash := fields[len(fields)-1]
+	d.must(approver, "approve", hash)
+	return hash
+}
+
+// Guards against an operator who loses a race without learning what won and
+// what it changed.
+func TestLoserOfARaceIsToldWhatChanged(t *testing.T) {
+	d := newDesk(t)
+	d.must("ana", "rollout", d.approved("ana", "ben", d.bundle("1.json", "10s")))
+	loser := d.approved("ana", "ben", d.bundle("2.json", "20s"))
+	d.must("ben", "rollout", d.approved("ben", "ana", d.bundle("3.json", "30s")))
+	out, code := d.run("ana", "rollout", loser)
+	require.Equal(t, cli.ExitFailure, code)
+	for _, want := range []string{"generation 2", "author ben", "approver ana", `~ class quote: deadline "10s" -> "30s"`} {
+		require.Contains(t, out, want)
+	}
+	require.Contains(t, d.must("ana", "diff", filepath.Join(d.dir, "2.json")), `deadline "30s" -> "20s"`)
+}
+
+// Guards against a watch that ends before every zone has the generation, or that
+// hides which host is missing.
+func TestWatchWaitsForEveryZone(t *testing.T) {
+	d := newDesk(t)
+	d.controls[0].status.Self.Generation = 5
+	out, code := d.run("ana", "watch", "5", "--timeout", "1")
+	require.Equal(t, cli.ExitFailure, code)
+	require.Contains(t, out, "zone=ate host=h1")
+	require.Contains(t, out, "missing [callao/h2]")
+	d.controls[1].status.Self.Generation = 6
+	out = d.must("ana", "watch", "5", "--timeout", "5")
+	require.Contains(t, out, "zone=callao complete after=")
+	require.Contains(t, out, "generation 5 is in force in 2 zones on 2 hosts")
+}
+
+// Guards against a status that hides a host that cannot be reached or a leaving
+// replica, and against JSON that no program can read.
+func TestStatusShowsWhatIsWrong(t *testing.T) {
+	d := newDesk(t)
+	d.controls[1].status.NotReady = "no bundle yet: platform: cannot be reached"
+	out := d.must("ana", "status")
+	for _, want := range []string{"h1", "callao", "no bundle yet", "models/e1  leaving", "00000000000000ab"} {
+		require.Contains(t, out, want)
+	}
+	var parsed []struct {
+		Status struct {
+			Self struct {
+				Host string `json:"host"`
+			} `json:"self"`
+		} `json:"status"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(d.must("ana", "status", "--json")), &parsed))
+	require.Equal(t, "h2", parsed[1].Status.Self.Host)
+	data, err := os.ReadFile(filepath.Join(d.dir, "ana.json"))
+	require.NoError(t, err)
+	var settings map[string]any
+	require.NoError(t, json.Unmarshal(data, &settings))
+	settings["controls"] = []string{"127.0.0.1:1"}
+	data, err = json.Marshal(settings)
+	require.NoError(t, err)
+	d.write("ana.json", data)
+	out, code := d.run("ana", "status")
+	require.Equal(t, cli.ExitFailure, code)
+	require.Contains(t, out, "unreachable")
+}
+
+// Guards against a release that misses a zone, and against one that claims
+// success for a fingerprint that nobody has.
+func TestReleaseReachesEveryZone(t *testing.T) {
+	d := newDesk(t)
+	require.Contains(t, d.must("ana", "quarantine", "list"), "models/e1")
+	out := d.must("ana", "quarantine", "release", "ab")
+	require.Contains(t, out, "zone ate")
+	require.Contains(t, out, "zone callao")
+	_, code := d.run("ana", "quarantine", "release", "cd")
+	require.Equal(t, cli.ExitFailure, code)
+	_, code = d.run("ana", "quarantine", "release", "xyz")
+	require.Equal(t, cli.ExitFailure, code)
+}
+
+// Guards against a lookup that answers for another team's request.
+func TestLookupNeedsTheTeam(t *testing.T) {
+	d := newDesk(t)
+	require.Contains(t, d.must("ana", "lookup", "known", "--team", "counter"), "outcome completed")
+	_, code := d.run("ana", "lookup", "known", "--team", "workshops")
+	require.Equal(t, cli.ExitFailure, code)
+	_, code = d.run("ana", "lookup", "known")
+	require.Equal(t, cli.ExitSettings, code)
+}
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -125,6 +125,20 @@
 	require.Equal(t, rpc.State_STATE_LIVE, n.state("z0-h3", "z0-h5"))
 }
 
+// Guards against a zone that is cut off and goes on to call the other zones'
+// hosts live, and against hosts that do not find each other again afterwards.
+func TestZonesLoseAndFindEachOther(t *testing.T) {
+	n := newNetwork(t, 2, 4)
+	n.run(15 * time.Second)
+	n.cut = func(a, b string) bool { return a[:2] != b[:2] }
+	n.run(RemoteDeadAfter + time.Second)
+	require.Equal(t, rpc.State_STATE_DEAD, n.state("z0-h1", "z1-h1"))
+	require.Equal(t, rpc.State_STATE_LIVE, n.state("z0-h1", "z0-h2"))
+	n.cut = nil
+	n.run(15 * time.Second)
+	require.Equal(t, rpc.State_STATE_LIVE, n.state("z0-h1", "z1-h1"))
+}
+
 // Guards against a host that is ignored for ever because its new clock is behind
 // the one of its former start.
 func TestStartWithAnEarlierClockIsRenumbered(t *testing.T) {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -32,8 +32,14 @@
 	ErrBadContent      = errors.New("content does not match its hash")
 	ErrNotApproved     = errors.New("proposal is not approved")
 	ErrStale           = errors.New("another bundle came into force since the proposal")
+	ErrProposed        = errors.New("another operator has proposed this content")
+	ErrUnresolved      = errors.New("the result is not known; run the command again")
 )
 
+// writeAttempts bounds how often a write is repeated after a lost answer or a
+// conflict. Each attempt reads first, so that repeating is safe.
+const writeAttempts = 4
+
 // Current is the value of the object that names the bundle in force. It is also
 // the value of a proposal; a proposal without approval has no Approver.
 type Current struct {
@@ -44,6 +50,9 @@
 	Approver          string `json:"approver,omitempty"`
 	ApproverSignature []byte `json:"approver_signature,omitempty"`
 	ApprovedUnixMS    int64  `json:"approved_unix_ms,omitempty"`
+	// Base is the hash of the bundle in force when the proposal was made. It is
+	// not signed; it serves to show what changed since.
+	Base string `json:"base,omitempty"`
 }
 
 // signedText is what both operators sign: the generation and the content.
@@ -158,130 +167,3 @@
 	}
 	return v.Content, nil
 }
-
-// Propose stores the content and a proposal for the generation after the one in
-// force, and returns the proposal. The proposal's name is its content's hash.
-func (s *Store) Propose(ctx context.Context, content []byte, author string, key ed25519.PrivateKey) (Current, error) {
-	if _, err := bundle.Parse(content); err != nil {
-		return Current{}, err
-	}
-	current, _, err := s.Current(ctx)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return Current{}, err
-	}
-	proposal := Current{Generation: current.Generation + 1, SHA256: bundle.Hash(content)}
-	proposal.SignAuthor(author, key)
-	if err := s.Operators.VerifyAuthor(&proposal); err != nil {
-		return Current{}, err
-	}
-	if err := s.createContent(ctx, proposal.SHA256, content); err != nil {
-		return Current{}, err
-	}
-	return proposal, s.putProposal(ctx, &proposal)
-}
-
-func (s *Store) createContent(ctx context.Context, sha256 string, content []byte) error {
-	_, err := s.Platform.Create(ctx, KindContent, sha256, contentValue{Content: content})
-	if err == nil || errors.Is(err, platform.ErrConflict) {
-		return nil
-	}
-	if stored, readErr := s.Content(ctx, sha256); readErr == nil && stored != nil {
-		return nil
-	}
-	return err
-}
-
-func (s *Store) putProposal(ctx context.Context, proposal *Current) error {
-	o, err := s.Platform.Get(ctx, KindProposal, proposal.SHA256)
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		_, err = s.Platform.Create(ctx, KindProposal, proposal.SHA256, proposal)
-	case err == nil:
-		_, err = s.Platform.Update(ctx, KindProposal, proposal.SHA256, o.Version, proposal)
-	}
-	return err
-}
-
-// Proposal returns a proposal and the version of its object.
-func (s *Store) Proposal(ctx context.Context, sha256 string) (Current, uint64, error) {
-	o, err := s.Platform.Get(ctx, KindProposal, sha256)
-	if err != nil {
-		return Current{}, 0, err
-	}
-	c, err := DecodeCurrent(o)
-	return c, o.Version, err
-}
-
-// Approve signs a proposal as approver.
-func (s *Store) Approve(ctx context.Context, sha256, approver string, key ed25519.PrivateKey, now time.Time) (Current, error) {
-	proposal, version, err := s.Proposal(ctx, sha256)
-	if err != nil {
-		return Current{}, err
-	}
-	content, err := s.Content(ctx, sha256)
-	if err != nil {
-		return Current{}, err
-	}
-	if _, err := bundle.Parse(content); err != nil {
-		return Current{}, err
-	}
-	proposal.SignApprover(approver, key, now)
-	if err := s.Operators.Verify(&proposal, content); err != nil {
-		return Current{}, err
-	}
-	_, err = s.Platform.Update(ctx, KindProposal, sha256, version, proposal)
-	return proposal, err
-}
-
-// RollOut puts an approved proposal in force. ErrStale means that another
-// bundle came first and nothing was changed.
-func (s *Store) RollOut(ctx context.Context, sha256 string) (Current, error) {
-	proposal, _, err := s.Proposal(ctx, sha256)
-	if err != nil {
-		return Current{}, err
-	}
-	content, err := s.Content(ctx, sha256)
-	if err != nil {
-		return Current{}, err
-	}
-	if err := s.Operators.Verify(&proposal, content); err != nil {
-		return Current{}, err
-	}
-	current, version, err := s.Current(ctx)
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		if proposal.Generation != 1 {
-			return Current{}, ErrStale
-		}
-		_, err = s.Platform.Create(ctx, KindCurrent, NameCurrent, proposal)
-	case err != nil:
-		return Current{}, err
-	case current.Generation+1 != proposal.Generation:
-		return current, s.alreadyInForce(&current, &proposal)
-	default:
-		_, err = s.Platform.Update(ctx, KindCurrent, NameCurrent, version, proposal)
-	}
-	return s.confirm(ctx, &proposal, err)
-}
-
-func (s *Store) alreadyInForce(current, proposal *Current) error {
-	if current.Generation == proposal.Generation && current.SHA256 == proposal.SHA256 {
-		return nil
-	}
-	return ErrStale
-}
-
-// confirm resolves a lost answer by reading back which bundle is in force.
-func (s *Store) confirm(ctx context.Context, proposal *Current, err error) (Current, error) {
-	if err == nil {
-		return *proposal, nil
-	}
-	if !errors.Is(err, platform.ErrUncertain) && !errors.Is(err, platform.ErrConflict) {
-		return Current{}, err
-	}
-	current, _, readErr := s.Current(ctx)
-	if readErr != nil {
-		return Current{}, eris.Wrap(err, "the result is not known; run the command again")
-	}
-	return current, s.alreadyInForce(&current, proposal)
-}
