--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -12,7 +12,6 @@
 	"github.com/rs/zerolog"
 
 	"heatherbarrow/internal/bus"
-	"heatherbarrow/internal/claims"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/platform"
@@ -125,7 +124,7 @@
 		}),
 		&StoreService{Store: &rollout.Store{Platform: clients.platform, Operators: operators}},
 		&AnswersService{Answers: rpc.NewAnswersProtobufClient(clients.scheme+"://"+p.settings.Router, clients.internal)},
-		&claimerService{Claimer: &claims.Direct{Platform: clients.platform, Host: p.settings.Host}},
+		&ClaimService{Host: p.settings.Host, Store: clients.platform, Peers: clients.internal, Scheme: clients.scheme, Logger: *p.logger},
 		&PlatformProvider{},
 		&PeerProvider{HTTP: clients.internal, Scheme: clients.scheme},
 		&PeerServer{},
