Pick replicas by corrected load, health and quarantine; add the policy bench

Cause: the picker counted only this host's own requests, knew neither reports nor latencies, and nothing measured a policy. Change: an index by upstream and zone with filters, scorers and a random choice among the best; health and quarantine packages; paired scenarios in virtual time over a fake engine, run by go run ./internal/bench/policy.

--- /dev/null
+++ b/internal/bench/policy/fleet.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"time"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/scheduling"
+)
+
+const (
+	// viewPeriod is the time between two views of a host.
+	viewPeriod = 500 * time.Millisecond
+	// deadAfter is the time after which membership knows that a replica is down.
+	deadAfter = 2 * time.Second
+	// crashLag is the time in which a crash report reaches the zone's hosts.
+	crashLag     = 500 * time.Millisecond
+	localLatency = 200 * time.Microsecond
+	crossLatency = time.Millisecond
+	maxAttempts  = 3
+	// frameTimeout is the longest pause within a stream.
+	frameTimeout = 5 * time.Second
+)
+
+// policy is how hosts place requests.
+type policy interface {
+	// place finds a replica for the job, now or later, and calls w.start.
+	place(w *world, h *host, j *job, exclude []scheduling.ReplicaID)
+	// view gives the host a new view.
+	view(w *world, h *host, v *scheduling.View)
+	tick(w *world, h *host)
+}
+
+// slot is a place on a replica that a policy gave to a job.
+type slot interface {
+	firstToken()
+	token()
+	finish(scheduling.Result)
+}
+
+// host is an entry host.
+type host struct {
+	index int
+	zone  string
+	state any // of the policy
+}
+
+// world is one run of a scenario under one policy.
+type world struct {
+	loop     *loop
+	scenario *scenario
+	policy   policy
+	snapshot *bundle.Snapshot
+	engines  map[scheduling.ReplicaID]*engine
+	order    []*engine
+	hosts    []*host
+	jobs     []*job
+	open     int
+	crashes  map[string]map[uint64][]scheduling.ReplicaID // by zone and fingerprint
+	poisoned []uint64                                     // fingerprints in order of their first crash
+	trace    func(format string, args ...any)
+}
+
+func newWorld(s *scenario, snapshot *bundle.Snapshot, p policy, priorities bool) *world {
+	w := &world{
+		loop: newLoop(), scenario: s, policy: p, snapshot: snapshot,
+		engines: make(map[scheduling.ReplicaID]*engine),
+		crashes: make(map[string]map[uint64][]scheduling.ReplicaID),
+		trace:   func(string, ...any) {},
+	}
+	b := snapshot.Bundle
+	for i := range b.Upstreams {
+		u := &b.Upstreams[i]
+		for k := range u.Replicas {
+			e := &engine{
+				id:   scheduling.ReplicaID{Upstream: u.Name, Replica: u.Replicas[k].ID},
+				loop: w.loop, zone: u.Replicas[k].AvailabilityZone, slots: u.Slots, slowdown: 1,
+				service: u.Kind == bundle.KindService, priorities: priorities, cache: make(map[uint64]cacheEntry),
+			}
+			w.engines[e.id] = e
+			w.order = append(w.order, e)
+		}
+	}
+	for i := range s.hosts {
+		w.hosts = append(w.hosts, &host{index: i, zone: s.zones[i%len(s.zones)]})
+	}
+	return w
+}
+
+// run plays the arrivals and returns the jobs.
+func (w *world) run(arrivals []arrival) []*job {
+	w.loop.every(samplePeriod, w.record)
+	for _, h := range w.hosts {
+		// Hosts poll at different times, as independent processes do.
+		offset := viewPeriod * time.Duration(h.index) / time.Duration(len(w.hosts))
+		w.policy.view(w, h, w.viewFor(h))
+		w.loop.after(offset, func() {
+			w.loop.every(viewPeriod, func() bool {
+				w.policy.view(w, h, w.viewFor(h))
+				return w.active()
+			})
+		})
+		w.loop.every(50*time.Millisecond, func() bool {
+			w.policy.tick(w, h)
+			return w.active()
+		})
+	}
+	for i := range arrivals {
+		a := &arrivals[i]
+		j := &job{arrival: a, id: jobID(i), name: &w.snapshot.Bundle.Classes[a.class]}
+		w.jobs = append(w.jobs, j)
+		w.open++
+		w.loop.at(epoch.Add(a.at), func() { w.arrive(j) })
+	}
+	if w.scenario.faults != nil {
+		w.scenario.faults(w)
+	}
+	w.loop.run(epoch.Add(w.scenario.duration + drainTime))
+	return w.jobs
+}
+
+// drainTime is how long accepted requests may take after the last arrival.
+const drainTime = 10 * time.Minute
+
+func (w *world) active() bool { return w.open > 0 }
+
+func (w *world) record() bool {
+	for _, e := range w.order {
+		e.record()
+	}
+	return w.active()
+}
+
+func (w *world) viewFor(h *host) *scheduling.View {
+	v := &scheduling.View{ZoneCount: len(w.scenario.zones)}
+	for _, other := range w.hosts {
+		if other.zone == h.zone {
+			v.HostsInZone++
+		}
+	}
+	for _, e := range w.order {
+		v.Replicas = append(v.Replicas, e.report(w.scenario.lag))
+	}
+	for _, fingerprint := range w.poisoned {
+		if replicas := w.crashes[h.zone][fingerprint]; len(replicas) > 0 {
+			v.Quarantine = append(v.Quarantine, scheduling.QuarantineEntry{
+				Fingerprint: fingerprint, Replicas: replicas, Expires: w.loop.now().Add(time.Hour),
+			})
+		}
+	}
+	return v
+}
+
+func (w *world) arrive(j *job) {
+	j.arrived = w.loop.now()
+	j.deadline = j.arrived.Add(j.name.Deadline.Std())
+	w.policy.place(w, w.hosts[j.host], j, nil)
+}
+
+// end closes a job. An accepted one that is not completed counts as unfinished.
+func (w *world) end(j *job, completed, refused bool) {
+	if j.done {
+		return
+	}
+	j.done = true
+	j.completed = completed
+	j.refused = refused
+	w.open--
+}
+
+// reportCrash tells the other hosts of the zone which fingerprint was in flight.
+func (w *world) reportCrash(zone string, fingerprint uint64, id scheduling.ReplicaID) {
+	if fingerprint == 0 {
+		return
+	}
+	w.loop.after(crashLag, func() {
+		if w.crashes[zone] == nil {
+			w.crashes[zone] = make(map[uint64][]scheduling.ReplicaID)
+		}
+		w.poisoned = appendNew(w.poisoned, fingerprint)
+		w.crashes[zone][fingerprint] = appendNew(w.crashes[zone][fingerprint], id)
+	})
+}
--- /dev/null
+++ b/internal/bench/policy/main.go
@@ -0,0 +1,56 @@
+// Policy compares scheduling policies on paired scenarios in virtual time. Each
+// scenario runs twice with the same arrivals: once under a baseline and once
+// under the project's scheduler. The engines are a small simulation at the
+// interface; nothing sleeps, and the same seed gives the same figures.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"heatherbarrow/internal/bundle"
+)
+
+type options struct {
+	Scenario string `long:"scenario" description:"run only this scenario"`
+	Trace    bool   `long:"trace" description:"print each decision of heatherbarrow to standard error"`
+}
+
+func main() {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		os.Exit(2)
+	}
+	t := &tally{}
+	for _, s := range scenarios() {
+		if opts.Scenario == "" || opts.Scenario == s.name {
+			compareOn(s, opts.Trace, t)
+		}
+	}
+	if opts.Scenario == "" {
+		decisionCost(t)
+	}
+	fmt.Printf("bench targets met=%d missed=%d\n", t.met, t.missed)
+}
+
+func compareOn(s *scenario, trace bool, t *tally) {
+	snapshot := bundle.Compile(s.bundle, 1, "bench")
+	arrivals := generate(s, snapshot)
+	w := newWorld(s, snapshot, baseline{}, false)
+	base := summarize(s, snapshot, w.run(arrivals))
+	base.print("baseline", s)
+	w = newWorld(s, snapshot, heatherbarrow{}, true)
+	if trace {
+		w.trace = func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
+	}
+	own := summarize(s, snapshot, w.run(arrivals))
+	own.print("heatherbarrow", s)
+	own.check(s, base, t)
+}
+
+func fail(what string, err error) {
+	fmt.Fprintf(os.Stderr, "%s: %v\n", what, err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/internal/scheduling/picker/pick.go
@@ -0,0 +1,296 @@
+package picker
+
+import (
+	"math"
+	"time"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/quarantine"
+)
+
+const (
+	// shortlistSize is the number of best candidates between which the choice is random.
+	shortlistSize = 6
+	// spread is the score difference, as a share of the usual first-token time,
+	// over which a candidate's chance falls by a factor of e.
+	spread = 0.1
+	// maxRemote bounds the replicas of other zones that one decision looks at.
+	maxRemote = 96
+	// targetMargin scales the expected time before it is compared with the
+	// target, because the target holds for nearly all requests, not for the mean.
+	targetMargin = 2.0
+	// unknownShare is the share of the target assumed as first-token time before
+	// any was measured.
+	unknownShare = 0.2
+	maxMatches   = 8
+	// prefixTokens is the length of the shortest prefix: 256 bytes at 4 a token.
+	prefixTokens = 64
+)
+
+// Reasons of a decision.
+const (
+	reasonInZone   = "in_zone"
+	reasonAffinity = "affinity"
+	reasonZoneFull = "zone_full" // no replica of the zone may take the request
+	reasonZoneSlow = "zone_slow" // the zone is not expected to meet the target
+)
+
+// Query is the request being placed, with what the filters and scorers need.
+type Query struct {
+	request     *scheduling.Request
+	class       *bundle.Class
+	now         time.Time
+	level       int
+	model       int     // index into the upstream's models
+	base        float64 // usual first-token time of such a request, seconds
+	budget      float64 // expected time up to which the target is met, seconds
+	interTarget float64 // seconds; 0 when there is none
+	state       quarantine.State
+	relaxed     bool // a suspect may run beside suspects and top-tier work
+	matches     [maxMatches]match
+	matched     int
+}
+
+type match struct {
+	replica  *Replica
+	fraction float64 // of the prompt that is cached
+}
+
+func (q *Query) match(r *Replica) float64 {
+	for i := range q.matches[:q.matched] {
+		if q.matches[i].replica == r {
+			return q.matches[i].fraction
+		}
+	}
+	return 0
+}
+
+func (p *Picker) prepare(q *Query, r *scheduling.Request, now time.Time) bool {
+	if p.snapshot == nil || r.Class >= len(p.snapshot.Bundle.Classes) {
+		return false
+	}
+	q.request = r
+	q.now = now
+	q.class = &p.snapshot.Bundle.Classes[r.Class]
+	q.level = levelLower
+	if q.class.Tier == bundle.TopTier {
+		q.level = levelTop
+	}
+	q.matched = 0
+	q.relaxed = false
+	return true
+}
+
+// Pick implements scheduling.Picker.
+func (p *Picker) Pick(r *scheduling.Request) (scheduling.Choice, bool) {
+	now := p.opts.Clock.Now()
+	q := &p.query
+	if !p.prepare(q, r, now) {
+		return scheduling.Choice{}, false
+	}
+	q.state, _ = p.quarantine.State(r.Fingerprint, now)
+	if q.state == quarantine.Quarantined || q.state != quarantine.Clear && p.quarantine.Running(r.Fingerprint) {
+		return scheduling.Choice{}, false
+	}
+	p.match(q)
+	reason := p.search(q)
+	if p.best.n == 0 && q.state != quarantine.Clear {
+		q.relaxed = true
+		reason = p.search(q)
+	}
+	if p.best.n == 0 {
+		return scheduling.Choice{}, false
+	}
+	chosen := p.best.choose(p.random.Float64(), spread*q.base)
+	return p.take(q, chosen, reason), true
+}
+
+// search fills the shortlist from the zone, and from the other zones when the
+// zone is not expected to meet the target.
+func (p *Picker) search(q *Query) string {
+	p.best.n = 0
+	p.scan(q, true)
+	if p.best.n > 0 && p.best.items[0].expected <= q.budget && p.interMet(q) {
+		return reasonInZone
+	}
+	reason := reasonZoneSlow
+	if p.best.n == 0 {
+		reason = reasonZoneFull
+	}
+	p.scan(q, false)
+	return reason
+}
+
+func (p *Picker) interMet(q *Query) bool {
+	return q.interTarget == 0 || p.best.items[0].replica.inter <= q.interTarget
+}
+
+func (p *Picker) scan(q *Query, local bool) {
+	for _, index := range q.request.Upstreams {
+		if index >= len(p.pools) {
+			continue // the request came in under another bundle
+		}
+		u := p.pools[index]
+		model, ok := u.model(q.request.Model)
+		if !ok || !p.snapshot.UpstreamServes(index, q.request.Class) {
+			continue
+		}
+		q.model = model
+		p.expect(q, u)
+		if local {
+			p.visit(q, u.local, 0, len(u.local))
+			continue
+		}
+		if n := len(u.remote); n > 0 {
+			p.visit(q, u.remote, p.random.IntN(n), min(n, maxRemote))
+		}
+	}
+}
+
+// expect sets the usual first-token time and the part of it that the target allows.
+func (p *Picker) expect(q *Query, u *pool) {
+	target := q.class.FirstTokenTarget.Std()
+	if target == 0 {
+		target = q.class.AnswerTarget.Std()
+	}
+	q.interTarget = q.class.InterTokenTarget.Std().Seconds()
+	q.base = unknownShare * target.Seconds()
+	if expected, known := u.health.Expected(p.kind(q.request)); known {
+		q.base = expected.Seconds()
+	}
+	// A request that waited long cannot meet its target; it still prefers the
+	// zone while that is as fast as usual.
+	left := max(target-q.now.Sub(q.request.Arrived), target/2)
+	q.budget = left.Seconds() / targetMargin
+}
+
+func (p *Picker) visit(q *Query, replicas []*Replica, from, n int) {
+	for i := range n {
+		r := replicas[(from+i)%len(replicas)]
+		if p.admit(q, r) {
+			p.best.insert(p.score(q, r))
+		}
+	}
+}
+
+func (p *Picker) admit(q *Query, r *Replica) bool {
+	for _, f := range p.filters {
+		if !f.Admit(q, r) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Picker) score(q *Query, r *Replica) Candidate {
+	// The candidate is kept in the picker, because one passed through an
+	// interface would be allocated for each replica.
+	c := &p.candidate
+	*c = Candidate{replica: r}
+	for i, s := range p.scorers {
+		c.score += s.Score(q, c)
+		if i+1 == expectedScorers {
+			c.expected = c.score
+		}
+	}
+	return *c
+}
+
+// match finds the replicas that hold a prefix of the prompt, longest first.
+func (p *Picker) match(q *Query) {
+	hashes := q.request.PrefixHashes
+	for i := len(hashes) - 1; i >= 0 && q.matched < maxMatches; i-- {
+		holders, found := p.affinity.holders(hashes[i])
+		if !found {
+			continue
+		}
+		fraction := min(float64(int(prefixTokens)<<i)/float64(max(q.request.PromptTokens, 1)), 1)
+		for _, r := range holders {
+			if r != nil && q.matched < maxMatches && q.match(r) == 0 {
+				q.matches[q.matched] = match{r, fraction}
+				q.matched++
+			}
+		}
+	}
+}
+
+func (p *Picker) take(q *Query, chosen int, reason string) scheduling.Choice {
+	c := p.best.items[chosen]
+	r := c.replica
+	f := flight{
+		id: q.request.ID, fingerprint: q.request.Fingerprint, started: q.now,
+		top: q.level == levelTop, suspect: q.state != quarantine.Clear,
+	}
+	r.start(f)
+	r.health.Start(q.now, f.id, p.kind(q.request))
+	if f.suspect {
+		p.quarantine.Started(f.fingerprint, q.now)
+	}
+	for _, prefix := range q.request.PrefixHashes {
+		p.affinity.put(prefix, r)
+	}
+	r.recount(q.now)
+	if reason == reasonInZone && q.match(r) > 0 {
+		reason = reasonAffinity
+	}
+	return scheduling.Choice{Replica: r.id, Address: r.address, Decision: scheduling.Decision{
+		Score: c.score, Alternatives: p.best.alternatives(chosen), Reason: reason, CrossZone: !r.local,
+	}}
+}
+
+// shortlist holds the best candidates in order of score.
+type shortlist struct {
+	n     int
+	items [shortlistSize]Candidate
+}
+
+func (s *shortlist) insert(c Candidate) {
+	i := s.n
+	if i == shortlistSize {
+		if c.score >= s.items[i-1].score {
+			return
+		}
+		i--
+	} else {
+		s.n++
+	}
+	for ; i > 0 && s.items[i-1].score > c.score; i-- {
+		s.items[i] = s.items[i-1]
+	}
+	s.items[i] = c
+}
+
+// choose returns the index of a candidate. Its chance falls exponentially with
+// the distance to the best score, so that hosts with the same stale view spread
+// over replicas that are about equally good.
+func (s *shortlist) choose(random, scale float64) int {
+	var weights [shortlistSize]float64
+	total := 0.0
+	for i := range s.items[:s.n] {
+		weights[i] = math.Exp((s.items[0].score - s.items[i].score) / max(scale, 1e-6))
+		total += weights[i]
+	}
+	random *= total
+	for i := range s.n - 1 {
+		if random < weights[i] {
+			return i
+		}
+		random -= weights[i]
+	}
+	return s.n - 1
+}
+
+// alternatives returns the two nearest candidates that were not chosen.
+func (s *shortlist) alternatives(chosen int) []scheduling.Alternative {
+	if s.n < 2 {
+		return nil
+	}
+	out := make([]scheduling.Alternative, 0, 2)
+	for i := range s.items[:s.n] {
+		if i != chosen && len(out) < cap(out) {
+			out = append(out, scheduling.Alternative{Replica: s.items[i].replica.id, Score: s.items[i].score})
+		}
+	}
+	return out
+}
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -1,15 +1,19 @@
 // Package picker chooses replicas by filters, scorers and a random choice among
-// the best.
+// the best candidates. Replicas are indexed by upstream and zone, so that a
+// decision looks at the few replicas that can serve the request.
 package picker
 
 import (
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/health"
+	"heatherbarrow/internal/scheduling/quarantine"
 )
 
 // Options configure a Picker.
@@ -19,94 +23,248 @@
 	Seed             uint64 // seed of the random choice
 }
 
-// Picker implements scheduling.Picker.
+// Picker implements scheduling.Picker. Like the interface asks, the caller
+// serializes all calls.
 type Picker struct {
-	opts     Options
-	snapshot *bundle.Snapshot
-	states   map[scheduling.ReplicaID]scheduling.ReplicaState
-	running  map[scheduling.ReplicaID]int
+	opts       Options
+	random     *rand.Rand
+	snapshot   *bundle.Snapshot
+	pools      []*pool // by index of the upstream in the bundle
+	replicas   map[scheduling.ReplicaID]*Replica
+	quarantine *quarantine.Quarantine
+	affinity   *affinity
+	filters    []Filter
+	scorers    []Scorer
+	hosts      int // hosts in this zone
+	query      Query
+	candidate  Candidate
+	best       shortlist
 }
 
 // New returns a picker without a bundle.
 func New(opts Options) *Picker {
-	return &Picker{opts: opts, running: make(map[scheduling.ReplicaID]int)}
+	return &Picker{
+		opts:       opts,
+		random:     rand.New(rand.NewPCG(opts.Seed, 0x9e3779b97f4a7c15)),
+		replicas:   make(map[scheduling.ReplicaID]*Replica),
+		quarantine: quarantine.New(2, time.Hour),
+		affinity:   newAffinity(),
+		filters:    defaultFilters(),
+		scorers:    defaultScorers(),
+		hosts:      1,
+	}
 }
 
 // Update implements scheduling.Picker.
 func (p *Picker) Update(snapshot *bundle.Snapshot, view *scheduling.View) {
+	now := p.opts.Clock.Now()
 	if snapshot != nil {
 		p.snapshot = snapshot
+		p.rebuild()
+		limits := &snapshot.Bundle.Limits
+		p.quarantine.Configure(max(limits.PoisonCrashes, 1), limits.QuarantineTime.Std())
 	}
-	if view == nil {
-		return
-	}
-	p.states = make(map[scheduling.ReplicaID]scheduling.ReplicaState, len(view.Replicas))
-	for i := range view.Replicas {
-		p.states[view.Replicas[i].ID] = view.Replicas[i].State
+	if view != nil {
+		p.hosts = max(view.HostsInZone, 1)
+		p.quarantine.Update(view.Quarantine)
+		for i := range view.Replicas {
+			if r, ok := p.replicas[view.Replicas[i].ID]; ok {
+				r.report(&view.Replicas[i])
+			}
+		}
 	}
+	p.refresh(now)
 }
 
-// Pick implements scheduling.Picker.
-func (p *Picker) Pick(r *scheduling.Request) (scheduling.Choice, bool) {
-	var best scheduling.Choice
-	found := false
-	bestLoad := 0
-	p.each(r, func(id scheduling.ReplicaID, replica *bundle.Replica, slots int) {
-		load := p.running[id]
-		if load >= slots || found && load >= bestLoad {
-			return
+// rebuild indexes the replicas of a new bundle. Replicas that it keeps retain
+// their state; replicas that it drops are kept until their requests ended.
+func (p *Picker) rebuild() {
+	old := p.replicas
+	oldPools := make(map[string]*pool, len(p.pools))
+	for _, u := range p.pools {
+		oldPools[u.name] = u
+	}
+	p.replicas = make(map[scheduling.ReplicaID]*Replica, len(old))
+	p.pools = make([]*pool, len(p.snapshot.Bundle.Upstreams))
+	for i := range p.snapshot.Bundle.Upstreams {
+		u := newPool(p.snapshot.Bundle, &p.snapshot.Bundle.Upstreams[i], oldPools)
+		u.fill(&p.snapshot.Bundle.Upstreams[i], old, p.replicas, p.opts.AvailabilityZone)
+		p.pools[i] = u
+	}
+	for id, r := range old {
+		if _, kept := p.replicas[id]; kept {
+			continue
+		}
+		r.pool.health.Remove(r.health)
+		r.removed = true
+		if len(r.flights) > 0 {
+			p.replicas[id] = r
 		}
-		found = true
-		bestLoad = load
-		best = scheduling.Choice{Replica: id, Address: replica.Address}
-		best.Decision.CrossZone = replica.AvailabilityZone != p.opts.AvailabilityZone
-	})
-	if !found {
-		return best, false
 	}
-	best.Decision.Reason = "least_outstanding"
-	best.Decision.Score = float64(bestLoad)
-	p.running[best.Replica]++
-	return best, true
 }
 
-func (p *Picker) each(r *scheduling.Request, visit func(scheduling.ReplicaID, *bundle.Replica, int)) {
-	for _, index := range r.Upstreams {
-		u := &p.snapshot.Bundle.Upstreams[index]
-		for i := range u.Replicas {
-			id := scheduling.ReplicaID{Upstream: u.Name, Replica: u.Replicas[i].ID}
-			if p.states[id] == scheduling.ReplicaLive && !slices.Contains(r.Exclude, id) {
-				visit(id, &u.Replicas[i], u.Slots)
-			}
-		}
+// Tick implements scheduling.Picker.
+func (p *Picker) Tick() {
+	now := p.opts.Clock.Now()
+	for _, u := range p.pools {
+		u.health.Evaluate(now)
+	}
+	p.refresh(now)
+}
+
+func (p *Picker) refresh(now time.Time) {
+	for _, u := range p.pools {
+		u.refresh(now, p.hosts)
 	}
 }
 
 // Slots implements scheduling.Picker.
 func (p *Picker) Slots(r *scheduling.Request) (total, free int) {
-	p.each(r, func(id scheduling.ReplicaID, _ *bundle.Replica, slots int) {
-		total += slots
-		free += max(slots-p.running[id], 0)
-	})
-	return total, free
+	q := &p.query
+	if !p.prepare(q, r, p.opts.Clock.Now()) {
+		return 0, 0
+	}
+	for _, index := range r.Upstreams {
+		if index >= len(p.pools) {
+			continue
+		}
+		u := p.pools[index]
+		if model, ok := u.model(r.Model); ok {
+			total += u.counts[model].total
+			free += u.counts[model].free[q.level]
+		}
+	}
+	for _, id := range r.Exclude {
+		if e, ok := p.replicas[id]; ok && !e.removed && e.serving() {
+			total -= e.pool.slots
+			free -= e.free[q.level]
+		}
+	}
+	return max(total, 0), max(free, 0)
 }
 
 // Refusal implements scheduling.Picker.
-func (p *Picker) Refusal(*scheduling.Request) *scheduling.RefusedError { return nil }
+func (p *Picker) Refusal(r *scheduling.Request) *scheduling.RefusedError {
+	state, remaining := p.quarantine.State(r.Fingerprint, p.opts.Clock.Now())
+	if state != quarantine.Quarantined {
+		return nil
+	}
+	return &scheduling.RefusedError{Reason: scheduling.ReasonQuarantined, RetryAfter: remaining}
+}
 
 // FirstToken implements scheduling.Picker.
-func (p *Picker) FirstToken(scheduling.ReplicaID, *scheduling.Request, time.Duration) {}
+func (p *Picker) FirstToken(id scheduling.ReplicaID, r *scheduling.Request, latency time.Duration) {
+	if replica, ok := p.replicas[id]; ok {
+		replica.health.FirstToken(p.opts.Clock.Now(), r.ID, p.kind(r), latency)
+		replica.firsts.add(latency)
+	}
+}
 
 // Tokens implements scheduling.Picker.
-func (p *Picker) Tokens(scheduling.ReplicaID, int, time.Duration) {}
+func (p *Picker) Tokens(id scheduling.ReplicaID, n int, elapsed time.Duration) {
+	replica, ok := p.replicas[id]
+	if !ok || n <= 0 {
+		return
+	}
+	replica.health.Tokens(p.opts.Clock.Now(), n, elapsed)
+	replica.inters.add(elapsed / time.Duration(n))
+}
 
 // Finish implements scheduling.Picker.
-func (p *Picker) Finish(id scheduling.ReplicaID, _ *scheduling.Request, _ scheduling.Result) {
-	p.running[id]--
+func (p *Picker) Finish(id scheduling.ReplicaID, r *scheduling.Request, result scheduling.Result) {
+	replica, ok := p.replicas[id]
+	if !ok {
+		return
+	}
+	now := p.opts.Clock.Now()
+	completed := result.Outcome == outcome.Completed
+	if result.Crashed {
+		p.crashed(replica, now)
+	}
+	f, ok := replica.end(r.ID, now)
+	if !ok {
+		return
+	}
+	replica.count(completed)
+	replica.health.Finish(now, r.ID, completed)
+	p.settle(replica, f, result, now)
+	if removed := replica.removed && len(replica.flights) == 0; removed {
+		delete(p.replicas, id)
+	}
+	replica.recount(now)
 }
 
-// Tick implements scheduling.Picker.
-func (p *Picker) Tick() {}
+// settle takes what the end of a request says of its replica and fingerprint.
+func (p *Picker) settle(r *Replica, f flight, result scheduling.Result, now time.Time) {
+	unreachable := result.Outcome == outcome.NotRun && !result.Refused && !result.Canceled
+	if result.Crashed || result.TimedOut || unreachable {
+		r.health.Crash(now)
+	}
+	if f.suspect {
+		r.suspects--
+		p.quarantine.Ended(f.fingerprint, result.Outcome == outcome.Completed)
+	}
+	if result.Crashed {
+		p.quarantine.Crash(f.fingerprint, r.id, f.otherSuspects == 0, now)
+		p.markRunning(f.fingerprint, now)
+	}
+}
+
+// crashed notes on every request in flight on the replica how many suspects ran
+// beside it, before the first of them is taken off.
+func (p *Picker) crashed(r *Replica, now time.Time) {
+	if !r.crashedAt.IsZero() && now.Sub(r.crashedAt) < crashWindow {
+		return
+	}
+	r.crashedAt = now
+	r.affinityEpoch++ // a crash empties the engine's cache
+	r.cacheSequence = 0
+	for i := range r.flights {
+		f := &r.flights[i]
+		f.otherSuspects = r.suspects
+		if f.suspect {
+			f.otherSuspects--
+		}
+	}
+}
+
+// markRunning counts requests that were sent before their fingerprint became a suspect.
+func (p *Picker) markRunning(fingerprint uint64, now time.Time) {
+	if fingerprint == 0 {
+		return
+	}
+	for _, r := range p.replicas {
+		for i := range r.flights {
+			f := &r.flights[i]
+			if f.fingerprint == fingerprint && !f.suspect {
+				f.suspect = true
+				r.suspects++
+				p.quarantine.Started(fingerprint, now)
+			}
+		}
+	}
+}
+
+// crashWindow is the time in which the broken connections of one crash arrive.
+const crashWindow = time.Second
+
+func (p *Picker) kind(r *scheduling.Request) health.Kind {
+	tier := bundle.MaxTier
+	if p.snapshot != nil && r.Class < len(p.snapshot.Bundle.Classes) {
+		tier = p.snapshot.Bundle.Classes[r.Class].Tier
+	}
+	return health.Kind{Tier: tier, PromptTokens: r.PromptTokens}
+}
 
 // Measurements implements scheduling.Picker.
-func (p *Picker) Measurements() []scheduling.ReplicaMeasurement { return nil }
+func (p *Picker) Measurements() []scheduling.ReplicaMeasurement {
+	var out []scheduling.ReplicaMeasurement
+	for _, u := range p.pools {
+		for _, r := range u.replicas {
+			if m, ok := r.measurement(); ok {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/scheduling/picker/picker_test.go
@@ -0,0 +1,178 @@
+package picker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/settings"
+)
+
+type fixture struct {
+	*Picker
+	clock  *clockwork.FakeClock
+	bundle *bundle.Bundle
+	next   int
+}
+
+// newFixture has one upstream whose replicas r0, r1, ... are spread over zones a and b.
+func newFixture(t *testing.T, replicas, slots int) *fixture {
+	t.Helper()
+	u := bundle.Upstream{Name: "u", Kind: bundle.KindEngine, Classes: []string{"top", "low"}, Models: []string{"m"}, Slots: slots}
+	for i := range replicas {
+		u.Replicas = append(u.Replicas, bundle.Replica{
+			ID: fmt.Sprintf("r%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), AvailabilityZone: []string{"a", "b"}[i%2],
+		})
+	}
+	target := settings.Duration(500 * time.Millisecond)
+	b := &bundle.Bundle{
+		Classes: []bundle.Class{
+			{Name: "top", Tier: 1, FirstTokenTarget: target},
+			{Name: "low", Tier: 3, FirstTokenTarget: target},
+		},
+		Upstreams: []bundle.Upstream{u},
+		Limits:    bundle.Limits{PoisonCrashes: 2, QuarantineTime: settings.Duration(time.Hour)},
+	}
+	clock := clockwork.NewFakeClock()
+	p := New(Options{AvailabilityZone: "a", Clock: clock, Seed: 1})
+	p.Update(bundle.Compile(b, 1, ""), nil)
+	return &fixture{Picker: p, clock: clock, bundle: b}
+}
+
+func (f *fixture) request(class int, fingerprint uint64) *scheduling.Request {
+	f.next++
+	return &scheduling.Request{
+		ID: fmt.Sprintf("q%d", f.next), Class: class, Upstreams: []int{0}, Model: "m",
+		Fingerprint: fingerprint, PromptTokens: 100, Arrived: f.clock.Now(),
+	}
+}
+
+func id(i int) scheduling.ReplicaID {
+	return scheduling.ReplicaID{Upstream: "u", Replica: fmt.Sprintf("r%d", i)}
+}
+
+// Guards against new work on replicas that leave, are full or are excluded.
+func TestPickFilters(t *testing.T) {
+	f := newFixture(t, 4, 2)
+	now := f.clock.Now()
+	f.Update(nil, &scheduling.View{HostsInZone: 2, Replicas: []scheduling.ReplicaLoad{
+		{ID: id(0), State: scheduling.ReplicaLeaving},
+		{ID: id(1), HasReport: true, Running: 2, ReportedAt: now},
+		{ID: id(2), HasReport: true, ReportedAt: now, Models: []string{"other"}},
+		{ID: id(3), HasReport: true, ReportedAt: now},
+	}})
+	r := f.request(0, 1)
+	choice, ok := f.Pick(r)
+	require.True(t, ok)
+	require.Equal(t, id(3), choice.Replica)
+	require.True(t, choice.Decision.CrossZone)
+	require.Equal(t, reasonZoneFull, choice.Decision.Reason)
+	again := f.request(0, 2)
+	again.Exclude = []scheduling.ReplicaID{id(3)}
+	_, ok = f.Pick(again)
+	require.False(t, ok)
+}
+
+// Guards against slots that are counted twice or never given back.
+func TestSlotsFollowPicksAndFinishes(t *testing.T) {
+	f := newFixture(t, 4, 8)
+	r := f.request(0, 1)
+	total, free := f.Slots(r)
+	require.Equal(t, 32, total)
+	require.Equal(t, 32, free)
+	choice, ok := f.Pick(r)
+	require.True(t, ok)
+	_, free = f.Slots(r)
+	require.Equal(t, 31, free)
+	f.Finish(choice.Replica, r, scheduling.Result{Outcome: outcome.Completed})
+	f.Finish(choice.Replica, r, scheduling.Result{Outcome: outcome.Completed})
+	_, free = f.Slots(r)
+	require.Equal(t, 32, free)
+	_, free = f.Slots(f.request(1, 1))
+	require.Equal(t, 28, free, "lower tiers leave the reserve")
+}
+
+// Guards against a cached prefix that draws requests to a replica that is too
+// slow for the class, and against entries that outlive a gap in the events.
+func TestAffinityYieldsToTargetAndGaps(t *testing.T) {
+	f := newFixture(t, 6, 16)
+	r := f.request(0, 1)
+	r.PrefixHashes = []uint64{11}
+	require.True(t, f.CacheEvents(id(2), []CacheEvent{{Sequence: 1, Prefix: 11}}))
+	choice, ok := f.Pick(r)
+	require.True(t, ok)
+	require.Equal(t, id(2), choice.Replica)
+	require.Equal(t, reasonAffinity, choice.Decision.Reason)
+	f.replicas[id(2)].slow = 9
+	choice, ok = f.Pick(f.with(r))
+	require.True(t, ok)
+	require.NotEqual(t, id(2), choice.Replica)
+	f.replicas[id(2)].slow = 1
+	require.False(t, f.CacheEvents(id(2), []CacheEvent{{Sequence: 5, Prefix: 12}}))
+	_, found := f.affinity.holders(12)
+	require.True(t, found)
+	holders, _ := f.affinity.holders(11)
+	require.NotContains(t, holders[:], f.replicas[id(2)])
+}
+
+func (f *fixture) with(r *scheduling.Request) *scheduling.Request {
+	next := *r
+	f.next++
+	next.ID = fmt.Sprintf("q%d", f.next)
+	return &next
+}
+
+// Guards against hosts with the same stale view that all pick the same replica.
+func TestHostsWithTheSameViewSpread(t *testing.T) {
+	counts := make(map[scheduling.ReplicaID]int)
+	for seed := range uint64(40) {
+		f := newFixture(t, 24, 16)
+		f.Picker = New(Options{AvailabilityZone: "a", Clock: f.clock, Seed: seed})
+		view := &scheduling.View{HostsInZone: 40}
+		for i := range 24 {
+			view.Replicas = append(view.Replicas, scheduling.ReplicaLoad{
+				ID: id(i), HasReport: true, Running: 4 + i%3, ReportedAt: f.clock.Now(),
+			})
+		}
+		f.Update(bundle.Compile(f.bundle, 1, ""), view)
+		choice, ok := f.Pick(f.request(0, 1))
+		require.True(t, ok)
+		counts[choice.Replica]++
+	}
+	for replica, n := range counts {
+		require.LessOrEqual(t, n, 20, replica)
+	}
+}
+
+// Guards against a poison request that runs twice at once, a suspect placed
+// beside top-tier work, and innocent requests refused for running beside one.
+func TestSuspectsRunApart(t *testing.T) {
+	f := newFixture(t, 4, 4)
+	poison := f.request(1, 66)
+	at, ok := f.Pick(poison)
+	require.True(t, ok)
+	f.Finish(at.Replica, poison, scheduling.Result{Crashed: true})
+	busy := f.request(0, 5)
+	busyAt, ok := f.Pick(busy)
+	require.True(t, ok)
+	second := f.request(1, 66)
+	secondAt, ok := f.Pick(second)
+	require.True(t, ok)
+	require.NotEqual(t, busyAt.Replica, secondAt.Replica)
+	_, ok = f.Pick(f.request(1, 66))
+	require.False(t, ok, "a second suspect with the same fingerprint")
+	beside := f.request(1, 7)
+	f.replicas[secondAt.Replica].start(flight{id: beside.ID, fingerprint: 7, started: f.clock.Now()})
+	f.Finish(secondAt.Replica, second, scheduling.Result{Crashed: true})
+	f.Finish(secondAt.Replica, beside, scheduling.Result{Crashed: true})
+	refusal := f.Refusal(f.request(1, 66))
+	require.NotNil(t, refusal)
+	require.Equal(t, scheduling.ReasonQuarantined, refusal.Reason)
+	require.Nil(t, f.Refusal(f.request(1, 7)))
+}
