--- a/internal/faults/full_test.go
+++ b/internal/faults/full_test.go
@@ -70,3 +70,20 @@
 	defer r.mu.Unlock()
 	r.lines = append(r.lines, fmt.Sprintf("fault=%s step=%s cannot occur: %s", faultName, stepName, reason))
 }
+
+// rolloutSteps are the steps of a bundle. The first three are calls of an
+// operator; the others follow the move of the current object after the given time.
+var rolloutSteps = []struct {
+	name  string
+	after time.Duration
+}{
+	{name: "propose"}, {name: "approve"}, {name: "move-current"},
+	{name: "watch"}, {name: "spread", after: 5 * time.Millisecond},
+	{name: "apply", after: 50 * time.Millisecond}, {name: "report", after: 200 * time.Millisecond},
+}
+
+// rolloutFaults are the faults that a rollout can meet.
+var rolloutFaults = []string{
+	"none", "control-killed", "control-paused", "router-killed", "router-paused", "platform-down", "platform-slow",
+	"platform-write-lost", "zone-cut-zones", "zone-cut-platform", "zone-cut-both", "host-list-stale",
+}
--- a/internal/faults/rollout_test.go
+++ b/internal/faults/rollout_test.go
@@ -15,23 +15,6 @@
 
 const operatorRetry = 200 * time.Millisecond
 
-// rolloutSteps are the steps of a bundle. The first three are calls of an
-// operator; the others follow the move of the current object after the given time.
-var rolloutSteps = []struct {
-	name  string
-	after time.Duration
-}{
-	{name: "propose"}, {name: "approve"}, {name: "move-current"},
-	{name: "watch"}, {name: "spread", after: 5 * time.Millisecond},
-	{name: "apply", after: 50 * time.Millisecond}, {name: "report", after: 200 * time.Millisecond},
-}
-
-// rolloutFaults are the faults that a rollout can meet.
-var rolloutFaults = []string{
-	"none", "control-killed", "control-paused", "router-killed", "router-paused", "platform-down", "platform-slow",
-	"platform-write-lost", "zone-cut-zones", "zone-cut-platform", "zone-cut-both", "host-list-stale",
-}
-
 // operatorCalls returns the calls that bring a bundle in force. Each may be
 // repeated, as an operator does after an error.
 func (c *cluster) operatorCalls(content []byte, hash string) map[string]func(ctx context.Context) error {
