Let a quiet class continue all streams of one crashed replica

Cause: with few requests in the window the retry budget allowed one retry, so after one broken connection 4 of 12 streams ended as unknown although other replicas could resume them. Found by new cells that break an engine's frames; ruled out: resume and quarantine, which both worked for the one retry allowed. Change: at least 10 retries in 10 s for each class with a budget. The budget's tests use larger counts for the same checks.

--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -6,6 +6,9 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,6 +76,7 @@
 		t: t, dir: t.TempDir(), keys: make(map[string]ed25519.PrivateKey),
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
+	t.Cleanup(c.keepLogs)
 	proxies := newProxyServer()
 	newStandIn := func(name string, s standin.Settings) *standIn {
 		s.Listen = freeAddresses(t, 1)[0]
@@ -100,6 +104,19 @@
 	return c
 }
 
+// keepLogs copies the logs of a failed cell into the directory named by the
+// environment variable HEATHERBARROW_FAULTS_LOGS.
+func (c *cluster) keepLogs() {
+	root := os.Getenv("HEATHERBARROW_FAULTS_LOGS")
+	if !c.t.Failed() || root == "" {
+		return
+	}
+	target := filepath.Join(root, strings.ReplaceAll(c.t.Name(), "/", "_"))
+	if err := os.CopyFS(target, os.DirFS(c.dir)); err != nil {
+		c.t.Logf("keep logs: %v", err)
+	}
+}
+
 func (c *cluster) operatorKeys() map[string]string {
 	out := make(map[string]string)
 	for name, key := range c.keys {
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -213,6 +213,16 @@
 			t.Parallel()
 			r.add(t, "operators-race", "move-current", runRaceCell(t))
 		})
+		r.runSpecial(t)
 	})
 	r.print(t)
 }
+
+func (r *results) runSpecial(t *testing.T) {
+	for _, cell := range specialCells {
+		t.Run(cell.fault+"/"+cell.step, func(t *testing.T) {
+			t.Parallel()
+			r.add(t, cell.fault, cell.step, cell.run(t))
+		})
+	}
+}
--- a/internal/scheduling/retry/retry.go
+++ b/internal/scheduling/retry/retry.go
@@ -13,8 +13,10 @@
 
 	slices      = 10
 	sliceLength = Window / slices
-	// minRetries lets a class with little traffic retry at all.
-	minRetries = 1
+	// minRetries lets a class with little traffic continue all the streams that
+	// one crashed replica ran for this host. With fewer, accepted answers end
+	// incomplete after a single crash.
+	minRetries = 10
 )
 
 // Budget counts the attempts of one class in a sliding window. It is not safe
--- a/internal/scheduling/retry/retry_test.go
+++ b/internal/scheduling/retry/retry_test.go
@@ -13,10 +13,10 @@
 func TestShareOfTraffic(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	b := New(clock, 0.1)
-	for range 50 {
+	for range 200 {
 		b.First()
 	}
-	for range 5 {
+	for range 20 {
 		_, ok := b.Allow()
 		require.True(t, ok)
 	}
@@ -36,8 +36,10 @@
 	_, ok := New(clock, 0).Allow()
 	require.False(t, ok)
 	quiet := New(clock, 0.1)
-	_, ok = quiet.Allow()
-	require.True(t, ok)
+	for range minRetries {
+		_, ok = quiet.Allow()
+		require.True(t, ok)
+	}
 	_, ok = quiet.Allow()
 	require.False(t, ok)
 	clock.Advance(time.Hour)
