Lose service answers after their effects; stream longer than the shutdown grace

Cause: two mutations passed the matrix: broken calls reported as not-run, and a drain that does not wait. The service decided about a lost answer before its effect was visible, and streams ended within the 5 s grace of closing. Change: the stand-in decides when it answers; mid-stream answers last 7 s.

--- a/internal/faults/steps_test.go
+++ b/internal/faults/steps_test.go
@@ -130,9 +130,11 @@
 	return func() { freezeEngines(c, false) }
 }
 
-// enterMidStream waits until all streams have their first frames.
+// enterMidStream waits until all streams have their first frames. The streams
+// last longer than the router's grace for closing connections, so that only a
+// drain keeps a stopping router from cutting them off.
 func enterMidStream(ctx context.Context, c *cluster, a *caller) func() {
-	sendChats(ctx, c, a, stepRequests, "quote", "[length=100] mid")
+	sendChats(ctx, c, a, stepRequests, "quote", "[length=350] mid")
 	waitForFrames(a, stepRequests)
 	return nothing
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -82,18 +82,26 @@
 	}
 	key := r.Header.Get("Idempotency-Key")
 	s.effects[key]++
-	lose := s.faults.LoseAnswers > 0
-	if lose {
-		s.faults.LoseAnswers--
-	}
 	s.mu.Unlock()
-	if lose {
+	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
+	if s.losesAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
 	writeJSON(w, map[string]any{"path": r.URL.Path, "key": key, "bytes": len(body)})
 }
 
+// losesAnswer is asked after the delay, so that an answer can be lost after its
+// effect was seen.
+func (s *Server) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return false
+	}
+	s.faults.LoseAnswers--
+	return true
+}
+
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
