--- a/internal/faults/steps_test.go
+++ b/internal/faults/steps_test.go
@@ -131,8 +131,8 @@
 }
 
 // enterMidStream waits until all streams have their first frames. The streams
-// last longer than the router's grace for closing connections, so that only a
-// drain keeps a stopping router from cutting them off.
+// last several seconds, so that a stop that does not wait for them would cut them
+// off.
 func enterMidStream(ctx context.Context, c *cluster, a *caller) func() {
 	sendChats(ctx, c, a, stepRequests, "quote", "[length=350] mid")
 	waitForFrames(a, stepRequests)
