--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -362,3 +362,35 @@
 		}
 	}
 }
+
+// BenchmarkFairness compares the teams of one class at 1.5 times the capacity, of
+// which the first team sends 90%.
+func BenchmarkFairness(b *testing.B) {
+	quote := meanService(quoteTokens, quoteSigma)
+	for _, fair := range []bool{false, true} {
+		b.Run(fmt.Sprintf("fairness=%t", fair), func(b *testing.B) {
+			for range b.N {
+				tune := defaultTuning
+				tune.fairness = fair
+				s := newSim(b, tune, testBundle(1, 12, 4, 2), 1)
+				flood := quotes(constant(1.5 * 48 / quote))
+				flood.teams = []float64{0.9, 0.1}
+				s.run([]load{flood}, 2*time.Minute)
+				s.report(b, 2*time.Minute)
+				s.reportTeams(b)
+			}
+		})
+	}
+}
+
+func (s *sim) reportTeams(b *testing.B) {
+	var total, good [2]float64
+	for _, r := range s.all {
+		total[r.request.Team]++
+		if s.attained(r) {
+			good[r.request.Team]++
+		}
+	}
+	b.ReportMetric(good[0]/total[0], "large-team-attainment")
+	b.ReportMetric(good[1]/total[1], "small-team-attainment")
+}
