Follow the picker's free slots of the top tier and of lower tiers

The picker keeps slots of each replica for the top tier, so that the free slots depend on the tier. The scheduler asked with the class that came first and took the answer for all: the top tier could wait beside slots kept for it, and lower tiers were moved to the restricted lane. It now keeps both counts.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -109,7 +109,7 @@
 
 // BenchmarkDecisionFreeWithPicker is the same with the default picker.
 func BenchmarkDecisionFreeWithPicker(b *testing.B) {
-	benchmarkIdle(b, picker.New(picker.Options{AvailabilityZone: "ate"}))
+	benchmarkIdle(b, picker.New(picker.Options{AvailabilityZone: "ate", Clock: clockwork.NewFakeClock()}))
 }
 
 // BenchmarkDecisionQueued measures a request that is queued and, with all slots
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -74,11 +74,11 @@
 func (s *Scheduler) next(pools []*pool, now time.Time) candidate {
 	var best candidate
 	for _, p := range pools {
-		if p.waiting == 0 || p.free() <= 0 || p.blocked == s.pass {
+		if p.waiting == 0 {
 			continue
 		}
 		for _, l := range p.lanes {
-			if l == nil || l.len() == 0 || l.blocked == s.pass {
+			if l == nil || l.len() == 0 || l.blocked == s.pass || p.blocked[l.level()] == s.pass {
 				continue
 			}
 			s.demote(l, now)
@@ -91,7 +91,7 @@
 }
 
 func (s *Scheduler) candidate(l *lane, now time.Time) (candidate, bool) {
-	if l.len() == 0 {
+	if l.len() == 0 || l.pool.free(levelTop) <= 0 {
 		return candidate{}, false
 	}
 	t := l.head()
@@ -124,7 +124,9 @@
 	switch {
 	case running < l.class.guaranteed(slots):
 		return phaseShare
-	case l.class.Tier > bundle.TopTier && p.free() <= p.headroom:
+	case p.free(l.level()) <= 0:
+		return phaseNone
+	case l.class.Tier > bundle.TopTier && p.free(levelTop) <= p.headroom:
 		return phaseNone
 	default:
 		return phaseTier
@@ -189,6 +191,7 @@
 	if c.phase == phaseAged {
 		t = l.oldest()
 	}
+	t.request.UseReserve = c.phase < phaseTier
 	choice, ok := s.picker.Pick(&t.request)
 	if !ok {
 		s.passOver(l, t)
@@ -214,8 +217,8 @@
 		return
 	}
 	s.refresh(l.pool)
-	if l.pool.free() <= 0 {
-		l.pool.blocked = s.pass
+	if l.pool.free(l.level()) <= 0 {
+		l.pool.blocked[l.level()] = s.pass
 		return
 	}
 	s.leave(t)
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -23,7 +23,7 @@
 	running     map[scheduling.ReplicaID]int
 	down        map[scheduling.ReplicaID]bool
 	quarantined map[uint64]bool
-	picks       int
+	reserve     int // slots of each replica that lower tiers leave free
 }
 
 func newFakePicker(failf func(string, ...any)) *fakePicker {
@@ -47,14 +47,20 @@
 		for j := range u.Replicas {
 			id := scheduling.ReplicaID{Upstream: u.Name, Replica: u.Replicas[j].ID}
 			if !p.down[id] && !slices.Contains(r.Exclude, id) {
-				visit(id, u.Slots)
+				visit(id, u.Slots-p.kept(r))
 			}
 		}
 	}
 }
 
+func (p *fakePicker) kept(r *scheduling.Request) int {
+	if p.snapshot.Bundle.Classes[r.Class].Tier == bundle.TopTier || r.UseReserve {
+		return 0
+	}
+	return p.reserve
+}
+
 func (p *fakePicker) Pick(r *scheduling.Request) (scheduling.Choice, bool) {
-	p.picks++
 	var choice scheduling.Choice
 	found := false
 	p.each(r, func(id scheduling.ReplicaID, slots int) {
--- a/internal/scheduler/rates.go
+++ b/internal/scheduler/rates.go
@@ -63,7 +63,7 @@
 		index = tier
 	}
 	finished, seconds, count := 0.0, 0.0, 0
-	slots := max(p.free(), 0)
+	slots := max(p.free(levelOf(tier)), 0)
 	for _, u := range p.upstreams {
 		mean := &u.service[index]
 		finished += u.finished.perSecond
@@ -117,7 +117,7 @@
 }
 
 func (p *pool) timeToServe(ahead int, c *class) time.Duration {
-	ahead -= max(p.free(), 0)
+	ahead -= max(p.free(levelOf(c.Tier)), 0)
 	rate := p.available(c)
 	if ahead < 0 || rate == 0 {
 		return 0
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -72,6 +72,33 @@
 	require.NotNil(t, grantOf(draft))
 }
 
+// Guards against a picker that keeps slots for the top tier hiding them from it,
+// or starving a class that runs less than its share.
+func TestReservedSlots(t *testing.T) {
+	f := newFixture(t, testBundle(1, 2, 4, 1))
+	f.picker.reserve = 1
+	order := f.enqueue(f.request(classOrder, 0))
+	require.NotNil(t, grantOf(order))
+	var quotes []*Assignment
+	for range 5 {
+		require.NotNil(t, grantOf(f.enqueue(f.request(classOrder, 0))))
+	}
+	waiting := f.enqueue(f.request(classOrder, 0))
+	require.Nil(t, grantOf(waiting))
+	for range 2 {
+		quotes = append(quotes, grantOf(f.enqueue(f.request(classQuote, 0))))
+		require.NotNil(t, quotes[len(quotes)-1])
+	}
+	draft := f.enqueue(f.request(classDraft, 0))
+	require.Nil(t, grantOf(draft))
+	quotes[0].Finish(done(1))
+	require.NotNil(t, grantOf(draft), "the draft class runs nothing and has a share of one slot")
+	quotes[1].Finish(done(1))
+	require.Nil(t, grantOf(waiting))
+	require.NotNil(t, grantOf(f.enqueue(f.request(classQuote, 0))))
+	require.False(t, waiting.lane.restricted)
+}
+
 // Guards against one pool without free slots holding up another.
 func TestFullPoolDoesNotBlockOthers(t *testing.T) {
 	f := newFixture(t, testBundle(2, 1, 1, 1))
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -118,20 +118,37 @@
 	return poolKey{model: r.Model, upstreams: hash, count: len(r.Upstreams)}
 }
 
+// level tells which slots a tier may use: the picker keeps some for the top tier.
+type level int
+
+const (
+	levelTop level = iota
+	levelLower
+	levels
+)
+
+func levelOf(tier int) level {
+	if tier == bundle.TopTier {
+		return levelTop
+	}
+	return levelLower
+}
+
 // pool holds the waiting requests that may run on the same replicas.
 type pool struct {
 	self      [1]*pool // the pool alone, as an argument of dispatch
 	upstreams []*upstream
-	probe     scheduling.Request
+	model     string
+	probes    [levels]scheduling.Request
 	lanes     []*lane
 	waiting   int
 	tiers     [bundle.MaxTier + 1]struct{ fresh, late int } // waiting requests
 	total     int                                           // slots of the replicas that can be reached
-	counted   int                                           // free slots at the last refresh, less this pool's grants and what the upstreams count as freed
+	counted   [levels]int                                   // free slots at the last refresh, less this pool's grants and what the upstreams count as freed
 	topWindow time.Duration                                 // in which a top-tier arrival must find a slot; 0 without a top tier
 	headroom  int                                           // free slots kept for the top tier
 	emptyFrom time.Time                                     // since when no replica can be reached; zero when one can
-	blocked   uint64                                        // dispatch pass in which no slot was left
+	blocked   [levels]uint64                                // dispatch pass in which no slot was left
 	sinceAged int                                           // grants since the last one by age
 	limiter   *rate.Limiter                                 // of preemptions
 }
@@ -148,8 +165,8 @@
 		}
 		p.lanes[i] = &lane{
 			pool: p, class: c, restricted: restricted,
-			series: s.estimator.Series(c.Class, p.probe.Model),
-			demand: s.demandOf(c, p.probe.Model),
+			series: s.estimator.Series(c.Class, p.model),
+			demand: s.demandOf(c, p.model),
 		}
 	}
 	return p.lanes[i]
@@ -176,11 +193,12 @@
 		return p
 	}
 	p := &pool{
-		probe:   scheduling.Request{Class: r.Class, Team: r.Team, Model: r.Model, Upstreams: r.Upstreams},
+		model:   r.Model,
 		lanes:   make([]*lane, 2*len(s.classes)),
 		limiter: rate.NewLimiter(minPreemptionRate, minPreemptionRate),
 	}
 	p.self[0] = p
+	p.probes = s.probes(r)
 	for _, i := range r.Upstreams {
 		u := s.upstreams[i]
 		p.upstreams = append(p.upstreams, u)
@@ -192,11 +210,27 @@
 	return p
 }
 
+// probes returns requests with which the picker is asked for the slots of each
+// level. A bundle without classes on one of the levels has the same for both.
+func (s *Scheduler) probes(r *scheduling.Request) [levels]scheduling.Request {
+	probe := scheduling.Request{Class: r.Class, Team: r.Team, Model: r.Model, Upstreams: r.Upstreams}
+	out := [levels]scheduling.Request{probe, probe}
+	for _, c := range s.classes {
+		out[levelOf(c.Tier)].Class = c.index
+	}
+	return out
+}
+
 // refresh reads the pool's slots from the picker.
 func (s *Scheduler) refresh(p *pool) {
-	p.total, p.counted = s.picker.Slots(&p.probe)
+	freed := 0
 	for _, u := range p.upstreams {
-		p.counted -= u.freed
+		freed += u.freed
+	}
+	for level := range p.counted {
+		total, free := s.picker.Slots(&p.probes[level])
+		p.counted[level] = free - freed
+		p.total = total
 	}
 	switch {
 	case p.total > 0:
@@ -209,8 +243,8 @@
 // free returns the pool's free slots as far as known. Between two refreshes it may
 // be too high, when the freed slots are of replicas that the pool cannot use or
 // another pool took some; a pick that fails then corrects it.
-func (p *pool) free() int {
-	free := p.counted
+func (p *pool) free(l level) int {
+	free := p.counted[l]
 	for _, u := range p.upstreams {
 		free += u.freed
 	}
@@ -224,7 +258,9 @@
 		u.freed--
 		return
 	}
-	p.counted--
+	for l := range p.counted {
+		p.counted[l]--
+	}
 }
 
 func (s *Scheduler) refreshPools() {
@@ -240,7 +276,7 @@
 // running returns the number of requests of the class that run on the pool's
 // upstreams, and the slots that this host holds or could take there.
 func (p *pool) running(c *class) (running, slots int) {
-	slots = max(p.free(), 0)
+	slots = max(p.free(levelTop), 0)
 	for _, u := range p.upstreams {
 		running += u.running[c.slot]
 		slots += u.total
@@ -274,4 +310,6 @@
 	demand     *scheduling.ClassDemand
 }
 
+func (l *lane) level() level { return levelOf(l.class.Tier) }
+
 func (l *lane) len() int { return l.fresh.Len() + l.late.Len() }
--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -74,7 +74,7 @@
 	q.now = now
 	q.class = &p.snapshot.Bundle.Classes[r.Class]
 	q.level = levelLower
-	if q.class.Tier == bundle.TopTier {
+	if q.class.Tier == bundle.TopTier || r.UseReserve {
 		q.level = levelTop
 	}
 	q.matched = 0
@@ -220,7 +220,7 @@
 	r := c.replica
 	f := flight{
 		id: q.request.ID, fingerprint: q.request.Fingerprint, started: q.now,
-		top: q.level == levelTop, suspect: q.state != quarantine.Clear,
+		top: q.class.Tier == bundle.TopTier, suspect: q.state != quarantine.Clear,
 	}
 	r.start(f)
 	r.health.Start(q.now, f.id, p.kind(q.request))
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -50,6 +50,10 @@
 	// EarlierNotRun tells that the attempt before this one was refused before it
 	// ran, so that this one does not count against the retry budget.
 	EarlierNotRun bool
+	// UseReserve tells the picker that the request may take a slot that it keeps
+	// free for the top tier. The scheduler sets it when a lower class runs less
+	// than its guaranteed share or has waited too long.
+	UseReserve bool
 }
 
 // Returning tells whether the request was admitted before, as a retry or after a
