Spread the choice by the load that reports cannot show yet

Change: the load that the other hosts may have sent since their reports is poured over the candidates like water; a candidate's chance is the share it takes. Volume is this host's rate times the other hosts times the report's age.

--- a/internal/bench/policy/attempt.go
+++ b/internal/bench/policy/attempt.go
@@ -43,6 +43,8 @@
 	if a.e.zone != h.zone {
 		a.latency = crossLatency
 	}
+	j.assigned = w.loop.now()
+	j.replica = id
 	if !resume {
 		j.delivered = 0
 	}
--- a/internal/bench/policy/fleet.go
+++ b/internal/bench/policy/fleet.go
@@ -165,6 +165,11 @@
 	j.completed = completed
 	j.refused = refused
 	w.open--
+	if !j.met() {
+		w.trace("%v missed job=%s class=%s host=%d completed=%t refused=%t attempts=%d assigned=%v first=%v answer=%v tokens=%d of %d on %v",
+			w.loop.now().Sub(epoch), j.id, j.name.Name, j.host, completed, refused, j.attempt+1,
+			j.assigned.Sub(j.arrived), j.first.Sub(j.arrived), j.last.Sub(j.first), j.delivered, j.output, j.replica)
+	}
 }
 
 // reportCrash tells the other hosts of the zone which fingerprint was in flight.
--- a/internal/bench/policy/job.go
+++ b/internal/bench/policy/job.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/scheduling"
 )
 
 // mix describes the requests of a class.
@@ -138,6 +139,8 @@
 	name      *bundle.Class
 	arrived   time.Time
 	deadline  time.Time
+	assigned  time.Time // of the last attempt
+	replica   scheduling.ReplicaID
 	first     time.Time
 	last      time.Time
 	delivered int
--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -1,7 +1,6 @@
 package picker
 
 import (
-	"math"
 	"time"
 
 	"heatherbarrow/internal/bundle"
@@ -10,13 +9,9 @@
 )
 
 const (
-	// shortlistSize is the number of best candidates between which the choice is random.
-	shortlistSize = 6
-	// spread is the score difference, as a share of the usual first-token time,
-	// over which a candidate's chance falls by a factor of e.
-	spread = 0.1
-	// maxRemote bounds the replicas of other zones that one decision looks at.
-	maxRemote = 96
+	// maxVisited bounds the replicas that one decision looks at, first in the
+	// zone and then in the other zones.
+	maxVisited = 64
 	// targetMargin scales the expected time before it is compared with the
 	// target, because the target holds for nearly all requests, not for the mean.
 	targetMargin = 2.0
@@ -46,6 +41,7 @@
 	base        float64 // usual first-token time of such a request, seconds
 	budget      float64 // expected time up to which the target is met, seconds
 	interTarget float64 // seconds; 0 when there is none
+	unknown     float64 // load that other hosts may have added since their reports, as a score
 	state       quarantine.State
 	relaxed     bool // a suspect may run beside suspects and top-tier work
 	matches     [maxMatches]match
@@ -102,7 +98,7 @@
 	if p.best.n == 0 {
 		return scheduling.Choice{}, false
 	}
-	chosen := p.best.choose(p.random.Float64(), spread*q.base)
+	chosen := p.best.choose(p.random.Float64(), q.unknown)
 	return p.take(q, chosen, reason), true
 }
 
@@ -111,7 +107,7 @@
 func (p *Picker) search(q *Query) string {
 	p.best.n = 0
 	p.scan(q, true)
-	if p.best.n > 0 && p.best.items[0].expected <= q.budget && p.interMet(q) {
+	if p.best.n > 0 && p.meets(q) {
 		return reasonInZone
 	}
 	reason := reasonZoneSlow
@@ -122,8 +118,10 @@
 	return reason
 }
 
-func (p *Picker) interMet(q *Query) bool {
-	return q.interTarget == 0 || p.best.items[0].replica.inter <= q.interTarget
+// meets tells whether the zone's best candidate is expected to meet the target.
+func (p *Picker) meets(q *Query) bool {
+	best := p.best.best()
+	return best.expected <= q.budget && (q.interTarget == 0 || best.replica.inter <= q.interTarget)
 }
 
 func (p *Picker) scan(q *Query, local bool) {
@@ -139,12 +137,10 @@
 		q.model = model
 		p.expect(q, u)
 		if local {
-			p.visit(q, u.local, 0, len(u.local))
+			p.visit(q, u.local)
 			continue
 		}
-		if n := len(u.remote); n > 0 {
-			p.visit(q, u.remote, p.random.IntN(n), min(n, maxRemote))
-		}
+		p.visit(q, u.remote)
 	}
 }
 
@@ -163,13 +159,21 @@
 	// zone while that is as fast as usual.
 	left := max(target-q.now.Sub(q.request.Arrived), target/2)
 	q.budget = left.Seconds() / targetMargin
+	q.unknown = max(u.unknown, 1) * q.base / float64(u.slots)
 }
 
-func (p *Picker) visit(q *Query, replicas []*Replica, from, n int) {
-	for i := range n {
-		r := replicas[(from+i)%len(replicas)]
+// visit scores the replicas that may take the request. Where there are more
+// than maxVisited it starts at a random one.
+func (p *Picker) visit(q *Query, replicas []*Replica) {
+	n := len(replicas)
+	from := 0
+	if n > maxVisited {
+		from = p.random.IntN(n)
+	}
+	for i := range min(n, maxVisited) {
+		r := replicas[(from+i)%n]
 		if p.admit(q, r) {
-			p.best.insert(p.score(q, r))
+			p.best.add(p.score(q, r))
 		}
 	}
 }
@@ -223,6 +227,7 @@
 		top: q.level == levelTop, suspect: q.state != quarantine.Clear,
 	}
 	r.start(f)
+	r.pool.recent++
 	r.health.Start(q.now, f.id, p.kind(q.request))
 	if f.suspect {
 		p.quarantine.Started(f.fingerprint, q.now)
@@ -238,59 +243,3 @@
 		Score: c.score, Alternatives: p.best.alternatives(chosen), Reason: reason, CrossZone: !r.local,
 	}}
 }
-
-// shortlist holds the best candidates in order of score.
-type shortlist struct {
-	n     int
-	items [shortlistSize]Candidate
-}
-
-func (s *shortlist) insert(c Candidate) {
-	i := s.n
-	if i == shortlistSize {
-		if c.score >= s.items[i-1].score {
-			return
-		}
-		i--
-	} else {
-		s.n++
-	}
-	for ; i > 0 && s.items[i-1].score > c.score; i-- {
-		s.items[i] = s.items[i-1]
-	}
-	s.items[i] = c
-}
-
-// choose returns the index of a candidate. Its chance falls exponentially with
-// the distance to the best score, so that hosts with the same stale view spread
-// over replicas that are about equally good.
-func (s *shortlist) choose(random, scale float64) int {
-	var weights [shortlistSize]float64
-	total := 0.0
-	for i := range s.items[:s.n] {
-		weights[i] = math.Exp((s.items[0].score - s.items[i].score) / max(scale, 1e-6))
-		total += weights[i]
-	}
-	random *= total
-	for i := range s.n - 1 {
-		if random < weights[i] {
-			return i
-		}
-		random -= weights[i]
-	}
-	return s.n - 1
-}
-
-// alternatives returns the two nearest candidates that were not chosen.
-func (s *shortlist) alternatives(chosen int) []scheduling.Alternative {
-	if s.n < 2 {
-		return nil
-	}
-	out := make([]scheduling.Alternative, 0, 2)
-	for i := range s.items[:s.n] {
-		if i != chosen && len(out) < cap(out) {
-			out = append(out, scheduling.Alternative{Replica: s.items[i].replica.id, Score: s.items[i].score})
-		}
-	}
-	return out
-}
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -33,6 +33,10 @@
 	health   *health.Pool
 	serviced float64 // mean seconds that a request takes
 	meanLoad float64 // requests on a live replica
+	// recent counts this host's dispatches, those of a second ago by 1/e.
+	recent    float64
+	refreshed time.Time
+	unknown   float64 // requests that other hosts are expected to have sent since their reports
 }
 
 type count struct {
@@ -162,6 +166,7 @@
 	}
 	life := min(max(p.serviced, minReportLife.Seconds()), maxReportLife.Seconds())
 	clear(p.counts)
+	p.age(now, hosts)
 	load, serving := 0.0, 0
 	for _, r := range p.replicas {
 		r.others = p.zones[r.zone].others(r, now, life, hosts)
@@ -177,6 +182,24 @@
 	p.meanLoad = load / float64(max(serving, 1))
 }
 
+// age estimates what the reports cannot show yet: the other hosts of the zone
+// are taken to send as much as this one.
+func (p *pool) age(now time.Time, hosts int) {
+	if p.refreshed.IsZero() {
+		p.refreshed = now
+	}
+	p.recent *= math.Exp(-now.Sub(p.refreshed).Seconds())
+	p.refreshed = now
+	age, reports := 0.0, 0.0
+	for _, r := range p.replicas {
+		if r.hasReport && r.counted {
+			age += min(max(now.Sub(r.reportedAt).Seconds(), 0), maxReportLife.Seconds())
+			reports++
+		}
+	}
+	p.unknown = p.recent * float64(hosts-1) * age / max(reports, 1)
+}
+
 // others estimates the requests of other hosts on the replica: its own report
 // moves towards the zone's mean as it ages. Without any report the other hosts
 // of the zone are taken to load the zone as this one does.
