Run the policy bench against the scheduler with admission

Cause: the scheduler now refuses after admission and wants a retry's progress. Change: the bench handles Ticket.Refused, and sets Progress, Preempted, Preemptions and EarlierNotRun as the router does.

--- a/internal/bench/policy/attempt.go
+++ b/internal/bench/policy/attempt.go
@@ -157,7 +157,10 @@
 
 func (a *attempt) again(how ending) {
 	j := a.j
+	j.preempted = how == endCanceled
+	j.earlierNotRun = how == endUnreachable
 	if how == endCanceled {
+		j.preemptions++
 		a.w.policy.place(a.w, a.h, j, a.exclude)
 		return
 	}
--- a/internal/bench/policy/heatherbarrow.go
+++ b/internal/bench/policy/heatherbarrow.go
@@ -63,8 +63,9 @@
 	u := &w.snapshot.Bundle.Upstreams[index]
 	r := scheduling.Request{
 		ID: j.id, Class: j.class, Upstreams: []int{index}, Fingerprint: j.fingerprint,
-		PromptTokens: j.prompt + j.delivered, Arrived: j.arrived, Deadline: j.deadline, Attempt: j.attempt, Exclude: exclude,
-		Resumable: u.Resumable && j.work == 0,
+		PromptTokens: j.prompt, Arrived: j.arrived, Deadline: j.deadline, Attempt: j.attempt, Exclude: exclude,
+		Resumable: u.Resumable && j.work == 0, Progress: j.delivered, Preempted: j.preempted,
+		Preemptions: j.preemptions, EarlierNotRun: j.earlierNotRun,
 	}
 	if u.Kind == bundle.KindEngine {
 		r.Model = u.Models[0]
@@ -74,8 +75,7 @@
 	}
 	ticket, err := s.scheduler.Enqueue(r)
 	if err != nil {
-		w.trace("%v job %s class %s refused: %v", w.loop.now().Sub(epoch), j.id, j.name.Name, err)
-		w.end(j, false, j.attempt == 0 && j.delivered == 0)
+		s.refused(w, j, err)
 		return
 	}
 	q := &queued{job: j, ticket: ticket, exclude: exclude}
@@ -84,6 +84,13 @@
 	s.poll(w, h)
 }
 
+// refused ends a job that the scheduler refuses. The outcome is a truthful
+// not-run unless an earlier attempt ran.
+func (s *schedulerHost) refused(w *world, j *job, err error) {
+	w.trace("%v job %s class %s refused: %v", w.loop.now().Sub(epoch), j.id, j.name.Name, err)
+	w.end(j, false, j.computed == 0 && j.delivered == 0)
+}
+
 // expire gives up a job that still waits at its deadline.
 func (s *schedulerHost) expire(w *world, q *queued) {
 	i := slices.Index(s.queued, q)
@@ -118,6 +125,14 @@
 		default:
 		}
 	}
+	for _, q := range slices.Clone(s.queued) {
+		select {
+		case refusal := <-q.ticket.Refused():
+			s.queued = slices.DeleteFunc(s.queued, func(other *queued) bool { return other == q })
+			s.refused(w, q.job, refusal)
+		default:
+		}
+	}
 	for _, r := range slices.Clone(s.running) {
 		select {
 		case <-r.assignment.Preempted():
--- a/internal/bench/policy/job.go
+++ b/internal/bench/policy/job.go
@@ -135,21 +135,24 @@
 // job is an arrival while a policy handles it.
 type job struct {
 	*arrival
-	id        string
-	name      *bundle.Class
-	arrived   time.Time
-	deadline  time.Time
-	assigned  time.Time // of the last attempt
-	replica   scheduling.ReplicaID
-	first     time.Time
-	last      time.Time
-	delivered int
-	computed  int // tokens computed in all attempts
-	prefilled int // prefill tokens of the last attempt
-	attempt   int
-	refused   bool
-	completed bool
-	done      bool
+	id            string
+	name          *bundle.Class
+	arrived       time.Time
+	deadline      time.Time
+	assigned      time.Time // of the last attempt
+	replica       scheduling.ReplicaID
+	first         time.Time
+	last          time.Time
+	delivered     int
+	computed      int // tokens computed in all attempts
+	prefilled     int // prefill tokens of the last attempt
+	attempt       int
+	preempted     bool // the last attempt was
+	preemptions   int
+	earlierNotRun bool
+	refused       bool
+	completed     bool
+	done          bool
 }
 
 // met tells whether the request completed within its class's targets.
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -253,7 +253,7 @@
 	if p.snapshot != nil && r.Class < len(p.snapshot.Bundle.Classes) {
 		tier = p.snapshot.Bundle.Classes[r.Class].Tier
 	}
-	return health.Kind{Tier: tier, PromptTokens: r.PromptTokens}
+	return health.Kind{Tier: tier, PromptTokens: r.PromptTokens + r.Progress}
 }
 
 // Measurements implements scheduling.Picker.
