Divide the free slots of a report among the hosts for lower tiers

The quarantine also took a bundle without defaults as one allowed crash. Change: a host's lower tiers fill their part of the reported free slots, or what remains if other hosts sent as much as this one; the bench engine caches whole prompts; defaults of the quarantine. Remaining misses: retry budgets after a crash, attempts spent on unreachable replicas, and top-tier waits under sustained overload.

--- a/internal/bench/policy/attempt.go
+++ b/internal/bench/policy/attempt.go
@@ -49,7 +49,8 @@
 		j.delivered = 0
 	}
 	a.seq = &sequence{
-		prefix: j.prefix, shared: j.shared, prefill: j.prompt + j.delivered, decode: j.output - j.delivered,
+		prompts: [2]cacheKey{{j.fingerprint, j.prompt}, {j.prefix, j.shared}},
+		prefill: j.prompt + j.delivered, decode: j.output - j.delivered,
 		poison: j.poison, work: j.work, priority: j.name.Tier, token: a.token, ended: a.ended,
 	}
 	w.loop.after(a.latency, func() {
--- a/internal/bench/policy/cost.go
+++ b/internal/bench/policy/cost.go
@@ -45,6 +45,10 @@
 			p.Finish(choice.Replica, &r, done)
 		}
 	})
+	if result.N == 0 {
+		t.check(false, "metric=decision_time value=none target=%v", maxDecisionTime)
+		return
+	}
 	took := time.Duration(result.NsPerOp())
 	fmt.Printf("bench metric=decision_time value=%.2f unit=us\n", float64(took)/float64(time.Microsecond))
 	fmt.Printf("bench metric=decision_allocs value=%d unit=allocs\n", result.AllocsPerOp())
--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -33,10 +33,9 @@
 // sequence is a request on an engine.
 type sequence struct {
 	priority int
-	prefix   uint64 // group of requests that share the start of the prompt; 0 for none
-	shared   int    // tokens of that start
-	prefill  int    // tokens to prefill before the first token
-	decode   int    // tokens to generate
+	prompts  [2]cacheKey // starts of the prompt that may be cached, longest first
+	prefill  int         // tokens to prefill before the first token
+	decode   int         // tokens to generate
 	poison   bool
 	work     time.Duration // services: time that the call takes
 	token    func()
@@ -163,10 +162,7 @@
 	for len(e.waiting) > 0 && len(e.running) < e.slots {
 		s := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		if _, hit := e.cache[s.prefix]; hit && s.prefix != 0 {
-			s.left = max(s.left-s.shared, 1)
-			e.cache[s.prefix] = cacheEntry{used: e.order, tokens: s.shared}
-		}
+		s.left = max(s.left-e.hit(s), 1)
 		e.running = append(e.running, s)
 	}
 	if e.priorities {
@@ -231,16 +227,35 @@
 	}
 }
 
-// store puts the shared start of the prompt into the cache and evicts the
+// cacheKey is a start of a prompt; prompt is 0 for none.
+type cacheKey struct {
+	prompt uint64
+	tokens int
+}
+
+// hit returns the tokens of the longest start of the prompt in the cache.
+func (e *engine) hit(s *sequence) int {
+	for _, k := range s.prompts {
+		if _, ok := e.cache[k.prompt]; ok && k.prompt != 0 {
+			e.cache[k.prompt] = cacheEntry{used: e.order, tokens: k.tokens}
+			return k.tokens
+		}
+	}
+	return 0
+}
+
+// store puts the prompt and its shared start into the cache and evicts the
 // least recently used ones beyond the cache's size.
 func (e *engine) store(s *sequence) {
-	if s.prefix == 0 {
-		return
-	}
-	if _, ok := e.cache[s.prefix]; !ok {
-		e.cached += s.shared
+	for _, k := range s.prompts {
+		if k.prompt == 0 {
+			continue
+		}
+		if _, ok := e.cache[k.prompt]; !ok {
+			e.cached += k.tokens
+		}
+		e.cache[k.prompt] = cacheEntry{used: e.order, tokens: k.tokens}
 	}
-	e.cache[s.prefix] = cacheEntry{used: e.order, tokens: s.shared}
 	for e.cached > cacheTokens && len(e.cache) > 1 {
 		e.evict()
 	}
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -36,6 +36,7 @@
 	filters    []Filter
 	scorers    []Scorer
 	hosts      int // hosts in this zone
+	allHosts   int // hosts of all zones, taken to be as many in each
 	query      Query
 	candidate  Candidate
 	best       shortlist
@@ -47,29 +48,47 @@
 		opts:       opts,
 		random:     rand.New(rand.NewPCG(opts.Seed, 0x9e3779b97f4a7c15)),
 		replicas:   make(map[scheduling.ReplicaID]*Replica),
-		quarantine: quarantine.New(2, time.Hour),
+		quarantine: quarantine.New(defaultCrashes, defaultQuarantine),
 		affinity:   newAffinity(),
 		filters:    defaultFilters(),
 		scorers:    defaultScorers(),
 		hosts:      1,
+		allHosts:   1,
 	}
 }
 
+// Limits of the quarantine where a bundle was compiled without defaults.
+const (
+	defaultCrashes    = 2
+	defaultQuarantine = time.Hour
+)
+
+func (p *Picker) configureQuarantine(limits *bundle.Limits) {
+	crashes, duration := limits.PoisonCrashes, limits.QuarantineTime.Std()
+	if crashes <= 0 {
+		crashes = defaultCrashes
+	}
+	if duration <= 0 {
+		duration = defaultQuarantine
+	}
+	p.quarantine.Configure(crashes, duration)
+}
+
 // Update implements scheduling.Picker.
 func (p *Picker) Update(snapshot *bundle.Snapshot, view *scheduling.View) {
 	now := p.opts.Clock.Now()
 	if snapshot != nil {
 		p.snapshot = snapshot
 		p.rebuild()
-		limits := &snapshot.Bundle.Limits
-		p.quarantine.Configure(max(limits.PoisonCrashes, 1), limits.QuarantineTime.Std())
+		p.configureQuarantine(&snapshot.Bundle.Limits)
 	}
 	if view != nil {
 		p.hosts = max(view.HostsInZone, 1)
+		p.allHosts = p.hosts * max(view.ZoneCount, 1)
 		p.quarantine.Update(view.Quarantine)
 		for i := range view.Replicas {
 			if r, ok := p.replicas[view.Replicas[i].ID]; ok {
-				r.report(&view.Replicas[i])
+				r.report(&view.Replicas[i], p.allHosts, p.random.Float64())
 			}
 		}
 	}
@@ -114,7 +133,7 @@
 
 func (p *Picker) refresh(now time.Time) {
 	for _, u := range p.pools {
-		u.refresh(now, p.hosts)
+		u.refresh(now, p.hosts, p.allHosts)
 	}
 }
 
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -36,7 +36,8 @@
 	// recent counts this host's dispatches, those of a second ago by 1/e.
 	recent    float64
 	refreshed time.Time
-	unknown   float64 // requests that other hosts are expected to have sent since their reports
+	unknown   float64 // requests that the zone's other hosts are expected to have sent since their reports
+	unseen    float64 // requests sent to a replica by all other hosts since its report, for one of recent
 }
 
 type count struct {
@@ -151,7 +152,7 @@
 func (p *pool) served(d time.Duration) { p.serviced += servedRate * (d.Seconds() - p.serviced) }
 
 // refresh corrects all reports to now and counts the free slots anew.
-func (p *pool) refresh(now time.Time, hosts int) {
+func (p *pool) refresh(now time.Time, hosts, allHosts int) {
 	for i := range p.zones {
 		p.zones[i] = zoneLoad{name: p.zones[i].name}
 	}
@@ -166,7 +167,7 @@
 	}
 	life := min(max(p.serviced, minReportLife.Seconds()), maxReportLife.Seconds())
 	clear(p.counts)
-	p.age(now, hosts)
+	p.age(now, hosts, allHosts)
 	load, serving := 0.0, 0
 	for _, r := range p.replicas {
 		r.others = p.zones[r.zone].others(r, now, life, hosts)
@@ -184,7 +185,7 @@
 
 // age estimates what the reports cannot show yet: the other hosts of the zone
 // are taken to send as much as this one.
-func (p *pool) age(now time.Time, hosts int) {
+func (p *pool) age(now time.Time, hosts, allHosts int) {
 	if p.refreshed.IsZero() {
 		p.refreshed = now
 	}
@@ -197,7 +198,9 @@
 			reports++
 		}
 	}
-	p.unknown = p.recent * float64(hosts-1) * age / max(reports, 1)
+	age /= max(reports, 1)
+	p.unknown = p.recent * float64(hosts-1) * age
+	p.unseen = float64(allHosts-1) * age / max(reports, 1)
 }
 
 // others estimates the requests of other hosts on the replica: its own report
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -35,6 +35,7 @@
 	others     float64 // the same, corrected to now
 	slow       float64 // measured first-token time relative to the upstream's usual one
 	inter      float64 // measured seconds per token
+	quota      int     // lower-tier share: requests of this host that its report leaves room for
 	limit      int     // requests of this host that its health allows
 	free       [levels]int
 	counted    bool // part of the pool's total
@@ -57,6 +58,9 @@
 // since the last report find room there.
 const reserveShare = 0.125
 
+// quotaLife is the age from which a report no longer tells which slots are free.
+const quotaLife = 3 * time.Second
+
 // flight is a request in progress on a replica.
 type flight struct {
 	id            string
@@ -107,8 +111,11 @@
 }
 
 // report takes a report. The requests of this host at the time of the report
-// are subtracted, which leaves those of the other hosts.
-func (r *Replica) report(load *scheduling.ReplicaLoad) {
+// are subtracted, which leaves those of the other hosts. Lower tiers of the host
+// may fill only its part of the free slots until the next report, or all hosts
+// with a backlog would fill the same slots. random rounds the part, so that the
+// parts of all hosts add up to the free slots on average.
+func (r *Replica) report(load *scheduling.ReplicaLoad, hosts int, random float64) {
 	r.state = load.State
 	r.models = r.pool.modelMask(load.Models)
 	if !load.HasReport || r.hasReport && load.ReportedAt.Before(r.reportedAt) {
@@ -116,7 +123,10 @@
 	}
 	r.hasReport = true
 	r.reportedAt = load.ReportedAt
-	r.reported = math.Max(0, float64(load.Running+load.Waiting-r.ownAt(load.ReportedAt)))
+	own, all := r.ownAt(load.ReportedAt), load.Running+load.Waiting
+	r.reported = math.Max(0, float64(all-own))
+	free := max(r.pool.slots-r.pool.reserve-all, 0)
+	r.quota = own + int(float64(free)/float64(hosts)+random)
 }
 
 func (r *Replica) ownAt(t time.Time) int {
@@ -155,6 +165,9 @@
 			slots -= r.pool.reserve
 		}
 		free := min(slots-int(math.Round(r.load())), r.limit-len(r.flights))
+		if level == levelLower && r.hasReport && now.Sub(r.reportedAt) < quotaLife {
+			free = min(free, r.lowerFree())
+		}
 		if !r.counted {
 			free = 0
 		}
@@ -163,6 +176,14 @@
 	r.pool.add(r, 1)
 }
 
+// lowerFree returns the slots that this host's lower tiers may fill: its part of
+// those free at the last report, or what is left if the other hosts sent as much
+// as this one since then.
+func (r *Replica) lowerFree() int {
+	left := float64(r.pool.slots-r.pool.reserve) - r.load() - r.pool.recent*r.pool.unseen
+	return max(r.quota-len(r.flights), int(left))
+}
+
 func (r *Replica) measurement() (scheduling.ReplicaMeasurement, bool) {
 	m := scheduling.ReplicaMeasurement{
 		ID: r.id, InProgress: len(r.flights), Dispatched: r.dispatched, Completed: r.completed, Failed: r.failed,
