--- a/internal/bench/policy/fleet.go
+++ b/internal/bench/policy/fleet.go
@@ -16,7 +16,10 @@
 	crashLag     = 500 * time.Millisecond
 	localLatency = 200 * time.Microsecond
 	crossLatency = time.Millisecond
-	maxAttempts  = 3
+	// maxAttempts bounds the attempts that ran, maxTries all of them. Attempts
+	// that certainly did not run cost the fleet nothing.
+	maxAttempts = 3
+	maxTries    = 10
 	// frameTimeout is the longest pause within a stream.
 	frameTimeout = 5 * time.Second
 )
--- a/internal/bench/policy/job.go
+++ b/internal/bench/policy/job.go
@@ -147,6 +147,7 @@
 	computed      int // tokens computed in all attempts
 	prefilled     int // prefill tokens of the last attempt
 	attempt       int
+	ran           int  // attempts that may have run
 	preempted     bool // the last attempt was
 	preemptions   int
 	earlierNotRun bool
--- a/internal/scheduling/health/health.go
+++ b/internal/scheduling/health/health.go
@@ -31,7 +31,7 @@
 	sampleHalf    = time.Second // half-life of measurements
 
 	slowEjection    = 2 * time.Second
-	crashEjection   = 500 * time.Millisecond
+	crashEjection   = time.Second
 	maxEjection     = 30 * time.Second
 	rampStep        = time.Second // the limit of a readmitted replica doubles each step
 	forgetFailures  = time.Minute
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -170,7 +170,7 @@
 	p.age(now, hosts, allHosts)
 	load, serving := 0.0, 0
 	for _, r := range p.replicas {
-		r.others = p.zones[r.zone].others(r, now, life, hosts)
+		r.others, r.doubt = p.zones[r.zone].others(r, now, life, hosts)
 		r.slow = r.health.Slowness(now)
 		r.inter = r.health.InterToken(now).Seconds()
 		r.counted = false
@@ -198,22 +198,25 @@
 			reports++
 		}
 	}
-	age /= max(reports, 1)
+	// Requests sent longer ago than one takes have ended since.
+	age = min(age/max(reports, 1), p.serviced)
 	p.unknown = p.recent * float64(hosts-1) * age
 	p.unseen = float64(allHosts-1) * age / max(reports, 1)
 }
 
 // others estimates the requests of other hosts on the replica: its own report
 // moves towards the zone's mean as it ages. Without any report the other hosts
-// of the zone are taken to load the zone as this one does.
-func (z *zoneLoad) others(r *Replica, now time.Time, life float64, hosts int) float64 {
+// of the zone are taken to load the zone as this one does. The second result is
+// the standard deviation of the estimate, that of independent arrivals.
+func (z *zoneLoad) others(r *Replica, now time.Time, life float64, hosts int) (load, doubt float64) {
 	mean := float64(z.own*(hosts-1)) / float64(z.replicas)
 	if z.reports > 0 {
 		mean = z.reported / float64(z.reports)
 	}
 	if !r.hasReport {
-		return mean
+		return mean, math.Sqrt(mean)
 	}
 	weight := math.Exp(-max(now.Sub(r.reportedAt).Seconds(), 0) / life)
-	return weight*r.reported + (1-weight)*mean
+	load = weight*r.reported + (1-weight)*mean
+	return load, math.Sqrt(load * (1 - weight*weight))
 }
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -33,6 +33,7 @@
 	reportedAt time.Time
 	reported   float64 // requests of other hosts at the time of the report
 	others     float64 // the same, corrected to now
+	doubt      float64 // standard deviation of others
 	slow       float64 // measured first-token time relative to the upstream's usual one
 	inter      float64 // measured seconds per token
 	quota      int     // lower-tier share: requests of this host that its report leaves room for
@@ -56,7 +57,7 @@
 // reserveShare is the share of a replica's slots that lower tiers leave free
 // where the top tier is served. Other hosts' top-tier requests that arrived
 // since the last report find room there.
-const reserveShare = 0.125
+const reserveShare = 0.25
 
 // quotaLife is the age from which a report no longer tells which slots are free.
 const quotaLife = 3 * time.Second
--- a/internal/scheduling/picker/scorer.go
+++ b/internal/scheduling/picker/scorer.go
@@ -1,6 +1,9 @@
 package picker
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Scorer rates a candidate in seconds of delay; lower is better.
 type Scorer interface {
@@ -54,10 +57,22 @@
 	slots := float64(r.pool.slots)
 	load := r.load()
 	factor := max(1+(load-r.pool.meanLoad)/slots, minFactor)
-	wait := max(load+1-slots, 0) / slots * r.pool.serviced
-	return q.base*factor + wait
+	return q.base*factor + excess(load+1-slots, r.doubt)/slots*r.pool.serviced
 }
 
+// excess returns the mean of the part above zero of a value that is known up to
+// a standard deviation, with the logistic distribution for the normal one.
+func excess(mean, deviation float64) float64 {
+	scale := deviation * math.Sqrt(3) / math.Pi
+	if scale == 0 || math.Abs(mean) > maxExponent*scale {
+		return max(mean, 0)
+	}
+	return scale * math.Log1p(math.Exp(mean/scale))
+}
+
+// maxExponent bounds the exponent in excess; beyond it both forms agree.
+const maxExponent = 30
+
 // latencyScorer adds what this host measured of the replica itself.
 type latencyScorer struct{}
 
