--- a/internal/bench/policy/attempt.go
+++ b/internal/bench/policy/attempt.go
@@ -43,11 +43,14 @@
 	if a.e.zone != h.zone {
 		a.latency = crossLatency
 	}
+	j.assigned = w.loop.now()
+	j.replica = id
 	if !resume {
 		j.delivered = 0
 	}
 	a.seq = &sequence{
-		prefix: j.prefix, shared: j.shared, prefill: j.prompt + j.delivered, decode: j.output - j.delivered,
+		prompts: [2]cacheKey{{j.fingerprint, j.prompt}, {j.prefix, j.shared}},
+		prefill: j.prompt + j.delivered, decode: j.output - j.delivered,
 		poison: j.poison, work: j.work, priority: j.name.Tier, token: a.token, ended: a.ended,
 	}
 	w.loop.after(a.latency, func() {
@@ -155,12 +158,18 @@
 
 func (a *attempt) again(how ending) {
 	j := a.j
+	j.preempted = how == endCanceled
+	j.earlierNotRun = how == endUnreachable
 	if how == endCanceled {
+		j.preemptions++
 		a.w.policy.place(a.w, a.h, j, a.exclude)
 		return
 	}
 	j.attempt++
-	if j.attempt >= maxAttempts || !a.w.loop.now().Before(j.deadline) {
+	if how != endUnreachable {
+		j.ran++
+	}
+	if j.ran >= maxAttempts || j.attempt >= maxTries || !a.w.loop.now().Before(j.deadline) {
 		a.w.trace("%v job %s class %s ends after attempt %d on %v (%d)", a.w.loop.now().Sub(epoch), j.id, j.name.Name, j.attempt, a.e.id, how)
 		a.w.end(j, false, false)
 		return
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -33,6 +33,11 @@
 	health   *health.Pool
 	serviced float64 // mean seconds that a request takes
 	meanLoad float64 // requests on a live replica
+	// recent counts this host's dispatches, those of a second ago by 1/e.
+	recent    float64
+	refreshed time.Time
+	unknown   float64 // requests that the zone's other hosts are expected to have sent since their reports
+	unseen    float64 // requests sent to a replica by all other hosts since its report, for one of recent
 }
 
 type count struct {
@@ -147,7 +152,7 @@
 func (p *pool) served(d time.Duration) { p.serviced += servedRate * (d.Seconds() - p.serviced) }
 
 // refresh corrects all reports to now and counts the free slots anew.
-func (p *pool) refresh(now time.Time, hosts int) {
+func (p *pool) refresh(now time.Time, hosts, allHosts int) {
 	for i := range p.zones {
 		p.zones[i] = zoneLoad{name: p.zones[i].name}
 	}
@@ -162,9 +167,10 @@
 	}
 	life := min(max(p.serviced, minReportLife.Seconds()), maxReportLife.Seconds())
 	clear(p.counts)
+	p.age(now, hosts, allHosts)
 	load, serving := 0.0, 0
 	for _, r := range p.replicas {
-		r.others = p.zones[r.zone].others(r, now, life, hosts)
+		r.others, r.doubt = p.zones[r.zone].others(r, now, life, hosts)
 		r.slow = r.health.Slowness(now)
 		r.inter = r.health.InterToken(now).Seconds()
 		r.counted = false
@@ -177,17 +183,40 @@
 	p.meanLoad = load / float64(max(serving, 1))
 }
 
+// age estimates what the reports cannot show yet: the other hosts of the zone
+// are taken to send as much as this one.
+func (p *pool) age(now time.Time, hosts, allHosts int) {
+	if p.refreshed.IsZero() {
+		p.refreshed = now
+	}
+	p.recent *= math.Exp(-now.Sub(p.refreshed).Seconds())
+	p.refreshed = now
+	age, reports := 0.0, 0.0
+	for _, r := range p.replicas {
+		if r.hasReport && r.counted {
+			age += min(max(now.Sub(r.reportedAt).Seconds(), 0), maxReportLife.Seconds())
+			reports++
+		}
+	}
+	// Requests sent longer ago than one takes have ended since.
+	age = min(age/max(reports, 1), p.serviced)
+	p.unknown = p.recent * float64(hosts-1) * age
+	p.unseen = float64(allHosts-1) * age / max(reports, 1)
+}
+
 // others estimates the requests of other hosts on the replica: its own report
 // moves towards the zone's mean as it ages. Without any report the other hosts
-// of the zone are taken to load the zone as this one does.
-func (z *zoneLoad) others(r *Replica, now time.Time, life float64, hosts int) float64 {
+// of the zone are taken to load the zone as this one does. The second result is
+// the standard deviation of the estimate, that of independent arrivals.
+func (z *zoneLoad) others(r *Replica, now time.Time, life float64, hosts int) (load, doubt float64) {
 	mean := float64(z.own*(hosts-1)) / float64(z.replicas)
 	if z.reports > 0 {
 		mean = z.reported / float64(z.reports)
 	}
 	if !r.hasReport {
-		return mean
+		return mean, math.Sqrt(mean)
 	}
 	weight := math.Exp(-max(now.Sub(r.reportedAt).Seconds(), 0) / life)
-	return weight*r.reported + (1-weight)*mean
+	load = weight*r.reported + (1-weight)*mean
+	return load, math.Sqrt(load * (1 - weight*weight))
 }
