Queue preempted streams again with their progress

Change: requests wait with Ticket.Wait, watch Preempted only where it can happen, and return with Progress, Preempted, Preemptions, EarlierNotRun and Generation.

Conclusion: a preempted stream keeps its tokens and its caller sees one answer.

--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -59,6 +59,8 @@
 	attempts  int // attempts that ended in an error
 	lastErr   error
 	tried     []scheduling.ReplicaID
+
+	preemptions int
 }
 
 func (c *chat) run(ctx context.Context) {
@@ -76,6 +78,8 @@
 			return
 		case errors.Is(err, errPreempted):
 			// The delivered tokens are kept and the rest is queued again.
+			c.preemptions++
+			c.lastErr = err
 		case c.mayRetry(ctx, assignment, err):
 			c.prepareRetry(assignment, err)
 		default:
@@ -101,6 +105,12 @@
 		Resumable:    c.allResumable(),
 		Attempt:      c.attempts,
 		Exclude:      c.tried,
+		Generation:   c.snapshot.Generation,
+		Progress:     c.answer.position(),
+		Preempted:    errors.Is(c.lastErr, errPreempted),
+		Preemptions:  c.preemptions,
+
+		EarlierNotRun: c.lastErr != nil && outcomeOf(c.lastErr) == outcome.NotRun,
 	}
 }
 
@@ -131,15 +141,17 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case assignment := <-ticket.Granted():
-		e.server.metrics.queueWait[e.class.Tier].RecordDuration(time.Since(queued))
-		e.logDecision(assignment, request.Attempt, time.Since(queued))
-		return assignment, nil
-	case <-ctx.Done():
-		ticket.Cancel()
-		return nil, ended(ctx)
+	assignment, err := ticket.Wait(ctx)
+	waited := time.Since(queued)
+	if cause := ended(ctx); err != nil && cause != nil {
+		return nil, cause
+	}
+	if err != nil {
+		return nil, err
 	}
+	e.server.metrics.queueWait[e.class.Tier].RecordDuration(waited)
+	e.logDecision(assignment, request.Attempt, waited)
+	return assignment, nil
 }
 
 func (e *exchange) logDecision(a *scheduler.Assignment, attempt int, queued time.Duration) {
@@ -163,8 +175,8 @@
 func (c *chat) attempt(ctx context.Context, a *scheduler.Assignment) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if c.class.Preemptible && c.resumable() {
-		go cancelWhenPreempted(ctx, cancel, a)
+	if preempted := a.Preempted(); preempted != nil {
+		go cancelWhenPreempted(ctx, cancel, preempted)
 	}
 	before := c.answer.position()
 	stream, err := c.server.Forward.Chat(ctx, forward.Chat{
@@ -194,9 +206,9 @@
 	return err
 }
 
-func cancelWhenPreempted(ctx context.Context, cancel context.CancelCauseFunc, a *scheduler.Assignment) {
+func cancelWhenPreempted(ctx context.Context, cancel context.CancelCauseFunc, preempted <-chan struct{}) {
 	select {
-	case <-a.Preempted():
+	case <-preempted:
 		cancel(errPreempted)
 	case <-ctx.Done():
 	}
--- a/internal/router/chat_test.go
+++ b/internal/router/chat_test.go
@@ -199,3 +199,51 @@
 	require.NotZero(t, crash.Fingerprint)
 	require.Equal(t, crash.Fingerprint, h.server.view.Quarantine[0].Fingerprint)
 }
+
+// Guards against a preempted stream that loses or repeats tokens, ends without
+// its proper end, or leaves the work running on the replica.
+func TestPreemptedStreamContinues(t *testing.T) {
+	h := newHost(t, hostOptions{slots: 1})
+	release := make(chan struct{})
+	resumed := make(chan string, 2)
+	h.play(func(w http.ResponseWriter, r *http.Request) {
+		switch from := r.Header.Get("X-Resume-From"); {
+		case r.Header.Get("X-Priority") == "1":
+			<-release
+			whole(w, r)
+		case from != "":
+			resumed <- from
+			whole(w, r)
+		default:
+			hangAfter(2)(w, r)
+		}
+	})
+	h.server.snapshot.Load().Bundle.Limits.FrameTimeout = settings.Duration(time.Minute)
+	results := make(chan string, 3)
+	start := func(class, key string) {
+		response, err := http.DefaultClient.Do(h.request(t, context.Background(), http.MethodPost, "/v1/chat/completions",
+			chatBody("m", true), outcome.HeaderClass, class, "Authorization", "Bearer "+key))
+		if err != nil {
+			results <- err.Error()
+			return
+		}
+		go func() {
+			body, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			results <- string(body)
+		}()
+	}
+	start("draft", "other-key") // returns when the first frame was passed on
+	go start("quote", "key")
+	go start("quote", "key")
+	require.Eventually(t, func() bool {
+		return len(h.engines[0].canceled)+len(h.engines[1].canceled) == 1
+	}, patience, time.Millisecond)
+	close(release)
+	for range 3 {
+		text, event := streamed(<-results)
+		require.Equal(t, wholeText, text)
+		require.Contains(t, event, `"completed"`)
+	}
+	require.NotEmpty(t, <-resumed)
+}
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -65,6 +65,7 @@
 		code string
 	}{
 		{errCallerGone, "caller_gone"},
+		{errPreempted, "preempted"},
 		{errDeadline, scheduling.ReasonDeadline},
 		{errRouteTimeout, "upstream_timeout"},
 		{errAnswerTooLong, "answer_too_large"},
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -89,10 +89,12 @@
 	if !c.route.Repeatable && !c.claim(ctx) {
 		return
 	}
+	var lastErr error
 	for attempt := 0; ; attempt++ {
 		assignment, err := c.acquire(ctx, scheduling.Request{
 			ID: c.id, Class: c.classIdx, Team: c.teamIdx, Upstreams: []int{c.upstream},
 			Arrived: c.arrived, Deadline: c.deadline, Attempt: attempt, Exclude: c.tried,
+			Generation: c.snapshot.Generation, EarlierNotRun: lastErr != nil && outcomeOf(lastErr) == outcome.NotRun,
 		})
 		if err != nil {
 			c.giveUp(err)
@@ -108,6 +110,7 @@
 			c.giveUp(err)
 			return
 		}
+		lastErr = err
 		c.server.metrics.class(c.class).retries.Inc(1)
 	}
 }
