--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -1,16 +1,11 @@
 package control
 
 import (
-	"bytes"
-	"compress/gzip"
-	"io"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/rollout"
 	"heatherbarrow/internal/rpc"
@@ -24,8 +19,6 @@
 	// announcedTime is how much longer it waits for a higher generation that a
 	// peer announced and has not delivered yet.
 	announcedTime = 2 * time.Second
-	// maxContentBytes bounds decompressed content.
-	maxContentBytes = 16 << 20
 )
 
 // admission decides when a bundle comes into force.
@@ -101,11 +94,13 @@
 	if e.Record.Generation <= l.known() {
 		return
 	}
-	a, err := l.check(e)
-	if err != nil {
-		l.opts.Logger.Error().Err(err).Str("source", e.Source).Uint64("generation", e.Record.Generation).Msg("bundle refused")
-		l.sourceFailed(&SourceError{Source: e.Source, Reason: err.Error()})
-		return
+	a := e.checked
+	if a == nil {
+		var err error
+		if a, err = l.check(e); err != nil {
+			l.refuse(e, err)
+			return
+		}
 	}
 	if l.State().Bundle == nil {
 		l.admit.candidate = a
@@ -115,6 +110,33 @@
 	l.inForce(a, now)
 }
 
+func (l *Loop) refuse(e *BundleReceived, err error) {
+	l.opts.Logger.Error().Err(err).Str("source", e.Source).Uint64("generation", e.Record.Generation).Msg("bundle refused")
+	l.sourceFailed(&SourceError{Source: e.Source, Reason: err.Error()})
+}
+
+// Offer checks a bundle in the caller's goroutine and publishes it. Parsing a
+// bundle of 7,100 teams takes long enough to hold up heartbeats.
+func (l *Loop) Offer(record *rpc.BundleRecord, source string) error {
+	l.offering.Lock()
+	defer l.offering.Unlock()
+	if record.Generation <= max(l.State().Bundle.GetGeneration(), l.offered) {
+		return nil
+	}
+	e := BundleReceived{Record: record, Source: source}
+	checked, err := l.check(&e)
+	if err == nil {
+		e.checked = checked
+	}
+	if err := l.opts.Bus.Publish(e); err != nil {
+		return err
+	}
+	if checked != nil {
+		l.offered = record.Generation
+	}
+	return nil
+}
+
 func (l *Loop) check(e *BundleReceived) (*accepted, error) {
 	version, content := rollout.FromRPC(e.Record)
 	if err := l.opts.Operators.Verify(&version, content); err != nil {
@@ -154,7 +176,7 @@
 		s.Bundle, s.Parsed, s.InForceAt = a.record, a.parsed, now
 		s.NotReady = ""
 		s.Topology = topology
-		s.compressed = sync.OnceValue(func() []byte { return compress(content) })
+		s.compressed = sync.OnceValue(func() []byte { return rollout.Compress(content) })
 	})
 	l.opts.Logger.Info().Str("source", a.source).Uint64("generation", a.record.Generation).
 		Str("sha256", a.record.Sha256).Msg("bundle in force")
@@ -185,22 +207,10 @@
 	if len(b.ContentGzip) == 0 {
 		return b, nil
 	}
-	reader, err := gzip.NewReader(bytes.NewReader(b.ContentGzip))
+	content, err := rollout.Decompress(b.ContentGzip)
 	if err != nil {
-		return nil, eris.Wrap(err, "decompress bundle")
-	}
-	content, err := io.ReadAll(io.LimitReader(reader, maxContentBytes))
-	if err != nil {
-		return nil, eris.Wrap(err, "decompress bundle")
+		return nil, err
 	}
 	b.Content, b.ContentGzip = content, nil
 	return b, nil
 }
-
-func compress(content []byte) []byte {
-	var out bytes.Buffer
-	w := gzip.NewWriter(&out)
-	_, _ = w.Write(content)
-	_ = w.Close()
-	return out.Bytes()
-}
--- a/internal/control/cluster_bundle_test.go
+++ b/internal/control/cluster_bundle_test.go
@@ -101,7 +101,7 @@
 	client := platform.NewClient(server.URL, http.DefaultClient)
 	content, err := c.store.Content(context.Background(), old.SHA256)
 	require.NoError(t, err)
-	_, err = client.Create(context.Background(), rollout.KindContent, old.SHA256, map[string][]byte{"content": content})
+	_, err = client.Create(context.Background(), rollout.KindContent, old.SHA256, map[string][]byte{"content_gzip": rollout.Compress(content)})
 	require.NoError(t, err)
 	_, err = client.Create(context.Background(), rollout.KindCurrent, rollout.NameCurrent, old)
 	require.NoError(t, err)
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -13,8 +13,9 @@
 
 // BundleReceived is a bundle learned from some source, with content.
 type BundleReceived struct {
-	Record *rpc.BundleRecord
-	Source string
+	Record  *rpc.BundleRecord
+	Source  string
+	checked *accepted // set when it was checked before it was published
 }
 
 // HostsReceived is a new list from the platform.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,9 @@
 	sharing  sharing
 	platform probe
 
+	offering sync.Mutex // held while a bundle is checked, so that none is checked twice
+	offered  uint64     // highest generation that passed the checks
+
 	teamsOf     *bundle.Bundle // bundle to which teamIndex belongs
 	teamIndex   map[string]*bundle.Team
 	seenVersion uint64 // table version of the newest view
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -246,6 +246,6 @@
 		return
 	}
 	if len(record.Content) > 0 {
-		_ = p.bus.Publish(BundleReceived{Record: record, Source: source})
+		_ = p.loop.Offer(record, source)
 	}
 }
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -160,7 +160,7 @@
 		if err != nil {
 			return err
 		}
-		if err := p.bus.Publish(BundleReceived{Record: current.ToRPC(content), Source: platformSource}); err != nil {
+		if err := p.loop.Offer(current.ToRPC(content), platformSource); err != nil {
 			return err
 		}
 	}
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -135,11 +135,7 @@
 // same on both sides of a partition, so that no two coordinators lend the same
 // pool; hosts that cannot reach the coordinator keep their floors.
 func coordinatorOf(team string, listed []string) string {
-	top := membership.Top("shares/"+strconv.Itoa(bucketOf(team)), listed, 1)
-	if len(top) == 0 {
-		return ""
-	}
-	return top[0]
+	return membership.First("shares/"+strconv.Itoa(bucketOf(team)), listed)
 }
 
 func (l *Loop) zoneEntitlement(t *bundle.Team) shares.Amount {
--- a/internal/control/topology.go
+++ b/internal/control/topology.go
@@ -13,7 +13,7 @@
 	observersPerReplica = 2
 	// shareBuckets groups teams, so that a host with many teams above their
 	// floors makes at most this many calls each second.
-	shareBuckets = 8
+	shareBuckets = 4
 )
 
 // Topology is who talks to whom, computed once a second.
@@ -81,7 +81,7 @@
 			if r.AvailabilityZone != self.AvailabilityZone {
 				continue
 			}
-			if slices.Contains(membership.Top("observe/"+u.Name+"/"+r.ID, hosts, observersPerReplica), self.Host) {
+			if membership.InTop("observe/"+u.Name+"/"+r.ID, self.Host, hosts, observersPerReplica) {
 				out = append(out, Target{Upstream: u.Name, Replica: r.ID, Address: r.Address, Kind: u.Kind})
 			}
 		}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -145,33 +144,24 @@
 	return out
 }
 
-// row is a candidate for a place in a message.
-type row struct {
-	sends int
-	index int
-}
-
 // pick returns the candidates sent least often, and fills a quarter of the
-// places with others in rotation.
+// places with others in rotation. sends is negative for what has no place.
 func pick(n, limit, next int, sends func(i int) int) (chosen []int, after int) {
-	var news []row
+	var bySends [maxSends][]int
 	for i := range n {
-		if s := sends(i); s >= 0 && s < maxSends {
-			news = append(news, row{s, i})
+		if s := sends(i); s >= 0 && s < maxSends && len(bySends[s]) < limit {
+			bySends[s] = append(bySends[s], i)
 		}
 	}
-	slices.SortFunc(news, func(a, b row) int { return cmp.Or(cmp.Compare(a.sends, b.sends), cmp.Compare(a.index, b.index)) })
-	news = news[:min(len(news), limit-limit/4)]
-	taken := make(map[int]bool, limit)
-	for _, r := range news {
-		chosen = append(chosen, r.index)
-		taken[r.index] = true
+	for _, rows := range bySends {
+		room := limit - limit/4 - len(chosen)
+		chosen = append(chosen, rows[:min(room, len(rows))]...)
 	}
-	for steps := 0; steps < n && steps < limit/4; steps++ {
+	for steps := 0; steps < n && len(chosen) < limit; steps++ {
 		if next >= n {
 			next = 0
 		}
-		if !taken[next] && sends(next) >= 0 {
+		if sends(next) >= 0 && !slices.Contains(chosen, next) {
 			chosen = append(chosen, next)
 		}
 		next++
@@ -181,17 +171,27 @@
 
 const notForMessage = -1
 
+// heartbeats has places of their own for hosts of the own zone and for others:
+// without them, the many others crowd out the zone's own, which are then taken
+// for dead.
 func (t *Table) heartbeats(now time.Time, remote bool) *rpc.HeartbeatDigest {
 	d := &rpc.HeartbeatDigest{}
-	sends := func(i int) int {
+	t.addHeartbeats(d, now, true, maxHeartbeats, &t.hostNext)
+	if !remote {
+		t.addHeartbeats(d, now, false, maxRemoteHeartbeats, &t.remoteHostNext)
+	}
+	return d
+}
+
+func (t *Table) addHeartbeats(d *rpc.HeartbeatDigest, now time.Time, own bool, limit int, next *int) {
+	var chosen []int
+	chosen, *next = pick(len(t.order), limit, *next, func(i int) int {
 		h := t.order[i]
-		if h == t.self || h.state.Incarnation == 0 || remote && h.state.AvailabilityZone != t.opts.Zone {
+		if h == t.self || h.state.Incarnation == 0 || own != (h.state.AvailabilityZone == t.opts.Zone) {
 			return notForMessage
 		}
 		return h.sends
-	}
-	var chosen []int
-	chosen, t.hostNext = pick(len(t.order), maxHeartbeats, t.hostNext, sends)
+	})
 	for _, i := range chosen {
 		h := t.order[i]
 		h.sends++
@@ -205,7 +205,6 @@
 		d.Generation = append(d.Generation, h.state.Generation)
 		d.Flags = append(d.Flags, flags)
 	}
-	return d
 }
 
 func (t *Table) mergeHeartbeats(d *rpc.HeartbeatDigest, now time.Time) {
@@ -226,18 +225,24 @@
 
 func (t *Table) loads(now time.Time, remote bool) *rpc.LoadDigest {
 	d := &rpc.LoadDigest{Generation: t.generation}
-	sends := func(i int) int {
+	t.addLoads(d, now, true, maxLoads, &t.loadNext)
+	if !remote {
+		t.addLoads(d, now, false, maxRemoteLoads, &t.remoteLoadNext)
+	}
+	return d
+}
+
+func (t *Table) addLoads(d *rpc.LoadDigest, now time.Time, own bool, limit int, next *int) {
+	var chosen []int
+	chosen, *next = pick(len(t.indexed), limit, *next, func(i int) int {
 		r := t.indexed[i]
-		if r.load.at.IsZero() || remote && r.zone != t.opts.Zone {
+		if r.load.at.IsZero() || own != (r.zone == t.opts.Zone) {
 			return notForMessage
 		}
 		return r.sends
-	}
-	var chosen []int
-	chosen, t.loadNext = pick(len(t.indexed), maxLoads, t.loadNext, sends)
+	})
 	for _, i := range chosen {
 		t.indexed[i].sends++
 		t.indexed[i].appendTo(d, now)
 	}
-	return d
 }
--- a/internal/membership/rank.go
+++ b/internal/membership/rank.go
@@ -35,6 +35,34 @@
 	return ranked[:min(n, len(ranked))]
 }
 
+// First returns the highest-ranked member for the key, empty when there is none.
+func First(key string, members []string) string {
+	best, bestScore := "", uint64(0)
+	for _, name := range members {
+		if s := score(key, name); best == "" || s > bestScore || s == bestScore && name < best {
+			best, bestScore = name, s
+		}
+	}
+	return best
+}
+
+// InTop tells whether the member is among the n highest-ranked for the key. It
+// allocates nothing: each host asks it for every replica of its zone each second.
+func InTop(key, member string, members []string, n int) bool {
+	own := score(key, member)
+	above, found := 0, false
+	for _, name := range members {
+		if name == member {
+			found = true
+			continue
+		}
+		if s := score(key, name); s > own || s == own && name < member {
+			above++
+		}
+	}
+	return found && above < n
+}
+
 func score(key, member string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -24,7 +24,7 @@
 	forgetAfter = 10 * time.Minute
 	// remoteRefresh is the least time between two accepted heartbeats or loads
 	// of another zone, so that news of 400 hosts does not crowd out the zone's own.
-	remoteRefresh = 5 * time.Second
+	remoteRefresh = 10 * time.Second
 	// deadLoadAfter is the least age of the last answer of a replica before an
 	// observer's failures count: the other observer may still reach it.
 	deadLoadAfter = 4 * time.Second
@@ -32,12 +32,14 @@
 	// over another path.
 	contactJitter = 100 * time.Millisecond
 
-	maxLoads      = 120 // rows of loads in a message
-	maxHeartbeats = 64  // rows of heartbeats in a message
-	maxMarks      = 32  // replica marks in a message
-	maxHostNews   = 12  // full host states in a message
-	maxQuarantine = 16  // quarantine entries in a message
-	maxSends      = 8   // sends of one news before it only takes part in repair
+	maxLoads            = 88 // rows of loads of the own zone in a message
+	maxRemoteLoads      = 32 // rows of loads of other zones
+	maxHeartbeats       = 56 // rows of heartbeats of the own zone
+	maxRemoteHeartbeats = 24 // rows of heartbeats of other zones
+	maxMarks            = 32 // replica marks in a message
+	maxHostNews         = 12 // full host states in a message
+	maxQuarantine       = 16 // quarantine entries in a message
+	maxSends            = 8  // sends of one news before it only takes part in repair
 )
 
 // Options describe the own host.
@@ -98,21 +100,23 @@
 
 // Table is the soft state of one host.
 type Table struct {
-	opts       Options
-	self       *host
-	hosts      map[string]*host
-	hostIDs    map[uint32]*host
-	order      []*host // rotation for repair
-	hostNext   int
-	replicas   map[string]*replica
-	indexed    []*replica // by position in the bundle
-	loadNext   int
-	generation uint64
-	list       hostList
-	quarantine quarantine
-	wanted     map[uint32]bool
-	urgent     bool // a change that routers must see at once
-	version    uint64
+	opts           Options
+	self           *host
+	hosts          map[string]*host
+	hostIDs        map[uint32]*host
+	order          []*host // rotation for repair
+	hostNext       int
+	remoteHostNext int
+	replicas       map[string]*replica
+	indexed        []*replica // by position in the bundle
+	loadNext       int
+	remoteLoadNext int
+	generation     uint64
+	list           hostList
+	quarantine     quarantine
+	wanted         map[uint32]bool
+	urgent         bool // a change that routers must see at once
+	version        uint64
 }
 
 // NewTable returns a table that knows the own host and the configured peers.
@@ -160,7 +164,7 @@
 	old := t.replicas
 	t.replicas = make(map[string]*replica, len(old))
 	t.indexed = t.indexed[:0:0]
-	t.loadNext = 0
+	t.loadNext, t.remoteLoadNext = 0, 0
 	for i := range b.Upstreams {
 		u := &b.Upstreams[i]
 		for j := range u.Replicas {
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/platform"
@@ -18,16 +20,19 @@
 // network drives tables in virtual time. Every host opens an exchange each half
 // second with a random peer of its zone, as the peer provider does.
 type network struct {
-	t      *testing.T
+	t      testing.TB
 	now    time.Time
 	random *rand.Rand
 	hosts  map[string]*Table
 	names  []string
 	down   map[string]bool
 	cut    func(a, b string) bool
+
+	observeAll bool // hosts observe the replicas that fall to them
+	sent       int  // bytes of messages
 }
 
-func newNetwork(t *testing.T, zones, perZone int) *network {
+func newNetwork(t testing.TB, zones, perZone int) *network {
 	n := &network{t: t, now: start, random: rand.New(rand.NewPCG(1, 2)), hosts: map[string]*Table{}, down: map[string]bool{}}
 	var peers []Peer
 	for z := range zones {
@@ -64,35 +69,65 @@
 	}
 	a, b := n.hosts[from], n.hosts[to]
 	m := a.Message(n.now, remote, true)
+	n.sent += proto.Size(m)
 	if b.Merge(m, n.now) {
 		a.AddNames(m)
 		b.Merge(m, n.now)
 	}
 	reply := b.Message(n.now, remote, false)
 	b.Answer(reply, m, n.now)
+	n.sent += proto.Size(reply)
 	a.Merge(reply, n.now)
 }
 
-// run lets time pass. One host of each zone talks to the other zones.
+// run lets time pass. The watchers of each zone talk to the other zones.
 func (n *network) run(d time.Duration) {
 	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(500 * time.Millisecond) {
-		for i, name := range n.names {
+		second := n.now.Sub(start)%time.Second == 0
+		for _, name := range n.names {
 			if n.down[name] {
 				continue
 			}
-			table := n.hosts[name]
-			if n.now.Sub(start)%time.Second == 0 {
-				table.Beat(n.now, false)
+			if second {
+				n.eachSecond(name)
 			}
-			peer := n.names[n.random.IntN(len(n.names))]
-			sameZone := n.hosts[peer].opts.Zone == table.opts.Zone
-			if peer != name && (sameZone || i%4 == 0) {
-				n.exchange(name, peer, !sameZone)
+			zone := n.hosts[name].opts.Zone
+			if peer := n.peer(name, func(p string) bool { return n.hosts[p].opts.Zone == zone }); peer != "" {
+				n.exchange(name, peer, false)
 			}
 		}
 	}
 }
 
+func (n *network) eachSecond(name string) {
+	table := n.hosts[name]
+	zone := table.opts.Zone
+	table.Beat(n.now, false)
+	staying := table.Staying(zone, n.now)
+	if n.observeAll {
+		for i, r := range table.indexed {
+			if r.zone == zone && InTop(r.key, name, staying, 2) {
+				table.Observe(Observation{Upstream: r.upstream, Replica: r.name, At: n.now, Reachable: true, HasLoad: true, Running: uint32(i % 16), TokensPerSecond: 400})
+			}
+		}
+	}
+	if InTop("watch/"+zone, name, staying, 2) {
+		if peer := n.peer(name, func(p string) bool { return n.hosts[p].opts.Zone != zone }); peer != "" {
+			n.exchange(name, peer, true)
+		}
+	}
+}
+
+// peer returns a random host, empty when no host is found that is allowed.
+func (n *network) peer(name string, allowed func(p string) bool) string {
+	for range 200 {
+		if p := n.names[n.random.IntN(len(n.names))]; p != name && allowed(p) {
+			return p
+		}
+	}
+	return ""
+}
+
 func (n *network) state(at, of string) rpc.State {
 	for _, h := range n.hosts[at].Hosts(n.now) {
 		if h.Host == of {
@@ -319,3 +354,87 @@
 	}
 	require.NotContains(t, n.hosts[other].Watchers("z0", 2, n.now), cut)
 }
+
+// largeTable has a zone of 57 hosts, 343 others and 600 replicas, all with news.
+func largeTable() *Table {
+	table := NewTable(Options{Host: "z0-h0", Zone: "z0", PeerAddress: "10.0.0.1:7000", Incarnation: 1}, start)
+	b := targetBundle()
+	table.SetBundle(b, 2)
+	for i := 1; i < 400; i++ {
+		zone := i % 7
+		if i < 57 {
+			zone = 0
+		}
+		table.mergeHost(&rpc.HostState{Host: fmt.Sprint("host", i), AvailabilityZone: fmt.Sprint("z", zone), PeerAddress: "10.0.0.2:7000",
+			State: rpc.State_STATE_LIVE, Incarnation: uint64(start.UnixMilli()), Heartbeat: 1000}, start)
+	}
+	for i := range b.Upstreams[0].Replicas {
+		table.Observe(Observation{Upstream: "models", Replica: fmt.Sprint("e", i), At: start, Reachable: true, HasLoad: true, Running: 9, TokensPerSecond: 900, Lag: time.Second})
+	}
+	return table
+}
+
+func targetBundle() *bundle.Bundle {
+	b := &bundle.Bundle{Upstreams: []bundle.Upstream{{Name: "models", Models: []string{"a"}}}}
+	for i := range 600 {
+		b.Upstreams[0].Replicas = append(b.Upstreams[0].Replicas, bundle.Replica{ID: fmt.Sprint("e", i), AvailabilityZone: fmt.Sprint("z", i%7)})
+	}
+	return b
+}
+
+// Guards against messages that grow with the deployment, and against the many
+// hosts of other zones crowding out heartbeats of the own zone, whose hosts are
+// then taken for dead: 4 messages a second must stay under 12 KB/s.
+func TestMessagesStayBoundedAtTargetScale(t *testing.T) {
+	table := largeTable()
+	for i := range 20 {
+		m := table.Message(start.Add(time.Duration(i)*500*time.Millisecond), false, true)
+		require.Less(t, proto.Size(m), 3000+maxHostNews*60)
+		own := 0
+		for _, id := range m.Heartbeats.Id {
+			if table.hostIDs[id].state.AvailabilityZone == "z0" {
+				own++
+			}
+		}
+		require.GreaterOrEqual(t, own, maxHeartbeats*3/4)
+	}
+}
+
+// BenchmarkTargetScale lets 7 zones of 57 hosts exchange for 12 s of virtual time
+// after 18 s to settle.
+func BenchmarkTargetScale(b *testing.B) {
+	for range b.N {
+		n := newNetwork(nil, 7, 57)
+		for _, table := range n.hosts {
+			table.SetBundle(targetBundle(), 2)
+		}
+		n.observeAll = true
+		n.run(18 * time.Second)
+		n.sent = 0
+		const measured = 12 * time.Second
+		n.run(measured)
+		missing := 0
+		for _, name := range n.names {
+			missing += 57 - len(n.hosts[name].Live(n.hosts[name].opts.Zone, n.now))
+		}
+		ages := map[bool][]float64{}
+		unknown := 0
+		for _, r := range n.hosts["z0-h0"].Replicas(n.now) {
+			own := n.hosts["z0-h0"].replicas[r.Upstream+"/"+r.Replica].zone == "z0"
+			if r.HasLoad {
+				ages[own] = append(ages[own], float64(r.ReportAgeMs))
+			} else {
+				unknown++
+			}
+		}
+		slices.Sort(ages[true])
+		slices.Sort(ages[false])
+		b.ReportMetric(float64(n.sent)/measured.Seconds()/float64(len(n.names)), "B/s/host")
+		b.ReportMetric(float64(missing), "false-dead")
+		b.ReportMetric(float64(unknown), "unknown-loads")
+		b.ReportMetric(ages[true][len(ages[true])/2], "own-age-ms-p50")
+		b.ReportMetric(ages[true][len(ages[true])-1], "own-age-ms-max")
+		b.ReportMetric(ages[false][len(ages[false])/2], "other-age-ms-p50")
+		b.ReportMetric(ages[false][len(ages[false])-1], "other-age-ms-max")
+	}
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -136,9 +136,10 @@
 	Operators Operators
 }
 
-// contentValue wraps canonical JSON, whose bytes must survive unchanged.
+// contentValue wraps canonical JSON, whose bytes must survive unchanged. It is
+// compressed, because the content of 7,100 teams exceeds the platform's 1 MB.
 type contentValue struct {
-	Content []byte `json:"content"`
+	ContentGzip []byte `json:"content_gzip"`
 }
 
 // Current returns the bundle in force and the version of its object.
@@ -162,8 +163,9 @@
 	if err := decode(o, &v); err != nil {
 		return nil, err
 	}
-	if bundle.Hash(v.Content) != sha256 {
+	content, err := Decompress(v.ContentGzip)
+	if err != nil || bundle.Hash(content) != sha256 {
 		return nil, ErrBadContent
 	}
-	return v.Content, nil
+	return content, nil
 }
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -39,7 +39,7 @@
 		if stored, err := s.Content(ctx, sha256); err == nil && stored != nil {
 			return true, nil
 		}
-		_, err := s.Platform.Create(ctx, KindContent, sha256, contentValue{Content: content})
+		_, err := s.Platform.Create(ctx, KindContent, sha256, contentValue{ContentGzip: Compress(content)})
 		return err == nil, err
 	})
 }
