--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -26,7 +26,9 @@
 // preempt interrupts lower-tier streams when top-tier requests wait in the pool
 // and fewer slots become free in time for their target than they need.
 func (s *Scheduler) preempt(p *pool) {
-	waiting := p.tiers[bundle.TopTier].fresh
+	// Late requests count too: one that misses its target because a victim had
+	// not run long enough would else wait for the end of a long answer.
+	waiting := p.tiers[bundle.TopTier].fresh + p.tiers[bundle.TopTier].late
 	if !s.tuning.preemption || waiting == 0 {
 		return
 	}
