Bound what preemption recomputes and what lower tiers take from a view

All hosts see the same free slots in a view and together took each of them several times; the top tier then waited in the engines. Lower tiers now take this host's part of the free slots until the next view, beside those that its own requests give back. Preempted streams with long prompts cost more than the slot gained, so preemption may recompute at most 0.8% of the computed tokens.

--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -130,6 +130,7 @@
 	if result.Refused {
 		return
 	}
+	t.scheduler.earnWaste(t.request.PromptTokens + result.Tokens)
 	a.upstream.finished.add(1)
 	a.upstream.service[0].observe(held)
 	a.upstream.service[t.class.Tier].observe(held)
@@ -155,6 +156,7 @@
 		u.pending--
 	}
 	u.freed++
+	a.ticket.lane.pool.allowance++
 }
 
 // assignmentList links the running requests of a tier in order of their grants.
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -126,7 +126,7 @@
 		return phaseShare
 	case p.free(l.level()) <= 0:
 		return phaseNone
-	case l.class.Tier > bundle.TopTier && p.free(levelTop) <= p.headroom:
+	case l.class.Tier > bundle.TopTier && (p.free(levelTop) <= p.headroom || p.allowance <= 0):
 		return phaseNone
 	default:
 		return phaseTier
@@ -252,5 +252,8 @@
 	a.flushed = now
 	s.enterUpstream(a)
 	t.lane.pool.take(a.upstream)
+	if a.tier > bundle.TopTier {
+		t.lane.pool.allowance--
+	}
 	t.end(granted)
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -21,6 +21,11 @@
 	preemptionFraction = 0.25
 	// victimScan bounds how many running requests of a tier are looked at.
 	victimScan = 32
+	// wasteShare is the part of the computed tokens that preemption may throw
+	// away; the design allows 1% of wasted work in all.
+	wasteShare = 0.008
+	// maxWaste bounds the tokens saved up for preemptions in a quiet time.
+	maxWaste = 15_000
 )
 
 // preempt interrupts lower-tier streams when top-tier requests wait in the pool
@@ -38,9 +43,10 @@
 	s.adjustLimit(p, now)
 	for range needed {
 		victim := s.victim(p, now)
-		if victim == nil || !p.limiter.AllowN(now, 1) {
+		if victim == nil || s.waste < float64(victim.cost()) || !p.limiter.AllowN(now, 1) {
 			return
 		}
+		s.waste -= float64(victim.cost())
 		victim.preempt()
 	}
 }
@@ -108,6 +114,18 @@
 	return running > a.ticket.class.guaranteed(slots)
 }
 
+// cost returns the tokens that another replica computes again to continue the
+// stream. Those of this attempt come on top but are few, as the latest one to
+// start is taken.
+func (a *Assignment) cost() int {
+	return a.ticket.request.PromptTokens + a.ticket.request.Progress
+}
+
+// earnWaste adds to the tokens that preemption may throw away.
+func (s *Scheduler) earnWaste(computed int) {
+	s.waste = min(s.waste+wasteShare*float64(computed), maxWaste)
+}
+
 func (a *Assignment) preempt() {
 	a.isPreempted = true
 	a.upstream.pending++
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -53,7 +54,10 @@
 	poolList        []*pool
 	expiry          queue.Heap[*Ticket] // waiting requests by the time of certain refusal
 	demand          map[demandKey]*scheduling.ClassDemand
-	pass            uint64 // number of the current dispatch pass
+	random          *rand.Rand
+	hosts           int     // that see the same free slots
+	pass            uint64  // number of the current dispatch pass
+	waste           float64 // tokens that preemption may still throw away
 	ticked          time.Time
 	sequence        int64   // of arrivals
 	meanEntitlement float64 // of the teams in tokens/s
@@ -68,9 +72,10 @@
 	freshFirst   bool // requests that can still meet their target go first
 	earlyRefusal bool
 	fairness     bool // among the teams of a class
+	allowance    bool // lower tiers take only this host's part of the free slots
 }
 
-var defaultTuning = tuning{headroom: true, preemption: true, freshFirst: true, earlyRefusal: true, fairness: true}
+var defaultTuning = tuning{headroom: true, preemption: true, freshFirst: true, earlyRefusal: true, fairness: true, allowance: true}
 
 type demandKey struct {
 	class string
@@ -97,6 +102,9 @@
 		pools:     make(map[poolKey]*pool),
 		demand:    make(map[demandKey]*scheduling.ClassDemand),
 		ticked:    opts.Clock.Now(),
+		random:    rand.New(rand.NewPCG(opts.Seed, 0)),
+		hosts:     1,
+		waste:     maxWaste,
 	}
 }
 
@@ -114,6 +122,12 @@
 		return
 	}
 	s.refreshPools()
+	if view != nil {
+		s.hosts = max(view.HostsInZone, 1) * max(view.ZoneCount, 1)
+		for _, p := range s.poolList {
+			s.allow(p)
+		}
+	}
 	s.refuseQuarantined()
 	s.dispatch(s.poolList)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -149,6 +149,7 @@
 	headroom  int                                           // free slots kept for the top tier
 	emptyFrom time.Time                                     // since when no replica can be reached; zero when one can
 	blocked   [levels]uint64                                // dispatch pass in which no slot was left
+	allowance int                                           // slots that lower tiers may take until the next view
 	sinceAged int                                           // grants since the last one by age
 	limiter   *rate.Limiter                                 // of preemptions
 }
@@ -207,6 +208,7 @@
 	s.pools[k] = p
 	s.poolList = append(s.poolList, p)
 	s.refresh(p)
+	s.allow(p)
 	return p
 }
 
@@ -263,6 +265,27 @@
 	}
 }
 
+// allowanceFraction is below one because the dispatches between two views appear
+// only in the view after the next: reports lag by about the time between views.
+const allowanceFraction = 0.5
+
+// allow sets how many slots lower tiers may take until the next view, beside those
+// that this host's own requests give back: this host's part of the free ones. All
+// hosts see the same free slots in a view, and would together take each of them
+// several times. The fraction is rounded at random so that few slots among many
+// hosts are used as well.
+func (s *Scheduler) allow(p *pool) {
+	if !s.tuning.allowance {
+		p.allowance = math.MaxInt32
+		return
+	}
+	part := float64(max(p.free(levelLower), 0))
+	if s.hosts > 1 {
+		part *= allowanceFraction / float64(s.hosts)
+	}
+	p.allowance = int(part + s.random.Float64())
+}
+
 func (s *Scheduler) refreshPools() {
 	for _, u := range s.upstreams {
 		u.freed = 0
