--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -77,13 +77,15 @@
 	return len(r.Upstreams) > 0
 }
 
-// expectedTokens returns the tokens to charge for what is left of the answer.
+// expectedTokens returns the tokens to charge for what is left of the answer: the
+// mean, as the median of skewed lengths lets a team overdraw its limit until the
+// answers end.
 func (t *Ticket) expectedTokens() int {
 	r := &t.request
 	if r.Model == "" {
 		return 0
 	}
-	tokens := t.lane.series.Estimate().TokensP50
+	tokens := t.lane.series.Estimate().TokensMean
 	if r.MaxTokens > 0 {
 		tokens = min(tokens, r.MaxTokens)
 	}
--- a/internal/scheduling/estimator/estimator.go
+++ b/internal/scheduling/estimator/estimator.go
@@ -3,6 +3,7 @@
 package estimator
 
 import (
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -30,6 +31,7 @@
 
 // Estimate is what is known of the answers of a class and model.
 type Estimate struct {
+	TokensMean int // rounded up
 	TokensP50  int
 	TokensP90  int
 	ServiceP10 time.Duration // from assignment to the end of the answer
@@ -108,6 +110,7 @@
 		service = class.AnswerTarget.Std() / 2
 	}
 	s.estimate = Estimate{
+		TokensMean: tokens,
 		TokensP50:  tokens,
 		TokensP90:  2 * tokens,
 		ServiceP50: service,
@@ -157,6 +160,7 @@
 	}
 	service := s.service.Merge()
 	s.estimate = Estimate{
+		TokensMean: int(math.Ceil(tokens.Mean())),
 		TokensP50:  int(tokens.ValueAtQuantile(50)),
 		TokensP90:  int(tokens.ValueAtQuantile(90)),
 		ServiceP10: millis(service, 10),
--- a/internal/scheduling/estimator/estimator_test.go
+++ b/internal/scheduling/estimator/estimator_test.go
@@ -36,6 +36,7 @@
 		s.Observe(n, time.Duration(n)*10*time.Millisecond)
 	}
 	got := s.Estimate()
+	require.InEpsilon(t, 500, got.TokensMean, 0.1)
 	require.InEpsilon(t, 500, got.TokensP50, 0.1)
 	require.InEpsilon(t, 900, got.TokensP90, 0.1)
 	require.InEpsilon(t, 1, got.ServiceP10.Seconds(), 0.15)
