Count slots that only the top tier may fill as free

Cause: the scheduler asks Slots with the first request that a pool ever had. Change: Slots counts the reserve as free; Pick still refuses lower tiers there.

--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -132,6 +132,17 @@
 	e.running = slices.DeleteFunc(e.running, same)
 }
 
+// top returns the number of running top-tier requests.
+func (e *engine) top() int {
+	n := 0
+	for _, s := range e.running {
+		if s.priority == 1 {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *engine) wake() {
 	if e.busy || e.down || e.frozen {
 		return
--- a/internal/bench/policy/heatherbarrow.go
+++ b/internal/bench/policy/heatherbarrow.go
@@ -149,7 +149,9 @@
 func (s *schedulerHost) granted(w *world, h *host, q *queued, assignment *scheduler.Assignment) {
 	r := &running{assignment: assignment, host: s, world: w}
 	s.running = append(s.running, r)
-	w.trace("%v job %s class %s to %v %+v", w.loop.now().Sub(epoch), q.job.id, q.job.name.Name, assignment.Replica, assignment.Decision)
+	e := w.engines[assignment.Replica]
+	w.trace("%v job %s class %s to %v running=%d top=%d waiting=%d %+v", w.loop.now().Sub(epoch), q.job.id, q.job.name.Name,
+		assignment.Replica, len(e.running), e.top(), len(e.waiting), assignment.Decision)
 	r.attempt = w.start(h, q.job, assignment.Replica, r, q.exclude, true)
 }
 
--- a/internal/bench/policy/main.go
+++ b/internal/bench/policy/main.go
@@ -15,6 +15,7 @@
 
 type options struct {
 	Scenario string `long:"scenario" description:"run only this scenario"`
+	Seed     uint64 `long:"seed" description:"added to each scenario's seed"`
 	Trace    bool   `long:"trace" description:"print each decision of heatherbarrow to standard error"`
 }
 
@@ -26,6 +27,7 @@
 	t := &tally{}
 	for _, s := range scenarios() {
 		if opts.Scenario == "" || opts.Scenario == s.name {
+			s.seed += opts.Seed
 			compareOn(s, opts.Trace, t)
 		}
 	}
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -42,7 +42,7 @@
 
 type count struct {
 	total int
-	free  [levels]int
+	free  int // for the top tier
 }
 
 // zoneLoad sums what is known of a zone's replicas.
@@ -143,9 +143,7 @@
 			continue
 		}
 		p.counts[m].total += sign * p.slots
-		for level := range r.free {
-			p.counts[m].free[level] += sign * r.free[level]
-		}
+		p.counts[m].free += sign * r.free[levelTop]
 	}
 }
 
