Divide the free slots among the hosts for the top tier too

Cause: with half the fleet lost, hosts filled the same reported slots with top-tier requests, and up to 15 waited at one engine while others had room. Slow first tokens from such queues also ejected healthy replicas. Change: the top tier, too, fills the host's part of the free slots or what remains if others sent as much; slow first tokens need slow tokens beside them to count; the frozen check scales with the upstream's slowness; inter-token times are weighted by time; the cost of running beside suspects is divided by their number.

--- a/internal/scheduling/health/health.go
+++ b/internal/scheduling/health/health.go
@@ -18,6 +18,9 @@
 	// A batch that is full and prefilling takes up to three times the step time
 	// of an idle one, so a smaller factor ejects replicas for being busy.
 	slowFactor = 3.0
+	// queueFactor is the multiple of the median inter-token time below which slow
+	// first tokens are put down to queueing.
+	queueFactor = 2.0
 	// minExcess is the least delay over the expected one that matters to a caller.
 	minExcess = 100 * time.Millisecond
 	// silence is the time without any token after which a replica with overdue
@@ -27,7 +30,7 @@
 	// a request counts as overdue.
 	overdueFactor = 3.0
 	minSamples    = 2.0
-	minTokens     = 8.0
+	minObserved   = 0.25        // seconds of streaming
 	sampleHalf    = time.Second // half-life of measurements
 
 	slowEjection    = 2 * time.Second
@@ -109,9 +112,9 @@
 			continue
 		}
 		switch {
-		case m.frozen(now):
+		case m.frozen(now, slow):
 			p.eject(m, now, slowEjection, "frozen")
-		case slowKnown && m.slowOutlier(now, slow):
+		case slowKnown && m.slowOutlier(now, slow, inter):
 			p.eject(m, now, slowEjection, "first_token")
 		case interKnown && m.interOutlier(now, inter):
 			p.eject(m, now, slowEjection, "inter_token")
--- a/internal/scheduling/health/member.go
+++ b/internal/scheduling/health/member.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"heatherbarrow/internal/bundle"
 )
 
 type state int
@@ -34,6 +36,7 @@
 	id       string
 	started  time.Time
 	expected time.Duration
+	least    time.Duration // wait that counts as overdue at least
 }
 
 // decayed is a mean whose samples lose half their weight every sampleHalf.
@@ -70,7 +73,11 @@
 	if !known {
 		expected = silence
 	}
-	m.pending = append(m.pending, attempt{id: id, started: now, expected: expected})
+	least := silence
+	if k.Tier > bundle.TopTier {
+		least *= 2 // engines serve lower tiers after the top tier
+	}
+	m.pending = append(m.pending, attempt{id: id, started: now, expected: expected, least: least})
 }
 
 // FirstToken records the time to the first token of a request.
@@ -91,7 +98,8 @@
 func (m *Member) Tokens(now time.Time, n int, elapsed time.Duration) {
 	m.progress = now
 	if n > 0 {
-		m.inter.add(now, elapsed.Seconds()/float64(n), float64(n))
+		// The weight is the time, as a slow replica gives few tokens.
+		m.inter.add(now, elapsed.Seconds()/float64(n), elapsed.Seconds())
 	}
 }
 
@@ -140,13 +148,18 @@
 	return sum, weight
 }
 
-func (m *Member) interToken(now time.Time) (float64, bool) { return m.inter.mean(now, minTokens) }
+func (m *Member) interToken(now time.Time) (float64, bool) { return m.inter.mean(now, minObserved) }
 
-func (m *Member) slowOutlier(now time.Time, median float64) bool {
+func (m *Member) slowOutlier(now time.Time, median, inter float64) bool {
 	v, known := m.slowness(now)
 	if !known || v < slowFactor*max(median, 1) {
 		return false
 	}
+	// A replica that gives its tokens as fast as the others is not slow; its
+	// requests wait for a place in the batch.
+	if own, known := m.interToken(now); known && inter > 0 && own < queueFactor*inter {
+		return false
+	}
 	first, known := m.first.mean(now, 0.5)
 	excess := time.Duration(first * (1 - 1/v) * float64(time.Second))
 	return !known || excess > minExcess
@@ -158,14 +171,16 @@
 	return known && v > slowFactor*median && v > target
 }
 
-// frozen tells whether requests are overdue and the replica gives no token at all.
-func (m *Member) frozen(now time.Time) bool {
+// frozen tells whether requests are overdue and the replica gives no token at
+// all. median is the upstream's present slowness: under overload all requests
+// wait longer than expected.
+func (m *Member) frozen(now time.Time, median float64) bool {
 	if now.Sub(m.progress) < silence {
 		return false
 	}
 	for i := range m.pending {
 		a := &m.pending[i]
-		overdue := max(time.Duration(overdueFactor*float64(a.expected)), silence)
+		overdue := max(time.Duration(overdueFactor*max(median, 1)*float64(a.expected)), a.least)
 		if now.Sub(a.started) > overdue {
 			return true
 		}
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -218,7 +218,7 @@
 		r.health.Crash(now)
 	}
 	if f.suspect {
-		r.suspects--
+		r.suspect(-1)
 		p.quarantine.Ended(f.fingerprint, result.Outcome == outcome.Completed)
 	}
 	if result.Crashed {
@@ -255,7 +255,7 @@
 			f := &r.flights[i]
 			if f.fingerprint == fingerprint && !f.suspect {
 				f.suspect = true
-				r.suspects++
+				r.suspect(1)
 				p.quarantine.Started(fingerprint, now)
 			}
 		}
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -32,6 +32,7 @@
 	counts   []count // by model; one entry for services
 	health   *health.Pool
 	serviced float64 // mean seconds that a request takes
+	suspects int     // requests of suspects in flight
 	meanLoad float64 // requests on a live replica
 	// recent counts this host's dispatches, those of a second ago by 1/e.
 	recent    float64
@@ -88,6 +89,7 @@
 		r.address = u.Replicas[i].Address
 		r.local = u.Replicas[i].AvailabilityZone == zone
 		r.zone = p.zone(u.Replicas[i].AvailabilityZone)
+		p.suspects += r.suspects
 		r.counted = false
 		r.free = [levels]int{}
 		current[id] = r
@@ -110,6 +112,14 @@
 	return len(p.zones) - 1
 }
 
+// usable returns the slots of a replica that a level may fill.
+func (p *pool) usable(level int) int {
+	if level == levelLower {
+		return p.slots - p.reserve
+	}
+	return p.slots
+}
+
 // model returns the index of a model; services have the single index 0.
 func (p *pool) model(name string) (int, bool) {
 	if name == "" {
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -31,13 +31,13 @@
 
 	hasReport  bool
 	reportedAt time.Time
-	reported   float64 // requests of other hosts at the time of the report
-	others     float64 // the same, corrected to now
-	doubt      float64 // standard deviation of others
-	slow       float64 // measured first-token time relative to the upstream's usual one
-	inter      float64 // measured seconds per token
-	quota      int     // lower-tier share: requests of this host that its report leaves room for
-	limit      int     // requests of this host that its health allows
+	reported   float64     // requests of other hosts at the time of the report
+	others     float64     // the same, corrected to now
+	doubt      float64     // standard deviation of others
+	slow       float64     // measured first-token time relative to the upstream's usual one
+	inter      float64     // measured seconds per token
+	quota      [levels]int // requests of this host that its report leaves room for
+	limit      int         // requests of this host that its health allows
 	free       [levels]int
 	counted    bool // part of the pool's total
 
@@ -81,10 +81,16 @@
 		r.top++
 	}
 	if f.suspect {
-		r.suspects++
+		r.suspect(1)
 	}
 }
 
+// suspect counts the flights of suspects.
+func (r *Replica) suspect(n int) {
+	r.suspects += n
+	r.pool.suspects += n
+}
+
 func (r *Replica) end(id string, now time.Time) (flight, bool) {
 	i := slices.IndexFunc(r.flights, func(f flight) bool { return f.id == id })
 	if i < 0 {
@@ -112,9 +118,9 @@
 }
 
 // report takes a report. The requests of this host at the time of the report
-// are subtracted, which leaves those of the other hosts. Lower tiers of the host
-// may fill only its part of the free slots until the next report, or all hosts
-// with a backlog would fill the same slots. random rounds the part, so that the
+// are subtracted, which leaves those of the other hosts. The host may
+// fill only its part of the free slots until the next report, or all hosts with a
+// backlog would fill the same slots. random rounds the part, so that the
 // parts of all hosts add up to the free slots on average.
 func (r *Replica) report(load *scheduling.ReplicaLoad, hosts int, random float64) {
 	r.state = load.State
@@ -126,8 +132,10 @@
 	r.reportedAt = load.ReportedAt
 	own, all := r.ownAt(load.ReportedAt), load.Running+load.Waiting
 	r.reported = math.Max(0, float64(all-own))
-	free := max(r.pool.slots-r.pool.reserve-all, 0)
-	r.quota = own + int(float64(free)/float64(hosts)+random)
+	for level := range r.quota {
+		free := max(r.pool.usable(level)-all, 0)
+		r.quota[level] = own + int(float64(free)/float64(hosts)+random)
+	}
 }
 
 func (r *Replica) ownAt(t time.Time) int {
@@ -161,13 +169,9 @@
 	r.limit = r.health.Limit(now, r.pool.slots)
 	r.counted = r.serving()
 	for level := range r.free {
-		slots := r.pool.slots
-		if level == levelLower {
-			slots -= r.pool.reserve
-		}
-		free := min(slots-int(math.Round(r.load())), r.limit-len(r.flights))
-		if level == levelLower && r.hasReport && now.Sub(r.reportedAt) < quotaLife {
-			free = min(free, r.lowerFree())
+		free := min(r.pool.usable(level)-int(math.Round(r.load())), r.limit-len(r.flights))
+		if r.hasReport && now.Sub(r.reportedAt) < quotaLife {
+			free = min(free, r.room(level))
 		}
 		if !r.counted {
 			free = 0
@@ -177,12 +181,11 @@
 	r.pool.add(r, 1)
 }
 
-// lowerFree returns the slots that this host's lower tiers may fill: its part of
-// those free at the last report, or what is left if the other hosts sent as much
-// as this one since then.
-func (r *Replica) lowerFree() int {
-	left := float64(r.pool.slots-r.pool.reserve) - r.load() - r.pool.recent*r.pool.unseen
-	return max(r.quota-len(r.flights), int(left))
+// room returns the slots that this host may fill: its part of those free at the
+// last report, or what is left if the other hosts sent as much as this one since.
+func (r *Replica) room(level int) int {
+	left := float64(r.pool.usable(level)) - r.load() - r.pool.recent*r.pool.unseen
+	return max(r.quota[level]-len(r.flights), int(left))
 }
 
 func (r *Replica) measurement() (scheduling.ReplicaMeasurement, bool) {
--- a/internal/scheduling/picker/scorer.go
+++ b/internal/scheduling/picker/scorer.go
@@ -116,8 +116,10 @@
 func (trialScorer) Name() string { return "trial" }
 func (trialScorer) Score(q *Query, c *Candidate) float64 {
 	cost := 0.0
-	if c.replica.suspects > 0 {
-		cost += suspectCost
+	if n := c.replica.suspects; n > 0 {
+		// One of the suspects of a crash is the cause at most, so that each of
+		// many says little about its replica.
+		cost += suspectCost * float64(n) / float64(max(c.replica.pool.suspects, n))
 	}
 	if q.level == levelTop && c.replica.health.Readmitted() {
 		cost += suspectCost
