Keep remote state fresh in small deployments and watch hosts independently

In a trial with real processes, status showed other zones as last heard 5 to 14 s ago, since rows of other zones were taken every 10 s at any size; the interval now grows from 1 s with the number of hosts and replicas. hbctl watch waited 2 s for one host that hung before it told of the others; it now follows each control by itself. A 503 of the platform no longer counts as an answer. Announcements of one generation fetch it once.

--- a/internal/bench/controlcost/cluster.go
+++ b/internal/bench/controlcost/cluster.go
@@ -22,10 +22,28 @@
 	standin "heatherbarrow/internal/standin/platform"
 )
 
-// firstPort is below the ports that the system gives to outgoing connections.
-const firstPort = 23000
+// firstPort and lastPort lie below the ports that the system gives to outgoing
+// connections, which could otherwise take one before its host listens.
+const (
+	firstPort = 23000
+	lastPort  = 32000
+)
+
+// nextPort is the next port to try.
+var nextPort = firstPort
 
-const portsPerHost = 3
+var errNoPort = errors.New("no free port")
+
+func freeAddress() (string, error) {
+	for ; nextPort < lastPort; nextPort++ {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			nextPort++
+			return address, listener.Close()
+		}
+	}
+	return "", errNoPort
+}
 
 // cluster is one size in operation.
 type cluster struct {
@@ -34,6 +52,7 @@
 	servers  []*http.Server
 	store    *rollout.Store
 	routers  []*router
+	peers    map[string]bool // addresses of peer listeners
 	programs sync.WaitGroup
 	traffic  traffic
 	changes  int
@@ -56,7 +75,7 @@
 }
 
 func newCluster(ctx context.Context, s size) (*cluster, error) {
-	c := &cluster{size: s, platform: standin.New()}
+	c := &cluster{size: s, platform: standin.New(), peers: make(map[string]bool)}
 	url, err := c.serve(c.platform.Handler())
 	if err != nil {
 		return c, err
@@ -110,11 +129,16 @@
 
 func (c *cluster) startHosts(ctx context.Context, url string, operators map[string]string) error {
 	peers := make([]control.Peer, c.size.hosts)
-	address := func(host, port int) string {
-		return fmt.Sprintf("127.0.0.1:%d", firstPort+host*portsPerHost+port)
-	}
+	addresses := make([][3]string, c.size.hosts) // of feed, peer and operator listener
 	for i := range peers {
-		peers[i] = control.Peer{Host: fmt.Sprintf("host%03d", i), AvailabilityZone: zoneName(i % c.size.zones), Address: address(i, 1)}
+		for j := range addresses[i] {
+			var err error
+			if addresses[i][j], err = freeAddress(); err != nil {
+				return err
+			}
+		}
+		peers[i] = control.Peer{Host: fmt.Sprintf("host%03d", i), AvailabilityZone: zoneName(i % c.size.zones), Address: addresses[i][1]}
+		c.peers[peers[i].Address] = true
 		c.list.Hosts = append(c.list.Hosts, platform.Host{
 			Name: peers[i].Host, AvailabilityZone: peers[i].AvailabilityZone, PeerAddress: peers[i].Address, State: "live",
 		})
@@ -123,8 +147,8 @@
 	failed := make(chan error, len(peers))
 	for i, p := range peers {
 		s := &control.Settings{
-			Host: p.Host, AvailabilityZone: p.AvailabilityZone, FeedListen: address(i, 0), PeerListen: p.Address,
-			OperatorListen: address(i, 2), Router: "127.0.0.1:1", Platform: "http://" + url, Peers: peers, Operators: operators, LogLevel: "error",
+			Host: p.Host, AvailabilityZone: p.AvailabilityZone, FeedListen: addresses[i][0], PeerListen: p.Address,
+			OperatorListen: addresses[i][2], Router: "127.0.0.1:1", Platform: "http://" + url, Peers: peers, Operators: operators, LogLevel: "error",
 		}
 		program := control.NewProgram(s).WithLogger(zerolog.Nop()).WithMetrics(http.NotFoundHandler()).WithDial(c.dial)
 		c.programs.Go(func() {
@@ -132,7 +156,7 @@
 				failed <- err
 			}
 		})
-		r := newRouter(s.FeedListen, s.OperatorListen)
+		r := newRouter(s.FeedListen, s.OperatorListen, i%c.size.zones, c.size.zones)
 		c.routers = append(c.routers, r)
 		go r.follow(ctx)
 	}
@@ -157,10 +181,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var port int
-	_, _ = fmt.Sscanf(address, "127.0.0.1:%d", &port)
-	peer := port >= firstPort && port < firstPort+c.size.hosts*portsPerHost
-	return &countedConn{Conn: conn, traffic: &c.traffic, peer: peer}, nil
+	return &countedConn{Conn: conn, traffic: &c.traffic, peer: c.peers[address]}, nil
 }
 
 // countedConn counts a message at each change from reading to writing, which is
--- a/internal/bench/controlcost/router.go
+++ b/internal/bench/controlcost/router.go
@@ -23,16 +23,19 @@
 // and reports usage.
 type router struct {
 	feed         rpc.Feed
+	zone         int // own zone, among zones
+	zones        int
 	operator     rpc.Operator
 	generation   atomic.Uint64
 	views        atomic.Uint64
 	firstReplica atomic.Int64 // state of the first replica
-	reportAge    atomic.Int64 // median in ms
+	reportAge    atomic.Int64 // median over the own zone's replicas, in ms
 }
 
-func newRouter(feed, operator string) *router {
+func newRouter(feed, operator string, zone, zones int) *router {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	return &router{
+		zone: zone, zones: zones,
 		feed:     rpc.NewFeedProtobufClient("http://"+feed, client),
 		operator: rpc.NewOperatorProtobufClient("http://"+operator, client),
 	}
@@ -60,8 +63,8 @@
 func (r *router) take(v *rpc.View) {
 	r.views.Add(1)
 	ages := make([]uint32, 0, len(v.Replicas))
-	for _, replica := range v.Replicas {
-		if replica.HasLoad {
+	for i, replica := range v.Replicas {
+		if replica.HasLoad && i%r.zones == r.zone {
 			ages = append(ages, replica.ReportAgeMs)
 		}
 	}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -31,6 +31,7 @@
 	// pushPause bounds how often one host pushes.
 	pushPause    = 50 * time.Millisecond
 	fetchers     = 2
+	hedgeAfter   = 500 * time.Millisecond
 	maxExchanges = 8 // exchanges of one host at the same time
 )
 
@@ -45,6 +46,9 @@
 	clients map[string]rpc.Peer
 	slots   chan struct{}
 	round   int
+
+	fetching  uint64 // generation of the newest fetch
+	fetchedAt time.Time
 }
 
 // Name implements kernel.Service.
@@ -229,9 +233,22 @@
 	}
 }
 
+// mayFetch keeps several announcements of one generation from fetching it several
+// times. After hedgeAfter another peer is asked; the exchanges announce it again.
+func (p *PeerProvider) mayFetch(generation uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if generation <= p.fetching && now.Sub(p.fetchedAt) < hedgeAfter {
+		return false
+	}
+	p.fetching, p.fetchedAt = generation, now
+	return true
+}
+
 func (p *PeerProvider) fetch(ctx context.Context, f Fetch) {
 	have := p.loop.State().Bundle.GetGeneration()
-	if f.Generation <= have {
+	if f.Generation <= have || !p.mayFetch(f.Generation) {
 		return
 	}
 	source := "peer " + f.Peer.Host
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -29,7 +29,7 @@
 	// leaveTimeout is how long a stopping control waits for peers to hear that
 	// its host leaves.
 	leaveTimeout   = 200 * time.Millisecond
-	idlePerPeer    = 2
+	idlePerPeer    = 1
 	idleToPlatform = 16
 )
 
--- a/internal/hbctl/rollout.go
+++ b/internal/hbctl/rollout.go
@@ -70,7 +70,7 @@
 // explainStale tells the operator who lost a race what came into force instead.
 func (a *app) explainStale(ctx context.Context, e *rollout.StaleError) {
 	c := &e.Current
-	fmt.Fprintf(a.stdout, "not rolled out: the proposal is for generation %d, but generation %d is in force\n", e.Proposal.Generation, c.Generation)
+	fmt.Fprintf(a.stdout, "not rolled out: the proposal was made for generation %d, which another bundle has taken\n", e.Proposal.Generation)
 	fmt.Fprintf(a.stdout, "in force: generation %d sha256 %s, author %s, approver %s, approved %s\n", c.Generation, c.SHA256, c.Author, c.Approver, formatUnix(c.ApprovedUnixMS))
 	before, err := a.store.Bundle(ctx, e.Proposal.Base)
 	if err != nil {
--- a/internal/hbctl/watch.go
+++ b/internal/hbctl/watch.go
@@ -42,67 +42,124 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.Timeout)*time.Second)
 	defer cancel()
-	begin := time.Now()
-	arrivals := make(map[string]arrival)
+	progress := &watchProgress{
+		generation: generation, begin: time.Now(), known: make(map[string]*rpc.HostState), direct: make(map[string]bool), hostOf: make(map[string]string),
+		arrivals: make(map[string]arrival), pending: len(w.app.settings.Controls), answered: make(map[string]bool),
+	}
+	answers := w.app.follow(ctx)
 	for {
-		missing := w.poll(ctx, generation, begin, arrivals)
-		if len(missing) == 0 && len(arrivals) > 0 {
-			return w.finish(generation, arrivals)
-		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("generation %d is not in force everywhere: missing %v", generation, missing)
-		case <-time.After(watchInterval):
+			return fmt.Errorf("generation %d is not in force everywhere: missing %v", generation, progress.missing())
+		case s := <-answers:
+			for _, a := range progress.take(s) {
+				fmt.Fprintf(w.app.stdout, "zone=%s host=%s generation=%d after=%s\n", a.zone, a.host, generation, a.after.Round(time.Millisecond))
+			}
+		}
+		if progress.complete() {
+			return w.finish(generation, progress.arrivals)
 		}
 	}
 }
 
-func (w *watchCommand) generation(ctx context.Context, args []string) (uint64, error) {
-	if len(args) == 1 {
-		return strconv.ParseUint(args[0], 10, 64)
+// follow asks each control again and again, independently of the others, so that
+// one that is cut off does not delay what the others tell.
+func (a *app) follow(ctx context.Context) <-chan controlStatus {
+	out := make(chan controlStatus)
+	for _, address := range a.settings.Controls {
+		go func() {
+			for ctx.Err() == nil {
+				call, cancel := context.WithTimeout(ctx, statusTimeout)
+				response, err := a.control(address).Status(call, &rpc.StatusRequest{})
+				cancel()
+				select {
+				case out <- controlStatus{address, response, err}:
+				case <-ctx.Done():
+				}
+				pauseFor(ctx, watchInterval)
+			}
+		}()
 	}
-	if len(args) > 1 {
-		return 0, errors.New("give at most one generation")
+	return out
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	current, _, err := w.app.store.Current(ctx)
-	return current.Generation, err
 }
 
-// poll asks the hosts that have not arrived yet and returns which are missing. A
-// host that cannot be asked is judged by what its peers know of it; one that they
-// call dead is not waited for.
-func (w *watchCommand) poll(ctx context.Context, generation uint64, begin time.Time, arrivals map[string]arrival) []string {
-	statuses := w.app.statuses(ctx)
-	known := make(map[string]*rpc.HostState)
-	for _, s := range statuses {
-		if s.response == nil {
-			continue
-		}
-		for _, h := range s.response.Hosts {
-			if old := known[h.Host]; old == nil || h.Heartbeat > old.Heartbeat && h.Incarnation >= old.Incarnation {
-				known[h.Host] = h
-			}
+// watchProgress is what a watch has learned so far.
+type watchProgress struct {
+	generation uint64
+	begin      time.Time
+	known      map[string]*rpc.HostState
+	direct     map[string]bool   // hosts whose own control answers
+	hostOf     map[string]string // control's address to host
+	arrivals   map[string]arrival
+	answered   map[string]bool // controls that answered or failed, by address
+	pending    int             // controls that have done neither yet
+}
+
+// take adds one control's answer and returns the hosts that have arrived since.
+// A host that cannot be asked is judged by what its peers know of it.
+func (p *watchProgress) take(s controlStatus) []arrival {
+	if !p.answered[s.address] {
+		p.answered[s.address] = true
+		p.pending--
+	}
+	if s.response == nil {
+		delete(p.direct, p.hostOf[s.address])
+		return nil
+	}
+	p.hostOf[s.address] = s.response.Self.Host
+	p.direct[s.response.Self.Host] = true
+	p.known[s.response.Self.Host] = s.response.Self
+	for _, h := range s.response.Hosts {
+		old := p.known[h.Host]
+		if !p.direct[h.Host] && (old == nil || h.Incarnation >= old.Incarnation && h.Heartbeat >= old.Heartbeat) {
+			p.known[h.Host] = h
 		}
 	}
-	for _, s := range statuses {
-		if s.response != nil {
-			known[s.response.Self.Host] = s.response.Self
+	var out []arrival
+	for name, h := range p.known {
+		if _, arrived := p.arrivals[name]; !arrived && h.Generation >= p.generation {
+			p.arrivals[name] = arrival{zone: h.AvailabilityZone, host: name, after: time.Since(p.begin)}
+			out = append(out, p.arrivals[name])
 		}
 	}
-	var missing []string
-	for name, h := range known {
-		_, arrived := arrivals[name]
-		switch {
-		case arrived:
-		case h.Generation >= generation:
-			arrivals[name] = arrival{zone: h.AvailabilityZone, host: name, after: time.Since(begin)}
-			fmt.Fprintf(w.app.stdout, "zone=%s host=%s generation=%d after=%s\n", h.AvailabilityZone, name, h.Generation, time.Since(begin).Round(time.Millisecond))
-		case h.State == rpc.State_STATE_LIVE || h.State == rpc.State_STATE_LEAVING:
-			missing = append(missing, h.AvailabilityZone+"/"+name)
+	slices.SortFunc(out, func(a, b arrival) int { return cmp.Compare(a.host, b.host) })
+	return out
+}
+
+// missing returns the hosts that are waited for; hosts that their peers call
+// dead are not.
+func (p *watchProgress) missing() []string {
+	var out []string
+	for name, h := range p.known {
+		_, arrived := p.arrivals[name]
+		if !arrived && (h.State == rpc.State_STATE_LIVE || h.State == rpc.State_STATE_LEAVING) {
+			out = append(out, h.AvailabilityZone+"/"+name)
 		}
 	}
-	slices.Sort(missing)
-	return missing
+	slices.Sort(out)
+	return out
+}
+
+func (p *watchProgress) complete() bool {
+	return p.pending == 0 && len(p.arrivals) > 0 && len(p.missing()) == 0
+}
+
+func (w *watchCommand) generation(ctx context.Context, args []string) (uint64, error) {
+	if len(args) == 1 {
+		return strconv.ParseUint(args[0], 10, 64)
+	}
+	if len(args) > 1 {
+		return 0, errors.New("give at most one generation")
+	}
+	current, _, err := w.app.store.Current(ctx)
+	return current.Generation, err
 }
 
 func (w *watchCommand) finish(generation uint64, arrivals map[string]arrival) error {
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -144,7 +144,7 @@
 		return
 	}
 	remote := h.state.AvailabilityZone != t.opts.Zone
-	if remote && heard.Sub(h.heardAt) < remoteRefresh && generation <= h.state.Generation {
+	if remote && heard.Sub(h.heardAt) < remoteRefresh(len(t.order), hostsPerRefresh) && generation <= h.state.Generation {
 		return
 	}
 	next := copyHost(h.state)
--- a/internal/membership/loads.go
+++ b/internal/membership/loads.go
@@ -113,7 +113,7 @@
 	}
 	least := contactJitter
 	if r.zone != t.opts.Zone && !r.load.dead {
-		least = remoteRefresh
+		least = remoteRefresh(len(t.indexed), replicasPerRefresh)
 	}
 	if next.at.Sub(r.load.at) < least {
 		return
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -16,15 +16,20 @@
 	// ZoneDeadAfter is the age of a heartbeat after which a host of the own zone
 	// counts as dead. A heartbeat needs up to three exchanges to cross a zone of
 	// 57 hosts, each half a second apart.
-	ZoneDeadAfter = 4 * time.Second
+	ZoneDeadAfter = 5 * time.Second
 	// RemoteDeadAfter applies to hosts of other zones, whose heartbeats come
 	// only through the ranked hosts.
 	RemoteDeadAfter = 30 * time.Second
 	// forgetAfter drops hosts that neither the list nor a heartbeat confirms.
 	forgetAfter = 10 * time.Minute
-	// remoteRefresh is the least time between two accepted heartbeats or loads
-	// of another zone, so that news of 400 hosts does not crowd out the zone's own.
-	remoteRefresh = 10 * time.Second
+	// minRemoteRefresh and maxRemoteRefresh bound the least time between two
+	// accepted heartbeats or loads of another zone. It grows with their number,
+	// so that news of 400 hosts does not crowd out the zone's own.
+	minRemoteRefresh = time.Second
+	maxRemoteRefresh = 10 * time.Second
+	// hostsPerRefresh and replicasPerRefresh are how many lengthen it by a second.
+	hostsPerRefresh    = 40
+	replicasPerRefresh = 60
 	// deadLoadAfter is the least age of the last answer of a replica before an
 	// observer's failures count: the other observer may still reach it.
 	deadLoadAfter = 4 * time.Second
@@ -32,10 +37,10 @@
 	// over another path.
 	contactJitter = 100 * time.Millisecond
 
-	maxLoads            = 88 // rows of loads of the own zone in a message
-	maxRemoteLoads      = 32 // rows of loads of other zones
+	maxLoads            = 72 // rows of loads of the own zone in a message
+	maxRemoteLoads      = 24 // rows of loads of other zones
 	maxHeartbeats       = 56 // rows of heartbeats of the own zone
-	maxRemoteHeartbeats = 24 // rows of heartbeats of other zones
+	maxRemoteHeartbeats = 20 // rows of heartbeats of other zones
 	maxMarks            = 32 // replica marks in a message
 	maxHostNews         = 12 // full host states in a message
 	maxQuarantine       = 16 // quarantine entries in a message
@@ -150,6 +155,11 @@
 	return urgent
 }
 
+// remoteRefresh returns the least time between two accepted rows of other zones.
+func remoteRefresh(n, perSecond int) time.Duration {
+	return min(max(time.Duration(n)*time.Second/time.Duration(perSecond), minRemoteRefresh), maxRemoteRefresh)
+}
+
 func (t *Table) changed(urgent bool) {
 	t.version++
 	t.urgent = t.urgent || urgent
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -217,6 +217,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	c.last.Store(time.Now().UnixNano())
+	// A proxy or a broken platform may answer 5xx: that is no sign of life.
+	if response.StatusCode < http.StatusInternalServerError {
+		c.last.Store(time.Now().UnixNano())
+	}
 	return response.StatusCode, body, nil
 }
