--- a/internal/control/peerserver.go
+++ b/internal/control/peerserver.go
@@ -12,8 +12,7 @@
 	"heatherbarrow/internal/rpc"
 )
 
-// ClaimAppender is a service that writes claims for other hosts. It is optional;
-// it registers itself as ServiceClaims.
+// ClaimAppender is a service that writes claims for other hosts.
 type ClaimAppender interface {
 	AppendClaims(ctx context.Context, request *rpc.AppendClaimsRequest) (*rpc.AppendClaimsResponse, error)
 }
@@ -31,7 +30,7 @@
 
 // Dependencies implements kernel.Dependent.
 func (p *PeerServer) Dependencies() []string {
-	return []string{ServiceBus, ServiceLoop, ServiceAnswers}
+	return []string{ServiceBus, ServiceLoop, ServiceAnswers, ServiceClaimer}
 }
 
 // Provision implements kernel.Provisioner.
@@ -47,10 +46,8 @@
 		return err
 	}
 	p.answers = answers.Answers
-	if appender, err := kernel.Lookup[ClaimAppender](r, ServiceClaims); err == nil {
-		p.claims = appender
-	}
-	return nil
+	p.claims, err = kernel.Lookup[ClaimAppender](r, ServiceClaimer)
+	return err
 }
 
 // Exchange implements rpc.Peer.
@@ -88,9 +85,6 @@
 
 // AppendClaims implements rpc.Peer.
 func (p *PeerServer) AppendClaims(ctx context.Context, request *rpc.AppendClaimsRequest) (*rpc.AppendClaimsResponse, error) {
-	if p.claims == nil {
-		return nil, twirp.NewError(twirp.Unimplemented, ErrNoSuchService.Error())
-	}
 	return p.claims.AppendClaims(ctx, request)
 }
 
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -12,9 +12,9 @@
 	"github.com/rs/zerolog"
 
 	"heatherbarrow/internal/bus"
-	"heatherbarrow/internal/claims"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/membership"
+	"heatherbarrow/internal/placement"
 	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rollout"
 	"heatherbarrow/internal/rpc"
@@ -125,7 +125,11 @@
 		}),
 		&StoreService{Store: &rollout.Store{Platform: clients.platform, Operators: operators}},
 		&AnswersService{Answers: rpc.NewAnswersProtobufClient(clients.scheme+"://"+p.settings.Router, clients.internal)},
-		&claimerService{Claimer: &claims.Direct{Platform: clients.platform, Host: p.settings.Host}},
+		&ClaimService{Host: p.settings.Host, Store: clients.platform, Peers: clients.internal, Scheme: clients.scheme, Logger: *p.logger},
+		&PlacementService{
+			Host: p.settings.Host, Zone: p.settings.AvailabilityZone, Store: clients.platform, Logger: *p.logger,
+			Sender: &placement.HTTPSender{Scheme: clients.upstreamScheme, Client: clients.upstream},
+		},
 		&PlatformProvider{},
 		&PeerProvider{HTTP: clients.internal, Scheme: clients.scheme},
 		&PeerServer{},
--- a/internal/control/services.go
+++ b/internal/control/services.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 
-	"heatherbarrow/internal/claims"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/rollout"
 	"heatherbarrow/internal/rpc"
@@ -19,8 +18,7 @@
 	ServiceStore            = "store"
 	ServiceAnswers          = "answers"
 	ServiceClaimer          = "claimer"
-	ServiceClaims           = "claims" // optional, a ClaimAppender
-	ServiceLease            = "lease"  // optional, a LeaseReporter
+	ServiceLease            = "lease" // optional, a LeaseReporter
 	ServicePlatformProvider = "platform provider"
 	ServicePeerProvider     = "peer provider"
 	ServicePeerServer       = "peer server"
@@ -44,12 +42,6 @@
 // Name implements kernel.Service.
 func (a *AnswersService) Name() string { return ServiceAnswers }
 
-// claimerService offers the claimer.
-type claimerService struct{ claims.Claimer }
-
-// Name implements kernel.Service.
-func (c *claimerService) Name() string { return ServiceClaimer }
-
 // listenService serves one handler on one address. The handler is made from the
 // registry, once its services are provisioned.
 type listenService struct {
