--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -21,7 +21,6 @@
 const ShardCount = 8
 
 const (
-	sealAge    = time.Minute
 	maxBatch   = 512
 	maxPending = 4096 // claims that wait for one shard's writer
 
--- a/internal/claims/log.go
+++ b/internal/claims/log.go
@@ -30,6 +30,7 @@
 	now       func() time.Time
 	retention func() time.Duration
 	sealBytes int
+	sealAge   time.Duration
 
 	index    *index // nil when the host has lost track
 	segments []segmentMeta
@@ -379,7 +380,7 @@
 
 // encode seals s when it is large or old enough and encodes it.
 func (l *shardLog) encode(s *segment, now int64) (json.RawMessage, error) {
-	s.Sealed = now-s.Opened >= sealAge.Milliseconds()
+	s.Sealed = now-s.Opened >= l.sealAge.Milliseconds()
 	value, err := json.Marshal(s)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode claim segment")
--- a/internal/claims/log_test.go
+++ b/internal/claims/log_test.go
@@ -43,7 +43,7 @@
 
 func (w *logWorld) newHost() *shardLog {
 	store := &faultyStore{Store: w.store, choose: w.choose, late: &w.late}
-	return &shardLog{store: store, now: w.clock.Now, retention: func() time.Duration { return testRetention }, sealBytes: 600}
+	return &shardLog{store: store, now: w.clock.Now, retention: func() time.Duration { return testRetention }, sealBytes: 600, sealAge: defaultSealAge}
 }
 
 // choose draws the fault of a store call. While a host waits for the platform,
@@ -194,7 +194,7 @@
 	t.Helper()
 	_, client := newPlatform()
 	clock := clockwork.NewFakeClock()
-	return &shardLog{store: client, now: clock.Now, retention: func() time.Duration { return testRetention }, sealBytes: defaultSealBytes}, clock
+	return &shardLog{store: client, now: clock.Now, retention: func() time.Duration { return testRetention }, sealBytes: defaultSealBytes, sealAge: defaultSealAge}, clock
 }
 
 func claimOn(t *testing.T, l *shardLog, k key, claim string) rpc.ClaimResult {
@@ -210,9 +210,9 @@
 // taken for the log.
 func TestSegmentIsNotCreatedTwice(t *testing.T) {
 	l, clock := newTestLog(t)
-	paused := &shardLog{store: l.store, now: l.now, retention: l.retention, sealBytes: l.sealBytes}
+	paused := &shardLog{store: l.store, now: l.now, retention: l.retention, sealBytes: l.sealBytes, sealAge: l.sealAge}
 	require.Equal(t, rpc.ClaimResult_CLAIM_RESULT_GRANTED, claimOn(t, l, testKey(1), "a1.x"))
-	clock.Advance(2 * sealAge)
+	clock.Advance(2 * defaultSealAge)
 	require.Equal(t, rpc.ClaimResult_CLAIM_RESULT_GRANTED, claimOn(t, l, testKey(2), "a2.x")) // seals segment 1
 	_, err := paused.catchUp(context.Background())
 	require.NoError(t, err)
@@ -243,7 +243,7 @@
 	stray := &segment{Format: segmentFormat, Shards: ShardCount, Records: records}
 	_, err = l.store.Create(context.Background(), kindClaim, segmentName(0, 1), stray)
 	require.NoError(t, err)
-	other := &shardLog{store: l.store, now: l.now, retention: l.retention, sealBytes: l.sealBytes}
+	other := &shardLog{store: l.store, now: l.now, retention: l.retention, sealBytes: l.sealBytes, sealAge: l.sealAge}
 	o := testOperation(record{Key: testKey(11), Claim: "b.x", Host: "h"})
 	require.NoError(t, other.append(context.Background(), []*operation{o}))
 	response, _ := o.decided()
@@ -257,7 +257,7 @@
 	require.Equal(t, rpc.ClaimResult_CLAIM_RESULT_GRANTED, claimOn(t, l, testKey(1), "first.x"))
 	granted := clock.Now()
 	for i := 0; ; i++ {
-		clock.Advance(3 * sealAge)
+		clock.Advance(3 * defaultSealAge)
 		require.Equal(t, rpc.ClaimResult_CLAIM_RESULT_GRANTED, claimOn(t, l, key{0, 0, 2, byte(i)}, fmt.Sprintf("b%d.x", i)))
 		if claimOn(t, l, testKey(1), "second.x") == rpc.ClaimResult_CLAIM_RESULT_GRANTED {
 			break
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -22,6 +22,7 @@
 	defaultRetryDelay     = 100 * time.Millisecond
 	defaultAvoidTime      = 2 * time.Second
 	defaultSealBytes      = 64 << 10
+	defaultSealAge        = time.Minute
 	defaultMaxOutcomes    = 65536
 
 	maintenanceInterval = time.Minute
@@ -57,6 +58,7 @@
 	RetryDelay     time.Duration
 	AvoidTime      time.Duration // how long a peer that failed is not asked
 	SealBytes      int           // size at which a segment is sealed
+	SealAge        time.Duration // age at which a segment is sealed
 	MaxOutcomes    int           // outcomes kept in memory while the platform is unavailable
 }
 
@@ -77,6 +79,7 @@
 	setDefault(&o.RetryDelay, defaultRetryDelay)
 	setDefault(&o.AvoidTime, defaultAvoidTime)
 	setDefault(&o.SealBytes, defaultSealBytes)
+	setDefault(&o.SealAge, defaultSealAge)
 	setDefault(&o.MaxOutcomes, defaultMaxOutcomes)
 	if o.Hosts == nil {
 		o.Hosts = func() []Host { return nil }
@@ -104,7 +107,7 @@
 	options.setDefaults()
 	s := &Service{options: options, avoid: make(map[string]time.Time)}
 	for i := range s.writers {
-		log := &shardLog{store: options.Store, shard: i, now: options.Clock.Now, retention: options.Retention, sealBytes: options.SealBytes}
+		log := &shardLog{store: options.Store, shard: i, now: options.Clock.Now, retention: options.Retention, sealBytes: options.SealBytes, sealAge: options.SealAge}
 		s.writers[i] = &shardWriter{service: s, shard: i, log: log, wake: make(chan struct{}, 1)}
 		s.forwarders[i] = &forwarder{service: s, shard: i}
 	}
--- a/internal/placement/dispatcher_test.go
+++ b/internal/placement/dispatcher_test.go
@@ -198,9 +198,9 @@
 	h.dispatch()
 	require.Empty(t, z.engines["e1"].tokens, "sent before the bound of orders in flight")
 	z.Advance(OrderTimeout)
-	for range 2 {
-		h.dispatch()
-	}
+	h.dispatch()
+	require.Empty(t, z.engines["e1"].models, "loaded before there was room")
+	h.dispatch()
 	require.Equal(t, []string{"b"}, z.engines["e1"].models)
 	h.dispatch() // sees the desired state reported
 	z.engines["e1"].apply(Order{Order: OrderUnload, Model: "b"})
