--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/outcome"
-	"heatherbarrow/internal/settings"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/settings"
 )
 
 // Guards against bad input that gets no defined answer, reaches a replica, or is
