Unload models that left the bundle

Cause: hosts tell each other the models of a replica as positions in the bundle's list, so a model that left the list was invisible to placement and stayed loaded. Change: one bit of the set stands for models outside the list; the holder of the zone's lease then reads the names from the engine itself. An upstream has at most 63 models.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -20,6 +20,11 @@
 	MaxTier = 4
 )
 
+// MaxModels is the greatest number of models of an upstream. Hosts tell each
+// other the models that a replica holds as a set of 64 bits, of which one stands
+// for models outside the list.
+const MaxModels = 63
+
 // Kind tells what the replicas of an upstream are.
 type Kind string
 
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -210,6 +210,8 @@
 		return settings.Errorf(path+".kind", "is %q, must be %q or %q", u.Kind, KindEngine, KindService)
 	case u.Kind == KindEngine && len(u.Models) == 0:
 		return settings.Errorf(path+".models", "an engine must serve at least one model")
+	case len(u.Models) > MaxModels:
+		return settings.Errorf(path+".models", "has %d models, at most %d are allowed", len(u.Models), MaxModels)
 	case u.Kind == KindService && len(u.Models) > 0:
 		return settings.Errorf(path+".models", "a service serves no models")
 	case u.Kind == KindService && (u.Resumable || u.ChecksFencing):
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -81,7 +81,7 @@
 	}
 	for i, r := range v.Replicas {
 		out.Replicas[i] = &rpc.ReplicaState{
-			Upstream: r.Upstream, Replica: r.Replica, State: r.State, Mark: r.Mark, Role: r.Role, Models: r.Models,
+			Upstream: r.Upstream, Replica: r.Replica, State: r.State, Mark: r.Mark, Role: r.Role, Models: r.Models, UnlistedModels: r.UnlistedModels,
 			HasLoad: r.HasLoad, Running: r.Running, Waiting: r.Waiting, TokensPerSecond: r.TokensPerSecond,
 			ReportAgeMs: r.ReportAgeMs + add,
 		}
--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -70,7 +70,18 @@
 	versions *versionWatch
 }
 
+// clusterOptions change the engines of a cluster.
+type clusterOptions struct {
+	firstModels   []string // models that engine 0 has; the others have glue-13b
+	checksFencing bool
+}
+
 func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	return newClusterWith(t, clusterOptions{firstModels: []string{"glue-13b"}})
+}
+
+func newClusterWith(t *testing.T, o clusterOptions) *cluster {
 	t.Helper()
 	c := &cluster{
 		t: t, dir: t.TempDir(), keys: make(map[string]ed25519.PrivateKey),
@@ -85,8 +96,13 @@
 	}
 	c.platform = newStandIn("platform", standin.Settings{Role: "platform"})
 	for i := range 3 {
+		models := []string{"glue-13b"}
+		if i == 0 {
+			models = o.firstModels
+		}
 		c.engines = append(c.engines, newStandIn(fmt.Sprintf("engine%d", i), standin.Settings{
-			Role: "engine", Models: []string{"glue-13b"}, Slots: 8, TokensPerStep: 8, ReportLag: settings.Duration(200 * time.Millisecond),
+			Role: "engine", Models: models, Slots: 8, TokensPerStep: 8, ChecksFencing: o.checksFencing,
+			ReportLag: settings.Duration(200 * time.Millisecond),
 		}))
 	}
 	for i := range 2 {
@@ -205,12 +221,20 @@
 
 // start rolls out the first bundle and waits until every host is ready.
 func (c *cluster) start() {
+	c.t.Helper()
+	c.startWith(func(*bundle.Bundle) {})
+}
+
+// startWith is start with a change to the first bundle.
+func (c *cluster) startWith(change func(b *bundle.Bundle)) {
 	c.t.Helper()
 	c.eventually("the platform answers", readyTimeout, func() bool {
 		_, err := c.store.Platform.Hosts(context.Background())
 		return err == nil
 	})
-	_, err := c.rollOut(context.Background(), c.bundle(10))
+	first := c.bundle(10)
+	change(first)
+	_, err := c.rollOut(context.Background(), first)
 	require.NoError(c.t, err)
 	c.eventually("all hosts are ready", readyTimeout, c.allReady)
 	c.versions = watchVersions(c)
--- a/internal/membership/loads.go
+++ b/internal/membership/loads.go
@@ -1,8 +1,10 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
+	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -47,14 +49,25 @@
 		at: o.At, answer: o.At, lag: o.Lag, has: o.HasLoad,
 		running: o.Running, waiting: o.Waiting, tokens: o.TokensPerSecond, role: roleIndex(o.Role),
 	}
-	for i, model := range r.modelList {
-		for _, loaded := range o.Models {
-			if model == loaded && i < 64 {
-				next.models |= 1 << i
-			}
+	next.models = r.modelSet(o.Models)
+	t.setLoad(r, next)
+}
+
+// unlistedModels is the bit of a model set that stands for models outside the
+// upstream's list.
+const unlistedModels = 1 << bundle.MaxModels
+
+// modelSet returns the positions of the loaded models in the upstream's list.
+func (r *replica) modelSet(loaded []string) uint64 {
+	var set uint64
+	for _, model := range loaded {
+		i := slices.Index(r.modelList, model)
+		if i < 0 {
+			i = bundle.MaxModels
 		}
+		set |= 1 << i
 	}
-	t.setLoad(r, next)
+	return set
 }
 
 func (t *Table) observeFailure(r *replica, at time.Time) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -99,7 +99,7 @@
 	running uint32
 	waiting uint32
 	tokens  uint32
-	models  uint64 // set of positions in modelList
+	models  uint64 // set of positions in modelList, and unlistedModels
 	role    uint32
 }
 
@@ -241,10 +241,11 @@
 	s.ReportAgeMs = millis(now.Sub(r.load.answer) + r.load.lag)
 	s.Role = roleName(r.load.role)
 	for i, model := range r.modelList {
-		if i < 64 && r.load.models&(1<<i) != 0 {
+		if r.load.models&(1<<i) != 0 {
 			s.Models = append(s.Models, model)
 		}
 	}
+	s.UnlistedModels = r.load.models&unlistedModels != 0
 	return s
 }
 
--- a/internal/placement/dispatcher.go
+++ b/internal/placement/dispatcher.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -18,6 +19,8 @@
 )
 
 const (
+	// maxReportBytes bounds an engine's load report.
+	maxReportBytes = 1 << 20
 	// OrderTimeout bounds an order in flight. A new holder sends nothing to
 	// engines that ignore the fencing token until this much time has passed.
 	OrderTimeout = 2 * time.Second
@@ -40,9 +43,12 @@
 	FencingToken uint64 `json:"fencing_token"`
 }
 
-// Sender sends an order to an engine and returns the status of its answer.
+// Sender talks to engines.
 type Sender interface {
+	// Send sends an order and returns the status of the answer.
 	Send(ctx context.Context, address string, order Order) (int, error)
+	// Models returns all models that the engine holds.
+	Models(ctx context.Context, address string) ([]string, error)
 }
 
 // HTTPSender sends orders over HTTP.
@@ -71,6 +77,24 @@
 	return response.StatusCode, eris.Wrap(response.Body.Close(), "close answer")
 }
 
+// Models implements Sender.
+func (s *HTTPSender) Models(ctx context.Context, address string) ([]string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Scheme+"://"+address+"/v1/load", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build load request")
+	}
+	response, err := s.Client.Do(request)
+	if err != nil {
+		return nil, eris.Wrapf(err, "load of %s", address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var report struct {
+		Models []string `json:"models"`
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&report)
+	return report.Models, eris.Wrapf(err, "load of %s", address)
+}
+
 // sentKey identifies what an order is about.
 type sentKey struct{ replica, order, subject string }
 
@@ -109,6 +133,7 @@
 			if !ok || !usable(r) || r.ReportAge > maxReportAge {
 				continue
 			}
+			d.readUnlisted(ctx, r)
 			due := dueOrders(desired, &pools[i], r, &target)
 			d.forgetSettled(r, due)
 			for _, o := range due {
@@ -120,6 +145,22 @@
 	}
 }
 
+// readUnlisted asks a replica for the names of models that the view cannot carry,
+// so that models which left the bundle are unloaded.
+func (d *Dispatcher) readUnlisted(ctx context.Context, r *Replica) {
+	if !r.Unlisted {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	defer cancel()
+	models, err := d.Sender.Models(ctx, r.Address)
+	if err != nil {
+		d.Logger.Warn().Err(err).Str("replica", r.ID.String()).Msg("models cannot be read")
+		return
+	}
+	r.Models = models
+}
+
 // forgetSettled drops what was sent to a replica and is no longer due, so that a
 // difference that comes back, for example by a late order, is corrected at once.
 func (d *Dispatcher) forgetSettled(r *Replica, due []Order) {
--- a/internal/placement/dispatcher_test.go
+++ b/internal/placement/dispatcher_test.go
@@ -84,11 +84,19 @@
 	return status, nil
 }
 
+// Models implements Sender.
+func (z *zone) Models(_ context.Context, address string) ([]string, error) {
+	return slices.Clone(z.engines[address].models), nil
+}
+
 func (z *zone) pools() []Pool {
 	var replicas []Replica
 	for _, id := range []string{"e1", "e2", "e3"} {
 		r := testReplica(id, slices.Clone(z.engines[id].models)...)
 		r.ChecksFencing = z.engines[id].checks
+		listed := len(r.Models)
+		r.Models = slices.DeleteFunc(r.Models, func(m string) bool { return m == "retired" })
+		r.Unlisted = len(r.Models) < listed
 		replicas = append(replicas, r)
 	}
 	return testPool(replicas...)
@@ -283,3 +291,17 @@
 
 // Pools implements Source.
 func (z *zone) Pools() []Pool { return z.pools() }
+
+// Guards against a model that left the bundle staying loaded for ever, because
+// the view carries only the names of models in the bundle.
+func TestUnlistedModelsAreUnloaded(t *testing.T) {
+	z := newZone(true)
+	z.engines["e2"].models = []string{"retired"}
+	h := z.holder("host1", map[string]string{"e1": "a", "e2": "a", "e3": "b"})
+	h.acquire(t)
+	for range 3 {
+		h.dispatch()
+		z.Advance(resendAfter)
+	}
+	require.Equal(t, []string{"a"}, z.engines["e2"].models)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,7 +35,9 @@
 	ReportAge     time.Duration
 	Running       int
 	Models        []string
-	Role          string
+	// Unlisted tells that it also holds models that the bundle does not list.
+	Unlisted bool
+	Role     string
 }
 
 // Demand is the recent demand of a class for a model.
--- a/internal/placement/source.go
+++ b/internal/placement/source.go
@@ -136,6 +136,7 @@
 			replica.ReportAge = time.Duration(report.ReportAgeMs) * time.Millisecond
 			replica.Running = int(report.Running)
 			replica.Models = report.Models
+			replica.Unlisted = report.UnlistedModels
 			replica.Role = report.Role
 		}
 		p.Replicas = append(p.Replicas, replica)
