--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -28,6 +28,9 @@
 	// stream that costs more may be preempted once that many are saved; the debt
 	// is earned before the next one.
 	maxWaste = 6_000
+	// startWaste is what a host that has computed nothing yet may throw away:
+	// enough for streams with short prompts.
+	startWaste = 1_000
 )
 
 // preempt interrupts lower-tier streams when top-tier requests wait in the pool
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -104,7 +104,7 @@
 		ticked:    opts.Clock.Now(),
 		random:    rand.New(rand.NewPCG(opts.Seed, 0)),
 		hosts:     1,
-		waste:     maxWaste,
+		waste:     startWaste,
 	}
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -263,6 +263,7 @@
 		r.PromptTokens = 2 * maxWaste
 		drafts = append(drafts, grantOf(f.enqueue(r)))
 	}
+	f.earnWaste(int(maxWaste / wasteShare))
 	f.advance(time.Second)
 	for range 6 {
 		f.enqueue(f.request(classQuote, 0))
