Check only the crashed fingerprint's requests after a crash

Each request that a crash ended made the scheduler ask the picker about all waiting requests under its lock. It now asks about those with the same fingerprint.

--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -113,7 +113,7 @@
 	s.leaveUpstream(a)
 	s.picker.Finish(a.Replica, &t.request, result)
 	if result.Crashed {
-		s.refuseQuarantined()
+		s.refuseCrashed(t.request.Fingerprint)
 	}
 	s.dispatch(a.upstream.pools)
 }
--- a/internal/scheduler/refuse.go
+++ b/internal/scheduler/refuse.go
@@ -24,8 +24,22 @@
 }
 
 // refuseQuarantined refuses the waiting requests that the picker will never place.
-func (s *Scheduler) refuseQuarantined() {
-	for _, t := range s.allWaiting() {
+func (s *Scheduler) refuseQuarantined() { s.refuseHopeless(s.allWaiting()) }
+
+// refuseCrashed does the same for the fingerprint of a request that crashed its
+// replica. The others that ran there end on their own.
+func (s *Scheduler) refuseCrashed(fingerprint uint64) {
+	var same []*Ticket
+	for n := range s.expiry.All() {
+		if n.Value.request.Fingerprint == fingerprint {
+			same = append(same, n.Value)
+		}
+	}
+	s.refuseHopeless(same)
+}
+
+func (s *Scheduler) refuseHopeless(tickets []*Ticket) {
+	for _, t := range tickets {
 		if reason := s.picker.Refusal(&t.request); reason != nil {
 			s.refuse(t, reason)
 		}
