Discount unseen requests where a request is shorter than a report's age

Cause: for services a request ends long before the next report, so that the requests counted as unseen had ended; filings waited seconds for a slot. Change: the unseen requests are scaled by service time over report age, and a report's weight may fall within 50 ms.

--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -13,7 +13,7 @@
 const (
 	// A report loses its value as the requests that it counted end, so its
 	// weight falls with the mean time that a request takes, within these bounds.
-	minReportLife = 500 * time.Millisecond
+	minReportLife = 50 * time.Millisecond
 	maxReportLife = 5 * time.Second
 	servedRate    = 0.02 // weight of a new sample in the mean service time
 	maxModels     = 64   // bits of a model mask
@@ -206,10 +206,13 @@
 			reports++
 		}
 	}
-	// Requests sent longer ago than one takes have ended since.
-	age = min(age/max(reports, 1), p.serviced)
+	age /= max(reports, 1)
+	// Requests sent longer ago than one takes have ended since, and the part of
+	// the estimate that comes from the mean has the others' requests in it.
+	fresh := min(p.serviced/max(age, minReportLife.Seconds()), 1)
+	age = min(age, p.serviced)
 	p.unknown = p.recent * float64(hosts-1) * age
-	p.unseen = float64(allHosts-1) * age / max(reports, 1)
+	p.unseen = fresh * float64(allHosts-1) * age / max(reports, 1)
 }
 
 // others estimates the requests of other hosts on the replica: its own report
