--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -130,6 +130,7 @@
 	if result.Refused {
 		return
 	}
+	t.scheduler.earnWaste(t.request.PromptTokens + result.Tokens)
 	a.upstream.finished.add(1)
 	a.upstream.service[0].observe(held)
 	a.upstream.service[t.class.Tier].observe(held)
@@ -154,9 +155,8 @@
 	if a.isPreempted {
 		u.pending--
 	}
-	for _, p := range u.pools {
-		p.free++
-	}
+	u.freed++
+	a.ticket.lane.pool.allowance++
 }
 
 // assignmentList links the running requests of a tier in order of their grants.
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -9,8 +9,11 @@
 
 const (
 	// lateInterval is the number of grants of a lane of which one goes to a
-	// request that can no longer meet its target, so that none starves.
-	lateInterval = 8
+	// request that can no longer meet its target, so that none starves. The top
+	// tier's is longer: each grant to a late request there delays others past
+	// their target, and its queue is short.
+	lateInterval    = 8
+	topLateInterval = 32
 	// ageFraction is the part of its deadline after which a waiting request may
 	// go before higher tiers.
 	ageFraction = 0.25
@@ -71,11 +74,11 @@
 func (s *Scheduler) next(pools []*pool, now time.Time) candidate {
 	var best candidate
 	for _, p := range pools {
-		if p.waiting == 0 || p.free <= 0 || p.blocked == s.pass {
+		if p.waiting == 0 {
 			continue
 		}
 		for _, l := range p.lanes {
-			if l == nil || l.len() == 0 || l.blocked == s.pass {
+			if l == nil || l.len() == 0 || l.blocked == s.pass || p.blocked[l.level()] == s.pass {
 				continue
 			}
 			s.demote(l, now)
@@ -88,7 +91,7 @@
 }
 
 func (s *Scheduler) candidate(l *lane, now time.Time) (candidate, bool) {
-	if l.len() == 0 {
+	if l.len() == 0 || l.pool.free(levelTop) <= 0 {
 		return candidate{}, false
 	}
 	t := l.head()
@@ -121,7 +124,9 @@
 	switch {
 	case running < l.class.guaranteed(slots):
 		return phaseShare
-	case l.class.Tier > bundle.TopTier && p.free <= p.headroom:
+	case p.free(l.level()) <= 0:
+		return phaseNone
+	case l.class.Tier > bundle.TopTier && (p.free(levelTop) <= p.headroom || p.allowance <= 0):
 		return phaseNone
 	default:
 		return phaseTier
@@ -142,11 +147,18 @@
 	return l.fresh.Min().Value
 }
 
+func (c *class) lateInterval() int {
+	if c.Tier == bundle.TopTier {
+		return topLateInterval
+	}
+	return lateInterval
+}
+
 // head returns the lane's next request.
 func (l *lane) head() *Ticket {
 	late := l.late.Min()
 	fresh := l.fresh.Min()
-	if fresh == nil || late != nil && l.turns >= lateInterval-1 {
+	if fresh == nil || late != nil && l.turns >= l.class.lateInterval()-1 {
 		return late.Value
 	}
 	return fresh.Value
@@ -179,13 +191,13 @@
 	if c.phase == phaseAged {
 		t = l.oldest()
 	}
+	t.request.UseReserve = c.phase < phaseTier
 	choice, ok := s.picker.Pick(&t.request)
 	if !ok {
 		s.passOver(l, t)
 		return
 	}
 	p := l.pool
-	p.free--
 	p.sinceAged++
 	if c.phase == phaseAged {
 		p.sinceAged = 0
@@ -205,8 +217,8 @@
 		return
 	}
 	s.refresh(l.pool)
-	if l.pool.free <= 0 {
-		l.pool.blocked = s.pass
+	if l.pool.free(l.level()) <= 0 {
+		l.pool.blocked[l.level()] = s.pass
 		return
 	}
 	s.leave(t)
@@ -239,5 +251,9 @@
 	a.grantedAt = now
 	a.flushed = now
 	s.enterUpstream(a)
+	t.lane.pool.take(a.upstream)
+	if a.tier > bundle.TopTier {
+		t.lane.pool.allowance--
+	}
 	t.end(granted)
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -65,6 +65,7 @@
 	finished meter
 	arrivals [bundle.MaxTier + 1]meter        // of the tier
 	service  [bundle.MaxTier + 1]meanDuration // of the tier; index 0 for all tiers
+	freed    int                              // slots given back since the last refresh and not taken since
 	pending  int                              // preempted requests that have not given their slot back
 }
 
@@ -117,20 +118,38 @@
 	return poolKey{model: r.Model, upstreams: hash, count: len(r.Upstreams)}
 }
 
+// level tells which slots a tier may use: the picker keeps some for the top tier.
+type level int
+
+const (
+	levelTop level = iota
+	levelLower
+	levels
+)
+
+func levelOf(tier int) level {
+	if tier == bundle.TopTier {
+		return levelTop
+	}
+	return levelLower
+}
+
 // pool holds the waiting requests that may run on the same replicas.
 type pool struct {
 	self      [1]*pool // the pool alone, as an argument of dispatch
 	upstreams []*upstream
-	probe     scheduling.Request
+	model     string
+	probes    [levels]scheduling.Request
 	lanes     []*lane
 	waiting   int
 	tiers     [bundle.MaxTier + 1]struct{ fresh, late int } // waiting requests
 	total     int                                           // slots of the replicas that can be reached
-	free      int                                           // free ones, as of the last refresh and this pool's grants since
+	counted   [levels]int                                   // free slots at the last refresh, less this pool's grants and what the upstreams count as freed
 	topWindow time.Duration                                 // in which a top-tier arrival must find a slot; 0 without a top tier
 	headroom  int                                           // free slots kept for the top tier
 	emptyFrom time.Time                                     // since when no replica can be reached; zero when one can
-	blocked   uint64                                        // dispatch pass in which no slot was left
+	blocked   [levels]uint64                                // dispatch pass in which no slot was left
+	allowance int                                           // slots that lower tiers may take until the next view
 	sinceAged int                                           // grants since the last one by age
 	limiter   *rate.Limiter                                 // of preemptions
 }
@@ -147,8 +166,8 @@
 		}
 		p.lanes[i] = &lane{
 			pool: p, class: c, restricted: restricted,
-			series: s.estimator.Series(c.Class, p.probe.Model),
-			demand: s.demandOf(c, p.probe.Model),
+			series: s.estimator.Series(c.Class, p.model),
+			demand: s.demandOf(c, p.model),
 		}
 	}
 	return p.lanes[i]
@@ -175,11 +194,12 @@
 		return p
 	}
 	p := &pool{
-		probe:   scheduling.Request{Class: r.Class, Team: r.Team, Model: r.Model, Upstreams: r.Upstreams},
+		model:   r.Model,
 		lanes:   make([]*lane, 2*len(s.classes)),
 		limiter: rate.NewLimiter(minPreemptionRate, minPreemptionRate),
 	}
 	p.self[0] = p
+	p.probes = s.probes(r)
 	for _, i := range r.Upstreams {
 		u := s.upstreams[i]
 		p.upstreams = append(p.upstreams, u)
@@ -188,12 +208,32 @@
 	s.pools[k] = p
 	s.poolList = append(s.poolList, p)
 	s.refresh(p)
+	s.allow(p)
 	return p
 }
 
+// probes returns requests with which the picker is asked for the slots of each
+// level. A bundle without classes on one of the levels has the same for both.
+func (s *Scheduler) probes(r *scheduling.Request) [levels]scheduling.Request {
+	probe := scheduling.Request{Class: r.Class, Team: r.Team, Model: r.Model, Upstreams: r.Upstreams}
+	out := [levels]scheduling.Request{probe, probe}
+	for _, c := range s.classes {
+		out[levelOf(c.Tier)].Class = c.index
+	}
+	return out
+}
+
 // refresh reads the pool's slots from the picker.
 func (s *Scheduler) refresh(p *pool) {
-	p.total, p.free = s.picker.Slots(&p.probe)
+	freed := 0
+	for _, u := range p.upstreams {
+		freed += u.freed
+	}
+	for level := range p.counted {
+		total, free := s.picker.Slots(&p.probes[level])
+		p.counted[level] = free - freed
+		p.total = total
+	}
 	switch {
 	case p.total > 0:
 		p.emptyFrom = time.Time{}
@@ -202,7 +242,54 @@
 	}
 }
 
+// free returns the pool's free slots as far as known. Between two refreshes it may
+// be too high, when the freed slots are of replicas that the pool cannot use or
+// another pool took some; a pick that fails then corrects it.
+func (p *pool) free(l level) int {
+	free := p.counted[l]
+	for _, u := range p.upstreams {
+		free += u.freed
+	}
+	return free
+}
+
+// take counts a slot as taken by the pool, first one that was freed since the last
+// refresh: pools on the same upstream then do not all try for it.
+func (p *pool) take(u *upstream) {
+	if u.freed > 0 {
+		u.freed--
+		return
+	}
+	for l := range p.counted {
+		p.counted[l]--
+	}
+}
+
+// allowanceFraction is below one because the dispatches between two views appear
+// only in the view after the next: reports lag by about the time between views.
+const allowanceFraction = 0.5
+
+// allow sets how many slots lower tiers may take until the next view, beside those
+// that this host's own requests give back: this host's part of the free ones. All
+// hosts see the same free slots in a view, and would together take each of them
+// several times. The fraction is rounded at random so that few slots among many
+// hosts are used as well.
+func (s *Scheduler) allow(p *pool) {
+	if !s.tuning.allowance {
+		p.allowance = math.MaxInt32
+		return
+	}
+	part := float64(max(p.free(levelLower), 0))
+	if s.hosts > 1 {
+		part *= allowanceFraction / float64(s.hosts)
+	}
+	p.allowance = int(part + s.random.Float64())
+}
+
 func (s *Scheduler) refreshPools() {
+	for _, u := range s.upstreams {
+		u.freed = 0
+	}
 	for _, p := range s.poolList {
 		s.refresh(p)
 		s.updateHeadroom(p)
@@ -212,7 +299,7 @@
 // running returns the number of requests of the class that run on the pool's
 // upstreams, and the slots that this host holds or could take there.
 func (p *pool) running(c *class) (running, slots int) {
-	slots = max(p.free, 0)
+	slots = max(p.free(levelTop), 0)
 	for _, u := range p.upstreams {
 		running += u.running[c.slot]
 		slots += u.total
@@ -246,4 +333,6 @@
 	demand     *scheduling.ClassDemand
 }
 
+func (l *lane) level() level { return levelOf(l.class.Tier) }
+
 func (l *lane) len() int { return l.fresh.Len() + l.late.Len() }
