Tell free slots by tier again, as the scheduler asks per tier

Cause: the scheduler now asks Slots for the top tier and for lower tiers, and lets a class below its share use the reserve; such requests counted as top-tier work on their replica. Change: Slots leaves the reserve out for lower tiers; only the class's tier makes a request top-tier work; the trace names lost work by cause.

--- a/internal/bench/policy/attempt.go
+++ b/internal/bench/policy/attempt.go
@@ -134,6 +134,9 @@
 	j.computed += a.seq.computed
 	j.prefilled = a.seq.prefills
 	result := scheduling.Result{Outcome: outcome.Unknown, Tokens: a.got}
+	if how != endComplete {
+		a.w.trace("%v lost job=%s class=%s ending=%d prefill=%d tokens=%d", a.w.loop.now().Sub(epoch), j.id, j.name.Name, how, a.seq.prefills, a.got)
+	}
 	switch how {
 	case endComplete:
 		result.Outcome = outcome.Completed
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -137,10 +137,13 @@
 	}
 }
 
-// Slots implements scheduling.Picker. Slots that only the top tier may fill
-// count as free for all, because the scheduler asks once for all classes of an
-// upstream; Pick still refuses lower tiers there.
+// Slots implements scheduling.Picker. Slots that only the top tier may fill are
+// not free for lower tiers.
 func (p *Picker) Slots(r *scheduling.Request) (total, free int) {
+	q := &p.query
+	if !p.prepare(q, r, p.opts.Clock.Now()) {
+		return 0, 0
+	}
 	for _, index := range r.Upstreams {
 		if index >= len(p.pools) {
 			continue
@@ -148,13 +151,13 @@
 		u := p.pools[index]
 		if model, ok := u.model(r.Model); ok {
 			total += u.counts[model].total
-			free += u.counts[model].free
+			free += u.counts[model].free[q.level]
 		}
 	}
 	for _, id := range r.Exclude {
 		if e, ok := p.replicas[id]; ok && !e.removed && e.serving() {
 			total -= e.pool.slots
-			free -= e.free[levelTop]
+			free -= e.free[q.level]
 		}
 	}
 	return max(total, 0), max(free, 0)
--- a/internal/scheduling/picker/picker_test.go
+++ b/internal/scheduling/picker/picker_test.go
@@ -94,11 +94,13 @@
 	f.Finish(choice.Replica, r, scheduling.Result{Outcome: outcome.Completed})
 	_, free = f.Slots(r)
 	require.Equal(t, 32, free)
+	_, free = f.Slots(f.request(1, 0))
 	lower := 0
 	for _, ok := f.Pick(f.request(1, 0)); ok; _, ok = f.Pick(f.request(1, 0)) {
 		lower++
 	}
 	require.Equal(t, 4*(8-int(8*reserveShare)), lower, "lower tiers leave the reserve")
+	require.Equal(t, free, lower)
 	_, ok = f.Pick(f.request(0, 0))
 	require.True(t, ok, "the top tier fills it")
 }
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -43,7 +43,7 @@
 
 type count struct {
 	total int
-	free  int // for the top tier
+	free  [levels]int
 }
 
 // zoneLoad sums what is known of a zone's replicas.
@@ -153,7 +153,9 @@
 			continue
 		}
 		p.counts[m].total += sign * p.slots
-		p.counts[m].free += sign * r.free[levelTop]
+		for level := range r.free {
+			p.counts[m].free[level] += sign * r.free[level]
+		}
 	}
 }
 
--- a/internal/scheduling/picker/scorer.go
+++ b/internal/scheduling/picker/scorer.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"heatherbarrow/internal/bundle"
 )
 
 // Scorer rates a candidate in seconds of delay; lower is better.
@@ -121,7 +123,7 @@
 		// many says little about its replica.
 		cost += suspectCost * float64(n) / float64(max(c.replica.pool.suspects, n))
 	}
-	if q.level == levelTop && c.replica.health.Readmitted() {
+	if q.class.Tier == bundle.TopTier && c.replica.health.Readmitted() {
 		cost += suspectCost
 	}
 	return cost
