Measure how long hosts take to eject a straggler or a frozen engine

Change: the bench reads each host's report while a replica is faulty and prints the median and the slowest time from the host's first work there.

--- a/internal/bench/policy/fleet.go
+++ b/internal/bench/policy/fleet.go
@@ -60,6 +60,9 @@
 	open     int
 	crashes  map[string]map[uint64][]scheduling.ReplicaID // by zone and fingerprint
 	poisoned []uint64                                     // fingerprints in order of their first crash
+	watched  scheduling.ReplicaID                         // replica whose detection is measured
+	faulty   time.Time                                    // when it became slow or froze
+	detected []time.Duration                              // per host, from its first work there to the ejection
 	trace    func(format string, args ...any)
 }
 
@@ -124,6 +127,12 @@
 // drainTime is how long accepted requests may take after the last arrival.
 const drainTime = 10 * time.Minute
 
+// watch measures how long the hosts take to eject the replica from now on.
+func (w *world) watch(e *engine) {
+	w.watched = e.id
+	w.faulty = w.loop.now()
+}
+
 func (w *world) active() bool { return w.open > 0 }
 
 func (w *world) record() bool {
--- a/internal/bench/policy/heatherbarrow.go
+++ b/internal/bench/policy/heatherbarrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/scheduler"
@@ -16,6 +17,8 @@
 	queued    []*queued
 	running   []*running
 	polling   bool
+	exposed   time.Time // when the host had work on the watched replica
+	detected  bool      // the watched replica was ejected
 }
 
 // queued is a job that waits for its assignment.
@@ -55,6 +58,26 @@
 	s := p.state(w, h)
 	s.scheduler.Tick()
 	s.poll(w, h)
+	if !w.faulty.IsZero() && !s.detected {
+		s.detect(w)
+	}
+}
+
+// detect notes when the host ejects the watched replica, counted from when it
+// first had work there after the fault.
+func (s *schedulerHost) detect(w *world) {
+	for _, m := range s.scheduler.Report().Replicas {
+		if m.ID != w.watched {
+			continue
+		}
+		if s.exposed.IsZero() && m.InProgress > 0 {
+			s.exposed = w.loop.now()
+		}
+		if m.Ejected && !s.exposed.IsZero() {
+			s.detected = true
+			w.detected = append(w.detected, w.loop.now().Sub(s.exposed))
+		}
+	}
 }
 
 func (p heatherbarrow) place(w *world, h *host, j *job, exclude []scheduling.ReplicaID) {
--- a/internal/bench/policy/main.go
+++ b/internal/bench/policy/main.go
@@ -50,6 +50,7 @@
 	own := summarize(s, snapshot, w.run(arrivals))
 	own.print("heatherbarrow", s)
 	own.check(s, base, t)
+	w.checkDetection(t)
 }
 
 func fail(what string, err error) {
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"heatherbarrow/internal/bundle"
 )
@@ -113,3 +115,23 @@
 	t.check(s.goodput(of) >= base.goodput(of), "scenario=%s goodput=%.2f baseline=%.2f",
 		of.name, s.goodput(of), base.goodput(of))
 }
+
+// maxDetection is the design's bound on detecting a straggler or a dead engine.
+const maxDetection = 2 * time.Second
+
+// checkDetection compares the slowest of the hosts that had work on the faulty
+// replica with the bound.
+func (w *world) checkDetection(t *tally) {
+	if w.faulty.IsZero() {
+		return
+	}
+	if len(w.detected) == 0 {
+		t.check(false, "scenario=%s detection=none target=%v", w.scenario.name, maxDetection)
+		return
+	}
+	slices.Sort(w.detected)
+	median, last := w.detected[len(w.detected)/2], w.detected[len(w.detected)-1]
+	fmt.Printf("bench metric=detection_%s_median value=%.2f unit=s\n", w.scenario.name, median.Seconds())
+	fmt.Printf("bench metric=detection_%s_last value=%.2f unit=s\n", w.scenario.name, last.Seconds())
+	t.check(last <= maxDetection, "scenario=%s detection=%v target=%v", w.scenario.name, last, maxDetection)
+}
--- a/internal/bench/policy/scenario.go
+++ b/internal/bench/policy/scenario.go
@@ -127,6 +127,7 @@
 	s.topAttainment = slowTarget
 	s.faults = func(w *world) {
 		w.loop.after(10*time.Second, func() {
+			w.watch(w.engine("models", "e2"))
 			w.engine("models", "e2").slowdown = 8
 			w.engine("models", "e2").frozenReport = true
 		})
@@ -141,6 +142,7 @@
 	s.maxWasted = lossWasted
 	s.faults = func(w *world) {
 		w.loop.after(10*time.Second, func() {
+			w.watch(w.engine("models", "e2"))
 			w.engine("models", "e2").freeze(15 * time.Second)
 			w.engine("models", "e2").frozenReport = true
 		})
