--- a/internal/scheduling/picker/picker_test.go
+++ b/internal/scheduling/picker/picker_test.go
@@ -183,3 +183,55 @@
 	require.Equal(t, scheduling.ReasonQuarantined, refusal.Reason)
 	require.Nil(t, f.Refusal(f.request(1, 7)))
 }
+
+// BenchmarkPick measures one decision with its Finish at the design size: 600
+// replicas, 28 models, 7 zones and 4 classes.
+func BenchmarkPick(b *testing.B) {
+	const replicas, models = 600, 28
+	var classes []string
+	config := &bundle.Bundle{}
+	for tier := bundle.TopTier; tier <= bundle.MaxTier; tier++ {
+		classes = append(classes, fmt.Sprintf("c%d", tier))
+		config.Classes = append(config.Classes, bundle.Class{
+			Name: classes[tier-1], Tier: tier, FirstTokenTarget: settings.Duration(520 * time.Millisecond),
+		})
+	}
+	view := &scheduling.View{HostsInZone: 57, ZoneCount: 7}
+	for m := range models {
+		u := bundle.Upstream{Name: fmt.Sprintf("u%d", m), Kind: bundle.KindEngine, Classes: classes, Models: []string{"m"}, Slots: 16}
+		for i := m; i < replicas; i += models {
+			u.Replicas = append(u.Replicas, bundle.Replica{
+				ID: fmt.Sprintf("r%d", i), Address: "10.0.0.1:80", AvailabilityZone: fmt.Sprintf("z%d", i/models%7),
+			})
+			view.Replicas = append(view.Replicas, scheduling.ReplicaLoad{
+				ID:        scheduling.ReplicaID{Upstream: u.Name, Replica: u.Replicas[len(u.Replicas)-1].ID},
+				HasReport: true, Running: i % 12, ReportedAt: time.Now(),
+			})
+		}
+		config.Upstreams = append(config.Upstreams, u)
+	}
+	p := New(Options{AvailabilityZone: "z0", Clock: clockwork.NewRealClock(), Seed: 1})
+	p.Update(bundle.Compile(config, 1, ""), view)
+	r := &scheduling.Request{ID: "q", Upstreams: []int{0}, Model: "m", PromptTokens: 500, PrefixHashes: []uint64{1, 2, 3}}
+	b.Run("pick", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := range b.N {
+			r.Upstreams[0], r.Class, r.Arrived = i%models, i%len(classes), time.Now()
+			if choice, ok := p.Pick(r); ok {
+				p.Finish(choice.Replica, r, scheduling.Result{Outcome: outcome.Completed})
+			}
+		}
+	})
+	b.Run("slots", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := range b.N {
+			r.Upstreams[0] = i % models
+			p.Slots(r)
+		}
+	})
+	b.Run("tick", func(b *testing.B) {
+		for range b.N {
+			p.Tick()
+		}
+	})
+}
