Clear a suspect that goes well past the point of the crash

Change: an answer that continued on another replica for 32 tokens beyond the position of the earlier crash shows that it did not cause that one.

--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -207,7 +207,7 @@
 	}
 	replica.count(completed)
 	replica.health.Finish(now, r.ID, completed)
-	p.settle(replica, f, result, now)
+	p.settle(replica, f, result, r.Progress+result.Tokens, now)
 	if removed := replica.removed && len(replica.flights) == 0; removed {
 		delete(p.replicas, id)
 	}
@@ -215,7 +215,8 @@
 }
 
 // settle takes what the end of a request says of its replica and fingerprint.
-func (p *Picker) settle(r *Replica, f flight, result scheduling.Result, now time.Time) {
+// position is the number of tokens of the answer by then.
+func (p *Picker) settle(r *Replica, f flight, result scheduling.Result, position int, now time.Time) {
 	unreachable := result.Outcome == outcome.NotRun && !result.Refused && !result.Canceled
 	if result.Crashed || result.TimedOut || unreachable {
 		r.health.Crash(now)
@@ -225,7 +226,7 @@
 		p.quarantine.Ended(f.fingerprint, result.Outcome == outcome.Completed)
 	}
 	if result.Crashed {
-		p.quarantine.Crash(f.fingerprint, r.id, f.otherSuspects == 0, now)
+		p.quarantine.Crash(f.fingerprint, r.id, position, f.otherSuspects == 0, now)
 		p.markRunning(f.fingerprint, now)
 	}
 }
--- a/internal/scheduling/quarantine/quarantine.go
+++ b/internal/scheduling/quarantine/quarantine.go
@@ -19,6 +19,10 @@
 	maxReplicas = 4
 	// suspectTime is how long a fingerprint stays a suspect without another crash.
 	suspectTime = 5 * time.Minute
+	// passedTokens is how far an answer must go beyond the position of a crash to
+	// show that the crash had another cause. It covers the tokens that were lost
+	// with the broken connection.
+	passedTokens = 32
 )
 
 // State of a fingerprint.
@@ -41,6 +45,7 @@
 type entry struct {
 	replicas []scheduling.ReplicaID
 	cleared  []scheduling.ReplicaID // crashes before the last completion
+	position int                    // tokens of the answer that were there at the last counted crash
 	running  int
 	isolated bool
 	expires  time.Time
@@ -165,9 +170,7 @@
 	}
 	e.running = max(e.running-1, 0)
 	if completed {
-		e.cleared = q.zone[fingerprint].Replicas
-		e.replicas = nil
-		e.isolated = false
+		q.clear(fingerprint, e)
 	}
 	if e.running == 0 && len(e.replicas) == 0 && len(e.cleared) == 0 && e.released == 0 {
 		q.entries.Remove(fingerprint)
@@ -175,10 +178,11 @@
 }
 
 // Crash counts the crash of a replica against a fingerprint that ran on it.
-// alone is false when another suspect ran there too; a fingerprint that already
-// is a suspect is then isolated instead of counted, because the crash does not
-// tell which of them caused it.
-func (q *Quarantine) Crash(fingerprint uint64, id scheduling.ReplicaID, alone bool, now time.Time) {
+// position is the number of tokens of the answer by then, earlier attempts
+// included. alone is false when another suspect ran there too; a fingerprint that
+// already is a suspect is then isolated instead of counted, because the crash does
+// not tell which of them caused it.
+func (q *Quarantine) Crash(fingerprint uint64, id scheduling.ReplicaID, position int, alone bool, now time.Time) {
 	if fingerprint == 0 {
 		return
 	}
@@ -186,6 +190,9 @@
 	if slices.Contains(e.replicas, id) {
 		return
 	}
+	if len(e.replicas) > 0 && position >= e.position+passedTokens {
+		q.clear(fingerprint, e)
+	}
 	if len(e.replicas) > 0 && !alone && !e.isolated {
 		e.isolated = true
 		return
@@ -193,12 +200,21 @@
 	if len(e.replicas) < maxReplicas {
 		e.replicas = append(e.replicas, id)
 	}
+	e.position = max(e.position, position)
 	e.expires = now.Add(suspectTime)
 	if len(e.replicas) >= q.crashes {
 		e.expires = now.Add(q.duration)
 	}
 }
 
+// clear forgets the crashes so far. A completion clears, and so does an attempt
+// on another replica that went well past the point of the crash.
+func (q *Quarantine) clear(fingerprint uint64, e *entry) {
+	e.cleared = append(slices.Clone(q.zone[fingerprint].Replicas), e.replicas...)
+	e.replicas = nil
+	e.isolated = false
+}
+
 func (q *Quarantine) ensure(fingerprint uint64, now time.Time) *entry {
 	e, ok := q.get(fingerprint, now)
 	if !ok {
--- a/internal/scheduling/quarantine/quarantine_test.go
+++ b/internal/scheduling/quarantine/quarantine_test.go
@@ -26,14 +26,14 @@
 // never expires, and a release that does not take effect.
 func TestQuarantineExpiresAndIsReleased(t *testing.T) {
 	q := New(2, time.Hour)
-	q.Crash(1, replica(1), true, start)
-	q.Crash(1, replica(1), true, start)
+	q.Crash(1, replica(1), 0, true, start)
+	q.Crash(1, replica(1), 0, true, start)
 	require.Equal(t, Suspect, state(q, 1, start))
-	q.Crash(1, replica(2), true, start)
+	q.Crash(1, replica(2), 0, true, start)
 	require.Equal(t, Quarantined, state(q, 1, start))
 	require.Equal(t, Clear, state(q, 1, start.Add(time.Hour+time.Second)))
-	q.Crash(2, replica(1), true, start)
-	q.Crash(2, replica(2), true, start)
+	q.Crash(2, replica(1), 0, true, start)
+	q.Crash(2, replica(2), 0, true, start)
 	q.Update([]scheduling.QuarantineEntry{{Fingerprint: 2, Released: 1, Expires: start.Add(time.Hour)}})
 	require.Equal(t, Clear, state(q, 2, start))
 }
@@ -42,7 +42,7 @@
 // counted twice, or outlive the completion of the request.
 func TestZoneEntriesCount(t *testing.T) {
 	q := New(2, time.Hour)
-	q.Crash(1, replica(1), true, start)
+	q.Crash(1, replica(1), 0, true, start)
 	zone := []scheduling.QuarantineEntry{{Fingerprint: 1, Replicas: []scheduling.ReplicaID{replica(1)}, Expires: start.Add(time.Hour)}}
 	q.Update(zone)
 	require.Equal(t, Suspect, state(q, 1, start))
@@ -57,12 +57,23 @@
 	require.Equal(t, Quarantined, state(q, 1, start))
 }
 
+// Guards against the refusal of a long answer that two unrelated crashes hit, and
+// against a poison request that escapes because it is sent again from the start.
+func TestProgressPastTheCrashClears(t *testing.T) {
+	q := New(2, time.Hour)
+	q.Crash(1, replica(1), 100, true, start)
+	q.Crash(1, replica(2), 100+passedTokens, true, start)
+	require.Equal(t, Suspect, state(q, 1, start))
+	q.Crash(1, replica(3), 100, true, start)
+	require.Equal(t, Quarantined, state(q, 1, start))
+}
+
 // Guards against a running count that drifts, which would block a fingerprint
 // forever or let two run at once.
 func TestRunningCount(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New(2, time.Hour)
-		q.Crash(1, replica(1), true, start)
+		q.Crash(1, replica(1), 0, true, start)
 		running := 0
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
 			switch {
