--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -18,7 +18,11 @@
 	// unknownShare is the share of the target assumed as first-token time before
 	// any was measured.
 	unknownShare = 0.2
-	maxMatches   = 8
+	// suspectSpread makes the choice for suspects nearly even, as hosts do not see
+	// each other's: drawn to the least loaded replicas, innocent ones meet the
+	// cause of the crash there.
+	suspectSpread = 100
+	maxMatches    = 8
 	// prefixTokens is the length of the shortest prefix: 256 bytes at 4 a token.
 	prefixTokens = 64
 )
@@ -29,6 +33,7 @@
 	reasonAffinity = "affinity"
 	reasonZoneFull = "zone_full" // no replica of the zone may take the request
 	reasonZoneSlow = "zone_slow" // the zone is not expected to meet the target
+	reasonSuspect  = "suspect"   // suspects spread over all zones
 )
 
 // Query is the request being placed, with what the filters and scorers need.
@@ -98,15 +103,23 @@
 	if p.best.n == 0 {
 		return scheduling.Choice{}, false
 	}
-	chosen := p.best.choose(p.random.Float64(), q.unknown)
+	volume := q.unknown
+	if q.state != quarantine.Clear {
+		volume *= suspectSpread
+	}
+	chosen := p.best.choose(p.random.Float64(), volume)
 	return p.take(q, chosen, reason), true
 }
 
 // search fills the shortlist from the zone, and from the other zones when the
-// zone is not expected to meet the target.
+// zone is not expected to meet the target or the request is a suspect.
 func (p *Picker) search(q *Query) string {
 	p.best.n = 0
 	p.scan(q, true)
+	if q.state != quarantine.Clear {
+		p.scan(q, false)
+		return reasonSuspect
+	}
 	if p.best.n > 0 && p.meets(q) {
 		return reasonInZone
 	}
