Keep the view's states for replicas that a bundle brings back

Cause: a rapid test of requests, reports, crashes and bundles in any order found that a bundle which brought a replica back forgot that it was leaving until the next view, and lost the requests still running there. Services never report a first token, so that their usual time was not learned, and one timeout counted as a crash. Change: the last view is applied to a new bundle's replicas; a replica that comes back keeps its requests; answers of services count as first tokens; a timeout ejects only a silent replica.

--- a/internal/bench/policy/attempt.go
+++ b/internal/bench/policy/attempt.go
@@ -102,10 +102,7 @@
 		}
 		a.lastSeen = a.w.loop.now()
 		a.got++
-		if a.got == 1 {
-			a.slot.firstToken()
-		}
-		a.slot.token()
+		a.tell()
 		if a.j.delivered == 0 {
 			a.j.first = a.lastSeen
 		}
@@ -114,6 +111,17 @@
 	})
 }
 
+// tell reports a token to the policy, as the router does for engines only.
+func (a *attempt) tell() {
+	if a.e.service {
+		return
+	}
+	if a.got == 1 {
+		a.slot.firstToken()
+	}
+	a.slot.token()
+}
+
 func (a *attempt) ended(how ending) {
 	a.w.loop.after(a.latency, func() {
 		if !a.over {
--- a/internal/scheduling/health/health_test.go
+++ b/internal/scheduling/health/health_test.go
@@ -105,3 +105,28 @@
 	p.Evaluate(now.Add(10*time.Second + crashEjection))
 	require.True(t, m.Ejected())
 }
+
+// Guards against a service that is taken for frozen because its answers come
+// without a first token, and against one timeout that ejects a busy replica.
+func TestAnswersCountAsFirstTokens(t *testing.T) {
+	p := pool(3)
+	m := p.members[0]
+	k := Kind{Tier: 1}
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * time.Second)
+		m.Start(now, "call", k)
+		m.Finish(now.Add(900*time.Millisecond), "call", k, true)
+	}
+	expected, known := p.Expected(k)
+	require.True(t, known)
+	require.InDelta(t, 900*time.Millisecond, expected, float64(time.Millisecond))
+	now := start.Add(20 * time.Second)
+	m.Start(now, "call", k)
+	p.Evaluate(now.Add(2 * time.Second))
+	require.False(t, m.Ejected())
+	m.Tokens(now.Add(2*time.Second), 1, time.Millisecond)
+	m.Timeout(now.Add(2 * time.Second))
+	require.False(t, m.Ejected())
+	m.Timeout(now.Add(3 * time.Second))
+	require.True(t, m.Ejected())
+}
--- a/internal/scheduling/health/member.go
+++ b/internal/scheduling/health/member.go
@@ -103,11 +103,25 @@
 	}
 }
 
-// Finish forgets a request that ended.
-func (m *Member) Finish(now time.Time, id string, answered bool) {
-	m.end(id)
-	if answered {
-		m.progress = now
+// Finish forgets a request that ended. An answer without a first token before,
+// such as that of a plain service, counts as first token.
+func (m *Member) Finish(now time.Time, id string, k Kind, answered bool) {
+	if !answered {
+		m.end(id)
+		return
+	}
+	m.progress = now
+	i := slices.IndexFunc(m.pending, func(a attempt) bool { return a.id == id })
+	if i >= 0 {
+		m.FirstToken(now, id, k, now.Sub(m.pending[i].started))
+	}
+}
+
+// Timeout ejects the replica if it gave nothing to any request lately; under
+// overload a single request may time out on a healthy replica.
+func (m *Member) Timeout(now time.Time) {
+	if now.Sub(m.progress) >= silence {
+		m.Crash(now)
 	}
 }
 
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -29,7 +29,8 @@
 	opts       Options
 	random     *rand.Rand
 	snapshot   *bundle.Snapshot
-	pools      []*pool // by index of the upstream in the bundle
+	view       *scheduling.View // the last one
+	pools      []*pool          // by index of the upstream in the bundle
 	replicas   map[scheduling.ReplicaID]*Replica
 	quarantine *quarantine.Quarantine
 	affinity   *affinity
@@ -83,18 +84,28 @@
 		p.configureQuarantine(&snapshot.Bundle.Limits)
 	}
 	if view != nil {
+		p.view = view
 		p.hosts = max(view.HostsInZone, 1)
 		p.allHosts = p.hosts * max(view.ZoneCount, 1)
 		p.quarantine.Update(view.Quarantine)
-		for i := range view.Replicas {
-			if r, ok := p.replicas[view.Replicas[i].ID]; ok {
-				r.report(&view.Replicas[i], p.allHosts, p.random.Float64())
-			}
-		}
 	}
+	p.applyReports()
 	p.refresh(now)
 }
 
+// applyReports gives the replicas their state and load of the last view. A bundle
+// may bring replicas that the view already knows, for example as leaving.
+func (p *Picker) applyReports() {
+	if p.view == nil {
+		return
+	}
+	for i := range p.view.Replicas {
+		if r, ok := p.replicas[p.view.Replicas[i].ID]; ok {
+			r.report(&p.view.Replicas[i], p.allHosts, p.random.Float64())
+		}
+	}
+}
+
 // rebuild indexes the replicas of a new bundle. Replicas that it keeps retain
 // their state; replicas that it drops are kept until their requests ended.
 func (p *Picker) rebuild() {
@@ -206,7 +217,7 @@
 		return
 	}
 	replica.count(completed)
-	replica.health.Finish(now, r.ID, completed)
+	replica.health.Finish(now, r.ID, p.kind(r), completed)
 	p.settle(replica, f, result, r.Progress+result.Tokens, now)
 	if removed := replica.removed && len(replica.flights) == 0; removed {
 		delete(p.replicas, id)
@@ -218,9 +229,12 @@
 // position is the number of tokens of the answer by then.
 func (p *Picker) settle(r *Replica, f flight, result scheduling.Result, position int, now time.Time) {
 	unreachable := result.Outcome == outcome.NotRun && !result.Refused && !result.Canceled
-	if result.Crashed || result.TimedOut || unreachable {
+	if result.Crashed || unreachable {
 		r.health.Crash(now)
 	}
+	if result.TimedOut {
+		r.health.Timeout(now)
+	}
 	if f.suspect {
 		r.suspect(-1)
 		p.quarantine.Ended(f.fingerprint, result.Outcome == outcome.Completed)
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -82,9 +82,14 @@
 	for i := range u.Replicas {
 		id := scheduling.ReplicaID{Upstream: u.Name, Replica: u.Replicas[i].ID}
 		r, kept := old[id]
-		if !kept || r.removed {
+		if !kept {
 			r = newReplica(p, &u.Replicas[i])
 		}
+		if r.removed {
+			// Its requests from before it was removed still run.
+			r.removed = false
+			r.health = p.health.Add()
+		}
 		r.pool = p
 		r.address = u.Replicas[i].Address
 		r.local = u.Replicas[i].AvailabilityZone == zone
