--- a/internal/bench/policy/attempt.go
+++ b/internal/bench/policy/attempt.go
@@ -102,10 +102,7 @@
 		}
 		a.lastSeen = a.w.loop.now()
 		a.got++
-		if a.got == 1 {
-			a.slot.firstToken()
-		}
-		a.slot.token()
+		a.tell()
 		if a.j.delivered == 0 {
 			a.j.first = a.lastSeen
 		}
@@ -114,6 +111,17 @@
 	})
 }
 
+// tell reports a token to the policy, as the router does for engines only.
+func (a *attempt) tell() {
+	if a.e.service {
+		return
+	}
+	if a.got == 1 {
+		a.slot.firstToken()
+	}
+	a.slot.token()
+}
+
 func (a *attempt) ended(how ending) {
 	a.w.loop.after(a.latency, func() {
 		if !a.over {
@@ -134,6 +142,9 @@
 	j.computed += a.seq.computed
 	j.prefilled = a.seq.prefills
 	result := scheduling.Result{Outcome: outcome.Unknown, Tokens: a.got}
+	if how != endComplete {
+		a.w.trace("%v lost job=%s class=%s ending=%d prefill=%d tokens=%d", a.w.loop.now().Sub(epoch), j.id, j.name.Name, how, a.seq.prefills, a.got)
+	}
 	switch how {
 	case endComplete:
 		result.Outcome = outcome.Completed
