--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,7 +13,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,9 +41,12 @@
 
 const (
 	maxErrorBytes = 16 << 10
-	refusalHeader = "Heatherbarrow-Outcome"
-	refusalValue  = "not-run"
-	chatPath      = "/v1/chat/completions"
+	// connBufferBytes is small because each open stream holds a connection; a
+	// frame has about 150 bytes.
+	connBufferBytes = 2 << 10
+	refusalHeader   = "Heatherbarrow-Outcome"
+	refusalValue    = "not-run"
+	chatPath        = "/v1/chat/completions"
 )
 
 // StatusError is an error that the replica reported after running the request.
@@ -66,6 +68,7 @@
 // NewClient returns a client whose connections are made with the options.
 func NewClient(options tlsconf.TransportOptions) (*Client, error) {
 	options.WrapConn = newCountedConn
+	options.BufferBytes = connBufferBytes
 	repeatable, scheme, err := tlsconf.NewTransport(options)
 	if err != nil {
 		return nil, err
@@ -160,18 +163,3 @@
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 	return &StatusError{Status: response.StatusCode, Body: body}
 }
-
-// frameTimer cancels an attempt when the replica is silent for too long. It runs
-// only while a frame is awaited, so that a slow caller is not taken for a slow
-// replica.
-type frameTimer struct {
-	timer    *time.Timer
-	timedOut atomic.Bool
-}
-
-func (t *frameTimer) start(d time.Duration, cancel context.CancelFunc) {
-	t.timer = time.AfterFunc(d, func() {
-		t.timedOut.Store(true)
-		cancel()
-	})
-}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,9 +43,9 @@
 	next      int
 	body      io.ReadCloser
 	reader    *bufio.Reader
-	cancel    context.CancelFunc
 	timeout   time.Duration
-	waited    bool // the first frame was read, so timeout applies
+	begun     bool // the first frame was read, so timeout applies
+	buffered  bool // Buffered found more, so the next frame needs no wait
 	finished  bool // the frame with the finish reason was read
 	ended     bool // the proper end was read
 	lineBytes []byte
@@ -54,7 +54,7 @@
 func newStream(call *Chat, cancel context.CancelFunc) *Stream {
 	s := &Stream{
 		id: call.RequestID, prefix: commonPrefix(call.RequestID), next: call.ResumeFrom,
-		cancel: cancel, timeout: call.FrameTimeout,
+		timeout: call.FrameTimeout,
 	}
 	s.start(call.FirstTimeout, cancel)
 	return s
@@ -139,8 +139,8 @@
 // nextData returns the data of the next event. Events of the engines have one
 // data line each; other fields and comments are passed over.
 func (s *Stream) nextData() ([]byte, error) {
-	if s.waited && !s.Buffered() {
-		s.timer.Reset(s.timeout)
+	if s.begun && !s.buffered {
+		s.begin()
 	}
 	for {
 		line, err := s.readLine()
@@ -148,13 +148,21 @@
 			return nil, err
 		}
 		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
-			s.waited = true
-			s.timer.Stop()
+			s.noteFrame()
 			return bytes.TrimSpace(data), nil
 		}
 	}
 }
 
+func (s *Stream) noteFrame() {
+	s.end()
+	s.buffered = false
+	if !s.begun {
+		s.begun = true
+		s.setLimit(s.timeout)
+	}
+}
+
 func (s *Stream) readLine() ([]byte, error) {
 	line, err := s.reader.ReadSlice('\n')
 	if err == nil {
@@ -175,7 +183,8 @@
 // arrived, so that it is worth reading on before flushing.
 func (s *Stream) Buffered() bool {
 	pending, _ := s.reader.Peek(s.reader.Buffered())
-	return len(bytes.TrimLeft(pending, "\r\n")) > 0
+	s.buffered = len(bytes.TrimLeft(pending, "\r\n")) > 0
+	return s.buffered
 }
 
 // Position returns the position of the next frame.
@@ -185,10 +194,11 @@
 // the proper end of the stream the connection is kept for the next request.
 func (s *Stream) Close() {
 	if s.ended {
-		s.timer.Reset(endTimeout)
+		s.begin()
+		s.setLimit(endTimeout)
 		_, _ = s.reader.Peek(s.reader.Buffered() + 1)
 	}
-	s.timer.Stop()
+	s.stop()
 	s.cancel()
 	if s.body == nil {
 		return
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -16,6 +16,7 @@
 
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/settings"
 )
 
 // Guards against bad input that gets no defined answer, reaches a replica, or is
@@ -140,6 +141,7 @@
 func TestDrainCutsNoStream(t *testing.T) {
 	const streams = 200
 	h := newHost(t, hostOptions{settings: Settings{BalancerLag: noWait}})
+	h.server.snapshot.Load().Bundle.Limits.FrameTimeout = settings.Duration(time.Minute) // the streams are silent until released
 	release := make(chan struct{})
 	h.play(func(w http.ResponseWriter, r *http.Request) {
 		id := frames(w, r, 2)
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -96,17 +96,26 @@
 	if current := s.snapshot.Load(); current != nil && record.Generation <= current.Generation {
 		return
 	}
-	b, err := bundle.Parse(record.Content)
-	if err != nil {
+	if err := s.Install(record); err != nil {
 		s.Logger.Error().Err(err).Uint64("generation", record.Generation).Msg("bundle cannot be applied")
 		return
 	}
+	s.Logger.Info().Uint64("generation", record.Generation).Str("sha256", record.Sha256).Msg("bundle in force")
+}
+
+// Install puts a bundle in force.
+func (s *Server) Install(record *rpc.BundleRecord) error {
+	b, err := bundle.Parse(record.Content)
+	if err != nil {
+		return err
+	}
 	snapshot := bundle.Compile(b, record.Generation, record.Sha256)
-	s.snapshot.Store(snapshot)
+	// The scheduler knows the bundle before any request refers to it.
 	s.Scheduler.Update(snapshot, nil)
+	s.snapshot.Store(snapshot)
 	s.notReady.Store(nil)
 	s.metrics.generation.Update(float64(record.Generation))
-	s.Logger.Info().Uint64("generation", record.Generation).Str("sha256", record.Sha256).Msg("bundle in force")
+	return nil
 }
 
 func viewFromRPC(v *rpc.View, now time.Time) *scheduling.View {
--- a/internal/router/program_test.go
+++ b/internal/router/program_test.go
@@ -135,6 +135,7 @@
 // lag, closes a listener before the last stream ends, or cuts the stream.
 func TestProgramDrains(t *testing.T) {
 	h := newHost(t, hostOptions{})
+	h.server.snapshot.Load().Bundle.Limits.FrameTimeout = settings.Duration(time.Minute) // the streams are silent until released
 	release := make(chan struct{})
 	h.play(heldStream(release))
 	p := startProgram(t, h, Settings{BalancerLag: settings.Duration(time.Second)})
--- a/internal/tlsconf/http.go
+++ b/internal/tlsconf/http.go
@@ -20,17 +20,23 @@
 	TLS          Files
 	ConnsPerHost int // greatest number of connections to one address; 0 is without bound
 	IdlePerHost  int
+	BufferBytes  int // read and write buffer of each connection; 0 is net/http's default
 	// NoKeepAlive makes a new connection for every request. net/http never sends
 	// a request again by itself on a new connection.
 	NoKeepAlive bool
 	// WrapConn, if set, wraps each TCP connection, below TLS.
 	WrapConn func(net.Conn) net.Conn
+	// Dial, if set, opens connections in place of TCP, for example in a benchmark.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewTransport returns a transport and the scheme of its URLs. It speaks
 // HTTP/1.1 and uses no proxy.
 func NewTransport(o TransportOptions) (*http.Transport, string, error) {
-	dialer := &dialer{wrap: o.WrapConn, net: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}}
+	dialer := &dialer{wrap: o.WrapConn, open: o.Dial}
+	if dialer.open == nil {
+		dialer.open = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
+	}
 	t := &http.Transport{
 		DialContext:         dialer.dial,
 		MaxConnsPerHost:     o.ConnsPerHost,
@@ -38,6 +44,8 @@
 		IdleConnTimeout:     idleLifetime,
 		DisableCompression:  true,
 		DisableKeepAlives:   o.NoKeepAlive,
+		ReadBufferSize:      o.BufferBytes,
+		WriteBufferSize:     o.BufferBytes,
 	}
 	if !o.TLS.Enabled() {
 		return t, "http", nil
@@ -53,13 +61,13 @@
 
 // dialer opens the connections of a transport.
 type dialer struct {
-	net    net.Dialer
+	open   func(ctx context.Context, network, address string) (net.Conn, error)
 	wrap   func(net.Conn) net.Conn
 	source *Source
 }
 
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := d.net.DialContext(ctx, network, address)
+	conn, err := d.open(ctx, network, address)
 	if err != nil || d.wrap == nil {
 		return conn, err
 	}
