Give the test program two addresses that differ

Change: both listeners are held until both addresses are known.

Conclusion: the fault was the test's own.

--- a/internal/router/program_test.go
+++ b/internal/router/program_test.go
@@ -55,11 +55,17 @@
 	done     chan error
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// freeAddresses returns n addresses that differ, because all are held until the
+// last is known.
+func freeAddresses(t *testing.T, n int) []string {
+	var out []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = listener.Close() }()
+		out = append(out, listener.Addr().String())
+	}
+	return out
 }
 
 func startProgram(t *testing.T, h *host, s Settings) *runningProgram {
@@ -73,7 +79,8 @@
 		control.Close()
 	})
 	s.Host, s.AvailabilityZone, s.LogLevel = "h", "z", "error"
-	s.Listen, s.InternalListen, s.Control = freeAddress(t), freeAddress(t), strings.TrimPrefix(control.URL, "http://")
+	free := freeAddresses(t, 2)
+	s.Listen, s.InternalListen, s.Control = free[0], free[1], strings.TrimPrefix(control.URL, "http://")
 	require.NoError(t, s.Validate())
 	p.url, p.internal = "http://"+s.Listen, "http://"+s.InternalListen
 	forced, force := context.WithCancel(context.Background())
