--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -30,7 +30,7 @@
 		e.refuse(http.StatusServiceUnavailable, code, "no replica was free before the deadline", retrySoon)
 	case notRun:
 		e.refuse(http.StatusServiceUnavailable, code, err.Error(), retrySoon)
-	case errors.As(err, &status) && status.Status < http.StatusInternalServerError:
+	case errors.As(err, &status) && status.Status/100 == http.StatusBadRequest/100:
 		e.fail(status.Status, e.outcome, code, err.Error())
 	case errors.Is(err, errDeadline), errors.Is(err, errRouteTimeout), errors.Is(err, forward.ErrTimeout):
 		e.fail(http.StatusGatewayTimeout, e.outcome, code, err.Error())
