--- a/internal/bench/pathcost/main.go
+++ b/internal/bench/pathcost/main.go
@@ -14,6 +14,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"os"
@@ -68,6 +69,9 @@
 // measureCost prints the processor time of a request and of a token, and what
 // four cores carry at that cost.
 func measureCost(out io.Writer, s sizes) error {
+	// The parts share the cores that the router would have, because idle threads
+	// that look for work count as processor time.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(cores))
 	b, err := newBed(tcpNetwork{}, s.interval)
 	if err != nil {
 		return err
@@ -83,36 +87,56 @@
 	if err != nil {
 		return err
 	}
-	perToken := (perStream - perRequest) / time.Duration(s.tokens-1)
-	perSecond := cores * float64(time.Second) / float64(perStream)
-	printMetric(out, "router_cpu_per_request", micros(perRequest), "us")
+	perToken := (perStream.added - perRequest.added) / time.Duration(s.tokens-1)
+	// A pace above 1 means that the cores were used up and that tokens arrived
+	// late and in batches, which cost less.
+	pace := float64(perStream.elapsed) / float64(s.interval*time.Duration(s.tokens))
+	perSecond := cores * float64(time.Second) / float64(perStream.added)
+	printMetric(out, "router_cpu_per_request", micros(perRequest.added), "us")
 	printMetric(out, "router_cpu_per_token", micros(perToken), "us")
+	printMetric(out, "direct_cpu_per_token", micros(perStream.direct)/float64(s.tokens), "us")
+	printMetric(out, "router_stream_pace", pace, "ratio")
 	printMetric(out, "router_requests_per_second_4_cores", perSecond, "1/s")
 	printMetric(out, "router_tokens_per_second_4_cores", perSecond*float64(s.tokens), "1/s")
 	return nil
 }
 
-// addedCost returns the processor time that the router adds to each request of a
-// load: the median over rounds in which direct and routed requests alternate,
-// because other programs on the machine disturb single rounds.
-func (b *bed) addedCost(l load) (time.Duration, error) {
+// cost is the processor time of one request of a load.
+type cost struct {
+	direct  time.Duration // engine and client
+	added   time.Duration // by the router
+	elapsed time.Duration // time of the routed load
+}
+
+// addedCost returns the cost of a load: the median round of several in which
+// direct and routed requests alternate, because other programs on the machine
+// disturb single rounds.
+func (b *bed) addedCost(l load) (cost, error) {
 	if err := b.warmUp(); err != nil {
-		return 0, err
+		return cost{}, err
 	}
-	added := make([]time.Duration, costRounds)
-	for round := range added {
-		var used [2]time.Duration
-		for i, t := range []target{b.direct, b.routed} {
-			before := processorTime()
-			if err := b.runLoad(t, l); err != nil {
-				return 0, err
-			}
-			used[i] = processorTime() - before
+	rounds := make([]cost, costRounds)
+	for i := range rounds {
+		direct, _, err := b.usage(b.direct, l)
+		if err != nil {
+			return cost{}, err
 		}
-		added[round] = (used[1] - used[0]) / time.Duration(l.requests)
+		routed, elapsed, err := b.usage(b.routed, l)
+		if err != nil {
+			return cost{}, err
+		}
+		n := time.Duration(l.requests)
+		rounds[i] = cost{direct: direct / n, added: (routed - direct) / n, elapsed: elapsed}
 	}
-	slices.Sort(added)
-	return added[costRounds/2], nil
+	slices.SortFunc(rounds, func(a, b cost) int { return cmp.Compare(a.added, b.added) })
+	return rounds[costRounds/2], nil
+}
+
+// usage returns the processor time and the time that a load takes.
+func (b *bed) usage(t target, l load) (used, elapsed time.Duration, err error) {
+	before, started := processorTime(), time.Now()
+	err = b.runLoad(t, l)
+	return processorTime() - before, time.Since(started), err
 }
 
 func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
--- a/internal/bench/pathcost/main_test.go
+++ b/internal/bench/pathcost/main_test.go
@@ -15,7 +15,7 @@
 	var out bytes.Buffer
 	require.NoError(t, run(&out, sizes{latencyPairs: 20, requests: 20, streams: 5, tokens: 5, interval: time.Millisecond, openStreams: []int{20}}))
 	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
-	require.Len(t, lines, 8)
+	require.Len(t, lines, 10)
 	form := regexp.MustCompile(`^bench metric=[a-z0-9_]+ value=\S+ unit=\S+$`)
 	for _, line := range lines {
 		require.Regexp(t, form, string(line))
