Keep HTTP/2 streams that wait longer than the write timeout

Cause: with HTTP/2 a write deadline that passes resets the stream although nothing is being written, so a request that waited longer than write_timeout for its replica was cut off.

Change: with HTTP/2 the deadline is set for each write and cleared after it. An operator's lookup gets the status without the answer.

Figures: TestHTTP2Callers fails with a stream error without the change and passes with it.

Conclusion: write_timeout bounds writes alone with both versions of HTTP.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -115,6 +115,7 @@
 }
 
 func (a *streamAnswer) writeAndFlush() error {
+	defer a.endWrite()
 	if err := a.write(); err != nil {
 		return err
 	}
--- a/internal/router/lookup.go
+++ b/internal/router/lookup.go
@@ -66,17 +66,19 @@
 }
 
 // lookup returns the record of a request of the team. A request in progress has
-// the outcome that would be true if the host stopped now. The status is given
+// the outcome that would be true if the host stopped now. A team gets the status
 // only together with the whole answer. An empty team, which only operators may
-// ask for, stands for every team and gets no answer.
+// ask for, stands for every team and gets the status without the answer.
 func (s *Server) lookup(id, team string) *rpc.StoredAnswer {
 	record, ok := s.records.Get(id)
 	if !ok || (team != "" && record.Team != team) {
 		return &rpc.StoredAnswer{}
 	}
 	stored := &rpc.StoredAnswer{Found: true, Outcome: string(record.Outcome)}
-	if record.HasBody && team != "" {
+	if record.HasBody || team == "" {
 		stored.Status = uint32(record.Status)
+	}
+	if record.HasBody && team != "" {
 		stored.ContentType = record.ContentType
 		stored.Body = record.Body
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -200,6 +200,7 @@
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.extendWriteDeadline()
+	defer e.endWrite()
 	e.w.WriteHeader(status)
 	if len(body) > 0 && e.r.Method != http.MethodHead {
 		if _, err := e.w.Write(body); err != nil {
@@ -212,19 +213,29 @@
 	return nil
 }
 
-// extendWriteDeadline gives the caller the whole write timeout again. It skips
-// the call while most of the timeout is left, because it is made for each token.
+// extendWriteDeadline gives the caller the whole write timeout again. With
+// HTTP/1.1 it skips the call while most of the timeout is left, because it is made
+// for each token.
 func (e *exchange) extendWriteDeadline() {
 	const fraction = 8
 	timeout := e.server.Settings.WriteTimeout.Std()
 	now := time.Now()
-	if now.Sub(e.deadlineSet) < timeout/fraction {
+	if e.r.ProtoMajor == 1 && now.Sub(e.deadlineSet) < timeout/fraction {
 		return
 	}
 	e.deadlineSet = now
 	_ = e.controller.SetWriteDeadline(now.Add(timeout))
 }
 
+// endWrite ends the bound on a write. With HTTP/2 a deadline that passes resets
+// the stream although nothing is being written, for example while the request
+// waits in the queue; with HTTP/1.1 it only fails the next write.
+func (e *exchange) endWrite() {
+	if e.r.ProtoMajor != 1 {
+		_ = e.controller.SetWriteDeadline(time.Time{})
+	}
+}
+
 // ended tells why a request's or attempt's context has ended; nil while it has not.
 func ended(ctx context.Context) error {
 	if ctx.Err() == nil {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -94,13 +94,16 @@
 	return s.boundConnections(r)
 }
 
-// boundConnections bounds the writing of every answer, and asks callers to leave
-// their connections while the host drains.
+// boundConnections bounds the writing of answers that set no deadline of their
+// own, and asks callers to leave their connections while the host drains. HTTP/2
+// needs neither: its deadlines end with their request, and a shutdown tells it.
 func (s *Server) boundConnections(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Settings.WriteTimeout.Std()))
-		if s.draining.Load() && r.ProtoMajor == 1 {
-			w.Header().Set("Connection", "close")
+		if r.ProtoMajor == 1 {
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Settings.WriteTimeout.Std()))
+			if s.draining.Load() {
+				w.Header().Set("Connection", "close")
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/router/tls_test.go
+++ b/internal/router/tls_test.go
@@ -19,6 +19,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/settings"
 	"heatherbarrow/internal/tlsconf"
 	"heatherbarrow/internal/tlsconf/tlstest"
 )
@@ -78,7 +79,8 @@
 
 // Guards against deadlines, flushes and hang-ups that only work with HTTP/1.1.
 func TestHTTP2Callers(t *testing.T) {
-	h := newHost(t, hostOptions{})
+	const writeTimeout = 100 * time.Millisecond
+	h := newHost(t, hostOptions{settings: Settings{WriteTimeout: settings.Duration(writeTimeout)}})
 	server := httptest.NewUnstartedServer(h.server.Handler())
 	server.EnableHTTP2 = true
 	server.StartTLS()
@@ -89,7 +91,13 @@
 		r.Body, r.ContentLength = io.NopCloser(body), -1
 		return server.Client().Do(r)
 	}
-	h.play(whole)
+	h.play(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(3 * writeTimeout) // a wait for the replica is no stalled caller
+		frames(w, r, 1)
+		time.Sleep(2 * writeTimeout)
+		r.Header.Set("X-Resume-From", "1")
+		whole(w, r)
+	})
 	response, err := send(context.Background(), strings.NewReader(chatBody("m", true)))
 	require.NoError(t, err)
 	require.Equal(t, 2, response.ProtoMajor)
