Test the deadline of a queued request

Cause: no test covered a deadline that passes in the queue.

Change: drafts hold all slots while a quote waits.

Conclusion: the quote gets 503 not-run with Retry-After.

--- a/internal/router/chat_test.go
+++ b/internal/router/chat_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/settings"
 )
@@ -247,3 +248,27 @@
 	}
 	require.NotEmpty(t, <-resumed)
 }
+
+// Guards against a queued request that is answered after its deadline, called
+// anything but not-run, or not told when to come back.
+func TestDeadlineInQueue(t *testing.T) {
+	h := newHost(t, hostOptions{slots: 1, deadline: "2s"})
+	b := h.server.snapshot.Load().Bundle
+	b.Limits.FrameTimeout = settings.Duration(time.Minute)
+	b.Classes[1].Preemptible = false
+	snapshot := bundle.Compile(b, 2, "")
+	h.server.Scheduler.Update(snapshot, nil)
+	h.server.snapshot.Store(snapshot)
+	h.play(hangAfter(1))
+	for range h.engines { // drafts hold all slots beyond the deadline of the quote
+		response, err := http.DefaultClient.Do(h.request(t, context.Background(), http.MethodPost, "/v1/chat/completions",
+			chatBody("m", true), outcome.HeaderClass, "draft", "Authorization", "Bearer other-key"))
+		require.NoError(t, err)
+		defer func() { _ = response.Body.Close() }()
+	}
+	response, body := h.chat(t, "m", true)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, body)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	requireError(t, response, body, outcome.NotRun)
+	require.Equal(t, 2, h.calls())
+}
