--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"heatherbarrow/internal/bundle"
@@ -56,7 +55,6 @@
 	delete(l.admit.failures, e.Source)
 	if e.Source == platformSource {
 		l.admit.platform = true
-		l.platform.failed = false
 		return
 	}
 	if e.Generation > 0 {
@@ -171,12 +169,12 @@
 func (l *Loop) inForce(a *accepted, now time.Time) {
 	l.table.SetBundle(a.parsed, a.record.Generation)
 	topology := buildTopology(l.table, a.parsed, now)
-	content := a.record.Content
+	transfer := newTransfer(a.record, l.State().Bundle)
 	l.publish(func(s *State) {
 		s.Bundle, s.Parsed, s.InForceAt = a.record, a.parsed, now
 		s.NotReady = ""
 		s.Topology = topology
-		s.compressed = sync.OnceValue(func() []byte { return rollout.Compress(content) })
+		s.transfer = transfer
 	})
 	l.opts.Logger.Info().Str("source", a.source).Uint64("generation", a.record.Generation).
 		Str("sha256", a.record.Sha256).Msg("bundle in force")
@@ -185,32 +183,3 @@
 func versionOnly(b *rpc.BundleRecord) *rpc.BundleRecord {
 	return &rpc.BundleRecord{Generation: b.Generation}
 }
-
-// Transfer returns the bundle in force as it is sent to peers, or a record with
-// the generation alone when the peer does not need the content.
-func (s *State) Transfer(above uint64) (*rpc.BundleRecord, error) {
-	b := s.Bundle
-	if b == nil {
-		return nil, ErrNoBundle
-	}
-	if b.Generation <= above {
-		return versionOnly(b), nil
-	}
-	return &rpc.BundleRecord{
-		Generation: b.Generation, Sha256: b.Sha256, ContentGzip: s.compressed(), ApprovedUnixMs: b.ApprovedUnixMs,
-		Author: b.Author, AuthorSignature: b.AuthorSignature, Approver: b.Approver, ApproverSignature: b.ApproverSignature,
-	}, nil
-}
-
-// Restore returns a transferred bundle with its content.
-func Restore(b *rpc.BundleRecord) (*rpc.BundleRecord, error) {
-	if len(b.ContentGzip) == 0 {
-		return b, nil
-	}
-	content, err := rollout.Decompress(b.ContentGzip)
-	if err != nil {
-		return nil, err
-	}
-	b.Content, b.ContentGzip = content, nil
-	return b, nil
-}
--- a/internal/control/cluster_state_test.go
+++ b/internal/control/cluster_state_test.go
@@ -90,6 +90,22 @@
 	}
 }
 
+// Guards against a list that is never taken over, and a bundle that never comes,
+// because every answer of a slow platform misses a deadline.
+func TestSlowPlatformIsStillRead(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "ate", "ate", "callao")
+	c.start()
+	c.waitFor(c.rollOut())
+	hash := c.approved()
+	c.platform.SetFaults(standin.Faults{DelayMS: 1700})
+	c.platform.SetHosts(platform.HostList{Upstreams: []platform.Upstream{{Upstream: "models", Replica: "e1", State: "leaving"}}})
+	for _, n := range c.hosts {
+		c.eventually("the mark must arrive", func() bool { return n.loop.State().View.Replicas[0].Mark > 0 })
+	}
+	c.waitFor(c.putInForce(hash))
+}
+
 // Guards against loads that do not reach the router, and against a restarted
 // engine that keeps its leaving state.
 func TestLoadReportsReachTheRouter(t *testing.T) {
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -235,7 +235,10 @@
 }
 
 // rollOut puts the next generation in force and returns it.
-func (c *cluster) rollOut() uint64 {
+func (c *cluster) rollOut() uint64 { return c.putInForce(c.approved()) }
+
+// approved returns the hash of an approved proposal.
+func (c *cluster) approved() string {
 	ctx := context.Background()
 	current, _, err := c.store.Current(ctx)
 	if !errors.Is(err, platform.ErrNotFound) {
@@ -246,7 +249,11 @@
 	require.NoError(c.t, err)
 	_, err = c.store.Approve(ctx, proposal.SHA256, "ben", keys["ben"], time.Now())
 	require.NoError(c.t, err)
-	rolled, err := c.store.RollOut(ctx, proposal.SHA256)
+	return proposal.SHA256
+}
+
+func (c *cluster) putInForce(hash string) uint64 {
+	rolled, err := c.store.RollOut(context.Background(), hash)
 	require.NoError(c.t, err)
 	return rolled.Generation
 }
--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -16,10 +16,10 @@
 var (
 	// ErrNoBundle means that no source has given this host a bundle yet.
 	ErrNoBundle = errors.New("no bundle yet")
+	// ErrTransfer means that content sent by a peer could not be restored.
+	ErrTransfer = errors.New("bundle content cannot be restored")
 	// ErrNotCoordinator means that another host coordinates the shares asked for.
 	ErrNotCoordinator = errors.New("this host does not coordinate these shares")
-	// ErrNoSuchService means that the program runs without the service asked for.
-	ErrNoSuchService = errors.New("service is not offered by this host")
 )
 
 // SourceError tells why a source gave no bundle.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -40,7 +40,7 @@
 	Topology    *Topology
 	QuarantineN uint64 // changes with each quarantine entry that the platform must keep
 	Pushes      uint64 // changes with each change that peers must hear at once
-	compressed  func() []byte
+	transfer    *transfer
 	changed     chan struct{}
 }
 
@@ -151,7 +151,6 @@
 		l.beat(now)
 	case HostsReceived:
 		l.table.ApplyList(&e.List, now)
-		l.platform.failed = false
 	case PlatformProbed:
 		l.platform.failed = e.Failed
 	case *MessageDue:
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -247,16 +248,14 @@
 }
 
 func (p *PeerProvider) fetch(ctx context.Context, f Fetch) {
-	have := p.loop.State().Bundle.GetGeneration()
-	if f.Generation <= have || !p.mayFetch(f.Generation) {
+	have := p.loop.State().Bundle
+	if f.Generation <= have.GetGeneration() || !p.mayFetch(f.Generation) {
 		return
 	}
 	source := "peer " + f.Peer.Host
-	call, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	record, err := p.Client(f.Peer.Address).GetBundle(call, &rpc.BundleRequest{AboveGeneration: have})
-	if err == nil && record.Generation > have {
-		record, err = Restore(record)
+	record, err := p.getBundle(ctx, f.Peer, have, have.GetSha256())
+	if errors.Is(err, ErrTransfer) {
+		record, err = p.getBundle(ctx, f.Peer, have, "")
 	}
 	if err != nil {
 		_ = p.bus.Publish(SourceFailed{Err: &SourceError{Source: source, Reason: fmt.Sprintf("generation %d could not be fetched", f.Generation)}})
@@ -266,3 +265,14 @@
 		_ = p.loop.Offer(record, source)
 	}
 }
+
+func (p *PeerProvider) getBundle(ctx context.Context, peer membership.Peer, have *rpc.BundleRecord, base string) (*rpc.BundleRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request := &rpc.BundleRequest{AboveGeneration: have.GetGeneration(), HaveSha256: base}
+	record, err := p.Client(peer.Address).GetBundle(ctx, request)
+	if err != nil || record.Generation <= have.GetGeneration() {
+		return record, err
+	}
+	return Restore(record, have)
+}
--- a/internal/control/peerserver.go
+++ b/internal/control/peerserver.go
@@ -64,7 +64,7 @@
 
 // GetBundle implements rpc.Peer.
 func (p *PeerServer) GetBundle(_ context.Context, request *rpc.BundleRequest) (*rpc.BundleRecord, error) {
-	record, err := p.loop.State().Transfer(request.AboveGeneration)
+	record, err := p.loop.State().Transfer(request)
 	if errors.Is(err, ErrNoBundle) {
 		return nil, twirp.NotFoundError(err.Error())
 	}
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -16,9 +16,11 @@
 	platformSource = "platform"
 	// hostsInterval is how often each of a zone's watchers reads the host list.
 	hostsInterval = time.Second
-	// hostsTimeout bounds one read. Two failures in a row hand the watch to the
-	// next host in rank.
+	// hostsTimeout is how long one read may take before another host should try,
+	// and slowTimeout how long it may take at all. Two errors in a row hand the
+	// watch to the next host in rank as well.
 	hostsTimeout  = 1500 * time.Millisecond
+	slowTimeout   = 6 * time.Second
 	failuresToTry = 2
 	platformRetry = 500 * time.Millisecond
 	readTimeout   = 3 * time.Second
@@ -182,21 +184,38 @@
 	}
 }
 
+// readHosts takes over the list also when the platform is slow. A slow answer
+// counts as a failure all the same, so that a host that is cut off without an
+// error is replaced soon.
 func (p *PlatformProvider) readHosts(ctx context.Context) {
-	read, cancel := context.WithTimeout(ctx, hostsTimeout)
+	read, cancel := context.WithTimeout(ctx, slowTimeout)
 	defer cancel()
+	begin := time.Now()
+	late := time.AfterFunc(hostsTimeout, func() { _ = p.bus.Publish(PlatformProbed{Failed: true}) })
 	list, err := p.store.Platform.Hosts(read)
+	late.Stop()
 	if err == nil {
-		p.failures, p.backoff = 0, 0
 		_ = p.bus.Publish(HostsReceived{List: list})
+	}
+	slow := time.Since(begin) >= hostsTimeout
+	if err == nil && !slow {
+		p.failures, p.backoff = 0, 0
+		_ = p.bus.Publish(PlatformProbed{})
 		return
 	}
-	if p.failures++; p.failures != failuresToTry {
+	p.failures++
+	if slow {
+		// The host is marked already and must come to try again.
+		p.failures = max(p.failures, failuresToTry)
+	}
+	if p.failures < failuresToTry {
 		return
 	}
-	p.backoff = min(max(2*p.backoff, firstBackoff), lastBackoff)
-	p.retryAt = time.Now().Add(p.backoff + rand.N(firstBackoff/2))
 	_ = p.bus.Publish(PlatformProbed{Failed: true})
+	if time.Now().After(p.retryAt) {
+		p.backoff = min(max(2*p.backoff, firstBackoff), lastBackoff)
+		p.retryAt = time.Now().Add(p.backoff + rand.N(firstBackoff/2))
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
