Fall back to known hosts while the platform's list has none

With an empty list, as in the demo, a zone had no share coordinator, so that teams never got more than their floors, and peers not heard yet were left out of the floors' divisor.

--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -129,8 +129,7 @@
 }
 
 func (l *Loop) zoneStatus(zone string, hosts []*rpc.HostState, now time.Time) *rpc.ZoneStatus {
-	listed, _ := l.table.Listed(zone)
-	z := &rpc.ZoneStatus{AvailabilityZone: zone, ListedHosts: uint32(len(listed)), LastHeardMs: -1}
+	z := &rpc.ZoneStatus{AvailabilityZone: zone, ListedHosts: uint32(l.table.ListedCount(zone)), LastHeardMs: -1}
 	if last := l.table.LastHeard(zone); !last.IsZero() {
 		z.LastHeardMs = now.Sub(last).Milliseconds()
 	}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -196,7 +196,7 @@
 	listed := t.list.zones[t.opts.Zone]
 	n = max(n, len(listed))
 	for name, h := range t.hosts {
-		if h.state.AvailabilityZone != t.opts.Zone || h.state.State == rpc.State_STATE_UNKNOWN && !t.list.at.IsZero() {
+		if h.state.AvailabilityZone != t.opts.Zone || h.state.State == rpc.State_STATE_UNKNOWN && len(listed) > 0 {
 			continue
 		}
 		if _, found := slices.BinarySearch(listed, name); !found {
@@ -216,10 +216,10 @@
 }
 
 // Listed returns the hosts that the platform lists in the zone, or all known
-// hosts of the zone while no list is known, and the hash of the list.
+// hosts of the zone while no list has any, and a hash that changes with them.
 func (t *Table) Listed(zone string) ([]string, uint64) {
-	if !t.list.at.IsZero() {
-		return t.list.zones[zone], t.list.hash
+	if listed := t.list.zones[zone]; len(listed) > 0 {
+		return listed, t.list.hash
 	}
 	var out []string
 	for name, h := range t.hosts {
@@ -230,3 +230,6 @@
 	slices.Sort(out)
 	return out, xxhash.Sum64String(strings.Join(out, "\x00"))
 }
+
+// ListedCount returns how many hosts the platform lists in the zone.
+func (t *Table) ListedCount(zone string) int { return len(t.list.zones[zone]) }
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -305,6 +305,19 @@
 	require.Equal(t, list.Hosts[0].Name, n.hosts["z0-h0"].list.zones["z0"][0])
 }
 
+// Guards against a zone without coordinators and with floors that are too large
+// while the platform's list does not have the zone's hosts yet.
+func TestEmptyListLeavesTheKnownHosts(t *testing.T) {
+	n := newNetwork(t, 2, 3)
+	table := n.hosts["z0-h0"]
+	table.ApplyList(&platform.HostList{}, n.now)
+	listed, _ := table.Listed("z0")
+	require.Equal(t, []string{"z0-h0", "z0-h1", "z0-h2"}, listed)
+	require.Equal(t, 3, table.HostsInZone(n.now))
+	require.Equal(t, 2, table.ZoneCount())
+	require.Zero(t, table.ListedCount("z0"))
+}
+
 // Guards against an operator's release that a peer with the old entry undoes,
 // and against crashes that are lost when two hosts report at once.
 func TestQuarantineMergesAndReleaseWins(t *testing.T) {
