--- a/internal/membership/shares/shares.go
+++ b/internal/membership/shares/shares.go
@@ -50,15 +50,18 @@
 	return Amount{max(a.TokensPerSecond, b.TokensPerSecond), max(a.InProgress, b.InProgress)}
 }
 
-// ZoneFraction is the part of a team's entitlement that belongs to the zone. A
-// zone that the weights do not name gets nothing.
+// ZoneFraction is the part of a team's entitlement that belongs to the zone:
+// equal parts without weights. A zone that the weights do not name gets nothing.
 func ZoneFraction(weights map[string]float64, zone string, zones int) float64 {
+	if len(weights) == 0 {
+		return 1 / float64(max(zones, 1))
+	}
 	total := 0.0
 	for _, w := range weights {
 		total += w
 	}
 	if total <= 0 {
-		return 1 / float64(max(zones, 1))
+		return 0
 	}
 	return weights[zone] / total
 }
--- a/internal/membership/shares/shares_test.go
+++ b/internal/membership/shares/shares_test.go
@@ -79,6 +79,14 @@
 	})
 }
 
+// Guards against floors here and in the router's limiter that differ: a team
+// whose weights are all 0 has nothing to divide.
+func TestZeroWeightsGiveNothing(t *testing.T) {
+	require.Zero(t, ZoneFraction(map[string]float64{"ate": 0}, "ate", 3))
+	require.InDelta(t, 1.0/3, ZoneFraction(nil, "ate", 3), epsilon)
+	require.InDelta(t, 0.75, ZoneFraction(map[string]float64{"ate": 3, "surco": 1}, "ate", 3), epsilon)
+}
+
 // Guards against a host that gets nothing because another has endless demand,
 // and against a pool that is left unused.
 func TestPoolIsDividedByDemand(t *testing.T) {
