Place a model that nobody serves without waiting

Cause: replicas that have just been taken in counted as just changed, so demand for a model without any replica was refused for the dwell time of 5 minutes. Change: the dwell time does not apply to a model in demand that no replica holds.

--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -229,7 +229,7 @@
 		return
 	}
 	reason := fmt.Sprintf("demand for %s needs %.2f replicas, has %d", up, ideals[up], counts[up])
-	if r := c.withRoom(up); r != nil {
+	if r := c.withRoom(up, counts[up] == 0); r != nil {
 		t := c.desired.Targets[r.ID.String()]
 		c.set(r, append(slices.Clone(t.Models), up), t.Role, reason, false)
 		return
@@ -243,17 +243,18 @@
 	c.set(r, append(models, up), t.Role, reason, false)
 }
 
-// changeable tells whether a replica may change to hold the model.
-func (c *poolPlan) changeable(r *Replica, up string) bool {
+// changeable tells whether a replica may change to hold the model. A model that
+// is in demand and that no replica holds does not wait for the dwell time.
+func (c *poolPlan) changeable(r *Replica, up string, unserved bool) bool {
 	t, ok := c.desired.Targets[r.ID.String()]
 	dwelt := c.now.Sub(time.UnixMilli(t.ChangedUnixMS)) >= c.planner.dwell()
-	return ok && usable(r) && dwelt && !slices.Contains(t.Models, up)
+	return ok && usable(r) && (dwelt || unserved) && !slices.Contains(t.Models, up)
 }
 
-func (c *poolPlan) withRoom(up string) *Replica {
+func (c *poolPlan) withRoom(up string, unserved bool) *Replica {
 	for i := range c.pool.Replicas {
 		r := &c.pool.Replicas[i]
-		if c.changeable(r, up) && len(c.desired.Targets[r.ID.String()].Models) < c.planner.capacity() {
+		if c.changeable(r, up, unserved) && len(c.desired.Targets[r.ID.String()].Models) < c.planner.capacity() {
 			return r
 		}
 	}
@@ -267,7 +268,7 @@
 	var model string
 	for i := range c.pool.Replicas {
 		r := &c.pool.Replicas[i]
-		if !c.changeable(r, up) {
+		if !c.changeable(r, up, counts[up] == 0) {
 			continue
 		}
 		for _, m := range c.desired.Targets[r.ID.String()].Models {
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -96,6 +96,19 @@
 	require.Equal(t, 1, holding(d, "b"), "a replica that is not live keeps its target")
 }
 
+// Guards against demand that is refused for the whole dwell time because every
+// replica has just been taken in with another model.
+func TestUnservedModelDoesNotWait(t *testing.T) {
+	p := &Planner{Clock: clockwork.NewFakeClock()}
+	pools := testPool(testReplica("e1", "a"), testReplica("e2", "a"), testReplica("e3", "a"))
+	demand(pools, 100, 100)
+	d, _ := p.Plan(emptyDesired(), pools)
+	require.Equal(t, 1, holding(d, "b"))
+	d, decisions := p.Plan(d, pools)
+	require.Empty(t, decisions)
+	require.Equal(t, 2, holding(d, "a"))
+}
+
 // Guards against role orders that nobody asked for.
 func TestRolesAreAskedFor(t *testing.T) {
 	p := &Planner{Clock: clockwork.NewFakeClock()}
