Expose control's metrics and show ejections and fingerprints to operators

Cause: /metrics of control had only the Go runtime's metrics. An ejected replica showed in no log line and no metric. The router logged the fingerprint of a crash as a decimal number, while hbctl prints and takes hexadecimal digits, so that the two could not be matched.

The router logs "replica ejected" and "replica readmitted" with the reason from its regular report and exposes replicas_ejected by upstream. Fingerprints in the router's log lines have 16 hexadecimal digits.

--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"heatherbarrow/internal/claims"
 	"heatherbarrow/internal/kernel"
@@ -24,9 +25,11 @@
 	Peers  *http.Client // to the peer services of other hosts
 	Scheme string       // of the peer services' URLs
 	Logger zerolog.Logger
+	Scope  tally.Scope
 
 	loop    *Loop
 	service *claims.Service
+	results claimCounters
 }
 
 // Name implements kernel.Service.
@@ -40,6 +43,7 @@
 	if c.loop, err = kernel.Lookup[*Loop](r, ServiceLoop); err != nil {
 		return err
 	}
+	c.results = newClaimCounters(c.Scope)
 	c.service = claims.New(claims.Options{
 		Store:     c.Store,
 		Host:      c.Host,
@@ -76,7 +80,9 @@
 
 // Claim implements claims.Claimer.
 func (c *ClaimService) Claim(ctx context.Context, request *rpc.ClaimRequest) *rpc.ClaimResponse {
-	return c.service.Claim(ctx, request)
+	response := c.service.Claim(ctx, request)
+	c.results.count(response.Result)
+	return response
 }
 
 // RecordOutcome implements claims.Claimer.
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -10,6 +10,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/kernel"
@@ -39,6 +40,7 @@
 	logger   *zerolog.Logger
 	dial     Dial
 	metrics  http.Handler
+	scope    tally.Scope
 }
 
 // Dial opens a connection to an address.
@@ -53,10 +55,9 @@
 	return p
 }
 
-// WithMetrics replaces the handler of /metrics; the usual one registers its
-// metrics once for the whole process.
+// WithMetrics replaces the handler of /metrics and drops the metrics.
 func (p *Program) WithMetrics(handler http.Handler) *Program {
-	p.metrics = handler
+	p.metrics, p.scope = handler, tally.NoopScope
 	return p
 }
 
@@ -117,6 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.openMetrics()
 	events := bus.New()
 	services := []kernel.Service{
 		events,
@@ -125,7 +127,7 @@
 		}),
 		&StoreService{Store: &rollout.Store{Platform: clients.platform, Operators: operators}},
 		&AnswersService{Answers: rpc.NewAnswersProtobufClient(clients.scheme+"://"+p.settings.Router, clients.internal)},
-		&ClaimService{Host: p.settings.Host, Store: clients.platform, Peers: clients.internal, Scheme: clients.scheme, Logger: *p.logger},
+		&ClaimService{Host: p.settings.Host, Store: clients.platform, Peers: clients.internal, Scheme: clients.scheme, Logger: *p.logger, Scope: p.scope},
 		&PlacementService{
 			Host: p.settings.Host, Zone: p.settings.AvailabilityZone, Store: clients.platform, Logger: *p.logger,
 			Sender: &placement.HTTPSender{Scheme: clients.upstreamScheme, Client: clients.upstream},
@@ -139,6 +141,7 @@
 		&Lookup{},
 		&FeedServer{},
 		&OperatorServer{},
+		&MetricsService{Host: p.settings.Host, Scope: p.scope},
 	}
 	registry := kernel.NewRegistry()
 	for _, s := range append(services, p.listeners()...) {
@@ -149,6 +152,13 @@
 	return registry, nil
 }
 
+func (p *Program) openMetrics() {
+	if p.metrics == nil {
+		metrics := telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone)
+		p.metrics, p.scope = metrics.Handler, metrics.Scope
+	}
+}
+
 func (p *Program) member() membership.Options {
 	o := membership.Options{
 		Host: p.settings.Host, Zone: p.settings.AvailabilityZone, PeerAddress: p.settings.PeerListen,
@@ -227,9 +237,6 @@
 		return nil, err
 	}
 	handler := chi.NewRouter()
-	if p.metrics == nil {
-		p.metrics = telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone).Handler
-	}
 	handler.Method(http.MethodGet, "/metrics", p.metrics)
 	handler.Mount("/", rpc.NewOperatorServer(operator))
 	return handler, nil
--- a/internal/control/services.go
+++ b/internal/control/services.go
@@ -28,6 +28,7 @@
 	ServiceLookup           = "lookup"
 	ServiceFeed             = "feed"
 	ServiceOperator         = "operator"
+	ServiceMetrics          = "metrics"
 )
 
 // StoreService offers the platform's objects.
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -36,7 +37,9 @@
 }
 
 func (s *Server) sendReport(ctx context.Context) {
-	request := reportToRPC(s.Scheduler.Report())
+	report := s.Scheduler.Report()
+	s.noteEjections(report.Replicas)
+	request := reportToRPC(report)
 	request.Streams = uint32(s.inFlight.Load())
 	request.Generation = s.generation()
 	request.Draining = s.draining.Load()
@@ -82,7 +85,7 @@
 		return
 	}
 	c.server.Logger.Warn().Str("request", c.id).Str("replica", a.Replica.String()).
-		Uint64("fingerprint", c.prompt.fingerprint).Err(err).Msg("replica crashed")
+		Str("fingerprint", formatFingerprint(c.prompt.fingerprint)).Err(err).Msg("replica crashed")
 	request := &rpc.CrashRequest{
 		Fingerprint: c.prompt.fingerprint, Upstream: a.Replica.Upstream, Replica: a.Replica.Replica, Model: c.model,
 	}
@@ -101,12 +104,17 @@
 		return s.Feed.ReportCrash(call, request)
 	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(crashRetries))
 	if err != nil {
-		s.Logger.Warn().Err(err).Uint64("fingerprint", request.Fingerprint).Msg("crash could not be reported")
+		s.Logger.Warn().Err(err).Str("fingerprint", formatFingerprint(request.Fingerprint)).Msg("crash could not be reported")
 		return
 	}
 	s.mergeQuarantine(quarantineFromRPC(response.Quarantine))
 }
 
+// formatFingerprint returns the form that hbctl prints and takes.
+func formatFingerprint(fingerprint uint64) string {
+	return fmt.Sprintf("%016x", fingerprint)
+}
+
 // mergeQuarantine adds entries to the view in force without waiting for the
 // next view from control.
 func (s *Server) mergeQuarantine(entries []scheduling.QuarantineEntry) {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -50,6 +50,7 @@
 	inFlight  atomic.Int64
 	records   *outcome.Store
 	recorder  *recorder
+	ejections ejections
 	metrics   *metrics
 	viewMu    sync.Mutex
 	view      *scheduling.View // last view from control, with the quarantine learned since
@@ -66,6 +67,7 @@
 		Dependencies: d,
 		records:      outcome.NewStore(recordCapacity, recordTTL),
 		metrics:      newMetrics(d.Metrics),
+		ejections:    newEjections(d.Metrics),
 		drained:      make(chan struct{}),
 	}
 	s.recorder = newRecorder(d.Feed, d.Logger, s.metrics)
--- a/internal/scheduling/interfaces.go
+++ b/internal/scheduling/interfaces.go
@@ -42,14 +42,15 @@
 
 // ReplicaMeasurement is what this host measured of a replica.
 type ReplicaMeasurement struct {
-	ID            ReplicaID
-	InProgress    int
-	Dispatched    uint64 // since the last report
-	Completed     uint64
-	Failed        uint64
-	FirstTokenP50 time.Duration
-	InterTokenP50 time.Duration
-	Ejected       bool
+	ID             ReplicaID
+	InProgress     int
+	Dispatched     uint64 // since the last report
+	Completed      uint64
+	Failed         uint64
+	FirstTokenP50  time.Duration
+	InterTokenP50  time.Duration
+	Ejected        bool
+	EjectionReason string // why, when ejected
 }
 
 // TeamUsage is what this host used for a team since the last report.
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -193,6 +193,9 @@
 		ID: r.id, InProgress: len(r.flights), Dispatched: r.dispatched, Completed: r.completed, Failed: r.failed,
 		FirstTokenP50: r.firsts.median(), InterTokenP50: r.inters.median(), Ejected: r.health.Ejected(),
 	}
+	if m.Ejected {
+		m.EjectionReason = r.health.Reason()
+	}
 	r.dispatched, r.completed, r.failed = 0, 0, 0
 	r.firsts.n, r.inters.n = 0, 0
 	return m, m.InProgress > 0 || m.Dispatched+m.Completed+m.Failed > 0 || m.Ejected
