--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"net/netip"
 
 	"heatherbarrow/internal/rollout"
@@ -51,6 +52,11 @@
 			return settings.Errorf(a.path, "%q is not an IP address with a port", a.value)
 		}
 	}
+	for i, peer := range s.Peers {
+		if err := peer.validate(fmt.Sprintf("peers[%d]", i)); err != nil {
+			return err
+		}
+	}
 	if len(s.Operators) < 2 {
 		return settings.Errorf("operators", "needs at least two operators, because the approver of a bundle differs from its author")
 	}
@@ -62,3 +68,16 @@
 	}
 	return nil
 }
+
+func (p *Peer) validate(path string) error {
+	switch {
+	case p.Host == "":
+		return settings.Errorf(path+".host", "must not be empty")
+	case p.AvailabilityZone == "":
+		return settings.Errorf(path+".availability_zone", "must not be empty")
+	}
+	if _, err := netip.ParseAddrPort(p.Address); err != nil {
+		return settings.Errorf(path+".address", "%q is not an IP address with a port", p.Address)
+	}
+	return nil
+}
--- a/internal/hbctl/hbctl_test.go
+++ b/internal/hbctl/hbctl_test.go
@@ -132,6 +132,15 @@
 	require.Contains(t, d.must("ana", "diff", filepath.Join(d.dir, "2.json")), `deadline "30s" -> "20s"`)
 }
 
+// Guards against a comparison before the first rollout that shows a generation 0
+// without a hash.
+func TestDiffBeforeTheFirstRollout(t *testing.T) {
+	d := newDesk(t)
+	out := d.must("ana", "diff", d.bundle("1.json", "10s"))
+	require.Contains(t, out, "in force: no bundle\n")
+	require.Contains(t, out, "+ class quote")
+}
+
 // Guards against a watch that ends before every zone has the generation, or that
 // hides which host is missing.
 func TestWatchWaitsForEveryZone(t *testing.T) {
--- a/internal/hbctl/rollout.go
+++ b/internal/hbctl/rollout.go
@@ -132,7 +132,11 @@
 	if d.JSON {
 		return json.NewEncoder(d.app.stdout).Encode(changes)
 	}
-	fmt.Fprintf(d.app.stdout, "in force: generation %d sha256 %s\n", current.Generation, current.SHA256)
+	if current.Generation == 0 {
+		fmt.Fprintln(d.app.stdout, "in force: no bundle")
+	} else {
+		fmt.Fprintf(d.app.stdout, "in force: generation %d sha256 %s\n", current.Generation, current.SHA256)
+	}
 	fmt.Fprintf(d.app.stdout, "%s: sha256 %s\n", path, hash)
 	d.app.printChanges(changes)
 	return nil
