Describe every metric, with alert rules

Cause: no page told operators what the programs expose on /metrics.

Change: docs/operators/metrics.md lists type, unit, labels and meaning of each metric and gives alert rules. A test in each program compares the page with what its handler exposes, in both directions, without starting the program.

--- a/internal/control/metrics_test.go
+++ b/internal/control/metrics_test.go
@@ -7,7 +7,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"heatherbarrow/internal/docs"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/telemetry"
 )
 
 // metricsState is a snapshot 3 s after its view was built and 10 s after its
@@ -84,3 +86,18 @@
 		require.Equal(t, int64(1), scope.Snapshot().Counters()["claims+result="+claimResults[rpc.ClaimResult(result)]].Value())
 	}
 }
+
+// Guards against a metric that operators see and find described nowhere, and
+// against a described one that does not exist.
+func TestMetricsReference(t *testing.T) {
+	m := telemetry.NewMetrics("h", "z")
+	defer func() { require.NoError(t, m.Close()) }()
+	now := time.Unix(1000, 0)
+	newClaimCounters(m.Scope)
+	newGauges(m.Scope).set(metricsState(now), now)
+	page, err := docs.Page("metrics.md")
+	require.NoError(t, err)
+	own, runtime := docs.ExposedMetrics(m.Handler)
+	require.ElementsMatch(t, own, docs.Names(docs.Section(page, programName)))
+	require.Subset(t, docs.Names(docs.Section(page, "Both programs")), runtime)
+}
