Give a plausible reason when a model that no replica holds is loaded

Cause: the planner gives a model without replicas one however small its demand is; the log line then said "demand for glue-70b needs 0.00 replicas, has 0".

Change: the reason is "glue-70b is in demand and no replica holds it". The new test fails on the former planner.

--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -218,6 +218,15 @@
 	return best, best != ""
 }
 
+// moveReason tells why a model gets a replica. A model without any gets one
+// however small its demand is, which would print as "needs 0.00 replicas".
+func moveReason(model string, ideal float64, count int) string {
+	if count == 0 {
+		return fmt.Sprintf("%s is in demand and no replica holds it", model)
+	}
+	return fmt.Sprintf("demand for %s needs %.2f replicas, has %d", model, ideal, count)
+}
+
 // move gives one replica to the model with the greatest deficit.
 func (c *poolPlan) move() {
 	counts, ideals := c.counts(), c.ideals()
@@ -228,7 +237,7 @@
 	if counts[up] > 0 && ideals[up]-float64(counts[up]) < hysteresis {
 		return
 	}
-	reason := fmt.Sprintf("demand for %s needs %.2f replicas, has %d", up, ideals[up], counts[up])
+	reason := moveReason(up, ideals[up], counts[up])
 	if r := c.withRoom(up, counts[up] == 0); r != nil {
 		t := c.desired.Targets[r.ID.String()]
 		c.set(r, append(slices.Clone(t.Models), up), t.Role, reason, false)
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -125,3 +125,20 @@
 	target = d.Targets["models/e2"]
 	require.Empty(t, dueOrders(d, &pools[0], &pools[0].Replicas[1], &target))
 }
+
+// Guards against a reason that contradicts its decision: a model with little
+// demand that no replica held was loaded because it "needs 0.00 replicas, has 0".
+func TestReasonOfAMoveIsPlausible(t *testing.T) {
+	p := &Planner{Clock: clockwork.NewFakeClock()}
+	pools := testPool(testReplica("e1", "a"), testReplica("e2", "a"))
+	demand(pools, 1000, 0.001)
+	_, decisions := p.Plan(emptyDesired(), pools)
+	loads := 0
+	for _, decision := range decisions {
+		if decision.Order == OrderLoad {
+			loads++
+			require.Equal(t, "b is in demand and no replica holds it", decision.Reason)
+		}
+	}
+	require.Equal(t, 1, loads)
+}
