Let the list return hosts, and keep drained ones leaving

A host whose own watcher saw the list call it leaving and then live again stayed leaving for ever when it was the only one to poll, and a drained host could be brought back by the list of a peer. A drained host now answers such a return with a higher mark. A router ahead of its restarted control no longer gets an answer without news at once, which made it ask without a pause.

--- a/internal/control/cluster_state_test.go
+++ b/internal/control/cluster_state_test.go
@@ -9,8 +9,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/bus"
+	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/membership/shares"
 	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rpc"
@@ -148,6 +152,29 @@
 	require.EqualValues(t, 100, view.Replicas[0].ReportAgeMs, "the snapshot must not change")
 }
 
+// Guards against a router that is ahead of its restarted control and then asks
+// again and again without a pause.
+func TestWaitDoesNotReturnALowerGeneration(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := NewLoop(Options{Bus: bus.New(), Clock: clock, Logger: zerolog.Nop(), Member: membership.Options{Host: "h", Zone: "z"}})
+	l.publish(func(s *State) { s.Bundle = &rpc.BundleRecord{Generation: 4} })
+	version := l.State().View.Version
+	require.EqualValues(t, 4, l.Wait(context.Background(), 3, version, time.Hour).Bundle.Generation)
+	returned := make(chan struct{})
+	go func() {
+		l.Wait(context.Background(), 5, version, time.Second)
+		close(returned)
+	}()
+	require.NoError(t, clock.BlockUntilContext(context.Background(), 1))
+	select {
+	case <-returned:
+		require.Fail(t, "returned without news")
+	default:
+	}
+	clock.Advance(time.Second)
+	<-returned
+}
+
 // Guards against hosts that are lent more than the zone's entitlement together,
 // and against a demand that is never met.
 func TestSharesFollowDemand(t *testing.T) {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -298,14 +298,15 @@
 	close(old.changed)
 }
 
-// Wait returns the newest snapshot once it differs from the given versions, or
-// after d, or when ctx ends.
+// Wait returns the newest snapshot once it has a higher generation or another
+// view than given, or after d, or when ctx ends. A router may be ahead of a
+// control that has just started; it has nothing to take then.
 func (l *Loop) Wait(ctx context.Context, generation, viewVersion uint64, d time.Duration) *State {
 	timer := l.opts.Clock.NewTimer(d)
 	defer timer.Stop()
 	for {
 		s := l.State()
-		if s.View.Version != viewVersion || s.Bundle != nil && s.Bundle.Generation != generation {
+		if s.View.Version != viewVersion || s.Bundle.GetGeneration() > generation {
 			return s
 		}
 		select {
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -40,8 +40,13 @@
 	t.version++
 }
 
-// Leave marks the own host as leaving.
-func (t *Table) Leave(now time.Time) { t.markHost(t.self, true, now) }
+// Leave marks the own host as leaving for good: only a new start returns.
+func (t *Table) Leave(now time.Time) {
+	t.drained = true
+	if t.self.state.State != rpc.State_STATE_LEAVING {
+		t.markHost(t.self, true, now)
+	}
+}
 
 func (t *Table) markHost(h *host, leaving bool, now time.Time) {
 	next := copyHost(h.state)
@@ -102,6 +107,9 @@
 	switch {
 	case s.Incarnation == own.Incarnation:
 		t.mergeMark(t.self, s)
+		if t.drained && t.self.state.State != rpc.State_STATE_LEAVING {
+			t.markHost(t.self, true, now)
+		}
 	case s.Incarnation > own.Incarnation:
 		next := copyHost(own)
 		next.Incarnation = s.Incarnation + 1
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -93,7 +93,7 @@
 	switch {
 	case is && (!known || !was) && h.state.State != rpc.State_STATE_LEAVING:
 		t.markHost(h, true, now)
-	case !is && known && was && h.state.State == rpc.State_STATE_LEAVING && h != t.self:
+	case !is && known && was && h.state.State == rpc.State_STATE_LEAVING && !(h == t.self && t.drained):
 		t.markHost(h, false, now)
 	}
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -119,6 +119,7 @@
 	generation     uint64
 	list           hostList
 	quarantine     quarantine
+	drained        bool // the own host leaves for good
 	wanted         map[uint32]bool
 	urgent         bool // a change that routers must see at once
 	version        uint64
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -219,6 +219,39 @@
 	}
 }
 
+// Guards against a host that the platform's list called leaving and that never
+// returns, and against a list that brings a drained host back.
+func TestListReturnsHostsButNotDrainedOnes(t *testing.T) {
+	n := newNetwork(t, 1, 3)
+	n.run(5 * time.Second)
+	list := func(state string) {
+		l := &platform.HostList{}
+		for _, name := range n.names {
+			l.Hosts = append(l.Hosts, platform.Host{Name: name, AvailabilityZone: "z0", State: "live"})
+		}
+		l.Hosts[0].State = state
+		for _, name := range n.names {
+			n.hosts[name].ApplyList(l, n.now)
+		}
+		n.run(4 * time.Second)
+	}
+	for _, drained := range []bool{false, true} {
+		list("live")
+		if drained {
+			n.hosts["z0-h0"].Leave(n.now)
+			n.run(4 * time.Second)
+		}
+		list("leaving")
+		for _, at := range n.names {
+			require.Equal(t, rpc.State_STATE_LEAVING, n.state(at, "z0-h0"), "%s, drained %v", at, drained)
+		}
+		list("live")
+		for _, at := range n.names {
+			require.Equal(t, drained, n.state(at, "z0-h0") == rpc.State_STATE_LEAVING, "%s, drained %v", at, drained)
+		}
+	}
+}
+
 // Guards against a leaving state that outlives the restart of its replica.
 func TestRestartedReplicaReturns(t *testing.T) {
 	n := newNetwork(t, 1, 2)
