Pass the zone count to the scheduler; keep a call's own outcome in its claim

Cause: viewFromRPC dropped zone_count, so with three zones a team's floors were three times too large. A claim of a call whose caller had hung up was recorded as unknown although its whole answer had arrived, so after a host's replacement the caller could not learn that the order took effect.

--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -119,7 +119,7 @@
 }
 
 func viewFromRPC(v *rpc.View, now time.Time) *scheduling.View {
-	out := &scheduling.View{Version: v.Version, HostsInZone: int(v.HostsInZone)}
+	out := &scheduling.View{Version: v.Version, HostsInZone: int(v.HostsInZone), ZoneCount: int(v.ZoneCount)}
 	for _, r := range v.Replicas {
 		out.Replicas = append(out.Replicas, scheduling.ReplicaLoad{
 			ID:         scheduling.ReplicaID{Upstream: r.Upstream, Replica: r.Replica},
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -165,9 +165,10 @@
 	c.answerError(err)
 }
 
-// passOn answers with the service's answer. The outcome is recorded behind it:
-// completed only when the caller's connection took all of the answer. The answer
-// of a claimed call is kept before, so that a repeated key gets it in any case.
+// passOn answers with the service's answer. The request is completed only when
+// the caller's connection took all of it; the claim keeps how the call itself
+// ended, so that a caller who repeats the key after a broken connection learns
+// it. The answer of a claimed call is kept before it is passed on.
 func (c *serviceCall) passOn(a *forward.ServiceAnswer) {
 	contentType := a.Header.Get("Content-Type")
 	if c.claimed {
@@ -175,11 +176,11 @@
 	}
 	o := answeredOutcome(a.Status)
 	c.w.Header().Set(outcome.HeaderOutcome, string(o))
-	if err := c.writeWhole(a.Status, contentType, a.Body); err != nil {
-		c.record(outcome.Unknown, a.Status)
+	err := c.writeWhole(a.Status, contentType, a.Body)
+	c.record(o, a.Status)
+	if err != nil {
 		c.abandon(outcome.Unknown)
 	}
-	c.record(o, a.Status)
 	c.finish(o, a.Status, "")
 }
 
