Let control wait for the drain of its router

Cause: a stopped host's control exited at once, so orders that arrived during the balancer's lag were refused and outcomes of calls in progress were not recorded. Change: a stopping control waits for a draining router, bounded by drain_timeout. New cells stop both programs of a host and require every request to complete. Clusters of the fault matrix use a loopback address of their own process, since two runs at once took each other's ports during restarts.

--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -22,6 +23,8 @@
 
 // FeedServer implements rpc.Feed for the router on this host.
 type FeedServer struct {
+	drainReport atomic.Int64 // unix nanoseconds of the last report of a draining router
+
 	bus     *bus.Bus
 	loop    *Loop
 	lookup  *Lookup
@@ -98,6 +101,7 @@
 
 // Report implements rpc.Feed.
 func (f *FeedServer) Report(_ context.Context, request *rpc.ReportRequest) (*rpc.ReportResponse, error) {
+	f.noteReport(request)
 	f.demand.AddDemand(request.Demand)
 	if err := f.bus.Publish(UsageReported{Report: request}); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, "control is stopping")
@@ -105,6 +109,24 @@
 	return &rpc.ReportResponse{}, nil
 }
 
+// routerGoneAfter is the time without a report after which a draining router
+// counts as gone.
+const routerGoneAfter = 3 * time.Second
+
+func (f *FeedServer) noteReport(request *rpc.ReportRequest) {
+	if request.Draining {
+		f.drainReport.Store(time.Now().UnixNano())
+	} else {
+		f.drainReport.Store(0)
+	}
+}
+
+// RouterDraining tells whether the router on this host has lately reported that
+// it drains.
+func (f *FeedServer) RouterDraining() bool {
+	return time.Since(time.Unix(0, f.drainReport.Load())) < routerGoneAfter
+}
+
 // ReportCrash implements rpc.Feed. The answer has the zone's entries with this
 // crash, so that the router need not wait for the next view.
 func (f *FeedServer) ReportCrash(_ context.Context, request *rpc.CrashRequest) (*rpc.CrashResponse, error) {
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"heatherbarrow/internal/bus"
+	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/placement"
@@ -28,9 +29,13 @@
 	shutdownTimeout   = 500 * time.Millisecond
 	// leaveTimeout is how long a stopping control waits for peers to hear that
 	// its host leaves.
-	leaveTimeout   = 200 * time.Millisecond
-	idlePerPeer    = 1
-	idleToPlatform = 16
+	leaveTimeout = 200 * time.Millisecond
+	// drainNotice is how long a stopping control waits for its router to report
+	// that it drains; a router reports every 500 ms.
+	drainNotice       = 1200 * time.Millisecond
+	drainPollInterval = 50 * time.Millisecond
+	idlePerPeer       = 1
+	idleToPlatform    = 16
 )
 
 // Program is heatherbarrow-control.
@@ -95,6 +100,7 @@
 	p.logger.Info().Msg("started")
 	<-ctx.Done()
 	p.leave(registry)
+	p.awaitRouter(ctx, registry)
 	stopWork()
 	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
@@ -110,6 +116,28 @@
 	}
 }
 
+// awaitRouter waits until a router that drains has exited: its last calls still
+// need claims and their outcomes recorded. A router that goes on serving, because
+// only control is restarted, is not waited for.
+func (p *Program) awaitRouter(ctx context.Context, r *kernel.Registry) {
+	feed, err := kernel.Lookup[*FeedServer](r, ServiceFeed)
+	if err != nil {
+		return
+	}
+	forced := cli.Forced(ctx)
+	wait := context.WithoutCancel(ctx)
+	if timeout := p.settings.DrainTimeout.Std(); timeout > 0 {
+		var cancel context.CancelFunc
+		wait, cancel = context.WithTimeout(wait, timeout)
+		defer cancel()
+	}
+	for started := time.Now(); forced.Err() == nil && wait.Err() == nil; time.Sleep(drainPollInterval) {
+		if !feed.RouterDraining() && time.Since(started) > drainNotice {
+			return
+		}
+	}
+}
+
 // registry registers all services; the kernel starts them in the order of their
 // dependencies.
 func (p *Program) registry(clients *clients) (*kernel.Registry, error) {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -20,9 +20,12 @@
 	Peers            []Peer            `json:"peers,omitempty"` // hosts known from the start
 	Operators        map[string]string `json:"operators"`       // operator to Ed25519 public key in hex
 	LogLevel         string            `json:"log_level,omitempty"`
-	PlatformTLS      tlsconf.Files     `json:"platform_tls,omitzero"`
-	InternalTLS      tlsconf.Files     `json:"internal_tls,omitzero"` // mutual TLS between the system's processes
-	UpstreamTLS      tlsconf.Files     `json:"upstream_tls,omitzero"`
+	// DrainTimeout bounds how long a stopping control waits for its router's
+	// drain; 0 waits without bound.
+	DrainTimeout settings.Duration `json:"drain_timeout,omitzero"`
+	PlatformTLS  tlsconf.Files     `json:"platform_tls,omitzero"`
+	InternalTLS  tlsconf.Files     `json:"internal_tls,omitzero"` // mutual TLS between the system's processes
+	UpstreamTLS  tlsconf.Files     `json:"upstream_tls,omitzero"`
 }
 
 // Peer is another host.
@@ -57,6 +60,9 @@
 	if _, err := rollout.ParseOperators(s.Operators); err != nil {
 		return settings.Errorf("operators", "%v", err)
 	}
+	if s.DrainTimeout < 0 {
+		return settings.Errorf("drain_timeout", "must not be negative")
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -53,16 +53,22 @@
 	inject func(c *cluster, a *caller)
 	// breaksCallers means that callers of host 0 may see broken connections.
 	breaksCallers bool
+	// completes means that every request must still complete.
+	completes bool
 	// keepsCapacity means that top-tier requests must still be served.
 	keepsCapacity bool
 }
 
 var faults = []fault{
-	{name: "none", inject: func(*cluster, *caller) {}, keepsCapacity: true},
+	{name: "none", completes: true, keepsCapacity: true, inject: func(*cluster, *caller) {}},
 	{name: "caller-gone", breaksCallers: true, inject: func(_ *cluster, a *caller) { a.hangUp() }},
 	{name: "router-killed", breaksCallers: true, inject: func(c *cluster, _ *caller) { c.hosts[0].router.kill() }},
 	{name: "router-paused", inject: func(c *cluster, _ *caller) { c.hosts[0].router.signal(sigStop) }},
-	{name: "router-stopped", inject: func(c *cluster, _ *caller) { c.hosts[0].router.signal(sigTerm) }},
+	{name: "router-stopped", completes: true, inject: func(c *cluster, _ *caller) { c.hosts[0].router.signal(sigTerm) }},
+	{name: "host-stopped", completes: true, inject: func(c *cluster, _ *caller) {
+		c.hosts[0].router.signal(sigTerm)
+		c.hosts[0].control.signal(sigTerm)
+	}},
 	{name: "control-killed", keepsCapacity: true, inject: func(c *cluster, _ *caller) { c.hosts[0].control.kill() }},
 	{name: "control-paused", keepsCapacity: true, inject: func(c *cluster, _ *caller) { c.hosts[0].control.signal(sigStop) }},
 	{name: "engine-crash", keepsCapacity: true, inject: func(c *cluster, _ *caller) {
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -52,7 +52,11 @@
 
 // endFaults heals all but a router that is to stop gracefully.
 func (c *cluster) endFaults(f fault) {
-	if f.name == "router-stopped" {
+	switch f.name {
+	case "host-stopped":
+		<-c.hosts[0].router.exited
+		<-c.hosts[0].control.exited
+	case "router-stopped":
 		<-c.hosts[0].router.exited
 	}
 	c.heal()
@@ -65,6 +69,9 @@
 		if x.err != nil && !f.breaksCallers {
 			broken = append(broken, fmt.Sprintf("P7: %s %s was cut off: %v", x.kind, x.id, x.err))
 		}
+		if f.completes && x.outcome != outcome.Completed {
+			broken = append(broken, fmt.Sprintf("P7: %s %s ended as %q with status %d", x.kind, x.id, x.outcome, x.status))
+		}
 		refused := x.kind == "chat" && x.outcome == outcome.NotRun
 		if refused && s.serves && f.keepsCapacity {
 			broken = append(broken, fmt.Sprintf("P1: chat %s of tier 1 was refused with status %d", x.id, x.status))
@@ -197,7 +204,7 @@
 	r := newResults(t)
 	t.Run("cells", func(t *testing.T) {
 		for _, cell := range [][2]string{
-			{"mid-stream", "router-stopped"}, {"claim", "platform-write-lost"}, {"answer", "router-killed"},
+			{"mid-stream", "host-stopped"}, {"claim", "platform-write-lost"}, {"answer", "router-killed"},
 			{"mid-stream", "engine-crash"}, {"record-outcome", "control-killed"}, {"answer", "service-answer-lost"},
 		} {
 			t.Run(cell[1]+"/"+cell[0], func(t *testing.T) {
--- a/internal/faults/process_test.go
+++ b/internal/faults/process_test.go
@@ -97,13 +97,17 @@
 	lastPort  = 31_999
 )
 
+// loopback is an address of this test process alone. Another run at the same time
+// would else take the port of a process that is being restarted.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
+
 var ports = struct {
 	sync.Mutex
 	next int
-}{next: firstPort + os.Getpid()*97%(lastPort-firstPort)}
+}{next: firstPort}
 
-// freeAddresses returns loopback addresses that no listener has and that were
-// not returned before.
+// freeAddresses returns loopback addresses that no listener has. An address is
+// not returned again before all others were.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	ports.Lock()
@@ -115,7 +119,7 @@
 		if ports.next > lastPort {
 			ports.next = firstPort
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		address := fmt.Sprintf("%s:%d", loopback, ports.next)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
