Report a refusal after a preemption as the refusal

Cause: a preempted request that was refused later was reported as preempted.

Change: only the error of a failed attempt takes the place of a refused retry.

Conclusion: the code that callers see is the last cause.

--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -382,7 +382,7 @@
 	}
 	c.waste(wasteBroken)
 	var refusal *scheduling.RefusedError
-	if errors.As(err, &refusal) && c.outcome != outcome.NotRun && c.lastErr != nil {
+	if errors.As(err, &refusal) && c.outcome != outcome.NotRun && c.lastErr != nil && !errors.Is(c.lastErr, errPreempted) {
 		// A refused retry does not hide why it was needed.
 		err = c.lastErr
 	}
