--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -99,7 +99,7 @@
 	running uint32
 	waiting uint32
 	tokens  uint32
-	models  uint64 // set of positions in modelList
+	models  uint64 // set of positions in modelList, and unlistedModels
 	role    uint32
 }
 
@@ -119,6 +119,7 @@
 	generation     uint64
 	list           hostList
 	quarantine     quarantine
+	drained        bool // the own host leaves for good
 	wanted         map[uint32]bool
 	urgent         bool // a change that routers must see at once
 	version        uint64
@@ -241,10 +242,11 @@
 	s.ReportAgeMs = millis(now.Sub(r.load.answer) + r.load.lag)
 	s.Role = roleName(r.load.role)
 	for i, model := range r.modelList {
-		if i < 64 && r.load.models&(1<<i) != 0 {
+		if r.load.models&(1<<i) != 0 {
 			s.Models = append(s.Models, model)
 		}
 	}
+	s.UnlistedModels = r.load.models&unlistedModels != 0
 	return s
 }
 
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -219,6 +219,39 @@
 	}
 }
 
+// Guards against a host that the platform's list called leaving and that never
+// returns, and against a list that brings a drained host back.
+func TestListReturnsHostsButNotDrainedOnes(t *testing.T) {
+	n := newNetwork(t, 1, 3)
+	n.run(5 * time.Second)
+	list := func(state string) {
+		l := &platform.HostList{}
+		for _, name := range n.names {
+			l.Hosts = append(l.Hosts, platform.Host{Name: name, AvailabilityZone: "z0", State: "live"})
+		}
+		l.Hosts[0].State = state
+		for _, name := range n.names {
+			n.hosts[name].ApplyList(l, n.now)
+		}
+		n.run(4 * time.Second)
+	}
+	for _, drained := range []bool{false, true} {
+		list("live")
+		if drained {
+			n.hosts["z0-h0"].Leave(n.now)
+			n.run(4 * time.Second)
+		}
+		list("leaving")
+		for _, at := range n.names {
+			require.Equal(t, rpc.State_STATE_LEAVING, n.state(at, "z0-h0"), "%s, drained %v", at, drained)
+		}
+		list("live")
+		for _, at := range n.names {
+			require.Equal(t, drained, n.state(at, "z0-h0") == rpc.State_STATE_LEAVING, "%s, drained %v", at, drained)
+		}
+	}
+}
+
 // Guards against a leaving state that outlives the restart of its replica.
 func TestRestartedReplicaReturns(t *testing.T) {
 	n := newNetwork(t, 1, 2)
@@ -305,6 +338,19 @@
 	require.Equal(t, list.Hosts[0].Name, n.hosts["z0-h0"].list.zones["z0"][0])
 }
 
+// Guards against a zone without coordinators and with floors that are too large
+// while the platform's list does not have the zone's hosts yet.
+func TestEmptyListLeavesTheKnownHosts(t *testing.T) {
+	n := newNetwork(t, 2, 3)
+	table := n.hosts["z0-h0"]
+	table.ApplyList(&platform.HostList{}, n.now)
+	listed, _ := table.Listed("z0")
+	require.Equal(t, []string{"z0-h0", "z0-h1", "z0-h2"}, listed)
+	require.Equal(t, 3, table.HostsInZone(n.now))
+	require.Equal(t, 2, table.ZoneCount())
+	require.Zero(t, table.ListedCount("z0"))
+}
+
 // Guards against an operator's release that a peer with the old entry undoes,
 // and against crashes that are lost when two hosts report at once.
 func TestQuarantineMergesAndReleaseWins(t *testing.T) {
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -13,7 +13,7 @@
 const (
 	// A report loses its value as the requests that it counted end, so its
 	// weight falls with the mean time that a request takes, within these bounds.
-	minReportLife = 500 * time.Millisecond
+	minReportLife = 50 * time.Millisecond
 	maxReportLife = 5 * time.Second
 	servedRate    = 0.02 // weight of a new sample in the mean service time
 	maxModels     = 64   // bits of a model mask
@@ -43,7 +43,7 @@
 
 type count struct {
 	total int
-	free  int // for the top tier
+	free  [levels]int
 }
 
 // zoneLoad sums what is known of a zone's replicas.
@@ -82,9 +82,14 @@
 	for i := range u.Replicas {
 		id := scheduling.ReplicaID{Upstream: u.Name, Replica: u.Replicas[i].ID}
 		r, kept := old[id]
-		if !kept || r.removed {
+		if !kept {
 			r = newReplica(p, &u.Replicas[i])
 		}
+		if r.removed {
+			// Its requests from before it was removed still run.
+			r.removed = false
+			r.health = p.health.Add()
+		}
 		r.pool = p
 		r.address = u.Replicas[i].Address
 		r.local = u.Replicas[i].AvailabilityZone == zone
@@ -153,7 +158,9 @@
 			continue
 		}
 		p.counts[m].total += sign * p.slots
-		p.counts[m].free += sign * r.free[levelTop]
+		for level := range r.free {
+			p.counts[m].free[level] += sign * r.free[level]
+		}
 	}
 }
 
@@ -206,10 +213,13 @@
 			reports++
 		}
 	}
-	// Requests sent longer ago than one takes have ended since.
-	age = min(age/max(reports, 1), p.serviced)
+	age /= max(reports, 1)
+	// Requests sent longer ago than one takes have ended since, and the part of
+	// the estimate that comes from the mean has the others' requests in it.
+	fresh := min(p.serviced/max(age, minReportLife.Seconds()), 1)
+	age = min(age, p.serviced)
 	p.unknown = p.recent * float64(hosts-1) * age
-	p.unseen = float64(allHosts-1) * age / max(reports, 1)
+	p.unseen = fresh * float64(allHosts-1) * age / max(reports, 1)
 }
 
 // others estimates the requests of other hosts on the replica: its own report
