Share the switches of stand-ins and the functions of scripts

Cause: three stand-ins had the same handlers for switches and counts, and two scripts the same functions.

--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"heatherbarrow/internal/standin/admin"
 )
 
 // shortestPrefix is the number of bytes of the shortest cached prefix; each
@@ -109,5 +111,5 @@
 		}
 	}
 	s.mu.Unlock()
-	writeJSON(w, out)
+	admin.WriteJSON(w, out)
 }
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -179,8 +179,3 @@
 	w.Header().Set("Heatherbarrow-Outcome", "not-run")
 	http.Error(w, message, status)
 }
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,8 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/xid"
+
+	"heatherbarrow/internal/standin/admin"
 )
 
 const (
@@ -118,16 +120,12 @@
 		r.Get("/v1/cache-events", s.serveCacheEvents)
 		r.Post("/v1/orders", s.serveOrder)
 	})
-	r.Put("/admin/faults", s.putFaults)
-	r.Get("/admin/counts", s.getCounts)
-	r.Get("/admin/orders", s.getOrders)
+	r.Put("/admin/faults", admin.Put(s.SetFaults))
+	r.Get("/admin/counts", admin.Get(s.Counts))
+	r.Get("/admin/orders", admin.Get(s.Orders))
 	return r
 }
 
-func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Counts())
-}
-
 // Counts returns a copy of the counts.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 )
@@ -39,17 +38,6 @@
 	}
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	dec := json.NewDecoder(r.Body)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
 func (s *Server) crashAfter(d time.Duration) {
 	time.Sleep(d)
 	s.mu.Lock()
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -112,7 +112,3 @@
 	defer s.mu.Unlock()
 	return slices.Clone(s.orders.taken)
 }
-
-func (s *Server) getOrders(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Orders())
-}
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"heatherbarrow/internal/standin/admin"
 )
 
 // Load is the engine's report of its load.
@@ -55,5 +57,5 @@
 		}
 	}
 	s.mu.Unlock()
-	writeJSON(w, report)
+	admin.WriteJSON(w, report)
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	client "heatherbarrow/internal/platform"
+	"heatherbarrow/internal/standin/admin"
 )
 
 const (
@@ -93,9 +94,9 @@
 		r.Get("/watch/{kind}", s.watch)
 		r.Get("/hosts", s.getHosts)
 	})
-	r.Put("/admin/faults", s.putFaults)
-	r.Put("/admin/hosts", s.putHosts)
-	r.Get("/admin/counts", s.getCounts)
+	r.Put("/admin/faults", admin.Put(s.SetFaults))
+	r.Put("/admin/hosts", admin.Put(s.SetHosts))
+	r.Get("/admin/counts", admin.Get(s.Counts))
 	return r
 }
 
@@ -198,7 +199,7 @@
 		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, o)
+	admin.WriteJSON(w, o)
 }
 
 type objectList struct {
@@ -211,7 +212,7 @@
 		return o.Kind == chi.URLParam(r, "kind") && strings.HasPrefix(o.Name, prefix) && !o.Deleted
 	})
 	slices.SortFunc(out, func(a, b client.Object) int { return cmp.Compare(a.Name, b.Name) })
-	writeJSON(w, objectList{Objects: out})
+	admin.WriteJSON(w, objectList{Objects: out})
 }
 
 func (s *Server) selectObjects(match func(*client.Object) bool) []client.Object {
@@ -260,7 +261,7 @@
 	s.objects[objectKey(r)] = o
 	s.notify()
 	o.Value = nil
-	writeJSON(w, o)
+	admin.WriteJSON(w, o)
 }
 
 func conditionHolds(r *http.Request, old client.Object, exists bool) bool {
@@ -299,13 +300,13 @@
 		})
 		if len(out) > 0 {
 			slices.SortFunc(out, func(a, b client.Object) int { return cmp.Compare(a.Version, b.Version) })
-			writeJSON(w, objectList{Objects: out})
+			admin.WriteJSON(w, objectList{Objects: out})
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline.C:
-			writeJSON(w, objectList{Objects: []client.Object{}})
+			admin.WriteJSON(w, objectList{Objects: []client.Object{}})
 			return
 		case <-r.Context().Done():
 			return
@@ -317,32 +318,5 @@
 	s.mu.Lock()
 	hosts := s.hosts
 	s.mu.Unlock()
-	writeJSON(w, hosts)
-}
-
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
-func (s *Server) putHosts(w http.ResponseWriter, r *http.Request) {
-	var hosts client.HostList
-	if err := json.NewDecoder(r.Body).Decode(&hosts); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetHosts(hosts)
-}
-
-func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Counts())
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
+	admin.WriteJSON(w, hosts)
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -3,13 +3,14 @@
 package service
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
+
+	"heatherbarrow/internal/standin/admin"
 )
 
 // Faults are the switches of the stand-in.
@@ -34,8 +35,8 @@
 // Handler returns the HTTP handler of the service and of its switches under /admin.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Put("/admin/faults", s.putFaults)
-	r.Get("/admin/effects", s.getEffects)
+	r.Put("/admin/faults", admin.Put(s.SetFaults))
+	r.Get("/admin/effects", admin.Get(s.Effects))
 	r.Get("/*", s.lookUp)
 	r.Post("/*", s.takeEffect)
 	return r
@@ -64,7 +65,7 @@
 	faults := s.faults
 	s.mu.Unlock()
 	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
-	writeJSON(w, map[string]string{"path": r.URL.Path, "state": "found"})
+	admin.WriteJSON(w, map[string]string{"path": r.URL.Path, "state": "found"})
 }
 
 func (s *Server) takeEffect(w http.ResponseWriter, r *http.Request) {
@@ -87,7 +88,7 @@
 	if s.losesAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, map[string]any{"path": r.URL.Path, "key": key, "bytes": len(body)})
+	admin.WriteJSON(w, map[string]any{"path": r.URL.Path, "key": key, "bytes": len(body)})
 }
 
 // losesAnswer is asked after the delay, so that an answer can be lost after its
@@ -101,21 +102,3 @@
 	s.faults.LoseAnswers--
 	return true
 }
-
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
-
-func (s *Server) getEffects(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Effects())
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
-}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,33 +5,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-if (exec 3<>/dev/tcp/127.0.0.1/19001) 2>/dev/null; then
-  echo "port 19001 is in use; is another demo running?" >&2
-  exit 1
-fi
-
-run=$(mktemp -d)
-processes=()
-stop_all() {
-  for pid in "${processes[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for pid in "${processes[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$run"
-}
-trap stop_all EXIT
-
-start() { # name, program
-  "bin/$2" --config "$run/$1.json" >"$run/$1.log" 2>&1 &
-  processes+=($!)
-}
+. scripts/lib.sh
+begin
+make_operators
 
 zones=(ate callao surco)
-platform=127.0.0.1:19001
-ana_seed=$(printf '01%.0s' {1..32})
-ben_seed=$(printf '02%.0s' {1..32})
-ana=$(bin/hbctl public-key "$ana_seed")
-ben=$(bin/hbctl public-key "$ben_seed")
-operators="{\"ana\":\"$ana\",\"ben\":\"$ben\"}"
-
 echo "{\"role\":\"platform\",\"listen\":\"$platform\"}" >"$run/platform.json"
 start platform heatherbarrow-standin
 for i in 1 2 3 4 5 6; do
@@ -67,28 +45,10 @@
 done
 control_list=$(IFS=,; echo "${controls[*]}")
 
-for operator in ana ben; do
-  seed=${operator}_seed
-  echo "${!seed}" >"$run/$operator.key"
-  echo "{\"platform\":\"http://$platform\",\"operators\":$operators,\"operator\":\"$operator\",\"key_file\":\"$run/$operator.key\",\"controls\":[$control_list]}" >"$run/$operator.json"
-done
-
-wait_for() { # description, command...
-  local what=$1
-  shift
-  for _ in $(seq 100); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
-  echo "timed out waiting for $what" >&2
-  tail -n 5 "$run"/*.log >&2
-  return 1
-}
+write_hbctl_settings "[$control_list]"
 
 wait_for "the platform" curl -sf "http://$platform/v1/hosts"
-hash=$(bin/hbctl --config "$run/ana.json" propose examples/caceres/bundle.json | sed 's/.*sha256 //')
-bin/hbctl --config "$run/ben.json" approve "$hash"
-bin/hbctl --config "$run/ben.json" rollout "$hash"
+roll_out examples/caceres/bundle.json
 for i in 1 2 3 4; do
   wait_for "host$i" curl -sf "http://127.0.0.1:$((19300 + i))/readyz"
 done
