Show each class against its target in hbctl status

Cause: ClassStatus stayed empty, because nothing told control how requests ended. Change: the router reports finished, attained and refused requests by class; control keeps a minute; status prints attainment, goodput and since when a class is under 0.95.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -106,6 +106,7 @@
 
 // StatusDue asks for everything that an operator may see.
 type StatusDue struct {
+	Classes    []*rpc.ClassStatus // result
 	Self       *rpc.HostState
 	Hosts      []*rpc.HostState
 	Replicas   []*rpc.ReplicaState
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -64,6 +64,7 @@
 	table    *membership.Table
 	admit    admission
 	sharing  sharing
+	classes  classWindows
 	platform probe
 
 	offering sync.Mutex // held while a bundle is checked, so that none is checked twice
@@ -92,6 +93,7 @@
 	l := &Loop{opts: o, fetches: make(chan Fetch, fetchBacklog), table: membership.NewTable(o.Member, now)}
 	l.admit = admission{started: now, failures: make(map[string]string)}
 	l.sharing = newSharing()
+	l.classes = make(classWindows)
 	l.state.Store(&State{
 		NotReady: "no bundle yet: no source has answered",
 		// The version differs after a restart, so that the router takes the view.
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -75,7 +75,7 @@
 	}
 	s := o.loop.State()
 	response := &rpc.StatusResponse{
-		Self: e.Self, NotReady: s.NotReady, Replicas: e.Replicas, Hosts: e.Hosts, Quarantine: e.Quarantine, Zones: e.Zones,
+		Self: e.Self, NotReady: s.NotReady, Replicas: e.Replicas, Hosts: e.Hosts, Quarantine: e.Quarantine, Zones: e.Zones, Classes: e.Classes,
 		WatchesPlatform: s.Topology.Watching, PlatformCalls: o.platform.Calls(), PlatformLastOkMs: -1,
 	}
 	if last := o.platform.LastAnswer(); !last.IsZero() {
@@ -123,6 +123,7 @@
 	e.Hosts = l.table.Hosts(now)
 	e.Quarantine, _ = l.table.Quarantine()
 	e.Self = self
+	e.Classes = l.classes.status(l.State().Parsed, now)
 	for _, zone := range l.table.Zones() {
 		e.Zones = append(e.Zones, l.zoneStatus(zone, e.Hosts, now))
 	}
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -50,6 +50,7 @@
 	switch e := event.(type) {
 	case UsageReported:
 		l.sharing.report(e.Report, now)
+		l.classes.add(e.Report.Results, now)
 	case *SharesDue:
 		l.sharesDue(e, now)
 	case *SharesRequested:
--- a/internal/hbctl/status.go
+++ b/internal/hbctl/status.go
@@ -36,6 +36,7 @@
 	s.printBundle(statuses)
 	s.table(func(w io.Writer) { printHosts(w, statuses) })
 	s.table(func(w io.Writer) { printZones(w, statuses) })
+	s.table(func(w io.Writer) { printClasses(w, statuses) })
 	s.table(func(w io.Writer) { printReplicas(w, statuses) })
 	s.table(func(w io.Writer) { printQuarantine(w, statuses) })
 	if reached == 0 {
@@ -136,6 +137,41 @@
 	}
 }
 
+// printClasses shows the last minute of each class on all hosts together.
+func printClasses(w io.Writer, statuses []controlStatus) {
+	type totals struct {
+		tier               uint32
+		finished, refused  uint64
+		attained, goodput  float64
+		longestBelowTarget int64
+	}
+	classes := make(map[string]*totals)
+	for _, status := range statuses {
+		for _, c := range status.response.GetClasses() {
+			t := classes[c.Class]
+			if t == nil {
+				t = &totals{tier: c.Tier}
+				classes[c.Class] = t
+			}
+			t.finished += c.Finished
+			t.refused += c.Refused
+			t.attained += c.Attainment * float64(c.Finished)
+			t.goodput += c.Goodput
+			t.longestBelowTarget = max(t.longestBelowTarget, c.BelowTargetMs)
+		}
+	}
+	fmt.Fprintln(w, "CLASS\tTIER\tREQUESTS\tATTAINMENT\tGOODPUT/S\tREFUSED\tBELOW TARGET FOR")
+	for _, name := range sortedKeys(classes) {
+		t := classes[name]
+		below := "-"
+		if t.longestBelowTarget > 0 {
+			below = age(t.longestBelowTarget, true)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.3f\t%.2f\t%d\t%s\n", name, t.tier, t.finished, t.attained/float64(t.finished),
+			t.goodput, t.refused, below)
+	}
+}
+
 // printReplicas shows each replica once, from the host with the freshest report.
 func printReplicas(w io.Writer, statuses []controlStatus) {
 	freshest := make(map[string]*rpc.ReplicaState)
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -3,12 +3,14 @@
 import (
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/rpc"
 )
 
 // Causes of wasted tokens.
@@ -44,6 +46,28 @@
 	withinGoal tally.Counter
 	tokens     tally.Counter
 	retries    tally.Counter
+	report     classCounts
+}
+
+// classCounts are what control is told of a class since the last report.
+type classCounts struct {
+	finished, attained, refused atomic.Uint64
+}
+
+// results returns how requests ended since the last call, by class.
+func (m *metrics) results() []*rpc.ClassResult {
+	var out []*rpc.ClassResult
+	m.classes.Range(func(name, value any) bool {
+		counts := &value.(*classMetrics).report
+		result := &rpc.ClassResult{
+			Class: name.(string), Finished: counts.finished.Swap(0), Attained: counts.attained.Swap(0), Refused: counts.refused.Swap(0),
+		}
+		if result.Finished > 0 {
+			out = append(out, result)
+		}
+		return true
+	})
+	return out
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -102,6 +126,10 @@
 	c := m.class(e.class)
 	c.outcomes[o].Inc(1)
 	c.accepted.Inc(1)
+	c.report.finished.Add(1)
+	if o == outcome.NotRun {
+		c.report.refused.Add(1)
+	}
 	c.tokens.Inc(int64(e.timing.tokens))
 	if o != outcome.Completed {
 		return
@@ -109,6 +137,7 @@
 	c.answer.RecordDuration(elapsed)
 	if withinTarget(e.class, &e.timing, e.arrived, elapsed) {
 		c.withinGoal.Inc(1)
+		c.report.attained.Add(1)
 	}
 }
 
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -40,6 +40,7 @@
 	request.Streams = uint32(s.inFlight.Load())
 	request.Generation = s.generation()
 	request.Draining = s.draining.Load()
+	request.Results = s.metrics.results()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	if _, err := s.Feed.Report(ctx, request); err != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -63,6 +63,7 @@
  {"class":"catalogue-comparison","tier":4,"key":"workshops-key","rate":4,"model":"glue-13b","prompt_tokens":1000,"max_tokens":200,"target":"10s"}]}
 JSON
 bin/hbload --config "$run/load.json"
+bin/hbctl --config "$run/ana.json" status
 
 repeated=$(for i in 1 2 3; do curl -s "http://127.0.0.1:$((19200 + i))/admin/effects"; done | grep -cE ':([2-9]|[0-9]{2,})[,}]' || true)
 if [ "$repeated" != 0 ]; then
