Let guaranteed shares yield when replicas are lost

Cause: with half of the fleet lost, the top tier's load stays the same while the shares of the lower tiers only shrink with the fleet.

Change: a class's share is taken of the slots times the part of the planned slots that still serve. The picker counts the planned slots of a model, those of replicas that are down included. A class keeps at least one slot, and age still lets it pass.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -55,6 +55,11 @@
 	return scheduling.Choice{Replica: id}, true
 }
 
+func (p *ringPicker) PlannedSlots(r *scheduling.Request) int {
+	total, _ := p.Slots(r)
+	return total
+}
+
 func (p *ringPicker) Slots(r *scheduling.Request) (total, free int) {
 	u := &p.snapshot.Bundle.Upstreams[r.Upstreams[0]]
 	return u.Slots * len(u.Replicas), p.upstreams[r.Upstreams[0]].free
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -75,6 +75,16 @@
 	return choice, found
 }
 
+// PlannedSlots counts the slots of replicas that are down, too.
+func (p *fakePicker) PlannedSlots(r *scheduling.Request) int {
+	planned := 0
+	for _, i := range r.Upstreams {
+		u := &p.snapshot.Bundle.Upstreams[i]
+		planned += len(u.Replicas) * u.Slots
+	}
+	return planned
+}
+
 func (p *fakePicker) Slots(r *scheduling.Request) (total, free int) {
 	p.each(r, func(id scheduling.ReplicaID, slots int) {
 		total += slots
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -126,6 +126,26 @@
 	require.NotNil(t, grantOf(retried))
 }
 
+// Guards against the shares of lower tiers taking slots that the top tier's planned
+// load needs after a loss of replicas, and against a class that gets none.
+func TestSharesYieldToMissingCapacity(t *testing.T) {
+	f := newFixture(t, testBundle(1, 2, 20, 1))
+	f.picker.down[scheduling.ReplicaID{Upstream: "pool-0", Replica: "r1"}] = true
+	f.advance(50 * time.Millisecond)
+	var quotes []*Assignment
+	for range 20 {
+		quotes = append(quotes, grantOf(f.enqueue(f.request(classQuote, 0))))
+	}
+	first := f.enqueue(f.request(classDraft, 0))
+	second := f.enqueue(f.request(classDraft, 0))
+	quote := f.enqueue(f.request(classQuote, 0))
+	quotes[0].Finish(done(1))
+	require.NotNil(t, grantOf(first), "one slot is guaranteed")
+	quotes[1].Finish(done(1))
+	require.NotNil(t, grantOf(quote))
+	require.Nil(t, grantOf(second))
+}
+
 // Guards against a full queue refusing a higher tier while lower tiers wait in it,
 // and against the reverse.
 func TestFullQueueGivesWayToHigherTier(t *testing.T) {
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -144,6 +144,7 @@
 	waiting   int
 	tiers     [bundle.MaxTier + 1]struct{ fresh, late int } // waiting requests
 	total     int                                           // slots of the replicas that can be reached
+	planned   int                                           // slots of all replicas that should serve the pool
 	counted   [levels]int                                   // free slots at the last refresh, less this pool's grants and what the upstreams count as freed
 	topWindow time.Duration                                 // in which a top-tier arrival must find a slot; 0 without a top tier
 	headroom  int                                           // free slots kept for the top tier
@@ -234,6 +235,7 @@
 		p.counted[level] = free - freed
 		p.total = total
 	}
+	p.planned = s.picker.PlannedSlots(&p.probes[levelTop])
 	switch {
 	case p.total > 0:
 		p.emptyFrom = time.Time{}
@@ -297,13 +299,20 @@
 }
 
 // running returns the number of requests of the class that run on the pool's
-// upstreams, and the slots that this host holds or could take there.
+// upstreams, and the slots there that its guaranteed share is taken of: those that
+// this host holds or could take, reduced in proportion to the capacity that is
+// missing. The shares fit beside the top tier's planned load at full capacity. That
+// load stays the same when replicas are lost, so that lower tiers have to yield
+// more than their part of the loss.
 func (p *pool) running(c *class) (running, slots int) {
 	slots = max(p.free(levelTop), 0)
 	for _, u := range p.upstreams {
 		running += u.running[c.slot]
 		slots += u.total
 	}
+	if p.total < p.planned {
+		slots = slots * p.total / p.planned
+	}
 	return running, slots
 }
 
--- a/internal/scheduling/interfaces.go
+++ b/internal/scheduling/interfaces.go
@@ -25,6 +25,9 @@
 	// Slots returns the number of slots over all replicas that may serve the
 	// request now, and how many of them are free.
 	Slots(r *Request) (total, free int)
+	// PlannedSlots returns the number of slots over all replicas of the bundle that
+	// hold the model, including those that cannot serve now.
+	PlannedSlots(r *Request) int
 	// Refusal returns a *RefusedError when the request can never run as things
 	// are, for example because its fingerprint is quarantined; nil otherwise.
 	Refusal(r *Request) *RefusedError
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -174,6 +174,21 @@
 	return max(total, 0), max(free, 0)
 }
 
+// PlannedSlots implements scheduling.Picker.
+func (p *Picker) PlannedSlots(r *scheduling.Request) int {
+	planned := 0
+	for _, index := range r.Upstreams {
+		if index >= len(p.pools) {
+			continue
+		}
+		u := p.pools[index]
+		if model, ok := u.model(r.Model); ok {
+			planned += u.counts[model].planned
+		}
+	}
+	return planned
+}
+
 // Refusal implements scheduling.Picker.
 func (p *Picker) Refusal(r *scheduling.Request) *scheduling.RefusedError {
 	state, remaining := p.quarantine.State(r.Fingerprint, p.opts.Clock.Now())
--- a/internal/scheduling/picker/picker_test.go
+++ b/internal/scheduling/picker/picker_test.go
@@ -235,3 +235,17 @@
 		}
 	})
 }
+
+// Guards against capacity that is lost by a crash being taken for capacity that the
+// bundle or placement never gave to the model.
+func TestPlannedSlots(t *testing.T) {
+	f := newFixture(t, 3, 8)
+	f.Update(nil, &scheduling.View{HostsInZone: 1, ZoneCount: 1, Replicas: []scheduling.ReplicaLoad{
+		{ID: id(0), State: scheduling.ReplicaDead},
+		{ID: id(1), HasReport: true, ReportedAt: f.clock.Now(), Models: []string{"m"}},
+		{ID: id(2), HasReport: true, ReportedAt: f.clock.Now(), Models: []string{"other"}},
+	}})
+	total, _ := f.Slots(f.request(0, 0))
+	require.Equal(t, 8, total)
+	require.Equal(t, 16, f.PlannedSlots(f.request(0, 0)))
+}
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -42,8 +42,9 @@
 }
 
 type count struct {
-	total int
-	free  [levels]int
+	planned int // slots of all replicas with the model, serving or not
+	total   int
+	free    [levels]int
 }
 
 // zoneLoad sums what is known of a zone's replicas.
@@ -134,6 +135,15 @@
 	return i, i >= 0 && i < maxModels
 }
 
+// plan counts the replica's slots for the models that it last reported.
+func (p *pool) plan(r *Replica) {
+	for m := range p.counts {
+		if r.models>>m&1 != 0 {
+			p.counts[m].planned += p.slots
+		}
+	}
+}
+
 // modelMask returns the bits of the reported models. A replica that reports
 // none is taken to serve all models of its upstream.
 func (p *pool) modelMask(models []string) uint64 {
@@ -190,6 +200,7 @@
 		r.inter = r.health.InterToken(now).Seconds()
 		r.counted = false
 		r.recount(now)
+		p.plan(r)
 		if r.counted {
 			load += r.load()
 			serving++
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -124,7 +124,11 @@
 // parts of all hosts add up to the free slots on average.
 func (r *Replica) report(load *scheduling.ReplicaLoad, hosts int, random float64) {
 	r.state = load.State
-	r.models = r.pool.modelMask(load.Models)
+	if load.HasReport {
+		// A replica that is down reports nothing; its last models tell for which
+		// of them capacity is missing.
+		r.models = r.pool.modelMask(load.Models)
+	}
 	if !load.HasReport || r.hasReport && load.ReportedAt.Before(r.reportedAt) {
 		return
 	}
