Preempt the stream that costs least to continue

Cause: preemption took the stream that started last and counted its whole prompt as lost.

Change: the picker reports which part of the prompt it expects the replica to hold. That part counts neither as cost of a preemption nor as computed, and the victim is the cheapest stream of the lowest tier.

--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -21,6 +21,7 @@
 
 	ticket      *Ticket
 	upstream    *upstream
+	cached      int // tokens of the prompt that the replica was expected to hold
 	tier        int // at the time of the grant; a later bundle may change the class's
 	grantedAt   time.Time
 	finished    bool
@@ -130,7 +131,7 @@
 	if result.Refused {
 		return
 	}
-	t.scheduler.earnWaste(t.request.PromptTokens + result.Tokens)
+	t.scheduler.earnWaste(t.request.PromptTokens - a.cached + result.Tokens)
 	a.upstream.finished.add(1)
 	a.upstream.service[0].observe(held)
 	a.upstream.service[t.class.Tier].observe(held)
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -246,6 +246,7 @@
 	a.Replica = choice.Replica
 	a.Address = choice.Address
 	a.Decision = choice.Decision
+	a.cached = choice.CachedTokens
 	a.ticket = t
 	a.upstream = s.upstream(choice.Replica.Upstream)
 	a.grantedAt = now
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -88,26 +88,37 @@
 	}
 }
 
-// victim returns the running request to preempt: of the lowest tier, and in it
-// the one that started last.
+// victim returns the running request to preempt: of the lowest tier, and in it the
+// one that is the cheapest to continue elsewhere.
 func (s *Scheduler) victim(p *pool, now time.Time) *Assignment {
 	for tier := bundle.MaxTier; tier > bundle.TopTier; tier-- {
+		var best *Assignment
 		for _, u := range p.upstreams {
-			a := u.lists[tier].newest
-			for range victimScan {
-				if a == nil {
-					break
-				}
-				if a.mayPreempt(p, now) {
-					return a
-				}
-				a = a.older
-			}
+			best = u.lists[tier].cheapest(p, now, best)
+		}
+		if best != nil {
+			return best
 		}
 	}
 	return nil
 }
 
+// cheapest returns the request of the list that costs the least to preempt, or best
+// when none costs less. It looks at those that started last, which lose the least.
+func (l *assignmentList) cheapest(p *pool, now time.Time, best *Assignment) *Assignment {
+	a := l.newest
+	for range victimScan {
+		if a == nil {
+			break
+		}
+		if a.mayPreempt(p, now) && (best == nil || a.cost() < best.cost()) {
+			best = a
+		}
+		a = a.older
+	}
+	return best
+}
+
 // mayPreempt tells whether the request may be interrupted. A class is never
 // brought below its guaranteed share, as the next free slot would be its again.
 func (a *Assignment) mayPreempt(p *pool, now time.Time) bool {
@@ -122,10 +133,11 @@
 }
 
 // cost returns the tokens that another replica computes again to continue the
-// stream. Those of this attempt come on top but are few, as the latest one to
-// start is taken.
+// stream, less those that it is expected to hold: a prompt that this replica had in
+// its cache is likely to be in another's as well. Those of this attempt come on top
+// but are few next to a prompt.
 func (a *Assignment) cost() int {
-	return a.ticket.request.PromptTokens + a.ticket.request.Progress
+	return a.ticket.request.PromptTokens - a.cached + a.ticket.request.Progress
 }
 
 // earnWaste adds to the tokens that preemption may throw away.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -273,6 +273,26 @@
 	}
 }
 
+// Guards against preempting a stream with a long prompt beside one that is cheaper
+// to continue, whether its prompt is short or held by the replica.
+func TestPreemptsTheCheapestStream(t *testing.T) {
+	f := newFixture(t, testBundle(1, 1, 4, 1))
+	f.earnWaste(int(maxWaste / wasteShare))
+	var drafts []*Assignment
+	for _, tokens := range []int{3000, 800, 5000, 2000} {
+		r := f.request(classDraft, 0)
+		r.PromptTokens = tokens
+		drafts = append(drafts, grantOf(f.enqueue(r)))
+	}
+	drafts[2].cached = 4500
+	f.advance(time.Second)
+	f.enqueue(f.request(classQuote, 0))
+	f.enqueue(f.request(classQuote, 0))
+	for i, preempted := range []bool{false, true, true, false} {
+		require.Equal(t, preempted, drafts[i].isPreempted, "draft %d", i)
+	}
+}
+
 // Guards against preemptions that cost more computation than they save: streams
 // with long prompts are computed again from the start.
 func TestPreemptionsOfLongPromptsAreFew(t *testing.T) {
--- a/internal/scheduling/interfaces.go
+++ b/internal/scheduling/interfaces.go
@@ -11,6 +11,8 @@
 	Replica  ReplicaID
 	Address  string // IP:port
 	Decision Decision
+	// CachedTokens is the part of the prompt that the replica is expected to hold.
+	CachedTokens int
 }
 
 // Picker chooses a replica for a request and keeps what this host knows of the
--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -245,6 +245,7 @@
 	if f.suspect {
 		p.quarantine.Started(f.fingerprint, q.now)
 	}
+	cached := int(q.match(r) * float64(q.request.PromptTokens))
 	for _, prefix := range q.request.PrefixHashes {
 		p.affinity.put(prefix, r)
 	}
@@ -254,5 +255,5 @@
 	}
 	return scheduling.Choice{Replica: r.id, Address: r.address, Decision: scheduling.Decision{
 		Score: c.score, Alternatives: p.best.alternatives(chosen), Reason: reason, CrossZone: !r.local,
-	}}
+	}, CachedTokens: cached}
 }
