Allow 20 retries in 10 s to classes with little traffic

Cause: a poison request crashes two replicas in each zone within seconds. The least retry budget of 10 covered the streams of one replica, so that the traces of poison show accepted chat requests refused for the retry budget.

Change: the least budget is 20. Classes with more than 20 requests/s at a budget of 0.1 have a larger one already.

--- a/internal/scheduling/retry/retry.go
+++ b/internal/scheduling/retry/retry.go
@@ -14,9 +14,9 @@
 	slices      = 10
 	sliceLength = Window / slices
 	// minRetries lets a class with little traffic continue all the streams that
-	// one crashed replica ran for this host. With fewer, accepted answers end
-	// incomplete after a single crash.
-	minRetries = 10
+	// this host ran on two crashed replicas, as many as a poison request crashes in a
+	// zone. With fewer, accepted answers end incomplete.
+	minRetries = 20
 )
 
 // Budget counts the attempts of one class in a sliding window. It is not safe
