--- a/internal/scheduling/interfaces.go
+++ b/internal/scheduling/interfaces.go
@@ -11,6 +11,8 @@
 	Replica  ReplicaID
 	Address  string // IP:port
 	Decision Decision
+	// CachedTokens is the part of the prompt that the replica is expected to hold.
+	CachedTokens int
 }
 
 // Picker chooses a replica for a request and keeps what this host knows of the
@@ -25,6 +27,9 @@
 	// Slots returns the number of slots over all replicas that may serve the
 	// request now, and how many of them are free.
 	Slots(r *Request) (total, free int)
+	// PlannedSlots returns the number of slots over all replicas of the bundle that
+	// hold the model, including those that cannot serve now.
+	PlannedSlots(r *Request) int
 	// Refusal returns a *RefusedError when the request can never run as things
 	// are, for example because its fingerprint is quarantined; nil otherwise.
 	Refusal(r *Request) *RefusedError
