--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -64,6 +64,7 @@
 	table    *membership.Table
 	admit    admission
 	sharing  sharing
+	classes  classWindows
 	platform probe
 
 	offering sync.Mutex // held while a bundle is checked, so that none is checked twice
@@ -92,6 +93,7 @@
 	l := &Loop{opts: o, fetches: make(chan Fetch, fetchBacklog), table: membership.NewTable(o.Member, now)}
 	l.admit = admission{started: now, failures: make(map[string]string)}
 	l.sharing = newSharing()
+	l.classes = make(classWindows)
 	l.state.Store(&State{
 		NotReady: "no bundle yet: no source has answered",
 		// The version differs after a restart, so that the router takes the view.
@@ -298,14 +300,15 @@
 	close(old.changed)
 }
 
-// Wait returns the newest snapshot once it differs from the given versions, or
-// after d, or when ctx ends.
+// Wait returns the newest snapshot once it has a higher generation or another
+// view than given, or after d, or when ctx ends. A router may be ahead of a
+// control that has just started; it has nothing to take then.
 func (l *Loop) Wait(ctx context.Context, generation, viewVersion uint64, d time.Duration) *State {
 	timer := l.opts.Clock.NewTimer(d)
 	defer timer.Stop()
 	for {
 		s := l.State()
-		if s.View.Version != viewVersion || s.Bundle != nil && s.Bundle.Generation != generation {
+		if s.View.Version != viewVersion || s.Bundle.GetGeneration() > generation {
 			return s
 		}
 		select {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -126,6 +126,26 @@
 	require.NotNil(t, grantOf(retried))
 }
 
+// Guards against the shares of lower tiers taking slots that the top tier's planned
+// load needs after a loss of replicas, and against a class that gets none.
+func TestSharesYieldToMissingCapacity(t *testing.T) {
+	f := newFixture(t, testBundle(1, 2, 20, 1))
+	f.picker.down[scheduling.ReplicaID{Upstream: "pool-0", Replica: "r1"}] = true
+	f.advance(50 * time.Millisecond)
+	var quotes []*Assignment
+	for range 20 {
+		quotes = append(quotes, grantOf(f.enqueue(f.request(classQuote, 0))))
+	}
+	first := f.enqueue(f.request(classDraft, 0))
+	second := f.enqueue(f.request(classDraft, 0))
+	quote := f.enqueue(f.request(classQuote, 0))
+	quotes[0].Finish(done(1))
+	require.NotNil(t, grantOf(first), "one slot is guaranteed")
+	quotes[1].Finish(done(1))
+	require.NotNil(t, grantOf(quote))
+	require.Nil(t, grantOf(second))
+}
+
 // Guards against a full queue refusing a higher tier while lower tiers wait in it,
 // and against the reverse.
 func TestFullQueueGivesWayToHigherTier(t *testing.T) {
@@ -253,6 +273,26 @@
 	}
 }
 
+// Guards against preempting a stream with a long prompt beside one that is cheaper
+// to continue, whether its prompt is short or held by the replica.
+func TestPreemptsTheCheapestStream(t *testing.T) {
+	f := newFixture(t, testBundle(1, 1, 4, 1))
+	f.earnWaste(int(maxWaste / wasteShare))
+	var drafts []*Assignment
+	for _, tokens := range []int{3000, 800, 5000, 2000} {
+		r := f.request(classDraft, 0)
+		r.PromptTokens = tokens
+		drafts = append(drafts, grantOf(f.enqueue(r)))
+	}
+	drafts[2].cached = 4500
+	f.advance(time.Second)
+	f.enqueue(f.request(classQuote, 0))
+	f.enqueue(f.request(classQuote, 0))
+	for i, preempted := range []bool{false, true, true, false} {
+		require.Equal(t, preempted, drafts[i].isPreempted, "draft %d", i)
+	}
+}
+
 // Guards against preemptions that cost more computation than they save: streams
 // with long prompts are computed again from the start.
 func TestPreemptionsOfLongPromptsAreFew(t *testing.T) {
