Count only attempts that may have run against the bound of three

Cause: the router counted every failed attempt.

Change: three attempts may have run and ten may be made in all. EarlierNotRun was set already for chat and services; tests now cover that such attempts draw on neither bound.

Check: the new tests fail with the former count and pass with the new one.

--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request; the class's retry budget,
-	// which the scheduler keeps, bounds those of all requests.
+	// maxAttempts bounds the attempts of one request that may have run; the class's
+	// retry budget, which the scheduler keeps, bounds those of all requests.
 	maxAttempts = 3
+	// maxTries bounds all attempts of one request. One that certainly did not run
+	// costs the fleet next to nothing, and several in a row are usual before a large
+	// loss of replicas is known.
+	maxTries = 10
 	// firstTokenFactor is how many times its class's first-token target a replica
 	// may take. It leaves the straggler detection time to act first.
 	firstTokenFactor = 4
@@ -56,7 +60,7 @@
 	maxTokens int
 	prompt    prompt
 	upstream  int // upstream of the last attempt
-	attempts  int // attempts that ended in an error
+	attempts  attemptCount
 	lastErr   error
 	tried     []scheduling.ReplicaID
 
@@ -103,7 +107,7 @@
 		Arrived:      c.arrived,
 		Deadline:     c.deadline,
 		Resumable:    c.allResumable(),
-		Attempt:      c.attempts,
+		Attempt:      c.attempts.all,
 		Exclude:      c.tried,
 		Generation:   c.snapshot.Generation,
 		Progress:     c.answer.position(),
@@ -251,11 +255,29 @@
 	}
 }
 
+// attemptCount counts the attempts of a request that ended in an error.
+type attemptCount struct {
+	all int
+	ran int // may have run
+}
+
+// after returns the count with a further attempt that ended in err.
+func (n attemptCount) after(err error) attemptCount {
+	n.all++
+	if outcomeOf(err) != outcome.NotRun {
+		n.ran++
+	}
+	return n
+}
+
+// left tells whether the bounds leave another attempt.
+func (n attemptCount) left() bool { return n.ran < maxAttempts && n.all < maxTries }
+
 // mayRetry tells whether another attempt is made: the last one certainly did not
 // run, or the work may be repeated because no byte has reached the caller, or
 // the stream can continue from the position passed on.
 func (c *chat) mayRetry(ctx context.Context, a *scheduler.Assignment, err error) bool {
-	if ctx.Err() != nil || c.attempts+1 >= maxAttempts {
+	if ctx.Err() != nil || !c.attempts.after(err).left() {
 		return false
 	}
 	if errors.Is(err, errCallerGone) || errors.Is(err, errAnswerTooLong) {
@@ -296,7 +318,7 @@
 }
 
 func (c *chat) prepareRetry(a *scheduler.Assignment, err error) {
-	c.attempts++
+	c.attempts = c.attempts.after(err)
 	c.lastErr = err
 	c.tried = append(c.tried, a.Replica)
 	c.server.metrics.class(c.class).retries.Inc(1)
--- a/internal/router/chat_test.go
+++ b/internal/router/chat_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -272,3 +274,65 @@
 	requireError(t, response, body, outcome.NotRun)
 	require.Equal(t, 2, h.calls())
 }
+
+// addReplicas gives every upstream n replicas that share the scripts of its first
+// one, and class quote the retry budget.
+func (h *host) addReplicas(t *testing.T, n int, budget float64) {
+	t.Helper()
+	b := *h.server.snapshot.Load().Bundle
+	b.Classes = slices.Clone(b.Classes)
+	b.Classes[0].RetryBudget = budget
+	b.Upstreams = slices.Clone(b.Upstreams)
+	for i := range b.Upstreams {
+		u := &b.Upstreams[i]
+		first := u.Replicas[0]
+		u.Replicas = nil
+		for j := range n {
+			first.ID = fmt.Sprint("r", j)
+			u.Replicas = append(u.Replicas, first)
+		}
+	}
+	snapshot := bundle.Compile(&b, 2, "")
+	h.server.snapshot.Store(snapshot)
+	h.server.Scheduler.Update(snapshot, nil)
+}
+
+// Guards against attempts that did not run using up the attempts of a request or
+// its class's retry budget, and against attempts that ran using neither.
+func TestAttemptsThatDidNotRunAreNotCounted(t *testing.T) {
+	tests := []struct {
+		name   string
+		budget float64
+		script []behavior
+		want   outcome.Outcome
+		calls  int
+	}{
+		{"refused four times without a budget", 0, []behavior{refuse, refuse, refuse, refuse, whole}, outcome.Completed, 5},
+		{"refused between two that ran", 1, []behavior{refuse, status(500), refuse, refuse, status(500), refuse, whole}, outcome.Completed, 7},
+		{"three that ran", 1, []behavior{status(500), refuse, status(500), refuse, status(500), whole}, outcome.Failed, 5},
+		{"one that ran without a budget", 0, []behavior{refuse, breakAfter(0), whole}, outcome.Unknown, 2},
+		{"refused by all", 1, []behavior{refuse}, outcome.NotRun, maxTries},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t, hostOptions{})
+			h.addReplicas(t, maxTries+2, test.budget)
+			h.play(test.script...)
+			response, body := h.chat(t, "m", true)
+			require.Eventually(t, func() bool { return h.recorded(response) == test.want }, patience, time.Millisecond, body)
+			require.Equal(t, test.calls, h.calls())
+		})
+	}
+}
+
+// Guards against the same for calls to services.
+func TestServiceAttemptsThatDidNotRunAreNotCounted(t *testing.T) {
+	ok := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
+	h := newHost(t, hostOptions{})
+	h.addReplicas(t, maxTries+2, 0)
+	h.service.play(refuse, refuse, refuse, refuse, ok)
+	response, body := h.send(t, h.request(t, context.Background(), http.MethodGet, "/services/warehouse/stock/1", ""))
+	require.Equal(t, http.StatusNoContent, response.StatusCode, body)
+	require.Equal(t, 5, h.service.count())
+}
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -90,10 +90,11 @@
 		return
 	}
 	var lastErr error
-	for attempt := 0; ; attempt++ {
+	var attempts attemptCount
+	for {
 		assignment, err := c.acquire(ctx, scheduling.Request{
 			ID: c.id, Class: c.classIdx, Team: c.teamIdx, Upstreams: []int{c.upstream},
-			Arrived: c.arrived, Deadline: c.deadline, Attempt: attempt, Exclude: c.tried,
+			Arrived: c.arrived, Deadline: c.deadline, Attempt: attempts.all, Exclude: c.tried,
 			Generation: c.snapshot.Generation, EarlierNotRun: lastErr != nil && outcomeOf(lastErr) == outcome.NotRun,
 		})
 		if err != nil {
@@ -106,7 +107,8 @@
 			return
 		}
 		c.tried = append(c.tried, assignment.Replica)
-		if !c.mayRetry(ctx, err, attempt) {
+		attempts = attempts.after(err)
+		if !attempts.left() || !c.mayRetry(ctx, err) {
 			c.giveUp(err)
 			return
 		}
@@ -149,8 +151,8 @@
 
 // mayRetry tells whether another attempt is made: no earlier attempt may have
 // run, or the route is repeatable.
-func (c *serviceCall) mayRetry(ctx context.Context, err error, attempt int) bool {
-	if ctx.Err() != nil || attempt+1 >= maxAttempts || !c.hasUntried([]int{c.upstream}, c.tried) {
+func (c *serviceCall) mayRetry(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || !c.hasUntried([]int{c.upstream}, c.tried) {
 		return false
 	}
 	if c.route.Repeatable {
