--- a/internal/claims/record.go
+++ b/internal/claims/record.go
@@ -113,6 +113,10 @@
 		if err := json.Unmarshal(encoded[i], &out[i]); err != nil {
 			return nil, eris.Wrapf(errFormat, "claim record: %v", err)
 		}
+		// A JSON null decodes without error; taken for a claim it would hold a key.
+		if out[i].Claim == "" {
+			return nil, eris.Wrap(errFormat, "claim record names no claim")
+		}
 	}
 	return out, nil
 }
--- /dev/null
+++ b/internal/membership/fuzz_test.go
@@ -0,0 +1,65 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"heatherbarrow/internal/rpc"
+)
+
+// maxFuzzAnswer bounds the answer to one message of a few hundred bytes.
+const maxFuzzAnswer = 64 << 10
+
+func encoded(f *testing.F, m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	require.NoError(f, err)
+	return data
+}
+
+// seedMessages are messages that hosts send and some that none would.
+func seedMessages(f *testing.F) [][]byte {
+	n := newNetwork(f, 2, 2)
+	n.run(3 * time.Second)
+	sender := n.hosts["z0-h1"]
+	sender.RecordCrash(7, "models/e1", "a", time.Hour, n.now)
+	return [][]byte{
+		encoded(f, sender.Message(n.now, false, true)),
+		encoded(f, sender.Message(n.now, true, false)),
+		encoded(f, &rpc.ExchangeMessage{From: &rpc.HostState{Host: "z0-h0", AvailabilityZone: "z0", Incarnation: 1<<64 - 1, Mark: 1<<32 - 1}}),
+		encoded(f, &rpc.ExchangeMessage{Loads: &rpc.LoadDigest{Generation: 1, Index: []uint32{0, 9}, Flags: []uint32{1}}}),
+		encoded(f, &rpc.ExchangeMessage{Heartbeats: &rpc.HeartbeatDigest{Id: []uint32{1, 2}}, List: &rpc.HostListDigest{Hash: 3}, WantHosts: []uint32{0, 1}}),
+		encoded(f, &rpc.ExchangeMessage{Replicas: []*rpc.ReplicaState{{Upstream: "models", Replica: "e1", State: 99, Mark: 5}}}),
+		{}, {0x0a}, {0xff, 0xff},
+	}
+}
+
+// Guards against a peer's message that makes a host panic, forget itself, or
+// answer without a bound.
+func FuzzPeerMessage(f *testing.F) {
+	for _, seed := range seedMessages(f) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := &rpc.ExchangeMessage{}
+		if proto.Unmarshal(data, m) != nil {
+			return
+		}
+		table := newNetwork(t, 2, 2).hosts["z0-h0"]
+		for range 2 {
+			table.Merge(m, start)
+			answer := table.Message(start, false, false)
+			table.Answer(answer, m, start)
+			require.LessOrEqual(t, proto.Size(answer), maxFuzzAnswer+8*len(data))
+		}
+		require.Equal(t, "z0-h0", table.Self().Host)
+		require.NotZero(t, table.Self().Incarnation)
+		table.Beat(start.Add(time.Second), false)
+		table.Replicas(start)
+		table.Hosts(start)
+		require.Positive(t, table.HostsInZone(start))
+		require.Positive(t, table.ZoneCount())
+	})
+}
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -65,8 +65,16 @@
 	}
 }
 
+// maxIncarnation bounds what is taken for the start of a host, in milliseconds
+// since 1970 with additions for clocks that went back. Beyond it, the next one that
+// mergeSelf chooses would overflow.
+const maxIncarnation = 1 << 62
+
 // mergeHost takes over a full host state that was learned from a peer.
 func (t *Table) mergeHost(s *rpc.HostState, now time.Time) {
+	if s.Incarnation > maxIncarnation {
+		return
+	}
 	heard := now.Add(-time.Duration(s.AgeMs) * time.Millisecond)
 	h := t.hosts[s.Host]
 	switch {
