Serve HTTP through one kernel service

Cause: router and control each had their own service around an HTTP server. Conclusion: no behavior changed.

--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -15,6 +15,7 @@
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/kernel"
+	"heatherbarrow/internal/listen"
 	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/placement"
 	"heatherbarrow/internal/platform"
@@ -238,23 +239,25 @@
 
 func (p *Program) listeners() []kernel.Service {
 	return []kernel.Service{
-		&listenService{
-			name: "feed listener", address: p.settings.FeedListen, files: p.settings.InternalTLS, needs: []string{ServiceFeed},
-			handler: func(r *kernel.Registry) (http.Handler, error) {
-				feed, err := kernel.Lookup[*FeedServer](r, ServiceFeed)
-				return rpc.NewFeedServer(feed), err
-			},
-		},
-		&listenService{
-			name: "peer listener", address: p.settings.PeerListen, files: p.settings.InternalTLS, needs: []string{ServicePeerServer},
-			handler: func(r *kernel.Registry) (http.Handler, error) {
-				peer, err := kernel.Lookup[*PeerServer](r, ServicePeerServer)
-				return rpc.NewPeerServer(peer), err
-			},
-		},
-		&listenService{
-			name: "operator listener", address: p.settings.OperatorListen, files: p.settings.InternalTLS, needs: []string{ServiceOperator},
-			handler: p.operatorHandler,
+		p.listener("feed listener", p.settings.FeedListen, ServiceFeed, func(r *kernel.Registry) (http.Handler, error) {
+			feed, err := kernel.Lookup[*FeedServer](r, ServiceFeed)
+			return rpc.NewFeedServer(feed), err
+		}),
+		p.listener("peer listener", p.settings.PeerListen, ServicePeerServer, func(r *kernel.Registry) (http.Handler, error) {
+			peer, err := kernel.Lookup[*PeerServer](r, ServicePeerServer)
+			return rpc.NewPeerServer(peer), err
+		}),
+		p.listener("operator listener", p.settings.OperatorListen, ServiceOperator, p.operatorHandler),
+	}
+}
+
+// listener returns a service that serves the handler of the service it needs.
+func (p *Program) listener(name, address, needs string, handler func(r *kernel.Registry) (http.Handler, error)) *listen.Service {
+	return &listen.Service{
+		ServiceName: name, Address: address, TLS: p.settings.InternalTLS, Needs: []string{needs},
+		Server: func(r *kernel.Registry) (*http.Server, error) {
+			h, err := handler(r)
+			return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}, err
 		},
 	}
 }
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -13,6 +13,7 @@
 	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/kernel"
+	"heatherbarrow/internal/listen"
 	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/telemetry"
@@ -72,10 +73,13 @@
 	internal := &http.Server{Handler: rpc.NewAnswersServer(answers), ReadHeaderTimeout: readHeaderTimeout}
 	services := []kernel.Service{
 		&followService{server: server},
-		&listenService{name: "internal", address: p.settings.InternalListen, files: p.settings.InternalTLS, server: internal},
-		&listenService{
-			name: "callers", address: p.settings.Listen, files: p.settings.TLS,
-			server: server.HTTPServer(), needs: []string{"follow", "internal"},
+		&listen.Service{
+			ServiceName: "internal", Address: p.settings.InternalListen, TLS: p.settings.InternalTLS,
+			Server: func(*kernel.Registry) (*http.Server, error) { return internal, nil },
+		},
+		&listen.Service{
+			ServiceName: "callers", Address: p.settings.Listen, TLS: p.settings.TLS, Needs: []string{"follow", "internal"},
+			Server: func(*kernel.Registry) (*http.Server, error) { return server.HTTPServer(), nil },
 		},
 	}
 	for _, s := range services {
@@ -150,33 +154,3 @@
 	go f.server.recorder.run(ctx)
 	return nil
 }
-
-// listenService runs an HTTP server.
-type listenService struct {
-	name    string
-	address string
-	files   tlsconf.Files
-	server  *http.Server
-	needs   []string
-}
-
-func (l *listenService) Name() string           { return l.name }
-func (l *listenService) Dependencies() []string { return l.needs }
-
-func (l *listenService) Start(ctx context.Context) error {
-	listener, err := tlsconf.Listen(ctx, l.address, l.files)
-	if err != nil {
-		return err
-	}
-	go func() { _ = l.server.Serve(listener) }()
-	return nil
-}
-
-// Stop closes the listener and waits for its requests while ctx lasts.
-func (l *listenService) Stop(ctx context.Context) error {
-	err := l.server.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		return l.server.Close()
-	}
-	return err
-}
