--- a/internal/control/observer.go
+++ b/internal/control/observer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,6 +25,9 @@
 	// observer tells; the table also waits for the other observer.
 	failuresToReport = 3
 	maxReportBytes   = 64 << 10
+	// maxReportAge bounds the age that a report gives itself. One that old says
+	// nothing of the present load.
+	maxReportAge = time.Hour
 )
 
 // loadReport is an engine's answer to GET /v1/load.
@@ -152,7 +156,7 @@
 	observation.HasLoad = true
 	observation.Lag = time.Duration(report.AgeMS) * time.Millisecond
 	observation.Running, observation.Waiting = report.Running, report.Waiting
-	observation.TokensPerSecond = uint32(max(report.TokensPerSecond, 0))
+	observation.TokensPerSecond = uint32(report.TokensPerSecond)
 	observation.Models, observation.Role = report.Models, report.Role
 	return true
 }
@@ -182,9 +186,20 @@
 	if err != nil {
 		return nil, err
 	}
+	if response.StatusCode != http.StatusOK {
+		return nil, errReport
+	}
+	return parseLoadReport(body)
+}
+
+// parseLoadReport decodes an engine's report and brings its numbers into the ranges
+// of an observation, whose types would overflow.
+func parseLoadReport(body []byte) (*loadReport, error) {
 	report := &loadReport{}
-	if response.StatusCode != http.StatusOK || json.Unmarshal(body, report) != nil {
+	if json.Unmarshal(body, report) != nil {
 		return nil, errReport
 	}
+	report.TokensPerSecond = min(quantity(report.TokensPerSecond), math.MaxUint32)
+	report.AgeMS = min(max(report.AgeMS, 0), maxReportAge.Milliseconds())
 	return report, nil
 }
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"strconv"
 	"time"
 
@@ -114,14 +115,23 @@
 	for _, h := range s.granted {
 		if h.until.After(now) {
 			out = append(out, &rpc.TeamShare{
-				Team: h.share.Team, TokensPerSecond: h.share.TokensPerSecond,
-				InProgress: h.share.InProgress, ValidMs: millisOf(h.until.Sub(now)),
+				Team: h.share.Team, TokensPerSecond: quantity(h.share.TokensPerSecond),
+				InProgress: quantity(h.share.InProgress), ValidMs: millisOf(h.until.Sub(now)),
 			})
 		}
 	}
 	return out
 }
 
+// quantity returns a number that a peer sent, or 0 when it is negative or not finite.
+// A NaN would stay in every sum that it enters.
+func quantity(x float64) float64 {
+	if !(x >= 0) || math.IsInf(x, 1) {
+		return 0
+	}
+	return x
+}
+
 func millisOf(d time.Duration) uint32 { return uint32(max(d, 0).Milliseconds()) }
 
 // bucketOf groups teams.
@@ -204,7 +214,7 @@
 			e.Err = ErrNotCoordinator
 			continue
 		}
-		above := shares.Amount{TokensPerSecond: max(d.TokensPerSecond, 0), InProgress: max(d.InProgress, 0)}
+		above := shares.Amount{TokensPerSecond: quantity(d.TokensPerSecond), InProgress: quantity(d.InProgress)}
 		amount := l.sharing.coordinator.Grant(d.Team, e.Request.Host, above, shares.Pool(l.zoneEntitlement(team)), now)
 		if amount == (shares.Amount{}) {
 			continue
