--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X heatherbarrow/internal/cli.Version=$(VERSION)
 
-.PHONY: build test lint format generate demo bench faults clean
+.PHONY: build test lint format generate demo bench faults fuzz clean
 
 build:
 	@mkdir -p bin
@@ -44,5 +44,9 @@
 	$(GO) test -tags faults -count=1 -timeout 60m -parallel 4 -run '^TestMatrix$$' ./internal/faults >out/faults.log 2>&1 || status=1; \
 	if [ -f out/faults.txt ]; then cat out/faults.txt; else cat out/faults.log; fi; exit $$status
 
+# fuzz runs each fuzz target for 5 s; go test alone runs their seeds.
+fuzz:
+	GO="$(GO)" ./scripts/fuzz.sh
+
 clean:
 	rm -rf bin out
