Do not count the slots of a crashed replica as free

Cause: the end of an attempt by a crash counted as a free slot, as allowance for lower tiers and as a sign that slots become free soon. After a crash of half the fleet, lower tiers took that allowance on the remaining replicas and preemption waited for slots that were gone.

Change: a crash adds to none of the three.

--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -111,7 +111,7 @@
 	}
 	t.release(result.Tokens)
 	a.observe(result)
-	s.leaveUpstream(a)
+	s.leaveUpstream(a, !result.Crashed)
 	s.picker.Finish(a.Replica, &t.request, result)
 	if result.Crashed {
 		s.refuseCrashed(t.request.Fingerprint)
@@ -121,7 +121,9 @@
 
 // observe learns from the attempt. Only an answer that ran on one replica from
 // its beginning tells the length and the time of answers; every attempt that ran
-// tells how long slots are held.
+// tells how long slots are held. Only those whose slot is free again tell how often
+// one becomes free: a crash ends many attempts at once, and preemption would wait
+// for slots that are gone.
 func (a *Assignment) observe(result scheduling.Result) {
 	t := a.ticket
 	held := t.scheduler.opts.Clock.Since(a.grantedAt)
@@ -132,7 +134,9 @@
 		return
 	}
 	t.scheduler.earnWaste(t.request.PromptTokens - a.cached + result.Tokens)
-	a.upstream.finished.add(1)
+	if !result.Crashed && result.Outcome != outcome.NotRun {
+		a.upstream.finished.add(1)
+	}
 	a.upstream.service[0].observe(held)
 	a.upstream.service[t.class.Tier].observe(held)
 }
@@ -147,7 +151,9 @@
 	u.lists[a.tier].push(a)
 }
 
-func (s *Scheduler) leaveUpstream(a *Assignment) {
+// leaveUpstream takes an assignment off the upstream's counts. Its slot is free for
+// others unless its replica is gone.
+func (s *Scheduler) leaveUpstream(a *Assignment, free bool) {
 	u := a.upstream
 	c := a.ticket.class
 	u.running[c.slot]--
@@ -156,8 +162,10 @@
 	if a.isPreempted {
 		u.pending--
 	}
-	u.freed++
-	a.ticket.lane.pool.allowance++
+	if free {
+		u.freed++
+		a.ticket.lane.pool.allowance++
+	}
 }
 
 // assignmentList links the running requests of a tier in order of their grants.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -273,6 +273,27 @@
 	}
 }
 
+// Guards against taking the slots of a crashed replica for free ones: lower tiers
+// would use them up elsewhere, and preemption would wait for more of them.
+func TestCrashFreesNoSlot(t *testing.T) {
+	f := newFixture(t, testBundle(1, 2, 4, 1))
+	var orders []*Assignment
+	for range 8 {
+		orders = append(orders, grantOf(f.enqueue(f.request(classOrder, 0))))
+	}
+	pool := f.poolList[0]
+	u := pool.upstreams[0]
+	allowance, freed := pool.allowance, u.freed
+	orders[0].Finish(scheduling.Result{Crashed: true})
+	require.Equal(t, allowance, pool.allowance)
+	require.Equal(t, freed, u.freed)
+	require.Zero(t, u.finished.count)
+	orders[1].Finish(done(1))
+	require.Equal(t, allowance+1, pool.allowance)
+	require.Equal(t, freed+1, u.freed)
+	require.Equal(t, 1.0, u.finished.count)
+}
+
 // Guards against preempting a stream with a long prompt beside one that is cheaper
 // to continue, whether its prompt is short or held by the replica.
 func TestPreemptsTheCheapestStream(t *testing.T) {
