Hold back answers that a crash interrupted while suspects run again

Cause: traces of poison show that the poison crashed its second replica 40 to 90 ms after the first, and that answers interrupted by the first crash had continued on the same replica within that time. Both were then refused as quarantined, the innocent ones unfinished.

Change: a suspect whose answer had begun waits 100 ms after the crash.

--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -23,6 +23,10 @@
 	// cause of the crash there.
 	suspectSpread = 100
 	maxMatches    = 8
+	// resumeHold is how long an answer that had begun before a crash waits for the
+	// suspects that had not: the cause is more likely among those, and shows itself
+	// by the next crash before the answer can meet it there.
+	resumeHold = 100 * time.Millisecond
 	// prefixTokens is the length of the shortest prefix: 256 bytes at 4 a token.
 	prefixTokens = 64
 )
@@ -94,6 +98,9 @@
 	if q.state == quarantine.Quarantined || q.state != quarantine.Clear && p.quarantine.Running(r.Fingerprint) {
 		return scheduling.Choice{}, false
 	}
+	if q.state != quarantine.Clear && r.Progress > 0 && p.quarantine.Settling(r.Fingerprint, resumeHold, now) {
+		return scheduling.Choice{}, false
+	}
 	p.match(q)
 	reason := p.search(q)
 	if p.best.n == 0 && q.state != quarantine.Clear {
--- a/internal/scheduling/picker/picker_test.go
+++ b/internal/scheduling/picker/picker_test.go
@@ -249,3 +249,25 @@
 	require.Equal(t, 8, total)
 	require.Equal(t, 16, f.PlannedSlots(f.request(0, 0)))
 }
+
+// Guards against an answer that had begun meeting the cause of its replica's crash
+// on the next replica, and against one that waits for good.
+func TestBegunAnswerWaitsAfterCrash(t *testing.T) {
+	f := newFixture(t, 4, 4)
+	for i, progress := range []int{0, 20} {
+		fingerprint := uint64(7 + i)
+		r := f.request(1, fingerprint)
+		choice, ok := f.Pick(r)
+		require.True(t, ok)
+		f.Finish(choice.Replica, r, scheduling.Result{Outcome: outcome.Unknown, Crashed: true, Tokens: progress})
+		again := f.request(1, fingerprint)
+		again.Progress, again.Exclude = progress, []scheduling.ReplicaID{choice.Replica}
+		_, ok = f.Pick(again)
+		require.Equal(t, progress == 0, ok)
+		f.clock.Advance(resumeHold)
+		if progress > 0 {
+			_, ok = f.Pick(again)
+			require.True(t, ok)
+		}
+	}
+}
--- a/internal/scheduling/quarantine/quarantine.go
+++ b/internal/scheduling/quarantine/quarantine.go
@@ -48,6 +48,7 @@
 	position int                    // tokens of the answer that were there at the last counted crash
 	running  int
 	isolated bool
+	crashed  time.Time // the last crash
 	expires  time.Time
 	released uint64
 }
@@ -159,6 +160,12 @@
 	return ok && e.running > 0
 }
 
+// Settling tells whether the fingerprint's last crash on this host was within hold.
+func (q *Quarantine) Settling(fingerprint uint64, hold time.Duration, now time.Time) bool {
+	e, ok := q.entries.Peek(fingerprint)
+	return ok && !e.crashed.IsZero() && now.Sub(e.crashed) < hold
+}
+
 // Started records that a suspect runs.
 func (q *Quarantine) Started(fingerprint uint64, now time.Time) { q.ensure(fingerprint, now).running++ }
 
@@ -187,6 +194,7 @@
 		return
 	}
 	e := q.ensure(fingerprint, now)
+	e.crashed = now
 	if slices.Contains(e.replicas, id) {
 		return
 	}
