--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 faults: build
 	@mkdir -p out; rm -f out/faults.txt
 	@status=0; HEATHERBARROW_FAULTS_OUT=$(CURDIR)/out/faults.txt \
-	$(GO) test -tags faults -count=1 -timeout 60m -parallel 4 -run '^TestMatrix$$' ./internal/faults >out/faults.log 2>&1 || status=1; \
+	$(GO) test -tags faults -count=1 -timeout 60m -parallel 8 -run '^TestMatrix$$' ./internal/faults >out/faults.log 2>&1 || status=1; \
 	if [ -f out/faults.txt ]; then cat out/faults.txt; else cat out/faults.log; fi; exit $$status
 
 # fuzz runs each fuzz target for 5 s; go test alone runs their seeds.
--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -150,6 +150,9 @@
 		h := &host{name: fmt.Sprintf("host%d", i), zone: zoneOf(i), callers: at(i, 0), operator: at(i, 4)}
 		h.platform = newLink(t, proxies, c.platform.address)
 		var peers []control.Peer
+		// Hosts learn the addresses of peers from each other; without translations
+		// they would go around the links.
+		translations := make(map[string]string)
 		for j := range hostCount {
 			if j == i {
 				h.peers = append(h.peers, nil)
@@ -157,11 +160,12 @@
 			}
 			peer := newLink(t, proxies, at(j, 2))
 			h.peers = append(h.peers, peer)
+			translations[at(j, 2)] = peer.listen
 			peers = append(peers, control.Peer{Host: fmt.Sprintf("host%d", j), AvailabilityZone: zoneOf(j), Address: peer.listen})
 		}
 		h.control = startProcess(t, c.dir, fmt.Sprintf("control%d", i), "heatherbarrow-control", control.Settings{
 			Host: h.name, AvailabilityZone: h.zone, FeedListen: at(i, 1), PeerListen: at(i, 2), Router: at(i, 3),
-			OperatorListen: h.operator, Platform: "http://" + h.platform.listen, Peers: peers, Operators: c.operatorKeys(), LogLevel: "info",
+			OperatorListen: h.operator, Platform: "http://" + h.platform.listen, Peers: peers, Translations: translations, Operators: c.operatorKeys(), LogLevel: "info",
 		})
 		h.router = startProcess(t, c.dir, fmt.Sprintf("router%d", i), "heatherbarrow-router", router.Settings{
 			Host: h.name, AvailabilityZone: h.zone, Listen: h.callers, InternalListen: at(i, 3), Control: at(i, 1),
--- a/internal/faults/special_test.go
+++ b/internal/faults/special_test.go
@@ -28,6 +28,8 @@
 }{
 	{"upstream-leaving", "mid-stream", runLeavingCell},
 	{"poison-request", "first-token", runPoisonCell},
+	{"host-replaced+platform-down", "apply", runReplacedHostCell},
+	{"zone-replaced+zone-cut-both", "apply", runReplacedZoneCell},
 	{"foreign-frame", "mid-stream", brokenFrames("foreign_frame_at")},
 	{"repeated-frame", "mid-stream", brokenFrames("repeat_frame_at")},
 	{"missing-end", "mid-stream", brokenFrames("end_after")},
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -131,7 +131,7 @@
 	if e.RetryAfter == 0 {
 		return "request refused: " + e.Reason
 	}
-	return fmt.Sprintf("request refused: %s, retry after %s", e.Reason, e.RetryAfter)
+	return fmt.Sprintf("request refused: %s, retry after %s", e.Reason, e.RetryAfter.Round(time.Millisecond))
 }
 
 // Alternative is a replica that was considered but not chosen.
