Tell a request in progress as unknown, never as not-run

Cause: GET /v1/requests/{id} answered not-run for a request that waited in a queue, so its caller could send it again while the first one ran a moment later. Change: lookups of requests that have not ended answer unknown with in_progress.

--- a/internal/hbctl/operate.go
+++ b/internal/hbctl/operate.go
@@ -63,6 +63,10 @@
 			continue
 		}
 		asked++
+		if answer.InProgress {
+			fmt.Fprintf(l.app.stdout, "request %s: in progress, outcome unknown\n", id)
+			return nil
+		}
 		if answer.Found {
 			fmt.Fprintf(l.app.stdout, "request %s: outcome %s, status %d\n", id, answer.Outcome, answer.Status)
 			return nil
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -136,6 +136,20 @@
 	require.Contains(t, body, `"outcome":"failed"`)
 }
 
+// Guards against a request that is still queued being told as not-run, which would
+// let its caller send it again while it may still run.
+func TestLookupOfRequestInProgress(t *testing.T) {
+	h := newHost(t, hostOptions{})
+	h.server.records.Begin(outcome.Record{RequestID: "queued", Team: "counter"})
+	stored := h.server.lookup("queued", "counter")
+	require.Equal(t, string(outcome.Unknown), stored.Outcome)
+	require.True(t, stored.InProgress)
+	h.server.records.Finish("queued", outcome.NotRun, http.StatusTooManyRequests)
+	stored = h.server.lookup("queued", "counter")
+	require.Equal(t, string(outcome.NotRun), stored.Outcome)
+	require.False(t, stored.InProgress)
+}
+
 // Guards against a drain that refuses new requests during the balancer's lag,
 // cuts a stream, or finishes before the last one.
 func TestDrainCutsNoStream(t *testing.T) {
--- a/internal/router/lookup.go
+++ b/internal/router/lookup.go
@@ -17,8 +17,9 @@
 
 // lookupAnswer is the answer to GET /v1/requests/{id}.
 type lookupAnswer struct {
-	RequestID string          `json:"request_id"`
-	Outcome   outcome.Outcome `json:"outcome"`
+	RequestID  string          `json:"request_id"`
+	Outcome    outcome.Outcome `json:"outcome"`
+	InProgress bool            `json:"in_progress,omitempty"`
 }
 
 // serveLookup tells the outcome of a request of the caller's team. Errors carry
@@ -47,7 +48,7 @@
 		e.lookupError(http.StatusNotFound, "unknown_request", "no host that can be reached knows this request")
 	default:
 		w.Header().Set(outcome.HeaderOutcome, stored.Outcome)
-		writeJSON(w, lookupAnswer{RequestID: e.id, Outcome: outcome.Outcome(stored.Outcome)})
+		writeJSON(w, lookupAnswer{RequestID: e.id, Outcome: outcome.Outcome(stored.Outcome), InProgress: stored.InProgress})
 	}
 }
 
@@ -65,8 +66,9 @@
 	return s.Feed.Lookup(ctx, &rpc.LookupRequest{RequestId: id, Team: team})
 }
 
-// lookup returns the record of a request of the team. A request in progress has
-// the outcome that would be true if the host stopped now. A team gets the status
+// lookup returns the record of a request of the team. A request in progress is
+// unknown, also while nothing was sent: not-run would let its caller send it again
+// although it may run in the next moment. A team gets the status
 // only together with the whole answer. An empty team, which only operators may
 // ask for, stands for every team and gets the status without the answer.
 func (s *Server) lookup(id, team string) *rpc.StoredAnswer {
@@ -75,6 +77,9 @@
 		return &rpc.StoredAnswer{}
 	}
 	stored := &rpc.StoredAnswer{Found: true, Outcome: string(record.Outcome)}
+	if !record.Done {
+		stored.Outcome, stored.InProgress = string(outcome.Unknown), true
+	}
 	if record.HasBody || team == "" {
 		stored.Status = uint32(record.Status)
 	}
