--- a/internal/bench/policy/main.go
+++ b/internal/bench/policy/main.go
@@ -16,6 +16,7 @@
 type options struct {
 	Scenario string `long:"scenario" description:"run only this scenario"`
 	Seed     uint64 `long:"seed" description:"added to each scenario's seed"`
+	Plots    string `long:"plots" value-name:"DIR" description:"draw attainment over time of each scenario"`
 	Trace    bool   `long:"trace" description:"print each decision of heatherbarrow to standard error"`
 }
 
@@ -28,7 +29,7 @@
 	for _, s := range scenarios() {
 		if opts.Scenario == "" || opts.Scenario == s.name {
 			s.seed += opts.Seed
-			compareOn(s, opts.Trace, t)
+			compareOn(s, &opts, t)
 		}
 	}
 	if opts.Scenario == "" {
@@ -37,20 +38,27 @@
 	fmt.Printf("bench targets met=%d missed=%d\n", t.met, t.missed)
 }
 
-func compareOn(s *scenario, trace bool, t *tally) {
+func compareOn(s *scenario, opts *options, t *tally) {
 	snapshot := bundle.Compile(s.bundle, 1, "bench")
 	arrivals := generate(s, snapshot)
 	w := newWorld(s, snapshot, baseline{}, false)
-	base := summarize(s, snapshot, w.run(arrivals))
+	baseJobs := w.run(arrivals)
+	base := summarize(s, snapshot, baseJobs)
 	base.print("baseline", s)
 	w = newWorld(s, snapshot, heatherbarrow{}, true)
-	if trace {
+	if opts.Trace {
 		w.trace = func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
 	}
-	own := summarize(s, snapshot, w.run(arrivals))
+	ownJobs := w.run(arrivals)
+	own := summarize(s, snapshot, ownJobs)
 	own.print("heatherbarrow", s)
 	own.check(s, base, t)
 	w.checkDetection(t)
+	if opts.Plots != "" {
+		if err := plotScenario(opts.Plots, s, snapshot, baseJobs, ownJobs); err != nil {
+			fail("plot", err)
+		}
+	}
 }
 
 func fail(what string, err error) {
