Cut zones from each other's replicas too

Cause: a zone cut in the fault matrix left routers connected to the replicas of other zones, since all hosts shared one link to each replica. With TLS the address translations of control did not apply, because they replaced the plain dialer only. Change: translations live in tlsconf, for plain and TLS connections, and the router has the setting as well; each host reaches replicas of other zones by links of its own.

--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -227,29 +227,15 @@
 }
 
 func (p *Program) client(files tlsconf.Files, idle int) (*http.Client, string, error) {
-	transport, scheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{TLS: files, IdlePerHost: idle})
+	transport, scheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{
+		TLS: files, IdlePerHost: idle, Dial: p.dial, Translations: p.settings.Translations,
+	})
 	if err != nil {
 		return nil, "", err
 	}
-	if p.dial != nil {
-		transport.DialContext = p.dial
-	}
-	if len(p.settings.Translations) > 0 {
-		transport.DialContext = translated(transport.DialContext, p.settings.Translations)
-	}
 	return &http.Client{Transport: transport}, scheme, nil
 }
 
-// translated dials the address that stands for the given one.
-func translated(dial Dial, addresses map[string]string) Dial {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		if to, ok := addresses[address]; ok {
-			address = to
-		}
-		return dial(ctx, network, address)
-	}
-}
-
 func (p *Program) listeners() []kernel.Service {
 	return []kernel.Service{
 		p.listener("feed listener", p.settings.FeedListen, ServiceFeed, func(r *kernel.Registry) (http.Handler, error) {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -19,11 +19,11 @@
 	Router           string `json:"router"`          // internal address of the router on this host
 	Platform         string `json:"platform"`        // base URL of the platform's object API
 	Peers            []Peer `json:"peers,omitempty"` // hosts known from the start
-	// Translations give the address to dial for an address that a peer tells,
-	// where address translation lies between hosts.
-	Translations map[string]string `json:"address_translations,omitempty"`
-	Operators    map[string]string `json:"operators"` // operator to Ed25519 public key in hex
-	LogLevel     string            `json:"log_level,omitempty"`
+	// Translations give the addresses to dial for those of peers and replicas,
+	// where address translation lies between them.
+	Translations tlsconf.Translations `json:"address_translations,omitempty"`
+	Operators    map[string]string    `json:"operators"` // operator to Ed25519 public key in hex
+	LogLevel     string               `json:"log_level,omitempty"`
 	// DrainTimeout bounds how long a stopping control waits for its router's
 	// drain; 0 waits without bound.
 	DrainTimeout settings.Duration `json:"drain_timeout,omitzero"`
@@ -58,13 +58,8 @@
 			return settings.Errorf(a.path, "%q is not an IP address with a port", a.value)
 		}
 	}
-	for from, to := range s.Translations {
-		if _, err := netip.ParseAddrPort(from); err != nil {
-			return settings.Errorf("address_translations", "%q is not an IP address with a port", from)
-		}
-		if _, err := netip.ParseAddrPort(to); err != nil {
-			return settings.Errorf("address_translations."+from, "%q is not an IP address with a port", to)
-		}
+	if err := s.Translations.Validate("address_translations"); err != nil {
+		return err
 	}
 	for i, peer := range s.Peers {
 		if err := peer.validate(fmt.Sprintf("peers[%d]", i)); err != nil {
--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +47,7 @@
 	router   *process
 	platform *link
 	peers    []*link // to the controls of the other hosts
+	replicas []*link // to the engines and services of other zones
 }
 
 // standIn is the process of a replica or the platform.
@@ -163,18 +165,34 @@
 			translations[at(j, 2)] = peer.listen
 			peers = append(peers, control.Peer{Host: fmt.Sprintf("host%d", j), AvailabilityZone: zoneOf(j), Address: peer.listen})
 		}
+		c.linkReplicas(proxies, h, translations)
 		h.control = startProcess(t, c.dir, fmt.Sprintf("control%d", i), "heatherbarrow-control", control.Settings{
 			Host: h.name, AvailabilityZone: h.zone, FeedListen: at(i, 1), PeerListen: at(i, 2), Router: at(i, 3),
 			OperatorListen: h.operator, Platform: "http://" + h.platform.listen, Peers: peers, Translations: translations, Operators: c.operatorKeys(), LogLevel: "info",
 		})
 		h.router = startProcess(t, c.dir, fmt.Sprintf("router%d", i), "heatherbarrow-router", router.Settings{
 			Host: h.name, AvailabilityZone: h.zone, Listen: h.callers, InternalListen: at(i, 3), Control: at(i, 1),
-			LogLevel: "info", BalancerLag: settings.Duration(200 * time.Millisecond),
+			LogLevel: "info", Translations: translations, BalancerLag: settings.Duration(200 * time.Millisecond),
 		})
 		c.hosts = append(c.hosts, h)
 	}
 }
 
+// linkReplicas puts a link of its own between a host and each replica of another
+// zone, in front of the replica's link, so that zones can be cut from each other.
+func (c *cluster) linkReplicas(proxies *toxiproxy.ApiServer, h *host, translations map[string]string) {
+	for _, standIns := range [][]*standIn{c.engines, c.services} {
+		for i, s := range standIns {
+			if zoneOf(i) == h.zone {
+				continue
+			}
+			l := newLink(c.t, proxies, s.link.listen)
+			h.replicas = append(h.replicas, l)
+			translations[s.link.listen] = l.listen
+		}
+	}
+}
+
 // bundle returns the configuration of the cluster. expectedTokens only makes
 // versions differ.
 func (c *cluster) bundle(expectedTokens int) *bundle.Bundle {
@@ -295,7 +313,7 @@
 			p.ensureRunning()
 		}
 		h.platform.heal()
-		for _, l := range h.peers {
+		for _, l := range append(slices.Clone(h.peers), h.replicas...) {
 			if l != nil {
 				l.heal()
 			}
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -25,10 +25,15 @@
 	put(c.t, s.address, "/admin/faults", string(data))
 }
 
-// cutZone cuts the first host, which with host 3 is the zone "ate", from the
-// hosts of other zones, in both directions.
+// cutZone cuts the hosts 0 and 3, which are the zone "ate", from the hosts and
+// replicas of other zones, and those from its replicas.
 func (c *cluster) cutZone() {
 	for i, h := range c.hosts {
+		for _, l := range h.replicas {
+			if h.zone == zones[0] || l.reaches(c, zones[0]) {
+				l.cut()
+			}
+		}
 		for j, l := range h.peers {
 			if l != nil && c.hosts[i].zone != c.hosts[j].zone && (h.zone == zones[0] || c.hosts[j].zone == zones[0]) {
 				l.cut()
--- a/internal/faults/network_test.go
+++ b/internal/faults/network_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// reaches tells whether the link leads to a replica of the zone.
+func (l *link) reaches(c *cluster, zone string) bool {
+	for _, standIns := range [][]*standIn{c.engines, c.services} {
+		for i, s := range standIns {
+			if s.link.listen == l.proxy.Upstream {
+				return zoneOf(i) == zone
+			}
+		}
+	}
+	return false
+}
+
 func (l *link) heal() { l.proxy.Toxics.ResetToxics(context.Background()) }
 
 // put sends a JSON document to a stand-in's switch.
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -119,6 +119,7 @@
 func (p *Program) newServer(logger zerolog.Logger, metrics *telemetry.Metrics) (*Server, error) {
 	client, err := forward.NewClient(tlsconf.TransportOptions{
 		TLS: p.settings.UpstreamTLS, ConnsPerHost: connsPerReplica, IdlePerHost: connsPerReplica,
+		Translations: p.settings.Translations,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -26,8 +26,11 @@
 	DrainTimeout     settings.Duration `json:"drain_timeout,omitzero"` // 0 waits without bound
 	WriteTimeout     settings.Duration `json:"write_timeout,omitzero"` // greatest time that a caller may leave an answer unread; default 30s
 	TLS              tlsconf.Files     `json:"tls,omitzero"`           // callers' listener
-	UpstreamTLS      tlsconf.Files     `json:"upstream_tls,omitzero"`  // client to replicas
-	InternalTLS      tlsconf.Files     `json:"internal_tls,omitzero"`  // mutual TLS with control
+	// Translations give the addresses to dial for those of replicas, where address
+	// translation lies between them and this host.
+	Translations tlsconf.Translations `json:"address_translations,omitempty"`
+	UpstreamTLS  tlsconf.Files        `json:"upstream_tls,omitzero"` // client to replicas
+	InternalTLS  tlsconf.Files        `json:"internal_tls,omitzero"` // mutual TLS with control
 }
 
 // Validate implements settings.Validator.
@@ -52,6 +55,9 @@
 	if err := s.validateDurations(); err != nil {
 		return err
 	}
+	if err := s.Translations.Validate("address_translations"); err != nil {
+		return err
+	}
 	s.setDefaults()
 	return s.validateTLS()
 }
--- a/internal/tlsconf/http.go
+++ b/internal/tlsconf/http.go
@@ -24,6 +24,10 @@
 	// NoKeepAlive makes a new connection for every request. net/http never sends
 	// a request again by itself on a new connection.
 	NoKeepAlive bool
+	// Translations give the address to dial for an address, both IP:port, where
+	// address translation lies between hosts. Certificates are checked for the
+	// address before translation.
+	Translations Translations
 	// WrapConn, if set, wraps each TCP connection, below TLS.
 	WrapConn func(net.Conn) net.Conn
 	// Dial, if set, opens connections in place of TCP, for example in a benchmark.
@@ -33,7 +37,7 @@
 // NewTransport returns a transport and the scheme of its URLs. It speaks
 // HTTP/1.1 and uses no proxy.
 func NewTransport(o TransportOptions) (*http.Transport, string, error) {
-	dialer := &dialer{wrap: o.WrapConn, open: o.Dial}
+	dialer := &dialer{wrap: o.WrapConn, open: o.Dial, translations: o.Translations}
 	if dialer.open == nil {
 		dialer.open = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
 	}
@@ -64,9 +68,14 @@
 	open   func(ctx context.Context, network, address string) (net.Conn, error)
 	wrap   func(net.Conn) net.Conn
 	source *Source
+
+	translations Translations
 }
 
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if to, ok := d.translations[address]; ok {
+		address = to
+	}
 	conn, err := d.open(ctx, network, address)
 	if err != nil || d.wrap == nil {
 		return conn, err
