--- a/internal/faults/caller_test.go
+++ b/internal/faults/caller_test.go
@@ -29,6 +29,7 @@
 // caller sends requests and keeps what it saw.
 type caller struct {
 	c       *cluster
+	client  *http.Client // of orders
 	mu      sync.Mutex
 	answers []answer
 	wait    sync.WaitGroup
@@ -37,7 +38,7 @@
 }
 
 func newCaller(c *cluster) *caller {
-	return &caller{c: c, frames: make(chan string, 1000)}
+	return &caller{c: c, client: c.http, frames: make(chan string, 1000)}
 }
 
 func (a *caller) add(x answer) answer {
@@ -143,7 +144,7 @@
 	r := request(ctx, h, http.MethodPost, "/services/warehouse/orders", "order", strings.NewReader(`{"item":"`+key+`"}`))
 	r.Header.Set(outcome.HeaderKey, key)
 	x := answer{kind: "order", key: key}
-	response, err := a.c.http.Do(r)
+	response, err := a.client.Do(r)
 	if err != nil {
 		x.err = err
 		return a.add(x)
