Print duplicates, false refusals and the time in force by zone in make faults

Cause: the matrix told pass or fail but not the figures. Change: metric lines for the random calls of each seed, and a cell that measures the time until a bundle is in force in each zone against 3 s.

--- a/internal/faults/full_test.go
+++ b/internal/faults/full_test.go
@@ -28,6 +28,7 @@
 	t.Run("special", r.runSpecial)
 	t.Run("orders", r.runOrders)
 	t.Run("random", r.runRandom)
+	t.Run("in-force", func(t *testing.T) { r.add(t, "none", "in-force", r.runInForceCell(t)) })
 	t.Run("rollouts", func(t *testing.T) {
 		for _, s := range rolloutSteps {
 			for _, name := range rolloutFaults {
--- a/internal/faults/random_test.go
+++ b/internal/faults/random_test.go
@@ -133,7 +133,9 @@
 	for seed := range uint64(randomSeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed+1), func(t *testing.T) {
 			t.Parallel()
-			r.add(t, fmt.Sprintf("random-seed-%d", seed+1), "non-repeatable-calls", runRandomCell(t, seed+1))
+			broken := runRandomCell(t, seed+1)
+			r.noteRandom(seed+1, broken)
+			r.add(t, fmt.Sprintf("random-seed-%d", seed+1), "non-repeatable-calls", broken)
 		})
 	}
 }
