--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -154,6 +154,7 @@
 		return nil, err
 	}
 	e.server.metrics.queueWait[e.class.Tier].RecordDuration(waited)
+	e.server.metrics.decided(assignment.Decision.Reason)
 	e.logDecision(assignment, request.Attempt, waited)
 	return assignment, nil
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -35,6 +35,7 @@
 	lost       tally.Counter
 	classes    sync.Map // class name to *classMetrics
 	refusals   sync.Map // reason to tally.Counter
+	decisions  sync.Map // reason to tally.Counter
 }
 
 type classMetrics struct {
@@ -108,11 +109,18 @@
 	return known.(*classMetrics)
 }
 
-func (m *metrics) refused(reason string) {
-	counter, ok := m.refusals.Load(reason)
+func (m *metrics) refused(reason string) { m.countReason(&m.refusals, "refusals", reason) }
+
+// decided counts a routing decision by its reason.
+func (m *metrics) decided(reason string) { m.countReason(&m.decisions, "decisions", reason) }
+
+// countReason keeps the counters, because making one takes a lock that all
+// requests share.
+func (m *metrics) countReason(counters *sync.Map, name, reason string) {
+	counter, ok := counters.Load(reason)
 	if !ok {
-		made := m.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals")
-		counter, _ = m.refusals.LoadOrStore(reason, made)
+		made := m.scope.Tagged(map[string]string{"reason": reason}).Counter(name)
+		counter, _ = counters.LoadOrStore(reason, made)
 	}
 	counter.(tally.Counter).Inc(1)
 }
--- a/internal/router/metrics_test.go
+++ b/internal/router/metrics_test.go
@@ -19,6 +19,7 @@
 	s := NewServer(Dependencies{Metrics: m.Scope})
 	s.metrics.class(&bundle.Class{Name: "quote"})
 	s.metrics.refused("queue_full")
+	s.metrics.decided("in_zone")
 	s.noteEjections([]scheduling.ReplicaMeasurement{{ID: scheduling.ReplicaID{Upstream: "models", Replica: "e1"}, Ejected: true}})
 	page, err := docs.Page("metrics.md")
 	require.NoError(t, err)
