Wait for the handler before reading the recorded outcome in tests

A wrong answer of the router is ruled out: the header said 'completed' and the claim was recorded as 'completed'.

Change: the harness waits until no request is in progress, then compares once. Two checks that polled until the expected word appeared now do the same, which is stricter.

Conclusion: race in the test, not in the router.

--- a/internal/router/chat_test.go
+++ b/internal/router/chat_test.go
@@ -60,7 +60,7 @@
 			response, body := h.chat(t, test.model, true)
 			require.Equal(t, test.status, response.StatusCode, body)
 			require.Equal(t, test.calls, h.calls())
-			require.Eventually(t, func() bool { return h.recorded(response) == test.want }, patience, time.Millisecond)
+			require.Equal(t, test.want, h.recorded(t, response))
 			if test.status != http.StatusOK {
 				requireError(t, response, body, test.want)
 				return
@@ -180,7 +180,7 @@
 	require.NoError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	require.Eventually(t, func() bool { return h.server.inFlight.Load() == 0 }, patience, time.Millisecond)
-	require.Equal(t, outcome.Unknown, h.recorded(response))
+	require.Equal(t, outcome.Unknown, h.recorded(t, response))
 }
 
 // Guards against a crash that control hears of late or without the data to
@@ -320,7 +320,7 @@
 			h.addReplicas(t, maxTries+2, test.budget)
 			h.play(test.script...)
 			response, body := h.chat(t, "m", true)
-			require.Eventually(t, func() bool { return h.recorded(response) == test.want }, patience, time.Millisecond, body)
+			require.Equal(t, test.want, h.recorded(t, response), body)
 			require.Equal(t, test.calls, h.calls())
 		})
 	}
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -316,8 +316,12 @@
 	return h.send(t, h.request(t, context.Background(), http.MethodPost, "/v1/chat/completions", chatBody(model, stream)))
 }
 
-// recorded returns the outcome that the host keeps for a request.
-func (h *host) recorded(r *http.Response) outcome.Outcome {
+// recorded returns the outcome that the host keeps for a request. It waits for
+// the handler to return, because a caller may hold the whole answer before the
+// outcome is recorded.
+func (h *host) recorded(t *testing.T, r *http.Response) outcome.Outcome {
+	t.Helper()
+	require.Eventually(t, func() bool { return h.server.inFlight.Load() == 0 }, patience, time.Millisecond)
 	record, _ := h.server.records.Get(r.Header.Get(outcome.HeaderRequestID))
 	return record.Outcome
 }
--- a/internal/router/services_test.go
+++ b/internal/router/services_test.go
@@ -55,7 +55,7 @@
 			require.Equal(t, 1, h.service.count())
 			require.Eventually(t, func() bool { return len(h.feed.outcomes()) == 1 }, patience, time.Millisecond)
 			require.Equal(t, []string{string(test.want)}, h.feed.outcomes())
-			require.Equal(t, test.want, h.recorded(response))
+			require.Equal(t, test.want, h.recorded(t, response))
 		})
 	}
 }
