Read stored bundles back and remove old ones

Change: 'hbctl show' and 'hbctl history', 'hbctl diff HASH', and removal of bundles that are keep_generations (1,200) or more old after each rollout.

Ruled out: removal by the controls (one would have to be chosen, and all would read), objects that expire (the platform does not promise them).

Before: 1 object of content and 1 proposal more per change, for ever.

--- a/internal/hbctl/hbctl.go
+++ b/internal/hbctl/hbctl.go
@@ -35,10 +35,19 @@
 	Controls    []string          `json:"controls"`  // operator addresses of the hosts, IP:port
 	PlatformTLS tlsconf.Files     `json:"platform_tls,omitzero"`
 	InternalTLS tlsconf.Files     `json:"internal_tls,omitzero"`
+	// KeepGenerations is how many generations of bundles and proposals stay
+	// stored. Default 1200, a day's changes at the target scale.
+	KeepGenerations uint64 `json:"keep_generations"`
 }
 
+// minKeepGenerations leaves something to go back to.
+const minKeepGenerations = 2
+
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
+	if s.KeepGenerations < minKeepGenerations {
+		return settings.Errorf("keep_generations", "must be at least %d", minKeepGenerations)
+	}
 	if s.Platform == "" {
 		return settings.Errorf("platform", "must not be empty")
 	}
@@ -95,7 +104,7 @@
 
 // Main runs hbctl and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	a := &app{stdout: stdout}
+	a := &app{stdout: stdout, settings: Settings{KeepGenerations: 1200}}
 	parser := flags.NewNamedParser("hbctl", flags.HelpFlag|flags.PassDoubleDash)
 	parser.SubcommandsOptional = true
 	if _, err := parser.AddGroup("Options", "", &a.opts); err != nil {
@@ -159,12 +168,16 @@
 	watch.run = watch.wait
 	diff := &diffCommand{command: command{app: a}}
 	diff.run = diff.print
+	history := &historyCommand{command: command{app: a}}
+	history.run = history.print
 	lookup := &lookupCommand{command: command{app: a}}
 	lookup.run = lookup.find
 	return []commandEntry{
 		{"validate", "check a bundle file", &command{app: a, offline: true, run: a.validate}},
 		{"public-key", "print the public key of an Ed25519 seed in hex", &command{app: a, offline: true, run: a.publicKey}},
-		{"diff", "compare a bundle file with the bundle in force", diff},
+		{"show", "print the bundle in force, or the one with the given hash", &command{app: a, run: a.show}},
+		{"history", "list the stored proposals and bundles", history},
+		{"diff", "compare a bundle file or a stored bundle with the bundle in force", diff},
 		{"propose", "store a bundle file as a proposal", &command{app: a, run: a.propose}},
 		{"approve", "approve a proposal by its hash", &command{app: a, run: a.approve}},
 		{"rollout", "put an approved proposal in force", &command{app: a, run: a.rollout}},
--- a/internal/hbctl/hbctl_test.go
+++ b/internal/hbctl/hbctl_test.go
@@ -132,6 +132,26 @@
 	require.Contains(t, d.must("ana", "diff", filepath.Join(d.dir, "2.json")), `deadline "30s" -> "20s"`)
 }
 
+// Guards against a reviewer who cannot see what a hash stands for, and against a
+// former bundle that cannot be edited and proposed again.
+func TestStoredBundlesCanBeReadBack(t *testing.T) {
+	d := newDesk(t)
+	_, code := d.run("ana", "show")
+	require.Equal(t, cli.ExitFailure, code)
+	first := d.approved("ana", "ben", d.bundle("1.json", "10s"))
+	d.must("ana", "rollout", first)
+	second := d.approved("ana", "ben", d.bundle("2.json", "20s"))
+	require.Contains(t, d.must("ben", "diff", second), `~ class quote: deadline "10s" -> "20s"`)
+	d.must("ana", "rollout", second)
+	require.Contains(t, d.must("ana", "show"), `"deadline": "20s"`)
+	again := d.write("again.json", []byte(d.must("ana", "show", first)))
+	require.Contains(t, d.must("ana", "validate", again), first)
+	require.Regexp(t, "2 +in force +ana +ben .*"+second, d.must("ana", "history"))
+	out, code := d.run("ana", "show", strings.Repeat("0", 64))
+	require.Equal(t, cli.ExitFailure, code)
+	require.Contains(t, out, "hbctl history")
+}
+
 // Guards against a comparison before the first rollout that shows a generation 0
 // without a hash.
 func TestDiffBeforeTheFirstRollout(t *testing.T) {
--- a/internal/hbctl/rollout.go
+++ b/internal/hbctl/rollout.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rollout"
 )
@@ -64,9 +63,22 @@
 		return err
 	}
 	fmt.Fprintf(a.stdout, "in force: generation %d sha256 %s\n", current.Generation, current.SHA256)
+	a.prune(ctx)
 	return nil
 }
 
+// prune removes bundles that are past their retention. A failure does not fail
+// the rollout: the next one tries again.
+func (a *app) prune(ctx context.Context) {
+	removed, err := a.store.Prune(ctx, a.settings.KeepGenerations)
+	if err != nil {
+		fmt.Fprintln(a.stdout, "old bundles were not removed:", err)
+	}
+	if removed > 0 {
+		fmt.Fprintf(a.stdout, "removed %d bundles older than %d generations\n", removed, a.settings.KeepGenerations)
+	}
+}
+
 // explainStale tells the operator who lost a race what came into force instead.
 func (a *app) explainStale(ctx context.Context, e *rollout.StaleError) {
 	c := &e.Current
@@ -108,15 +120,11 @@
 }
 
 func (d *diffCommand) print(ctx context.Context, args []string) error {
-	path, err := one(args, "bundle file")
-	if err != nil {
-		return err
-	}
-	content, hash, err := canonicalFile(path)
+	name, err := one(args, "bundle file or hash")
 	if err != nil {
 		return err
 	}
-	next, err := bundle.Parse(content)
+	next, hash, err := d.app.fileOrStored(ctx, name)
 	if err != nil {
 		return err
 	}
@@ -137,7 +145,7 @@
 	} else {
 		fmt.Fprintf(d.app.stdout, "in force: generation %d sha256 %s\n", current.Generation, current.SHA256)
 	}
-	fmt.Fprintf(d.app.stdout, "%s: sha256 %s\n", path, hash)
+	fmt.Fprintf(d.app.stdout, "%s: sha256 %s\n", name, hash)
 	d.app.printChanges(changes)
 	return nil
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -145,6 +145,64 @@
 	require.EqualValues(t, 3, approved(t, s, 10, "eva", "ben").Generation)
 }
 
+// Guards against a store that grows with every rollout, and against a late
+// deletion that takes the content of a bundle which was proposed again.
+func TestPruneKeepsWhatIsInUse(t *testing.T) {
+	s, _ := newStore(t)
+	ctx := context.Background()
+	rollOut := func(deadline int) Current {
+		current, err := s.RollOut(ctx, approved(t, s, deadline, "ana", "ben").SHA256)
+		require.NoError(t, err)
+		return current
+	}
+	first := rollOut(10)
+	for deadline := 11; deadline < 15; deadline++ {
+		rollOut(deadline)
+	}
+	pending := approved(t, s, 20, "eva", "ben")
+	entries, err := s.History(ctx)
+	require.NoError(t, err)
+	require.Len(t, entries, 6)
+	require.Equal(t, []State{StateApproved, StateInForce, StatePast}, []State{entries[0].State, entries[1].State, entries[2].State})
+	oldest := entries[len(entries)-1]
+	require.Equal(t, first.SHA256, oldest.SHA256)
+	stale, err := s.Platform.Get(ctx, KindContent, first.SHA256)
+	require.NoError(t, err)
+
+	removed, err := s.Prune(ctx, 2)
+	require.NoError(t, err)
+	require.Equal(t, 3, removed, "generations 1 to 3 are 2 or more below 5")
+	_, err = s.Content(ctx, first.SHA256)
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	_, err = s.Content(ctx, pending.SHA256)
+	require.NoError(t, err)
+
+	again := rollOut(10)
+	done, err := s.remove(ctx, &oldest)
+	require.NoError(t, err)
+	require.False(t, done, "the proposal was written again")
+	gone, err := s.delete(ctx, KindContent, again.SHA256, stale.Version)
+	require.NoError(t, err)
+	require.False(t, gone, "the content was written again")
+	_, err = s.Content(ctx, again.SHA256)
+	require.NoError(t, err)
+}
+
+// Guards against a content deletion by a paused Prune that read the content's
+// version before the content, still stored, was proposed again and rolled out.
+func TestRollOutRenewsContent(t *testing.T) {
+	s, _ := newStore(t)
+	ctx := context.Background()
+	proposal := approved(t, s, 10, "ana", "ben")
+	seen, err := s.Platform.Get(ctx, KindContent, proposal.SHA256)
+	require.NoError(t, err)
+	_, err = s.RollOut(ctx, proposal.SHA256)
+	require.NoError(t, err)
+	gone, err := s.delete(ctx, KindContent, proposal.SHA256, seen.Version)
+	require.NoError(t, err)
+	require.False(t, gone)
+}
+
 // Guards against changes that a reviewer does not see.
 func TestDiffNamesEveryChange(t *testing.T) {
 	a, err := bundle.Parse(content(t, 10))
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -136,10 +136,29 @@
 	if err := s.Operators.Verify(&proposal, content); err != nil {
 		return Current{}, err
 	}
+	if err := s.rewriteContent(ctx, sha256, content); err != nil {
+		return Current{}, err
+	}
 	err = s.repeat(func() (bool, error) { return s.putCurrent(ctx, &proposal) })
 	return proposal, err
 }
 
+// rewriteContent gives the content a new version. Prune may be about to delete
+// the version that it saw before the content was proposed again.
+func (s *Store) rewriteContent(ctx context.Context, sha256 string, content []byte) error {
+	return s.repeat(func() (bool, error) {
+		value := contentValue{ContentGzip: Compress(content)}
+		o, err := s.Platform.Get(ctx, KindContent, sha256)
+		switch {
+		case errors.Is(err, platform.ErrNotFound):
+			_, err = s.Platform.Create(ctx, KindContent, sha256, value)
+		case err == nil:
+			_, err = s.Platform.Update(ctx, KindContent, sha256, o.Version, value)
+		}
+		return err == nil, err
+	})
+}
+
 func (s *Store) putCurrent(ctx context.Context, proposal *Current) (bool, error) {
 	current, version, err := s.Current(ctx)
 	absent := errors.Is(err, platform.ErrNotFound)
