Write the bundle in force back to a platform that lost it

Cause: after a platform was restored to an older state, proposals got generations that hosts had passed; hbctl called them in force and hosts ignored them. A watch from the old, higher version told nothing either.

Change: a watcher whose read of the current object is behind the bundle it held before the read writes that back, with both signatures, conditionally on the version it read. A watch that ends without an event is followed by a read.

Ruled out: generations from the highest one that hosts know (hbctl would have to reach every zone), and a warning only.

--- a/internal/control/cluster_bundle_test.go
+++ b/internal/control/cluster_bundle_test.go
@@ -216,3 +216,35 @@
 	}
 	c.waitFor(c.rollOut())
 }
+
+// Guards against a platform restored to an older state, whose next generations
+// hosts would ignore because they are ahead, and against a rollout that an
+// operator then believes to be in force.
+func TestPlatformThatLostTheBundleGetsItBack(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "ate", "callao", "ate")
+	c.start()
+	c.waitFor(c.rollOut())
+	older, _, err := c.store.Current(context.Background())
+	require.NoError(t, err)
+	generation := c.rollOut()
+	c.waitFor(generation)
+	restored := func() bool {
+		current, _, err := c.store.Current(context.Background())
+		return err == nil && current.Generation == generation
+	}
+	_, version, err := c.store.Current(context.Background())
+	require.NoError(t, err)
+	require.NoError(t, c.store.Platform.Delete(context.Background(), rollout.KindCurrent, rollout.NameCurrent, version))
+	require.Eventually(t, restored, patience, 10*time.Millisecond)
+
+	_, version, err = c.store.Current(context.Background())
+	require.NoError(t, err)
+	_, err = c.store.Platform.Update(context.Background(), rollout.KindCurrent, rollout.NameCurrent, version, older)
+	require.NoError(t, err)
+	require.Eventually(t, restored, patience, 10*time.Millisecond)
+
+	next := c.rollOut()
+	require.Equal(t, generation+1, next)
+	c.waitFor(next)
+}
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -6,10 +6,13 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rollout"
+	"heatherbarrow/internal/rpc"
 )
 
 const (
@@ -35,6 +38,7 @@
 // PlatformProvider learns the bundle and the list of hosts from the platform
 // while this host is one of its zone's watchers.
 type PlatformProvider struct {
+	logger   zerolog.Logger
 	store    *rollout.Store
 	bus      *bus.Bus
 	loop     *Loop
@@ -125,11 +129,20 @@
 	if err != nil {
 		return version, err
 	}
+	if len(objects) == 0 {
+		// A platform that was restored to an older state has lower versions, which
+		// the watch would not tell.
+		return p.readCurrent(ctx)
+	}
 	for _, o := range objects {
-		if o.Name == rollout.NameCurrent && !o.Deleted {
-			if err := p.publishBundle(ctx, o); err != nil {
-				return version, err
-			}
+		if o.Name != rollout.NameCurrent {
+			continue
+		}
+		if o.Deleted || p.isBehind(o) {
+			return p.readCurrent(ctx)
+		}
+		if err := p.publishBundle(ctx, o); err != nil {
+			return version, err
 		}
 		version = max(version, o.Version)
 	}
@@ -137,17 +150,53 @@
 }
 
 // readCurrent reads the object directly: a watch would wait where there is none.
+// A platform that is behind this host has lost the bundle and gets it back.
 func (p *PlatformProvider) readCurrent(ctx context.Context) (uint64, error) {
+	held := p.loop.State().Bundle
 	read, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	o, err := p.store.Platform.Get(read, rollout.KindCurrent, rollout.NameCurrent)
-	if errors.Is(err, platform.ErrNotFound) {
+	absent := errors.Is(err, platform.ErrNotFound)
+	switch {
+	case err != nil && !absent:
+		return 0, err
+	case absent && held == nil:
 		return 0, ErrNoBundle
+	case absent:
+		return p.restore(ctx, held, 0)
+	}
+	if behind(o, held) {
+		return p.restore(ctx, held, o.Version)
+	}
+	return o.Version, p.publishBundle(ctx, o)
+}
+
+func (p *PlatformProvider) isBehind(o platform.Object) bool { return behind(o, p.loop.State().Bundle) }
+
+// behind tells whether the current object names an earlier generation than the
+// bundle held.
+func behind(o platform.Object, held *rpc.BundleRecord) bool {
+	current, err := rollout.DecodeCurrent(o)
+	return err == nil && held != nil && current.Generation < held.Generation
+}
+
+// restore writes the bundle in force back to a platform that was restored to an
+// older state, so that the next proposal gets a generation that hosts take. Both
+// operators' signatures are written with it. The held bundle was known before the
+// platform was read, so the platform did not merely move on in between; where it
+// did, the conditional write fails.
+func (p *PlatformProvider) restore(ctx context.Context, held *rpc.BundleRecord, version uint64) (uint64, error) {
+	write, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	restored, err := p.store.Restore(write, held, version)
+	if errors.Is(err, platform.ErrConflict) {
+		return 0, nil // another host restored it, or an operator moved on; read again
 	}
 	if err != nil {
 		return 0, err
 	}
-	return o.Version, p.publishBundle(ctx, o)
+	p.logger.Warn().Uint64("generation", held.Generation).Str("sha256", held.Sha256).Msg("platform had lost the bundle in force, written back")
+	return restored, p.bus.Publish(SourceAnswered{Source: platformSource, Generation: held.Generation})
 }
 
 func (p *PlatformProvider) publishBundle(ctx context.Context, o platform.Object) error {
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -161,7 +161,7 @@
 			Host: p.settings.Host, Zone: p.settings.AvailabilityZone, Store: clients.platform, Logger: *p.logger,
 			Sender: &placement.HTTPSender{Scheme: clients.upstreamScheme, Client: clients.upstream},
 		},
-		&PlatformProvider{},
+		&PlatformProvider{logger: *p.logger},
 		&PeerProvider{HTTP: clients.internal, Scheme: clients.scheme},
 		&PeerServer{},
 		&LoadObserver{HTTP: clients.upstream, Scheme: clients.upstreamScheme},
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -10,6 +10,7 @@
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/platform"
+	"heatherbarrow/internal/rpc"
 )
 
 // Propose stores the content and a proposal for the generation after the one in
@@ -177,6 +178,26 @@
 	return err == nil, err
 }
 
+// Restore puts a bundle that hosts hold in force again, with the signatures that
+// it came with, in the place of the given version of the current object; 0 means
+// that there is none. It returns the object's new version. With
+// platform.ErrConflict another writer came first and nothing was restored.
+func (s *Store) Restore(ctx context.Context, record *rpc.BundleRecord, version uint64) (uint64, error) {
+	current, content := FromRPC(record)
+	if err := s.Operators.Verify(&current, content); err != nil {
+		return 0, err
+	}
+	if err := s.rewriteContent(ctx, current.SHA256, content); err != nil {
+		return 0, err
+	}
+	if version == 0 {
+		o, err := s.Platform.Create(ctx, KindCurrent, NameCurrent, current)
+		return o.Version, err
+	}
+	o, err := s.Platform.Update(ctx, KindCurrent, NameCurrent, version, current)
+	return o.Version, err
+}
+
 // StaleError tells which bundle came into force instead of a proposal.
 type StaleError struct {
 	Proposal Current
