Pass every part of an answer on, and list models

Cause: a plain answer kept only the text of the first choice, so tool calls, log probabilities, fields of engines' own and the usage were lost without a word; a usage frame behind the finish reason broke a stream as foreign; 'n' above 1 did too. Service calls lost all headers but Content-Type and Accept. Client libraries ask for /v1/models, which was unknown.

Ruled out: the accumulator of the vendor's client library, which drops fields that it does not know.

Before: the new tests of answers, headers and models fail. A repeated key still gets only Content-Type and body.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -65,7 +65,8 @@
 // order or an end without a finish reason.
 func FuzzStream(f *testing.F) {
 	whole := "data: " + commonFrame("id", 0, "a", "null") + "\n\ndata: " + commonFrame("id", 1, "b", `"stop"`) + "\n\ndata: [DONE]\n\n"
-	for _, seed := range []string{whole, whole[:40], ": comment\n" + whole, "data: [DONE]\n\n", "data:\n\n", strings.ReplaceAll(whole, "\n", "\r\n"), "event: x\ndata: {}\n\n"} {
+	usage := strings.Replace(whole, "data: [DONE]", `data: {"id":"id","choices":[],"usage":{}}`+"\n\ndata: [DONE]", 1)
+	for _, seed := range []string{whole, usage, whole[:40], ": comment\n" + whole, "data: [DONE]\n\n", "data:\n\n", strings.ReplaceAll(whole, "\n", "\r\n"), "event: x\ndata: {}\n\n"} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
@@ -80,6 +81,11 @@
 			if err != nil {
 				return
 			}
+			if frame.Trailer {
+				require.True(t, last)
+				position--
+				continue
+			}
 			require.False(t, last)
 			require.Equal(t, position, frame.Index)
 			last = frame.Last
@@ -98,6 +104,9 @@
 	}{
 		"whole":              {first + end + "data: [DONE]\n\n", io.EOF},
 		"other layout":       {first + `data: {"choices":[{"finish_reason":"stop"}],"index":1,"id":"id"}` + "\n\ndata: [DONE]\n", io.EOF},
+		"usage at the end":   {first + end + `data: {"id":"id","choices":[],"usage":{"total_tokens":9}}` + "\n\ndata: [DONE]\n\n", io.EOF},
+		"foreign usage":      {first + end + `data: {"id":"x","choices":[],"usage":{"total_tokens":9}}` + "\n\n", ErrForeignFrame},
+		"usage only":         {first + `data: {"id":"id","choices":[],"usage":{"total_tokens":9}}` + "\n\n", ErrForeignFrame},
 		"no finish reason":   {first + "data: [DONE]\n\n", ErrMissingEnd},
 		"no end":             {first + end, ErrMissingEnd},
 		"cut in a frame":     {first + end[:20], ErrMissingEnd},
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,9 +30,10 @@
 
 // Frame is one event of a stream.
 type Frame struct {
-	Data  []byte // the JSON document; valid until the next call of Next
-	Index int    // token position
-	Last  bool   // the frame has a finish reason
+	Data    []byte // the JSON document; valid until the next call of Next
+	Index   int    // token position; that of the finish reason for a trailer
+	Last    bool   // the frame has a finish reason
+	Trailer bool   // the frame follows the finish reason and has no choices, for example usage
 }
 
 // Stream is an answer in progress. One goroutine uses it.
@@ -83,6 +84,9 @@
 }
 
 func (s *Stream) check(data []byte) (Frame, error) {
+	if s.finished {
+		return s.trailer(data)
+	}
 	index, last, ok := parseCommon(data, s.prefix)
 	if !ok {
 		var err error
@@ -90,7 +94,7 @@
 			return Frame{}, err
 		}
 	}
-	if index != s.next || s.finished {
+	if index != s.next {
 		return Frame{}, eris.Wrapf(ErrForeignFrame, "frame is not at position %d", s.next)
 	}
 	s.next++
@@ -98,6 +102,19 @@
 	return Frame{Data: data, Index: index, Last: last}, nil
 }
 
+// trailer checks a frame behind the one with the finish reason. Engines send the
+// usage that way; it has no token and so no position.
+func (s *Stream) trailer(data []byte) (Frame, error) {
+	c, err := s.unmarshal(data)
+	if err != nil {
+		return Frame{}, err
+	}
+	if len(c.Choices) > 0 {
+		return Frame{}, eris.Wrap(ErrForeignFrame, "frame has a choice behind the finish reason")
+	}
+	return Frame{Data: data, Index: s.next - 1, Trailer: true}, nil
+}
+
 // chunk is the part of a frame that is checked.
 type chunk struct {
 	ID      string `json:"id"`
@@ -109,12 +126,9 @@
 
 // decode reads a frame in any layout.
 func (s *Stream) decode(data []byte) (index int, last bool, err error) {
-	var c chunk
-	if err := json.Unmarshal(data, &c); err != nil {
-		return 0, false, eris.Wrap(ErrForeignFrame, err.Error())
-	}
-	if c.ID != s.id {
-		return 0, false, eris.Wrapf(ErrForeignFrame, "frame of request %q", c.ID)
+	c, err := s.unmarshal(data)
+	if err != nil {
+		return 0, false, err
 	}
 	if c.Index == nil {
 		return 0, false, eris.Wrap(ErrForeignFrame, "frame has no position")
@@ -123,6 +137,17 @@
 	return *c.Index, last, nil
 }
 
+func (s *Stream) unmarshal(data []byte) (*chunk, error) {
+	c := new(chunk)
+	if err := json.Unmarshal(data, c); err != nil {
+		return nil, eris.Wrap(ErrForeignFrame, err.Error())
+	}
+	if c.ID != s.id {
+		return nil, eris.Wrapf(ErrForeignFrame, "frame of request %q", c.ID)
+	}
+	return c, nil
+}
+
 func (s *Stream) readError(err error) error {
 	switch {
 	case s.timedOut.Load():
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
@@ -34,7 +33,7 @@
 	// settle counts the frames that complete will pass on, among them the frame
 	// with the finish reason, and returns their number.
 	settle() int
-	// dropEnd forgets the frame with the finish reason.
+	// dropEnd forgets the frame with the finish reason and those behind it.
 	dropEnd()
 	// position is the number of frames passed on, or kept for a plain answer.
 	position() int
@@ -52,7 +51,7 @@
 	if request.Stream {
 		return &streamAnswer{exchange: e}
 	}
-	return &plainAnswer{exchange: e, model: request.Model}
+	return newPlainAnswer(e, request.Model)
 }
 
 // streamAnswer passes frames on as server-sent events.
@@ -61,13 +60,13 @@
 	headerSent bool
 	out        []byte // frames not yet written
 	pending    int    // number of frames in out
-	held       []byte // event with the finish reason
+	held       []byte // event with the finish reason, and those behind it
 	passed     int
 }
 
 func (a *streamAnswer) add(f forward.Frame) error {
-	if f.Last {
-		a.held = appendEvent(nil, f.Data)
+	if f.Last || f.Trailer {
+		a.held = appendEvent(a.held, f.Data)
 		return nil
 	}
 	a.out = appendEvent(a.out, f.Data)
@@ -163,103 +162,3 @@
 	Outcome   outcome.Outcome `json:"outcome"`
 	Code      string          `json:"code,omitempty"` // why the stream did not complete
 }
-
-// plainAnswer collects the frames and answers with one JSON document.
-type plainAnswer struct {
-	*exchange
-	model  string
-	text   strings.Builder
-	frames int
-	added  int
-	end    string // content of the frame with the finish reason
-	reason string // finish reason
-}
-
-func (a *plainAnswer) add(f forward.Frame) error {
-	var chunk struct {
-		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
-			FinishReason string `json:"finish_reason"`
-		} `json:"choices"`
-	}
-	if err := json.Unmarshal(f.Data, &chunk); err != nil {
-		return forward.ErrForeignFrame
-	}
-	content := ""
-	if len(chunk.Choices) > 0 {
-		content = chunk.Choices[0].Delta.Content
-		a.reason = chunk.Choices[0].FinishReason
-	}
-	if a.text.Len()+len(content) > maxCollectedBytes {
-		return errAnswerTooLong
-	}
-	if f.Last {
-		a.end = content
-		return nil
-	}
-	a.text.WriteString(content)
-	a.frames++
-	a.added++
-	return nil
-}
-
-func (a *plainAnswer) flush() (int, error) {
-	n := a.added
-	a.added = 0
-	return n, nil
-}
-
-func (a *plainAnswer) settle() int {
-	n := a.added + 1
-	a.added = 0
-	a.frames++
-	return n
-}
-
-func (a *plainAnswer) dropEnd()      { a.end = "" }
-func (a *plainAnswer) position() int { return a.frames }
-func (a *plainAnswer) started() bool { return false }
-
-func (a *plainAnswer) restart() {
-	a.text.Reset()
-	a.frames, a.added = 0, 0
-}
-
-func (a *plainAnswer) complete() error {
-	body := completion{ID: a.id, Object: "chat.completion", Model: a.model, Choices: []choice{{
-		Message: answerMessage{Role: "assistant", Content: a.text.String() + a.end}, FinishReason: a.reason,
-	}}}
-	body.Usage.CompletionTokens = a.frames
-	data, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	a.w.Header().Set(outcome.HeaderOutcome, string(outcome.Completed))
-	return a.writeWhole(http.StatusOK, "application/json", append(data, '\n'))
-}
-
-// abort is never called, since a plain answer starts only when it is complete.
-func (a *plainAnswer) abort(outcome.Outcome, string) {}
-
-type completion struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   struct {
-		CompletionTokens int `json:"completion_tokens"`
-	} `json:"usage"`
-}
-
-type choice struct {
-	Index        int           `json:"index"`
-	Message      answerMessage `json:"message"`
-	FinishReason string        `json:"finish_reason"`
-}
-
-type answerMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -31,7 +31,7 @@
 	}{
 		{"no key", "POST", chat, good, []string{"Authorization", ""}, 401, "missing_key"},
 		{"wrong key", "POST", chat, good, []string{"Authorization", "Bearer nobody"}, 401, "wrong_key"},
-		{"no class", "POST", chat, good, []string{outcome.HeaderClass, ""}, 400, "unknown_class"},
+		{"no class", "POST", chat, good, []string{outcome.HeaderClass, ""}, 400, "missing_class"},
 		{"unknown class", "POST", chat, good, []string{outcome.HeaderClass, "gold"}, 400, "unknown_class"},
 		{"class of another team", "POST", chat, good, []string{outcome.HeaderClass, "draft"}, 403, "class_not_allowed"},
 		{"not JSON", "POST", chat, "{", nil, 400, "malformed_body"},
@@ -40,6 +40,7 @@
 		{"no model", "POST", chat, `{"messages":[{"role":"user","content":"x"}]}`, nil, 400, "malformed_body"},
 		{"no messages", "POST", chat, `{"model":"m"}`, nil, 400, "malformed_body"},
 		{"negative max_tokens", "POST", chat, `{"model":"m","max_tokens":-1,"messages":[{"content":"x"}]}`, nil, 400, "malformed_body"},
+		{"two choices", "POST", chat, `{"model":"m","n":2,"messages":[{"content":"x"}]}`, nil, 400, "malformed_body"},
 		{"unknown model", "POST", chat, chatBody("q", true), nil, 404, "unknown_model"},
 		{"too large", "POST", chat, strings.Repeat(" ", 70_000), nil, 413, "body_too_large"},
 		{"unknown service", "GET", "/services/none/stock/x", "", nil, 404, "unknown_upstream"},
--- a/internal/router/chat_test.go
+++ b/internal/router/chat_test.go
@@ -99,14 +99,54 @@
 		response, body := h.chat(t, model, false)
 		require.Equal(t, http.StatusOK, response.StatusCode, body)
 		require.Equal(t, "completed", response.Header.Get(outcome.HeaderOutcome))
-		var answer completion
-		require.NoError(t, json.Unmarshal([]byte(body), &answer))
-		require.Equal(t, wholeText, answer.Choices[0].Message.Content)
-		require.Equal(t, "stop", answer.Choices[0].FinishReason)
-		require.Equal(t, testTokens, answer.Usage.CompletionTokens)
+		require.JSONEq(t, fmt.Sprintf(`{"id":%q,"object":"chat.completion","model":%q,"usage":{"completion_tokens":%d},
+			"choices":[{"index":0,"message":{"role":"assistant","content":%q},"finish_reason":"stop"}]}`,
+			response.Header.Get(outcome.HeaderRequestID), model, testTokens, wholeText), body)
 	}
 }
 
+// Guards against parts of an answer that are lost on the way: tool calls, log
+// probabilities, fields of engines' own, and the usage behind the finish reason.
+func TestAnswerKeepsEveryField(t *testing.T) {
+	chunks := []string{
+		`"choices":[{"index":0,"delta":{"role":"assistant","content":null,"reasoning":"a"},"logprobs":{"content":[{"token":"x"}]},"finish_reason":null}]`,
+		`"choices":[{"index":0,"delta":{"role":"assistant","reasoning":"b","tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"stock","arguments":"{\"i"}}]},"logprobs":{"content":[{"token":"y"}]},"finish_reason":null}]`,
+		`"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":"\":1}"}},{"index":1,"id":"c2","type":"function","function":{"name":"n","arguments":""}}]},"finish_reason":null}]`,
+		`"choices":[{"index":0,"delta":{},"finish_reason":"tool_calls"}]`,
+		`"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":4,"total_tokens":11}`,
+	}
+	h := newHost(t, hostOptions{})
+	h.play(func(w http.ResponseWriter, r *http.Request) {
+		for i, chunk := range chunks {
+			fmt.Fprintf(w, "data: {\"id\":%q,\"index\":%d,%s}\n\n", r.Header.Get("X-Request-Id"), i, chunk)
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	response, body := h.chat(t, "m", false)
+	require.JSONEq(t, fmt.Sprintf(`{"id":%q,"object":"chat.completion","model":"m","usage":{"prompt_tokens":7,"completion_tokens":4,"total_tokens":11},
+		"choices":[{"index":0,"finish_reason":"tool_calls","logprobs":{"content":[{"token":"x"},{"token":"y"}]},
+		"message":{"role":"assistant","content":null,"reasoning":"ab","tool_calls":[
+			{"id":"c1","type":"function","function":{"name":"stock","arguments":"{\"i\":1}"}},
+			{"id":"c2","type":"function","function":{"name":"n","arguments":""}}]}}]}`, response.Header.Get(outcome.HeaderRequestID)), body)
+	response, body = h.chat(t, "m", true)
+	require.Equal(t, outcome.Completed, h.recorded(t, response))
+	for _, chunk := range chunks {
+		require.Contains(t, body, chunk)
+	}
+}
+
+// Guards against a list that shows models which the team may not use.
+func TestModelsOfATeam(t *testing.T) {
+	h := newHost(t, hostOptions{})
+	response, body := h.send(t, h.request(t, context.Background(), http.MethodGet, "/v1/models", ""))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.JSONEq(t, `{"object":"list","data":[
+		{"id":"f","object":"model","owned_by":"fixed","classes":["quote"]},
+		{"id":"m","object":"model","owned_by":"models","classes":["quote"]}]}`, body)
+	response, _ = h.send(t, h.request(t, context.Background(), http.MethodGet, "/v1/models", "", "Authorization", "Bearer wrong"))
+	require.Equal(t, http.StatusUnauthorized, response.StatusCode)
+}
+
 // Guards against work that goes on upstream after the caller hung up, before and
 // after the first frame, and against a request that stays in the queue.
 func TestCallerHangsUp(t *testing.T) {
--- a/internal/router/chatbody.go
+++ b/internal/router/chatbody.go
@@ -20,6 +20,7 @@
 	errNoModel    = errors.New("model must be given")
 	errNoMessages = errors.New("messages must be given")
 	errMaxTokens  = errors.New("max_tokens must not be negative")
+	errChoices    = errors.New("n must be 1: several choices cannot be resumed")
 )
 
 // chatMessage is one message of the prompt.
@@ -34,6 +35,7 @@
 	Stream    bool          `json:"stream"`
 	Messages  []chatMessage `json:"messages"`
 	MaxTokens int           `json:"max_tokens"`
+	Choices   *int          `json:"n"`
 }
 
 func parseChatRequest(body []byte) (*chatRequest, error) {
@@ -48,6 +50,8 @@
 		return nil, errNoMessages
 	case request.MaxTokens < 0:
 		return nil, errMaxTokens
+	case request.Choices != nil && *request.Choices != 1:
+		return nil, errChoices
 	}
 	return &request, nil
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -96,6 +96,10 @@
 		return false
 	}
 	name := e.r.Header.Get(outcome.HeaderClass)
+	if name == "" {
+		e.refuse(http.StatusBadRequest, "missing_class", "the header "+outcome.HeaderClass+" must name a class of service", 0)
+		return false
+	}
 	e.class, e.classIdx, ok = e.snapshot.Class(name)
 	if !ok {
 		e.refuse(http.StatusBadRequest, "unknown_class", "no class is named "+strconv.Quote(name), 0)
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -85,6 +85,7 @@
 		r.Method(http.MethodGet, "/metrics", s.MetricsHandler)
 	}
 	r.Post("/v1/chat/completions", s.serveChat)
+	r.Get("/v1/models", s.serveModels)
 	r.Get("/v1/requests/{id}", s.serveLookup)
 	r.HandleFunc("/services/{upstream}/*", s.serveService)
 	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/url"
 	"path"
@@ -16,9 +17,6 @@
 	"heatherbarrow/internal/scheduling"
 )
 
-// passedHeaders are the request headers handed on to a plain service.
-var passedHeaders = []string{"Content-Type", "Accept", outcome.HeaderKey}
-
 func (s *Server) serveService(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
@@ -123,7 +121,7 @@
 	defer cancel()
 	answer, err := c.server.Forward.Service(ctx, forward.ServiceCall{
 		Address: a.Address, Method: c.r.Method, Path: c.rawPath, Query: c.r.URL.RawQuery,
-		Header: c.passedHeader(), Body: c.body, Repeatable: c.route.Repeatable,
+		Header: c.requestHeader(), Body: c.body, Repeatable: c.route.Repeatable,
 		OnSend: func() { c.server.records.Sent(c.id) },
 	})
 	cause := ended(ctx)
@@ -138,14 +136,16 @@
 	return nil, err
 }
 
-func (c *serviceCall) passedHeader() http.Header {
-	header := make(http.Header, len(passedHeaders)+1)
-	for _, name := range passedHeaders {
-		if value := c.r.Header.Get(name); value != "" {
-			header.Set(name, value)
-		}
-	}
+// requestHeader is what the service receives. The key that identifies the team
+// stays with the router.
+func (c *serviceCall) requestHeader() http.Header {
+	header := passedHeader(c.r.Header)
+	header.Del("Authorization")
 	header.Set("X-Request-Id", c.id)
+	if !c.route.Repeatable {
+		// The answer is kept for a repeated key without its encoding.
+		header.Del("Accept-Encoding")
+	}
 	return header
 }
 
@@ -177,6 +177,9 @@
 		c.server.records.Received(c.id, a.Status, contentType, a.Body)
 	}
 	o := answeredOutcome(a.Status)
+	answered := passedHeader(a.Header)
+	answered.Del("Date")
+	maps.Copy(c.w.Header(), answered)
 	c.w.Header().Set(outcome.HeaderOutcome, string(o))
 	err := c.writeWhole(a.Status, contentType, a.Body)
 	c.record(o, a.Status)
--- a/internal/router/services_test.go
+++ b/internal/router/services_test.go
@@ -60,6 +60,38 @@
 	}
 }
 
+// Guards against headers that are lost between caller and service, against a
+// team's key that reaches a service, and against an outcome told by a service.
+func TestServiceHeaders(t *testing.T) {
+	h := newHost(t, hostOptions{})
+	var got http.Header
+	h.service.play(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		w.Header().Set("Location", "/orders/7")
+		w.Header().Add("Set-Cookie", "a=1")
+		w.Header().Add("Set-Cookie", "b=2")
+		w.Header().Set(outcome.HeaderOutcome, "unknown")
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.WriteHeader(200)
+	})
+	response, _ := h.send(t, h.request(t, context.Background(), http.MethodGet, "/services/warehouse/stock/glue", "",
+		"If-None-Match", "v1", "Connection", "X-Mine", "X-Mine", "1"))
+	require.Equal(t, "v1", got.Get("If-None-Match"))
+	require.Equal(t, response.Header.Get(outcome.HeaderRequestID), got.Get("X-Request-Id"))
+	for _, name := range []string{"Authorization", outcome.HeaderClass, "X-Mine"} {
+		require.Empty(t, got.Get(name), name)
+	}
+	require.Equal(t, "/orders/7", response.Header.Get("Location"))
+	require.Equal(t, []string{"a=1", "b=2"}, response.Header.Values("Set-Cookie"))
+	require.Equal(t, []string{"completed"}, response.Header.Values(outcome.HeaderOutcome))
+	require.Empty(t, response.Header.Get("X-Hop"))
+	require.Equal(t, "gzip", got.Get("Accept-Encoding"))
+	h.feed.claim.Result = rpc.ClaimResult_CLAIM_RESULT_GRANTED
+	h.send(t, h.order(t, context.Background()))
+	require.Empty(t, got.Get("Accept-Encoding"), "a kept answer has no encoding")
+}
+
 // Guards against running a call without a claim of its own.
 func TestNoCallWithoutClaim(t *testing.T) {
 	tests := []struct {
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -28,6 +28,10 @@
 	Model     string              `json:"model"`
 	Messages  []completionMessage `json:"messages"`
 	MaxTokens int                 `json:"max_tokens"`
+	Stream    bool                `json:"stream"`
+	Options   struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
 }
 
 func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request) {
@@ -55,7 +59,11 @@
 	j := &job{priority: priority, total: total, tokens: make(chan struct{}, total)}
 	s.start(j, text)
 	defer s.finish(j)
-	s.writeStream(w, r, stream{job: j, id: r.Header.Get("X-Request-Id"), first: resume, faults: faults, crashed: crashed})
+	st := stream{job: j, id: r.Header.Get("X-Request-Id"), first: resume, faults: faults, crashed: crashed}
+	if request.Options.IncludeUsage || !request.Stream {
+		st.prompt = len(text)/charactersPerToken + 1
+	}
+	s.writeStream(w, r, st)
 }
 
 // accept counts the run of a request and crashes the engine when the request is
@@ -97,6 +105,7 @@
 	job     *job
 	id      string
 	first   int // position of the first token
+	prompt  int // tokens of the prompt to report as usage; 0 for no report
 	faults  Faults
 	crashed <-chan struct{}
 }
@@ -123,9 +132,18 @@
 			return
 		}
 	}
+	if st.prompt > 0 {
+		st.writeUsage(w)
+	}
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+func (st *stream) writeUsage(w http.ResponseWriter) {
+	answer := st.first + st.job.total
+	fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[],"+
+		"\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\n", st.id, st.prompt, answer, st.prompt+answer)
+}
+
 func (st *stream) writeFrame(w http.ResponseWriter, i int) {
 	id, index := st.id, st.first+i
 	if st.faults.ForeignFrameAt > 0 && i == st.faults.ForeignFrameAt {
