Compare only numbers as positions in merged chunks

Cause: an engine's chunk whose array element had an object as 'index' made the merging compare two maps, which panics.

Change: elements are matched by numeric indexes only.

--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -132,13 +132,14 @@
 }
 
 func indexOf(list array, element object) int {
-	index, ok := element["index"]
+	index, ok := element["index"].(json.Number)
 	if !ok {
 		return -1
 	}
 	return slices.IndexFunc(list, func(value any) bool {
-		o, ok := value.(object)
-		return ok && o["index"] == index
+		o, _ := value.(object)
+		known, ok := o["index"].(json.Number)
+		return ok && known == index
 	})
 }
 
