Place models by the demand of all hosts of a zone

Cause: the holder of a zone's lease planned with the tokens that the router of its own host reported. With 57 hosts it saw about 1/57 of the demand, and models that only callers of other hosts asked for were never loaded.

Ruled out: one message to the holder each second (56 messages/s of headers at one node, over 14 KB/s; hosts do not know the holder), collectors with sums (a host may be counted twice), platform objects (57 writes a refresh).

Change: messages that open an exchange in a zone carry the own demand and as many rows of other hosts as fit. Rows are kept by host and sequence number, age out after 2 minutes, and are dropped with a host that is gone.

--- a/internal/bench/controlcost/router.go
+++ b/internal/bench/controlcost/router.go
@@ -17,6 +17,9 @@
 	reportInterval = 500 * time.Millisecond
 	// busyTeams report demand above their floors on each host.
 	busyTeams = 20
+	// offeredModels are in demand on each host. The replicas report only the first,
+	// so that the holders of the leases also send placement orders.
+	offeredModels = 28
 )
 
 // router takes the place of the router on one host: it follows bundle and view
@@ -82,6 +85,9 @@
 	for i := range busyTeams {
 		request.Teams = append(request.Teams, &rpc.TeamUsage{Team: teamName(i), DemandedTokens: 100_000, DemandedInProgress: 4})
 	}
+	for _, model := range modelNames() {
+		request.Demand = append(request.Demand, &rpc.ClassDemand{Class: "quote", Model: model, Requests: 1, Tokens: 150})
+	}
 	for ctx.Err() == nil {
 		_, _ = r.feed.Report(ctx, request)
 		time.Sleep(reportInterval)
@@ -110,6 +116,14 @@
 func replicaName(i int) string { return fmt.Sprintf("e%d", i) }
 func teamName(i int) string    { return fmt.Sprintf("team%d", i) }
 
+func modelNames() []string {
+	out := []string{"m"}
+	for i := range offeredModels - 1 {
+		out = append(out, fmt.Sprintf("model%d", i))
+	}
+	return out
+}
+
 // makeBundles prepares the content that all changes have in common.
 func (c *cluster) makeBundles(replicas []string) {
 	b := &c.content
@@ -120,7 +134,8 @@
 			Name: teamName(i), KeyHashes: []string{bundle.HashKey(teamName(i))}, Classes: []string{"quote"}, TokensPerSecond: 10_000, MaxInProgress: 100,
 		})
 	}
-	u := bundle.Upstream{Name: "models", Kind: bundle.KindEngine, Classes: []string{"quote"}, Models: []string{"m"}, Slots: 16}
+	u := bundle.Upstream{Name: "models", Kind: bundle.KindEngine, Classes: []string{"quote"}, Slots: 16}
+	u.Models = modelNames()
 	for i, address := range replicas {
 		u.Replicas = append(u.Replicas, bundle.Replica{ID: replicaName(i), Address: address, AvailabilityZone: zoneName(i % c.size.zones)})
 	}
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -244,7 +244,11 @@
 	if !errors.Is(err, platform.ErrNotFound) {
 		require.NoError(c.t, err)
 	}
-	content := testContent(c.t, fmt.Sprintf("%ds", 10+current.Generation))
+	return c.approve(testContent(c.t, fmt.Sprintf("%ds", 10+current.Generation)))
+}
+
+func (c *cluster) approve(content []byte) string {
+	ctx := context.Background()
 	proposal, err := c.store.Propose(ctx, content, "ana", keys["ana"])
 	require.NoError(c.t, err)
 	_, err = c.store.Approve(ctx, proposal.SHA256, "ben", keys["ben"], time.Now())
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -104,6 +104,11 @@
 	Entries []*rpc.QuarantineEntry // result
 }
 
+// DemandDue asks for the demand of the own zone.
+type DemandDue struct {
+	Demand membership.ZoneDemand // result
+}
+
 // StatusDue asks for everything that an operator may see.
 type StatusDue struct {
 	Classes    []*rpc.ClassStatus // result
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -29,7 +29,6 @@
 	loop    *Loop
 	lookup  *Lookup
 	claimer claims.Claimer
-	demand  *PlacementService
 }
 
 // Name implements kernel.Service.
@@ -37,7 +36,7 @@
 
 // Dependencies implements kernel.Dependent.
 func (f *FeedServer) Dependencies() []string {
-	return []string{ServiceBus, ServiceLoop, ServiceLookup, ServiceClaimer, ServiceLease}
+	return []string{ServiceBus, ServiceLoop, ServiceLookup, ServiceClaimer}
 }
 
 // Provision implements kernel.Provisioner.
@@ -51,9 +50,6 @@
 	if f.lookup, err = kernel.Lookup[*Lookup](r, ServiceLookup); err != nil {
 		return err
 	}
-	if f.demand, err = kernel.Lookup[*PlacementService](r, ServiceLease); err != nil {
-		return err
-	}
 	f.claimer, err = kernel.Lookup[claims.Claimer](r, ServiceClaimer)
 	return err
 }
@@ -102,7 +98,6 @@
 // Report implements rpc.Feed.
 func (f *FeedServer) Report(_ context.Context, request *rpc.ReportRequest) (*rpc.ReportResponse, error) {
 	f.noteReport(request)
-	f.demand.AddDemand(request.Demand)
 	if err := f.bus.Publish(UsageReported{Report: request}); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, "control is stopping")
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -15,6 +15,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/membership"
+	"heatherbarrow/internal/placement"
 	"heatherbarrow/internal/rollout"
 	"heatherbarrow/internal/rpc"
 )
@@ -65,6 +66,7 @@
 	admit    admission
 	sharing  sharing
 	classes  classWindows
+	demand   *placement.Meter
 	platform probe
 
 	offering sync.Mutex // held while a bundle is checked, so that none is checked twice
@@ -94,6 +96,7 @@
 	l.admit = admission{started: now, failures: make(map[string]string)}
 	l.sharing = newSharing()
 	l.classes = make(classWindows)
+	l.demand = placement.NewMeter(o.Clock)
 	l.state.Store(&State{
 		NotReady: "no bundle yet: no source has answered",
 		// The version differs after a restart, so that the router takes the view.
@@ -168,6 +171,8 @@
 		}
 	case *StatusDue:
 		l.status(e, now)
+	case *DemandDue:
+		e.Demand = l.table.Demand(now)
 	case LeaveRequested:
 		l.table.Leave(now)
 	case *CrashReported:
@@ -187,6 +192,9 @@
 
 func (l *Loop) beat(now time.Time) {
 	l.table.Beat(now, l.platform.failed)
+	if rates, known := l.demand.Rates(); known {
+		l.table.SetDemand(rates, now)
+	}
 	l.sharing.expire(l.table, now)
 	topology := buildTopology(l.table, l.State().Parsed, now)
 	l.publish(func(s *State) { s.Topology = topology })
--- a/internal/control/placement.go
+++ b/internal/control/placement.go
@@ -10,8 +10,10 @@
 	"github.com/rs/zerolog"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/lease"
+	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/placement"
 	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rpc"
@@ -33,8 +35,8 @@
 	Sender placement.Sender
 	Logger zerolog.Logger
 
+	bus     *bus.Bus
 	loop    *Loop
-	meter   *placement.Meter
 	holder  *lease.Holder
 	manager *placement.Manager
 	cancel  context.CancelFunc
@@ -45,22 +47,24 @@
 func (p *PlacementService) Name() string { return ServiceLease }
 
 // Dependencies implements kernel.Dependent.
-func (p *PlacementService) Dependencies() []string { return []string{ServiceLoop} }
+func (p *PlacementService) Dependencies() []string { return []string{ServiceBus, ServiceLoop} }
 
 // Provision implements kernel.Provisioner.
 func (p *PlacementService) Provision(r *kernel.Registry) (err error) {
+	if p.bus, err = kernel.Lookup[*bus.Bus](r, ServiceBus); err != nil {
+		return err
+	}
 	if p.loop, err = kernel.Lookup[*Loop](r, ServiceLoop); err != nil {
 		return err
 	}
 	clock := clockwork.NewRealClock()
-	p.meter = placement.NewMeter(clock)
 	p.holder = lease.New(lease.Options{
 		Store: p.Store, Name: p.Zone, Host: p.Host, Clock: clock, Logger: p.Logger,
 		Candidate: func() bool { return leaseCandidate(p.Host, p.Zone, p.loop.State().View) },
 	})
 	p.manager = &placement.Manager{
 		Zone: p.Zone, Lease: p.holder, Store: p.Store, Logger: p.Logger,
-		Source:  &placement.ViewSource{Zone: p.Zone, Meter: p.meter, Clock: clock, State: p.state},
+		Source:  &placement.ViewSource{Zone: p.Zone, Clock: clock, State: p.state, Demand: p.demand},
 		Planner: &placement.Planner{Clock: clock},
 		Dispatcher: &placement.Dispatcher{
 			Zone: p.Zone, Lease: p.holder, Sender: p.Sender, Clock: clock, Logger: p.Logger,
@@ -74,6 +78,15 @@
 	return s.Parsed, s.View, s.ViewAt
 }
 
+// demand returns nothing when control is stopping; nothing is placed then.
+func (p *PlacementService) demand() membership.ZoneDemand {
+	e := &DemandDue{}
+	if p.bus.Publish(e) != nil {
+		return membership.ZoneDemand{Missing: []string{p.Host}}
+	}
+	return e.Demand
+}
+
 // Start implements kernel.Starter.
 func (p *PlacementService) Start(ctx context.Context) error {
 	ctx, p.cancel = context.WithCancel(ctx)
@@ -99,9 +112,6 @@
 // LeaseHolder implements LeaseReporter.
 func (p *PlacementService) LeaseHolder() string { return p.holder.HolderName() }
 
-// AddDemand counts what the router of this host reports.
-func (p *PlacementService) AddDemand(demand []*rpc.ClassDemand) { p.meter.Add(demand) }
-
 // leaseCandidate tells whether the host is among the first of its zone's live
 // hosts by rendezvous hashing. A host that knows of no others is.
 func leaseCandidate(host, zone string, view *rpc.View) bool {
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -52,6 +52,7 @@
 	case UsageReported:
 		l.sharing.report(e.Report, now)
 		l.classes.add(e.Report.Results, now)
+		l.demand.Add(e.Report.Demand)
 	case *SharesDue:
 		l.sharesDue(e, now)
 	case *SharesRequested:
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -37,6 +37,7 @@
 	t.self.sends = 0
 	t.forget(now)
 	t.quarantine.expire(now)
+	t.forgetDemand(now)
 	t.version++
 }
 
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -10,7 +10,7 @@
 // Message returns what to tell a peer: news first, then parts of everything
 // known in turn, so that lost messages are repaired. Its size is bounded. A
 // message to another zone has rows of the own zone only. A message that opens an
-// exchange also asks for hosts that are known by identifier only.
+// exchange also tells demand and asks for hosts that are known by identifier only.
 func (t *Table) Message(now time.Time, remote, opens bool) *rpc.ExchangeMessage {
 	m := &rpc.ExchangeMessage{
 		From:       copyHost(t.self.state),
@@ -24,6 +24,9 @@
 	if !opens {
 		return m
 	}
+	if !remote {
+		m.Demand = t.demandDigest(now)
+	}
 	for id := range t.wanted {
 		m.WantHosts = append(m.WantHosts, id)
 	}
@@ -53,6 +56,9 @@
 	if m.Loads != nil {
 		t.mergeLoads(m.Loads, now)
 	}
+	if m.Demand != nil {
+		t.mergeDemand(m.Demand, now)
+	}
 	return m.List != nil && t.mergeList(m.List, now)
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -119,6 +119,7 @@
 	generation     uint64
 	list           hostList
 	quarantine     quarantine
+	demands        demands
 	drained        bool // the own host leaves for good
 	wanted         map[uint32]bool
 	urgent         bool // a change that routers must see at once
@@ -132,6 +133,7 @@
 		replicas: make(map[string]*replica), wanted: make(map[uint32]bool),
 	}
 	t.quarantine.entries = make(map[uint64]*quarantined)
+	t.demands.hosts = make(map[string]*hostDemand)
 	t.putHost(&rpc.HostState{
 		Host: o.Host, AvailabilityZone: o.Zone, PeerAddress: o.PeerAddress,
 		State: rpc.State_STATE_LIVE, Incarnation: o.Incarnation, Heartbeat: 1,
@@ -169,6 +171,7 @@
 // SetBundle makes the replicas of a bundle known.
 func (t *Table) SetBundle(b *bundle.Bundle, generation uint64) {
 	t.generation = generation
+	t.demands.setBundle(b)
 	own := copyHost(t.self.state)
 	own.Generation = generation
 	t.self.state = own
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -54,6 +55,9 @@
 	Models   []string // that some class needs from the upstream
 	Replicas []Replica
 	Demand   []Demand
+	// DemandMissing are hosts of the zone whose demand is not known. Nothing is
+	// unloaded for the sake of another model while there are any.
+	DemandMissing []string
 }
 
 // Source tells what placement plans with.
@@ -115,6 +119,7 @@
 	Dispatcher *Dispatcher
 	Logger     zerolog.Logger
 
+	missing string   // hosts whose demand is not known, as last logged
 	desired *Desired // nil until read under the present lease
 	version uint64
 }
@@ -139,10 +144,28 @@
 		}
 		m.logDecisions(decisions, grant.Token)
 	}
+	m.noteMissing(pools)
 	m.Dispatcher.Dispatch(ctx, m.desired, pools)
 	return nil
 }
 
+// noteMissing logs each change of the hosts whose demand is not known.
+func (m *Manager) noteMissing(pools []Pool) {
+	missing := ""
+	if len(pools) > 0 {
+		missing = strings.Join(pools[0].DemandMissing, ",")
+	}
+	if missing == m.missing {
+		return
+	}
+	m.missing = missing
+	if missing == "" {
+		m.Logger.Info().Str("zone", m.Zone).Msg("placement knows the demand of all hosts")
+		return
+	}
+	m.Logger.Warn().Str("zone", m.Zone).Str("hosts", missing).Msg("placement moves no models: demand of hosts is not known")
+}
+
 // takeOver reads the desired state and writes it with the own token, so that a
 // write that an earlier holder still has under way fails its condition.
 func (m *Manager) takeOver(ctx context.Context, grant lease.Grant) error {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -243,6 +243,9 @@
 		c.set(r, append(slices.Clone(t.Models), up), t.Role, reason, false)
 		return
 	}
+	if len(c.pool.DemandMissing) > 0 {
+		return // the model given up may be the one that the missing hosts need
+	}
 	r, down := c.donor(up, counts, ideals)
 	if r == nil {
 		return
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -142,3 +142,19 @@
 	}
 	require.Equal(t, 1, loads)
 }
+
+// Guards against a model that is taken from hosts whose demand did not arrive.
+func TestNothingIsGivenUpOnMissingDemand(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := &Planner{Clock: clock}
+	pools := testPool(testReplica("e1", "a"), testReplica("e2", "a"), testReplica("e3", "a"), testReplica("e4", "b"))
+	d, _ := p.Plan(emptyDesired(), pools)
+	clock.Advance(time.Hour)
+	demand(pools, 1, 500)
+	pools[0].DemandMissing = []string{"host2"}
+	_, decisions := p.Plan(d, pools)
+	require.Empty(t, decisions)
+	pools[0].DemandMissing = nil
+	_, decisions = p.Plan(d, pools)
+	require.Len(t, decisions, 2)
+}
