Send placement orders to several replicas at once

Cause: the dispatcher waited up to 2 s for each order before the next, so one engine that answered late held up all orders of its zone.

Ruled out: a goroutine for each replica that lives as long as the lease (needs a queue with recall), and waiting for all answers in each round.

Change: up to 16 replicas are sent orders at the same time, one order at a time each; nothing else is sent to a replica that has accepted an order until it reports the effect or the time to send again has come. Loads share the weight store's rate as before. Lease and token are checked right before each send. A replica with an order of an earlier plan in flight does not count as serving a model that another one is to unload.

The tests call Wait after Dispatch, which used to wait itself; their conditions are unchanged.

--- a/internal/control/placement.go
+++ b/internal/control/placement.go
@@ -106,6 +106,7 @@
 func (p *PlacementService) Stop(context.Context) error {
 	p.cancel()
 	p.running.Wait()
+	p.manager.Dispatcher.Wait()
 	return nil
 }
 
--- a/internal/placement/dispatcher.go
+++ b/internal/placement/dispatcher.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -14,8 +16,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
-
-	"heatherbarrow/internal/lease"
 )
 
 const (
@@ -25,9 +25,11 @@
 	// engines that ignore the fencing token until this much time has passed.
 	OrderTimeout = 2 * time.Second
 
-	resendAfter        = 3 * time.Second
-	resendLoadAfter    = 30 * time.Second // an accepted load takes a while to be reported
-	maxReportAge       = 10 * time.Second
+	resendAfter     = 3 * time.Second
+	resendLoadAfter = 30 * time.Second // an accepted load takes a while to be reported
+	maxReportAge    = 10 * time.Second
+	// maxInFlight bounds the replicas that are sent orders at the same time.
+	maxInFlight        = 16
 	loadsPerSecond     = 1
 	loadBurst          = 2
 	loadBackoff        = time.Second
@@ -99,12 +101,14 @@
 type sentKey struct{ replica, order, subject string }
 
 type sentOrder struct {
-	token  uint64
-	resend time.Time
+	token    uint64
+	resend   time.Time
+	accepted bool // the engine works on it
 }
 
-// Dispatcher sends orders until the engines report the desired state. Dispatch
-// is called by one goroutine.
+// Dispatcher sends orders until the engines report the desired state: to several
+// replicas at once, and to each one order after the other. Dispatch and Wait are
+// called by one goroutine.
 type Dispatcher struct {
 	Zone   string
 	Lease  Lease
@@ -112,39 +116,113 @@
 	Clock  clockwork.Clock
 	Logger zerolog.Logger
 
+	running sync.WaitGroup
+
+	mu         sync.Mutex // guards the fields below
+	busy       map[string]bool
 	sent       map[sentKey]sentOrder
 	loads      *rate.Limiter
 	delays     *backoff.ExponentialBackOff
 	loadsAfter time.Time
 }
 
-// Dispatch sends the orders that are due, one after another.
+// Wait returns when no order is in flight.
+func (d *Dispatcher) Wait() { d.running.Wait() }
+
+// Dispatch begins to send the orders that are due. It does not wait for answers;
+// a replica whose orders of an earlier call are still in flight is passed over.
 func (d *Dispatcher) Dispatch(ctx context.Context, desired *Desired, pools []Pool) {
-	if d.sent == nil {
-		d.sent = make(map[sentKey]sentOrder)
-		d.loads = rate.NewLimiter(loadsPerSecond, loadBurst)
-		d.delays = &backoff.ExponentialBackOff{InitialInterval: loadBackoff, Multiplier: 2, MaxInterval: maxLoadBackoff}
-		d.delays.Reset()
-	}
+	d.init()
+	before := d.inFlight()
 	for i := range pools {
 		for j := range pools[i].Replicas {
-			r := &pools[i].Replicas[j]
-			target, ok := desired.Targets[r.ID.String()]
-			if !ok || !usable(r) || r.ReportAge > maxReportAge {
+			r := pools[i].Replicas[j]
+			id := r.ID.String()
+			target, ok := desired.Targets[id]
+			if !ok || !usable(&r) || r.ReportAge > maxReportAge || before[id] {
 				continue
 			}
-			d.readUnlisted(ctx, r)
-			due := dueOrders(desired, &pools[i], r, &target)
-			d.forgetSettled(r, due)
-			for _, o := range due {
-				if !d.send(ctx, desired, r, o, target.Reason) {
-					return
-				}
+			w := &work{dispatcher: d, desired: desired, pool: &pools[i], replica: &r, target: &target, inFlight: before}
+			if w.needed() && d.begin(id) {
+				d.running.Go(func() {
+					defer d.end(id)
+					w.run(ctx)
+				})
 			}
 		}
 	}
 }
 
+func (d *Dispatcher) init() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sent != nil {
+		return
+	}
+	d.busy = make(map[string]bool)
+	d.sent = make(map[sentKey]sentOrder)
+	d.loads = rate.NewLimiter(loadsPerSecond, loadBurst)
+	d.delays = &backoff.ExponentialBackOff{InitialInterval: loadBackoff, Multiplier: 2, MaxInterval: maxLoadBackoff}
+	d.delays.Reset()
+}
+
+// inFlight returns the replicas that orders are being sent to.
+func (d *Dispatcher) inFlight() map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.busy)
+}
+
+func (d *Dispatcher) begin(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.busy) >= maxInFlight {
+		return false
+	}
+	d.busy[id] = true
+	return true
+}
+
+func (d *Dispatcher) end(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.busy, id)
+}
+
+// work is what one call of Dispatch has to do for one replica. The pool is shared
+// with the work for other replicas and is not changed; the replica is a copy.
+type work struct {
+	dispatcher *Dispatcher
+	desired    *Desired
+	pool       *Pool
+	replica    *Replica
+	target     *Target
+	inFlight   map[string]bool // when Dispatch was called
+}
+
+// needed tells whether the replica differs from its target. If it does not, what
+// was sent to it is settled.
+func (w *work) needed() bool {
+	due := w.due()
+	if len(due) == 0 && !w.replica.Unlisted {
+		w.dispatcher.forgetSettled(w.replica, due)
+		return false
+	}
+	return true
+}
+
+func (w *work) run(ctx context.Context) {
+	d := w.dispatcher
+	d.readUnlisted(ctx, w.replica)
+	due := w.due()
+	d.forgetSettled(w.replica, due)
+	for _, o := range due {
+		if !d.send(ctx, w.desired, w.replica, o, w.target.Reason) {
+			return
+		}
+	}
+}
+
 // readUnlisted asks a replica for the names of models that the view cannot carry,
 // so that models which left the bundle are unloaded.
 func (d *Dispatcher) readUnlisted(ctx context.Context, r *Replica) {
@@ -163,67 +241,83 @@
 
 // forgetSettled drops what was sent to a replica and is no longer due, so that a
 // difference that comes back, for example by a late order, is corrected at once.
+// An order that the engine still works on is kept.
 func (d *Dispatcher) forgetSettled(r *Replica, due []Order) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	id := r.ID.String()
-	for key := range d.sent {
-		if key.replica == id && !slices.ContainsFunc(due, func(o Order) bool { return keyOf(r, o) == key }) {
+	for key, o := range d.sent {
+		if key.replica != id || slices.ContainsFunc(due, func(o Order) bool { return keyOf(r, o) == key }) {
+			continue
+		}
+		if !o.accepted || reported(r, key) || !d.Clock.Now().Before(o.resend) {
 			delete(d.sent, key)
 		}
 	}
 }
 
+// reported tells whether a replica reports the effect of an order.
+func reported(r *Replica, key sentKey) bool {
+	switch key.order {
+	case OrderLoad:
+		return slices.Contains(r.Models, key.subject)
+	case OrderUnload:
+		return !slices.Contains(r.Models, key.subject)
+	default:
+		return r.Role == key.subject
+	}
+}
+
 func keyOf(r *Replica, o Order) sentKey {
 	return sentKey{replica: r.ID.String(), order: o.Order, subject: o.Model + o.Role}
 }
 
-// dueOrders returns the orders by which a replica's report differs from its
-// target. Models are unloaded before others are loaded, to make room.
-func dueOrders(desired *Desired, pool *Pool, r *Replica, target *Target) []Order {
+// due returns the orders by which a replica's report differs from its target.
+// Models are unloaded before others are loaded, to make room.
+func (w *work) due() []Order {
 	var out []Order
-	for _, m := range r.Models {
-		if !slices.Contains(target.Models, m) && mayUnload(desired, pool, r, m) {
+	for _, m := range w.replica.Models {
+		if !slices.Contains(w.target.Models, m) && w.mayUnload(m) {
 			out = append(out, Order{Order: OrderUnload, Model: m})
 		}
 	}
 	if len(out) == 0 {
-		for _, m := range target.Models {
-			if !slices.Contains(r.Models, m) {
+		for _, m := range w.target.Models {
+			if !slices.Contains(w.replica.Models, m) {
 				out = append(out, Order{Order: OrderLoad, Model: m})
 			}
 		}
 	}
-	if target.Role != "" && r.Role != target.Role {
-		out = append(out, Order{Order: OrderRole, Role: target.Role})
+	if w.target.Role != "" && w.replica.Role != w.target.Role {
+		out = append(out, Order{Order: OrderRole, Role: w.target.Role})
 	}
 	return out
 }
 
 // mayUnload tells whether a model that some class needs is still served, by
-// report and by plan, without the replica.
-func mayUnload(desired *Desired, pool *Pool, r *Replica, model string) bool {
-	if !slices.Contains(pool.Models, model) {
+// report and by plan, without the replica. A replica with an order of an earlier
+// plan in flight does not count: the order may unload the model.
+func (w *work) mayUnload(model string) bool {
+	if !slices.Contains(w.pool.Models, model) {
 		return true
 	}
-	for i := range pool.Replicas {
-		other := &pool.Replicas[i]
-		if other.ID != r.ID && usable(other) && other.ReportAge <= maxReportAge && slices.Contains(other.Models, model) &&
-			slices.Contains(desired.Targets[other.ID.String()].Models, model) {
+	for i := range w.pool.Replicas {
+		other := &w.pool.Replicas[i]
+		id := other.ID.String()
+		if other.ID != w.replica.ID && !w.inFlight[id] && usable(other) && other.ReportAge <= maxReportAge &&
+			slices.Contains(other.Models, model) && slices.Contains(w.desired.Targets[id].Models, model) {
 			return true
 		}
 	}
 	return false
 }
 
-// send sends one order if it is due. It returns false when the lease is no
-// longer held.
+// send sends one order if it is due. It returns false when nothing more may be
+// sent to the replica now.
 func (d *Dispatcher) send(ctx context.Context, desired *Desired, r *Replica, o Order, reason string) bool {
 	key := keyOf(r, o)
-	now := d.Clock.Now()
-	before, again := d.sent[key]
-	if again && before.token == desired.FencingToken && now.Before(before.resend) {
-		return true
-	}
-	if o.Order == OrderLoad && (now.Before(d.loadsAfter) || !d.loads.AllowN(now, 1)) {
+	due, again := d.reserve(key, desired.FencingToken)
+	if !due {
 		return true
 	}
 	o.FencingToken = desired.FencingToken
@@ -239,9 +333,30 @@
 		return true
 	}
 	status, err := d.Sender.Send(ctx, r.Address, o)
-	d.sent[key] = sentOrder{token: o.FencingToken, resend: d.Clock.Now().Add(resendTime(status))}
-	d.afterSend(r, o, grant, status, err, reason, again)
-	return true
+	d.afterSend(key, o, status, err)
+	d.log(r, o, status, err, reason, again)
+	return status != http.StatusAccepted
+}
+
+// reserve tells whether an order may be sent now, and whether it was sent before.
+// It takes a load's place in the weight store's rate.
+func (d *Dispatcher) reserve(key sentKey, token uint64) (due, again bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	before, again := d.sent[key]
+	if again && before.token == token && now.Before(before.resend) {
+		return false, again
+	}
+	for other, o := range d.sent {
+		if other.replica == key.replica && other != key && o.accepted && now.Before(o.resend) {
+			return false, again
+		}
+	}
+	if key.order == OrderLoad && (now.Before(d.loadsAfter) || !d.loads.AllowN(now, 1)) {
+		return false, again
+	}
+	return true, again
 }
 
 func resendTime(status int) time.Duration {
@@ -251,13 +366,21 @@
 	return resendAfter
 }
 
-// afterSend slows loads down while the weight store refuses them, and logs.
-func (d *Dispatcher) afterSend(r *Replica, o Order, grant lease.Grant, status int, err error, reason string, again bool) {
+// afterSend notes what was sent, and slows loads down while the weight store
+// refuses them.
+func (d *Dispatcher) afterSend(key sentKey, o Order, status int, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	d.sent[key] = sentOrder{token: o.FencingToken, resend: now.Add(resendTime(status)), accepted: status == http.StatusAccepted}
 	if status == http.StatusTooManyRequests {
-		d.loadsAfter = d.Clock.Now().Add(d.delays.NextBackOff())
+		d.loadsAfter = now.Add(d.delays.NextBackOff())
 	} else if o.Order == OrderLoad && err == nil {
 		d.delays.Reset()
 	}
+}
+
+func (d *Dispatcher) log(r *Replica, o Order, status int, err error, reason string, again bool) {
 	event := d.Logger.Info()
 	switch {
 	case err != nil || status == http.StatusConflict:
@@ -266,6 +389,6 @@
 		event, reason = d.Logger.Debug(), reasonStateDiffers
 	}
 	event.Err(err).Str("zone", d.Zone).Str("upstream", r.ID.Upstream).Str("replica", r.ID.Replica).
-		Str("order", o.Order).Str("model", o.Model).Str("role", o.Role).Uint64("fencing_token", grant.Token).
+		Str("order", o.Order).Str("model", o.Model).Str("role", o.Role).Uint64("fencing_token", o.FencingToken).
 		Int("status", status).Str("reason", reason).Msg("placement order sent")
 }
--- a/internal/placement/dispatcher_test.go
+++ b/internal/placement/dispatcher_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	status  int  // answered instead of applying when not 0
 	lost    bool // the order is applied and its answer lost
 	tokens  []uint64
+	begun   atomic.Int64  // orders that arrived
+	hang    chan struct{} // orders wait for it when not nil
 }
 
 func (e *fakeEngine) apply(o Order) int {
@@ -76,6 +79,10 @@
 // Send implements Sender.
 func (z *zone) Send(_ context.Context, address string, o Order) (int, error) {
 	z.hook()
+	z.engines[address].begun.Add(1)
+	if hang := z.engines[address].hang; hang != nil {
+		<-hang
+	}
 	status := z.engines[address].apply(o)
 	z.hook()
 	if z.engines[address].lost {
@@ -129,6 +136,7 @@
 
 func (h *holder) dispatch() {
 	h.sender.Dispatch(context.Background(), h.desired, h.zone.pools())
+	h.sender.Wait()
 }
 
 // Guards against a holder that was paused between any two instructions past its
@@ -243,14 +251,63 @@
 	require.Greater(t, len(refused.tokens), 5)
 }
 
+// due returns the orders for a replica of a pool.
+func due(desired *Desired, pool *Pool, i int) []Order {
+	r := pool.Replicas[i]
+	target := desired.Targets[r.ID.String()]
+	return (&work{desired: desired, pool: pool, replica: &r, target: &target}).due()
+}
+
+// Guards against an engine that answers late and holds up the orders to all
+// others, and against a second order to it meanwhile.
+func TestSlowOrderHoldsUpNoOther(t *testing.T) {
+	z := newZone(true)
+	h := z.holder("host1", map[string]string{"e1": "a", "e2": "a", "e3": "b"})
+	h.acquire(t)
+	slow, quick := z.engines["e1"], z.engines["e2"]
+	slow.models, quick.models, slow.hang = nil, nil, make(chan struct{})
+	pools := z.pools()
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		for range 3 {
+			h.sender.Dispatch(context.Background(), h.desired, pools)
+		}
+	}()
+	require.Eventually(t, func() bool { return quick.begun.Load() > 0 }, 10*time.Second, time.Millisecond)
+	<-finished
+	require.Equal(t, int64(1), slow.begun.Load())
+	close(slow.hang)
+	h.sender.Wait()
+	require.Equal(t, []string{"a"}, slow.models)
+}
+
+// Guards against a second order to an engine that still works on an accepted one,
+// and against one that never reports the effect and gets no other order.
+func TestOneOrderInProgressOnEachReplica(t *testing.T) {
+	z := newZone(true)
+	h := z.holder("host1", map[string]string{"e1": "a", "e2": "a", "e3": "b"})
+	h.acquire(t)
+	e := z.engines["e1"]
+	e.models, e.status = nil, http.StatusAccepted
+	h.dispatch()
+	h.desired.Targets["models/e1"] = Target{Models: []string{"b"}}
+	z.Advance(resendAfter)
+	h.dispatch()
+	require.Equal(t, int64(1), e.begun.Load())
+	z.Advance(resendLoadAfter)
+	h.acquire(t)
+	h.dispatch()
+	require.Equal(t, int64(2), e.begun.Load())
+}
+
 // Guards against an unload that leaves a model without any replica that reports it.
 func TestLastReplicaIsNotUnloaded(t *testing.T) {
 	z := newZone(true)
 	z.engines["e2"].models = nil // it is to hold a, but does not yet
 	h := z.holder("host1", map[string]string{"e1": "b", "e2": "a", "e3": "b"})
 	pools := z.pools()
-	target := h.desired.Targets["models/e1"]
-	for _, o := range dueOrders(h.desired, &pools[0], &pools[0].Replicas[0], &target) {
+	for _, o := range due(h.desired, &pools[0], 0) {
 		require.NotEqual(t, OrderUnload, o.Order)
 	}
 }
@@ -269,22 +326,26 @@
 		})
 		_ = h.lease.Step(ctx)
 	}
+	step := func(i int) error {
+		defer managers[i].Dispatcher.Wait()
+		return managers[i].Step(ctx)
+	}
 	z.engines["e2"].models = nil
 	z.server.SetFaults(standin.Faults{Down: true})
-	require.Error(t, managers[0].Step(ctx))
+	require.Error(t, step(0))
 	require.Empty(t, z.engines["e2"].tokens)
 	z.server.SetFaults(standin.Faults{LoseWriteAnswers: 1})
-	require.ErrorIs(t, managers[0].Step(ctx), platform.ErrUncertain)
-	require.NoError(t, managers[0].Step(ctx))
-	require.NoError(t, managers[1].Step(ctx))
+	require.ErrorIs(t, step(0), platform.ErrUncertain)
+	require.NoError(t, step(0))
+	require.NoError(t, step(1))
 	require.Len(t, z.engines["e2"].tokens, 1)
 	z.Advance(2 * leaseTTL) // the first holder stops renewing
 	second := managers[1].Lease.(*lease.Holder)
 	require.NoError(t, second.Step(ctx))
 	_, held := second.Grant()
 	require.True(t, held)
-	require.NoError(t, managers[1].Step(ctx))
-	require.NoError(t, managers[0].Step(ctx))
+	require.NoError(t, step(1))
+	require.NoError(t, step(0))
 	require.Nil(t, managers[0].desired)
 	require.Len(t, managers[1].desired.Targets, 3, "the successor goes on from the stored state")
 }
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -120,10 +120,8 @@
 	d.Roles = map[string]string{"models/e1": "prefill"}
 	d, decisions = p.Plan(d, pools)
 	require.Len(t, decisions, 1)
-	target := d.Targets["models/e1"]
-	require.Equal(t, []Order{{Order: OrderRole, Role: "prefill"}}, dueOrders(d, &pools[0], &pools[0].Replicas[0], &target))
-	target = d.Targets["models/e2"]
-	require.Empty(t, dueOrders(d, &pools[0], &pools[0].Replicas[1], &target))
+	require.Equal(t, []Order{{Order: OrderRole, Role: "prefill"}}, due(d, &pools[0], 0))
+	require.Empty(t, due(d, &pools[0], 1))
 }
 
 // Guards against a reason that contradicts its decision: a model with little
