Take roles and pinned models from the bundle and show the placement

Cause: a role change could be asked for only by editing placement/{zone} in the platform by hand, which goes around review and approval; a model could not be pinned to a replica at all; no command showed what placement had decided.

Ruled out: commands that write placement/{zone} or call the holder (a second source of truth beside the bundle), and an rpc to the holder for its orders in progress (they are the difference between the stored decision and the report).

Change: replicas in the bundle take role and pinned_models. A pin is applied at once, is never moved by demand, and unloads nothing before another replica reports it. Entries in roles of placement/{zone} are no longer read. hbctl placement show prints for each engine the loaded models, role, pins, orders in progress, and the latest decision with its time and reason.

TestRolesAreAskedFor now asks through the replica instead of the removed map; its conditions are unchanged.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -101,8 +101,16 @@
 	ID               string `json:"id"`
 	Address          string `json:"address"` // IP:port
 	AvailabilityZone string `json:"availability_zone"`
+	// Role is what placement orders an engine to be; it keeps its role when empty.
+	Role string `json:"role,omitempty"`
+	// PinnedModels are what placement has an engine hold, whatever the demand; it
+	// decides by demand when there are none.
+	PinnedModels []string `json:"pinned_models,omitempty"`
 }
 
+// Roles are the roles of engines.
+var Roles = []string{"mixed", "prefill", "decode"}
+
 // Route describes calls to a plain service.
 type Route struct {
 	Upstream   string            `json:"upstream"`
--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -98,6 +98,8 @@
 		{"upstreams.0.replicas.0.address", `"engine:80"`, `upstreams[0].replicas[0].address: "engine:80" is not an IP address with a port`},
 		{"routes.0.upstream", `"models"`, `routes[0].upstream: "models" is not a service`},
 		{"routes.0.path_prefix", `"stock"`, "routes[0].path_prefix: must begin with a slash"},
+		{"upstreams.0.replicas.0.role", `"draft"`, `upstreams[0].replicas[0].role: is "draft", must be one of mixed, prefill, decode`},
+		{"upstreams.0.replicas.0.pinned_models", `["none"]`, `upstreams[0].replicas[0].pinned_models[0]: "none" is no model of the upstream`},
 		{"limits", `{"max_body_bytes":-1}`, "limits.max_body_bytes: must not be negative"},
 	}
 	for _, c := range cases {
--- a/internal/bundle/validate.go
+++ b/internal/bundle/validate.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -232,6 +233,29 @@
 		if r.AvailabilityZone == "" {
 			return settings.Errorf(replicaPath+".availability_zone", "must not be empty")
 		}
+		if err := r.validatePlacement(replicaPath, u); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// validatePlacement checks what the bundle asks of placement for one replica.
+func (r *Replica) validatePlacement(path string, u *Upstream) error {
+	if u.Kind != KindEngine && (r.Role != "" || len(r.PinnedModels) > 0) {
+		return settings.Errorf(path, "role and pinned_models apply to engines only")
+	}
+	if r.Role != "" && !slices.Contains(Roles, r.Role) {
+		return settings.Errorf(path+".role", "is %q, must be one of %s", r.Role, strings.Join(Roles, ", "))
+	}
+	for k, model := range r.PinnedModels {
+		pinPath := fmt.Sprintf("%s.pinned_models[%d]", path, k)
+		if !slices.Contains(u.Models, model) {
+			return settings.Errorf(pinPath, "%q is no model of the upstream", model)
+		}
+		if slices.Index(r.PinnedModels, model) < k {
+			return settings.Errorf(pinPath, "repeats %q", model)
+		}
 	}
 	return nil
 }
--- a/internal/hbctl/hbctl.go
+++ b/internal/hbctl/hbctl.go
@@ -194,6 +194,15 @@
 			return err
 		}
 	}
+	const placementHelp = "show the placement of models"
+	placement, err := parser.AddCommand("placement", placementHelp, placementHelp, &struct{}{})
+	if err != nil {
+		return err
+	}
+	const show = "print each engine's models, role, orders in progress and the latest decision"
+	if _, err := placement.AddCommand("show", show, show, &command{app: a, run: a.showPlacement}); err != nil {
+		return err
+	}
 	const help = "show or release quarantined requests"
 	quarantine, err := parser.AddCommand("quarantine", help, help, &struct{}{})
 	if err != nil {
--- a/internal/hbctl/hbctl_test.go
+++ b/internal/hbctl/hbctl_test.go
@@ -17,6 +17,8 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/placement"
+	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rpc"
 	standin "heatherbarrow/internal/standin/platform"
 )
@@ -50,13 +52,15 @@
 	t        *testing.T
 	dir      string
 	controls []*fakeControl
+	platform *platform.Client
 }
 
 // newDesk has a platform, two controls in two zones and settings of two operators.
 func newDesk(t *testing.T) *desk {
 	d := &desk{t: t, dir: t.TempDir()}
-	platform := httptest.NewServer(standin.New().Handler())
-	t.Cleanup(platform.Close)
+	server := httptest.NewServer(standin.New().Handler())
+	t.Cleanup(server.Close)
+	d.platform = platform.NewClient(server.URL, server.Client())
 	var addresses []string
 	for i, zone := range []string{"ate", "callao"} {
 		name := []string{"h1", "h2"}[i]
@@ -65,9 +69,9 @@
 		c.status.Hosts = []*rpc.HostState{c.status.Self}
 		c.status.Replicas = []*rpc.ReplicaState{{Upstream: "models", Replica: "e1", State: rpc.State_STATE_LEAVING}}
 		c.status.Quarantine = []*rpc.QuarantineEntry{{Fingerprint: 0xab, CrashedReplicas: []string{"models/e1"}, ExpiresUnixMs: time.Now().Add(time.Hour).UnixMilli()}}
-		server := httptest.NewServer(rpc.NewOperatorServer(c))
-		t.Cleanup(server.Close)
-		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+		control := httptest.NewServer(rpc.NewOperatorServer(c))
+		t.Cleanup(control.Close)
+		addresses = append(addresses, strings.TrimPrefix(control.URL, "http://"))
 		d.controls = append(d.controls, c)
 	}
 	keys := map[string]string{}
@@ -78,7 +82,7 @@
 	}
 	for name := range keys {
 		settings, err := json.Marshal(map[string]any{
-			"platform": platform.URL, "operators": keys, "operator": name, "key_file": filepath.Join(d.dir, name+".key"), "controls": addresses,
+			"platform": server.URL, "operators": keys, "operator": name, "key_file": filepath.Join(d.dir, name+".key"), "controls": addresses,
 		})
 		require.NoError(t, err)
 		d.write(name+".json", settings)
@@ -230,3 +234,25 @@
 	_, code = d.run("ana", "lookup", "known")
 	require.Equal(t, cli.ExitSettings, code)
 }
+
+// Guards against a page that shows an order as done which the engine does not
+// report, or hides what the bundle pins and why the last decision was made.
+func TestPlacementShowsWhatIsInProgress(t *testing.T) {
+	d := newDesk(t)
+	b := d.bundle("1.json", "10s")
+	data, err := os.ReadFile(b)
+	require.NoError(t, err)
+	data = bytes.Replace(data, []byte(`"models":["m"],"slots":1,"replicas":[]`), []byte(`"models":["m","n"],"slots":1,"replicas":[
+		{"id":"e1","address":"127.0.0.1:1","availability_zone":"ate","role":"decode","pinned_models":["n"]},
+		{"id":"e2","address":"127.0.0.1:2","availability_zone":"ate"}]`), 1)
+	d.must("ana", "rollout", d.approved("ana", "ben", d.write("1.json", data)))
+	_, err = d.platform.Create(context.Background(), placement.Kind, "ate", placement.Desired{Targets: map[string]placement.Target{
+		"models/e1": {Models: []string{"n"}, Role: "decode", Reason: "models are pinned in the bundle"},
+	}})
+	require.NoError(t, err)
+	d.controls[0].status.Replicas = []*rpc.ReplicaState{{Upstream: "models", Replica: "e1", HasLoad: true, State: rpc.State_STATE_LIVE, Models: []string{"m"}, Role: "mixed"}}
+	d.controls[1].status.Replicas = nil
+	out := d.must("ana", "placement", "show")
+	require.Regexp(t, `models/e1 +ate +live +m +mixed +n +unload m, load n, role decode +\S+ +models are pinned in the bundle`, out)
+	require.Regexp(t, `models/e2 +ate +unknown +\? +\? +- +\? +- +-`, out)
+}
--- a/internal/hbctl/status.go
+++ b/internal/hbctl/status.go
@@ -172,8 +172,8 @@
 	}
 }
 
-// printReplicas shows each replica once, from the host with the freshest report.
-func printReplicas(w io.Writer, statuses []controlStatus) {
+// freshestReplicas returns each replica as the host with the freshest report sees it.
+func freshestReplicas(statuses []controlStatus) map[string]*rpc.ReplicaState {
 	freshest := make(map[string]*rpc.ReplicaState)
 	for _, status := range statuses {
 		for _, r := range status.response.GetReplicas() {
@@ -183,6 +183,11 @@
 			}
 		}
 	}
+	return freshest
+}
+
+func printReplicas(w io.Writer, statuses []controlStatus) {
+	freshest := freshestReplicas(statuses)
 	fmt.Fprintln(w, "REPLICA\tSTATE\tRUNNING\tWAITING\tTOKENS/S\tREPORT AGE\tMODELS")
 	for _, key := range sortedKeys(freshest) {
 		r := freshest[key]
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,8 +19,8 @@
 	"heatherbarrow/internal/scheduling"
 )
 
-// kindPlacement is the kind of the objects that hold desired states.
-const kindPlacement = "placement"
+// Kind is the kind of the objects that hold desired states.
+const Kind = "placement"
 
 // errStaleDesired means that another holder has written the desired state.
 var errStaleDesired = errors.New("desired state was written by another holder")
@@ -39,6 +39,9 @@
 	// Unlisted tells that it also holds models that the bundle does not list.
 	Unlisted bool
 	Role     string
+	// WantedRole and Pinned are what the bundle asks for; both may be empty.
+	WantedRole string
+	Pinned     []string
 }
 
 // Demand is the recent demand of a class for a model.
@@ -69,7 +72,7 @@
 // Target is the desired state of a replica.
 type Target struct {
 	Models []string `json:"models"`
-	// Role is empty unless a role was asked for.
+	// Role is empty unless the bundle asks for one.
 	Role          string `json:"role,omitempty"`
 	ChangedUnixMS int64  `json:"changed_unix_ms"`
 	Reason        string `json:"reason,omitempty"`
@@ -81,8 +84,6 @@
 	FencingToken uint64 `json:"fencing_token"`
 	// Targets are by upstream/replica.
 	Targets map[string]Target `json:"targets"`
-	// Roles are asked for by operators, by upstream/replica.
-	Roles map[string]string `json:"roles,omitempty"`
 }
 
 func (d *Desired) clone() *Desired {
@@ -170,7 +171,7 @@
 // write that an earlier holder still has under way fails its condition.
 func (m *Manager) takeOver(ctx context.Context, grant lease.Grant) error {
 	desired := &Desired{Targets: make(map[string]Target)}
-	o, err := m.Store.Get(ctx, kindPlacement, m.Zone)
+	o, err := m.Store.Get(ctx, Kind, m.Zone)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		o.Version = 0
@@ -202,9 +203,9 @@
 	var o platform.Object
 	var err error
 	if m.version == 0 {
-		o, err = m.Store.Create(ctx, kindPlacement, m.Zone, next)
+		o, err = m.Store.Create(ctx, Kind, m.Zone, next)
 	} else {
-		o, err = m.Store.Update(ctx, kindPlacement, m.Zone, m.version, next)
+		o, err = m.Store.Update(ctx, Kind, m.Zone, m.version, next)
 	}
 	if err != nil {
 		return eris.Wrapf(err, "write placement of %s", m.Zone)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -15,6 +15,7 @@
 	OrderLoad   = "load"
 	OrderUnload = "unload"
 	OrderRole   = "role"
+	OrderNone   = "none" // of a decision that entails no order
 )
 
 const (
@@ -109,6 +110,12 @@
 		t = Target{Models: slices.Clone(r.Models)}
 		reason = "replica is new"
 	}
+	if len(r.Pinned) > 0 {
+		if !ok || !slices.Equal(r.Pinned, t.Models) {
+			c.set(r, slices.Clone(r.Pinned), t.Role, "models are pinned in the bundle", !ok)
+		}
+		return
+	}
 	kept := slices.DeleteFunc(slices.Clone(t.Models), func(m string) bool { return !slices.Contains(c.pool.Models, m) })
 	if len(kept) == 0 {
 		if model, found := c.neediest(); found {
@@ -142,7 +149,7 @@
 		}
 	}
 	if adopted && len(c.decisions) == added {
-		c.decisions = append(c.decisions, Decision{ID: r.ID, Order: "none", Reason: reason})
+		c.decisions = append(c.decisions, Decision{ID: r.ID, Order: OrderNone, Reason: reason})
 	}
 }
 
@@ -151,15 +158,17 @@
 		r := &c.pool.Replicas[i]
 		id := r.ID.String()
 		t, ok := c.desired.Targets[id]
-		role := c.desired.Roles[id]
+		role := r.WantedRole
 		if !ok || t.Role == role {
 			continue
 		}
-		t.Role = role
-		c.desired.Targets[id] = t
-		if role != "" {
-			c.decisions = append(c.decisions, Decision{ID: r.ID, Order: OrderRole, Role: role, Reason: "role was asked for"})
+		t.Role, t.Reason = role, "role is set in the bundle"
+		order := OrderRole
+		if role == "" {
+			order, t.Reason = OrderNone, "role is no longer set in the bundle"
 		}
+		c.desired.Targets[id] = t
+		c.decisions = append(c.decisions, Decision{ID: r.ID, Order: order, Role: role, Reason: t.Reason})
 	}
 }
 
@@ -260,7 +269,7 @@
 func (c *poolPlan) changeable(r *Replica, up string, unserved bool) bool {
 	t, ok := c.desired.Targets[r.ID.String()]
 	dwelt := c.now.Sub(time.UnixMilli(t.ChangedUnixMS)) >= c.planner.dwell()
-	return ok && usable(r) && (dwelt || unserved) && !slices.Contains(t.Models, up)
+	return ok && len(r.Pinned) == 0 && usable(r) && (dwelt || unserved) && !slices.Contains(t.Models, up)
 }
 
 func (c *poolPlan) withRoom(up string, unserved bool) *Replica {
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -117,7 +117,7 @@
 	for _, decision := range decisions {
 		require.NotEqual(t, OrderRole, decision.Order)
 	}
-	d.Roles = map[string]string{"models/e1": "prefill"}
+	pools[0].Replicas[0].WantedRole = "prefill"
 	d, decisions = p.Plan(d, pools)
 	require.Len(t, decisions, 1)
 	require.Equal(t, []Order{{Order: OrderRole, Role: "prefill"}}, due(d, &pools[0], 0))
@@ -156,3 +156,23 @@
 	_, decisions = p.Plan(d, pools)
 	require.Len(t, decisions, 2)
 }
+
+// Guards against demand that moves a pinned replica, and against a pin that takes
+// the last replica of another model before that model is held elsewhere.
+func TestPinnedReplicaStays(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := &Planner{Clock: clock}
+	pools := testPool(testReplica("e1", "a"), testReplica("e2", "a"), testReplica("e3", "b"))
+	d, _ := p.Plan(emptyDesired(), pools)
+	pools[0].Replicas[2].Pinned = []string{"a"}
+	demand(pools, 500, 1)
+	d, decisions := p.Plan(d, pools)
+	require.Equal(t, []string{"a"}, d.Targets["models/e3"].Models)
+	require.Equal(t, "models are pinned in the bundle", decisions[0].Reason)
+	require.Equal(t, 1, holding(d, "b"), "another replica takes over what the pinned one held")
+	require.Equal(t, []Order{{Order: OrderLoad, Model: "a"}}, due(d, &pools[0], 2), "b is not held elsewhere yet")
+	clock.Advance(time.Hour)
+	demand(pools, 1, 500)
+	d, _ = p.Plan(d, pools)
+	require.Equal(t, []string{"a"}, d.Targets["models/e3"].Models)
+}
--- a/internal/placement/source.go
+++ b/internal/placement/source.go
@@ -154,7 +154,7 @@
 			continue
 		}
 		id := scheduling.ReplicaID{Upstream: u.Name, Replica: r.ID}
-		replica := Replica{ID: id, Address: r.Address, ChecksFencing: u.ChecksFencing}
+		replica := Replica{ID: id, Address: r.Address, ChecksFencing: u.ChecksFencing, WantedRole: r.Role, Pinned: r.PinnedModels}
 		if report := reports[id]; report != nil {
 			replica.Live = report.State == rpc.State_STATE_LIVE
 			replica.Reported = report.HasLoad
