Make giving a claim back final

Cause: when the answer to a claim is lost, the router gives the attempt back. A give-back that reached the log before the claim named an attempt that held nothing and was dropped; the claim was then granted, ran nowhere, and kept its key in progress until it aged out.

Ruled out: remembering given-back attempts in control's memory (lost with a restart, unknown to other writers, no help against a late write), and handing the give-back over again until it finds the claim (no bound on how long).

Change: a not-run record that names an attempt is appended also when the log holds no claim of it, and voids the attempt: no writer appends a claim of it after that.

A give-back that is still in memory when control dies is lost as before.

--- a/internal/claims/index.go
+++ b/internal/claims/index.go
@@ -41,7 +41,7 @@
 type index struct {
 	base    *index
 	entries map[key]entry
-	voids   map[string]uint32 // claims released, to the segment of the release
+	voids   map[string]uint32 // claims released and attempts given back, to the segment of the record
 	hosts   *hostNames
 }
 
@@ -80,9 +80,12 @@
 	return e, ok && !e.released
 }
 
+// void tells whether a claim was released or its attempt given back. Neither is
+// ever appended after that.
 func (x *index) void(claim string) bool {
-	_, ok := x.voids[claim]
-	return ok || x.base != nil && x.base.void(claim)
+	_, claimed := x.voids[claim]
+	_, given := x.voids[attemptOf(claim)]
+	return claimed || given || x.base != nil && x.base.void(claim)
 }
 
 // apply adds a record of the log. A claim in the log always holds its key: a
@@ -97,7 +100,7 @@
 	held := ok && e.holds(r.Claim)
 	switch {
 	case r.Outcome == outcomeNotRun && held && e.outcome == 0:
-		x.voids[e.claim] = segment
+		x.voids[r.Claim] = segment
 		x.release(r.Key)
 	case r.Outcome == outcomeNotRun && !held:
 		x.voids[r.Claim] = segment
@@ -115,13 +118,14 @@
 	x.entries[k] = entry{released: true}
 }
 
-// outcomeMatters tells whether an outcome record would change the index.
+// outcomeMatters tells whether an outcome record would change the index. A claim
+// that is not in the log may still be on its way there, so giving it back matters.
 func (x *index) outcomeMatters(r *record) bool {
 	e, ok := x.get(r.Key)
 	if ok && e.holds(r.Claim) {
 		return e.outcome == 0
 	}
-	return r.Outcome == outcomeNotRun && isClaimID(r.Claim) && !x.void(r.Claim)
+	return r.Outcome == outcomeNotRun && !x.void(r.Claim)
 }
 
 // decide answers a claim from the index. It returns nil when the key is free and
--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -210,6 +210,15 @@
 	request := r.request(attempt)
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
+	if r.fleet.strikes(15) { // the answer is lost: the attempt is given back meanwhile
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), wait)
+			defer cancel()
+			service.Claim(ctx, request)
+		}()
+		_ = service.RecordOutcome(ctx, &rpc.OutcomeRequest{Key: request.Key, Attempt: attempt, Outcome: string(outcome.NotRun)})
+		return outcome.NotRun
+	}
 	response := service.Claim(ctx, request)
 	switch {
 	case crashed():
@@ -341,6 +350,35 @@
 	}, 10*time.Second, 10*time.Millisecond)
 }
 
+// Guards against a key that stays held by an attempt which the router gave back
+// before or while control granted it, and against a grant after the give-back.
+func TestGivenBackAttemptLeavesItsKeyFree(t *testing.T) {
+	f := newFleet(t, 1, 3)
+	giveBack := func(r *router, attempt string) {
+		request := &rpc.OutcomeRequest{Key: r.request(attempt).Key, Attempt: attempt, Outcome: string(outcome.NotRun)}
+		require.NoError(t, f.hosts[0].service().RecordOutcome(context.Background(), request))
+	}
+	for i := range 60 {
+		r := &router{fleet: f, key: i}
+		var group sync.WaitGroup
+		group.Go(func() {
+			time.Sleep(time.Duration(f.dice.below(4)) * time.Millisecond)
+			f.hosts[0].service().Claim(context.Background(), r.request("given"))
+		})
+		giveBack(r, "given")
+		group.Wait()
+		require.Eventually(t, func() bool {
+			next := f.hosts[1].service().Claim(context.Background(), r.request("next"))
+			return next.Result == rpc.ClaimResult_CLAIM_RESULT_GRANTED
+		}, 10*time.Second, time.Millisecond, "key %d", i)
+	}
+	r := &router{fleet: f, key: 100}
+	giveBack(r, "late")
+	require.Eventually(t, func() bool { return f.hosts[0].service().outcomes.Load() == 0 }, 10*time.Second, time.Millisecond)
+	late := f.hosts[0].service().Claim(context.Background(), r.request("late"))
+	require.Equal(t, rpc.ClaimResult_CLAIM_RESULT_UNAVAILABLE, late.Result)
+}
+
 // Guards against outcomes that are lost during an outage or hold memory without bound.
 func TestOutcomesOutliveAnOutage(t *testing.T) {
 	f := newFleet(t, 1, 2)
