Honor the platform's Retry-After

Cause: the client took status 429 for any other failure, so callers tried again at their own pace (the claim writers every 100 ms) however long the platform asked to be left alone, and no metric showed it.

Ruled out: failing all calls until the time has come (two failed rounds refuse all waiting claims at once), and no bound (an answer with a long time would stop the renewal of a lease).

Change: ErrRateLimited, which is an ErrUnavailable too, so that callers need no change. After an answer with Retry-After, calls of the same kind (reads or writes) wait for that time, at most 2 s and up to a quarter more so that they spread out; a call whose deadline is earlier fails at once and nothing is sent. heatherbarrow_platform_rate_limited counts the answers with 429.

Answers without Retry-After change nothing.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -64,6 +64,8 @@
 	answerAge   tally.Gauge
 	calls       tally.Counter
 	counted     uint64 // platform calls in calls
+	limited     tally.Counter
+	limitedSeen uint64 // refusals by rate in limited
 	hosts       map[string]tally.Gauge
 	replicas    map[replicaKey]tally.Gauge
 }
@@ -80,6 +82,7 @@
 		quarantined: scope.Gauge("quarantined_fingerprints"),
 		answerAge:   scope.Gauge("platform_answer_age_seconds"),
 		calls:       scope.Counter("platform_calls"),
+		limited:     scope.Counter("platform_rate_limited"),
 		hosts:       make(map[string]tally.Gauge),
 		replicas:    make(map[replicaKey]tally.Gauge),
 	}
@@ -146,6 +149,12 @@
 	}
 }
 
+// setLimited takes the number of calls that the platform refused by rate.
+func (g *gauges) setLimited(refused uint64) {
+	g.limited.Inc(int64(refused - g.limitedSeen))
+	g.limitedSeen = refused
+}
+
 // setPlatform takes the number of calls and the time of the last answer, which
 // is zero when there was none.
 func (g *gauges) setPlatform(calls uint64, last, now time.Time) {
@@ -214,6 +223,7 @@
 func (m *MetricsService) update(now time.Time) {
 	m.gauges.set(m.loop.State(), now)
 	m.gauges.setPlatform(m.platform.Calls(), m.platform.LastAnswer(), now)
+	m.gauges.setLimited(m.platform.RateLimited())
 	m.gauges.leaseHeld.Update(zeroOrOne(m.lease != nil && m.lease.LeaseHolder() == m.Host))
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 )
 
@@ -30,6 +31,10 @@
 	ErrUncertain = errors.New("answer to a write was lost")
 	// ErrUnavailable means that the platform did not answer a read or refused a call.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrRateLimited means that the platform refused a call because of its rate,
+	// or that the call was held back after such an answer: nothing was done. It is
+	// an ErrUnavailable too.
+	ErrRateLimited = fmt.Errorf("rate limit: %w", ErrUnavailable)
 )
 
 // MaxValueBytes is the largest value that the platform holds.
@@ -71,20 +76,24 @@
 
 // Client calls the platform.
 type Client struct {
-	base  string
-	http  *http.Client
-	calls atomic.Uint64
-	last  atomic.Int64 // unix nanoseconds of the last answer
+	base   string
+	http   *http.Client
+	calls  atomic.Uint64
+	last   atomic.Int64 // unix nanoseconds of the last answer
+	limits limits
 }
 
 // NewClient returns a client for the API at base, for example "http://10.0.0.1:7000".
 func NewClient(base string, httpClient *http.Client) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), http: httpClient}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: httpClient, limits: limits{clock: clockwork.NewRealClock()}}
 }
 
 // Calls returns the number of calls made.
 func (c *Client) Calls() uint64 { return c.calls.Load() }
 
+// RateLimited returns the number of calls that the platform refused by rate.
+func (c *Client) RateLimited() uint64 { return c.limits.refused.Load() }
+
 // LastAnswer returns when the platform last answered; zero when never.
 func (c *Client) LastAnswer() time.Time {
 	if n := c.last.Load(); n != 0 {
@@ -154,6 +163,8 @@
 	}
 	status, body, err := c.do(request)
 	switch {
+	case errors.Is(err, ErrRateLimited):
+		return eris.Wrapf(err, "GET %s", path)
 	case err != nil:
 		return eris.Wrapf(ErrUnavailable, "GET %s: %v", path, err)
 	case status == http.StatusNotFound:
@@ -185,6 +196,9 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(header, condition)
 	status, body, err := c.do(request)
+	if errors.Is(err, ErrRateLimited) {
+		return Object{}, eris.Wrapf(err, "%s %s/%s", method, kind, name)
+	}
 	if err != nil {
 		return Object{}, eris.Wrapf(ErrUncertain, "%s %s/%s: %v", method, kind, name, err)
 	}
@@ -199,14 +213,16 @@
 		return Object{}, ErrConflict
 	case http.StatusNotFound:
 		return Object{}, ErrNotFound
-	case http.StatusTooManyRequests:
-		return Object{}, eris.Wrapf(ErrUnavailable, "%s %s/%s: rate limit", method, kind, name)
 	default:
 		return Object{}, eris.Wrapf(ErrUncertain, "%s %s/%s: status %d", method, kind, name, status)
 	}
 }
 
+// do makes a call. An error that is ErrRateLimited means that nothing was done.
 func (c *Client) do(request *http.Request) (int, []byte, error) {
+	if err := c.limits.wait(request.Context(), request.Method); err != nil {
+		return 0, nil, err
+	}
 	c.calls.Add(1)
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -221,5 +237,9 @@
 	if response.StatusCode < http.StatusInternalServerError {
 		c.last.Store(time.Now().UnixNano())
 	}
+	if response.StatusCode == http.StatusTooManyRequests {
+		c.limits.note(request.Method, response.Header)
+		return 0, nil, ErrRateLimited
+	}
 	return response.StatusCode, body, nil
 }
