Count hosts that were never heard as missing demand

Cause: a holder that had just started knew neither the platform's list nor silent hosts as possible callers' hosts, and one that had the list from a peer did not know the listed hosts that it never heard. Both could have given up a model that those hosts need.

Ruled out: a fixed waiting time after the lease is acquired; it is too long after a quiet change and too short behind a cut.

Change: every name in the list's zone counts, and while no list is known every host that is known of the zone.

Figures: TestDemandOfUnknownHostsIsMissing fails before and passes after.

--- a/internal/membership/demand.go
+++ b/internal/membership/demand.go
@@ -11,7 +11,7 @@
 
 const (
 	// DemandMaxAge is how long what a host told of its demand counts. In a zone of
-	// 57 hosts with 28 models it is up to 79 s old in BenchmarkDemandOfAZone.
+	// 57 hosts with 28 models it was up to 88 s old in BenchmarkDemandOfAZone.
 	DemandMaxAge = 2 * time.Minute
 	// maxDemandPairs bounds the pairs of class and model in a message, where each
 	// host counts as demandRowPairs more for the rest of its row. A message always
@@ -173,12 +173,19 @@
 	return v
 }
 
+// mayRun tells whether a host of the zone is not known to be gone. A silent host
+// that the platform lists may only be cut off, and so may any host while the list
+// is not known.
+func (t *Table) mayRun(name string, now time.Time) bool {
+	h := t.hosts[name]
+	return h != nil && t.alive(h, now) || t.list.at.IsZero() || t.list.has(name)
+}
+
 // demandCounts tells whether what a host told is young enough and of its latest
-// start, and the host is not gone. A silent host that the platform lists may
-// only be cut off.
+// start, and the host is not gone.
 func (t *Table) demandCounts(name string, v *hostDemand, now time.Time) bool {
 	h := t.hosts[name]
-	return h != nil && h.id == v.id && now.Sub(v.at) <= DemandMaxAge && (t.alive(h, now) || t.list.has(name))
+	return h != nil && h.id == v.id && now.Sub(v.at) <= DemandMaxAge && t.mayRun(name, now)
 }
 
 // Demand returns the demand of the own zone, each host counted once.
@@ -192,18 +199,30 @@
 			out.TokensPerSecond[o] += decodeRate(rate)
 		}
 	}
-	for name, h := range t.hosts {
-		if h.state.AvailabilityZone != t.opts.Zone || h.state.State == rpc.State_STATE_LEAVING || !t.alive(h, now) && !t.list.has(name) {
-			continue
-		}
+	for _, name := range t.demandSources(now) {
 		if v := t.demands.hosts[name]; v == nil || !t.demandCounts(name, v, now) {
 			out.Missing = append(out.Missing, name)
 		}
 	}
-	slices.Sort(out.Missing)
 	return out
 }
 
+// demandSources returns the hosts of the zone that callers may use: those that
+// are listed or known here, that are not leaving and not known to be gone.
+func (t *Table) demandSources(now time.Time) []string {
+	names := slices.Clone(t.list.zones[t.opts.Zone])
+	for name, h := range t.hosts {
+		if h.state.AvailabilityZone == t.opts.Zone && t.mayRun(name, now) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return slices.DeleteFunc(slices.Compact(names), func(name string) bool {
+		h := t.hosts[name]
+		return h != nil && h.state.State == rpc.State_STATE_LEAVING
+	})
+}
+
 // forgetDemand drops the demand of hosts that are gone.
 func (t *Table) forgetDemand(now time.Time) {
 	for name, v := range t.demands.hosts {
--- a/internal/membership/demand_test.go
+++ b/internal/membership/demand_test.go
@@ -100,6 +100,19 @@
 	require.Empty(t, n.hosts["z0-h0"].Demand(n.now).Missing, "the platform no longer lists it")
 }
 
+// Guards against a host that takes over without having heard of all hosts of its
+// zone: from its settings, or from a peer that told the platform's list.
+func TestDemandOfUnknownHostsIsMissing(t *testing.T) {
+	n := demandZone(t, 3)
+	n.down["z0-h2"] = true
+	n.runDemand(10 * time.Second)
+	holder := n.hosts["z0-h0"]
+	require.Equal(t, []string{"z0-h2"}, holder.Demand(n.now).Missing)
+	n.hosts["z0-h1"].ApplyList(listOf([]string{"z0-h0", "z0-h1", "z0-h7"}), n.now)
+	n.runDemand(10 * time.Second)
+	require.Equal(t, []string{"z0-h7"}, holder.Demand(n.now).Missing)
+}
+
 // Guards against a message without a bound, and against hosts whose demand
 // does not arrive.
 func TestDemandOfALargerZoneIsKnown(t *testing.T) {
