Let the claim log's property test give claims back

Cause: the property test covered releases and outcomes, but no give-back of an attempt before or during its claim.

Change: a step gives the newest claim back, also while its host is paused in a store call, and a claim may be overtaken by its give-back. An attempt whose give-back is in the log must not be granted, and its key must be free at the end.

--- a/internal/claims/log_test.go
+++ b/internal/claims/log_test.go
@@ -29,12 +29,14 @@
 	serial  int
 	holders map[key]string // claims granted and not released
 	granted []record
-	stuck   map[key]bool // keys whose release was lost with a host
+	stuck   map[key]bool    // keys whose release was lost with a host
+	newest  record          // of the newest claim
+	given   map[string]bool // attempts given back, to whether that is in the log
 }
 
 func newLogWorld(t *rapid.T, hosts int) *logWorld {
 	_, client := newPlatform()
-	w := &logWorld{t: t, clock: clockwork.NewFakeClock(), store: client, faulty: true, holders: make(map[key]string), stuck: make(map[key]bool), voids: make([][]record, hosts), busy: make([]bool, hosts)}
+	w := &logWorld{t: t, clock: clockwork.NewFakeClock(), store: client, faulty: true, holders: make(map[key]string), stuck: make(map[key]bool), given: make(map[string]bool), voids: make([][]record, hosts), busy: make([]bool, hosts)}
 	for range hosts {
 		w.hosts = append(w.hosts, w.newHost())
 	}
@@ -83,6 +85,11 @@
 		}
 	case 3, 4:
 		w.recordOutcome()
+	case 5:
+		// The claim is in progress when this step runs in a pause of its host.
+		if w.holders[w.newest.Key] != w.newest.Claim && w.serial > 0 {
+			w.giveBack(w.newest)
+		}
 	default:
 		if i, ok := w.idleHost(); ok {
 			w.claim(i, testKey(rapid.IntRange(0, 5).Draw(w.t, "key")))
@@ -110,6 +117,12 @@
 func (w *logWorld) claim(host int, k key) rpc.ClaimResult {
 	w.serial++
 	r := record{Key: k, Claim: fmt.Sprintf("a%d.n", w.serial), Host: "h"}
+	w.newest = r
+	overtaken := w.faulty && rapid.IntRange(0, 7).Draw(w.t, "overtaken") == 0
+	if overtaken {
+		w.giveBack(r)
+	}
+	final := overtaken && w.given[attemptOf(r.Claim)]
 	claim := testOperation(r)
 	claim.release = func(o *operation) {
 		r := o.record
@@ -132,6 +145,12 @@
 	}
 	response, _ := claim.decided()
 	if response.Result == rpc.ClaimResult_CLAIM_RESULT_GRANTED {
+		if final {
+			w.t.Fatalf("%s granted after it was given back", r.Claim)
+		}
+		if _, given := w.given[attemptOf(r.Claim)]; given {
+			return response.Result // the router does not run it
+		}
 		if holder, held := w.holders[k]; held {
 			w.t.Fatalf("key %x granted to %s while %s holds it", k, r.Claim, holder)
 		}
@@ -141,6 +160,22 @@
 	return response.Result
 }
 
+// giveBack does what a router does that got no answer to a claim.
+func (w *logWorld) giveBack(r record) {
+	attempt := attemptOf(r.Claim)
+	if w.given[attempt] {
+		return
+	}
+	host, ok := w.idleHost()
+	if !ok {
+		return
+	}
+	w.given[attempt] = false
+	r.Claim, r.Outcome = attempt, outcomeNotRun
+	w.given[attempt] = w.append(host, []*operation{testOperation(r)}) == nil
+	w.stuck[r.Key] = w.stuck[r.Key] || !w.given[attempt]
+}
+
 // recordOutcome writes the outcome of a granted claim through any host. A key
 // may be granted again from the moment its release is sent.
 func (w *logWorld) recordOutcome() {
