--- a/internal/bench/controlcost/cluster.go
+++ b/internal/bench/controlcost/cluster.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,7 @@
 	store    *rollout.Store
 	routers  []*router
 	peers    map[string]bool // addresses of peer listeners
+	address  string          // of the platform
 	programs sync.WaitGroup
 	traffic  traffic
 	changes  int
@@ -66,6 +68,7 @@
 	peerBytes     atomic.Uint64 // both directions; each byte is sent by one host and received by one
 	otherSent     atomic.Uint64 // to the platform and to replicas
 	otherReceived atomic.Uint64
+	platformBytes atomic.Uint64 // part of otherReceived
 	messages      atomic.Uint64
 }
 
@@ -89,10 +92,14 @@
 		return c, err
 	}
 	c.store = &rollout.Store{Platform: platform.NewClient("http://"+url, &http.Client{}), Operators: operators}
+	c.address = url
 	replicas, err := c.serveReplicas()
 	if err != nil {
 		return c, err
 	}
+	for i := range replicas {
+		c.list.Upstreams = append(c.list.Upstreams, platform.Upstream{Upstream: "models", Replica: replicaName(i), State: "live"})
+	}
 	c.makeBundles(replicas)
 	return c, c.startHosts(ctx, url, public)
 }
@@ -181,16 +188,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: conn, traffic: &c.traffic, peer: c.peers[address]}, nil
+	return &countedConn{Conn: conn, traffic: &c.traffic, peer: c.peers[address], platform: address == c.address}, nil
 }
 
 // countedConn counts a message at each change from reading to writing, which is
 // where a client sends its next request.
 type countedConn struct {
 	net.Conn
-	traffic *traffic
-	peer    bool
-	sending atomic.Bool
+	traffic  *traffic
+	peer     bool
+	platform bool
+	sending  atomic.Bool
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
@@ -208,6 +216,9 @@
 		c.sending.Store(false)
 	}
 	c.count(&c.traffic.otherReceived, n)
+	if c.platform {
+		c.traffic.platformBytes.Add(uint64(n))
+	}
 	return n, err
 }
 
@@ -219,13 +230,14 @@
 }
 
 type totals struct {
-	sent, received, messages, views, platform uint64
+	sent, received, fromPlatform, messages, views, platform uint64
 }
 
 func (c *cluster) totals() totals {
 	peer := c.traffic.peerBytes.Load()
 	t := totals{
 		sent: peer + c.traffic.otherSent.Load(), received: peer + c.traffic.otherReceived.Load(), messages: c.traffic.messages.Load(),
+		fromPlatform: c.traffic.platformBytes.Load(),
 	}
 	for _, r := range c.routers {
 		t.views += r.views.Load()
@@ -244,7 +256,8 @@
 // took until no router had it as live.
 func (c *cluster) leave(limit time.Duration) (time.Duration, error) {
 	list := c.list
-	list.Upstreams = []platform.Upstream{{Upstream: "models", Replica: replicaName(0), State: "leaving"}}
+	list.Upstreams = slices.Clone(list.Upstreams)
+	list.Upstreams[0].State = "leaving"
 	c.platform.SetHosts(list)
 	return c.await(limit, func(r *router) bool { return r.firstReplica.Load() != int64(rpc.State_STATE_LIVE) })
 }
--- a/internal/bench/controlcost/measure.go
+++ b/internal/bench/controlcost/measure.go
@@ -24,6 +24,7 @@
 	memoryMB        float64
 	sentBytes       float64 // per second
 	receivedBytes   float64 // per second
+	watcherBytes    float64 // received from the platform per second and watcher
 	messages        float64 // calls opened per second
 	platformCalls   float64 // per second, all hosts together
 	inForceSeconds  float64 // greatest over hosts and changes
@@ -45,6 +46,7 @@
 		{"memory_per_host", r.memoryMB, "MB"},
 		{"bytes_sent_per_host", r.sentBytes, "B/s"},
 		{"bytes_received_per_host", r.receivedBytes, "B/s"},
+		{"bytes_from_platform_per_watcher", r.watcherBytes, "B/s"},
 		{"messages_per_host", r.messages, "1/s"},
 		{"platform_calls_total", r.platformCalls, "1/s"},
 		{"bundle_in_force", r.inForceSeconds, "s"},
@@ -96,7 +98,6 @@
 	if err := c.change(ctx, r); err != nil {
 		return nil, err
 	}
-	r.watchingHosts = c.watching(ctx)
 	leaving, err := c.leave(eventTimeout)
 	r.leavingSeconds = leaving.Seconds()
 	return r, err
@@ -125,6 +126,8 @@
 	r.viewsPerSecond = float64(after.views-before.views) * perHost
 	r.platformCalls = float64(after.platform-before.platform) / elapsed
 	r.viewLoadSeconds = c.reportAge().Seconds()
+	r.watchingHosts = c.watching(ctx)
+	r.watcherBytes = float64(after.fromPlatform-before.fromPlatform) / elapsed / max(r.watchingHosts, 1)
 	return nil
 }
 
