Read the list of hosts only when it changed

Cause: each zone's two watchers read the whole list every second, 74 KB at 400 hosts and 600 replicas, over the 14 KB/s that control may use.

Ruled out: a long-poll watch of the list. The read of each second also shows within 1.5 s that the platform does not answer this host, and hands the watch over; a wait of 10 s would hide that. It would also need a protocol for differences of the list.

Change: the list has an entity tag. The client sends the known one as If-None-Match; on 304 the provider applies the list it has once more, so that the table sees exactly what it saw before. The list is read whole at the first read, after a change and otherwise every 2 minutes, in case a platform calls a changed list unchanged. Reads from the platform accept gzip.

A list that changes each second still costs 4.9 KB/s.

--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -19,6 +19,10 @@
 	platformSource = "platform"
 	// hostsInterval is how often each of a zone's watchers reads the host list.
 	hostsInterval = time.Second
+	// wholeListInterval bounds how long a list that the platform wrongly calls
+	// unchanged stays in use. A whole list has 75 KB at 400 hosts and 600
+	// replicas (5 KB compressed), which makes 0.6 KB/s at most.
+	wholeListInterval = 2 * time.Minute
 	// hostsTimeout is how long one read may take before another host should try,
 	// and slowTimeout how long it may take at all. Two errors in a row hand the
 	// watch to the next host in rank as well.
@@ -42,6 +46,7 @@
 	store    *rollout.Store
 	bus      *bus.Bus
 	loop     *Loop
+	list     knownList
 	failures int
 	backoff  time.Duration
 	retryAt  time.Time
@@ -241,7 +246,7 @@
 	defer cancel()
 	begin := time.Now()
 	late := time.AfterFunc(hostsTimeout, func() { _ = p.bus.Publish(PlatformProbed{Failed: true}) })
-	list, err := p.store.Platform.Hosts(read)
+	list, err := p.list.read(read, p.store.Platform, begin)
 	late.Stop()
 	if err == nil {
 		_ = p.bus.Publish(HostsReceived{List: list})
@@ -267,6 +272,29 @@
 	}
 }
 
+// knownList is the host list that the platform gave last. Only followHosts uses it.
+type knownList struct {
+	list    platform.HostList
+	wholeAt time.Time // when the list was last read whole
+}
+
+// read asks for the list unless it still has the known version. An unchanged
+// list is returned as well: it was confirmed now, and the table counts its age.
+func (k *knownList) read(ctx context.Context, client *platform.Client, now time.Time) (platform.HostList, error) {
+	known := k.list.Version
+	if now.Sub(k.wholeAt) >= wholeListInterval {
+		known = ""
+	}
+	list, err := client.Hosts(ctx, known)
+	if errors.Is(err, platform.ErrNotModified) {
+		return k.list, nil
+	}
+	if err == nil {
+		k.list, k.wholeAt = list, now
+	}
+	return list, err
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -208,15 +208,15 @@
 }
 
 func (p *Program) clients() (*clients, error) {
-	toPlatform, _, err := p.client(p.settings.PlatformTLS, idleToPlatform)
+	toPlatform, _, err := p.client(tlsconf.TransportOptions{TLS: p.settings.PlatformTLS, IdlePerHost: idleToPlatform, Compress: true})
 	if err != nil {
 		return nil, err
 	}
-	internal, scheme, err := p.client(p.settings.InternalTLS, idlePerPeer)
+	internal, scheme, err := p.client(tlsconf.TransportOptions{TLS: p.settings.InternalTLS, IdlePerHost: idlePerPeer})
 	if err != nil {
 		return nil, err
 	}
-	upstream, upstreamScheme, err := p.client(p.settings.UpstreamTLS, 1)
+	upstream, upstreamScheme, err := p.client(tlsconf.TransportOptions{TLS: p.settings.UpstreamTLS, IdlePerHost: 1})
 	if err != nil {
 		return nil, err
 	}
@@ -226,10 +226,9 @@
 	}, nil
 }
 
-func (p *Program) client(files tlsconf.Files, idle int) (*http.Client, string, error) {
-	transport, scheme, err := tlsconf.NewTransport(tlsconf.TransportOptions{
-		TLS: files, IdlePerHost: idle, Dial: p.dial, Translations: p.settings.Translations,
-	})
+func (p *Program) client(o tlsconf.TransportOptions) (*http.Client, string, error) {
+	o.Dial, o.Translations = p.dial, p.settings.Translations
+	transport, scheme, err := tlsconf.NewTransport(o)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -251,7 +251,7 @@
 func (c *cluster) startWith(change func(b *bundle.Bundle)) {
 	c.t.Helper()
 	c.eventually("the platform answers", readyTimeout, func() bool {
-		_, err := c.store.Platform.Hosts(context.Background())
+		_, err := c.store.Platform.Hosts(context.Background(), "")
 		return err == nil
 	})
 	first := c.bundle(10)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -35,6 +35,8 @@
 	// or that the call was held back after such an answer: nothing was done. It is
 	// an ErrUnavailable too.
 	ErrRateLimited = fmt.Errorf("rate limit: %w", ErrUnavailable)
+	// ErrNotModified means that the list of hosts still has the known version.
+	ErrNotModified = errors.New("list not modified")
 )
 
 // MaxValueBytes is the largest value that the platform holds.
@@ -72,6 +74,8 @@
 type HostList struct {
 	Hosts     []Host     `json:"hosts"`
 	Upstreams []Upstream `json:"upstreams"`
+	// Version is the entity tag of the list; empty when the platform gave none.
+	Version string `json:"-"`
 }
 
 // Client calls the platform.
@@ -129,10 +133,12 @@
 	return out.Objects, err
 }
 
-// Hosts returns the platform's list of hosts.
-func (c *Client) Hosts(ctx context.Context) (HostList, error) {
+// Hosts returns the platform's list of hosts, or ErrNotModified when the list
+// still has the known version. With an empty version the list is read whole.
+func (c *Client) Hosts(ctx context.Context, known string) (HostList, error) {
 	var out HostList
-	err := c.read(ctx, "/v1/hosts", &out)
+	header, err := c.readIfChanged(ctx, "/v1/hosts", known, &out)
+	out.Version = header.Get("ETag")
 	return out, err
 }
 
@@ -157,25 +163,37 @@
 }
 
 func (c *Client) read(ctx context.Context, path string, out any) error {
+	_, err := c.readIfChanged(ctx, path, "", out)
+	return err
+}
+
+// readIfChanged returns the answer's header. A version, unless empty, makes the
+// read conditional.
+func (c *Client) readIfChanged(ctx context.Context, path, version string, out any) (http.Header, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return eris.Wrap(err, "build platform request")
+		return nil, eris.Wrap(err, "build platform request")
+	}
+	if version != "" {
+		request.Header.Set("If-None-Match", version)
 	}
-	status, body, err := c.do(request)
+	response, body, err := c.do(request)
 	switch {
 	case errors.Is(err, ErrRateLimited):
-		return eris.Wrapf(err, "GET %s", path)
+		return nil, eris.Wrapf(err, "GET %s", path)
 	case err != nil:
-		return eris.Wrapf(ErrUnavailable, "GET %s: %v", path, err)
-	case status == http.StatusNotFound:
-		return ErrNotFound
-	case status != http.StatusOK:
-		return eris.Wrapf(ErrUnavailable, "GET %s: status %d", path, status)
+		return nil, eris.Wrapf(ErrUnavailable, "GET %s: %v", path, err)
+	case response.StatusCode == http.StatusNotFound:
+		return nil, ErrNotFound
+	case response.StatusCode == http.StatusNotModified && version != "":
+		return nil, ErrNotModified
+	case response.StatusCode != http.StatusOK:
+		return nil, eris.Wrapf(ErrUnavailable, "GET %s: status %d", path, response.StatusCode)
 	}
 	if err := json.Unmarshal(body, out); err != nil {
-		return eris.Wrapf(ErrUnavailable, "GET %s: %v", path, err)
+		return nil, eris.Wrapf(ErrUnavailable, "GET %s: %v", path, err)
 	}
-	return nil
+	return response.Header, nil
 }
 
 func (c *Client) write(ctx context.Context, method, kind, name, header, condition string, value any) (Object, error) {
@@ -195,14 +213,14 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(header, condition)
-	status, body, err := c.do(request)
+	response, body, err := c.do(request)
 	if errors.Is(err, ErrRateLimited) {
 		return Object{}, eris.Wrapf(err, "%s %s/%s", method, kind, name)
 	}
 	if err != nil {
 		return Object{}, eris.Wrapf(ErrUncertain, "%s %s/%s: %v", method, kind, name, err)
 	}
-	switch status {
+	switch response.StatusCode {
 	case http.StatusOK, http.StatusCreated:
 		var o Object
 		if err := json.Unmarshal(body, &o); err != nil {
@@ -214,24 +232,25 @@
 	case http.StatusNotFound:
 		return Object{}, ErrNotFound
 	default:
-		return Object{}, eris.Wrapf(ErrUncertain, "%s %s/%s: status %d", method, kind, name, status)
+		return Object{}, eris.Wrapf(ErrUncertain, "%s %s/%s: status %d", method, kind, name, response.StatusCode)
 	}
 }
 
-// do makes a call. An error that is ErrRateLimited means that nothing was done.
-func (c *Client) do(request *http.Request) (int, []byte, error) {
+// do makes a call and reads the answer, whose body is closed already. An error
+// that is ErrRateLimited means that nothing was done.
+func (c *Client) do(request *http.Request) (*http.Response, []byte, error) {
 	if err := c.limits.wait(request.Context(), request.Method); err != nil {
-		return 0, nil, err
+		return nil, nil, err
 	}
 	c.calls.Add(1)
 	response, err := c.http.Do(request)
 	if err != nil {
-		return 0, nil, err
+		return nil, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return 0, nil, err
+		return nil, nil, err
 	}
 	// A proxy or a broken platform may answer 5xx: that is no sign of life.
 	if response.StatusCode < http.StatusInternalServerError {
@@ -239,7 +258,7 @@
 	}
 	if response.StatusCode == http.StatusTooManyRequests {
 		c.limits.note(request.Method, response.Header)
-		return 0, nil, ErrRateLimited
+		return nil, nil, ErrRateLimited
 	}
-	return response.StatusCode, body, nil
+	return response, body, nil
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -14,7 +15,9 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 	"golang.org/x/time/rate"
 
 	client "heatherbarrow/internal/platform"
@@ -25,6 +28,8 @@
 	// watchWait is how long a watch waits before it returns without events.
 	watchWait = 10 * time.Second
 
+	gzipLevel = 5
+
 	defaultReadsPerSecond  = 2000
 	defaultWritesPerSecond = 300
 )
@@ -53,17 +58,24 @@
 	objects map[string]client.Object // by kind and name
 	version uint64
 	changed chan struct{} // closed at each change
-	hosts   client.HostList
+	hosts   hostsAnswer
 	faults  Faults
 	counts  Counts
 	reads   *rate.Limiter
 	writes  *rate.Limiter
 }
 
+// hostsAnswer is the list of hosts as it is sent, with its entity tag.
+type hostsAnswer struct {
+	body []byte
+	tag  string
+}
+
 // New returns an empty platform.
 func New() *Server {
 	s := &Server{objects: make(map[string]client.Object), changed: make(chan struct{})}
 	s.SetRates(0, 0)
+	s.SetHosts(client.HostList{})
 	return s
 }
 
@@ -92,7 +104,7 @@
 		r.Put("/objects/{kind}/{name}", s.put)
 		r.Delete("/objects/{kind}/{name}", s.delete)
 		r.Get("/watch/{kind}", s.watch)
-		r.Get("/hosts", s.getHosts)
+		r.With(middleware.Compress(gzipLevel, "application/json")).Get("/hosts", s.getHosts)
 	})
 	r.Put("/admin/faults", admin.Put(s.SetFaults))
 	r.Put("/admin/hosts", admin.Put(s.SetHosts))
@@ -110,9 +122,15 @@
 
 // SetHosts sets the list of hosts.
 func (s *Server) SetHosts(hosts client.HostList) {
+	body, err := json.Marshal(hosts)
+	if err != nil {
+		panic(err) // strings alone always encode
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hosts = hosts
+	// A tag made from the content also differs after a restart of the stand-in.
+	// It is weak, because it stands for the list with and without compression.
+	s.hosts = hostsAnswer{body: body, tag: fmt.Sprintf(`W/"%016x"`, xxhash.Sum64(body))}
 }
 
 // Counts returns the calls so far.
@@ -314,9 +332,15 @@
 	}
 }
 
-func (s *Server) getHosts(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) getHosts(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	hosts := s.hosts
 	s.mu.Unlock()
-	admin.WriteJSON(w, hosts)
+	w.Header().Set("ETag", hosts.tag)
+	if r.Header.Get("If-None-Match") == hosts.tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(hosts.body)
 }
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -90,3 +93,69 @@
 	require.ErrorIs(t, err, client.ErrUnavailable)
 	require.EqualValues(t, 1, s.Counts().Limited)
 }
+
+// Guards against a list that is sent whole to a reader who has it, and against a
+// change that such a reader does not see.
+func TestHostsAreSentWhenTheyChanged(t *testing.T) {
+	s, c := start(t)
+	ctx := context.Background()
+	s.SetHosts(client.HostList{Hosts: []client.Host{{Name: "a", State: "live"}}})
+	first, err := c.Hosts(ctx, "")
+	require.NoError(t, err)
+	_, err = c.Hosts(ctx, first.Version)
+	require.ErrorIs(t, err, client.ErrNotModified)
+	s.SetHosts(client.HostList{Hosts: []client.Host{{Name: "a", State: "leaving"}}})
+	second, err := c.Hosts(ctx, first.Version)
+	require.NoError(t, err)
+	require.Equal(t, "leaving", second.Hosts[0].State)
+	s.SetFaults(Faults{Down: true})
+	_, err = c.Hosts(ctx, second.Version)
+	require.ErrorIs(t, err, client.ErrUnavailable)
+}
+
+// BenchmarkHosts measures the bytes received for a read of the list at the
+// target scale, whole and unchanged.
+func BenchmarkHosts(b *testing.B) {
+	var list client.HostList
+	for i := range 400 {
+		zone := fmt.Sprintf("zone%d", i%7)
+		list.Hosts = append(list.Hosts, client.Host{Name: fmt.Sprintf("host%03d", i), AvailabilityZone: zone, PeerAddress: fmt.Sprintf("10.0.%d.%d:7201", i/250, i%250), State: "live"})
+	}
+	for i := range 600 {
+		list.Upstreams = append(list.Upstreams, client.Upstream{Upstream: "models", Replica: fmt.Sprintf("replica%03d", i), State: "live"})
+	}
+	s := New()
+	s.SetRates(1e9, 1e9)
+	s.SetHosts(list)
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	received := 0
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countedConn{Conn: conn, received: &received}, err
+	}
+	c := client.NewClient(server.URL, &http.Client{Transport: &http.Transport{DialContext: dial}})
+	whole, err := c.Hosts(context.Background(), "")
+	require.NoError(b, err)
+	for name, version := range map[string]string{"whole": "", "unchanged": whole.Version} {
+		b.Run(name, func(b *testing.B) {
+			received = 0
+			for b.Loop() {
+				_, err := c.Hosts(context.Background(), version)
+				require.Equal(b, version != "", errors.Is(err, client.ErrNotModified))
+			}
+			b.ReportMetric(float64(received)/float64(b.N), "B/read")
+		})
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	received *int
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	*c.received += n
+	return n, err
+}
--- a/internal/tlsconf/http.go
+++ b/internal/tlsconf/http.go
@@ -21,6 +21,8 @@
 	ConnsPerHost int // greatest number of connections to one address; 0 is without bound
 	IdlePerHost  int
 	BufferBytes  int // read and write buffer of each connection; 0 is net/http's default
+	// Compress lets servers send gzip, which the transport decompresses.
+	Compress bool
 	// NoKeepAlive makes a new connection for every request. net/http never sends
 	// a request again by itself on a new connection.
 	NoKeepAlive bool
@@ -46,7 +48,7 @@
 		MaxConnsPerHost:     o.ConnsPerHost,
 		MaxIdleConnsPerHost: o.IdlePerHost,
 		IdleConnTimeout:     idleLifetime,
-		DisableCompression:  true,
+		DisableCompression:  !o.Compress,
 		DisableKeepAlives:   o.NoKeepAlive,
 		ReadBufferSize:      o.BufferBytes,
 		WriteBufferSize:     o.BufferBytes,
