Average the age of reports over all views

The bench gave the median age of one view at the end of each run, which moved by 0.2 s between runs and depends on whether replicas are polled together.

--- a/internal/bench/controlcost/cluster.go
+++ b/internal/bench/controlcost/cluster.go
@@ -230,7 +230,7 @@
 }
 
 type totals struct {
-	sent, received, fromPlatform, messages, views, platform uint64
+	sent, received, fromPlatform, messages, views, reportAge, platform uint64
 }
 
 func (c *cluster) totals() totals {
@@ -241,6 +241,7 @@
 	}
 	for _, r := range c.routers {
 		t.views += r.views.Load()
+		t.reportAge += r.reportAge.Load()
 	}
 	counts := c.platform.Counts()
 	t.platform = counts.Reads + counts.Writes + counts.Watches
--- a/internal/bench/controlcost/measure.go
+++ b/internal/bench/controlcost/measure.go
@@ -31,7 +31,7 @@
 	leavingSeconds  float64 // greatest over hosts
 	viewsPerSecond  float64
 	watchingHosts   float64 // all zones together
-	viewLoadSeconds float64 // median age of the replicas' reports in the views
+	viewLoadSeconds float64 // mean over all views of the mean age of their reports
 }
 
 type metric struct {
@@ -125,7 +125,7 @@
 	r.messages = float64(after.messages-before.messages) * perHost
 	r.viewsPerSecond = float64(after.views-before.views) * perHost
 	r.platformCalls = float64(after.platform-before.platform) / elapsed
-	r.viewLoadSeconds = c.reportAge().Seconds()
+	r.viewLoadSeconds = float64(after.reportAge-before.reportAge) / float64(max(after.views-before.views, 1)) / 1000
 	r.watchingHosts = c.watching(ctx)
 	r.watcherBytes = float64(after.fromPlatform-before.fromPlatform) / elapsed / max(r.watchingHosts, 1)
 	return nil
--- a/internal/bench/controlcost/router.go
+++ b/internal/bench/controlcost/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,8 +30,8 @@
 	operator     rpc.Operator
 	generation   atomic.Uint64
 	views        atomic.Uint64
-	firstReplica atomic.Int64 // state of the first replica
-	reportAge    atomic.Int64 // median over the own zone's replicas, in ms
+	firstReplica atomic.Int64  // state of the first replica
+	reportAge    atomic.Uint64 // sum over the views of the mean age of the own zone's reports, in ms
 }
 
 func newRouter(feed, operator string, zone, zones int) *router {
@@ -65,18 +64,18 @@
 
 func (r *router) take(v *rpc.View) {
 	r.views.Add(1)
-	ages := make([]uint32, 0, len(v.Replicas))
+	var sum, reports uint64
 	for i, replica := range v.Replicas {
 		if replica.HasLoad && i%r.zones == r.zone {
-			ages = append(ages, replica.ReportAgeMs)
+			sum += uint64(replica.ReportAgeMs)
+			reports++
 		}
 	}
 	if len(v.Replicas) > 0 {
 		r.firstReplica.Store(int64(v.Replicas[0].State))
 	}
-	if len(ages) > 0 {
-		slices.Sort(ages)
-		r.reportAge.Store(int64(ages[len(ages)/2]))
+	if reports > 0 {
+		r.reportAge.Add(sum / reports)
 	}
 }
 
@@ -94,15 +93,6 @@
 	}
 }
 
-func (c *cluster) reportAge() time.Duration {
-	ages := make([]int64, len(c.routers))
-	for i, r := range c.routers {
-		ages[i] = r.reportAge.Load()
-	}
-	slices.Sort(ages)
-	return time.Duration(ages[len(ages)/2]) * time.Millisecond
-}
-
 func (c *cluster) watching(ctx context.Context) float64 {
 	watching := 0.0
 	for _, r := range c.routers {
