Poll the load of several replicas in one go

With 3 replicas it was 0.71%, so the polls of 32 replicas a second and host made up the larger part. In a profile, decoding the reports is 2% of the CPU time; each poll had a goroutine, a timer, the two goroutines of its connection and an event for the control goroutine, all woken on an idle machine.

Longer intervals would make reports older.

Change: each second's calls are made in four groups, one after the other within a group, and a group's observations reach the control goroutine as one event. A replica that fails or takes over 100 ms is called alone for ten rounds, and the rest of its group at once, so that timeouts never add up.

--- a/internal/control/fuzz_test.go
+++ b/internal/control/fuzz_test.go
@@ -150,7 +150,7 @@
 		}
 		l, clock := fuzzLoop(t)
 		observation := membership.Observation{Upstream: "models", Replica: "e1", At: clock.Now(), Reachable: true}
-		require.True(t, (&LoadObserver{}).note(&history{boot: "b0"}, report, &observation))
+		require.True(t, (&history{boot: "b0"}).note(report, &observation))
 		require.Equal(t, report.TokensPerSecond >= 1, observation.TokensPerSecond > 0)
 		require.GreaterOrEqual(t, observation.Lag, time.Duration(0))
 		require.LessOrEqual(t, observation.Lag, maxReportAge)
--- a/internal/control/observer.go
+++ b/internal/control/observer.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"heatherbarrow/internal/bundle"
@@ -21,6 +21,13 @@
 const (
 	observeInterval = time.Second
 	observeTimeout  = 800 * time.Millisecond
+	// pollGroups is the number of groups in which the replicas are called in each
+	// interval.
+	pollGroups = 4
+	// slowAnswer is the time of a call after which a replica is called alone for
+	// roundsAlone rounds.
+	slowAnswer  = 100 * time.Millisecond
+	roundsAlone = 10
 	// failuresToReport is the number of failed calls in a row after which an
 	// observer tells; the table also waits for the other observer.
 	failuresToReport = 3
@@ -51,15 +58,17 @@
 
 	bus      *bus.Bus
 	loop     *Loop
-	mu       sync.Mutex
-	observed map[Target]*history
+	observed map[Target]*history // used by poll's goroutine alone
 }
 
 // history is what the observer remembers of a replica.
 type history struct {
+	target   Target
 	failures int
 	boot     string
-	round    int // last round in which the replica was a target
+	alone    int         // rounds in which it is not called in a group
+	calling  atomic.Bool // a poll is under way; it alone uses the fields above
+	unwanted int         // rounds without being a target
 }
 
 // Name implements kernel.Service.
@@ -81,68 +90,113 @@
 // Start implements kernel.Starter.
 func (o *LoadObserver) Start(ctx context.Context) error {
 	go func() {
-		for round := 1; ctx.Err() == nil; round++ {
-			o.poll(ctx, round)
-			pause(ctx, observeInterval)
+		for ctx.Err() == nil {
+			o.poll(ctx)
 		}
 	}()
 	return nil
 }
 
-// poll starts one call to each target, spread over half the interval.
-func (o *LoadObserver) poll(ctx context.Context, round int) {
+// poll calls each target once in an interval with jitter, so that the two
+// observers of a replica do not stay in step. The calls are made in a few groups,
+// one after the other within a group: what a call costs is mostly the waking of
+// idle threads and the event for the control goroutine, which a group shares.
+func (o *LoadObserver) poll(ctx context.Context) {
+	o.follow()
+	groups := o.groups(ctx)
+	for i := range pollGroups {
+		if len(groups[i]) > 0 {
+			go o.observe(ctx, groups[i])
+		}
+		pause(ctx, (observeInterval*3/4+rand.N(observeInterval/2))/pollGroups)
+	}
+}
+
+// follow brings the remembered replicas in line with the targets. A replica that
+// is no target any more is kept for some rounds, so that a restart of its engine
+// shows when it becomes one again.
+func (o *LoadObserver) follow() {
+	const keptRounds = 10
+	for _, h := range o.observed {
+		h.unwanted++
+	}
 	for _, target := range o.loop.State().Topology.Targets {
-		h := o.history(target, round)
-		go func() {
-			pause(ctx, rand.N(observeInterval/2))
-			if ctx.Err() == nil {
-				o.observe(ctx, target, h)
-			}
-		}()
+		h := o.observed[target]
+		if h == nil {
+			h = &history{target: target}
+			o.observed[target] = h
+		}
+		h.unwanted = 0
+	}
+	for target, h := range o.observed {
+		if h.unwanted > keptRounds {
+			delete(o.observed, target)
+		}
 	}
-	o.forget(round)
 }
 
-func (o *LoadObserver) history(target Target, round int) *history {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	h := o.observed[target]
-	if h == nil {
-		h = &history{}
-		o.observed[target] = h
+// groups distributes the targets over the groups of a round and starts the calls
+// of those that may take long, which would hold up the others of their group.
+func (o *LoadObserver) groups(ctx context.Context) (groups [pollGroups][]*history) {
+	for i, target := range o.loop.State().Topology.Targets {
+		h := o.observed[target]
+		if h == nil || !h.calling.CompareAndSwap(false, true) {
+			continue // new since follow, or the last call still waits
+		}
+		if h.alone > 0 {
+			go o.observe(ctx, []*history{h})
+			continue
+		}
+		groups[i%pollGroups] = append(groups[i%pollGroups], h)
 	}
-	h.round = round
-	return h
+	return groups
 }
 
-func (o *LoadObserver) forget(round int) {
-	const keptRounds = 10
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for target, h := range o.observed {
-		if round-h.round > keptRounds {
-			delete(o.observed, target)
+// observe calls a group of replicas and reports what it learned of them. When one
+// is slow, the others are not kept waiting: with many silent replicas, as when a
+// rack fails, the timeouts of a group would add up.
+func (o *LoadObserver) observe(ctx context.Context, group []*history) {
+	var observations []membership.Observation
+	for i, h := range group {
+		observation, reported, prompt := o.observeOne(ctx, h)
+		if reported {
+			observations = append(observations, observation)
 		}
+		if !prompt {
+			for _, rest := range group[i+1:] {
+				go o.observe(ctx, []*history{rest})
+			}
+			break
+		}
+	}
+	if len(observations) > 0 && ctx.Err() == nil {
+		_ = o.bus.Publish(Observed{Observations: observations})
 	}
 }
 
-func (o *LoadObserver) observe(ctx context.Context, target Target, h *history) {
+// observeOne calls a replica and tells whether the result is worth reporting and
+// whether it came in time.
+func (o *LoadObserver) observeOne(ctx context.Context, h *history) (observation membership.Observation, reported, prompt bool) {
+	defer h.calling.Store(false)
 	at := time.Now()
-	report, err := o.call(ctx, target)
-	if ctx.Err() != nil {
-		return
-	}
-	observation := membership.Observation{Upstream: target.Upstream, Replica: target.Replica, At: at, Reachable: err == nil}
-	if !o.note(h, report, &observation) {
-		return
+	report, err := o.call(ctx, h.target)
+	prompt = err == nil && time.Since(at) < slowAnswer
+	h.rate(prompt)
+	observation = membership.Observation{Upstream: h.target.Upstream, Replica: h.target.Replica, At: at, Reachable: err == nil}
+	return observation, h.note(report, &observation), prompt
+}
+
+// rate keeps a replica that failed or was slow out of the groups for some rounds.
+func (h *history) rate(prompt bool) {
+	if !prompt {
+		h.alone = roundsAlone
+	} else if h.alone > 0 {
+		h.alone--
 	}
-	_ = o.bus.Publish(Observed{Observations: []membership.Observation{observation}})
 }
 
 // note completes the observation and tells whether it is worth reporting.
-func (o *LoadObserver) note(h *history, report *loadReport, observation *membership.Observation) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+func (h *history) note(report *loadReport, observation *membership.Observation) bool {
 	if !observation.Reachable {
 		h.failures++
 		return h.failures >= failuresToReport
