--- a/internal/tlsconf/http.go
+++ b/internal/tlsconf/http.go
@@ -107,12 +107,19 @@
 	return conn, nil
 }
 
-// Listen opens a listener, with TLS when the files are given.
-func Listen(ctx context.Context, address string, files Files) (net.Listener, error) {
+// Listen opens a listener, with TLS when the files are given. Each function of wrap
+// wraps every connection, below TLS.
+func Listen(ctx context.Context, address string, files Files, wrap ...func(net.Conn) net.Conn) (net.Listener, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil || !files.Enabled() {
-		return listener, err
+	if err != nil {
+		return nil, err
+	}
+	for _, w := range wrap {
+		listener = &wrappingListener{Listener: listener, wrap: w}
+	}
+	if !files.Enabled() {
+		return listener, nil
 	}
 	source, err := NewSource(files)
 	if err != nil {
@@ -121,3 +128,18 @@
 	}
 	return tls.NewListener(listener, source.Server()), nil
 }
+
+// wrappingListener wraps each connection that it accepts.
+type wrappingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *wrappingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
