Write the messages of net/http as bounded JSON lines

Cause: no http.Server had an ErrorLog, so failed TLS handshakes, panics of handlers and accept errors went to package log's logger as plain text among JSON lines, one for each connection of a port scanner. The transports of net/http use package log directly.

Change: telemetry.NewErrorLog gives a listener's server a logger that writes JSON with level and listener; telemetry.RedirectStandardLog does the same for package log in router and control. The stand-ins log the same way.

--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -81,6 +81,7 @@
 		if err != nil {
 			return err
 		}
+		telemetry.RedirectStandardLog(logger)
 		p.logger = &logger
 	}
 	clients, err := p.clients()
@@ -252,7 +253,7 @@
 // listener returns a service that serves the handler of the service it needs.
 func (p *Program) listener(name, address, needs string, handler func(r *kernel.Registry) (http.Handler, error)) *listen.Service {
 	return &listen.Service{
-		ServiceName: name, Address: address, TLS: p.settings.InternalTLS, Needs: []string{needs},
+		ServiceName: name, Address: address, TLS: p.settings.InternalTLS, Needs: []string{needs}, Logger: *p.logger,
 		Server: func(r *kernel.Registry) (*http.Server, error) {
 			h, err := handler(r)
 			return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}, err
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"heatherbarrow/internal/kernel"
+	"heatherbarrow/internal/telemetry"
 	"heatherbarrow/internal/tlsconf"
 )
 
@@ -20,6 +23,7 @@
 	Needs       []string      // names of the services that must be started before
 	// Server makes the server. It is called when the services in Needs are provisioned.
 	Server func(r *kernel.Registry) (*http.Server, error)
+	Logger zerolog.Logger // takes the messages of net/http
 
 	server      *http.Server
 	connections *connections
@@ -40,6 +44,7 @@
 		return err
 	}
 	s.connections = newConnections()
+	s.server.ErrorLog = telemetry.NewErrorLog(s.Logger, s.ServiceName)
 	s.server.ConnState = s.connections.setState
 	return nil
 }
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	telemetry.RedirectStandardLog(logger)
 	metrics := telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone)
 	defer func() { _ = metrics.Close() }()
 	server, err := p.newServer(logger, metrics)
@@ -76,10 +77,12 @@
 		&listen.Service{
 			ServiceName: "internal", Address: p.settings.InternalListen, TLS: p.settings.InternalTLS,
 			Server: func(*kernel.Registry) (*http.Server, error) { return internal, nil },
+			Logger: server.Logger,
 		},
 		&listen.Service{
 			ServiceName: "callers", Address: p.settings.Listen, TLS: p.settings.TLS, Needs: []string{"follow", "internal"},
 			Server: func(*kernel.Registry) (*http.Server, error) { return server.HTTPServer(), nil },
+			Logger: server.Logger,
 		},
 	}
 	for _, s := range services {
--- a/internal/standin/program.go
+++ b/internal/standin/program.go
@@ -5,16 +5,21 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"heatherbarrow/internal/settings"
 	"heatherbarrow/internal/standin/engine"
 	"heatherbarrow/internal/standin/platform"
 	"heatherbarrow/internal/standin/service"
+	"heatherbarrow/internal/telemetry"
 	"heatherbarrow/internal/tlsconf"
 )
 
 const (
+	programName          = "heatherbarrow-standin"
 	readHeaderTimeout    = 10 * time.Second
 	defaultSlots         = 16
 	defaultStepTime      = 20 * time.Millisecond
@@ -89,7 +94,10 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: p.handler(ctx), ReadHeaderTimeout: readHeaderTimeout}
+	logger := zerolog.New(os.Stderr).With().Timestamp().Str("program", programName).Str("role", p.settings.Role).Logger()
+	server := &http.Server{
+		Handler: p.handler(ctx), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: telemetry.NewErrorLog(logger, p.settings.Listen),
+	}
 	go func() {
 		<-ctx.Done()
 		_ = server.Close()
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -24,6 +25,29 @@
 	}
 }
 
+// Guards against messages of net/http that are no JSON, against a port scanner that
+// floods the log, and against its lines displacing a handler's panic.
+func TestErrorLogIsBoundedJSON(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := NewLogger(&out, "info", "p", "h", "z")
+	require.NoError(t, err)
+	errorLog := NewErrorLog(logger, "callers")
+	for range 100 {
+		errorLog.Printf("http: TLS handshake error from 10.0.0.1:5: EOF")
+	}
+	errorLog.Printf("http: panic serving 10.0.0.1:5: reason\nstack")
+	lines := bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n"))
+	require.Less(t, len(lines), 100)
+	var last map[string]any
+	for _, line := range lines {
+		clear(last)
+		require.NoError(t, json.Unmarshal(line, &last))
+		require.Equal(t, "callers", last["listener"])
+	}
+	require.Equal(t, "error", last["level"])
+	require.Contains(t, last["error"], "panic serving")
+}
+
 // Guards against a log level that is misspelt in the settings and ignored.
 func TestLoggerRefusesUnknownLevel(t *testing.T) {
 	_, err := NewLogger(&bytes.Buffer{}, "loud", "p", "h", "z")
