Show the state of each fingerprint in quarantine list

Cause: a fingerprint is listed from its first crash and refused from the second replica, but all rows stood under the heading QUARANTINED.

The time of the last crash follows from the expiry and quarantine_time.

Ruled out: showing isolated. Isolation is in one router's memory and reaches no control; to report it, the feed's messages need a field. A state computed by control would also need a field of the messages.

--- a/internal/hbctl/hbctl_test.go
+++ b/internal/hbctl/hbctl_test.go
@@ -225,6 +225,22 @@
 	require.Equal(t, cli.ExitFailure, code)
 }
 
+// Guards against a suspect that is shown as refused, and against a guess where the
+// zone's limit is not known.
+func TestQuarantineListShowsStates(t *testing.T) {
+	d := newDesk(t)
+	zone := &d.controls[0].status
+	zone.Bundle = &rpc.BundleRecord{Generation: 1, Sha256: d.approved("ana", "ben", d.bundle("1.json", "10s"))}
+	zone.Quarantine = append(zone.Quarantine, &rpc.QuarantineEntry{
+		Fingerprint: 0xcd, CrashedReplicas: []string{"models/e1", "models/e2"}, ExpiresUnixMs: time.Now().Add(30 * time.Minute).UnixMilli(),
+	})
+	out := strings.Join(strings.Fields(d.must("ana", "quarantine", "list")), " ")
+	require.Contains(t, out, "00000000000000ab suspect ate")
+	require.Contains(t, out, "00000000000000cd quarantined ate - models/e1,models/e2 30m0s 30m0s")
+	require.Contains(t, out, "00000000000000ab unknown callao - models/e1 - 1h0m0s")
+	require.Contains(t, d.must("ana", "quarantine", "list", "--json"), `"fingerprint":"00000000000000cd","state":"quarantined"`)
+}
+
 // Guards against a lookup that answers for another team's request.
 func TestLookupNeedsTheTeam(t *testing.T) {
 	d := newDesk(t)
--- a/internal/hbctl/status.go
+++ b/internal/hbctl/status.go
@@ -38,7 +38,8 @@
 	s.table(func(w io.Writer) { printZones(w, statuses) })
 	s.table(func(w io.Writer) { printClasses(w, statuses) })
 	s.table(func(w io.Writer) { printReplicas(w, statuses) })
-	s.table(func(w io.Writer) { printQuarantine(w, statuses) })
+	quarantine := s.app.quarantine(ctx, statuses)
+	s.table(func(w io.Writer) { printQuarantine(w, quarantine) })
 	if reached == 0 {
 		return fmt.Errorf("none of %d controls could be reached", len(statuses))
 	}
@@ -209,15 +210,6 @@
 	return a.HasLoad && (!b.HasLoad || a.ReportAgeMs < b.ReportAgeMs)
 }
 
-func printQuarantine(w io.Writer, statuses []controlStatus) {
-	fmt.Fprintln(w, "QUARANTINED\tZONE\tMODEL\tCRASHED REPLICAS\tEXPIRES IN")
-	for _, e := range quarantineByZone(statuses) {
-		if len(e.CrashedReplicas) > 0 {
-			fmt.Fprintf(w, "%016x\t%s\t%s\t%s\t%s\n", e.Fingerprint, e.zone, dash(e.Model), strings.Join(e.CrashedReplicas, ","), e.remaining())
-		}
-	}
-}
-
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
