--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -24,6 +24,8 @@
 	defaultTTL      = 10 * time.Second
 	defaultInterval = 2 * time.Second
 	releaseTimeout  = time.Second
+	// longestTTL is the longest TTL of a holder that a candidate waits for.
+	longestTTL = time.Hour
 	// driftDivisor gives the share of the TTL that a candidate waits in addition,
 	// because its clock may run faster than the holder's.
 	driftDivisor = 10
@@ -199,7 +201,7 @@
 	if o.Version != h.seenVersion {
 		h.seenVersion, h.seenAt = o.Version, now
 	}
-	ttl := time.Duration(v.TTLMS) * time.Millisecond
+	ttl := h.holderTTL(v.TTLMS)
 	lapsed := now.Sub(h.seenAt) > ttl+ttl/driftDivisor
 	own := v.Acquisition != "" && v.Acquisition == h.last.value.Acquisition
 	if !v.Released && !lapsed && !own {
@@ -208,6 +210,13 @@
 	return h.acquire(ctx, o.Version)
 }
 
+// holderTTL bounds the TTL read from an object. One that is missing, negative or too
+// large for its unit would free the lease while its holder still uses it.
+func (h *Holder) holderTTL(ms int64) time.Duration {
+	ms = min(ms, longestTTL.Milliseconds())
+	return max(time.Duration(ms)*time.Millisecond, h.options.TTL)
+}
+
 // acquire writes a new acquisition over the given version, or creates the
 // object when version is 0.
 func (h *Holder) acquire(ctx context.Context, version uint64) error {
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -1,12 +1,14 @@
 package membership
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"heatherbarrow/internal/platform"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -63,3 +65,34 @@
 		require.Positive(t, table.ZoneCount())
 	})
 }
+
+// Guards against a list of the platform that makes a host panic, forget itself, or
+// divide an entitlement by no hosts.
+func FuzzHostList(f *testing.F) {
+	for _, seed := range []string{
+		`{"hosts":[{"name":"z0-h0","availability_zone":"z0","state":"leaving"},{"name":"z1-h1","availability_zone":"z1","peer_address":"z1-h1:1","state":"live"}],"upstreams":[{"upstream":"models","replica":"e1","state":"leaving"}]}`,
+		`{"hosts":[{"name":"z0-h0","availability_zone":"z9"},{"name":"z0-h0","availability_zone":"z0","state":"leaving"}]}`,
+		`{"hosts":[{"name":"","availability_zone":""},{}],"upstreams":[{},{"upstream":"a/b","replica":"/"}]}`,
+		`{"hosts":null}`, `null`, `{}`, `{"hosts":[null]}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var list platform.HostList
+		if json.Unmarshal(data, &list) != nil {
+			return
+		}
+		table := newNetwork(t, 2, 2).hosts["z0-h0"]
+		for range 2 {
+			table.ApplyList(&list, start)
+			table.Message(start, false, true)
+		}
+		require.Equal(t, "z0-h0", table.Self().Host)
+		require.Equal(t, "z0", table.Self().AvailabilityZone)
+		table.Beat(start.Add(time.Second), false)
+		table.Replicas(start)
+		table.Hosts(start)
+		require.Positive(t, table.HostsInZone(start))
+		require.Positive(t, table.ZoneCount())
+	})
+}
