Keep running and waiting requests in one kind of list

Cause: the list of a tier's running assignments and that of a class's waiting tickets were the same code twice.

Change: list[T, E] is an intrusive list of elements that embed link[T]. A node that points to its element, as in queue.Node, was ruled out: it would add 16 bytes to a ticket, which fills its allocation of 768 bytes.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -163,7 +163,7 @@
 	t.expiry.Value = t
 	s.expiry.Push(&t.expiry)
 	s.attach(t, t.lane)
-	c.link(t)
+	c.queued.push(t)
 	c.waiting++
 	c.outstanding[t.team]++
 	upstreams := t.lane.pool.upstreams
@@ -224,7 +224,7 @@
 
 // newestNew returns the newest waiting request that has not run yet.
 func (c *class) newestNew() *Ticket {
-	for t := c.newest; t != nil; t = t.older {
+	for t := c.queued.newest; t != nil; t = t.older {
 		if !t.request.Returning() {
 			return t
 		}
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -27,8 +27,8 @@
 	finished    bool
 	isPreempted bool
 	preempted   chan struct{}
-	newer       *Assignment // neighbors in the upstream's list
-	older       *Assignment
+
+	link[Assignment] // in the upstream's list
 
 	pending  int       // tokens since the last flush
 	flushed  time.Time // when the last flush was
@@ -168,27 +168,7 @@
 	}
 }
 
-// assignmentList links the running requests of a tier in order of their grants.
+// assignmentList holds the running requests of a tier in order of their grants.
 type assignmentList struct {
-	newest *Assignment
-}
-
-func (l *assignmentList) push(a *Assignment) {
-	a.older = l.newest
-	if l.newest != nil {
-		l.newest.newer = a
-	}
-	l.newest = a
-}
-
-func (l *assignmentList) remove(a *Assignment) {
-	if a.newer != nil {
-		a.newer.older = a.older
-	} else {
-		l.newest = a.older
-	}
-	if a.older != nil {
-		a.older.newer = a.newer
-	}
-	a.newer, a.older = nil, nil
+	list[Assignment, *Assignment]
 }
--- a/internal/scheduler/state.go
+++ b/internal/scheduler/state.go
@@ -25,7 +25,7 @@
 	index       int // in the bundle in force
 	slot        int // position in the upstreams' counts, never reused
 	waiting     int
-	newest      *Ticket // list of waiting requests in order of arrival
+	queued      list[Ticket, *Ticket] // waiting requests in order of arrival
 	outstanding map[*limits.Team]int
 	budget      *retry.Budget
 }
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -31,12 +31,11 @@
 	enqueued     time.Time
 	unservedFrom time.Time // since when no replica can be reached by a restricted request
 
-	state  ticketState
-	late   bool
-	order  queue.Node[*Ticket] // place in the lane
-	expiry queue.Node[*Ticket]
-	newer  *Ticket // neighbors in the class's list
-	older  *Ticket
+	state        ticketState
+	late         bool
+	order        queue.Node[*Ticket] // place in the lane
+	expiry       queue.Node[*Ticket]
+	link[Ticket] // in the class's list
 
 	refusal   *scheduling.RefusedError
 	taken     bool // the assignment was handed out by Wait
@@ -177,7 +176,7 @@
 func (s *Scheduler) detach(t *Ticket) {
 	s.leave(t)
 	s.expiry.Remove(&t.expiry)
-	t.class.unlink(t)
+	t.class.queued.remove(t)
 	t.class.waiting--
 }
 
@@ -212,26 +211,6 @@
 	}
 }
 
-func (c *class) link(t *Ticket) {
-	t.older = c.newest
-	if c.newest != nil {
-		c.newest.newer = t
-	}
-	c.newest = t
-}
-
-func (c *class) unlink(t *Ticket) {
-	if t.newer != nil {
-		t.newer.older = t.older
-	} else {
-		c.newest = t.older
-	}
-	if t.older != nil {
-		t.older.newer = t.newer
-	}
-	t.newer, t.older = nil, nil
-}
-
 // release counts one request of the team less.
 func (c *class) release(team *limits.Team) {
 	if c.outstanding[team]--; c.outstanding[team] <= 0 {
