Check the ports of demo and quick start before they start

Cause: only the platform's port was checked. With another port taken, or a quick start next to a program on one of the ports, a process ended with a bind error in a log and the script waited 10 s for it, or talked to the other program.

Change: both scripts pass all their ports to begin, which names every taken one and exits with code 1 before anything starts.

Checked: with listeners on 19402 and 19701 the demo names both and the quick start 19701; a demo beside a running quick start names its eight ports; the demo alone ends with "all is well". Two scripts started within the same second can still both pass the check.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 
 . scripts/lib.sh
-begin
+begin "${platform#*:}" 1910{1..6} 1920{1..3} 19{3..7}0{1..4}
 make_operators
 
 zones=(ate callao surco)
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,16 +5,27 @@
 run=
 processes=()
 
-# begin makes the directory of settings and logs, and stops everything at exit.
-begin() {
-  if (exec 3<>"/dev/tcp/${platform%:*}/${platform#*:}") 2>/dev/null; then
-    echo "port ${platform#*:} is in use; is another demo running?" >&2
-    exit 1
-  fi
+# begin exits unless the ports are free. It makes the directory of settings and
+# logs, and stops everything at exit.
+begin() { # ports of loopback...
+  require_free "$@"
   run=$(mktemp -d)
   trap stop_all EXIT
 }
 
+# require_free names every port on which something listens already.
+require_free() { # ports of loopback...
+  local port taken=()
+  for port in "$@"; do
+    if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then taken+=("$port"); fi
+  done
+  if [ ${#taken[@]} -gt 0 ]; then
+    echo "taken on 127.0.0.1: port ${taken[*]}" >&2
+    echo "The demo and the quick start use fixed ports, so only one of them can run at a time. Stop the program that listens there." >&2
+    exit 1
+  fi
+}
+
 stop_all() {
   for pid in "${processes[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   for pid in "${processes[@]}"; do wait "$pid" 2>/dev/null || true; done
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 
 . scripts/lib.sh
-begin
+begin "${platform#*:}" 19{1..7}01
 make_operators
 
 echo "{\"role\":\"platform\",\"listen\":\"$platform\"}" >"$run/platform.json"
