Wait for both engines in TestSlowOrderHoldsUpNoOther

Cause: the order to the slow engine is sent by a goroutine of its own, which may begin after the three rounds have ended; one run of all tests counted no order yet where it required one.

Change: the test waits until both engines have an order, then requires exactly one at the slow engine, as before.

Conclusion: race in the test.

--- a/internal/placement/dispatcher_test.go
+++ b/internal/placement/dispatcher_test.go
@@ -274,7 +274,7 @@
 			h.sender.Dispatch(context.Background(), h.desired, pools)
 		}
 	}()
-	require.Eventually(t, func() bool { return quick.begun.Load() > 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return quick.begun.Load() > 0 && slow.begun.Load() > 0 }, 10*time.Second, time.Millisecond)
 	<-finished
 	require.Equal(t, int64(1), slow.begun.Load())
 	close(slow.hang)
