Share crash suspects between zones

Cause: quarantine entries stayed in their zone, so each of three zones learned of a poison request by two crashes of its own: six replicas crashed, and innocent requests met it twice. Completions cleared a suspect on one host only.

Change: the picker tells counted crashes and completions of suspects as events, which the router sends on after each attempt. Control pushes crashes to peers of all zones, gathered for 5 ms, and gives routers a view 10 ms later; completions raise the release number and travel with the exchanges. A suspect known only by another host's crash waits up to 500 ms for the end of that host's next attempt. Pushes are bounded to a burst of 16 and one per 10 s.

The fake picker has the new method.

--- a/internal/bench/controlcost/main.go
+++ b/internal/bench/controlcost/main.go
@@ -18,6 +18,7 @@
 	Replicas int `long:"replicas" default:"96"`
 	Teams    int `long:"teams" default:"200"`
 	Changes  int `long:"changes" default:"0" description:"bundle changes in the measured time"`
+	Crashes  int `long:"crashes" default:"0" description:"crashes of a replica in the measured time, with --hosts"`
 	Settle   int `long:"settle" default:"2" description:"seconds before measuring"`
 	Measure  int `long:"measure" default:"4" description:"seconds measured"`
 
@@ -53,7 +54,7 @@
 
 func run(o *options) error {
 	if o.Hosts > 0 {
-		r, err := measure(size{o.Hosts, o.Zones, o.Replicas, o.Teams, o.Changes}, o)
+		r, err := measure(size{o.Hosts, o.Zones, o.Replicas, o.Teams, o.Changes, o.Crashes}, o)
 		if err != nil {
 			return err
 		}
--- a/internal/bench/controlcost/measure.go
+++ b/internal/bench/controlcost/measure.go
@@ -7,6 +7,8 @@
 	"runtime"
 	"syscall"
 	"time"
+
+	"heatherbarrow/internal/rpc"
 )
 
 // size is what is measured.
@@ -16,6 +18,7 @@
 	replicas int
 	teams    int
 	changes  int // bundle changes in the measured time, besides one after it
+	crashes  int // crashes of a replica in the measured time
 }
 
 // result holds the figures of one size, per host where not said otherwise.
@@ -109,6 +112,10 @@
 	before := c.totals()
 	cpu := cpuTime()
 	begin := time.Now()
+	for i := range c.size.crashes {
+		time.Sleep(time.Until(begin.Add(d * time.Duration(i) / time.Duration(c.size.crashes))))
+		c.crash(ctx, i)
+	}
 	for i := range c.size.changes {
 		time.Sleep(time.Until(begin.Add(d * time.Duration(i) / time.Duration(c.size.changes))))
 		if err := c.change(ctx, r); err != nil {
@@ -131,6 +138,24 @@
 	return nil
 }
 
+// inFlight is the number of requests that a crash of a replica breaks.
+const inFlight = 16
+
+// crash reports the crash of a replica from one host, and that all requests but one
+// completed afterwards.
+func (c *cluster) crash(ctx context.Context, n int) {
+	feed := c.routers[n%len(c.routers)].feed
+	for i := range inFlight {
+		request := &rpc.CrashRequest{Fingerprint: uint64(n*inFlight + i + 1), Upstream: "models", Replica: fmt.Sprintf("e%d", n), Model: "m"}
+		go func() {
+			_, _ = feed.ReportCrash(ctx, request)
+			if i > 0 {
+				_, _ = feed.ReportCrash(ctx, &rpc.CrashRequest{Fingerprint: request.Fingerprint})
+			}
+		}()
+	}
+}
+
 // change rolls a bundle out and waits until every host has it in force.
 func (c *cluster) change(ctx context.Context, r *result) error {
 	generation, err := c.rollOut(ctx)
--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -65,6 +65,7 @@
 	frozenReport     bool
 	slowdown         float64
 	generation       int // raised by each crash
+	poisoned         int // crashes by a poison request
 	cache            map[uint64]cacheEntry
 	cached           int
 	history          []sample
@@ -221,6 +222,7 @@
 			continue
 		}
 		if s.poison {
+			e.poisoned++
 			e.crash(restartTime)
 			return
 		}
--- a/internal/bench/policy/heatherbarrow.go
+++ b/internal/bench/policy/heatherbarrow.go
@@ -184,5 +184,8 @@
 func (r *running) finish(result scheduling.Result) {
 	r.host.running = slices.DeleteFunc(r.host.running, func(other *running) bool { return other == r })
 	r.assignment.Finish(result)
+	for _, e := range r.host.scheduler.SuspectEvents() {
+		r.world.share(r.attempt.h, e)
+	}
 	r.host.poll(r.world, r.attempt.h)
 }
--- a/internal/bench/policy/main.go
+++ b/internal/bench/policy/main.go
@@ -54,6 +54,7 @@
 	own.print("heatherbarrow", s)
 	own.check(s, base, t)
 	w.checkDetection(t)
+	w.checkPoison(t)
 	if opts.Plots != "" {
 		if err := plotScenario(opts.Plots, s, snapshot, baseJobs, ownJobs); err != nil {
 			fail("plot", err)
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -135,3 +135,20 @@
 	fmt.Printf("bench metric=detection_%s_last value=%.2f unit=s\n", w.scenario.name, last.Seconds())
 	t.check(last <= maxDetection, "scenario=%s detection=%v target=%v", w.scenario.name, last, maxDetection)
 }
+
+// maxPoisoned is how many replicas a poison request may crash before every host
+// refuses it.
+const maxPoisoned = 2
+
+// checkPoison compares the crashes by poison requests with the bound.
+func (w *world) checkPoison(t *tally) {
+	if len(w.scenario.poison) == 0 {
+		return
+	}
+	crashes := 0
+	for _, e := range w.order {
+		crashes += e.poisoned
+	}
+	fmt.Printf("bench metric=crashes_%s value=%d unit=crashes\n", w.scenario.name, crashes)
+	t.check(crashes <= maxPoisoned, "scenario=%s crashes=%d target=%d", w.scenario.name, crashes, maxPoisoned)
+}
--- a/internal/bench/policy/scenario.go
+++ b/internal/bench/policy/scenario.go
@@ -38,7 +38,7 @@
 
 func scenarios() []*scenario {
 	return []*scenario{
-		steady(), burst(), sustained(), straggler(), freeze(), crash(), halfFleet(), poison(),
+		steady(), burst(), sustained(), straggler(), freeze(), crash(), halfFleet(), poison(), poisonResent(),
 		herd("herd4", 4, 16), herd("herd40", 40, 60), caceres(), kitanomori(),
 	}
 }
@@ -187,6 +187,20 @@
 	return s
 }
 
+// resendPause is how soon a caller sends a failed request again.
+const resendPause = 100 * time.Millisecond
+
+// poisonResent is a caller that sends the poison request again through another
+// host as soon as it has its answer.
+func poisonResent() *scenario {
+	s := poison()
+	s.name = "poison_resent"
+	for i := range s.poison {
+		s.poison[i] = s.poison[0] + time.Duration(i)*resendPause
+	}
+	return s
+}
+
 func herd(name string, hosts, replicas int) *scenario {
 	s := common(name, chat(0.6), assist(0.1))
 	s.hosts = hosts
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -23,6 +23,8 @@
 const (
 	tickInterval      = 100 * time.Millisecond
 	heartbeatInterval = time.Second
+	// urgentViewDelay gathers the reports of one crash in one view.
+	urgentViewDelay = 10 * time.Millisecond
 	// urgentViewInterval bounds how often urgent changes make a view, and
 	// viewInterval how often other changes do.
 	urgentViewInterval = 200 * time.Millisecond
@@ -74,8 +76,9 @@
 
 	teamsOf     *bundle.Bundle // bundle to which teamIndex belongs
 	teamIndex   map[string]*bundle.Team
-	seenVersion uint64 // table version of the newest view
-	urgent      bool
+	seenVersion uint64    // table version of the newest view
+	urgent      bool      // an urgent change is not in the newest view
+	urgentAt    time.Time // when the last urgent view was made, or the next one is due
 	pushed      uint64
 	quarantined uint64
 }
@@ -236,9 +239,15 @@
 }
 
 func (l *Loop) recordCrash(e *CrashReported, now time.Time) {
-	if e.Request.Fingerprint != 0 {
-		replica := e.Request.Upstream + "/" + e.Request.Replica
-		l.table.RecordCrash(e.Request.Fingerprint, replica, e.Request.Model, l.quarantineTime(), now)
+	r := e.Request
+	switch {
+	case r.Fingerprint == 0:
+	case r.Replica == "":
+		// A completion need not outlive a restart: without it, the fingerprint is
+		// only a suspect again.
+		l.table.ReleaseFingerprint(r.Fingerprint, l.quarantineTime(), now)
+	default:
+		l.table.RecordCrash(r.Fingerprint, r.Upstream+"/"+r.Replica, r.Model, l.quarantineTime(), now)
 		l.noteQuarantine()
 	}
 	e.Entries, _ = l.table.Quarantine()
@@ -256,18 +265,31 @@
 
 func (l *Loop) noteQuarantine() { l.quarantined++ }
 
-// afterEvent publishes what the event changed: urgent changes at once, others
-// together.
+// hurry makes an urgent view due, which a Tick then builds.
+func (l *Loop) hurry(now time.Time) {
+	if l.urgent {
+		return
+	}
+	l.urgent = true
+	at := now.Add(urgentViewDelay)
+	if next := l.urgentAt.Add(urgentViewInterval); next.After(at) {
+		at = next
+	}
+	l.urgentAt = at
+	l.opts.Clock.AfterFunc(at.Sub(now), func() { _ = l.opts.Bus.Publish(Tick{}) })
+}
+
+// afterEvent publishes what the event changed: urgent changes soon, others together.
 func (l *Loop) afterEvent(now time.Time) {
 	l.admitSettled(now)
 	if l.table.TakeUrgent() {
-		l.urgent = true
 		l.pushed++
+		l.hurry(now)
 	}
 	s := l.State()
 	since := now.Sub(s.ViewAt)
 	due := l.table.Version() != l.seenVersion && since >= viewInterval
-	due = due || l.urgent && since >= urgentViewInterval
+	due = due || l.urgent && !now.Before(l.urgentAt)
 	if !due && s.Pushes == l.pushed && s.QuarantineN == l.quarantined {
 		return
 	}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/membership"
@@ -29,8 +31,16 @@
 	// pushFanout is the number of peers that hear of an urgent change at once.
 	// Each tells as many in turn; what is missed comes with the exchanges.
 	pushFanout = 4
+	// pushDelay gathers the reports of one crash, one for each request that was in
+	// flight, in one message.
+	pushDelay = 5 * time.Millisecond
 	// pushPause bounds how often one host pushes.
-	pushPause    = 50 * time.Millisecond
+	pushPause = 50 * time.Millisecond
+	// pushBurst and pushRefill bound the pushes of urgent changes, since each makes
+	// every host send several messages and 14 KB/s is all that one may send. Beyond
+	// that, changes wait for the exchanges.
+	pushBurst    = 16
+	pushRefill   = 10 * time.Second
 	fetchers     = 2
 	hedgeAfter   = 500 * time.Millisecond
 	maxExchanges = 8 // exchanges of one host at the same time
@@ -131,12 +141,17 @@
 // push tells peers at once about urgent changes and new bundles.
 func (p *PeerProvider) push(ctx context.Context) {
 	var pushes, generation uint64
+	urgent := rate.NewLimiter(rate.Every(pushRefill), pushBurst)
 	for ctx.Err() == nil {
 		s := p.loop.State()
 		current := s.Bundle.GetGeneration()
 		if s.Pushes != pushes || current != generation {
-			pushes, generation = s.Pushes, current
-			p.pushOnce(ctx, s.Topology)
+			pause(ctx, pushDelay)
+			s = p.loop.State()
+			if s.Bundle.GetGeneration() != generation || urgent.Allow() {
+				p.pushOnce(ctx, s.Topology)
+			}
+			pushes, generation = s.Pushes, s.Bundle.GetGeneration()
 			pause(ctx, pushPause)
 			continue
 		}
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -59,7 +59,9 @@
 		l.lendShares(e, now)
 	case SharesGranted:
 		l.sharing.take(&e, now)
-		l.urgent = l.urgent || len(e.Shares) > 0
+		if len(e.Shares) > 0 {
+			l.hurry(now)
+		}
 	}
 }
 
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -9,8 +9,9 @@
 
 // Message returns what to tell a peer: news first, then parts of everything
 // known in turn, so that lost messages are repaired. Its size is bounded. A
-// message to another zone has rows of the own zone only. A message that opens an
-// exchange also tells demand and asks for hosts that are known by identifier only.
+// message to another zone has rows of loads and heartbeats of the own zone only. A
+// message that opens an exchange also tells demand and asks for hosts that are
+// known by identifier only.
 func (t *Table) Message(now time.Time, remote, opens bool) *rpc.ExchangeMessage {
 	m := &rpc.ExchangeMessage{
 		From:       copyHost(t.self.state),
@@ -35,15 +36,12 @@
 }
 
 // Merge takes over what a peer tells and returns true when the names of the
-// peer's host list are needed. Quarantine is taken from the own zone only.
+// peer's host list are needed.
 func (t *Table) Merge(m *rpc.ExchangeMessage, now time.Time) (wantList bool) {
 	if m.From != nil {
-		from := copyHost(m.From)
-		t.mergeHost(from, now)
-		if from.AvailabilityZone == t.opts.Zone {
-			t.quarantine.merge(t, m.Quarantine, now)
-		}
+		t.mergeHost(copyHost(m.From), now)
 	}
+	t.quarantine.merge(t, m.Quarantine, now)
 	for _, s := range m.Hosts {
 		t.mergeHost(s, now)
 	}
--- a/internal/membership/quarantine.go
+++ b/internal/membership/quarantine.go
@@ -11,10 +11,16 @@
 // quarantined is a fingerprint that crashed replicas, or the release of one.
 type quarantined struct {
 	entry *rpc.QuarantineEntry // replaced, never changed
-	sends int
+	sends [2]int               // within the own zone and to other zones
 }
 
-// quarantine holds the zone's fingerprints.
+// Indexes into quarantined.sends.
+const (
+	inZone = iota
+	toOtherZones
+)
+
+// quarantine holds the fingerprints of all zones.
 type quarantine struct {
 	entries map[uint64]*quarantined
 	version uint64 // changes with every change that the platform must keep
@@ -34,8 +40,8 @@
 	return next
 }
 
-// ReleaseFingerprint makes a release that wins over all entries known so far.
-// The release is kept as long as an entry, because a peer may still have the old
+// ReleaseFingerprint makes a release, by an operator or because a request with the
+// fingerprint completed, that wins over all entries known so far. The release is kept as long as an entry, because a peer may still have the old
 // one. It returns false when the fingerprint is not known.
 func (t *Table) ReleaseFingerprint(fingerprint uint64, keep time.Duration, now time.Time) bool {
 	old := t.quarantine.entries[fingerprint]
@@ -68,10 +74,12 @@
 	return out, t.quarantine.version
 }
 
+// put makes a crash urgent. A release only ends a restriction and may wait for the
+// exchanges: each suspect that completes makes one, and pushes are bounded.
 func (q *quarantine) put(t *Table, e *rpc.QuarantineEntry) {
 	q.entries[e.Fingerprint] = &quarantined{entry: e}
 	q.version++
-	t.changed(true)
+	t.changed(len(e.CrashedReplicas) > 0)
 }
 
 func (q *quarantine) merge(t *Table, entries []*rpc.QuarantineEntry, now time.Time) {
@@ -124,25 +132,29 @@
 	}
 }
 
-// message returns news and some others. Entries stay in their zone.
+// message returns news, least sent first, and some others in the order of the map,
+// which is random and so repairs in the long run.
 func (q *quarantine) message(remote bool) []*rpc.QuarantineEntry {
+	scope := inZone
 	if remote {
-		return nil
+		scope = toOtherZones
 	}
-	var out []*rpc.QuarantineEntry
+	var bySends [maxSends + 1][]*quarantined
 	for _, entry := range q.entries {
-		if len(out) < maxQuarantine && entry.sends < maxSends {
-			entry.sends++
-			out = append(out, entry.entry)
-		}
+		n := entry.sends[scope]
+		bySends[n] = append(bySends[n], entry)
 	}
-	repair := 0
-	for _, entry := range q.entries {
-		if repair < maxQuarantine/2 && entry.sends >= maxSends {
-			repair++
+	var out []*rpc.QuarantineEntry
+	for _, news := range bySends[:maxSends] {
+		for _, entry := range news[:min(len(news), maxQuarantine-len(out))] {
+			entry.sends[scope]++
 			out = append(out, entry.entry)
 		}
 	}
+	old := bySends[maxSends]
+	for _, entry := range old[:min(len(old), maxQuarantineRepair)] {
+		out = append(out, entry.entry)
+	}
 	return out
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -43,7 +43,8 @@
 	maxRemoteHeartbeats = 20 // rows of heartbeats of other zones
 	maxMarks            = 32 // replica marks in a message
 	maxHostNews         = 12 // full host states in a message
-	maxQuarantine       = 16 // quarantine entries in a message
+	maxQuarantine       = 16 // quarantine entries in a message that are news
+	maxQuarantineRepair = 2  // further quarantine entries in a message
 	maxSends            = 8  // sends of one news before it only takes part in repair
 )
 
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -200,7 +200,8 @@
 	}
 	cause := ended(ctx)
 	a.Finish(resultOf(cause, err, c.answer.position()-before))
-	c.reportCrash(cause, err, a)
+	c.server.reportSuspects()
+	c.logCrash(cause, err, a)
 	if err == nil {
 		return nil
 	}
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -79,18 +79,23 @@
 	return out
 }
 
-// reportCrash tells control at once that a replica broke the connection while
-// it ran the request, without making the request wait.
-func (c *chat) reportCrash(cause, err error, a *scheduler.Assignment) {
+// logCrash notes that a replica broke the connection while it ran the request.
+func (c *chat) logCrash(cause, err error, a *scheduler.Assignment) {
 	if !resultOf(cause, err, 0).Crashed {
 		return
 	}
 	c.server.Logger.Warn().Str("request", c.id).Str("replica", a.Replica.String()).
 		Str("fingerprint", formatFingerprint(c.prompt.fingerprint)).Err(err).Msg("replica crashed")
-	request := &rpc.CrashRequest{
-		Fingerprint: c.prompt.fingerprint, Upstream: a.Replica.Upstream, Replica: a.Replica.Replica, Model: c.model,
+}
+
+// reportSuspects tells control at once what the end of an attempt showed of
+// suspects, without making a request wait.
+func (s *Server) reportSuspects() {
+	for _, e := range s.Scheduler.SuspectEvents() {
+		go s.sendCrash(&rpc.CrashRequest{
+			Fingerprint: e.Fingerprint, Upstream: e.Replica.Upstream, Replica: e.Replica.Replica, Model: e.Model,
+		})
 	}
-	go c.server.sendCrash(request)
 }
 
 func (s *Server) sendCrash(request *rpc.CrashRequest) {
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -93,6 +93,8 @@
 	return total, free
 }
 
+func (p *fakePicker) SuspectEvents() []scheduling.SuspectEvent { return nil }
+
 func (p *fakePicker) Refusal(r *scheduling.Request) *scheduling.RefusedError {
 	if p.quarantined[r.Fingerprint] {
 		return &scheduling.RefusedError{Reason: scheduling.ReasonQuarantined}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -169,6 +169,14 @@
 	}
 }
 
+// SuspectEvents returns what this host learned of suspect fingerprints since the
+// last call. It is to be called after each Finish, so that others learn at once.
+func (s *Scheduler) SuspectEvents() []scheduling.SuspectEvent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.SuspectEvents()
+}
+
 // Report returns what this host measured and used since the last report.
 func (s *Scheduler) Report() scheduling.Report {
 	s.mu.Lock()
--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -27,6 +27,10 @@
 	// suspects that had not: the cause is more likely among those, and shows itself
 	// by the next crash before the answer can meet it there.
 	resumeHold = 100 * time.Millisecond
+	// elsewhereHold is how long a suspect waits after the news of a crash on another
+	// host: that host runs its request again at once, and its end tells whether this
+	// one may run.
+	elsewhereHold = 500 * time.Millisecond
 	// prefixTokens is the length of the shortest prefix: 256 bytes at 4 a token.
 	prefixTokens = 64
 )
@@ -101,6 +105,9 @@
 	if q.state != quarantine.Clear && r.Progress > 0 && p.quarantine.Settling(r.Fingerprint, resumeHold, now) {
 		return scheduling.Choice{}, false
 	}
+	if q.state != quarantine.Clear && p.quarantine.Elsewhere(r.Fingerprint, elsewhereHold, now) {
+		return scheduling.Choice{}, false
+	}
 	p.match(q)
 	reason := p.search(q)
 	if p.best.n == 0 && q.state != quarantine.Clear {
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -33,6 +33,7 @@
 	pools      []*pool          // by index of the upstream in the bundle
 	replicas   map[scheduling.ReplicaID]*Replica
 	quarantine *quarantine.Quarantine
+	events     []scheduling.SuspectEvent // not yet taken by SuspectEvents
 	affinity   *affinity
 	filters    []Filter
 	scorers    []Scorer
@@ -87,7 +88,7 @@
 		p.view = view
 		p.hosts = max(view.HostsInZone, 1)
 		p.allHosts = p.hosts * max(view.ZoneCount, 1)
-		p.quarantine.Update(view.Quarantine)
+		p.quarantine.Update(view.Quarantine, p.opts.Clock.Now())
 	}
 	p.applyReports()
 	p.refresh(now)
@@ -233,7 +234,7 @@
 	}
 	replica.count(completed)
 	replica.health.Finish(now, r.ID, p.kind(r), completed)
-	p.settle(replica, f, result, r.Progress+result.Tokens, now)
+	p.settle(replica, f, result, r, now)
 	if removed := replica.removed && len(replica.flights) == 0; removed {
 		delete(p.replicas, id)
 	}
@@ -241,8 +242,7 @@
 }
 
 // settle takes what the end of a request says of its replica and fingerprint.
-// position is the number of tokens of the answer by then.
-func (p *Picker) settle(r *Replica, f flight, result scheduling.Result, position int, now time.Time) {
+func (p *Picker) settle(r *Replica, f flight, result scheduling.Result, request *scheduling.Request, now time.Time) {
 	unreachable := result.Outcome == outcome.NotRun && !result.Refused && !result.Canceled
 	if result.Crashed || unreachable {
 		r.health.Crash(now)
@@ -252,12 +252,35 @@
 	}
 	if f.suspect {
 		r.suspect(-1)
-		p.quarantine.Ended(f.fingerprint, result.Outcome == outcome.Completed)
+		if p.quarantine.Ended(f.fingerprint, result.Outcome == outcome.Completed) {
+			p.tell(scheduling.SuspectEvent{Fingerprint: f.fingerprint, Model: request.Model, Cleared: true})
+		}
 	}
-	if result.Crashed {
-		p.quarantine.Crash(f.fingerprint, r.id, position, f.otherSuspects == 0, now)
-		p.markRunning(f.fingerprint, now)
+	if !result.Crashed {
+		return
+	}
+	position := request.Progress + result.Tokens // tokens of the answer by now
+	if p.quarantine.Crash(f.fingerprint, r.id, position, f.otherSuspects == 0, now) {
+		p.tell(scheduling.SuspectEvent{Fingerprint: f.fingerprint, Model: request.Model, Replica: r.id})
+	}
+	p.markRunning(f.fingerprint, now)
+}
+
+// maxEvents bounds the events that wait for SuspectEvents; the oldest are dropped.
+const maxEvents = 4096
+
+func (p *Picker) tell(e scheduling.SuspectEvent) {
+	if len(p.events) == maxEvents {
+		p.events = p.events[1:]
 	}
+	p.events = append(p.events, e)
+}
+
+// SuspectEvents implements scheduling.Picker.
+func (p *Picker) SuspectEvents() []scheduling.SuspectEvent {
+	events := p.events
+	p.events = nil
+	return events
 }
 
 // crashed notes on every request in flight on the replica how many suspects ran
--- a/internal/scheduling/quarantine/quarantine.go
+++ b/internal/scheduling/quarantine/quarantine.go
@@ -53,10 +53,16 @@
 	released uint64
 }
 
+// listed is an entry that control supplied.
+type listed struct {
+	scheduling.QuarantineEntry
+	since time.Time // when it got its present crashes
+}
+
 // Quarantine is not safe for concurrent use.
 type Quarantine struct {
 	entries  *simplelru.LRU[uint64, *entry]
-	zone     map[uint64]scheduling.QuarantineEntry
+	shared   map[uint64]listed
 	crashes  int
 	duration time.Duration
 }
@@ -75,23 +81,28 @@
 	q.duration = duration
 }
 
-// Update takes the zone's entries. An entry released by an operator since the
-// last update drops what this host counted on its own.
-func (q *Quarantine) Update(zone []scheduling.QuarantineEntry) {
-	next := make(map[uint64]scheduling.QuarantineEntry, len(zone))
-	for _, z := range zone {
-		next[z.Fingerprint] = z
+// Update takes the entries that all hosts share. An entry released since the last
+// update, by an operator or by a completion, drops what this host counted on its own.
+func (q *Quarantine) Update(shared []scheduling.QuarantineEntry, now time.Time) {
+	next := make(map[uint64]listed, len(shared))
+	for _, z := range shared {
+		entry := listed{QuarantineEntry: z, since: now}
+		if old, ok := q.shared[z.Fingerprint]; ok && len(old.Replicas) == len(z.Replicas) {
+			entry.since = old.since
+		}
+		next[z.Fingerprint] = entry
 		if own, ok := q.entries.Peek(z.Fingerprint); ok && z.Released > own.released {
 			own.replicas = nil
+			own.cleared = nil
 			own.isolated = false
 			own.released = z.Released
 		}
 	}
-	q.zone = next
+	q.shared = next
 }
 
 // Empty tells whether no fingerprint needs attention.
-func (q *Quarantine) Empty() bool { return q.entries.Len() == 0 && len(q.zone) == 0 }
+func (q *Quarantine) Empty() bool { return q.entries.Len() == 0 && len(q.shared) == 0 }
 
 // State returns the state of a fingerprint and, when it is quarantined, the
 // time until it expires.
@@ -100,17 +111,17 @@
 		return Clear, 0
 	}
 	own, counted := q.get(fingerprint, now)
-	zone, listed := q.zone[fingerprint]
-	listed = listed && now.Before(zone.Expires)
+	shared, found := q.shared[fingerprint]
+	found = found && now.Before(shared.Expires)
 	count := 0
 	var expires time.Time
 	if counted {
 		count = len(own.replicas)
 		expires = own.expires
 	}
-	if listed {
-		count += extra(own, zone.Replicas)
-		expires = later(expires, zone.Expires)
+	if found {
+		count += extra(own, shared.Replicas)
+		expires = later(expires, shared.Expires)
 	}
 	switch {
 	case count >= q.crashes:
@@ -166,44 +177,58 @@
 	return ok && !e.crashed.IsZero() && now.Sub(e.crashed) < hold
 }
 
+// Elsewhere tells whether the fingerprint is a suspect because of another host's
+// crashes alone, of which this host learned within hold.
+func (q *Quarantine) Elsewhere(fingerprint uint64, hold time.Duration, now time.Time) bool {
+	shared, found := q.shared[fingerprint]
+	if !found || now.Sub(shared.since) >= hold {
+		return false
+	}
+	own, counted := q.entries.Peek(fingerprint)
+	return !counted || len(own.replicas) == 0
+}
+
 // Started records that a suspect runs.
 func (q *Quarantine) Started(fingerprint uint64, now time.Time) { q.ensure(fingerprint, now).running++ }
 
-// Ended records that a suspect no longer runs. A completion clears it.
-func (q *Quarantine) Ended(fingerprint uint64, completed bool) {
+// Ended records that a suspect no longer runs. A completion clears it; Ended then
+// returns true.
+func (q *Quarantine) Ended(fingerprint uint64, completed bool) (cleared bool) {
 	e, ok := q.entries.Peek(fingerprint)
 	if !ok {
-		return
+		return false
 	}
 	e.running = max(e.running-1, 0)
 	if completed {
 		q.clear(fingerprint, e)
+		cleared = len(e.cleared) > 0
 	}
 	if e.running == 0 && len(e.replicas) == 0 && len(e.cleared) == 0 && e.released == 0 {
 		q.entries.Remove(fingerprint)
 	}
+	return cleared
 }
 
 // Crash counts the crash of a replica against a fingerprint that ran on it.
 // position is the number of tokens of the answer by then, earlier attempts
 // included. alone is false when another suspect ran there too; a fingerprint that
 // already is a suspect is then isolated instead of counted, because the crash does
-// not tell which of them caused it.
-func (q *Quarantine) Crash(fingerprint uint64, id scheduling.ReplicaID, position int, alone bool, now time.Time) {
+// not tell which of them caused it. Crash returns true when it counted the crash.
+func (q *Quarantine) Crash(fingerprint uint64, id scheduling.ReplicaID, position int, alone bool, now time.Time) bool {
 	if fingerprint == 0 {
-		return
+		return false
 	}
 	e := q.ensure(fingerprint, now)
 	e.crashed = now
 	if slices.Contains(e.replicas, id) {
-		return
+		return false
 	}
 	if len(e.replicas) > 0 && position >= e.position+passedTokens {
 		q.clear(fingerprint, e)
 	}
 	if len(e.replicas) > 0 && !alone && !e.isolated {
 		e.isolated = true
-		return
+		return false
 	}
 	if len(e.replicas) < maxReplicas {
 		e.replicas = append(e.replicas, id)
@@ -213,12 +238,13 @@
 	if len(e.replicas) >= q.crashes {
 		e.expires = now.Add(q.duration)
 	}
+	return true
 }
 
 // clear forgets the crashes so far. A completion clears, and so does an attempt
 // on another replica that went well past the point of the crash.
 func (q *Quarantine) clear(fingerprint uint64, e *entry) {
-	e.cleared = append(slices.Clone(q.zone[fingerprint].Replicas), e.replicas...)
+	e.cleared = append(slices.Clone(q.shared[fingerprint].Replicas), e.replicas...)
 	e.replicas = nil
 	e.isolated = false
 }
@@ -226,7 +252,7 @@
 func (q *Quarantine) ensure(fingerprint uint64, now time.Time) *entry {
 	e, ok := q.get(fingerprint, now)
 	if !ok {
-		e = &entry{expires: now.Add(suspectTime), released: q.zone[fingerprint].Released}
+		e = &entry{expires: now.Add(suspectTime), released: q.shared[fingerprint].Released}
 		q.entries.Add(fingerprint, e)
 	}
 	return e
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -83,12 +83,20 @@
 	Models     []string  // models loaded; empty when not reported
 }
 
-// QuarantineEntry is a fingerprint that crashed replicas in this zone.
+// QuarantineEntry is a fingerprint that crashed replicas.
 type QuarantineEntry struct {
 	Fingerprint uint64
 	Replicas    []ReplicaID // distinct replicas that crashed while running it
 	Expires     time.Time
-	Released    uint64 // raised by an operator's release
+	Released    uint64 // raised by an operator's release and by a completion
+}
+
+// SuspectEvent is what this host learned of a fingerprint and the others must know.
+type SuspectEvent struct {
+	Fingerprint uint64
+	Model       string
+	Replica     ReplicaID // the replica that crashed; empty when cleared
+	Cleared     bool      // a request with the fingerprint completed
 }
 
 // TeamShare is a share of a team's entitlement for this host.
