Keep late top-tier requests while the queue is short

Cause: a top-tier request that could no longer meet its target was refused at that moment when the late requests seemed to get one grant in 32 only. That estimate rests on the arrivals, which with callers that send one request after the other are as many as the answers. Requests were refused at 0.5 s with 29.5 s of their deadline left.

Change: late requests of the top tier are kept while all that waits is served within eight targets and by the deadline. The policy bench has the scenario overload, 40 callers in a closed loop on 24 slots, paired with the baseline. TestLateRequestsOfAShortQueueAreKept fails without the change.

--- a/internal/bench/policy/fleet.go
+++ b/internal/bench/policy/fleet.go
@@ -57,6 +57,7 @@
 	hosts    []*host
 	jobs     []*job
 	open     int
+	callers  callers
 	watched  scheduling.ReplicaID // replica whose detection is measured
 	faulty   time.Time            // when it became slow or froze
 	detected []time.Duration      // per host, from its first work there to the ejection
@@ -109,9 +110,14 @@
 	for i := range arrivals {
 		a := &arrivals[i]
 		j := &job{arrival: a, id: jobID(i), name: &w.snapshot.Bundle.Classes[a.class]}
-		w.jobs = append(w.jobs, j)
-		w.open++
-		w.loop.at(epoch.Add(a.at), func() { w.arrive(j) })
+		if a.caller > 0 {
+			w.callers.add(j)
+			continue
+		}
+		w.schedule(j, epoch.Add(a.at))
+	}
+	for caller := range w.callers {
+		w.nextOf(caller, 0)
 	}
 	if w.scenario.faults != nil {
 		w.scenario.faults(w)
@@ -120,6 +126,13 @@
 	return w.jobs
 }
 
+// schedule lets the job arrive at a time.
+func (w *world) schedule(j *job, at time.Time) {
+	w.jobs = append(w.jobs, j)
+	w.open++
+	w.loop.at(at, func() { w.arrive(j) })
+}
+
 // drainTime is how long accepted requests may take after the last arrival.
 const drainTime = 10 * time.Minute
 
@@ -166,7 +179,11 @@
 	j.done = true
 	j.completed = completed
 	j.refused = refused
+	j.ended = w.loop.now()
 	w.open--
+	if j.caller > 0 {
+		w.nextOf(j.caller-1, j.retryAfter)
+	}
 	if !j.met() {
 		w.trace("%v missed job=%s class=%s host=%d completed=%t refused=%t attempts=%d assigned=%v first=%v answer=%v tokens=%d of %d on %v",
 			w.loop.now().Sub(epoch), j.id, j.name.Name, j.host, completed, refused, j.attempt+1,
--- a/internal/bench/policy/heatherbarrow.go
+++ b/internal/bench/policy/heatherbarrow.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -111,6 +112,10 @@
 // not-run unless an earlier attempt ran.
 func (s *schedulerHost) refused(w *world, j *job, err error) {
 	w.trace("%v job %s class %s refused: %v", w.loop.now().Sub(epoch), j.id, j.name.Name, err)
+	var refusal *scheduling.RefusedError
+	if errors.As(err, &refusal) {
+		j.retryAfter = refusal.RetryAfter
+	}
 	w.end(j, false, j.computed == 0 && j.delivered == 0)
 }
 
--- a/internal/bench/policy/job.go
+++ b/internal/bench/policy/job.go
@@ -38,6 +38,7 @@
 	work        time.Duration
 	fingerprint uint64
 	poison      bool
+	caller      int // 1 and up; 0 for none
 }
 
 // cost returns the engine seconds that a request of the mix takes in a full batch.
@@ -52,6 +53,9 @@
 // generate draws the arrivals of all mixes as Poisson processes.
 func generate(s *scenario, snapshot *bundle.Snapshot) []arrival {
 	random := rand.New(rand.NewPCG(s.seed, 1))
+	if s.callers > 0 {
+		return s.drawCallers(random, snapshot)
+	}
 	var out []arrival
 	for i := range s.mixes {
 		m := &s.mixes[i]
@@ -154,6 +158,8 @@
 	refused       bool
 	completed     bool
 	done          bool
+	ended         time.Time
+	retryAfter    time.Duration // of the refusal
 }
 
 // met tells whether the request completed within its class's targets.
--- a/internal/bench/policy/main.go
+++ b/internal/bench/policy/main.go
@@ -45,6 +45,7 @@
 	baseJobs := w.run(arrivals)
 	base := summarize(s, snapshot, baseJobs)
 	base.print("baseline", s)
+	printCallers("baseline", s, baseJobs)
 	w = newWorld(s, snapshot, heatherbarrow{}, true)
 	if opts.Trace {
 		w.trace = func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
@@ -52,6 +53,7 @@
 	ownJobs := w.run(arrivals)
 	own := summarize(s, snapshot, ownJobs)
 	own.print("heatherbarrow", s)
+	printCallers("heatherbarrow", s, ownJobs)
 	own.check(s, base, t)
 	w.checkDetection(t)
 	w.checkPoison(t)
--- a/internal/bench/policy/scenario.go
+++ b/internal/bench/policy/scenario.go
@@ -21,6 +21,7 @@
 	bundle   *bundle.Bundle
 	mixes    []mix
 	poison   []time.Duration
+	callers  int // that send the first mix's requests one after the other; 0 for arrivals at random
 	faults   func(w *world)
 	// The targets that differ between scenarios.
 	topAttainment float64
@@ -39,7 +40,7 @@
 func scenarios() []*scenario {
 	return []*scenario{
 		steady(), burst(), sustained(), straggler(), freeze(), crash(), halfFleet(), poison(), poisonResent(),
-		herd("herd4", 4, 16), herd("herd40", 40, 60), caceres(), kitanomori(),
+		herd("herd4", 4, 16), herd("herd40", 40, 60), overload(), caceres(), kitanomori(),
 	}
 }
 
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -14,6 +14,9 @@
 	// their target, and its queue is short.
 	lateInterval    = 8
 	topLateInterval = 32
+	// backlogTargets is the backlog, in targets of the class, up to which the top
+	// tier's late requests are kept whatever the arrivals are.
+	backlogTargets = 8
 	// ageFraction is the part of its deadline after which a waiting request may
 	// go before higher tiers.
 	ageFraction = 0.25
@@ -176,14 +179,27 @@
 		s.leave(t)
 		t.late = true
 		s.attach(t, l)
-		service := l.series.Estimate().ServiceP50
-		wait := s.expectedLateWait(l.pool, l.class)
-		if s.tuning.earlyRefusal && wait > 0 && now.Add(wait+service).After(t.request.Deadline) {
+		if s.tuning.earlyRefusal && s.hopeless(t, now) {
 			s.refuse(t, s.refusal(t, scheduling.ReasonDeadline))
 		}
 	}
 }
 
+// hopeless tells whether a late request is not expected to be served by its deadline.
+func (s *Scheduler) hopeless(t *Ticket, now time.Time) bool {
+	l := t.lane
+	left := t.request.Deadline.Sub(now) - l.series.Estimate().ServiceP50
+	if l.class.Tier == bundle.TopTier {
+		// Callers that wait send nothing else, so that the arrivals, on which the
+		// late wait rests, may fall.
+		if all := s.expectedBacklog(l.pool, l.class); all <= min(left, backlogTargets*l.class.target()) {
+			return false
+		}
+	}
+	wait := s.expectedLateWait(l.pool, l.class)
+	return wait > 0 && wait > left
+}
+
 // serve tries to assign the lane's next request.
 func (s *Scheduler) serve(c *candidate) {
 	l := c.lane
--- a/internal/scheduler/rates.go
+++ b/internal/scheduler/rates.go
@@ -93,11 +93,22 @@
 // expectedWait returns how long a new request of the class would wait for a
 // replica, 0 when that is not known.
 func (s *Scheduler) expectedWait(p *pool, c *class) time.Duration {
-	ahead := p.tiers[c.Tier].fresh + p.tiers[c.Tier].late/c.lateInterval()
+	return p.timeToServe(p.higher(c)+p.tiers[c.Tier].fresh+p.tiers[c.Tier].late/c.lateInterval(), c)
+}
+
+// expectedBacklog returns how long all waiting requests of the class and of higher
+// tiers take, 0 when that is not known.
+func (s *Scheduler) expectedBacklog(p *pool, c *class) time.Duration {
+	return p.timeToServe(p.higher(c)+p.tiers[c.Tier].fresh+p.tiers[c.Tier].late, c)
+}
+
+// higher returns the waiting requests of higher tiers than the class's.
+func (p *pool) higher(c *class) int {
+	n := 0
 	for tier := bundle.TopTier; tier < c.Tier; tier++ {
-		ahead += p.tiers[tier].fresh + p.tiers[tier].late
+		n += p.tiers[tier].fresh + p.tiers[tier].late
 	}
-	return p.timeToServe(ahead, c)
+	return n
 }
 
 // expectedLateWait returns how long a request of the class waits that can no
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -176,6 +176,30 @@
 	return refused
 }
 
+// Guards against the refusal of late top-tier requests that would all be served
+// within seconds, because their callers' own arrivals fill the capacity.
+func TestLateRequestsOfAShortQueueAreKept(t *testing.T) {
+	f := newFixture(t, testBundle(1, 1, 1, 1))
+	running := grantOf(f.enqueue(f.request(classQuote, 0)))
+	for range 20 {
+		next := f.enqueue(f.request(classQuote, 0))
+		f.advance(200 * time.Millisecond)
+		running.Finish(done(10))
+		running = grantOf(next)
+	}
+	var waiting []*Ticket
+	for range 8 {
+		waiting = append(waiting, f.enqueue(f.request(classQuote, 0)))
+	}
+	f.advance(600 * time.Millisecond)
+	for _, late := range waiting {
+		require.Nil(t, refusalOf(late))
+		running.Finish(done(10))
+		running = grantOf(late)
+		require.NotNil(t, running)
+	}
+}
+
 // Guards against a caller waiting in vain once refusal is certain.
 func TestWaitingRequestIsRefusedWhenCertain(t *testing.T) {
 	b := testBundle(2, 1, 1, 1)
