--- a/internal/bench/controlcost/measure.go
+++ b/internal/bench/controlcost/measure.go
@@ -150,7 +150,7 @@
 		go func() {
 			_, _ = feed.ReportCrash(ctx, request)
 			if i > 0 {
-				_, _ = feed.ReportCrash(ctx, &rpc.CrashRequest{Fingerprint: request.Fingerprint})
+				_, _ = feed.ReportCrash(ctx, &rpc.CrashRequest{Fingerprint: request.Fingerprint, Completed: true})
 			}
 		}()
 	}
--- a/internal/control/cluster_state_test.go
+++ b/internal/control/cluster_state_test.go
@@ -82,7 +82,7 @@
 	c.eventually("the third zone must know both crashes", func() bool { return third.crashes(7) == 2 })
 	third.reportCrash(t, 8, "e3")
 	c.eventually("the suspect must be known", func() bool { return c.hosts[0].crashes(8) == 1 })
-	_, err := c.hosts[1].feed.ReportCrash(context.Background(), &rpc.CrashRequest{Fingerprint: 8})
+	_, err := c.hosts[1].feed.ReportCrash(context.Background(), &rpc.CrashRequest{Fingerprint: 8, Completed: true})
 	require.NoError(t, err)
 	for _, n := range c.hosts {
 		c.eventually("the completion must clear it", func() bool { return n.crashes(8) == 0 && n.crashes(7) == 2 })
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -58,8 +58,8 @@
 // Observed holds what the load observer learned.
 type Observed struct{ Observations []membership.Observation }
 
-// CrashReported is a crash of a replica that the router saw, or without a replica
-// the completion of a suspect.
+// CrashReported is a crash of a replica that the router saw, or the completion of
+// a suspect.
 type CrashReported struct {
 	Request *rpc.CrashRequest
 	Entries []*rpc.QuarantineEntry // result
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -122,8 +122,8 @@
 	return time.Since(time.Unix(0, f.drainReport.Load())) < routerGoneAfter
 }
 
-// ReportCrash implements rpc.Feed. A request without a replica tells that a suspect
-// completed. The answer has all entries with this one changed, so that the router need not wait for the next view.
+// ReportCrash implements rpc.Feed. The answer has all entries with this one changed,
+// so that the router need not wait for the next view.
 func (f *FeedServer) ReportCrash(_ context.Context, request *rpc.CrashRequest) (*rpc.CrashResponse, error) {
 	e := &CrashReported{Request: request}
 	if err := f.bus.Publish(e); err != nil {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -242,7 +242,7 @@
 	r := e.Request
 	switch {
 	case r.Fingerprint == 0:
-	case r.Replica == "":
+	case r.Completed:
 		// A completion need not outlive a restart: without it, the fingerprint is
 		// only a suspect again.
 		l.table.ReleaseFingerprint(r.Fingerprint, l.quarantineTime(), now)
--- a/internal/membership/quarantine.go
+++ b/internal/membership/quarantine.go
@@ -41,8 +41,8 @@
 }
 
 // ReleaseFingerprint makes a release, by an operator or because a request with the
-// fingerprint completed, that wins over all entries known so far. The release is kept as long as an entry, because a peer may still have the old
-// one. It returns false when the fingerprint is not known.
+// fingerprint completed, that wins over all entries known so far. The release is
+// kept as long as an entry, because a peer may still have the old one. It returns false when the fingerprint is not known.
 func (t *Table) ReleaseFingerprint(fingerprint uint64, keep time.Duration, now time.Time) bool {
 	old := t.quarantine.entries[fingerprint]
 	if old == nil || len(old.entry.CrashedReplicas) == 0 {
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -94,6 +94,7 @@
 	for _, e := range s.Scheduler.SuspectEvents() {
 		go s.sendCrash(&rpc.CrashRequest{
 			Fingerprint: e.Fingerprint, Upstream: e.Replica.Upstream, Replica: e.Replica.Replica, Model: e.Model,
+			Completed: e.Cleared,
 		})
 	}
 }
