Keep innocent suspects away from the cause of their crash

Change: where no replica is free of top-tier work and suspects, a suspect goes beside top-tier work first and beside other suspects only 2 s after its crash; for 1 s it goes to no replica that this host saw crash.

The new test fails without either rule.

--- a/internal/scheduling/picker/filter.go
+++ b/internal/scheduling/picker/filter.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"heatherbarrow/internal/scheduling"
 	"heatherbarrow/internal/scheduling/quarantine"
@@ -54,7 +55,13 @@
 	return len(q.request.Exclude) == 0 || !slices.Contains(q.request.Exclude, r.id)
 }
 
-// suspectFilter keeps suspects apart from other suspects and from top-tier work.
+// brokenTime is how long no suspect goes to a replica that crashed. Its health may
+// allow requests at once, when too many others are ejected, and one that is still
+// down would count a second crash against an innocent request.
+const brokenTime = time.Second
+
+// suspectFilter keeps suspects apart from other suspects and from top-tier work, and
+// away from replicas that crashed just now.
 type suspectFilter struct{}
 
 func (suspectFilter) Name() string { return "suspect" }
@@ -62,8 +69,10 @@
 	switch {
 	case q.state == quarantine.Clear:
 		return true
+	case q.now.Sub(r.brokeAt) < brokenTime:
+		return false
 	case q.state == quarantine.Isolated && r.suspects > 0:
 		return false
 	}
-	return q.relaxed || r.suspects == 0 && r.top == 0
+	return q.beside == besideSuspects || r.suspects == 0 && (q.beside == besideTop || r.top == 0)
 }
--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -28,6 +28,10 @@
 	// by the next crash before the answer can meet it there. An isolated fingerprint
 	// waits as long for control, which counts its crash.
 	resumeHold = 100 * time.Millisecond
+	// suspectHold is how long a suspect waits after its crash for a replica without
+	// other suspects. Beside the cause of the crash it would be lost by the next one,
+	// while the cause alone is stopped by it.
+	suspectHold = 2 * time.Second
 	// elsewhereHold is how long a suspect waits after the news of a crash on another
 	// host: that host runs its request again at once, and its end tells whether this
 	// one may run.
@@ -45,6 +49,15 @@
 	reasonSuspect  = "suspect"   // suspects spread over all zones
 )
 
+// besides is what a suspect may run beside.
+type besides int
+
+const (
+	besideLower    besides = iota // lower tiers only
+	besideTop                     // any work but other suspects
+	besideSuspects                // any work
+)
+
 // Query is the request being placed, with what the filters and scorers need.
 type Query struct {
 	request     *scheduling.Request
@@ -57,7 +70,7 @@
 	interTarget float64 // seconds; 0 when there is none
 	unknown     float64 // load that other hosts may have added since their reports, as a score
 	state       quarantine.State
-	relaxed     bool // a suspect may run beside suspects and top-tier work
+	beside      besides // what a suspect may run beside
 	matches     [maxMatches]match
 	matched     int
 }
@@ -88,7 +101,7 @@
 		q.level = levelTop
 	}
 	q.matched = 0
-	q.relaxed = false
+	q.beside = besideLower
 	return true
 }
 
@@ -111,8 +124,8 @@
 	}
 	p.match(q)
 	reason := p.search(q)
-	if p.best.n == 0 && q.state != quarantine.Clear {
-		q.relaxed = true
+	for p.best.n == 0 && q.beside < p.mostBeside(q) {
+		q.beside++
 		reason = p.search(q)
 	}
 	if p.best.n == 0 {
@@ -126,6 +139,19 @@
 	return p.take(q, chosen, reason), true
 }
 
+// mostBeside returns the last step by which the search for a suspect's replica is
+// widened.
+func (p *Picker) mostBeside(q *Query) besides {
+	switch {
+	case q.state == quarantine.Clear:
+		return besideLower
+	case p.quarantine.Settling(q.request.Fingerprint, suspectHold, q.now):
+		return besideTop
+	default:
+		return besideSuspects
+	}
+}
+
 // search fills the shortlist from the zone, and from the other zones when the
 // zone is not expected to meet the target or the request is a suspect.
 func (p *Picker) search(q *Query) string {
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -246,6 +246,7 @@
 	unreachable := result.Outcome == outcome.NotRun && !result.Refused && !result.Canceled
 	if result.Crashed || unreachable {
 		r.health.Crash(now)
+		r.brokeAt = now
 	}
 	if result.TimedOut {
 		r.health.Timeout(now)
--- a/internal/scheduling/picker/picker_test.go
+++ b/internal/scheduling/picker/picker_test.go
@@ -271,3 +271,33 @@
 		}
 	}
 }
+
+// Guards against an innocent suspect that is lost because it follows the cause of
+// its crash: onto the replica that runs it, or onto one that it has just crashed and
+// that is still down.
+func TestSuspectKeepsAwayFromTheCause(t *testing.T) {
+	f := newFixture(t, 2, 4)
+	for i := range 2 {
+		f.replicas[id(i)].start(flight{id: "top", fingerprint: 5, started: f.clock.Now(), top: true})
+	}
+	cause, innocent := f.request(1, 66), f.request(1, 7)
+	first, ok := f.Pick(cause)
+	require.True(t, ok)
+	f.replicas[first.Replica].start(flight{id: innocent.ID, fingerprint: 7, started: f.clock.Now()})
+	f.Finish(first.Replica, cause, scheduling.Result{Crashed: true})
+	f.Finish(first.Replica, innocent, scheduling.Result{Crashed: true})
+	innocent.Exclude = []scheduling.ReplicaID{first.Replica}
+	second, ok := f.Pick(cause)
+	require.True(t, ok, "beside top-tier work")
+	require.NotEqual(t, first.Replica, second.Replica)
+	_, ok = f.Pick(innocent)
+	require.False(t, ok, "the only other replica runs the cause")
+	f.Finish(second.Replica, cause, scheduling.Result{Crashed: true})
+	_, ok = f.Pick(innocent)
+	require.False(t, ok, "the replica has just crashed")
+	f.clock.Advance(brokenTime)
+	f.Tick()
+	third, ok := f.Pick(innocent)
+	require.True(t, ok)
+	require.Equal(t, second.Replica, third.Replica)
+}
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -38,6 +38,7 @@
 	inter      float64     // measured seconds per token
 	quota      [levels]int // requests of this host that its report leaves room for
 	limit      int         // requests of this host that its health allows
+	brokeAt    time.Time   // last crash that this host saw
 	free       [levels]int
 	counted    bool // part of the pool's total
 
