Find the team of a lookup in one place

Cause: lookup and model list stood twice, and Pick had grown to three conditions on suspects.

Change: identify answers for both; held has the conditions.

--- a/internal/router/lookup.go
+++ b/internal/router/lookup.go
@@ -28,18 +28,10 @@
 	e := s.newExchange(w, r)
 	e.id = chi.URLParam(r, "id")
 	w.Header().Set(outcome.HeaderRequestID, e.id)
-	e.snapshot = s.snapshot.Load()
-	if e.snapshot == nil {
-		e.lookupError(http.StatusServiceUnavailable, "not_ready", "the host has no bundle yet")
-		return
-	}
-	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	team, _, ok := e.snapshot.TeamByKey(key)
-	if !ok {
-		e.lookupError(http.StatusUnauthorized, "wrong_key", "the key belongs to no team")
+	if !e.identify() {
 		return
 	}
-	stored, err := s.find(r.Context(), e.id, team.Name)
+	stored, err := s.find(r.Context(), e.id, e.team.Name)
 	switch {
 	case err != nil:
 		e.w.Header().Set("Retry-After", "1")
@@ -52,6 +44,22 @@
 	}
 }
 
+// identify finds the team of a request that runs nothing and needs no class. It
+// answers and returns false when there is none.
+func (e *exchange) identify() bool {
+	e.snapshot = e.server.snapshot.Load()
+	if e.snapshot == nil {
+		e.lookupError(http.StatusServiceUnavailable, "not_ready", "the host has no bundle yet")
+		return false
+	}
+	key, _ := strings.CutPrefix(e.r.Header.Get("Authorization"), "Bearer ")
+	var ok bool
+	if e.team, e.teamIdx, ok = e.snapshot.TeamByKey(key); !ok {
+		e.lookupError(http.StatusUnauthorized, "wrong_key", "the key belongs to no team")
+	}
+	return ok
+}
+
 func (e *exchange) lookupError(status int, code, message string) {
 	e.writeError(status, "", code, message)
 }
--- a/internal/router/models.go
+++ b/internal/router/models.go
@@ -4,7 +4,6 @@
 	"maps"
 	"net/http"
 	"slices"
-	"strings"
 
 	"heatherbarrow/internal/bundle"
 )
@@ -27,18 +26,9 @@
 // caller's team, by the bundle in force.
 func (s *Server) serveModels(w http.ResponseWriter, r *http.Request) {
 	e := s.newExchange(w, r)
-	e.snapshot = s.snapshot.Load()
-	if e.snapshot == nil {
-		e.lookupError(http.StatusServiceUnavailable, "not_ready", "the host has no bundle yet")
-		return
+	if e.identify() {
+		writeJSON(w, modelList{Object: "list", Data: teamModels(e.snapshot, e.teamIdx)})
 	}
-	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	_, team, ok := e.snapshot.TeamByKey(key)
-	if !ok {
-		e.lookupError(http.StatusUnauthorized, "wrong_key", "the key belongs to no team")
-		return
-	}
-	writeJSON(w, modelList{Object: "list", Data: teamModels(e.snapshot, team)})
 }
 
 func teamModels(s *bundle.Snapshot, team int) []model {
--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -113,13 +113,7 @@
 		return scheduling.Choice{}, false
 	}
 	q.state, _ = p.quarantine.State(r.Fingerprint, now)
-	if q.state == quarantine.Quarantined || q.state != quarantine.Clear && p.quarantine.Running(r.Fingerprint) {
-		return scheduling.Choice{}, false
-	}
-	if (q.state == quarantine.Isolated || q.state != quarantine.Clear && r.Progress > 0) && p.quarantine.Settling(r.Fingerprint, resumeHold, now) {
-		return scheduling.Choice{}, false
-	}
-	if q.state != quarantine.Clear && p.quarantine.Elsewhere(r.Fingerprint, elsewhereHold, now) {
+	if q.state != quarantine.Clear && p.held(q) {
 		return scheduling.Choice{}, false
 	}
 	p.match(q)
@@ -139,6 +133,16 @@
 	return p.take(q, chosen, reason), true
 }
 
+// held tells whether a suspect may not start on any replica now.
+func (p *Picker) held(q *Query) bool {
+	fingerprint := q.request.Fingerprint
+	if q.state == quarantine.Quarantined || p.quarantine.Running(fingerprint) {
+		return true
+	}
+	waits := q.state == quarantine.Isolated || q.request.Progress > 0
+	return waits && p.quarantine.Settling(fingerprint, resumeHold, q.now) || p.quarantine.Elsewhere(fingerprint, elsewhereHold, q.now)
+}
+
 // mostBeside returns the last step by which the search for a suspect's replica is
 // widened.
 func (p *Picker) mostBeside(q *Query) besides {
