Answer a repeated key from the host that has the answer

Cause: an order repeated through another host right after its answer got 409 'in_progress', although the first host held the whole answer: the outcome is written to the claim log a moment later, in a batch. Seen with the demo's hosts.

Change: for a key in progress the router asks the hosts for the first attempt's answer, for at most 0.3 s, and passes it on when it is whole.

Ruled out: waiting for the log (a call in progress would hold every repeat).

Before: 409 (TestRepeatedKeyGetsFirstAnswer fails). After: the first answer.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -16,6 +16,9 @@
 	maxKeyLength = 256
 	// claimMargin is how much longer than the claim itself the call to control may take.
 	claimMargin = 500 * time.Millisecond
+	// freshAnswerTimeout bounds the search for the answer of a call that the log has in
+	// progress. It is short, because most such calls have no answer yet.
+	freshAnswerTimeout = 300 * time.Millisecond
 	// headerFirstRequestID names the request that first used an idempotency key.
 	headerFirstRequestID = "Heatherbarrow-First-Request-Id"
 )
@@ -50,6 +53,11 @@
 		c.refuse(http.StatusConflict, "key_conflict", "the Idempotency-Key was used with a different request", 0)
 	case rpc.ClaimResult_CLAIM_RESULT_IN_PROGRESS:
 		c.w.Header().Set(headerFirstRequestID, response.FirstAttempt)
+		// The log may lag behind the host that has the whole answer already.
+		if stored := c.storedAnswer(ctx, response.FirstAttempt, freshAnswerTimeout); stored != nil {
+			c.passStored(stored)
+			return false
+		}
 		c.fail(http.StatusConflict, outcome.Unknown, "in_progress", "request "+response.FirstAttempt+" holds this Idempotency-Key and its outcome is not known")
 	case rpc.ClaimResult_CLAIM_RESULT_FINISHED:
 		c.repeatAnswer(ctx, response)
@@ -76,10 +84,8 @@
 func (c *serviceCall) repeatAnswer(ctx context.Context, first *rpc.ClaimResponse) {
 	o := outcome.Outcome(first.Outcome)
 	c.w.Header().Set(headerFirstRequestID, first.FirstAttempt)
-	lookup, cancel := context.WithTimeout(ctx, lookupTimeout)
-	defer cancel()
-	stored, err := c.server.Feed.Lookup(lookup, &rpc.LookupRequest{RequestId: first.FirstAttempt, Team: c.team.Name})
-	if err != nil || !stored.Found || stored.Status == 0 {
+	stored := c.storedAnswer(ctx, first.FirstAttempt, lookupTimeout)
+	if stored == nil {
 		status := http.StatusOK
 		if o != outcome.Completed {
 			status = http.StatusBadGateway
@@ -87,10 +93,27 @@
 		c.fail(status, o, "answer_not_kept", "request "+first.FirstAttempt+" used this key; its answer is not kept")
 		return
 	}
-	// The whole answer is here, so a first outcome of unknown, which means that
-	// the first caller did not receive it, is settled by passing it on now.
+	c.passStored(stored)
+}
+
+// storedAnswer asks the hosts for the answer of an earlier request. It returns nil
+// when none that can be reached keeps it whole.
+func (c *serviceCall) storedAnswer(ctx context.Context, id string, timeout time.Duration) *rpc.StoredAnswer {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	stored, err := c.server.Feed.Lookup(ctx, &rpc.LookupRequest{RequestId: id, Team: c.team.Name})
+	if err != nil || !stored.Found || stored.Status == 0 {
+		return nil
+	}
+	return stored
+}
+
+// passStored answers with a kept answer. It is whole, so a first outcome of
+// unknown, which means that the first caller did not receive it or that the log does
+// not have it yet, is settled by passing it on now.
+func (c *serviceCall) passStored(stored *rpc.StoredAnswer) {
 	status := int(stored.Status)
-	o = answeredOutcome(status)
+	o := answeredOutcome(status)
 	c.w.Header().Set(outcome.HeaderOutcome, string(o))
 	if err := c.writeWhole(status, stored.ContentType, stored.Body); err != nil {
 		c.abandon(outcome.Unknown)
--- a/internal/router/services_test.go
+++ b/internal/router/services_test.go
@@ -130,6 +130,11 @@
 	require.Equal(t, 201, response.StatusCode)
 	require.Equal(t, "order 7", body)
 	require.Equal(t, "completed", response.Header.Get(outcome.HeaderOutcome))
+	h.feed.claim.Result = rpc.ClaimResult_CLAIM_RESULT_IN_PROGRESS
+	response, body = h.send(t, h.order(t, context.Background()))
+	require.Equal(t, 201, response.StatusCode, "the answer is there before the log has the outcome")
+	require.Equal(t, "order 7", body)
+	h.feed.claim.Result = rpc.ClaimResult_CLAIM_RESULT_FINISHED
 	h.feed.answer = rpc.StoredAnswer{}
 	response, body = h.send(t, h.order(t, context.Background()))
 	require.Equal(t, http.StatusBadGateway, response.StatusCode)
