Remove two races from the tests of crashes and views

TestCrashIsReported read the reported crashes without their lock while the completion of the second attempt, which is told since suspects are shared, was added. TestLoadReportsReachTheRouter took the first replica of a view that had none yet: a bundle is in force before the first view with its replicas.

Ruled out: a race in the router (the fake of control in the test is the only place), and a view without replicas that reaches pickers as one with none: they take replicas from the bundle.

Conclusion: races in the tests.

--- a/internal/control/cluster_state_test.go
+++ b/internal/control/cluster_state_test.go
@@ -107,7 +107,8 @@
 	for _, n := range c.hosts {
 		c.eventually("the host must be leaving", func() bool { return n.hostState("h0") == rpc.State_STATE_LEAVING })
 		c.eventually("the replica must be leaving or dead", func() bool {
-			return n.loop.State().View.Replicas[0].State != rpc.State_STATE_LIVE
+			r := n.replica()
+			return r != nil && r.State != rpc.State_STATE_LIVE
 		})
 	}
 }
@@ -123,7 +124,7 @@
 	c.platform.SetFaults(standin.Faults{DelayMS: 1700})
 	c.platform.SetHosts(platform.HostList{Upstreams: []platform.Upstream{{Upstream: "models", Replica: "e1", State: "leaving"}}})
 	for _, n := range c.hosts {
-		c.eventually("the mark must arrive", func() bool { return n.loop.State().View.Replicas[0].Mark > 0 })
+		c.eventually("the mark must arrive", func() bool { return n.replica().GetMark() > 0 })
 	}
 	c.waitFor(c.putInForce(hash))
 }
@@ -144,8 +145,8 @@
 	c.waitFor(c.rollOut())
 	for _, n := range c.hosts {
 		c.eventually("the load must reach "+n.settings.Host, func() bool {
-			r := n.loop.State().View.Replicas[0]
-			return r.HasLoad && r.Running == uint32(running.Load()) && r.ReportAgeMs >= 500 && len(r.Models) == 1
+			r := n.replica()
+			return r != nil && r.HasLoad && r.Running == uint32(running.Load()) && r.ReportAgeMs >= 500 && len(r.Models) == 1
 		})
 	}
 	observers := 0
@@ -155,7 +156,7 @@
 	require.LessOrEqual(t, observers, 3)
 	engine.Close()
 	c.eventually("the replica must be dead", func() bool {
-		return c.hosts[2].loop.State().View.Replicas[0].State == rpc.State_STATE_DEAD
+		return c.hosts[2].replica().GetState() == rpc.State_STATE_DEAD
 	})
 }
 
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -119,6 +119,15 @@
 	return ""
 }
 
+// replica returns the host's view of the bundle's replica, or nil: the bundle is in
+// force before the first view with its replicas is made.
+func (n *node) replica() *rpc.ReplicaState {
+	if replicas := n.loop.State().View.GetReplicas(); len(replicas) > 0 {
+		return replicas[0]
+	}
+	return nil
+}
+
 func (c *cluster) start(hosts ...*node) {
 	if len(hosts) == 0 {
 		hosts = c.hosts
--- a/internal/router/chat_test.go
+++ b/internal/router/chat_test.go
@@ -15,6 +15,7 @@
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/settings"
 )
 
@@ -236,10 +237,17 @@
 		defer h.server.viewMu.Unlock()
 		return h.server.view != nil && len(h.server.view.Quarantine) == 1
 	}, patience, time.Millisecond)
-	crash := h.feed.crashes[0]
+	h.feed.mu.Lock()
+	defer h.feed.mu.Unlock()
+	// The completion of the second attempt is told at the same time.
+	i := slices.IndexFunc(h.feed.crashes, func(r *rpc.CrashRequest) bool { return !r.Completed })
+	require.GreaterOrEqual(t, i, 0)
+	crash := h.feed.crashes[i]
 	require.Equal(t, "models", crash.Upstream)
 	require.Equal(t, "m", crash.Model)
 	require.NotZero(t, crash.Fingerprint)
+	h.server.viewMu.Lock()
+	defer h.server.viewMu.Unlock()
 	require.Equal(t, crash.Fingerprint, h.server.view.Quarantine[0].Fingerprint)
 }
 
