Mend what a second reading of the change showed

- Frames behind the finish reason were held back without a bound, so an engine that sends them without end filled the memory of the router.
They are bounded by the size of one frame; keys of a merged answer count towards its bound.
- A completion of a suspect was sent again after a lost answer, which could undo a crash counted in between.
It is sent once; without it the fingerprint only stays a suspect.
- Prune claimed to never remove content that is proposed again.
It never removes what is in force; before that, approve and rollout now say that the content has to be proposed again instead of 'object not found'.
- Answers to HEAD had a Content-Length of 0.

Ruled out: writing the content once more in Propose (a paused removal may come after that too).

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -106,6 +106,7 @@
 		"other layout":       {first + `data: {"choices":[{"finish_reason":"stop"}],"index":1,"id":"id"}` + "\n\ndata: [DONE]\n", io.EOF},
 		"usage at the end":   {first + end + `data: {"id":"id","choices":[],"usage":{"total_tokens":9}}` + "\n\ndata: [DONE]\n\n", io.EOF},
 		"foreign usage":      {first + end + `data: {"id":"x","choices":[],"usage":{"total_tokens":9}}` + "\n\n", ErrForeignFrame},
+		"endless usage":      {first + end + strings.Repeat(`data: {"id":"id","choices":[],"usage":{}}`+"\n\n", maxFrameBytes/30), ErrForeignFrame},
 		"usage only":         {first + `data: {"id":"id","choices":[],"usage":{"total_tokens":9}}` + "\n\n", ErrForeignFrame},
 		"no finish reason":   {first + "data: [DONE]\n\n", ErrMissingEnd},
 		"no end":             {first + end, ErrMissingEnd},
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -49,6 +49,7 @@
 	buffered  bool // Buffered found more, so the next frame needs no wait
 	finished  bool // the frame with the finish reason was read
 	ended     bool // the proper end was read
+	trailing  int  // bytes of the frames behind the finish reason
 	lineBytes []byte
 }
 
@@ -105,6 +106,10 @@
 // trailer checks a frame behind the one with the finish reason. Engines send the
 // usage that way; it has no token and so no position.
 func (s *Stream) trailer(data []byte) (Frame, error) {
+	// The router holds these frames back until the end, so they are bounded.
+	if s.trailing += len(data); s.trailing > maxFrameBytes {
+		return Frame{}, eris.Wrap(ErrForeignFrame, "too much behind the finish reason")
+	}
 	c, err := s.unmarshal(data)
 	if err != nil {
 		return Frame{}, err
--- a/internal/rollout/history.go
+++ b/internal/rollout/history.go
@@ -70,9 +70,10 @@
 
 // Prune removes the proposals, with their content, whose generation is keep or
 // more below the one in force, and returns how many it removed. It never removes
-// content that is proposed again at the same time: the proposal's deletion fails
-// when it was written since, and RollOut writes the content again before it
-// moves the current object, so that a late deletion of the content fails too.
+// content that is in force: the proposal's deletion fails when it was written since,
+// and RollOut writes the content again before it moves the current object, so that a
+// late deletion of the content fails too. Content proposed again at the same time
+// may be removed before that; Approve and RollOut then return ErrNoContent.
 func (s *Store) Prune(ctx context.Context, keep uint64) (int, error) {
 	entries, err := s.History(ctx)
 	if err != nil {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -30,6 +30,7 @@
 	ErrSameOperator    = errors.New("the approver must differ from the author")
 	ErrBadSignature    = errors.New("signature does not match")
 	ErrBadContent      = errors.New("content does not match its hash")
+	ErrNoContent       = errors.New("the proposal's content was removed; propose it again")
 	ErrNotApproved     = errors.New("proposal is not approved")
 	ErrStale           = errors.New("another bundle came into force since the proposal")
 	ErrProposed        = errors.New("another operator has proposed this content")
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -96,7 +96,10 @@
 
 // Approve signs a proposal as approver.
 func (s *Store) Approve(ctx context.Context, sha256, approver string, key ed25519.PrivateKey, now time.Time) (Current, error) {
-	content, err := s.Content(ctx, sha256)
+	if _, _, err := s.Proposal(ctx, sha256); err != nil {
+		return Current{}, err
+	}
+	content, err := s.proposed(ctx, sha256)
 	if err != nil {
 		return Current{}, err
 	}
@@ -130,7 +133,7 @@
 	if err != nil {
 		return Current{}, err
 	}
-	content, err := s.Content(ctx, sha256)
+	content, err := s.proposed(ctx, sha256)
 	if err != nil {
 		return Current{}, err
 	}
@@ -144,6 +147,16 @@
 	return proposal, err
 }
 
+// proposed returns a proposal's content. Prune may have removed it between two calls
+// of Propose; proposing again writes it and keeps an approval.
+func (s *Store) proposed(ctx context.Context, sha256 string) ([]byte, error) {
+	content, err := s.Content(ctx, sha256)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, ErrNoContent
+	}
+	return content, err
+}
+
 // rewriteContent gives the content a new version. Prune may be about to delete
 // the version that it saw before the content was proposed again.
 func (s *Store) rewriteContent(ctx context.Context, sha256 string, content []byte) error {
--- a/internal/router/completion.go
+++ b/internal/router/completion.go
@@ -13,7 +13,7 @@
 // probabilities and extensions of engines reach the caller.
 type completion struct {
 	root map[string]any
-	size int // bytes of the text kept
+	size int // bytes of the texts and keys kept
 }
 
 // object is a JSON object, array a JSON array.
@@ -62,13 +62,13 @@
 
 func (c *completion) mergeObject(into, from object) {
 	for key, value := range from {
-		if value == nil {
-			if _, known := into[key]; !known {
-				into[key] = nil
-			}
-			continue
+		old, known := into[key]
+		if !known {
+			c.size += len(key)
+		}
+		if value != nil || !known {
+			into[key] = c.merge(key, old, value)
 		}
-		into[key] = c.merge(key, into[key], value)
 	}
 }
 
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -105,13 +105,19 @@
 	policy := backoff.NewExponentialBackOff()
 	policy.InitialInterval = 50 * time.Millisecond
 	policy.MaxInterval = time.Second
+	tries := uint(0) // without a bound but the time
+	if request.Completed {
+		// One that took effect although its answer was lost would undo, when sent
+		// again, a crash counted since.
+		tries = 1
+	}
 	response, err := backoff.Retry(ctx, func() (*rpc.CrashResponse, error) {
 		call, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
 		return s.Feed.ReportCrash(call, request)
-	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(crashRetries))
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(crashRetries), backoff.WithMaxTries(tries))
 	if err != nil {
-		s.Logger.Warn().Err(err).Str("fingerprint", formatFingerprint(request.Fingerprint)).Msg("crash could not be reported")
+		s.Logger.Warn().Err(err).Str("fingerprint", formatFingerprint(request.Fingerprint)).Bool("completed", request.Completed).Msg("crash or completion could not be reported")
 		return
 	}
 	s.mergeQuarantine(quarantineFromRPC(response.Quarantine))
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -200,7 +200,7 @@
 	if contentType != "" {
 		e.w.Header().Set("Content-Type", contentType)
 	}
-	if status != http.StatusNoContent && status != http.StatusNotModified {
+	if status != http.StatusNoContent && status != http.StatusNotModified && e.r.Method != http.MethodHead {
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.extendWriteDeadline()
