--- /dev/null
+++ b/internal/gateway/fleet/copy_test.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/gateway/routing"
+)
+
+// copyingFleet returns a fleet whose engines can copy prompt memory to each other.
+func copyingFleet(zones ...string) *Fleet {
+	f := newFleet(0)
+	f.SetUpstreams([]routing.Upstream{{Name: engines, Engine: &routing.Engine{
+		Slots: 64, MemoryTokens: 340_000, BytesPerToken: 18_432, LinkBitsPerSecond: 280e9,
+	}}})
+	var members []Member
+	for i, zone := range zones {
+		id := string(rune('a' + i))
+		members = append(members, Member{ID: id, Upstream: engines, Address: id + ":1", Zone: zone, Slots: 64})
+	}
+	f.SetMembers(members)
+	return f
+}
+
+// serve plays a request whose answer begins when expected and ends at once.
+func serve(t *testing.T, f *Fleet, q *Request, now time.Time) *Lease {
+	t.Helper()
+	l := pick(t, f, q, now)
+	l.FirstByte(now.Add(l.Expected))
+	l.End(Served, now.Add(l.Expected))
+	return l
+}
+
+// Guards against a session's prompt that is read again on each replica to which a
+// burst spreads it (hot key, burst of long prompts): it is copied from the replica
+// that has read it.
+func TestBurstOfASessionCopiesItsPrompt(t *testing.T) {
+	f := copyingFleet("a", "a", "a", "a") // one of them serves requests that mostly generate
+	now := start
+	first := serve(t, f, document(7, 9000), now)
+	assert.Empty(t, first.CopyFrom, "nobody has read it before")
+	now = now.Add(time.Second)
+	copies := map[string]int{}
+	for range 12 {
+		l := pick(t, f, document(7, 9000), now)
+		if l.Cached > 0 {
+			continue // the replica holds the prompt, or its copy is on the way
+		}
+		assert.Equal(t, first.Member.Address, l.CopyFrom)
+		assert.Equal(t, 6000, l.Copied)
+		copies[l.Member.ID]++
+	}
+	assert.Len(t, copies, 2)
+	for id, n := range copies {
+		assert.Equal(t, 1, n, id)
+	}
+}
+
+// Guards against a copy of a prompt that its replica has not read yet: nothing would
+// come, and the prompt would be read after a wait in vain.
+func TestPromptIsNotCopiedBeforeItIsRead(t *testing.T) {
+	f := copyingFleet("a", "a")
+	pick(t, f, document(7, 9000), start)
+	for range 6 {
+		assert.Empty(t, pick(t, f, document(7, 9000), start.Add(10*time.Millisecond)).CopyFrom)
+	}
+}
+
+// Guards against copies from replicas that are leaving, gone or failing, and from
+// another availability zone, to which the network may be cut and costs.
+func TestPromptIsCopiedFromSoundReplicasOfTheZone(t *testing.T) {
+	read := func(f *Fleet) (*replica, *Request, time.Time) {
+		first := serve(t, f, document(7, 9000), start)
+		return f.replicas[first.Member.ID], document(7, 9000), start.Add(time.Second)
+	}
+	f := copyingFleet("a", "a")
+	r, q, now := read(f)
+	p := f.pool(engines)
+	require.Len(t, f.sources(p, q, now), 1)
+	r.failed(true, now)
+	assert.Empty(t, f.sources(p, q, now), "it cannot be reached")
+	r.succeeded()
+	r.member.Leaving = true
+	assert.Empty(t, f.sources(p, q, now))
+
+	f = copyingFleet("a", "b")
+	r, q, now = read(f)
+	for _, other := range f.replicas {
+		if other == r {
+			continue
+		}
+		c := candidate{replica: other}
+		q.sources = f.sources(f.pool(engines), q, now)
+		require.Len(t, q.sources, 1)
+		assert.Zero(t, f.copyPrompt(&c, f.pool(engines), q))
+		assert.Nil(t, c.source)
+	}
+}
+
+// Guards against a short prompt that waits longer for its copy than reading takes.
+func TestShortPromptIsRead(t *testing.T) {
+	f := copyingFleet("a", "a")
+	serve(t, f, document(7, 600), start)
+	assert.Empty(t, f.sources(f.pool(engines), document(7, 600), start.Add(time.Second)))
+}
--- a/internal/gateway/fleet/engine.go
+++ b/internal/gateway/fleet/engine.go
@@ -113,13 +113,14 @@
 	chunk := m.prefill(m.Chunk)
 	// Each chunk of a prompt waits for a step of the running requests.
 	perChunk := 1 + float64(step)/float64(chunk)
-	c.prefill = time.Duration(r.slowness * perChunk * float64(m.prefill(q.PromptTokens-c.cached)))
+	copying := f.copyPrompt(c, p, q)
+	c.prefill = time.Duration(r.slowness * perChunk * float64(m.prefill(q.PromptTokens-c.cached-c.copied)))
 	c.backlog = r.backlog(now)
-	c.expected = m.First + step + c.backlog + c.prefill
+	c.expected = m.First + step + c.backlog + copying + c.prefill
 	share := r.prefillShare(now)
 	generating := time.Duration(q.OutputTokens) * (step + time.Duration(share*float64(chunk)))
 	c.long = f.generates(q)
-	c.cost = c.expected + c.prefill + stallCost(c.backlog+c.prefill, share, q.Gap, r.streams())
+	c.cost = c.expected + c.prefill + time.Duration(copyPrice*float64(m.prefill(c.copied))) + stallCost(c.backlog+c.prefill, share, q.Gap, r.streams())
 	if c.expected+generating > q.Left {
 		c.cost += hopeless
 	}
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -183,6 +183,10 @@
 	return uses, parts, tokens
 }
 
+// toldRead is when a part that another host told of counts as read: digests are
+// sent when a prompt is dispatched, and reading takes some hundred milliseconds.
+const toldRead = 300 * time.Millisecond
+
 // ApplyDigest takes what another host has in progress.
 func (f *Fleet) ApplyDigest(host string, uses map[uint64]Use, parts []PromptUse, tokens []int, now time.Time) {
 	f.mu.Lock()
@@ -193,7 +197,7 @@
 	}
 	for i, p := range parts {
 		if r, ok := f.byKey[p.Replica]; ok {
-			r.remember(p.Part, tokens[i], f.capacity(r))
+			r.remember(PromptPart{Hash: p.Part, Tokens: tokens[i]}, now.Add(toldRead), f.capacity(r))
 		}
 	}
 }
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -25,7 +25,8 @@
 	// share; 0 when there is none.
 	Session uint64
 
-	home *replica // of the session, found once
+	home    *replica // of the session, found once
+	sources []source // found once
 }
 
 // Reasons of refusals.
@@ -53,6 +54,10 @@
 	Backlog  time.Duration // prompts ahead
 	Running  int           // requests in progress, of all hosts
 	Eligible int           // replicas that could be picked
+	// CopyFrom is the address of a replica from which this one is to copy Copied
+	// tokens of the prompt instead of reading them; empty when it reads them.
+	CopyFrom string
+	Copied   int
 }
 
 // Lease is a request in progress on a replica.
@@ -107,6 +112,7 @@
 		return nil, &Refusal{Reason: ReasonPoison, RetryAfter: left}
 	}
 	p := f.pool(q.Upstream)
+	q.sources = f.sources(p, q, now)
 	best, full := f.choose(p, q, now)
 	if best.replica == nil {
 		if full {
@@ -157,6 +163,8 @@
 	backlog  time.Duration
 	long     bool
 	eligible int
+	source   *replica // to copy from; nil when the replica reads the prompt itself
+	copied   int      // tokens
 }
 
 // best returns the replica with the least cost of those that weigh accepts. healthy
@@ -256,7 +264,7 @@
 	l := &Lease{
 		Choice: Choice{
 			Member: r.member, Expected: c.expected, Cached: c.cached, Backlog: c.backlog,
-			Running: r.load(), Eligible: c.eligible,
+			Running: r.load(), Eligible: c.eligible, Copied: c.copied,
 		},
 		fleet: f, replica: r, started: now, prefill: c.prefill, request: q.Fingerprint,
 	}
@@ -264,10 +272,13 @@
 		l.memory = q.PromptTokens + q.OutputTokens
 		l.long = c.long
 	}
+	if c.source != nil {
+		l.CopyFrom = c.source.member.Address
+	}
 	r.start(l, now)
 	capacity := f.capacity(r)
 	for i, part := range q.Prompt {
-		r.remember(part.Hash, part.Tokens, capacity)
+		r.remember(part, now.Add(c.expected), capacity)
 		if i > 0 && i == len(q.Prompt)-1 {
 			break // the last part belongs to this request alone
 		}
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -28,6 +28,12 @@
 	prefillMemory = 2 * time.Second
 )
 
+// heldPart is a part of a prompt that a replica holds or is about to read.
+type heldPart struct {
+	tokens int
+	readBy time.Time // when it should have been read
+}
+
 // replica is what this host knows of one replica. It is guarded by the Fleet.
 type replica struct {
 	member Member
@@ -55,7 +61,7 @@
 	prefillLoad   float64 // share of recent time spent on this host's prompts
 	prefillLoadAt time.Time
 
-	parts      *simplelru.LRU[uint64, int] // hash to tokens
+	parts      *simplelru.LRU[uint64, heldPart] // by hash
 	partTokens int
 
 	failures       int // in a row, that tell that the replica cannot be reached or crashed
@@ -81,22 +87,23 @@
 func (r *replica) forgetParts() {
 	r.partTokens = 0
 	// NewLRU fails only for a size below one.
-	r.parts, _ = simplelru.NewLRU(maxParts, func(_ uint64, tokens int) { r.partTokens -= tokens })
+	r.parts, _ = simplelru.NewLRU(maxParts, func(_ uint64, part heldPart) { r.partTokens -= part.tokens })
 }
 
-// remember records that the replica holds a part and drops the parts that were
-// used longest ago beyond its capacity.
-func (r *replica) remember(part uint64, tokens, capacity int) {
-	if _, known := r.parts.Get(part); !known {
-		r.partTokens += tokens
-		r.parts.Add(part, tokens)
+// remember records that the replica holds a part, or will by readBy, and drops the
+// parts that were used longest ago beyond its capacity.
+func (r *replica) remember(part PromptPart, readBy time.Time, capacity int) {
+	if _, known := r.parts.Get(part.Hash); !known {
+		r.partTokens += part.Tokens
+		r.parts.Add(part.Hash, heldPart{tokens: part.Tokens, readBy: readBy})
 	}
 	for r.partTokens > capacity && r.parts.Len() > 1 {
 		r.parts.RemoveOldest()
 	}
 }
 
-// cached returns the tokens at the beginning of the prompt that the replica holds.
+// cached returns the tokens at the beginning of the prompt that the replica holds
+// or reads before this prompt.
 func (r *replica) cached(prompt []PromptPart) int {
 	tokens := 0
 	for _, p := range prompt {
@@ -108,6 +115,20 @@
 	return tokens
 }
 
+// read returns the tokens at the beginning of the prompt that the replica should
+// have read by now, so that another one can copy them.
+func (r *replica) read(prompt []PromptPart, now time.Time) int {
+	tokens := 0
+	for _, p := range prompt {
+		held, ok := r.parts.Peek(p.Hash)
+		if !ok || now.Before(held.readBy) {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
 // backlog returns how long the replica is expected to read the prompts that were
 // sent before, by any host.
 func (r *replica) backlog(now time.Time) time.Duration {
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -75,6 +75,9 @@
 		line.Int("attempts", rec.attempts).Str("replica", c.Member.ID).Dur("expected_ms", c.Expected).
 			Dur("backlog_ms", c.Backlog).Int("cached", c.Cached).Int("prompt", e.call.PromptTokens).
 			Int("running", c.Running).Int("eligible", c.Eligible)
+		if c.CopyFrom != "" {
+			line.Str("copy_from", c.CopyFrom).Int("copied", c.Copied)
+		}
 	}
 	if rec.refusal != nil {
 		line.Dur("predicted_ms", rec.refusal.Expected).Dur("backlog_ms", rec.refusal.Backlog).
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -209,6 +209,7 @@
 func (e *exchange) upstreamRequest(lease *fleet.Lease, p *progress) *upstream.Request {
 	d := routing.Dispatch{
 		ReplicaID: lease.Member.ID, Left: time.Until(e.ends), Urgency: -1, LastEventID: p.lastEvent,
+		CopyFrom: lease.CopyFrom,
 	}
 	if e.team != nil {
 		d.Team = e.team.Name
--- a/internal/gateway/routing/call.go
+++ b/internal/gateway/routing/call.go
@@ -31,6 +31,7 @@
 	Left        time.Duration
 	Urgency     int    // 0 is the most urgent; negative leaves it out
 	LastEventID string // the stream continues after this event; empty leaves the caller's
+	CopyFrom    string // IP:port of a replica that holds a part of the prompt; empty when there is none
 }
 
 // Reply is what a replica says of its answer beside status and body.
--- a/internal/gateway/routing/routing.go
+++ b/internal/gateway/routing/routing.go
@@ -91,6 +91,10 @@
 	Slots          int // requests that run at once
 	MemoryTokens   int // tokens that running requests and cached prompts share
 	TokensPerEvent int
+	// BytesPerToken and LinkBitsPerSecond tell how long it takes to copy prompt
+	// memory between two engines; 0 when they cannot.
+	BytesPerToken     int
+	LinkBitsPerSecond float64
 }
 
 // Team is a customer with keys.
