Copy prompt memory between availability zones too

A copy across zones takes twice as long and is not counted as bytes between zones. Sources in a zone that counts as cut off are left out; of sources that hold as much, one in the zone is preferred.

--- a/internal/gateway/fleet/copy.go
+++ b/internal/gateway/fleet/copy.go
@@ -14,6 +14,8 @@
 	// copySetup is the time in which an engine starts a copy, as measured on the
 	// operators' engines.
 	copySetup = 6 * time.Millisecond
+	// copyAcross is how much longer a copy between availability zones takes.
+	copyAcross = 2
 	// copyPrice is the cost of a copy as a part of the time to read the tokens. The
 	// operators pay for the memory moved about a sixth of what they pay for reading
 	// shared prompts again, and it keeps sessions where they are.
@@ -26,8 +28,8 @@
 	tokens  int
 }
 
-// sources returns, for each availability zone, the replica that has read most of the
-// prompt.
+// sources returns, for each availability zone that is not cut off, the replica that
+// has read most of the prompt.
 func (f *Fleet) sources(p *pool, q *Request, now time.Time) []source {
 	e := p.upstream.Engine
 	if e == nil || e.BytesPerToken <= 0 || e.LinkBitsPerSecond <= 0 || len(q.Prompt) == 0 {
@@ -35,7 +37,7 @@
 	}
 	var out []source
 	for _, r := range p.replicas {
-		if !r.member.usable(now) || r.failures > 0 || slices.Contains(q.Exclude, r.member.ID) {
+		if !r.member.usable(now) || r.failures > 0 || slices.Contains(q.Exclude, r.member.ID) || f.avoided(r, now) {
 			continue
 		}
 		tokens := r.read(q.Prompt, now)
@@ -54,18 +56,25 @@
 }
 
 // copyPrompt decides whether the candidate copies a part of the prompt from another
-// replica of its availability zone, and returns how long that takes.
+// replica, and returns how long that takes. Of those that hold as much one of its own
+// availability zone is preferred.
 func (f *Fleet) copyPrompt(c *candidate, p *pool, q *Request) time.Duration {
+	across := false
 	for _, s := range q.sources {
-		if s.replica.member.Zone != c.replica.member.Zone {
-			continue
-		}
-		if tokens := s.tokens - c.cached; tokens >= leastCopied {
-			c.source, c.copied = s.replica, tokens
-			return copySetup + copyTime(p.upstream.Engine, tokens)
+		tokens := s.tokens - c.cached
+		other := s.replica.member.Zone != c.replica.member.Zone
+		if tokens >= leastCopied && (tokens > c.copied || tokens == c.copied && across) {
+			c.source, c.copied, across = s.replica, tokens, other
 		}
 	}
-	return 0
+	if c.source == nil {
+		return 0
+	}
+	moving := copyTime(p.upstream.Engine, c.copied)
+	if across {
+		moving *= copyAcross
+	}
+	return copySetup + moving
 }
 
 // copyTime is the time to move tokens of memory between two engines.
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -92,6 +92,12 @@
 	return z
 }
 
+// avoided tells whether the replica is in another availability zone that counts as
+// cut off.
+func (f *Fleet) avoided(r *replica, now time.Time) bool {
+	return r.member.Zone != f.opts.Zone && now.Before(f.zone(r.member.Zone).avoid)
+}
+
 // New returns a fleet without replicas.
 func New(opts Options) *Fleet {
 	return &Fleet{
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -216,7 +216,7 @@
 	if r.member.Zone != f.opts.Zone {
 		c.expected += crossZone
 		c.cost += crossZone
-		if now.Before(f.zone(r.member.Zone).avoid) {
+		if f.avoided(r, now) {
 			c.cost += zoneCost
 		}
 	}
