Log the longest pause between the events of a stream

Cause: a stream can be late by its first event or by a pause, and the decision line told only the first.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -154,6 +154,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		p.events++
+		e.record.event(time.Now())
 		if event.ID != "" {
 			p.lastEvent = event.ID
 		}
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -29,6 +29,8 @@
 	attempts   int
 	choice     fleet.Choice
 	first      time.Duration // from arrival to the first event
+	pause      time.Duration // the longest between two events
+	last       time.Time     // the last event
 }
 
 func (r *record) attempt(l *fleet.Lease) {
@@ -44,6 +46,14 @@
 	}
 }
 
+// event notes an event of a stream.
+func (r *record) event(now time.Time) {
+	if !r.last.IsZero() {
+		r.pause = max(r.pause, now.Sub(r.last))
+	}
+	r.last = now
+}
+
 // finish logs and counts the request. It runs when the handler ends, also when
 // the answer is broken off.
 func (e *exchange) finish() {
@@ -68,7 +78,7 @@
 		line.Str("team", e.team.Name)
 	}
 	if rec.first > 0 {
-		line.Dur("first_ms", rec.first)
+		line.Dur("first_ms", rec.first).Dur("pause_ms", rec.pause)
 	}
 	if rec.attempts > 0 {
 		c := &rec.choice
