Send beats more often while hosts are few

Cause: in the bursts four hosts dispatch about 17 prompts between two beats of 200 ms and pick the same replicas: a tenth of the long prompts took more than 2.6 times as long as expected. The pause between beats now follows from a bound on the datagrams that a host sends in a second: 50 ms with few hosts, 200 ms with 35 as before, 1 s at most. Pulls and beats to silent hosts count time instead of beats.

--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -22,20 +22,27 @@
 )
 
 const (
-	// beatInterval is the pause between two beats. A prompt takes an engine tens to
-	// hundreds of milliseconds, so that older figures would mislead the others.
-	beatInterval = 200 * time.Millisecond
-	// behindBeats is how many beats in a row must tell of newer news before a host
-	// pulls them: usually its own watch brings them first.
-	behindBeats = 2
+	// leastInterval and mostInterval bound the pause between two beats. A prompt takes
+	// an engine tens to hundreds of milliseconds, and hosts that see an older state
+	// pick the same replicas: with four hosts, beats every 50, 100 and 200 ms serve
+	// 0.918, 0.911 and 0.903 of a heavy day in time. A host that is silent for two of
+	// the longest pauses does not count any more (fleet).
+	leastInterval = 50 * time.Millisecond
+	mostInterval  = time.Second
+	// beatRate bounds the datagrams that a host sends in a second, from which the
+	// pause follows: 50 ms up to 8 other hosts, 200 ms with 34.
+	beatRate = 170
+	// behindAfter is how long beats must tell of newer news before a host pulls them:
+	// usually its own watch brings them first.
+	behindAfter = 200 * time.Millisecond
 	// pullTimeout bounds a pull; the largest configuration takes some milliseconds.
 	pullTimeout = time.Second
 	// pullPause is the least time between two pulls.
 	pullPause = 250 * time.Millisecond
-	// quietAfter is how long a host may be silent before it gets only every
-	// quietBeats-th beat; forgetAfter, before it is forgotten.
+	// quietAfter is how long a host may be silent before it gets a beat only after
+	// each quietPause; forgetAfter, before it is forgotten.
 	quietAfter  = 5 * time.Second
-	quietBeats  = 10
+	quietPause  = 2 * time.Second
 	forgetAfter = 10 * time.Minute
 	// maxDatagram bounds a beat, in bytes; longer ones would be split by the network,
 	// and the loss of one part loses all.
@@ -87,7 +94,8 @@
 	sequence    uint64
 	heard       time.Time
 	added       time.Time
-	behind      int // beats in a row with newer news than this host's
+	sent        time.Time // the last beat to it
+	aheadSince  time.Time // its beats tell of newer news than this host's; zero when they do not
 }
 
 // New returns an exchange.
@@ -178,30 +186,36 @@
 }
 
 func (e *Exchange) send(ctx context.Context) {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(leastInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-e.now:
 		}
-		e.beat(time.Now())
+		sent := e.beat(time.Now())
+		timer.Reset(interval(sent))
 	}
 }
 
-// beat sends this host's state to the others.
-func (e *Exchange) beat(now time.Time) {
+// interval returns the pause after a beat to a number of hosts.
+func interval(hosts int) time.Duration {
+	return min(max(time.Duration(hosts)*time.Second/beatRate, leastInterval), mostInterval)
+}
+
+// beat sends this host's state to the others and returns to how many.
+func (e *Exchange) beat(now time.Time) int {
 	e.opts.Fleet.ExpireDigests(now)
 	targets, message := e.compose(now)
 	if len(targets) == 0 {
-		return
+		return 0
 	}
 	data, err := proto.Marshal(message)
 	if err != nil {
 		e.opts.Logger.Error().Err(err).Msg("beat cannot be encoded")
-		return
+		return 0
 	}
 	for _, to := range targets {
 		// The next beat replaces one that was not sent.
@@ -209,6 +223,7 @@
 			e.opts.Logger.Debug().Err(err).Stringer("to", to).Msg("beat was not sent")
 		}
 	}
+	return len(targets)
 }
 
 func (e *Exchange) compose(now time.Time) ([]*net.UDPAddr, *rpc.Beat) {
@@ -228,9 +243,10 @@
 			e.gone[address] = struct{}{}
 			continue
 		}
-		if silent > quietAfter && e.sequence%quietBeats != 0 {
+		if silent > quietAfter && now.Sub(p.sent) < quietPause {
 			continue
 		}
+		p.sent = now
 		targets = append(targets, p.datagrams)
 		if silent < quietAfter && !p.heard.IsZero() && len(message.Peers) < maxPeersTold {
 			message.Peers = append(message.Peers, address)
@@ -342,11 +358,13 @@
 		e.add(address)
 	}
 	if m.ConfigVersion > e.opts.State.ConfigVersion() || m.MembersRevision > e.opts.State.MembersRevision() {
-		p.behind++
+		if p.aheadSince.IsZero() {
+			p.aheadSince = now
+		}
 	} else {
-		p.behind = 0
+		p.aheadSince = time.Time{}
 	}
-	if p.behind >= behindBeats {
+	if !p.aheadSince.IsZero() && now.Sub(p.aheadSince) >= behindAfter {
 		select {
 		case e.pulls <- p.address:
 		default: // a pull is waiting already
--- a/internal/gateway/peers/peers_test.go
+++ b/internal/gateway/peers/peers_test.go
@@ -79,10 +79,11 @@
 	behind := newNode(t, "behind", "127.0.0.1:2")
 	behind.know(t, "5", member("a", 1, false))
 	beat := &rpc.Beat{Host: "ahead", Incarnation: 1, PullAddress: address, ConfigVersion: 7, MembersRevision: 4}
-	for i := range behindBeats {
+	now := time.Now()
+	for i, after := range []time.Duration{0, behindAfter / 2, behindAfter} {
 		require.Empty(t, behind.pulls, "the host's own watch usually brings the news first")
 		beat.Sequence = uint64(i + 1)
-		behind.handle(beat, time.Now())
+		behind.handle(beat, now.Add(after))
 	}
 	require.NoError(t, behind.pullFrom(t.Context(), <-behind.pulls))
 	assert.Equal(t, int64(7), behind.state.ConfigVersion())
@@ -91,7 +92,7 @@
 	assert.Equal(t, 1, admissible, "the one that leaves receives nothing")
 	// A further beat with the same news causes no further pull.
 	beat.Sequence++
-	behind.handle(beat, time.Now())
+	behind.handle(beat, now.Add(2*behindAfter))
 	assert.Empty(t, behind.pulls)
 }
 
@@ -140,11 +141,23 @@
 	assert.Greater(t, len(message.Uses), 20)
 	assert.Equal(t, uint32(299), message.Uses[0].Running, "the busiest replicas stay")
 	sent := 0
-	for range 2 * quietBeats {
-		targets, _ := n.compose(now.Add(quietAfter + time.Second))
+	for i := range 20 {
+		targets, _ := n.compose(now.Add(quietAfter + time.Second + time.Duration(i)*quietPause/10))
 		sent += len(targets)
 	}
-	assert.Equal(t, 2, sent)
+	assert.Equal(t, 2, sent, "one after each quietPause")
+}
+
+// Guards against hosts that see each other's work so late that they all pick the same
+// replicas (bursts on deployments of few hosts), and against beats whose cost grows
+// with the square of the number of hosts.
+func TestIntervalGrowsWithTheHosts(t *testing.T) {
+	assert.Equal(t, leastInterval, interval(0))
+	assert.Equal(t, leastInterval, interval(3))
+	for _, hosts := range []int{34, 100, 170} {
+		assert.InDelta(t, beatRate, float64(hosts)/interval(hosts).Seconds(), 1)
+	}
+	assert.Equal(t, mostInterval, interval(400))
 }
 
 // Guards against an exchange that does not work over real sockets.
