Take a spoiled registration as naming no replica, in watches as in lists

Cause: an entry that another writer had overwritten counted as removed when it was listed and stayed as it was when a watch told of it, so that hosts differed. TestSpoiledRegistrationNamesNoReplica failed before (200 instead of 503).

--- a/internal/gateway/program_test.go
+++ b/internal/gateway/program_test.go
@@ -65,6 +65,12 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *store) spec(kind, name string) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].(map[string]any)["spec"]
+}
+
 func (s *store) count(kind string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -238,6 +244,30 @@
 	assert.NoError(t, <-g.result)
 }
 
+// Guards against a replica that stays in use by an old registration after another
+// writer has spoiled it, and against one that does not come back when it is mended.
+func TestSpoiledRegistrationNamesNoReplica(t *testing.T) {
+	g := run(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Heatherbarrow-Server-Seal", "s")
+		_, _ = io.WriteString(w, "x")
+	})
+	g.configure(t, 1)
+	status := func() int {
+		response, err := http.Get("http://" + g.Listen + "/r/1")
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	sound := g.store.spec(platform.KindMembers, "i-1")
+	require.Equal(t, http.StatusOK, status())
+	g.store.put(platform.KindMembers, "i-1", map[string]any{"service": "pool", "address": 7})
+	require.Eventually(t, func() bool { return status() == http.StatusServiceUnavailable }, 20*time.Second, 5*time.Millisecond)
+	g.store.put(platform.KindMembers, "i-1", sound)
+	require.Eventually(t, func() bool { return status() == http.StatusOK }, 20*time.Second, 5*time.Millisecond)
+}
+
 // Guards against a new configuration that needs a restart to be in force.
 func TestNewConfigurationIsInForce(t *testing.T) {
 	g := run(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -80,12 +80,14 @@
 		n := state.Registration{Member: fleet.Member{ID: o.Name}, Revision: o.Version, Removed: o.Deleted}
 		if !o.Deleted {
 			member, err := s.program.adapter.DecodeMember(o.Name, o.Value)
-			if err != nil {
-				// An entry by another writer names no replica to use.
-				s.program.logger.Warn().Err(err).Str("replica", o.Name).Msg("registration is ignored")
-				continue
+			if err == nil {
+				n.Member = member
+			} else {
+				// An entry by another writer names no replica to use, nor does it say any
+				// more where the one is that had the name.
+				s.program.logger.Warn().Err(err).Str("replica", o.Name).Msg("registration names no replica")
+				n.Removed = true
 			}
-			n.Member = member
 		}
 		if n.Removed && n.Revision == 0 {
 			n.Revision = r.AsOf
