Tell metrics apart by kind, tier, upstream and outcome

Cause: the counters told only outcomes, so that nobody could see which kind of request was refused or repeated. Routes are not told apart, as a configuration has hundreds and a series takes memory. Gauges tell the configuration in force, the store and the replicas.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -233,12 +233,34 @@
 			now = now.Add(slept)
 		}
 		p.client.CloseIdle(now)
+		p.updateGauges()
 		if err := p.state.Tick(); err != nil {
 			return // the program is stopping
 		}
 	}
 }
 
+// updateGauges tells what the host believes.
+func (p *Program) updateGauges() {
+	scope := p.metrics.Scope
+	scope.Gauge("config_version").Update(float64(p.state.ConfigVersion()))
+	reachable := 0.0
+	if p.state.StoreReachable() {
+		reachable = 1
+	}
+	scope.Gauge("store_reachable").Update(reachable)
+	scope.Gauge("hosts_heard").Update(float64(p.fleet.Hosts()))
+	scope.Gauge("requests_in_progress").Update(float64(p.server.Active()))
+	if t := p.state.Table(); t != nil {
+		for _, u := range t.Upstreams {
+			known, usable := p.fleet.Counts(u.Name, time.Now())
+			upstream := scope.Tagged(map[string]string{"upstream": u.Name})
+			upstream.Gauge("replicas").Update(float64(known))
+			upstream.Gauge("replicas_usable").Update(float64(usable))
+		}
+	}
+}
+
 // reload reads the settings file again. Seeds, log level and retry bounds take
 // effect; addresses and the rest need a restart. Wrong settings change nothing.
 func (p *Program) reload(path string) {
--- a/internal/gateway/proxy/proxy_test.go
+++ b/internal/gateway/proxy/proxy_test.go
@@ -35,6 +35,7 @@
 	fleet   *fleet.Fleet
 	members []fleet.Member
 	table   atomic.Pointer[routing.Table]
+	metrics tally.TestScope
 }
 
 const (
@@ -65,7 +66,7 @@
 
 func newBed(t *testing.T, replicas ...http.Handler) *bed {
 	t.Helper()
-	b := &bed{t: t, fleet: fleet.New(fleet.Options{Zone: "a", Model: fleet.EngineModel{PrefillTokensPerMs: 36, Chunk: 2048}})}
+	b := &bed{t: t, metrics: tally.NewTestScope("", nil), fleet: fleet.New(fleet.Options{Zone: "a", Model: fleet.EngineModel{PrefillTokensPerMs: 36, Chunk: 2048}})}
 	for i, handler := range replicas {
 		s := httptest.NewServer(handler)
 		t.Cleanup(s.CloseClientConnections)
@@ -78,7 +79,7 @@
 	b.server = proxy.New(proxy.Options{
 		Dialect: platform.Dialect{}, Fleet: b.fleet, Client: upstream.NewClient((&net.Dialer{}).DialContext),
 		Budget: proxy.NewBudget(clockwork.NewRealClock(), 0.2, 50, 1),
-		Table:  b.table.Load, Known: func() bool { return b.table.Load() != nil }, Logger: zerolog.Nop(), Metrics: tally.NoopScope,
+		Table:  b.table.Load, Known: func() bool { return b.table.Load() != nil }, Logger: zerolog.Nop(), Metrics: b.metrics,
 	})
 	b.front = httptest.NewUnstartedServer(nil)
 	b.front.Config = b.server.HTTPServer()
@@ -473,3 +474,30 @@
 	}
 	assert.LessOrEqual(t, other.runs.Load(), int64(1), "the address is left alone for a while")
 }
+
+// Guards against metrics that do not tell which kind of request is refused, repeated
+// or fails.
+func TestMetricsTellKindTierUpstreamAndOutcome(t *testing.T) {
+	b := newBed(t, count(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }), count(answer("x")))
+	for range 6 {
+		b.do(request{path: "/lookup/1"})
+	}
+	b.do(request{path: "/lookup/1", header: map[string]string{"Authorization": "Bearer wrong"}})
+	b.do(request{path: "/none/"})
+	counters := map[string]int64{}
+	for _, c := range b.metrics.Snapshot().Counters() {
+		tags := c.Tags()
+		counters[c.Name()+" "+strings.Join([]string{tags["kind"], tags["tier"], tags["upstream"], tags["outcome"], tags["reason"]}, " ")] = c.Value()
+	}
+	assert.Equal(t, int64(6), counters["requests idempotent 0 pool completed "])
+	assert.Equal(t, int64(1), counters["requests idempotent 0 none not-run "])
+	assert.Equal(t, int64(1), counters["requests none none none not-run "])
+	assert.Equal(t, int64(1), counters["refusals     unknown_key"])
+	assert.Equal(t, int64(1), counters["refusals     no_route"])
+	assert.Positive(t, counters["repeated_attempts     "])
+	histograms := map[string]bool{}
+	for _, h := range b.metrics.Snapshot().Histograms() {
+		histograms[h.Name()+" "+h.Tags()["kind"]+" "+h.Tags()["tier"]+" "+h.Tags()["upstream"]] = true
+	}
+	assert.Contains(t, histograms, "request_duration idempotent 0 pool")
+}
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"heatherbarrow/internal/gateway/fleet"
 )
 
@@ -97,43 +95,5 @@
 		line.Dur("retry_after_ms", rec.retryAfter)
 	}
 	line.Msg("request")
-	s.metrics.count(rec.outcome)
-	s.metrics.duration.RecordDuration(took)
-	if rec.first > 0 {
-		s.metrics.firstEvent.RecordDuration(rec.first)
-	}
-}
-
-// latencyBuckets cover the latency objectives of a few hundred milliseconds and
-// the deadlines of some seconds.
-var latencyBuckets = tally.DurationBuckets{
-	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
-	300 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond,
-	1200 * time.Millisecond, 2 * time.Second, 5 * time.Second, 15 * time.Second,
-}
-
-type metrics struct {
-	outcomes   map[string]tally.Counter
-	firstByte  tally.Histogram
-	firstEvent tally.Histogram
-	duration   tally.Histogram
-}
-
-func newMetrics(scope tally.Scope) metrics {
-	m := metrics{
-		outcomes:   make(map[string]tally.Counter),
-		firstByte:  scope.Histogram("upstream_first_byte", latencyBuckets),
-		firstEvent: scope.Histogram("first_event", latencyBuckets),
-		duration:   scope.Histogram("request_duration", latencyBuckets),
-	}
-	for _, outcome := range []string{outcomeCompleted, outcomeNotRun, outcomeFailed, outcomeUnknown, outcomeBroken, outcomeCallerGone} {
-		m.outcomes[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests")
-	}
-	return m
-}
-
-func (m *metrics) count(outcome string) {
-	if c, ok := m.outcomes[outcome]; ok {
-		c.Inc(1)
-	}
+	s.metrics.ended(e, took)
 }
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -182,6 +182,10 @@
 	s := e.server
 	p.offers++
 	e.record.attempt(lease)
+	if p.offers > 1 {
+		s.metrics.repeats.Inc(1)
+	}
+	s.metrics.copied.Inc(int64(lease.Copied))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := e.watch(cancel, lease, p)
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -48,7 +48,7 @@
 // Server serves callers.
 type Server struct {
 	opts     Options
-	metrics  metrics
+	metrics  *metrics
 	patience patience
 	draining atomic.Bool
 	active   atomic.Int64
