Show operators what gateways believe: hbctl gateways

On the operators' platform hbctl had nothing to ask. Gateways answer a Twirp call on their peer address with the configuration in force, its source and age, the store, the hosts heard, the replicas with the reason why one is not used, and the refusals by reason. The test runs hbctl against a gateway and one that cannot be reached.

--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -66,6 +66,8 @@
 	Fleet    *fleet.Fleet
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	Logger   zerolog.Logger
+	// Status tells operators what this host believes and refuses.
+	Status func() *rpc.GatewayStatus
 	// Heard is called with the number of hosts known, this one included.
 	Heard func(hosts int)
 }
@@ -465,6 +467,11 @@
 	return e.opts.State.Publish(state.Members{Entries: entries, Source: state.FromPeer})
 }
 
+// Status implements rpc.Gateway.
+func (e *Exchange) Status(context.Context, *rpc.GatewayStatusRequest) (*rpc.GatewayStatus, error) {
+	return e.opts.Status(), nil
+}
+
 // Pull implements rpc.Gateway.
 func (e *Exchange) Pull(_ context.Context, q *rpc.PullRequest) (*rpc.PullResponse, error) {
 	s := e.opts.State
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -87,6 +87,7 @@
 	server  *proxy.Server
 	store   objectstore.Store
 	metrics *telemetry.Metrics
+	started time.Time
 }
 
 // NewProgram returns a program with settings that are filled in before Run.
@@ -111,6 +112,7 @@
 	telemetry.RedirectStandardLog(p.logger)
 	p.metrics = telemetry.NewMetrics(p.settings.Host, p.settings.AvailabilityZone)
 	defer func() { _ = p.metrics.Close() }()
+	p.started = time.Now()
 	registry, err := p.compose()
 	if err != nil {
 		return err
@@ -147,7 +149,7 @@
 	p.peers = peers.New(peers.Options{
 		Host: p.settings.Host, Zone: p.settings.AvailabilityZone, Listen: p.settings.PeerListen,
 		BeatPort: p.settings.BeatPort, Seeds: p.settings.Seeds, State: p.state, Fleet: p.fleet,
-		Dial: netio.Dial, Logger: p.logger, Heard: p.budget.SetHosts,
+		Dial: netio.Dial, Logger: p.logger, Status: p.status, Heard: p.budget.SetHosts,
 	})
 	p.server = proxy.New(proxy.Options{
 		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client,
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -39,6 +39,12 @@
 	firstEvent tally.Histogram
 }
 
+// refusalCounter counts refusals for a reason.
+type refusalCounter struct {
+	tally.Counter
+	total uint64 // a counter of tally cannot be read
+}
+
 // metrics counts what became of requests. It is safe for concurrent use.
 type metrics struct {
 	scope     tally.Scope
@@ -48,7 +54,7 @@
 
 	mu       sync.Mutex
 	requests map[series]tally.Counter
-	refusals map[string]tally.Counter
+	refusals map[string]refusalCounter
 	classes  map[class]classMetrics
 }
 
@@ -59,7 +65,7 @@
 		repeats:   scope.Counter("repeated_attempts"),
 		copied:    scope.Counter("copied_prompt_tokens"),
 		requests:  make(map[series]tally.Counter),
-		refusals:  make(map[string]tally.Counter),
+		refusals:  make(map[string]refusalCounter),
 		classes:   make(map[class]classMetrics),
 	}
 }
@@ -100,10 +106,22 @@
 	defer m.mu.Unlock()
 	c, ok := m.refusals[reason]
 	if !ok {
-		c = m.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals")
-		m.refusals[reason] = c
+		c.Counter = m.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals")
 	}
 	c.Inc(1)
+	c.total++
+	m.refusals[reason] = c
+}
+
+// totals returns the refusals since the start by reason.
+func (m *metrics) totals() map[string]uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	totals := make(map[string]uint64, len(m.refusals))
+	for reason, c := range m.refusals {
+		totals[reason] = c.total
+	}
+	return totals
 }
 
 func (m *metrics) class(c class) classMetrics {
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -90,6 +90,9 @@
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
+// Refusals returns how many requests were refused since the start, by reason.
+func (s *Server) Refusals() map[string]uint64 { return s.metrics.totals() }
+
 // exchange is one request of a caller.
 type exchange struct {
 	server      *Server
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -61,11 +61,18 @@
 	Changed func()
 }
 
+// Origin says where the configuration in force came from and when.
+type Origin struct {
+	Source Source
+	At     time.Time
+}
+
 // State is the control state of a host.
 type State struct {
 	opts Options
 
 	table   atomic.Pointer[routing.Table]
+	origin  atomic.Pointer[Origin] // of the table
 	raw     atomic.Pointer[[]byte]
 	shared  atomic.Pointer[[]Registration]
 	members atomic.Uint64 // the highest revision of a registration
@@ -114,6 +121,14 @@
 	return 0
 }
 
+// ConfigOrigin returns where the configuration in force came from.
+func (s *State) ConfigOrigin() Origin {
+	if o := s.origin.Load(); o != nil {
+		return *o
+	}
+	return Origin{}
+}
+
 // RawConfig returns the configuration in force as the store holds it.
 func (s *State) RawConfig() []byte {
 	if raw := s.raw.Load(); raw != nil {
@@ -169,6 +184,7 @@
 	table := routing.Compile(c)
 	s.opts.Fleet.SetUpstreams(c.Upstreams)
 	s.raw.Store(&e.Raw)
+	s.origin.Store(&Origin{Source: e.Source, At: time.Now()})
 	s.table.Store(table)
 	s.opts.Logger.Info().Int64("version", c.Version).Int64("before", before).Str("source", string(e.Source)).
 		Int("routes", len(c.Routes)).Int("teams", len(c.Teams)).Msg("configuration in force")
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"heatherbarrow/internal/rpc"
+)
+
+// status tells operators what this host believes and refuses.
+func (p *Program) status() *rpc.GatewayStatus {
+	const permille = 1000
+	now := time.Now()
+	origin := p.state.ConfigOrigin()
+	out := &rpc.GatewayStatus{
+		Host: p.settings.Host, AvailabilityZone: p.settings.AvailabilityZone, Started: p.started.UnixMilli(),
+		Ready: p.server.Ready(), ConfigVersion: p.state.ConfigVersion(), ConfigSource: string(origin.Source),
+		StoreReachable: p.state.StoreReachable(), HostsHeard: uint32(p.fleet.Hosts()),
+		RequestsInProgress: uint32(p.server.Active()), MembersRevision: p.state.MembersRevision(),
+	}
+	if !origin.At.IsZero() {
+		out.ConfigAgeMs = now.Sub(origin.At).Milliseconds()
+	}
+	for _, v := range p.fleet.Views(now) {
+		out.Replicas = append(out.Replicas, &rpc.GatewayReplica{
+			Id: v.Member.ID, Upstream: v.Member.Upstream, Address: v.Member.Address, AvailabilityZone: v.Member.Zone,
+			State: string(v.State), Running: uint32(v.Running), BacklogMs: uint32(v.Backlog.Milliseconds()),
+			FailingPermille: uint32(v.Failing * permille), SlownessPermille: uint32(v.Slowness * permille),
+		})
+	}
+	slices.SortFunc(out.Replicas, func(a, b *rpc.GatewayReplica) int {
+		return cmp.Or(cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Id, b.Id))
+	})
+	for reason, requests := range p.server.Refusals() {
+		out.Refusals = append(out.Refusals, &rpc.GatewayRefusals{Reason: reason, Requests: requests})
+	}
+	slices.SortFunc(out.Refusals, func(a, b *rpc.GatewayRefusals) int { return cmp.Compare(a.Reason, b.Reason) })
+	return out
+}
--- /dev/null
+++ b/internal/gateway/status_test.go
@@ -0,0 +1,56 @@
+package gateway_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/hbctl"
+)
+
+// Guards against an operator who cannot see which configuration a host serves by,
+// which replicas it uses and why it refuses requests.
+func TestOperatorSeesWhatAGatewayBelieves(t *testing.T) {
+	g := run(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Heatherbarrow-Server-Seal", "s")
+		_, _ = io.WriteString(w, "x")
+	})
+	hbctlOutput := func(args ...string) (string, string, int) {
+		var stdout, stderr bytes.Buffer
+		code := hbctl.Main(append([]string{"gateways"}, args...), &stdout, &stderr)
+		return stdout.String(), stderr.String(), code
+	}
+	require.Eventually(t, func() bool {
+		out, _, code := hbctlOutput(g.PeerListen)
+		return code == cli.ExitOK && strings.Contains(out, "none")
+	}, 20*time.Second, 5*time.Millisecond, "no configuration is known yet")
+	g.configure(t, 7)
+	response, err := http.Get("http://" + g.Listen + "/none/")
+	require.NoError(t, err)
+	_ = response.Body.Close()
+
+	var out string
+	require.Eventually(t, func() bool {
+		var code int
+		out, _, code = hbctlOutput("--replicas", g.PeerListen, "127.0.0.1:1")
+		return code == cli.ExitOK && strings.Contains(out, "no_route")
+	}, 20*time.Second, 5*time.Millisecond)
+	assert.Regexp(t, `h +a +true +7 +store +\d+s +reached +1 +0`, out)
+	assert.Regexp(t, `h +no_route +1`, out)
+	assert.Regexp(t, `h +pool +i-1 +127\.0\.0\.1:\d+ +a +ready +0 +0 ms`, out)
+	assert.Contains(t, out, "127.0.0.1:1  ", "the one that cannot be reached is named with the reason")
+
+	_, problem, code := hbctlOutput("127.0.0.1:1")
+	assert.Equal(t, cli.ExitFailure, code)
+	assert.Contains(t, problem, "none of 1 gateways could be reached")
+	_, problem, code = hbctlOutput()
+	assert.Equal(t, cli.ExitFailure, code)
+	assert.Contains(t, problem, "peer_listen")
+}
--- a/internal/hbctl/hbctl.go
+++ b/internal/hbctl/hbctl.go
@@ -172,6 +172,8 @@
 	history.run = history.print
 	lookup := &lookupCommand{command: command{app: a}}
 	lookup.run = lookup.find
+	gateways := &gatewaysCommand{command: command{app: a, offline: true}}
+	gateways.run = gateways.print
 	return []commandEntry{
 		{"validate", "check a bundle file", &command{app: a, offline: true, run: a.validate}},
 		{"public-key", "print the public key of an Ed25519 seed in hex", &command{app: a, offline: true, run: a.publicKey}},
@@ -184,6 +186,7 @@
 		{"watch", "wait until a generation is in force in all zones", watch},
 		{"status", "show hosts, replicas, zones and the bundle in force", status},
 		{"drain", "drain a host by its name or operator address", &command{app: a, run: a.drain}},
+		{"gateways", "show what gateways on the operators' platform believe and refuse, by their peer addresses", gateways},
 		{"lookup", "show the outcome of a request", lookup},
 	}
 }
