Look for a lost history soon after a change, also with many hosts

The waits after a change are now spread over the whole of the usual wait, and four watches a second end instead of two. Ruled out: beats, the cut hosts, a slow store. The new test fails with the former waits.

--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -27,10 +27,13 @@
 	// all changes since in one call: replicas start and leave in groups. It is a
 	// tenth of the time allowed for withdrawing a replica.
 	gather = 200 * time.Millisecond
-	// probeHosts is the number of hosts that each watch for ProbeWait. More hosts
-	// wait longer in proportion: the first that finds the history gone tells the
-	// others.
-	probeHosts = 4
+	// probeRate is the number of such watches that end in a second over all hosts, once
+	// there are so many that each can wait longer: the first that finds the history gone
+	// tells the others. With 33 hosts, a third of them cut off, none ends for 2.5 s once
+	// in 2,000 times; a configuration has to be in force within 4 s.
+	probeRate = 4
+	// leastProbe is the least wait of such a watch.
+	leastProbe = 250 * time.Millisecond
 	// listTimeout bounds a list; a slow store takes some hundred milliseconds.
 	listTimeout = 2 * time.Second
 	// firstBackoff doubles up to maxBackoff, so that a host is back within a second
@@ -45,7 +48,9 @@
 	Kind   string
 	State  *State
 	Logger zerolog.Logger
-	Wait   func() time.Duration // of a watch
+	// Wait returns the wait of a watch. fresh tells that it follows a change or a list,
+	// which come to all hosts at the same time.
+	Wait func(fresh bool) time.Duration
 	// Others follow other kinds. They start anew when this one finds that the
 	// store's history is gone or that the store was lost.
 	Others []*Follower
@@ -89,12 +94,13 @@
 func (f *Follower) Run(ctx context.Context) {
 	var revision uint64
 	backoff := firstBackoff
-	lost := false
+	lost, fresh := false, true
 	for ctx.Err() == nil {
 		if f.takeRelist() {
 			revision = 0
 		}
-		next, changed, err := f.step(ctx, revision)
+		next, changed, err := f.step(ctx, revision, fresh)
+		fresh = changed || err != nil || revision == 0
 		if ctx.Err() != nil || errors.Is(err, ErrStopped) {
 			return
 		}
@@ -142,22 +148,32 @@
 }
 
 // ProbeWaitFor returns how long each of a number of hosts waits in the watch that
-// shows whether the store still tells of changes. It differs from call to call, so
-// that hosts do not watch in step.
-func ProbeWaitFor(hosts int) time.Duration {
-	if hosts <= probeHosts {
+// shows whether the store still tells of changes.
+func ProbeWaitFor(hosts int, fresh bool) time.Duration {
+	return probeWait(hosts, fresh, rand.Float64())
+}
+
+// probeWait spreads the ends of the hosts' watches by a random number from 0 to 1. A
+// change lets all watches begin at the same time, so that the waits after one are
+// spread over the whole of the usual wait.
+func probeWait(hosts int, fresh bool, random float64) time.Duration {
+	wait := min(time.Duration(hosts)*time.Second/probeRate, LongWait)
+	if wait <= ProbeWait {
 		return ProbeWait
 	}
-	wait := ProbeWait * time.Duration(hosts) / probeHosts
-	return min(wait/2+rand.N(wait), LongWait)
+	if fresh {
+		return max(time.Duration(random*float64(wait)), leastProbe)
+	}
+	const spread = 0.25
+	return min(time.Duration((1-spread+2*spread*random)*float64(wait)), LongWait)
 }
 
 // step lists when revision is 0 and watches otherwise. It returns the revision to go on
 // from and whether there were changes.
-func (f *Follower) step(ctx context.Context, revision uint64) (next uint64, changed bool, err error) {
+func (f *Follower) step(ctx context.Context, revision uint64, fresh bool) (next uint64, changed bool, err error) {
 	timeout, wait := listTimeout, time.Duration(0)
 	if revision > 0 {
-		wait = f.Wait()
+		wait = f.Wait(fresh)
 		timeout = wait + watchMargin
 	}
 	call, cancel := f.begin(ctx, timeout)
--- a/internal/gateway/state/follow_test.go
+++ b/internal/gateway/state/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -70,7 +71,7 @@
 func TestLostHistoryRestartsAllFollowers(t *testing.T) {
 	s, ctx := newTestState(t, nil)
 	store := newScriptedStore()
-	hour := func() time.Duration { return time.Hour }
+	hour := func(bool) time.Duration { return time.Hour }
 	apply := func(objectstore.Revisions, bool) error { return nil }
 	config := &Follower{Store: store, Kind: "config", State: s, Logger: zerolog.Nop(), Wait: hour, Apply: apply}
 	members := &Follower{Store: store, Kind: "members", State: s, Logger: zerolog.Nop(), Wait: hour, Apply: apply}
@@ -119,17 +120,43 @@
 // Guards against a store that is pressed by the probes of many hosts, and against
 // a lost history that no host finds in time.
 func TestProbesAreSharedByManyHosts(t *testing.T) {
-	assert.Equal(t, ProbeWait, ProbeWaitFor(1))
-	assert.Equal(t, ProbeWait, ProbeWaitFor(probeHosts))
-	for _, hosts := range []int{8, 33, 400} {
+	for _, hosts := range []int{1, 4, 8} {
+		assert.Equal(t, ProbeWait, ProbeWaitFor(hosts, true))
+		assert.Equal(t, ProbeWait, ProbeWaitFor(hosts, false))
+	}
+	for _, hosts := range []int{9, 33, 400} {
 		var sum time.Duration
 		for range 1000 {
-			wait := ProbeWaitFor(hosts)
+			wait := ProbeWaitFor(hosts, false)
 			assert.LessOrEqual(t, wait, LongWait)
 			sum += wait
 		}
 		calls := float64(hosts) * 1000 / sum.Seconds()
 		assert.Greater(t, calls, 1.0, "one host at least probes each second")
+		assert.Less(t, calls, 0.06*float64(hosts)+probeRate, "the store is not pressed")
+	}
+}
+
+// Guards against hosts that all began to watch with the same change and of which none
+// looks again for seconds, while the store drops its history (CONFIG on a deployment of
+// 33 hosts, platform_compact right after a change with a third of the hosts cut off).
+func TestLostHistoryIsFoundSoonAfterAChange(t *testing.T) {
+	const inForce = 4 * time.Second // from the loss until the new configuration has to be in force
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, hosts := range []int{3, 9, 33, 35, 100, 400} {
+		for range 300 {
+			for loss := time.Duration(0); loss < 30*time.Second; loss += 2500 * time.Millisecond {
+				found := time.Hour
+				for range max(hosts*2/3, 1) {
+					at := probeWait(hosts, true, random.Float64())
+					for at < loss {
+						at += probeWait(hosts, false, random.Float64())
+					}
+					found = min(found, at-loss)
+				}
+				require.Less(t, found, inForce, "%d hosts, loss %v after a change", hosts, loss)
+			}
+		}
 	}
 }
 
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -46,8 +46,8 @@
 // Start implements kernel.Starter.
 func (s *storeService) Start(ctx context.Context) error {
 	p := s.program
-	probe := func() time.Duration { return state.ProbeWaitFor(p.fleet.Hosts()) }
-	long := func() time.Duration { return state.LongWait }
+	probe := func(fresh bool) time.Duration { return state.ProbeWaitFor(p.fleet.Hosts(), fresh) }
+	long := func(bool) time.Duration { return state.LongWait }
 	config := &state.Follower{
 		Store: p.store, Kind: p.adapter.KindConfig, State: p.state, Logger: p.logger, Wait: probe, Apply: s.applyConfig,
 	}
