Count suspensions of the host in what callers have left

Cause: the steady clock stands still while a host is suspended, so that after a wake requests in progress were given more time than their callers had. What the housekeeping finds is now taken off for requests that arrived before.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -233,6 +233,7 @@
 		if slept := suspended.since(); slept > 0 {
 			p.logger.Warn().Dur("suspended_ms", slept).Msg("host was suspended; idle connections are closed")
 			now = now.Add(slept)
+			p.server.Suspended(slept)
 		}
 		p.client.CloseIdle(now)
 		p.updateGauges()
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -70,7 +70,7 @@
 		line.Str("route", e.route.Name).Str("upstream", rec.upstream).Int("urgency", e.urgency())
 	}
 	if !e.ends.IsZero() {
-		line.Dur("left_ms", time.Until(e.ends))
+		line.Dur("left_ms", e.left(time.Now()))
 	}
 	if e.team != nil {
 		line.Str("team", e.team.Name)
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -95,7 +95,7 @@
 	now := time.Now()
 	return &fleet.Request{
 		Upstream: name, Prompt: e.prompt, PromptTokens: e.call.PromptTokens, OutputTokens: output,
-		Target: target, Gap: e.route.GapTarget, Left: e.ends.Sub(now), Waited: e.waited + now.Sub(e.arrived),
+		Target: target, Gap: e.route.GapTarget, Left: e.left(now), Waited: e.waited + now.Sub(e.arrived) + e.stoodStill(),
 		Urgent: e.route.Priority == 0, Favored: e.team != nil && e.team.Priority != nil && *e.team.Priority == 0,
 		Exclude: p.exclude, Fingerprint: e.fingerprint, Session: session(e.prompt),
 	}
@@ -103,7 +103,7 @@
 
 // mayRepeat decides whether the request goes to another replica.
 func (e *exchange) mayRepeat(v verdict, p *progress, name string) bool {
-	if p.offers >= maxSends || time.Until(e.ends) < leastLeft {
+	if p.offers >= maxSends || e.left(time.Now()) < leastLeft {
 		return false
 	}
 	if v != notRun && (!e.route.Repeatable() || p.runs >= e.route.MaxAttempts) {
@@ -139,7 +139,7 @@
 // back well before its deadline.
 func (e *exchange) boundRetry(wait time.Duration) time.Duration {
 	const usable = 3 // callers wait at most a third of the time they have left
-	return max(min(wait, time.Until(e.ends)/usable), time.Millisecond)
+	return max(min(wait, e.left(time.Now())/usable), time.Millisecond)
 }
 
 // giveUp ends a request that no further attempt is allowed for.
@@ -212,7 +212,7 @@
 
 func (e *exchange) upstreamRequest(lease *fleet.Lease, p *progress) *upstream.Request {
 	d := routing.Dispatch{
-		ReplicaID: lease.Member.ID, Left: time.Until(e.ends), Urgency: -1, LastEventID: p.lastEvent,
+		ReplicaID: lease.Member.ID, Left: e.left(time.Now()), Urgency: -1, LastEventID: p.lastEvent,
 		CopyFrom: lease.CopyFrom,
 	}
 	if e.team != nil {
@@ -249,7 +249,7 @@
 	wait := lease.Expected + time.Duration(answerTargets*float64(e.route.Target))
 	wait = max(wait, leastAnswerWait)
 	timer := time.AfterFunc(wait, cancel)
-	if !e.route.Repeatable() || p.runs+1 >= e.route.MaxAttempts || wait > time.Until(e.ends)/2 {
+	if !e.route.Repeatable() || p.runs+1 >= e.route.MaxAttempts || wait > e.left(time.Now())/2 {
 		timer.Stop()
 	}
 	return timer
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -52,6 +52,9 @@
 	patience patience
 	draining atomic.Bool
 	active   atomic.Int64
+	// suspended is how long the host stood still since the start, in nanoseconds. The
+	// steady clock, by which deadlines are kept, does not count that time.
+	suspended atomic.Int64
 }
 
 // New returns a server.
@@ -87,6 +90,10 @@
 // their connections.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Suspended tells that the host was suspended for a while: callers of requests in
+// progress have that much less time left.
+func (s *Server) Suspended(d time.Duration) { s.suspended.Add(int64(d)) }
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -104,7 +111,8 @@
 	team        *routing.Team
 	body        []byte
 	arrived     time.Time
-	ends        time.Time // when the answer must have ended
+	ends        time.Time // when the answer must have ended, without suspensions since the arrival
+	suspended   int64     // of the server at the arrival
 	prompt      []fleet.PromptPart
 	fingerprint uint64        // equal when the caller sends the request again
 	waited      time.Duration // the caller's wait before this attempt, as far as known
@@ -119,7 +127,7 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	e := &exchange{server: s, w: w, r: r, arrived: now}
+	e := &exchange{server: s, w: w, r: r, arrived: now, suspended: s.suspended.Load()}
 	defer e.finish()
 	if !e.admit() || !e.readBody() {
 		return
@@ -174,6 +182,16 @@
 	return true
 }
 
+// stoodStill returns how long the host was suspended since the arrival.
+func (e *exchange) stoodStill() time.Duration {
+	return time.Duration(e.server.suspended.Load() - e.suspended)
+}
+
+// left returns how long the caller still waits.
+func (e *exchange) left(now time.Time) time.Duration {
+	return e.ends.Sub(now) - e.stoodStill()
+}
+
 // target returns path and query as the caller sent them.
 func (e *exchange) target() string {
 	if strings.HasPrefix(e.r.RequestURI, "/") {
