Let a team's late requests join a backlog by the share that it took

Where a request would be late, the backlog that it may join is now shorter for teams above their fair share of the engines' recent time and longer for those below. Nothing changes while requests are in time.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -40,6 +40,7 @@
 	byKey    map[uint64]*replica
 	heard    map[string]time.Time // last digest of each host
 	used     []usedPart           // since the last digest
+	shares   shares               // of the engines' time, by team
 	poison   *quarantine.Quarantine
 	crashes  []Crash // of this host, newest last
 	outages  []outage
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -21,6 +21,7 @@
 	Favored      bool          // of a team of the highest priority
 	Exclude      []string      // ids of replicas not to be used
 	Fingerprint  uint64        // of the request; equal when a caller sends it again
+	Team         string
 	// Session is the part of the prompt that later requests of the same session
 	// share; 0 when there is none.
 	Session uint64
@@ -124,7 +125,7 @@
 		}
 		return nil, &Refusal{Reason: ReasonNoReplica, RetryAfter: f.spread(noReplicaRetry)}
 	}
-	if refusal := f.refuse(q, &best); refusal != nil {
+	if refusal := f.refuse(q, &best, now); refusal != nil {
 		return nil, refusal
 	}
 	return f.take(p, q, best, now), nil
@@ -242,13 +243,14 @@
 
 // refuse decides whether the best replica is too late for the request. A request
 // that is not urgent and would miss its target is served only where it delays
-// no others: on replicas with a short backlog.
-func (f *Fleet) refuse(q *Request, best *candidate) *Refusal {
+// no others: on replicas with a short backlog, shorter for teams that took more of the
+// engines' time than others.
+func (f *Fleet) refuse(q *Request, best *candidate, now time.Time) *Refusal {
 	if f.inTime(q, best) {
 		return nil
 	}
 	if best.expected <= time.Duration(deadlineMargin*float64(q.Left)) {
-		idle := time.Duration(lateBacklog * float64(q.Target))
+		idle := time.Duration(f.shares.factor(q.Team, now) * lateBacklog * float64(q.Target))
 		if q.Favored {
 			idle = time.Duration(favor * float64(idle))
 		}
@@ -278,6 +280,7 @@
 	if p.upstream.Engine != nil {
 		l.memory = q.PromptTokens + q.OutputTokens
 		l.long = c.long
+		f.shares.add(q.Team, c.prefill, now)
 	}
 	if c.source != nil {
 		l.CopyFrom = c.source.member.Address
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -93,12 +93,17 @@
 		target = 0 // the answer has begun, so that no target for its beginning is left
 	}
 	now := time.Now()
-	return &fleet.Request{
+	q := &fleet.Request{
 		Upstream: name, Prompt: e.prompt, PromptTokens: e.call.PromptTokens, OutputTokens: output,
 		Target: target, Gap: e.route.GapTarget, Left: e.left(now), Waited: e.waited + now.Sub(e.arrived) + e.stoodStill(),
-		Urgent: e.route.Priority == 0, Favored: e.team != nil && e.team.Priority != nil && *e.team.Priority == 0,
+		Urgent:  e.route.Priority == 0,
 		Exclude: p.exclude, Fingerprint: e.fingerprint, Session: session(e.prompt),
 	}
+	if e.team != nil {
+		q.Team = e.team.Name
+		q.Favored = e.team.Priority != nil && *e.team.Priority == 0
+	}
+	return q
 }
 
 // mayRepeat decides whether the request goes to another replica.
