Refuse at once when no replica can be connected to

A replica to which no connection could be opened twice in a row now gets one request at a time; when no other is left the request is refused, with the time after which the next trial will have ended. Retry times are bounded by what the caller has left, not by its route's time-out, and a request without a connection is no suspect of a crash.

--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -35,6 +35,8 @@
 	ReasonNoReplica = "no_replica"
 	ReasonFull      = "full"
 	ReasonDeadline  = "deadline"
+	// ReasonUnreachable means that no replica can be connected to.
+	ReasonUnreachable = "unreachable"
 	// ReasonPoison means that the request crashed the replicas that ran it.
 	ReasonPoison = "poison"
 )
@@ -105,6 +107,9 @@
 	// of the longest deadline, which is as long as callers wait.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
+	// trialTime is in which a request finds out whether a replica can be connected to:
+	// connections have half a second.
+	trialTime = 500 * time.Millisecond
 	// noReplicaRetry is about the time in which a restarted replica is known.
 	noReplicaRetry = 500 * time.Millisecond
 )
@@ -123,6 +128,9 @@
 		if full {
 			return nil, &Refusal{Reason: ReasonFull, RetryAfter: f.spread(q.Target)}
 		}
+		if wait, ok := p.unreachable(q, now); ok {
+			return nil, &Refusal{Reason: ReasonUnreachable, RetryAfter: f.spread(wait)}
+		}
 		return nil, &Refusal{Reason: ReasonNoReplica, RetryAfter: f.spread(noReplicaRetry)}
 	}
 	if refusal := f.refuse(q, &best, now); refusal != nil {
@@ -133,8 +141,9 @@
 
 // choose weighs a part of the replicas on the request's side first, and a part of
 // all replicas when it would be late there. All replicas are weighed only when
-// these have none; those that failed of late come last. full tells that replicas
-// have no room.
+// these have none; those that failed of late come last, and those that cannot be
+// connected to are left to one request at a time. full tells that replicas have no
+// room.
 func (f *Fleet) choose(p *pool, q *Request, now time.Time) (best candidate, full bool) {
 	all := func(int) bool { return true }
 	if p.upstream.Engine != nil {
@@ -154,6 +163,20 @@
 	return best, full
 }
 
+// unreachable tells whether all replicas left for the request cannot be connected to,
+// and after what time one is tried again.
+func (p *pool) unreachable(q *Request, now time.Time) (wait time.Duration, ok bool) {
+	for _, r := range p.replicas {
+		if !r.member.usable(now) || !r.unconnectable(now) {
+			continue
+		}
+		if left := max(r.suspendedUntil.Sub(now), 0) + trialTime; !ok || left < wait {
+			wait, ok = left, true
+		}
+	}
+	return wait, ok
+}
+
 // inTime tells whether the candidate is expected to meet the request's target.
 func (f *Fleet) inTime(q *Request, c *candidate) bool {
 	return c.replica != nil && c.expected <= q.Target-q.Waited
@@ -178,7 +201,7 @@
 func (f *Fleet) best(p *pool, q *Request, now time.Time, healthy bool, weigh func(rank int) bool) (best candidate, full bool) {
 	eligible := 0
 	for rank, r := range p.replicas {
-		if !r.member.usable(now) || slices.Contains(q.Exclude, r.member.ID) || healthy && !r.admissible(now) {
+		if !r.member.usable(now) || slices.Contains(q.Exclude, r.member.ID) || r.unconnectable(now) || healthy && !r.admissible(now) {
 			continue
 		}
 		if !f.hasRoom(p, r, q) {
@@ -305,8 +328,10 @@
 	Served Result = iota
 	// Failed means that the replica answered with a failure or spoiled its answer.
 	Failed
-	// Unreachable means that the replica could not be reached or broke the connection.
+	// Unreachable means that the replica broke the connection.
 	Unreachable
+	// Unconnected means that no connection to the replica could be opened.
+	Unconnected
 	// Rejected means that the replica refused the request as not run.
 	Rejected
 	// Abandoned means that the caller left; it tells nothing of the replica.
@@ -324,6 +349,7 @@
 		return
 	}
 	*f.zone(l.replica.member.Zone) = zone{}
+	l.replica.unconnected = 0
 	latency := now.Sub(l.started)
 	if l.prefill > 0 {
 		l.replica.prefilled(l, now)
@@ -349,15 +375,22 @@
 	switch result {
 	case Served:
 		r.succeeded()
+		r.unconnected = 0
 		f.poison.Ended(l.request, true)
 	case Failed:
 		r.failed(false, now)
+		r.unconnected = 0
 	case Unreachable:
 		r.failed(true, now)
+		r.unconnected = 0
 		r.forgetParts()
 		f.zone(r.member.Zone).failed(now)
 		inspect = l.request != 0 && len(r.suspects) == 0
 		r.suspects = append(r.suspects, l.request)
+	case Unconnected:
+		r.failed(true, now)
+		r.unconnected++
+		f.zone(r.member.Zone).failed(now)
 	case Misdirected:
 		r.failed(true, now)
 		r.suspendedUntil = now.Add(maxSuspension)
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -24,6 +24,9 @@
 	// replica's process takes a few seconds to restart.
 	firstSuspension = 250 * time.Millisecond
 	maxSuspension   = 2 * time.Second
+	// unconnectedLeast is the number of attempts in a row without a connection after which
+	// a replica counts as one that cannot be connected to; one packet may be lost.
+	unconnectedLeast = 2
 	// prefillMemory is the time constant of the recent prompt load of a replica.
 	prefillMemory = 2 * time.Second
 )
@@ -65,6 +68,7 @@
 	partTokens int
 
 	failures       int // in a row, that tell that the replica cannot be reached or crashed
+	unconnected    int // attempts in a row to which no connection could be opened
 	failureRate    float64
 	suspendedUntil time.Time
 	slowness       float64  // measured over expected latency
@@ -245,6 +249,12 @@
 	r.slowness += latencyWeight * (ratio - r.slowness)
 }
 
+// unconnectable tells whether an attempt would only wait for a connection: none could
+// be opened of late, and it is not yet time to try again or another request does so.
+func (r *replica) unconnectable(now time.Time) bool {
+	return r.unconnected >= unconnectedLeast && (now.Before(r.suspendedUntil) || r.running > 0)
+}
+
 // admissible tells whether the replica may receive a request: it is suspended
 // after failures, and takes one request at a time until one succeeds.
 func (r *replica) admissible(now time.Time) bool {
--- /dev/null
+++ b/internal/gateway/fleet/view_test.go
@@ -0,0 +1,32 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against operators who are told that a replica is ready while no request goes
+// to it.
+func TestViewsTellWhyAReplicaIsNotUsed(t *testing.T) {
+	f := newFleet(4)
+	now := start
+	state := func(id string) ReplicaState {
+		for _, v := range f.Views(now) {
+			if v.Member.ID == id {
+				return v.State
+			}
+		}
+		return ""
+	}
+	f.replicas["e1"].member.Leaving = true
+	f.replicas["e2"].failed(true, now)
+	f.replicas["e3"].member.Until = now.Add(time.Second)
+	assert.Equal(t, StateReady, state("e0"))
+	assert.Equal(t, StateLeaving, state("e1"))
+	assert.Equal(t, StateSuspended, state("e2"))
+	assert.Equal(t, StateHeld, state("e3"))
+	now = now.Add(firstSuspension)
+	assert.Equal(t, StateReady, state("e2"), "one request at a time is let through")
+}
--- /dev/null
+++ b/internal/gateway/proxy/metrics_test.go
@@ -0,0 +1,36 @@
+package proxy_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against metrics that do not tell which kind of request is refused, repeated
+// or fails.
+func TestMetricsTellKindTierUpstreamAndOutcome(t *testing.T) {
+	b := newBed(t, count(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }), count(answer("x")))
+	for range 6 {
+		b.do(request{path: "/lookup/1"})
+	}
+	b.do(request{path: "/lookup/1", header: map[string]string{"Authorization": "Bearer wrong"}})
+	b.do(request{path: "/none/"})
+	counters := map[string]int64{}
+	for _, c := range b.metrics.Snapshot().Counters() {
+		tags := c.Tags()
+		counters[c.Name()+" "+strings.Join([]string{tags["kind"], tags["tier"], tags["upstream"], tags["outcome"], tags["reason"]}, " ")] = c.Value()
+	}
+	assert.Equal(t, int64(6), counters["requests idempotent 0 pool completed "])
+	assert.Equal(t, int64(1), counters["requests idempotent 0 none not-run "])
+	assert.Equal(t, int64(1), counters["requests none none none not-run "])
+	assert.Equal(t, int64(1), counters["refusals     unknown_key"])
+	assert.Equal(t, int64(1), counters["refusals     no_route"])
+	assert.Positive(t, counters["repeated_attempts     "])
+	histograms := map[string]bool{}
+	for _, h := range b.metrics.Snapshot().Histograms() {
+		histograms[h.Name()+" "+h.Tags()["kind"]+" "+h.Tags()["tier"]+" "+h.Tags()["upstream"]] = true
+	}
+	assert.Contains(t, histograms, "request_duration idempotent 0 pool")
+}
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -144,7 +144,7 @@
 // back well before its deadline.
 func (e *exchange) boundRetry(wait time.Duration) time.Duration {
 	const usable = 3 // callers wait at most a third of the time they have left
-	return max(min(wait, e.left(time.Now())/usable), time.Millisecond)
+	return max(min(wait, e.callerLeft(time.Now())/usable), time.Millisecond)
 }
 
 // giveUp ends a request that no further attempt is allowed for.
@@ -264,6 +264,9 @@
 func (e *exchange) unanswered(err error, lease *fleet.Lease, p *progress) verdict {
 	now := time.Now()
 	v, result := mayHaveRun, fleet.Unreachable
+	if errors.Is(err, upstream.ErrNotConnected) {
+		result = fleet.Unconnected
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		v = notRun
 	} else {
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -187,11 +187,20 @@
 	return time.Duration(e.server.suspended.Load() - e.suspended)
 }
 
-// left returns how long the caller still waits.
+// left returns how long this attempt may still take.
 func (e *exchange) left(now time.Time) time.Duration {
 	return e.ends.Sub(now) - e.stoodStill()
 }
 
+// callerLeft returns how long the caller still waits, which can be longer than its
+// route lets an attempt take.
+func (e *exchange) callerLeft(now time.Time) time.Duration {
+	if e.call.Deadline <= 0 {
+		return e.left(now)
+	}
+	return e.call.Deadline - now.Sub(e.arrived) - e.stoodStill()
+}
+
 // target returns path and query as the caller sent them.
 func (e *exchange) target() string {
 	if strings.HasPrefix(e.r.RequestURI, "/") {
