--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -95,11 +95,13 @@
 		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrNotConnected, err)
 	}
 	r := &Response{client: c, address: q.Address, conn: connection, Reused: connection.used}
-	r.stop = context.AfterFunc(ctx, func() { _ = connection.Close() })
+	r.stop = context.AfterFunc(ctx, func() { _ = connection.abort() })
 	if err := r.send(q); err != nil {
 		r.Close()
 		return nil, err
 	}
+	delivery := watchDelivery(connection)
+	defer delivery.stop()
 	if err := r.receive(q); err != nil {
 		r.Close()
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
@@ -229,7 +231,11 @@
 		}
 	}
 	idle := idleTime(r.Header)
-	if !open || !complete || r.close || idle <= 0 || r.conn.reader.Buffered() > 0 {
+	if !open || !complete {
+		_ = r.conn.abort()
+		return
+	}
+	if r.close || idle <= 0 || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -34,6 +34,16 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
 }
 
+// abort closes the connection with a reset. What the network still holds of a request
+// that was given up is then dropped: after a closing in order a cut-off replica would
+// get it once the cut has healed, and run it.
+func (c *conn) abort() error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only when the connection is closed
+	}
+	return c.Close()
+}
+
 // pool keeps idle connections, the one used last at the end.
 type pool struct {
 	mu   sync.Mutex
