--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -100,7 +100,8 @@
 	// must be expected.
 	deadlineMargin = 0.8
 	// lateBacklog is the backlog, in latency objectives, above which a request that
-	// would be late anyway is refused: those behind it would be late too.
+	// would be late anyway is refused: those behind it would be late too. 0.25 and 1 serve
+	// 0.002 and 0.005 less of heavy days.
 	lateBacklog = 0.5
 	// favor is by how much that is more for teams of the highest priority.
 	favor = 1.5
