--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -133,7 +133,7 @@
 		if full {
 			return nil, &Refusal{Reason: ReasonFull, RetryAfter: f.spread(q.Target)}
 		}
-		if wait, ok := p.unreachable(q, now); ok {
+		if wait, ok := p.unreachable(now); ok {
 			return nil, &Refusal{Reason: ReasonUnreachable, RetryAfter: f.spread(wait)}
 		}
 		return nil, &Refusal{Reason: ReasonNoReplica, RetryAfter: f.spread(noReplicaRetry)}
@@ -168,9 +168,9 @@
 	return best, full
 }
 
-// unreachable tells whether all replicas left for the request cannot be connected to,
+// unreachable tells, when no replica was chosen, whether some cannot be connected to,
 // and after what time one is tried again.
-func (p *pool) unreachable(q *Request, now time.Time) (wait time.Duration, ok bool) {
+func (p *pool) unreachable(now time.Time) (wait time.Duration, ok bool) {
 	for _, r := range p.replicas {
 		if !r.member.usable(now) || !r.unconnectable(now) {
 			continue
