gateway: read, log and count request limits that replicas state

Logs and metrics could not show which hosts a replica had told of its limit, what each believed when it chose the replica, nor how many requests followed. The header is now read (platform), kept with the replica, logged on a change, shown in the line of each request and counted. No decision uses it yet.

A limit ends only with an answer to a request that was sent after the limit was last stated; an unreadable value is logged and changes nothing.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -412,3 +412,16 @@
 	}
 	return all, admissible
 }
+
+// LimitedReplicas returns the number of replicas of an upstream that state a request limit.
+func (f *Fleet) LimitedReplicas(upstream string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	limited := 0
+	for _, r := range f.pool(upstream).replicas {
+		if r.limit.Current().Limited {
+			limited++
+		}
+	}
+	return limited
+}
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherbarrow/internal/scheduling/quarantine"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // Request holds the properties of a request that decide which replica serves it.
@@ -66,6 +67,7 @@
 	Backlog  time.Duration // expected wait for prompts ahead
 	Running  int           // in-flight requests of all hosts
 	Eligible int           // number of replicas that were compared
+	Limit    requestlimit.Statement
 	// CopyFrom is the address of a replica from which the picked one should copy the KV
 	// cache of Copied prompt tokens instead of reading them; empty for no copy.
 	CopyFrom string
@@ -367,7 +369,7 @@
 	l := &Lease{
 		Choice: Choice{
 			Member: r.member, Expected: c.expected, Cached: c.cachedOrPendingTokens, Backlog: c.backlog,
-			Running: r.inFlight(), Eligible: c.eligible, Copied: c.copied,
+			Running: r.inFlight(), Eligible: c.eligible, Copied: c.copied, Limit: r.limit.Current(),
 		},
 		fleet: f, replica: r, started: now, prefill: c.prefill, fingerprint: q.Fingerprint,
 	}
@@ -442,6 +444,19 @@
 	}
 }
 
+// RecordLimit applies what the answer says of the replica's request limit, and reports whether it
+// changed what this host knew. Only an answer to a request that was sent after the limit was last
+// stated shows that the limit has ended: earlier ones may have been under way.
+func (l *Lease) RecordLimit(s requestlimit.Statement, now time.Time) (changed bool) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	at := now
+	if !s.Limited {
+		at = l.started
+	}
+	return l.replica.limit.Observe(s, at)
+}
+
 // RecordStream records the time from the first to the last event of a complete stream.
 func (l *Lease) RecordStream(events int, elapsed time.Duration, now time.Time) {
 	f := l.fleet
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 const (
@@ -80,7 +82,8 @@
 	consecutiveConnectFailures int     // attempts in a row that could not connect
 	failureRate                float64 // moving average
 	suspendedUntil             time.Time
-	slowness                   float64  // moving average of measured over expected latency
+	slowness                   float64 // moving average of measured over expected latency
+	limit                      requestlimit.Limit
 	suspects                   []uint64 // fingerprints of requests that lost their connection, until the replica is inspected
 }
 
--- a/internal/gateway/fleet/view.go
+++ b/internal/gateway/fleet/view.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"heatherbarrow/internal/scheduling/requestlimit"
+)
 
 // View is the state of a replica as seen by this host, for operators.
 type View struct {
@@ -9,7 +13,8 @@
 	Running     int           // in-flight requests of all hosts
 	Backlog     time.Duration // expected wait of a new request for prompts ahead of it
 	FailureRate float64       // failure rate of recent requests, from 0 to 1
-	Slowness    float64       // ratio of measured to expected latency
+	Limit       requestlimit.Statement
+	Slowness    float64 // ratio of measured to expected latency
 }
 
 // ReplicaState says whether a replica may receive requests, and if not, why.
@@ -31,7 +36,7 @@
 	for _, r := range f.replicas {
 		v := View{
 			Member: r.member, State: StateReady, Running: r.inFlight(), Backlog: r.backlog(now),
-			FailureRate: r.failureRate, Slowness: r.slowness,
+			FailureRate: r.failureRate, Slowness: r.slowness, Limit: r.limit.Current(),
 		}
 		switch {
 		case r.member.Leaving:
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -275,6 +275,7 @@
 			upstreamScope := scope.Tagged(map[string]string{"upstream": u.Name})
 			upstreamScope.Gauge("replicas").Update(float64(known))
 			upstreamScope.Gauge("replicas_usable").Update(float64(usable))
+			upstreamScope.Gauge("replicas_limited").Update(float64(p.fleet.LimitedReplicas(u.Name)))
 		}
 	}
 	for _, s := range p.fleet.Speeds() {
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -89,6 +89,9 @@
 			entry.Str("copy_from", picked.CopyFrom).Int("copied", picked.Copied)
 		}
 	}
+	if rec.attempts > 0 && rec.choice.Limit.Limited {
+		entry.Float64("limit_per_second", rec.choice.Limit.PerSecond)
+	}
 	if rec.refusal != nil {
 		entry.Dur("predicted_ms", rec.refusal.Expected).Dur("backlog_ms", rec.refusal.Backlog).
 			Dur("target_ms", e.route.Target).Dur("waited_ms", e.waitedBefore)
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -206,6 +206,9 @@
 		s.metrics.repeatedAttempts.Inc(1)
 	}
 	s.metrics.copiedPromptTokens.Inc(int64(lease.Copied))
+	if lease.Limit.Limited {
+		s.metrics.limitedAttempts.Inc(1)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := e.startWatchdog(ctx, cancel, lease, p)
@@ -220,6 +223,7 @@
 	p.sentAttempts++
 	s.metrics.firstByte.RecordDuration(time.Since(startedAt))
 	reply := s.opts.Dialect.Reply(response.Status, response.Header)
+	e.recordLimit(reply, response.Status, lease)
 	if reply.NotExecuted {
 		return e.handleNotExecuted(response, lease)
 	}
@@ -342,6 +346,23 @@
 	s.opts.Logger.Info().Str("request", attemptID).Str("replica", member.ID).Bool("down", down).Msg("replica broke off requests")
 }
 
+// recordLimit applies what a replica's answer says of the replica's request limit. An answer
+// without a limit ends one only if the replica ran the request.
+func (e *exchange) recordLimit(reply routing.Reply, status int, lease *fleet.Lease) {
+	if reply.InvalidLimit != "" {
+		e.server.opts.Logger.Warn().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
+			Str("value", reply.InvalidLimit).Msg("replica states a request limit that cannot be read")
+		return
+	}
+	if status == http.StatusMisdirectedRequest || !reply.Limit.Limited && !reply.Sealed {
+		return // of another process, or not the replica's own answer
+	}
+	if lease.RecordLimit(reply.Limit, time.Now()) {
+		e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
+			Bool("limited", reply.Limit.Limited).Float64("per_second", reply.Limit.PerSecond).Msg("request limit of replica changed")
+	}
+}
+
 // handleNotExecuted ends an attempt whose request the replica refused without running it.
 func (e *exchange) handleNotExecuted(response *upstream.Response, lease *fleet.Lease) attemptResult {
 	leaseResult := fleet.Rejected
--- a/internal/gateway/routing/call.go
+++ b/internal/gateway/routing/call.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // PromptPart is a part of a prompt, identified by an ID that the caller chooses: parts of equal
@@ -44,6 +46,10 @@
 	Sealed      bool   // the answer has the seal header; the proxy treats a success without it as incomplete
 	NotExecuted bool   // the replica did not and will not run the request
 	ReplicaID   string
+	// Limit is the replica's statement about the requests that it takes from all hosts together.
+	Limit requestlimit.Statement
+	// InvalidLimit is the value of a stated limit that cannot be read. Limit is then not valid.
+	InvalidLimit string
 }
 
 // Dialect reads and writes the headers of callers and replicas.
