--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -30,9 +30,10 @@
 
 // arrival is a request that reached a replica.
 type arrival struct {
-	id  string
-	at  time.Time
-	ran bool
+	id      string
+	replica string
+	at      time.Time
+	ran     bool
 }
 
 // ledger records what replicas ran.
@@ -42,10 +43,10 @@
 	runs     map[string]int
 }
 
-func (l *ledger) note(id string, ran bool) {
+func (l *ledger) note(replica, id string, ran bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.arrivals = append(l.arrivals, arrival{id: id, at: time.Now(), ran: ran})
+	l.arrivals = append(l.arrivals, arrival{id: id, replica: replica, at: time.Now(), ran: ran})
 	if ran {
 		l.runs[id]++
 	}
@@ -63,6 +64,7 @@
 	server *httptest.Server
 	ledger *ledger
 	fault  atomic.Int32
+	limit  atomic.Pointer[string] // request limit that the replica states; nil for none
 }
 
 func newReplica(id string, l *ledger) *replica {
@@ -84,13 +86,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if limit := r.limit.Load(); limit != nil {
+		w.Header().Set("Server-Limit", *limit)
+	}
 	if fault == full {
-		r.ledger.note(id, false)
+		r.ledger.note(r.id, id, false)
 		w.Header().Set("Heatherbarrow-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	r.ledger.note(id, true)
+	r.ledger.note(r.id, id, true)
 	w.Header().Set("Heatherbarrow-Server-Seal", "seal-"+r.id)
 	w.Header().Set("Keep-Alive", "timeout=4")
 	switch fault {
