gateway: keep request limits that replicas state, over all hosts together

Cause: a limit that a replica names for all hosts together was state that no host read. The class of the fault is a shared limit without shared accounting. Reading it on each host alone would multiply it by the hosts, and sharing it in equal parts would let many hosts spend their parts at the same moment.

Change: package requestlimit divides a limit into parts of a request per second or more; the first hosts in the replica's order hold one each. Hosts tell each other limits and counts of requests in heartbeats and zone digests; each counts the requests of all in a token bucket. Other hosts may use tokens that stay unused. Parts shrink while hosts are silent, since both sides of a cut go on. A limit outlasts a lapsed registration, and ends with an answer to a request that was sent after it was last stated. A request that only limits hold back is refused as not run, with return times at the rate that the replicas take.

membership.Rank and its kin move to package rendezvous, as both use them.

--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -9,6 +9,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/membership/shares"
+	"heatherbarrow/internal/rendezvous"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -149,7 +150,7 @@
 // same on both sides of a partition, so that no two coordinators lend the same
 // pool; hosts that cannot reach the coordinator keep their floors.
 func coordinatorOf(team string, listed []string) string {
-	return membership.HighestRanked("shares/"+strconv.Itoa(bucketOf(team)), listed)
+	return rendezvous.HighestRanked("shares/"+strconv.Itoa(bucketOf(team)), listed)
 }
 
 func (l *Loop) zoneEntitlement(t *bundle.Team) shares.Amount {
--- a/internal/control/topology.go
+++ b/internal/control/topology.go
@@ -6,6 +6,7 @@
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/membership"
+	"heatherbarrow/internal/rendezvous"
 )
 
 const (
@@ -81,7 +82,7 @@
 			if r.AvailabilityZone != self.AvailabilityZone {
 				continue
 			}
-			if membership.InTop("observe/"+u.Name+"/"+r.ID, self.Host, hosts, observersPerReplica) {
+			if rendezvous.InTop("observe/"+u.Name+"/"+r.ID, self.Host, hosts, observersPerReplica) {
 				out = append(out, Target{Upstream: u.Name, Replica: r.ID, Address: r.Address, Kind: u.Kind})
 			}
 		}
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/scheduling/quarantine"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // EngineModel describes the speed of an upstream's model engines. It starts from the
@@ -49,6 +50,9 @@
 	crashes         []Crash // crashes seen by this host, oldest first
 	outages         []outage
 	zones           map[string]*zone
+	limits          map[uint64]*replicaLimit // stated request limits, by Member.Key
+	limitHosts      *requestlimit.Hosts      // that share the limits
+	hostPeak        hostPeak
 }
 
 // peerDigest records what a host's latest digest contained. The uses themselves are stored
@@ -72,6 +76,7 @@
 	meanLatency time.Duration // mean latency of a plain service; unused for engines
 	speed       *engineSpeed  // used for engines only
 	admission   admission     // refuses lower-priority requests while higher ones are refused
+	nextReturn  time.Time     // return time given to the latest request refused for the request limits
 }
 
 // zone is the state of an availability zone as seen by this host.
@@ -118,15 +123,17 @@
 // New returns a fleet without replicas.
 func New(opts Options) *Fleet {
 	return &Fleet{
-		opts:     opts,
-		random:   rand.New(rand.NewPCG(opts.Seed, 0)),
-		pools:    make(map[string]*pool),
-		replicas: make(map[string]*replica),
-		byKey:    make(map[uint64]*replica),
-		active:   make(map[*replica]struct{}),
-		digests:  make(map[string]peerDigest),
-		zones:    make(map[string]*zone),
-		poison:   quarantine.New(poisonCrashes, poisonQuarantineTime),
+		opts:       opts,
+		random:     rand.New(rand.NewPCG(opts.Seed, 0)),
+		pools:      make(map[string]*pool),
+		replicas:   make(map[string]*replica),
+		byKey:      make(map[uint64]*replica),
+		active:     make(map[*replica]struct{}),
+		digests:    make(map[string]peerDigest),
+		zones:      make(map[string]*zone),
+		limits:     make(map[uint64]*replicaLimit),
+		limitHosts: &requestlimit.Hosts{Zone: opts.Zone, Reachable: 1},
+		poison:     quarantine.New(poisonCrashes, poisonQuarantineTime),
 	}
 }
 
@@ -217,6 +224,7 @@
 func (f *Fleet) insert(r *replica) {
 	f.replicas[r.member.ID] = r
 	f.byKey[r.key] = r
+	f.attachLimit(r)
 	if f.cachedParts > 0 {
 		r.cachedParts.Resize(f.cachedParts)
 	}
@@ -361,7 +369,8 @@
 // taken to have ended.
 const digestLifetime = 2 * time.Second
 
-// ExpireDigests drops the digests that are older than digestLifetime.
+// ExpireDigests drops the digests that are older than digestLifetime, and the request limits that
+// have ended.
 func (f *Fleet) ExpireDigests(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -371,6 +380,8 @@
 		}
 		f.forgetHost(host, now)
 	}
+	f.limitHosts.Reachable = f.hostPeak.update(f.hosts(), now)
+	f.pruneLimits(now)
 }
 
 // Hosts returns the number of hosts covered by the current digests, including this one.
@@ -419,7 +430,7 @@
 	defer f.mu.Unlock()
 	limited := 0
 	for _, r := range f.pool(upstream).replicas {
-		if r.limit.Current().Limited {
+		if r.statedLimit().Limited {
 			limited++
 		}
 	}
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -38,6 +38,9 @@
 	ReasonNoReplica = "no_replica"
 	// ReasonFull means that all replicas are at capacity.
 	ReasonFull = "full"
+	// ReasonLimited means that the replicas with capacity have stated request limits that are used
+	// up.
+	ReasonLimited = "limited"
 	// ReasonDeadline means that the answer would be too late: after the deadline, or after
 	// the target behind a backlog that the request may not join.
 	ReasonDeadline = "deadline"
@@ -148,10 +151,14 @@
 	}
 	p := f.pool(q.Upstream)
 	q.sources = f.sources(p, q, now)
-	best, full := f.choose(p, q, now)
+	best, skipped := f.choose(p, q, now)
 	if best.replica == nil {
-		if full {
+		switch skipped {
+		case skippedLimited:
+			return nil, &Refusal{Reason: ReasonLimited, RetryAfter: f.limitedRetryAfter(p, now)}
+		case skippedFull:
 			return nil, &Refusal{Reason: ReasonFull, RetryAfter: f.jitteredRetryAfter(q.Target)}
+		case skippedNone:
 		}
 		if wait, ok := p.nextConnectTrial(now); ok {
 			return nil, &Refusal{Reason: ReasonUnreachable, RetryAfter: f.jitteredRetryAfter(wait)}
@@ -187,6 +194,15 @@
 	return best.replica != nil && f.refuse(p, q, &best, now) == nil
 }
 
+// skipReason tells why replicas were not compared that could otherwise serve the request.
+type skipReason int
+
+const (
+	skippedNone    skipReason = iota
+	skippedFull               // they have no capacity
+	skippedLimited            // at least one has capacity, but its request limit is used up
+)
+
 // anyRank accepts every replica. A replica's rank is its index in pool.replicas.
 func anyRank(int) bool { return true }
 
@@ -201,24 +217,23 @@
 // decode group if the request mostly generates, of the other replicas if not, and a sample of
 // all replicas if the request would be late there. It compares all replicas for plain
 // services or if both samples are empty, and replicas that failed recently only if there are
-// no others. Unconnectable replicas get one request at a time. full reports that replicas
-// were skipped because they have no capacity.
-func (f *Fleet) choose(p *pool, q *Request, now time.Time) (best candidate, full bool) {
+// no others. Unconnectable replicas get one request at a time.
+func (f *Fleet) choose(p *pool, q *Request, now time.Time) (best candidate, skipped skipReason) {
 	if p.upstream.Engine != nil {
 		if best, _ = f.best(p, q, now, true, f.sampleReplicas(p, q, f.rankFilter(p, q))); f.meetsTarget(q, &best) {
-			return best, false
+			return best, skippedNone
 		}
 		if other, _ := f.best(p, q, now, true, f.sampleReplicas(p, q, anyRank)); other.replica != nil && (best.replica == nil || other.cost < best.cost) {
 			best = other
 		}
 		if best.replica != nil {
-			return best, false
+			return best, skippedNone
 		}
 	}
-	if best, full = f.best(p, q, now, true, anyRank); best.replica == nil && !full {
-		best, full = f.best(p, q, now, false, anyRank)
+	if best, skipped = f.best(p, q, now, true, anyRank); best.replica == nil && skipped == skippedNone {
+		best, skipped = f.best(p, q, now, false, anyRank)
 	}
-	return best, full
+	return best, skipped
 }
 
 // nextConnectTrial returns the time until the next trial of a connection to an unconnectable
@@ -257,16 +272,19 @@
 
 // best returns the replica with the lowest cost among those whose rank is accepted.
 // Unconnectable replicas are always skipped, and with healthyOnly also those that are
-// suspended after failures or already have a trial request. full reports that replicas were
-// skipped because they have no capacity.
-func (f *Fleet) best(p *pool, q *Request, now time.Time, healthyOnly bool, accept func(rank int) bool) (best candidate, full bool) {
+// suspended after failures or already have a trial request.
+func (f *Fleet) best(p *pool, q *Request, now time.Time, healthyOnly bool, accept func(rank int) bool) (best candidate, skipped skipReason) {
 	eligible := 0
 	for rank, r := range p.replicas {
 		if !r.member.usable(now) || slices.Contains(q.Exclude, r.member.ID) || r.unconnectable(now) || healthyOnly && !r.admissible(now) {
 			continue
 		}
 		if !f.hasCapacity(p, r, q) {
-			full = true
+			skipped = max(skipped, skippedFull)
+			continue
+		}
+		if !f.withinLimit(r, now) {
+			skipped = skippedLimited
 			continue
 		}
 		if !accept(rank) {
@@ -279,7 +297,7 @@
 		}
 	}
 	best.eligible = eligible
-	return best, full
+	return best, skipped
 }
 
 // hasCapacity reports whether the replica has a free slot or queue place and, for an
@@ -369,7 +387,7 @@
 	l := &Lease{
 		Choice: Choice{
 			Member: r.member, Expected: c.expected, Cached: c.cachedOrPendingTokens, Backlog: c.backlog,
-			Running: r.inFlight(), Eligible: c.eligible, Copied: c.copied, Limit: r.limit.Current(),
+			Running: r.inFlight(), Eligible: c.eligible, Copied: c.copied, Limit: r.statedLimit(),
 		},
 		fleet: f, replica: r, started: now, prefill: c.prefill, fingerprint: q.Fingerprint,
 	}
@@ -387,6 +405,9 @@
 		l.CopyFrom = c.source.member.Address
 	}
 	r.start(l, now)
+	if r.limit != nil {
+		r.limit.Take(f.limitHosts, now)
+	}
 	f.active[r] = struct{}{}
 	cacheCapacity := f.cacheCapacity(r)
 	for i, part := range q.Prompt {
@@ -444,19 +465,6 @@
 	}
 }
 
-// RecordLimit applies what the answer says of the replica's request limit, and reports whether it
-// changed what this host knew. Only an answer to a request that was sent after the limit was last
-// stated shows that the limit has ended: earlier ones may have been under way.
-func (l *Lease) RecordLimit(s requestlimit.Statement, now time.Time) (changed bool) {
-	l.fleet.mu.Lock()
-	defer l.fleet.mu.Unlock()
-	at := now
-	if !s.Limited {
-		at = l.started
-	}
-	return l.replica.limit.Observe(s, at)
-}
-
 // RecordStream records the time from the first to the last event of a complete stream.
 func (l *Lease) RecordStream(events int, elapsed time.Duration, now time.Time) {
 	f := l.fleet
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
-
-	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 const (
@@ -82,9 +80,9 @@
 	consecutiveConnectFailures int     // attempts in a row that could not connect
 	failureRate                float64 // moving average
 	suspendedUntil             time.Time
-	slowness                   float64 // moving average of measured over expected latency
-	limit                      requestlimit.Limit
-	suspects                   []uint64 // fingerprints of requests that lost their connection, until the replica is inspected
+	slowness                   float64       // moving average of measured over expected latency
+	limit                      *replicaLimit // nil if the replica has not stated one
+	suspects                   []uint64      // fingerprints of requests that lost their connection, until the replica is inspected
 }
 
 func newReplica(m Member) *replica {
--- a/internal/gateway/fleet/view.go
+++ b/internal/gateway/fleet/view.go
@@ -36,7 +36,7 @@
 	for _, r := range f.replicas {
 		v := View{
 			Member: r.member, State: StateReady, Running: r.inFlight(), Backlog: r.backlog(now),
-			FailureRate: r.failureRate, Slowness: r.slowness, Limit: r.limit.Current(),
+			FailureRate: r.failureRate, Slowness: r.slowness, Limit: r.statedLimit(),
 		}
 		switch {
 		case r.member.Leaving:
--- a/internal/gateway/peers/messages.go
+++ b/internal/gateway/peers/messages.go
@@ -5,6 +5,7 @@
 
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // classCountsToProto encodes class counts for other hosts.
@@ -62,6 +63,33 @@
 	return uses, promptParts, tokens
 }
 
+// limitsToProto encodes the request limits of replicas.
+func limitsToProto(reports []fleet.LimitReport) []*rpc.ReplicaLimit {
+	var out []*rpc.ReplicaLimit
+	for _, r := range reports {
+		out = append(out, &rpc.ReplicaLimit{
+			Replica: r.Replica, Limited: r.Limited, PerSecond: r.PerSecond, AgeMs: uint32(r.Age.Milliseconds()), Sent: r.Sent,
+		})
+	}
+	return out
+}
+
+// limitsFromProto decodes the request limits that another host reports. It drops those that no
+// replica can state.
+func limitsFromProto(messages []*rpc.ReplicaLimit) []fleet.LimitReport {
+	var reports []fleet.LimitReport
+	for _, m := range messages {
+		if !(m.PerSecond >= 0) {
+			continue
+		}
+		reports = append(reports, fleet.LimitReport{Replica: m.Replica, Report: requestlimit.Report{
+			Statement: requestlimit.Statement{Limited: m.Limited, PerSecond: m.PerSecond},
+			Age:       time.Duration(m.AgeMs) * time.Millisecond, Sent: m.Sent,
+		}})
+	}
+	return reports
+}
+
 // crashesFromProto decodes the crashes that another host reports.
 func crashesFromProto(messages []*rpc.Crash) []fleet.Crash {
 	crashes := make([]fleet.Crash, len(messages))
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -328,6 +328,7 @@
 		}
 		message.Uses, message.Peers = uses, peers // trimUses may have removed uses for the other group
 		message.Prompts, group.pendingPrompts = group.pendingPrompts, nil
+		message.Limits = limitsToProto(e.opts.Fleet.LimitReports(now))
 		message.Classes, message.Speeds = nil, nil
 		if now.Sub(group.counts) >= classCountsInterval {
 			group.counts, message.Classes = now, classCountsToProto(e.opts.Fleet.ClassCounts())
@@ -387,7 +388,7 @@
 	return recipients, peers
 }
 
-// composeHeartbeat returns a heartbeat without peers, class counts and engine speeds. Its Prompts
+// composeHeartbeat returns a heartbeat without peers, request limits, class counts and engine speeds. Its Prompts
 // are this host's new prompt parts, which it also queues for both recipient groups;
 // sendHeartbeats replaces them by the parts that are queued for the group.
 func (e *Exchange) composeHeartbeat(now time.Time) *rpc.Beat {
@@ -488,9 +489,18 @@
 	e.opts.Fleet.ApplyCrashes(crashesFromProto(m.Crashes), now)
 	e.opts.Fleet.ApplyClassCounts(m.Host, m.AvailabilityZone == e.opts.Zone, classCountsFromProto(m.Classes), now)
 	e.opts.Fleet.ApplySpeeds(m.Host, speedsFromProto(m.Speeds), now)
+	e.applyLimits(m.Host, m.AvailabilityZone == e.opts.Zone, m.Limits, now)
 	e.collectForDigest(m, now)
 }
 
+// applyLimits applies the request limits that a host, or a zone under the given name, reports.
+func (e *Exchange) applyLimits(name string, neighbor bool, limits []*rpc.ReplicaLimit, now time.Time) {
+	for _, change := range e.opts.Fleet.ApplyLimitReports(name, neighbor, limitsFromProto(limits), now) {
+		e.opts.Logger.Info().Str("replica", change.Replica).Str("reported_by", name).
+			Bool("limited", change.Limited).Float64("per_second", change.PerSecond).Msg("request limit of replica changed")
+	}
+}
+
 // receivesDigests reports whether a digest of the zone has arrived within digestTimeout. Unlike
 // coveredByDigests, it locks e.mu and does not ask whether this host's zone has a speaker.
 func (e *Exchange) receivesDigests(zone string, now time.Time) bool {
--- a/internal/gateway/peers/role.go
+++ b/internal/gateway/peers/role.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/state"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // roleLoop updates this host's role regularly until ctx ends.
@@ -21,18 +22,50 @@
 	}
 }
 
-// updateRole updates the store-following role and the zone speaker from the live hosts of the
-// zone.
+// updateRole updates the store-following role, the zone speaker and the hosts that share request
+// limits from the live hosts.
 func (e *Exchange) updateRole(now time.Time) {
 	neighbors := e.neighbors(now)
 	following := state.FollowsStore(e.opts.Host, neighbors)
 	e.followingShared.Store(len(neighbors) >= state.FollowersPerZone)
 	e.updateSpeaker(neighbors)
+	e.opts.Fleet.SetHosts(e.limitHosts(neighbors, now))
 	if e.opts.Role.Set(following) {
 		e.opts.Logger.Info().Bool("follows_store", following).Int("neighbors", len(neighbors)).Msg("role changed")
 	}
 }
 
+// limitHosts returns the hosts that share the request limits of replicas.
+func (e *Exchange) limitHosts(neighbors []state.Neighbor, now time.Time) requestlimit.Hosts {
+	h := requestlimit.Hosts{Host: e.opts.Host, Zone: e.opts.Zone}
+	for _, n := range neighbors {
+		h.Neighbors = append(h.Neighbors, n.Host)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hosts := make(map[string]int)
+	heartbeats := 0 // hosts of other zones with recent heartbeats
+	for _, p := range e.peers {
+		if p.zone != "" && p.zone != e.opts.Zone && now.Sub(p.lastHeartbeat) < silenceTimeout {
+			hosts[p.zone]++
+			heartbeats++
+		}
+	}
+	for name, z := range e.zones {
+		if now.Sub(z.lastDigestAt) < digestTimeout {
+			hosts[name] = z.hostsLive
+		}
+	}
+	for name, n := range hosts {
+		h.OtherZones = append(h.OtherZones, requestlimit.Zone{Name: name, Hosts: n})
+	}
+	// A request shows in the next heartbeat, in the next digest of the zone and, where hosts of
+	// another zone relay that to their neighbors, in no more than a further heartbeat.
+	interval := max(heartbeatInterval(len(neighbors)), heartbeatInterval(heartbeats))
+	h.ExchangeDelay = 2*interval + digestInterval
+	return h
+}
+
 // AssumeLive treats the registered hosts of this availability zone as live for
 // assumedLiveDuration from now. It is called when this host starts, so that when hundreds of
 // hosts start together only the highest-ranked hosts of each zone list the objects in the store.
--- a/internal/gateway/peers/zone.go
+++ b/internal/gateway/peers/zone.go
@@ -33,7 +33,7 @@
 	// digestTimeout is the time since the last digest of a zone after which the hosts of that
 	// zone get heartbeats directly.
 	digestTimeout = time.Second
-	// maxDigestPartBytes is the estimated size of the replica and prompt entries per part above
+	// maxDigestPartBytes is the estimated size of the replica, prompt and limit entries per part above
 	// which a digest is split into more parts. A part may exceed it, as replica keys are not
 	// spread evenly over the parts. The rest of the datagram is for crashes, class counts and
 	// peer addresses.
@@ -44,6 +44,8 @@
 	maxPendingZonePrompts = 256
 	// promptEntryBytes is the approximate encoded size of a prompt part.
 	promptEntryBytes = 26
+	// limitEntryBytes is the approximate encoded size of a replica's request limit.
+	limitEntryBytes = 30
 	// introductionInterval is the interval between heartbeats to a host whose zone is not
 	// known yet.
 	introductionInterval = 500 * time.Millisecond
@@ -54,6 +56,7 @@
 	lastDigestAt        time.Time                  // when its last digest arrived
 	lastDigestBySpeaker map[string]*receivedDigest // by host name of the speaker
 	hostsKnown          int                        // number of hosts ever seen in the zone, according to its digests
+	hostsLive           int                        // number of hosts that its last digest covers
 }
 
 // receivedDigest identifies the last digest of a speaker.
@@ -170,7 +173,8 @@
 	}
 	uses := e.opts.Fleet.MergedUses(hosts, now)
 	classes := classCountsToProto(e.opts.Fleet.ZoneCounts())
-	partCount := e.digestPartCount(len(uses), len(pending))
+	limits := limitsToProto(e.opts.Fleet.ZoneLimitReports(now))
+	partCount := e.digestPartCount(len(uses), len(pending), len(limits))
 	for part := range partCount {
 		m := proto.CloneOf(header)
 		e.speaker.sequence++
@@ -183,6 +187,11 @@
 		for i := part; i < len(pending); i += partCount {
 			m.Prompts = append(m.Prompts, pending[i])
 		}
+		for _, l := range limits {
+			if int(l.Replica%uint64(partCount)) == part {
+				m.Limits = append(m.Limits, l)
+			}
+		}
 		if part == 0 {
 			m.Crashes, m.Classes, m.Peers = recent, classes, addresses
 		}
@@ -193,8 +202,8 @@
 // digestPartCount returns the number of datagrams that a digest is split into. A replica's part
 // is its key modulo this number, so a power of two that never decreases keeps most replicas in
 // the same part.
-func (e *Exchange) digestPartCount(uses, prompts int) int {
-	estimatedBytes := max(uses*useEntryBytes+prompts*promptEntryBytes, 1)
+func (e *Exchange) digestPartCount(uses, prompts, limits int) int {
+	estimatedBytes := max(uses*useEntryBytes+prompts*promptEntryBytes+limits*limitEntryBytes, 1)
 	needed := 1 << bits.Len(uint((estimatedBytes-1)/maxDigestPartBytes))
 	e.speaker.partCount = max(e.speaker.partCount, needed)
 	return e.speaker.partCount
@@ -272,6 +281,7 @@
 	e.opts.Fleet.ApplyMergedDigest(name, hosts, uses, parts, tokens, now)
 	e.opts.Fleet.ApplyCrashes(crashesFromProto(m.Crashes), now)
 	e.opts.Fleet.ApplyClassCounts("zone/"+m.AvailabilityZone+"/"+m.Speaker, false, classCountsFromProto(m.Classes), now)
+	e.applyLimits("zone/"+m.AvailabilityZone+"/"+m.Speaker, false, m.Limits, now)
 	if m.Relayed {
 		return
 	}
@@ -319,7 +329,7 @@
 			delete(z.lastDigestBySpeaker, name)
 		}
 	}
-	z.lastDigestAt = now
+	z.lastDigestAt, z.hostsLive = now, int(m.Hosts)
 	if int(m.HostsKnown) > z.hostsKnown {
 		z.hostsKnown = int(m.HostsKnown)
 		e.reportHostCount()
--- a/internal/gateway/peers/zone_test.go
+++ b/internal/gateway/peers/zone_test.go
@@ -132,11 +132,11 @@
 // of a digest to another and are counted twice.
 func TestDigestIsSplitIntoDatagrams(t *testing.T) {
 	host := newTestHost(t, "a", "127.0.0.1:1")
-	assert.Equal(t, 1, host.digestPartCount(0, 0))
-	assert.Equal(t, 1, host.digestPartCount(maxDigestPartBytes/useEntryBytes, 0))
-	partCount := host.digestPartCount(500, 100)
+	assert.Equal(t, 1, host.digestPartCount(0, 0, 0))
+	assert.Equal(t, 1, host.digestPartCount(maxDigestPartBytes/useEntryBytes, 0, 0))
+	partCount := host.digestPartCount(500, 100, 0)
 	assert.GreaterOrEqual(t, partCount*maxDigestPartBytes, 500*useEntryBytes+100*promptEntryBytes)
-	assert.Equal(t, partCount, host.digestPartCount(1, 0), "the number of parts never decreases")
+	assert.Equal(t, partCount, host.digestPartCount(1, 0, 0), "the number of parts never decreases")
 	m := &rpc.ZoneDigest{AvailabilityZone: "a", Speaker: "a"}
 	for i := range 300 {
 		m.Prompts = append(m.Prompts, &rpc.PromptUse{Replica: 1 << 60, Part: uint64(i) << 40, Tokens: 9000})
--- a/internal/gateway/proxy/proxy_test.go
+++ b/internal/gateway/proxy/proxy_test.go
@@ -502,3 +502,43 @@
 	}
 	assert.LessOrEqual(t, wrongProcess.received.Load(), int64(1), "the replica receives no further requests for a while")
 }
+
+// Guards against a stated request limit that is ignored, hidden from the caller, taken from another
+// process at the replica's address, or kept after the replica has ceased to state it.
+func TestStatedRequestLimitIsKept(t *testing.T) {
+	var limited, misdirected atomic.Bool
+	limited.Store(true)
+	replica := newReplica(func(w http.ResponseWriter, r *http.Request) {
+		if limited.Load() {
+			w.Header().Set("Server-Limit", "5")
+		}
+		if misdirected.Load() {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		respondWith("answer")(w, r)
+	})
+	g := newTestGateway(t, replica)
+	misdirected.Store(true)
+	g.do(testRequest{path: "/order/x"})
+	assert.Zero(t, g.fleet.LimitedReplicas("pool"))
+	misdirected.Store(false)
+	g.fleet.SetMembers(nil)
+	g.fleet.SetMembers(g.members) // the replica is no longer suspended
+
+	status, _, header := g.do(testRequest{path: "/order/x"})
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, "5", header.Get("Server-Limit"))
+	status, _, header = g.do(testRequest{path: "/order/x"})
+	assert.Equal(t, http.StatusServiceUnavailable, status)
+	assert.NotEmpty(t, header.Get("Retry-After"))
+	limited.Store(false)
+	assert.Eventually(t, func() bool {
+		status, _, _ := g.do(testRequest{path: "/order/x"})
+		return status == http.StatusOK && g.fleet.LimitedReplicas("pool") == 0
+	}, 10*time.Second, 20*time.Millisecond)
+	for range 5 {
+		status, _, _ := g.do(testRequest{path: "/order/x"})
+		assert.Equal(t, http.StatusOK, status)
+	}
+}
--- a/internal/membership/hosts.go
+++ b/internal/membership/hosts.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"heatherbarrow/internal/rendezvous"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -267,7 +268,7 @@
 	if len(connected) == 0 {
 		connected = all
 	}
-	return TopRanked("watch/"+zone, connected, n)
+	return rendezvous.TopRanked("watch/"+zone, connected, n)
 }
 
 // ZonePeers returns the hosts of the zone that can be called, without the local
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -12,6 +12,7 @@
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/objectstore"
+	"heatherbarrow/internal/rendezvous"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -108,12 +109,12 @@
 	active := table.ActiveHosts(zone, n.now)
 	if n.observeAll {
 		for i, r := range table.replicasByIndex {
-			if r.zone == zone && InTop(r.key, name, active, 2) {
+			if r.zone == zone && rendezvous.InTop(r.key, name, active, 2) {
 				table.Observe(Observation{Upstream: r.upstream, Replica: r.name, CalledAt: n.now, Reachable: true, HasLoad: true, Running: uint32(i % 16), TokensPerSecond: 400})
 			}
 		}
 	}
-	if InTop("watch/"+zone, name, active, 2) {
+	if rendezvous.InTop("watch/"+zone, name, active, 2) {
 		if peer := n.peer(name, func(p string) bool { return n.hosts[p].opts.Zone != zone }); peer != "" {
 			n.exchange(name, peer, true)
 		}
--- a/internal/membership/rank.go
+++ b/internal/rendezvous/rendezvous.go
@@ -1,4 +1,6 @@
-package membership
+// Package rendezvous orders members for a key by rendezvous hashing, so that every host with the
+// same members computes the same order.
+package rendezvous
 
 import (
 	"cmp"
@@ -50,18 +52,20 @@
 // does not allocate, because each host calls it every second for each replica of
 // its zone.
 func InTop(key, member string, members []string, n int) bool {
+	return slices.Contains(members, member) && Position(key, member, members) < n
+}
+
+// Position returns how many of the members precede the given one for the key. The given member
+// need not be among them.
+func Position(key, member string, members []string) int {
 	memberScore := score(key, member)
-	higher, found := 0, false
+	higher := 0
 	for _, name := range members {
-		if name == member {
-			found = true
-			continue
-		}
 		if s := score(key, name); s > memberScore || s == memberScore && name < member {
 			higher++
 		}
 	}
-	return found && higher < n
+	return higher
 }
 
 func score(key, member string) uint64 {
