router: keep request limits that engines and services state, over all hosts

A service that stated 4 requests a second got 7,721 in two seconds from one router.

Change: the header Heatherbarrow-Request-Limit (docs/protocols.md) is read by package forward; the picker gives a replica no free slots while the limit leaves this host none; statements go with the report to control, through the exchanges between hosts and back to the routers in the view. The parts of a limit go to the hosts that the view lists; hosts do not count each other's requests here, so that only those with a part send.

--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -78,6 +78,11 @@
 		Version: v.Version, Hosts: v.Hosts, Quarantine: v.Quarantine, HostsInZone: v.HostsInZone, ZoneCount: v.ZoneCount,
 		Replicas: make([]*rpc.ReplicaState, len(v.Replicas)),
 	}
+	for _, l := range v.Limits {
+		out.Limits = append(out.Limits, &rpc.StatedLimit{
+			Upstream: l.Upstream, Replica: l.Replica, Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: l.AgeMs + add,
+		})
+	}
 	for i, r := range v.Replicas {
 		out.Replicas[i] = &rpc.ReplicaState{
 			Upstream: r.Upstream, Replica: r.Replica, State: r.State, Mark: r.Mark, Role: r.Role, Models: r.Models, UnlistedModels: r.UnlistedModels,
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -314,6 +314,7 @@
 		Hosts:       l.table.Hosts(now),
 		Quarantine:  entries,
 		Shares:      l.sharing.current(now),
+		Limits:      l.table.Limits(now),
 		HostsInZone: uint32(l.table.HostsInZone(now)),
 		ZoneCount:   uint32(l.table.ZoneCount()),
 	}
--- a/internal/control/sharing.go
+++ b/internal/control/sharing.go
@@ -54,6 +54,7 @@
 		l.sharing.report(e.Report, now)
 		l.classes.add(e.Report.Results, now)
 		l.demand.Add(e.Report.Demand)
+		l.table.ObserveLimits(e.Report.Limits, now)
 	case *SharesDue:
 		l.sharesDue(e, now)
 	case *SharesRequested:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"heatherbarrow/internal/scheduling/requestlimit"
 	"heatherbarrow/internal/tlsconf"
 )
 
@@ -58,6 +59,28 @@
 // Error implements error.
 func (e *StatusError) Error() string { return fmt.Sprintf("replica answered with status %d", e.Status) }
 
+// limitHeader holds the requests per second that a replica takes from all hosts together.
+const limitHeader = "Heatherbarrow-Request-Limit"
+
+// OnLimit is called with what the head of an answer says of the replica's request limit.
+// invalid is the value of a limit that cannot be read; the statement then does not count.
+type OnLimit func(s requestlimit.Statement, invalid string)
+
+// report calls f with the statement of an answer. A refusal without a limit says nothing of
+// one: the replica may be refusing requests because of it.
+func (f OnLimit) report(h http.Header) {
+	text := h.Get(limitHeader)
+	if f == nil || text == "" && h.Get(refusalHeader) == refusalValue {
+		return
+	}
+	s, ok := requestlimit.Parse(text)
+	if !ok {
+		f(requestlimit.Statement{}, text)
+		return
+	}
+	f(s, "")
+}
+
 // Client sends requests to replicas.
 type Client struct {
 	repeatable http.RoundTripper
@@ -91,6 +114,7 @@
 	FrameTimeout time.Duration // greatest time between two frames
 	FirstTimeout time.Duration // greatest time to the first frame
 	OnSend       func()        // called before the first byte may be written
+	OnLimit      OnLimit
 }
 
 // Chat starts a chat completion and returns its stream. ctx cancels the
@@ -135,6 +159,7 @@
 	if err != nil {
 		return nil, tracker.reused, err
 	}
+	call.OnLimit.report(response.Header)
 	if response.StatusCode == http.StatusOK {
 		return response, tracker.reused, nil
 	}
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -21,6 +21,7 @@
 	Body       []byte
 	Repeatable bool   // may use a connection that served another call
 	OnSend     func() // called before the first byte may be written
+	OnLimit    OnLimit
 }
 
 // ServiceAnswer is the whole answer of a plain service.
@@ -75,6 +76,7 @@
 		return nil, tracker.reused, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	call.OnLimit.report(response.Header)
 	if response.Header.Get(refusalHeader) == refusalValue {
 		return nil, false, ErrRefused
 	}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -22,6 +22,7 @@
 		Replicas:   t.replicaMarks(),
 		Quarantine: t.quarantine.updates(toOtherZone),
 		List:       t.listDigest(now),
+		Limits:     t.limitUpdates(now),
 	}
 	if !opensExchange {
 		return m
@@ -52,6 +53,7 @@
 	for _, s := range m.Replicas {
 		t.mergeReplicaMark(s)
 	}
+	t.ObserveLimits(m.Limits, now)
 	if m.Loads != nil {
 		t.mergeLoadDigest(m.Loads, now)
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -94,6 +94,7 @@
 	markSends         int
 	load              load
 	loadSends         int
+	limit             statedLimit
 }
 
 // load is the latest observation of a replica.
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -193,6 +193,7 @@
 		FirstTimeout: firstTimeout(c.class, &c.snapshot.Bundle.Limits),
 		FrameTimeout: c.snapshot.Bundle.Limits.FrameTimeout.Std(),
 		OnSend:       func() { c.server.records.Sent(c.id) },
+		OnLimit:      c.recordLimit(a),
 	})
 	if err == nil {
 		err = c.passOn(stream, a)
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -9,6 +9,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 const (
@@ -131,6 +132,21 @@
 			Models:     r.Models,
 		})
 	}
+	for _, l := range v.Limits {
+		if l.PerSecond >= 0 {
+			out.Limits = append(out.Limits, scheduling.ReplicaLimit{
+				ID: scheduling.ReplicaID{Upstream: l.Upstream, Replica: l.Replica},
+				Known: requestlimit.Known{
+					Statement: requestlimit.Statement{Limited: l.Limited, PerSecond: l.PerSecond}, At: now.Add(-time.Duration(l.AgeMs) * time.Millisecond),
+				},
+			})
+		}
+	}
+	for _, h := range v.Hosts {
+		if h.State != rpc.State_STATE_UNKNOWN {
+			out.Hosts = append(out.Hosts, scheduling.EntryHost{Name: h.Host, Zone: h.AvailabilityZone, Live: h.State == rpc.State_STATE_LIVE})
+		}
+	}
 	out.Quarantine = quarantineFromRPC(v.Quarantine)
 	for _, share := range v.Shares {
 		out.Shares = append(out.Shares, scheduling.TeamShare{
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -8,9 +8,11 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 const (
@@ -76,9 +78,35 @@
 			Class: d.Class, Model: d.Model, Requests: d.Requests, Tokens: d.Tokens, Refused: d.Refused,
 		})
 	}
+	out.Limits = limitsToRPC(report.Limits, time.Now())
 	return out
 }
 
+// limitsToRPC gives each statement of a request limit its age.
+func limitsToRPC(limits []scheduling.ReplicaLimit, now time.Time) []*rpc.StatedLimit {
+	var out []*rpc.StatedLimit
+	for i := range limits {
+		l := &limits[i]
+		out = append(out, &rpc.StatedLimit{
+			Upstream: l.ID.Upstream, Replica: l.ID.Replica, Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: uint32(now.Sub(l.At).Milliseconds()),
+		})
+	}
+	return out
+}
+
+// recordLimit returns what applies the statement of an answer about its replica's request limit.
+func (e *exchange) recordLimit(a *scheduler.Assignment) forward.OnLimit {
+	return func(s requestlimit.Statement, invalid string) {
+		switch {
+		case invalid != "":
+			e.server.Logger.Warn().Str("request", e.id).Str("replica", a.Replica.String()).Str("value", invalid).Msg("replica states a request limit that cannot be read")
+		case a.RecordLimit(s):
+			e.server.Logger.Info().Str("request", e.id).Str("replica", a.Replica.String()).Bool("limited", s.Limited).
+				Float64("per_second", s.PerSecond).Msg("request limit of replica changed")
+		}
+	}
+}
+
 // logCrash notes that a replica broke the connection while it ran the request.
 func (c *chat) logCrash(cause, err error, a *scheduler.Assignment) {
 	if !resultOf(cause, err, 0).Crashed {
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -122,7 +122,7 @@
 	answer, err := c.server.Forward.Service(ctx, forward.ServiceCall{
 		Address: a.Address, Method: c.r.Method, Path: c.rawPath, Query: c.r.URL.RawQuery,
 		Header: c.requestHeader(), Body: c.body, Repeatable: c.route.Repeatable,
-		OnSend: func() { c.server.records.Sent(c.id) },
+		OnSend: func() { c.server.records.Sent(c.id) }, OnLimit: c.recordLimit(a),
 	})
 	cause := ended(ctx)
 	a.Finish(resultOf(cause, err, 0))
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -6,6 +6,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // tokenFlushInterval is the minimum time between two reports of a stream's tokens
@@ -70,6 +71,15 @@
 	a.ticket.classQueue.estimates.ObserveFirstToken(latency)
 }
 
+// RecordLimit applies what the replica's answer says of its request limit, and reports
+// whether that changed the limit in force.
+func (a *Assignment) RecordLimit(statement requestlimit.Statement) (changed bool) {
+	s := a.ticket.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.RecordLimit(a.Replica, statement, a.grantedAt)
+}
+
 // Token records n tokens that arrived since the last call, including the first token.
 func (a *Assignment) Token(n int) {
 	a.unflushedTokens += n
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -12,6 +12,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/requestlimit"
 	"heatherbarrow/internal/settings"
 )
 
@@ -100,6 +101,12 @@
 
 func (p *fakePicker) SuspectEvents() []scheduling.SuspectEvent { return nil }
 
+func (p *fakePicker) RecordLimit(scheduling.ReplicaID, requestlimit.Statement, time.Time) bool {
+	return false
+}
+
+func (p *fakePicker) Limits() []scheduling.ReplicaLimit { return nil }
+
 func (p *fakePicker) Refusal(r *scheduling.Request) *scheduling.RefusedError {
 	if p.quarantined[r.Fingerprint] {
 		return &scheduling.RefusedError{Reason: scheduling.ReasonQuarantined}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,7 +93,7 @@
 	p := opts.Picker
 	if p == nil {
 		p = picker.New(picker.Options{
-			AvailabilityZone: opts.AvailabilityZone, Clock: opts.Clock, Seed: opts.Seed,
+			Host: opts.Host, AvailabilityZone: opts.AvailabilityZone, Clock: opts.Clock, Seed: opts.Seed,
 		})
 	}
 	return &Scheduler{
@@ -187,12 +187,12 @@
 	return s.picker.SuspectEvents()
 }
 
-// Report returns the replica measurements, team usage and demand of this host
-// since the last call.
+// Report returns the replica measurements, team usage, demand and stated request
+// limits of this host since the last call.
 func (s *Scheduler) Report() scheduling.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	report := scheduling.Report{Replicas: s.picker.Measurements(), Teams: s.limiter.Usage()}
+	report := scheduling.Report{Replicas: s.picker.Measurements(), Teams: s.limiter.Usage(), Limits: s.picker.Limits()}
 	for _, d := range s.demand {
 		if d.Requests > 0 || d.Tokens > 0 || d.Refused > 0 {
 			report.Demand = append(report.Demand, *d)
--- a/internal/scheduling/interfaces.go
+++ b/internal/scheduling/interfaces.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // Choice is the replica picked for a request.
@@ -43,6 +44,12 @@
 	Tokens(id ReplicaID, n int, elapsed time.Duration)
 	// Finish releases the slot and records the result of the attempt.
 	Finish(id ReplicaID, r *Request, result Result)
+	// RecordLimit applies what an answer of the replica says of its request limit; sent is when
+	// the request was dispatched. It reports whether that changed the limit in force.
+	RecordLimit(id ReplicaID, s requestlimit.Statement, sent time.Time) (changed bool)
+	// Limits returns what answers to this host said of the replicas' request limits since the last
+	// call.
+	Limits() []ReplicaLimit
 	// SuspectEvents returns the events since the last call: crashes with their
 	// fingerprints, and completions of suspects.
 	SuspectEvents() []SuspectEvent
@@ -92,4 +99,5 @@
 	Replicas []ReplicaMeasurement
 	Teams    []TeamUsage
 	Demand   []ClassDemand
+	Limits   []ReplicaLimit
 }
--- a/internal/scheduling/picker/pick.go
+++ b/internal/scheduling/picker/pick.go
@@ -308,6 +308,9 @@
 	}
 	r.addInFlight(f)
 	r.pool.recentDispatches++
+	if r.limit != nil {
+		r.limit.Take(p.limitHosts, q.now)
+	}
 	r.health.Start(q.now, f.id, p.healthKind(q.request))
 	if f.suspect {
 		p.quarantine.Started(f.fingerprint, q.now)
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -15,10 +15,12 @@
 	"heatherbarrow/internal/scheduling"
 	"heatherbarrow/internal/scheduling/health"
 	"heatherbarrow/internal/scheduling/quarantine"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // Options configures a Picker.
 type Options struct {
+	Host             string // name of this host
 	AvailabilityZone string // zone of this host
 	Clock            clockwork.Clock
 	Seed             uint64 // seed of the random number generator
@@ -38,11 +40,12 @@
 	affinity      *affinity
 	filters       []Filter
 	scorers       []Scorer
-	hostsInZone   int       // hosts in this host's zone
-	totalHosts    int       // hosts in all zones, on the assumption that all zones have the same number
-	query         Query     // reused for each decision to avoid allocations
-	candidate     Candidate // reused by score
-	best          shortlist // candidates of the current decision
+	limitHosts    *requestlimit.Hosts // that share the request limits of replicas
+	hostsInZone   int                 // hosts in this host's zone
+	totalHosts    int                 // hosts in all zones, on the assumption that all zones have the same number
+	query         Query               // reused for each decision to avoid allocations
+	candidate     Candidate           // reused by score
+	best          shortlist           // candidates of the current decision
 }
 
 // New returns a picker without a bundle.
@@ -55,6 +58,7 @@
 		affinity:    newAffinity(),
 		filters:     defaultFilters(),
 		scorers:     defaultScorers(),
+		limitHosts:  limitHosts(opts.Host, opts.AvailabilityZone, nil),
 		hostsInZone: 1,
 		totalHosts:  1,
 	}
@@ -91,6 +95,8 @@
 		p.hostsInZone = max(view.HostsInZone, 1)
 		p.totalHosts = p.hostsInZone * max(view.ZoneCount, 1)
 		p.quarantine.Update(view.Quarantine, p.opts.Clock.Now())
+		p.limitHosts = limitHosts(p.opts.Host, p.opts.AvailabilityZone, view.Hosts)
+		p.applyLimits(now)
 	}
 	p.applyReports()
 	p.refresh(now)
@@ -150,7 +156,7 @@
 // refresh updates the load estimates and slot counts of all pools.
 func (p *Picker) refresh(now time.Time) {
 	for _, upstreamPool := range p.pools {
-		upstreamPool.refresh(now, p.hostsInZone, p.totalHosts)
+		upstreamPool.refresh(now, p.limitHosts, p.hostsInZone, p.totalHosts)
 	}
 }
 
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -8,6 +8,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/scheduling"
 	"heatherbarrow/internal/scheduling/health"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 const (
@@ -31,7 +32,8 @@
 	inZone            []*Replica // in this host's zone
 	otherZones        []*Replica // in the other zones
 	zones             []zoneLoad
-	slotsByModel      []slotCounts // by model index; a single entry for services
+	limitHosts        *requestlimit.Hosts // that share the request limits of the replicas
+	slotsByModel      []slotCounts        // by model index; a single entry for services
 	health            *health.Pool
 	meanService       float64 // moving average of the seconds from dispatch to the end of an attempt
 	suspectsInFlight  int     // in-flight requests whose fingerprint is a suspect
@@ -198,9 +200,10 @@
 func (p *pool) observe(d time.Duration) { p.meanService += emaWeight * (d.Seconds() - p.meanService) }
 
 // refresh updates the load estimates of all replicas to the current time and recomputes
-// the slot counts. hostsInZone and totalHosts are the numbers of hosts in this host's zone
+// the slot counts. limitHosts share the request limits; hostsInZone and totalHosts are the numbers of hosts in this host's zone
 // and in all zones.
-func (p *pool) refresh(now time.Time, hostsInZone, totalHosts int) {
+func (p *pool) refresh(now time.Time, limitHosts *requestlimit.Hosts, hostsInZone, totalHosts int) {
+	p.limitHosts = limitHosts
 	for i := range p.zones {
 		p.zones[i] = zoneLoad{name: p.zones[i].name}
 	}
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -8,6 +8,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/scheduling"
 	"heatherbarrow/internal/scheduling/health"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // Replica holds this host's state for a replica: its in-flight requests, the last load
@@ -32,16 +33,18 @@
 
 	hasReport          bool
 	reportedAt         time.Time
-	reportedLoad       float64     // requests of other hosts at the time of the report
-	otherLoad          float64     // estimated requests of other hosts at the last refresh
-	otherLoadDeviation float64     // standard deviation of otherLoad
-	slowness           float64     // measured first-token time divided by the upstream's expected one
-	interTokenSeconds  float64     // measured mean time per token; 0 without enough samples
-	quota              [levels]int // requests that this host may run on the replica after its last report, by level
-	healthLimit        int         // requests that this host may run on the replica in its present health
-	failedAt           time.Time   // last crash or failed connection that this host observed
-	free               [levels]int // slots that this host may fill now
-	counted            bool        // included in the pool's slot counts
+	reportedLoad       float64             // requests of other hosts at the time of the report
+	otherLoad          float64             // estimated requests of other hosts at the last refresh
+	otherLoadDeviation float64             // standard deviation of otherLoad
+	slowness           float64             // measured first-token time divided by the upstream's expected one
+	interTokenSeconds  float64             // measured mean time per token; 0 without enough samples
+	quota              [levels]int         // requests that this host may run on the replica after its last report, by level
+	healthLimit        int                 // requests that this host may run on the replica in its present health
+	limit              *requestlimit.Limit // nil if the replica has not stated one
+	limitStated        bool                // an answer to this host said something of the limit since the last report
+	failedAt           time.Time           // last crash or failed connection that this host observed
+	free               [levels]int         // slots that this host may fill now
+	counted            bool                // included in the pool's slot counts
 
 	firstTokens, interTokens      samples
 	dispatched, completed, failed uint64
@@ -184,12 +187,13 @@
 	r.pool.adjustCounts(r, -1)
 	r.healthLimit = r.health.Limit(now, r.pool.slotsPerReplica)
 	r.counted = r.serving()
+	withinLimit := r.withinLimit(r.pool.limitHosts, now)
 	for level := range r.free {
 		free := min(r.pool.usableSlots(level)-int(math.Round(r.load())), r.healthLimit-len(r.inFlight))
 		if r.hasReport && now.Sub(r.reportedAt) < quotaMaxAge {
 			free = min(free, r.availableSlots(level))
 		}
-		if !r.counted {
+		if !r.counted || !withinLimit {
 			free = 0
 		}
 		r.free[level] = max(free, 0)
--- a/internal/scheduling/requestlimit/hosts.go
+++ b/internal/scheduling/requestlimit/hosts.go
@@ -22,7 +22,8 @@
 	// Reachable is the share of the known hosts that are live. A host that is silent may be cut
 	// off and still use its part of a limit.
 	Reachable float64
-	// ExchangeDelay is the time within which the hosts learn of each other's requests.
+	// ExchangeDelay is the time within which the hosts learn of each other's requests; 0 if they do
+	// not. Only hosts with a part of a limit then use it.
 	ExchangeDelay time.Duration
 }
 
--- a/internal/scheduling/requestlimit/requestlimit.go
+++ b/internal/scheduling/requestlimit/requestlimit.go
@@ -11,7 +11,11 @@
 // using its part.
 package requestlimit
 
-import "time"
+import (
+	"math"
+	"strconv"
+	"time"
+)
 
 const (
 	// minPartPerSecond is the smallest part of a limit. With smaller ones the hosts would hold
@@ -39,6 +43,8 @@
 	// The age of a statement does not include the time that the report took, so that statements
 	// which hosts report to each other would otherwise seem newer each time.
 	minReportAdvance = 500 * time.Millisecond
+	// neverWait is the wait of a host that may not send any requests to the replica.
+	neverWait = time.Duration(math.MaxInt64)
 )
 
 // Statement is what a replica's answer says of its request limit.
@@ -47,6 +53,19 @@
 	PerSecond float64 // valid if Limited
 }
 
+// Parse reads the value of a header that states a limit; without a value, the answer states none.
+// ok is false if the value is not a limit.
+func Parse(text string) (s Statement, ok bool) {
+	if text == "" {
+		return Statement{}, true
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 1) {
+		return Statement{}, false
+	}
+	return Statement{Limited: true, PerSecond: perSecond}, true
+}
+
 // Report is what a host, or the hosts of an availability zone together, tell others of a limit.
 type Report struct {
 	Statement
@@ -54,11 +73,43 @@
 	Sent uint64        // requests that the host, or the zone's hosts, sent to the replica; only differences count
 }
 
+// Known is the newest statement of a replica that a host knows of.
+type Known struct {
+	Statement
+	At time.Time // when it was made; zero if the replica never stated a limit
+}
+
+// Observe applies a statement of an answer and reports whether it changed the one in force. A
+// statement that is older than the one in force is ignored.
+func (k *Known) Observe(s Statement, at time.Time) (changed bool) {
+	if at.Before(k.At) || !s.Limited && !k.Limited {
+		return false
+	}
+	changed = s != k.Statement
+	k.Statement, k.At = s, at
+	return changed
+}
+
+// ObserveReport applies a statement that another host reports, with the age that the report gives
+// it, and reports whether it changed the one in force.
+func (k *Known) ObserveReport(s Statement, age time.Duration, now time.Time) (changed bool) {
+	at := now.Add(-age)
+	if s == k.Statement && at.Sub(k.At) < minReportAdvance {
+		return false
+	}
+	return k.Observe(s, at)
+}
+
+// Reportable reports whether other hosts are to be told of the statement: it states a limit, or
+// ended one recently.
+func (k *Known) Reportable(now time.Time) bool {
+	return k.Limited || !k.At.IsZero() && now.Sub(k.At) < endReportTime
+}
+
 // Limit is a host's state of the request limit of one replica. The zero value is a replica that
 // has not stated a limit.
 type Limit struct {
-	statement Statement
-	at        time.Time // when the statement was made
+	known Known
 
 	sent         uint64 // requests of this host
 	neighborSent uint64 // sum of the increases that hosts of this zone reported
@@ -80,34 +131,41 @@
 }
 
 // Current returns the statement in force.
-func (l *Limit) Current() Statement { return l.statement }
+func (l *Limit) Current() Statement { return l.known.Statement }
 
 // LastStated returns when the statement in force was made.
-func (l *Limit) LastStated() time.Time { return l.at }
+func (l *Limit) LastStated() time.Time { return l.known.At }
 
-// Observe applies a statement and reports whether it changed the one in force. A statement that
-// is older than the one in force is ignored.
+// Observe applies a statement of an answer and reports whether it changed the one in force.
 func (l *Limit) Observe(s Statement, at, now time.Time) (changed bool) {
-	if at.Before(l.at) || !s.Limited && !l.statement.Limited {
-		return false
-	}
-	if !l.statement.Limited {
-		// The first token is due after an interval: requests have just been sent.
+	return l.update(now, func() bool { return l.known.Observe(s, at) })
+}
+
+// ObserveReport applies a statement that another host reports, and reports whether it changed the
+// one in force.
+func (l *Limit) ObserveReport(s Statement, age time.Duration, now time.Time) (changed bool) {
+	return l.update(now, func() bool { return l.known.ObserveReport(s, age, now) })
+}
+
+// update applies a statement and empties the buckets if it begins a limit: the first token is due
+// after an interval, as requests have just been sent.
+func (l *Limit) update(now time.Time, observe func() bool) (changed bool) {
+	wasLimited := l.known.Limited
+	changed = observe()
+	if l.known.Limited && !wasLimited {
 		l.refilled, l.tokens, l.own, l.unused = now, 0, 0, time.Time{}
 	}
-	changed = s != l.statement
-	l.statement, l.at = s, at
 	return changed
 }
 
 // perSecond returns the limit that is applied to the hosts that this one exchanges state with.
 func (l *Limit) perSecond(h *Hosts) float64 {
-	return max(l.statement.PerSecond, minPerSecond) * h.Reachable
+	return max(l.known.PerSecond, minPerSecond) * h.Reachable
 }
 
 // parts returns the number of hosts that hold a part of the limit.
 func (l *Limit) parts(h *Hosts) int {
-	return int(min(max(l.statement.PerSecond/minPartPerSecond, 1), float64(h.count())))
+	return int(min(max(l.known.PerSecond/minPartPerSecond, 1), float64(h.count())))
 }
 
 // burst returns the number of requests that the holder of a part may send at once.
@@ -149,13 +207,13 @@
 // Allows reports whether this host may send a request to the replica now. zone is the replica's
 // availability zone.
 func (l *Limit) Allows(h *Hosts, replica uint64, zone string, now time.Time) bool {
-	return !l.statement.Limited || l.Wait(h, replica, zone, now) <= 0
+	return !l.known.Limited || l.Wait(h, replica, zone, now) <= 0
 }
 
 // Wait returns the time until this host may send a request to the replica if no other host sends
 // any meanwhile.
 func (l *Limit) Wait(h *Hosts, replica uint64, zone string, now time.Time) time.Duration {
-	if !l.statement.Limited {
+	if !l.known.Limited {
 		return 0
 	}
 	l.refill(h, now)
@@ -171,6 +229,9 @@
 	if unused.IsZero() {
 		unused = now.Add(untilTokens(parts*l.burst(h)-l.tokens, rate))
 	}
+	if h.ExchangeDelay == 0 {
+		return neverWait
+	}
 	wait := unused.Add(time.Duration(min(turn, substitutes+1)) * h.ExchangeDelay).Sub(now)
 	if turn > substitutes {
 		wait = max(wait, l.untilSlot(h, turn, now))
@@ -182,7 +243,7 @@
 // Once the statement is stale, each host has a slot of ExchangeDelay in turn.
 func (l *Limit) untilSlot(h *Hosts, turn int, now time.Time) time.Duration {
 	slot, round := time.Duration(turn)*h.ExchangeDelay, time.Duration(h.count())*h.ExchangeDelay
-	age := now.Sub(l.at) - staleAfter
+	age := now.Sub(l.known.At) - staleAfter
 	if age < 0 {
 		return slot - age
 	}
@@ -197,7 +258,7 @@
 // Take records that this host sends a request to the replica.
 func (l *Limit) Take(h *Hosts, now time.Time) {
 	l.sent++
-	if l.statement.Limited {
+	if l.known.Limited {
 		l.refill(h, now)
 		l.spend(h, 1)
 		l.own = max(l.own-1, 0)
@@ -209,8 +270,7 @@
 
 // Report returns what this host tells the others. ok is false if there is nothing to tell.
 func (l *Limit) Report(now time.Time) (r Report, ok bool) {
-	age := now.Sub(l.at)
-	return Report{Statement: l.statement, Age: age, Sent: l.sent}, l.statement.Limited || !l.at.IsZero() && age < endReportTime
+	return Report{Statement: l.known.Statement, Age: now.Sub(l.known.At), Sent: l.sent}, l.known.Reportable(now)
 }
 
 // ZoneReport returns what the hosts of this zone together tell those of other zones.
@@ -224,9 +284,7 @@
 // it, and reports whether it changed the statement in force. neighbor means that the host is in
 // this host's zone.
 func (l *Limit) Apply(host string, neighbor bool, r Report, h *Hosts, now time.Time) (changed bool) {
-	if at := now.Add(-r.Age); r.Statement != l.statement || at.Sub(l.at) >= minReportAdvance {
-		changed = l.Observe(r.Statement, at, now)
-	}
+	changed = l.ObserveReport(r.Statement, r.Age, now)
 	previous, ok := l.reported[host]
 	if l.reported == nil {
 		l.reported = make(map[string]hostReport)
@@ -239,7 +297,7 @@
 	if neighbor {
 		l.neighborSent += increase
 	}
-	if l.statement.Limited {
+	if l.known.Limited {
 		l.refill(h, now)
 		l.spend(h, float64(increase))
 	}
--- a/internal/scheduling/requestlimit/requestlimit_test.go
+++ b/internal/scheduling/requestlimit/requestlimit_test.go
@@ -36,6 +36,7 @@
 	limit  Statement
 	cut    map[string]bool // zones that exchange nothing with others
 	demand float64         // probability that a host has a request in a step
+	silent bool            // hosts tell each other nothing of limits and requests
 	// heartbeat is the interval between heartbeats. As on real hosts, it grows with the hosts of a
 	// zone.
 	heartbeat time.Duration
@@ -98,7 +99,7 @@
 				s.sends = append(s.sends, s.elapsed)
 			}
 		}
-		if s.elapsed%s.heartbeat == 0 {
+		if s.elapsed%s.heartbeat == 0 && !s.silent {
 			s.exchange()
 		}
 	}
@@ -253,6 +254,20 @@
 	}
 }
 
+// Guards against hosts that use unused tokens although they do not learn of each other's requests.
+func TestLimitHoldsWithoutExchange(t *testing.T) {
+	for _, perSecond := range []float64{0.3, 1, 3.7, 20} {
+		s := newSim(30, 3, perSecond)
+		s.silent = true
+		for _, h := range s.hosts {
+			h.hosts.ExchangeDelay = 0
+		}
+		s.run(40 * time.Second)
+		s.assertBound(t)
+		assert.GreaterOrEqual(t, float64(len(s.sends)), 0.9*perSecond*40-1)
+	}
+}
+
 // Guards against a limit that lasts after the replica has ceased to state it, and against one that
 // an answer ends which was under way when the limit was stated.
 func TestLimitEndsWithAnswerToLaterRequest(t *testing.T) {
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
 // ReplicaID identifies a replica by its upstream and its name.
@@ -110,12 +111,27 @@
 	Expires         time.Time
 }
 
+// ReplicaLimit is the newest statement of a replica's request limit that a host knows of.
+type ReplicaLimit struct {
+	ID ReplicaID
+	requestlimit.Known
+}
+
+// EntryHost is an entry host that control knows of.
+type EntryHost struct {
+	Name string
+	Zone string
+	Live bool
+}
+
 // View is the soft state that control supplies. It is immutable once it has been passed on.
 type View struct {
 	Version     uint64
 	Replicas    []ReplicaLoad
 	Quarantine  []QuarantineEntry
 	Shares      []TeamShare
+	Limits      []ReplicaLimit
+	Hosts       []EntryHost
 	HostsInZone int // hosts that share this zone's entitlements
 	ZoneCount   int // zones that share an entitlement without weights
 }
