gateway: divide the connections that a replica accepts among the hosts

A replica resets connections beyond the number that the configuration gives; each host kept up to 16 idle ones to each replica, 1,248 from 78 hosts, and requests were not bounded by it.

Change: half of the connections is for idle ones, divided among the hosts ever heard; requests of all hosts stay below the number.

Evidence: TestConnectionLimitIsKept fails without the bound; the client and the division have tests of their own.

--- a/internal/gateway/fleet/limit_test.go
+++ b/internal/gateway/fleet/limit_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
@@ -101,3 +102,18 @@
 	other.ExpireDigests(now.Add(time.Minute))
 	assert.Empty(t, other.LimitReports(now.Add(time.Minute)))
 }
+
+// Guards against more requests at a replica, of all hosts together, than it accepts connections.
+func TestConnectionLimitIsKept(t *testing.T) {
+	f := newFleet(0)
+	f.SetUpstreams([]routing.Upstream{{Name: service, MaxConns: 8}})
+	f.ApplyDigest("other", map[uint64]Use{(&Member{ID: "s0"}).Key(): {Running: 6}}, nil, nil, start)
+	counts := map[string]int{}
+	for range 2 + 8 + 8 {
+		counts[pick(t, f, serviceRequest(), start).Member.ID]++
+	}
+	assert.Equal(t, map[string]int{"s0": 2, "s1": 8, "s2": 8}, counts)
+	_, refusal := f.Pick(serviceRequest(), start)
+	require.NotNil(t, refusal)
+	assert.Equal(t, ReasonFull, refusal.Reason)
+}
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -300,10 +300,13 @@
 	return best, skipped
 }
 
-// hasCapacity reports whether the replica has a free slot or queue place and, for an
-// engine, enough free KV cache for the request.
+// hasCapacity reports whether the replica has a free connection, a free slot or queue place and,
+// for an engine, enough free KV cache for the request.
 func (f *Fleet) hasCapacity(p *pool, r *replica, q *Request) bool {
 	e := p.upstream.Engine
+	if p.upstream.MaxConns > 0 && r.inFlight() >= p.upstream.MaxConns {
+		return false
+	}
 	if e == nil {
 		return r.inFlight() < max(r.member.Slots, 1)*(1+queuedPerSlot)
 	}
--- a/internal/gateway/proxy/budget.go
+++ b/internal/gateway/proxy/budget.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// Hosts returns the number of hosts that divide the slack.
+func (b *Budget) Hosts() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hosts
+}
+
 // SetBounds changes the share of the first attempts and the slack.
 func (b *Budget) SetBounds(share, slack float64) {
 	b.mu.Lock()
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -250,6 +250,7 @@
 		Address: lease.Member.Address, Method: e.r.Method, Target: e.requestTarget(), Host: e.r.Host,
 		Header: e.server.opts.Dialect.Forward(e.r.Header, dispatch), Body: e.body,
 		NewConnection: !e.route.Repeatable() && e.route.Kind != routing.Streaming,
+		MaxIdle:       e.maxIdle(lease.Member.Upstream),
 		Matches: func(status int, h http.Header, reused bool) bool {
 			id := e.server.opts.Dialect.Reply(status, h).AttemptID
 			// On a reused connection, a response without an ID may be a late duplicate of
@@ -259,6 +260,28 @@
 	}
 }
 
+// maxIdle returns the limit of idle connections to a replica of the upstream.
+func (e *exchange) maxIdle(upstreamName string) int {
+	u := e.table.Upstream(upstreamName)
+	if u == nil {
+		return 0
+	}
+	return maxIdlePerHost(u.MaxConns, e.server.opts.Budget.Hosts())
+}
+
+// maxIdlePerHost divides half of the connections that a replica accepts among the hosts, for idle
+// ones; the others remain for requests. The result is that of upstream.Request.MaxIdle.
+func maxIdlePerHost(maxConns, hosts int) int {
+	const idleDivisor = 2
+	if maxConns <= 0 {
+		return 0
+	}
+	if share := maxConns / idleDivisor / hosts; share > 0 {
+		return share
+	}
+	return -1
+}
+
 // urgency ranks a request on the engines' scale from 0, the most urgent, to 9. The team's
 // priority ranks first, the route's priority second; without a team priority, the route's
 // alone decides.
--- a/internal/gateway/proxy/unit_test.go
+++ b/internal/gateway/proxy/unit_test.go
@@ -87,3 +87,15 @@
 	require.NoError(t, c.SetReadDeadline(time.Time{}))
 	assert.True(t, raw.deadline.IsZero())
 }
+
+// Guards against hosts whose idle connections to a replica together exceed those that it accepts.
+func TestIdleConnectionsAreSharedByHosts(t *testing.T) {
+	for _, maxConns := range []int{20, 100, 490, 1280} {
+		for _, hosts := range []int{1, 4, 31, 78, 300} {
+			maxIdle := maxIdlePerHost(maxConns, hosts)
+			assert.LessOrEqual(t, max(maxIdle, 0)*hosts, maxConns/2, "%d connections, %d hosts", maxConns, hosts)
+			assert.NotZero(t, maxIdle, "0 stands for the client's default")
+		}
+	}
+	assert.Zero(t, maxIdlePerHost(0, 4), "the configuration sets no bound")
+}
--- a/internal/gateway/routing/routing.go
+++ b/internal/gateway/routing/routing.go
@@ -82,7 +82,7 @@
 // Upstream is a pool of replicas.
 type Upstream struct {
 	Name     string
-	MaxConns int // connections that a replica accepts from all its clients together; the gateway does not use it
+	MaxConns int // connections that a replica accepts from all its clients together; 0 if not known
 	// Engine describes the replicas if they are model engines; nil for a plain service.
 	Engine *Engine
 }
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -80,6 +80,9 @@
 	// NewConnection prevents the use of a pooled connection. The replica may close a
 	// pooled connection just as the request is sent, and the request is then lost.
 	NewConnection bool
+	// MaxIdle limits the idle connections to the replica that are kept after the request, besides
+	// maxIdlePerReplica. 0 sets no further limit, a negative value keeps none.
+	MaxIdle int
 	// Matches reports whether a response belongs to this request: on a reused connection,
 	// a response to an earlier request may arrive first. Nil accepts every response.
 	Matches func(status int, h http.Header, reused bool) bool
@@ -94,6 +97,7 @@
 
 	client         *Client
 	address        string
+	maxIdle        int
 	conn           *conn
 	stop           func() bool // stops watching the context; false if the context has ended
 	bodyWritten    chan error  // result of the concurrent body write; nil if the body was written before the response was read
@@ -113,7 +117,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrNotConnected, err)
 	}
-	resp := &Response{client: c, address: req.Address, conn: connection, Reused: connection.usedBefore}
+	resp := &Response{client: c, address: req.Address, maxIdle: req.MaxIdle, conn: connection, Reused: connection.usedBefore}
 	resp.stop = context.AfterFunc(ctx, func() { _ = connection.abort() })
 	if err := resp.send(req); err != nil {
 		resp.Close()
@@ -289,7 +293,7 @@
 	}
 	r.conn.usedBefore = true
 	r.conn.reuseUntil = time.Now().Add(reuseFor)
-	r.client.pool.put(r.address, r.conn)
+	r.client.pool.put(r.address, r.conn, r.maxIdle)
 }
 
 // ReadAll reads a body of at most limit bytes. If the body is longer, it returns the first
--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -81,6 +81,30 @@
 	}
 }
 
+// Guards against idle connections that take up the connections which a replica accepts from all
+// its clients together.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	for maxIdle, want := range map[int]int{2: 2, -1: 0, 0: maxIdlePerReplica, 100: maxIdlePerReplica} {
+		r := startKeepAliveReplica(t, "")
+		c := newTestClient()
+		var open []*Response
+		for i := range maxIdlePerReplica + 2 {
+			request := newRequest(r.address, itoa(i))
+			request.MaxIdle = maxIdle
+			response, err := c.Do(t.Context(), request)
+			require.NoError(t, err)
+			_, _, err = ReadAll(response.Body, 1000)
+			require.NoError(t, err)
+			response.MarkComplete()
+			open = append(open, response)
+		}
+		for _, response := range open {
+			response.Close()
+		}
+		assert.Len(t, c.pool.idle[r.address], want, "maxIdle %d", maxIdle)
+	}
+}
+
 // Guards against a request whose target, host or body is altered on its way to the
 // replica.
 func TestRequestReachesReplicaUnchanged(t *testing.T) {
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -22,7 +22,7 @@
 	// a connection is reused. The replica's timer starts before this host receives the
 	// response.
 	idleTimeoutFraction = 0.5
-	// maxIdlePerReplica limits the idle connections to each replica.
+	// maxIdlePerReplica limits the idle connections to each replica; see also Request.MaxIdle.
 	maxIdlePerReplica = 16
 )
 
@@ -100,12 +100,15 @@
 	return nil
 }
 
-// put adds an idle connection, or closes it if the replica already has maxIdlePerReplica
-// idle connections.
-func (p *pool) put(address string, c *conn) {
+// put adds an idle connection, or closes it if the replica already has as many as maxIdle (see
+// Request.MaxIdle) and maxIdlePerReplica allow.
+func (p *pool) put(address string, c *conn, maxIdle int) {
+	if maxIdle == 0 {
+		maxIdle = maxIdlePerReplica
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdlePerReplica {
+	if len(p.idle[address]) >= min(maxIdle, maxIdlePerReplica) {
 		_ = c.Close()
 		return
 	}
