--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -78,7 +78,7 @@
 
 // send makes one attempt with an id of its own.
 func (c *callers) send(h *host, kind, path string) result {
-	r := result{id: fmt.Sprintf("%s-%d", kind, c.next.Add(1)), kind: kind, host: h.name, sent: time.Now()}
+	r := result{id: fmt.Sprintf("%s-%s-%d", kind, h.name, c.next.Add(1)), kind: kind, host: h.name, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.settings.Listen+path, strings.NewReader("body"))
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -135,6 +135,32 @@
 	links    []*link // to the replicas
 	ledger   *ledger
 	version  atomic.Int64 // of the configuration, as confirmed by the store
+
+	mu       sync.Mutex
+	troubles map[string][]trouble // faults of hosts and of links to replicas, by name of the host or replica
+}
+
+// trouble is the time of a fault.
+type trouble struct{ from, until time.Time }
+
+// noteTrouble records a fault that began at the given time and ends now.
+func (d *deployment) noteTrouble(name string, from time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.troubles[name] = append(d.troubles[name], trouble{from, time.Now()})
+}
+
+// calm tells whether a host, or a link to a replica, had no fault from limitSettleTime before the
+// given time on.
+func (d *deployment) calm(name string, at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range d.troubles[name] {
+		if !at.Before(f.from) && at.Before(f.until.Add(limitSettleTime)) {
+			return false
+		}
+	}
+	return true
 }
 
 // hostAddress returns the address of a host of a seed; seeds that run at the same time do
@@ -145,7 +171,7 @@
 
 func newDeployment(t *testing.T, zones, perZone int) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: storetest.New(), ledger: &ledger{runs: make(map[string]int)}}
+	d := &deployment{t: t, store: storetest.New(), ledger: &ledger{runs: make(map[string]int)}, troubles: make(map[string][]trouble)}
 	t.Cleanup(d.store.Close)
 	proxies := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	for i := range 2 * zones {
--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"math/rand/v2"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +79,43 @@
 		assert.GreaterOrEqual(t, float64(len(at)), perSecond*observed.Seconds()/2, "%s states %v a second and has capacity left", r.id, perSecond)
 	}
 }
+
+// statedLimit is a limit that a replica states for the whole of a seed.
+type statedLimit struct {
+	replica   *replica
+	perSecond float64
+	since     time.Time
+}
+
+// limitReplica makes a random replica state a limit, in half of the seeds with more than two
+// replicas: of two, faults of the other one would leave callers little but refusals.
+func (d *deployment) limitReplica(random *rand.Rand) *statedLimit {
+	limits := []float64{0.4, 1, 1.4, 3, 20}
+	l := &statedLimit{replica: d.replicas[random.IntN(len(d.replicas))], perSecond: limits[random.IntN(len(limits))]}
+	if random.IntN(2) == 0 || len(d.replicas) == 2 {
+		return nil
+	}
+	d.t.Logf("%s states %v requests a second", l.replica.id, l.perSecond)
+	l.since = l.replica.stateLimit(l.perSecond)
+	return l
+}
+
+// checkLimit checks that a replica got no more requests than its limit allows from hosts that were
+// not in trouble.
+func (d *deployment) checkLimit(l *statedLimit) {
+	if l == nil {
+		return
+	}
+	d.ledger.mu.Lock()
+	arrivals := slices.Clone(d.ledger.arrivals)
+	d.ledger.mu.Unlock()
+	var counted []time.Time
+	for _, a := range arrivals {
+		sender := strings.Split(a.id, "-")[1]
+		if a.replica == l.replica.id && a.at.After(l.since.Add(limitSettleTime)) && d.calm(sender, a.at) && d.calm(a.replica, a.at) {
+			counted = append(counted, a.at)
+		}
+	}
+	allowed := limitFactor*l.perSecond*limitWindow.Seconds() + limitSlack
+	assert.LessOrEqual(d.t, float64(mostInWindow(counted, limitWindow)), allowed, "%s states %v a second", l.replica.id, l.perSecond)
+}
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -28,7 +28,7 @@
 	faultKinds
 )
 
-// arrival is a request that reached a replica.
+// arrival is a request that reached a replica. The second part of its id is the host that sent it.
 type arrival struct {
 	id      string
 	replica string
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,7 +34,8 @@
 // TestSoak plays random faults, in series and overlapping, and checks what callers and
 // replicas see of it: what must run once runs once, a refusal as not run is true, each answer
 // belongs to its request and is whole or visibly broken, repeats stay in their budget, the
-// configuration never goes back, and all hosts serve again afterwards.
+// configuration never goes back, a request limit that a replica states is kept, and all hosts serve
+// again afterwards.
 func TestSoak(t *testing.T) {
 	seeds := append([]uint64(nil), regressions...)
 	switch one, many := os.Getenv("SEED"), os.Getenv("SEEDS"); {
@@ -67,6 +68,7 @@
 	}
 	c := newCallers(d)
 	versions := watchVersions(c)
+	limit := d.limitReplica(random)
 	d.trouble(random)
 	healed := time.Now()
 	for _, h := range d.hosts {
@@ -79,6 +81,7 @@
 	results := c.end()
 	versions.end()
 	d.check(results)
+	d.checkLimit(limit)
 	for _, h := range d.hosts {
 		checkResources(t, h)
 	}
@@ -118,6 +121,9 @@
 	r, l := d.replicas[i], d.links[i]
 	onLink := func(l *link, kind, direction, attributes string) func(time.Duration) {
 		return func(lasts time.Duration) {
+			if l == d.links[i] {
+				defer d.noteTrouble(r.id, time.Now())
+			}
 			l.add(d.t, kind, direction, attributes)
 			time.Sleep(lasts)
 			l.heal()
@@ -129,6 +135,7 @@
 				return
 			}
 			defer h.release()
+			defer d.noteTrouble(h.name, time.Now())
 			h.signal(s)
 			h.wait()
 			time.Sleep(min(lasts, 500*time.Millisecond))
@@ -146,6 +153,7 @@
 				return
 			}
 			defer h.release()
+			defer d.noteTrouble(h.name, time.Now())
 			h.signal(syscall.SIGSTOP)
 			time.Sleep(lasts)
 			h.signal(syscall.SIGCONT)
