fleet: one refusal of a rare class no longer holds back all below it

One refusal of a class with 3.6 requests a second counted as 13%, three times the share from which no backlog may be joined, and so the next class (18 a second) was refused 30 times in two seconds, which then held back the one below.

Change: the share is taken of 48 requests at least, so that two refusals, the number from which large requests wait, count as the limit.

--- a/internal/gateway/fleet/order.go
+++ b/internal/gateway/fleet/order.go
@@ -25,6 +25,11 @@
 	// below it, each refusal also replaces the shortest backlog of a refusal. Half the rate
 	// that the operators' rule allows gives a decayed count of 2.
 	minRefusals = 2
+	// minShareRequests is the smallest number of requests that the share of refused ones is taken
+	// of. With fewer, a single refusal would count as a large share and hold back all requests of
+	// lower priority, whose refusals would then do the same to those below them. The value makes
+	// minRefusals refusals of few requests count as noBacklogShare.
+	minShareRequests = minRefusals / noBacklogShare
 	// lowerPriorityBacklogShare limits requests of lower priority to this share of the
 	// shortest backlog at which a request was refused. The rest is left to the next request
 	// of the higher priority, even where hosts learn of each other's requests late.
@@ -141,7 +146,7 @@
 			continue
 		}
 		c.decay(now)
-		share := c.refused / max(c.sent, 1)
+		share := c.refused / max(c.sent, minShareRequests)
 		if share < minRefusedShare {
 			continue
 		}
--- a/internal/gateway/fleet/order_test.go
+++ b/internal/gateway/fleet/order_test.go
@@ -89,6 +89,25 @@
 	assert.Less(t, counts[1].refused, counts[1].sent, "the lower priority gets the remaining capacity")
 }
 
+// Guards against one refusal of a rare class that holds back all classes below it for seconds, as
+// if a large share of its requests had been refused. The refusals of the next class then hold back
+// those below it in turn.
+func TestSingleRefusalOfRareClassHoldsBackNoOther(t *testing.T) {
+	var a admission
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 250 * time.Millisecond)
+		a.recordAdmitted(2, now) // four requests a second
+	}
+	now := start.Add(10 * time.Second)
+	a.recordRefused(2, 4000, 300*time.Millisecond, now)
+	assert.True(t, a.admits(3, 4000, 60*time.Millisecond, now), "a backlog that delays the rare class little")
+	assert.False(t, a.admits(3, 4000, 200*time.Millisecond, now), "a backlog near the one at which it was refused")
+	a.recordRefused(2, 4000, 300*time.Millisecond, now)
+	a.recordRefused(2, 4000, 300*time.Millisecond, now)
+	assert.False(t, a.admits(3, 4000, 60*time.Millisecond, now), "several refusals")
+	assert.False(t, a.admits(3, 9000, 0, now), "a larger request, even on an idle engine")
+}
+
 // Guards against refusals in favor of a higher priority that operators cannot distinguish
 // from those for a deadline.
 func TestRefusalReportsPriorityReason(t *testing.T) {
