gateway: give the gateways of tests addresses of their own

Cause: freePort closed a port of 127.0.0.1 before the gateway listened on it, and another process could take it meanwhile. The test did not look at the error with which the gateway ended.

--- a/internal/gateway/program_test.go
+++ b/internal/gateway/program_test.go
@@ -9,8 +9,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,12 +25,13 @@
 	"heatherbarrow/platform/storetest"
 )
 
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+var gatewaysStarted atomic.Int32
+
+// ownAddress returns a loopback address for a gateway that nothing else uses: a free port of
+// 127.0.0.1 may be taken by another process before the gateway listens on it.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 200+pid/250%50, 1+pid%250, gatewaysStarted.Add(1))
 }
 
 // testGateway is a gateway that runs in the test process with a store and one replica.
@@ -40,7 +42,7 @@
 	result chan error
 }
 
-const configFormat = `{"version":%d,"routes":[{"name":"r","host":"127.0.0.1","pathPrefix":"/r/","routeKind":"streaming","timeoutMs":20000,"goalMs":400,"service":"pool","maxAttempts":1,"public":true}],"services":[{"name":"pool"}],"limits":{"idleTimeoutMs":15000}}`
+const configFormat = `{"version":%d,"routes":[{"name":"r","host":%q,"pathPrefix":"/r/","routeKind":"streaming","timeoutMs":20000,"goalMs":400,"service":"pool","maxAttempts":1,"public":true}],"services":[{"name":"pool"}],"limits":{"idleTimeoutMs":15000}}`
 
 // startGateway starts a gateway whose only replica responds with the handler replica. The
 // store has no configuration yet.
@@ -50,10 +52,10 @@
 	t.Cleanup(s.CloseClientConnections)
 	g := &testGateway{store: storetest.New(), result: make(chan error, 1)}
 	t.Cleanup(g.store.Close)
-	address := func() string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(t))) }
+	address := ownAddress()
 	g.Settings = &gateway.Settings{
-		Host: "h", AvailabilityZone: "a", LogLevel: "error", Listen: address(), ReadyListen: address(), PeerListen: address(),
-		BeatPort: freePort(t), Store: g.store.Address(), MemoryLimitMB: 400, RetryShare: 0.2, RetrySlack: 10,
+		Host: "h", AvailabilityZone: "a", LogLevel: "error", Listen: address + ":9001", ReadyListen: address + ":9002", PeerListen: address + ":9003",
+		BeatPort: 9004, Store: g.store.Address(), MemoryLimitMB: 400, RetryShare: 0.2, RetrySlack: 10,
 		GraceSeconds: 20, WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(300 * time.Millisecond),
 	}
 	require.NoError(t, g.Validate())
@@ -71,10 +73,22 @@
 		DecodeConfig: platform.DecodeConfig, DecodeMember: platform.DecodeMember,
 		KindConfig: platform.KindConfig, NameConfig: platform.NameConfig, KindMembers: platform.KindMembers, KindHosts: platform.KindHosts,
 	})
-	go func() { g.result <- program.Run(ctx) }()
+	go func() {
+		err := program.Run(ctx)
+		if ctx.Err() == nil {
+			t.Errorf("the gateway ended before it was stopped: %v", err)
+		}
+		g.result <- err
+	}()
 	return g
 }
 
+// host returns the host name of the route.
+func (g *testGateway) host() string {
+	host, _, _ := net.SplitHostPort(g.Listen)
+	return host
+}
+
 func (g *testGateway) isReady() bool {
 	response, err := http.Get("http://" + g.ReadyListen + "/v1/readyz")
 	if err != nil {
@@ -87,7 +101,7 @@
 // putConfig stores a configuration and waits until the gateway is ready.
 func (g *testGateway) putConfig(t *testing.T, version int) {
 	t.Helper()
-	g.store.Put(platform.KindConfig, platform.NameConfig, json.RawMessage(fmt.Sprintf(configFormat, version)))
+	g.store.Put(platform.KindConfig, platform.NameConfig, json.RawMessage(fmt.Sprintf(configFormat, version, g.host())))
 	require.Eventually(t, g.isReady, 20*time.Second, 5*time.Millisecond)
 }
 
@@ -113,7 +127,7 @@
 	defer func() { _ = idleConn.Close() }()
 	in := bufio.NewReader(idleConn)
 	requestShort := func() {
-		_, err := io.WriteString(idleConn, "GET /r/short HTTP/1.1\r\nHost: 127.0.0.1\r\nHeatherbarrow-Attempt-Id: 1\r\n\r\n")
+		_, err := io.WriteString(idleConn, "GET /r/short HTTP/1.1\r\nHost: "+g.host()+"\r\nHeatherbarrow-Attempt-Id: 1\r\n\r\n")
 		require.NoError(t, err)
 		response, err := http.ReadResponse(in, nil)
 		require.NoError(t, err)
@@ -179,7 +193,7 @@
 		return response.StatusCode
 	}
 	assert.Equal(t, http.StatusNotFound, status("/new/1"))
-	g.store.Put(platform.KindConfig, platform.NameConfig, json.RawMessage(strings.ReplaceAll(fmt.Sprintf(configFormat, 2), "/r/", "/new/")))
+	g.store.Put(platform.KindConfig, platform.NameConfig, json.RawMessage(strings.ReplaceAll(fmt.Sprintf(configFormat, 2, g.host()), "/r/", "/new/")))
 	require.Eventually(t, func() bool { return status("/new/1") == http.StatusOK }, 20*time.Second, 5*time.Millisecond)
 	assert.Equal(t, http.StatusNotFound, status("/r/1"))
 	assert.Eventually(t, func() bool { return g.store.Count(platform.KindHosts) == 1 }, 20*time.Second, 5*time.Millisecond)
