--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -20,6 +20,7 @@
 func TestGatewaysCommandShowsGatewayState(t *testing.T) {
 	g := startGateway(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Heatherbarrow-Server-Seal", "s")
+		w.Header().Set("Server-Limit", "2.5")
 		_, _ = io.WriteString(w, "x")
 	})
 	hbctlOutput := func(args ...string) (string, string, int) {
@@ -35,6 +36,12 @@
 	response, err := http.Get("http://" + g.Listen + "/none/")
 	require.NoError(t, err)
 	_ = response.Body.Close()
+	request, err := http.NewRequest(http.MethodGet, "http://"+g.Listen+"/r/1", nil)
+	require.NoError(t, err)
+	request.Header.Set("Heatherbarrow-Attempt-Id", "1")
+	response, err = http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	_ = response.Body.Close()
 
 	var out string
 	require.Eventually(t, func() bool {
@@ -44,7 +51,7 @@
 	}, 20*time.Second, 5*time.Millisecond)
 	assert.Regexp(t, `h +a +true +7 +store +\d+s +reached +1 +0`, out)
 	assert.Regexp(t, `h +no_route +1`, out)
-	assert.Regexp(t, `h +pool +i-1 +127\.0\.0\.1:\d+ +a +ready +0 +0 ms`, out)
+	assert.Regexp(t, `h +pool +i-1 +127\.0\.0\.1:\d+ +a +ready +0 +0 ms +0\.00 +\d\.\d+ +2\.5/s`, out)
 	assert.Contains(t, out, "127.0.0.1:1  ", "an unreachable gateway is listed with the reason")
 
 	_, errOutput, code := hbctlOutput("127.0.0.1:1")
--- a/internal/hbctl/gateways.go
+++ b/internal/hbctl/gateways.go
@@ -111,12 +111,16 @@
 }
 
 func printGatewayReplicas(w io.Writer, statuses []gatewayStatus) {
-	fmt.Fprintln(w, "\nHOST\tUPSTREAM\tREPLICA\tADDRESS\tZONE\tSTATE\tRUNNING\tBACKLOG\tFAILING\tSLOWNESS")
+	fmt.Fprintln(w, "\nHOST\tUPSTREAM\tREPLICA\tADDRESS\tZONE\tSTATE\tRUNNING\tBACKLOG\tFAILING\tSLOWNESS\tLIMIT")
 	const permille = 1000.0
 	for _, s := range statuses {
 		for _, r := range s.response.GetReplicas() {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d ms\t%.2f\t%.2f\n", s.response.Host, r.Upstream, r.Id, r.Address,
-				r.AvailabilityZone, r.State, r.Running, r.BacklogMs, float64(r.FailingPermille)/permille, float64(r.SlownessPermille)/permille)
+			limit := "-"
+			if r.Limited {
+				limit = fmt.Sprintf("%g/s", r.LimitPerSecond)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d ms\t%.2f\t%.2f\t%s\n", s.response.Host, r.Upstream, r.Id, r.Address,
+				r.AvailabilityZone, r.State, r.Running, r.BacklogMs, float64(r.FailingPermille)/permille, float64(r.SlownessPermille)/permille, limit)
 		}
 	}
 }
