gateway: smaller corrections of the request limits after a reading

An answer of an earlier process under the same ID sets no limit for the one that is registered now; a refusal as not run without the header ends none, sealed or not. Found by reading, no run showed them.

--- a/internal/gateway/fleet/limit.go
+++ b/internal/gateway/fleet/limit.go
@@ -131,19 +131,15 @@
 			p.nextReturn = now
 		}
 		interval := time.Duration(float64(time.Second) / perSecond)
-		p.nextReturn = earliest(p.nextReturn.Add(interval), now.Add(maxRetryAfter))
+		p.nextReturn = p.nextReturn.Add(interval)
+		if latest := now.Add(maxRetryAfter); p.nextReturn.After(latest) {
+			p.nextReturn = latest
+		}
 		wait = max(wait, p.nextReturn.Sub(now))
 	}
 	return f.jitteredRetryAfter(wait)
 }
 
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // RecordLimit applies what the answer says of the replica's request limit, and reports whether it
 // changed what this host knew. Only an answer to a request that was sent after the limit was last
 // stated shows that the limit has ended: earlier ones may have been under way.
@@ -151,6 +147,9 @@
 	f := l.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.byKey[l.replica.key] != l.replica {
+		return false // the registration is gone, or is that of another process
+	}
 	if s.Limited {
 		return f.limitFor(l.replica.key).Observe(s, now, now)
 	}
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -65,12 +65,12 @@
 // Choice describes the replica that was picked and the prediction behind it.
 type Choice struct {
 	Member   Member
-	Expected time.Duration // predicted time to the first byte of the answer
-	Cached   int           // prompt tokens that the replica should have cached
-	Backlog  time.Duration // expected wait for prompts ahead
-	Running  int           // in-flight requests of all hosts
-	Eligible int           // number of replicas that were compared
-	Limit    requestlimit.Statement
+	Expected time.Duration          // predicted time to the first byte of the answer
+	Cached   int                    // prompt tokens that the replica should have cached
+	Backlog  time.Duration          // expected wait for prompts ahead
+	Running  int                    // in-flight requests of all hosts
+	Eligible int                    // number of replicas that were compared
+	Limit    requestlimit.Statement // that the replica had made
 	// CopyFrom is the address of a replica from which the picked one should copy the KV
 	// cache of Copied prompt tokens instead of reading them; empty for no copy.
 	CopyFrom string
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -377,8 +377,8 @@
 			Str("value", reply.InvalidLimit).Msg("replica states a request limit that cannot be read")
 		return
 	}
-	if status == http.StatusMisdirectedRequest || !reply.Limit.Limited && !reply.Sealed {
-		return // of another process, or not the replica's own answer
+	if status == http.StatusMisdirectedRequest || !reply.Limit.Limited && (!reply.Sealed || reply.NotExecuted) {
+		return // from another process, or nothing that shows the end of a limit
 	}
 	if lease.RecordLimit(reply.Limit, time.Now()) {
 		e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
