--- a/internal/router/limit_test.go
+++ b/internal/router/limit_test.go
@@ -59,9 +59,21 @@
 		require.GreaterOrEqual(t, calls()-before, replicas*perSecond*int(observed.Seconds())/2, name)
 
 		limited.Store(false)
-		for range 4 * replicas {
+		h.server.Scheduler.Report() // leaves only later statements to report
+		inForce := make(map[string]bool)
+		require.Eventually(t, func() bool {
 			send()
-		}
+			for _, l := range h.server.Scheduler.Report().Limits {
+				inForce[l.ID.String()] = l.Limited
+			}
+			ended := 0
+			for _, limited := range inForce {
+				if !limited {
+					ended++
+				}
+			}
+			return ended == replicas
+		}, patience, time.Millisecond, name)
 		before = calls()
 		for range 100 {
 			require.Equal(t, http.StatusOK, send(), name)
--- a/internal/scheduling/interfaces.go
+++ b/internal/scheduling/interfaces.go
@@ -47,8 +47,8 @@
 	// RecordLimit applies what an answer of the replica says of its request limit; sent is when
 	// the request was dispatched. It reports whether that changed the limit in force.
 	RecordLimit(id ReplicaID, s requestlimit.Statement, sent time.Time) (changed bool)
-	// Limits returns what answers to this host said of the replicas' request limits since the last
-	// call.
+	// Limits returns the request limits of replicas that answers to this host stated or ended since
+	// the last call.
 	Limits() []ReplicaLimit
 	// SuspectEvents returns the events since the last call: crashes with their
 	// fingerprints, and completions of suspects.
--- a/internal/scheduling/picker/limit.go
+++ b/internal/scheduling/picker/limit.go
@@ -58,7 +58,7 @@
 		r.limit = &requestlimit.Limit{}
 	}
 	changed = r.limit.Observe(s, at, now)
-	r.limitStated = true
+	r.limitStated = r.limitStated || s.Limited || changed
 	r.updateFreeSlots(now)
 	return changed
 }
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -41,7 +41,7 @@
 	quota              [levels]int         // requests that this host may run on the replica after its last report, by level
 	healthLimit        int                 // requests that this host may run on the replica in its present health
 	limit              *requestlimit.Limit // nil if the replica has not stated one
-	limitStated        bool                // an answer to this host said something of the limit since the last report
+	limitStated        bool                // an answer to this host stated or ended the limit since the last report
 	failedAt           time.Time           // last crash or failed connection that this host observed
 	free               [levels]int         // slots that this host may fill now
 	counted            bool                // included in the pool's slot counts
