--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -38,20 +38,27 @@
 	return scheduling.ReplicaID{Upstream: c.Upstream, Replica: c.Replica}
 }
 
+// CrashEvidence tells what a crash showed of the requests of this host that it broke off.
+type CrashEvidence struct {
+	Suspects int // requests that lost their connection
+	Outages  int // of these, requests that do not count as suspects, because another replica crashed without them
+}
+
 // RecordInspection records whether a replica that broke connections was found down. If it is
 // down, the requests that lost their connection become suspects for the crash; otherwise
 // only the connections broke.
-func (f *Fleet) RecordInspection(id string, down bool, now time.Time) {
+func (f *Fleet) RecordInspection(id string, down bool, now time.Time) CrashEvidence {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, ok := f.replicas[id]
 	if !ok {
-		return
+		return CrashEvidence{}
 	}
 	suspects := r.suspects
 	r.suspects = nil
+	evidence := CrashEvidence{Suspects: len(suspects)}
 	if !down {
-		return
+		return evidence
 	}
 	alreadySuspect := 0
 	for _, fingerprint := range suspects {
@@ -62,6 +69,7 @@
 	f.outages = append(f.outages, outage{upstream: r.member.Upstream, replica: id, suspects: suspects, at: now})
 	for _, fingerprint := range suspects {
 		if f.inOutage(r, fingerprint, now) {
+			evidence.Outages++
 			continue
 		}
 		c := Crash{Fingerprint: fingerprint, Upstream: r.member.Upstream, Replica: id, at: now}
@@ -70,6 +78,7 @@
 		f.poison.Crash(fingerprint, c.id(), 0, alreadySuspect <= 1, now)
 		f.crashes = append(f.crashes, c)
 	}
+	return evidence
 }
 
 // outage is a crash of a replica together with the requests of this host that ran there.
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -84,7 +84,7 @@
 	}
 	lease.End(leaseResult, time.Now())
 	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
-		Err(err).Msg("answer is incomplete")
+		Str("parts", e.partIDs()).Err(err).Msg("answer is incomplete")
 	return attemptMayHaveRun
 }
 
@@ -255,6 +255,6 @@
 	}
 	e.endLease(lease, leaseResult, time.Now())
 	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
-		Err(err).Msg("stream broke off")
+		Str("parts", e.partIDs()).Err(err).Msg("stream broke off")
 	return attemptMayHaveRun
 }
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
@@ -348,10 +349,22 @@
 	}
 	e.endLease(lease, leaseResult, now)
 	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
-		Bool("sent", result == attemptMayHaveRun).Err(err).Msg("attempt had no answer")
+		Bool("sent", result == attemptMayHaveRun).Str("parts", e.partIDs()).Err(err).Msg("attempt had no answer")
 	return result
 }
 
+// partIDs returns the IDs of the prompt parts in order, as the caller gave them.
+func (e *exchange) partIDs() string {
+	var b []byte
+	for i, p := range e.call.Prompt {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendUint(b, p.ID, 16)
+	}
+	return string(b)
+}
+
 // endLease ends the lease and inspects the replica if it may have crashed.
 func (e *exchange) endLease(lease *fleet.Lease, leaseResult fleet.Result, now time.Time) {
 	if lease.End(leaseResult, now) {
@@ -365,8 +378,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
 	down := s.opts.Client.Down(ctx, member.Address)
-	s.opts.Fleet.RecordInspection(member.ID, down, time.Now())
-	s.opts.Logger.Info().Str("request", attemptID).Str("replica", member.ID).Bool("down", down).Msg("replica broke off requests")
+	evidence := s.opts.Fleet.RecordInspection(member.ID, down, time.Now())
+	s.opts.Logger.Info().Str("request", attemptID).Str("replica", member.ID).Bool("down", down).
+		Int("suspects", evidence.Suspects).Int("outages", evidence.Outages).Msg("replica broke off requests")
 }
 
 // recordLimit applies what a replica's answer says of the replica's request limit. An answer
