--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +67,7 @@
 	ledger *ledger
 	fault  atomic.Int32
 	limit  atomic.Pointer[string] // request limit that the replica states; nil for none
+	crash  func()                 // ends the replica for a while; nil if no request makes it crash
 }
 
 func newReplica(id string, l *ledger) *replica {
@@ -108,6 +111,14 @@
 		r.flood(w)
 		return
 	}
+	if strings.Contains(q.Header.Get("Heatherbarrow-Prompt-Prefix"), crashingPart) && r.crash != nil {
+		w.Header().Set("Content-Type", "text/event-stream")
+		r.crashWith(w, id)
+	}
+	if r.crash != nil && strings.HasPrefix(id, "sound-") && rand.IntN(2) == 0 {
+		r.streamUnframed(w, id)
+		return
+	}
 	if len(q.URL.Path) > 8 && q.URL.Path[:8] == "/stream/" {
 		r.stream(w, q, id, fault)
 		return
