gateway: refuse requests with a part of the prompt that crashes replicas

The requests differ, but share one part of their prompts. Cause: a request was only known as a whole, by the hash of its path, team and body, so that no two crashes ever added up; the logs of the incident have no refusal as poison although every crash was noticed. Class: evidence filed under a key that is finer than the cause.

All parts but the last of the requests that a crashed replica had begun to answer become suspects (internal/scheduling/quarantine.Parts). A complete answer clears its parts. A part with crashes of three replicas that no other suspect explains is quarantined on all hosts; parts that cannot be told apart are refused only together. Hosts report suspects in datagrams of their own and merge what they get, repeat what they refuse every second for hosts that start or were cut off, and keep it in the store for a restart of all. Answers without length or chunks that end inside an event, before the first one, or while one of their parts is a suspect have their replica inspected.

--- a/cmd/heatherbarrow-gateway/main.go
+++ b/cmd/heatherbarrow-gateway/main.go
@@ -24,6 +24,7 @@
 		NameConfig:   platform.NameConfig,
 		KindMembers:  platform.KindMembers,
 		KindHosts:    platform.KindHosts,
+		KindParts:    platform.KindParts,
 	})
 	os.Exit(cli.Main("heatherbarrow-gateway", os.Args[1:], &settings, program.Run))
 }
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -47,7 +47,9 @@
 	dispatchedParts []dispatchedPart      // prompt parts sent since the previous call of Digest
 	teamShares      teamShares            // recent prefill time per team
 	poison          *quarantine.Quarantine
-	crashes         []Crash // crashes seen by this host, oldest first
+	parts           *quarantine.Parts
+	partChanges     []PartChange // since the previous call of TakePartChanges
+	crashes         []Crash      // crashes seen by this host, oldest first
 	outages         []outage
 	zones           map[string]*zone
 	limits          map[uint64]*replicaLimit // stated request limits, by Member.Key
@@ -134,6 +136,7 @@
 		limits:     make(map[uint64]*replicaLimit),
 		limitHosts: &requestlimit.Hosts{Zone: opts.Zone, Reachable: 1},
 		poison:     quarantine.New(poisonCrashes, poisonQuarantineTime),
+		parts:      quarantine.NewParts(poisonPartCrashes, poisonQuarantineTime),
 	}
 }
 
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -23,6 +23,7 @@
 	Favored      bool          // the team has the highest priority
 	Exclude      []string      // IDs of replicas that must not be picked
 	Fingerprint  uint64        // identifies the request; equal when the caller sends it again; 0 for none
+	Parts        []uint64      // IDs of the prompt parts that other requests may contain: all but the last
 	Team         string
 	// Session is the hash of the prompt part that later requests of the same session
 	// share; 0 for none.
@@ -52,6 +53,9 @@
 	ReasonUnreachable = "unreachable"
 	// ReasonPoison means that the request crashed the replicas that ran it.
 	ReasonPoison = "poison"
+	// ReasonPoisonPart means that a part of the prompt crashed the replicas that answered requests
+	// with it.
+	ReasonPoisonPart = "poison_part"
 )
 
 // Refusal says why no replica should run the request now.
@@ -60,6 +64,7 @@
 	Expected   time.Duration // predicted latency on the best replica
 	Backlog    time.Duration // expected wait there for prompts ahead
 	RetryAfter time.Duration
+	Part       uint64 // for ReasonPoisonPart
 }
 
 // Choice describes the replica that was picked and the prediction behind it.
@@ -97,7 +102,9 @@
 	kvCacheTokens  int
 	longAnswer     bool // mostly generates
 	ended          bool
-	fingerprint    uint64 // of the request
+	fingerprint    uint64   // of the request
+	parts          []uint64 // Request.Parts
+	answering      bool     // the head of the answer has arrived
 }
 
 const (
@@ -149,6 +156,9 @@
 	if state, retryAfter := f.poison.State(q.Fingerprint, now); state == quarantine.Quarantined {
 		return nil, &Refusal{Reason: ReasonPoison, RetryAfter: retryAfter}
 	}
+	if part, expires, blamed := f.parts.Blamed(q.Parts, now); blamed {
+		return nil, &Refusal{Reason: ReasonPoisonPart, RetryAfter: expires.Sub(now), Part: part}
+	}
 	p := f.pool(q.Upstream)
 	q.sources = f.sources(p, q, now)
 	best, skipped := f.choose(p, q, now)
@@ -188,6 +198,9 @@
 func (f *Fleet) Available(q *Request, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if _, _, blamed := f.parts.Blamed(q.Parts, now); blamed {
+		return false
+	}
 	p := f.pool(q.Upstream)
 	q.sources = f.sources(p, q, now)
 	best, _ := f.choose(p, q, now)
@@ -392,7 +405,7 @@
 			Member: r.member, Expected: c.expected, Cached: c.cachedOrPendingTokens, Backlog: c.backlog,
 			Running: r.inFlight(), Eligible: c.eligible, Copied: c.copied, Limit: r.statedLimit(),
 		},
-		fleet: f, replica: r, started: now, prefill: c.prefill, fingerprint: q.Fingerprint,
+		fleet: f, replica: r, started: now, prefill: c.prefill, fingerprint: q.Fingerprint, parts: q.Parts,
 	}
 	if p.upstream.Engine != nil {
 		l.kvCacheTokens = q.PromptTokens + q.OutputTokens
@@ -429,8 +442,14 @@
 const (
 	// Served means that the replica sent a complete answer.
 	Served Result = iota
+	// ServedUnframed means that the replica sent a complete answer with neither a length nor chunks,
+	// which ended with its connection.
+	ServedUnframed
 	// Failed means that the replica answered with an error or an invalid answer.
 	Failed
+	// Truncated means that an answer ended early, because the replica sent no more of it or because
+	// it crashed.
+	Truncated
 	// ConnectionLost means that the replica broke the connection.
 	ConnectionLost
 	// Unconnected means that no connection to the replica could be opened.
@@ -443,6 +462,10 @@
 	Misdirected
 )
 
+// HeadReceived records that the head of the answer has arrived. It must be called by the goroutine
+// that calls End.
+func (l *Lease) HeadReceived() { l.answering = true }
+
 // FirstByte records that the first byte of the answer has arrived.
 func (l *Lease) FirstByte(now time.Time) {
 	f := l.fleet
@@ -483,8 +506,9 @@
 	p.speed.recordPace(inFlight, elapsed/time.Duration(tokens), now)
 }
 
-// End releases the lease. It returns true if the replica should be inspected because the
-// request lost its connection; the caller then reports the outcome to RecordInspection.
+// End releases the lease. It returns true if the replica should be inspected, because the request
+// lost its connection or because the end of the answer could be that of the replica; the caller then
+// reports the outcome to RecordInspection.
 func (l *Lease) End(result Result, now time.Time) (inspect bool) {
 	f := l.fleet
 	f.mu.Lock()
@@ -502,14 +526,23 @@
 	case Served:
 		r.recordSuccess()
 		f.poison.Ended(l.fingerprint, true)
+		f.completeParts(l.parts, now)
+	case ServedUnframed:
+		r.recordSuccess()
+		f.poison.Ended(l.fingerprint, true)
+		if f.parts.Suspect(l.parts) {
+			inspect = r.addSuspect(l, true)
+		}
 	case Failed:
 		r.recordFailure(false, now)
+	case Truncated:
+		r.recordFailure(false, now)
+		inspect = r.addSuspect(l, false)
 	case ConnectionLost:
 		r.recordFailure(true, now)
 		r.forgetParts()
 		f.zone(r.member.Zone).recordFailure(now)
-		inspect = l.fingerprint != 0 && len(r.suspects) == 0
-		r.suspects = append(r.suspects, l.fingerprint)
+		inspect = r.addSuspect(l, false)
 	case Unconnected:
 		r.recordFailure(true, now)
 		r.consecutiveConnectFailures++
--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -12,6 +12,10 @@
 	// poisonCrashes is the number of distinct replicas that a request may crash before all
 	// hosts refuse it. A single crash may have another cause.
 	poisonCrashes = 2
+	// poisonPartCrashes is the number of replicas that requests with a prompt part may crash before all
+	// hosts refuse them. It is higher, as more requests are refused for a part: the requests that run
+	// beside a poison request on two replicas are then not blamed.
+	poisonPartCrashes = 3
 	// poisonQuarantineTime is how long such a request is refused. Callers resend it within
 	// seconds or minutes.
 	poisonQuarantineTime = 10 * time.Minute
@@ -58,16 +62,28 @@
 	r.suspects = nil
 	evidence := CrashEvidence{Suspects: len(suspects)}
 	if !down {
+		for i := range suspects {
+			if suspects[i].complete {
+				f.completeParts(suspects[i].parts, now)
+			}
+		}
 		return evidence
 	}
+	f.recordPartCrash(&r.member, suspects, now)
 	alreadySuspect := 0
-	for _, fingerprint := range suspects {
+	var fingerprints []uint64
+	for i := range suspects {
+		fingerprint := suspects[i].fingerprint
+		if suspects[i].complete || fingerprint == 0 {
+			continue
+		}
+		fingerprints = append(fingerprints, fingerprint)
 		if state, _ := f.poison.State(fingerprint, now); state != quarantine.Clear {
 			alreadySuspect++
 		}
 	}
-	f.outages = append(f.outages, outage{upstream: r.member.Upstream, replica: id, suspects: suspects, at: now})
-	for _, fingerprint := range suspects {
+	f.outages = append(f.outages, outage{upstream: r.member.Upstream, replica: id, suspects: fingerprints, at: now})
+	for _, fingerprint := range fingerprints {
 		if f.inOutage(r, fingerprint, now) {
 			evidence.Outages++
 			continue
--- /dev/null
+++ b/internal/gateway/fleet/poisonpart.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"heatherbarrow/internal/scheduling/quarantine"
+)
+
+// maxPartReports bounds the suspect parts that are reported together: a datagram has room for about
+// so many with a single crash.
+const maxPartReports = 36
+
+// PartChange is the beginning or end of the quarantine of a prompt part on this host.
+type PartChange struct {
+	Part        uint64
+	Quarantined bool
+}
+
+// recordPartCrash counts a crash against the prompt parts of the requests that ran on the replica: of
+// those that it had begun to answer, or of all if it had begun to answer none.
+func (f *Fleet) recordPartCrash(m *Member, suspects []suspect, now time.Time) {
+	anyAnswering := slices.ContainsFunc(suspects, func(s suspect) bool { return s.answering })
+	var parts []uint64
+	for i := range suspects {
+		if suspects[i].answering == anyAnswering {
+			parts = append(parts, suspects[i].parts...)
+		}
+	}
+	slices.Sort(parts)
+	f.notePartChanges(f.parts.Crash(slices.Compact(parts), m.Key(), now), true)
+}
+
+// completeParts records a complete answer to a request with the parts.
+func (f *Fleet) completeParts(parts []uint64, now time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	before := f.parts.Refused(now)
+	released, quarantined := f.parts.Completed(parts, now)
+	for i := range before {
+		if slices.Contains(released, before[i].Part) {
+			f.notePartChanges([]uint64{before[i].Part}, false)
+		}
+	}
+	f.notePartChanges(quarantined, true)
+}
+
+// maxPartChanges bounds the changes that wait for TakePartChanges.
+const maxPartChanges = 64
+
+func (f *Fleet) notePartChanges(parts []uint64, quarantined bool) {
+	for _, part := range parts[:min(len(parts), maxPartChanges-len(f.partChanges))] {
+		f.partChanges = append(f.partChanges, PartChange{Part: part, Quarantined: quarantined})
+	}
+}
+
+// TakePartChanges returns the quarantines that began or ended since the previous call.
+func (f *Fleet) TakePartChanges() []PartChange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changes := f.partChanges
+	f.partChanges = nil
+	return changes
+}
+
+// PartReports returns what other hosts need to know of suspect parts; see quarantine.Parts.Reports.
+func (f *Fleet) PartReports(all bool, now time.Time) []quarantine.PartEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.parts.Reports(all, maxPartReports, now)
+}
+
+// ApplyPartReports applies what another host, or the store, knows of suspect parts.
+func (f *Fleet) ApplyPartReports(entries []quarantine.PartEntry, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notePartChanges(f.parts.Merge(entries, now), true)
+}
+
+// RefusedParts returns the parts that requests are refused for.
+func (f *Fleet) RefusedParts(now time.Time) []quarantine.PartEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.parts.Refused(now)
+}
--- /dev/null
+++ b/internal/gateway/fleet/poisonpart_test.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	poisonPart = 0xc0ffee
+	teamPart   = 0xf1 // with which the requests of a team begin
+)
+
+func partsRequest(parts ...uint64) *Request {
+	q := serviceRequest()
+	q.Parts = parts
+	return q
+}
+
+// crashAnswering runs a request until its answer has begun, and beside it requests that still wait for
+// theirs; then their replica crashes.
+func crashAnswering(t *testing.T, f *Fleet, now time.Time, parts []uint64, waiting ...[]uint64) {
+	t.Helper()
+	first := pick(t, f, partsRequest(parts...), now)
+	first.HeadReceived()
+	leases := []*Lease{first}
+	for _, w := range waiting {
+		q := partsRequest(w...)
+		for _, id := range []string{"s0", "s1", "s2"} {
+			if id != first.Member.ID {
+				q.Exclude = append(q.Exclude, id)
+			}
+		}
+		leases = append(leases, pick(t, f, q, now))
+	}
+	inspections := 0
+	for _, l := range leases {
+		if l.End(ConnectionLost, now) {
+			inspections++
+		}
+	}
+	assert.Equal(t, 1, inspections)
+	f.RecordInspection(first.Member.ID, true, now)
+}
+
+// Guards against blaming a crash on the prompts of requests whose answers had not begun, and against
+// sending requests with a part on which three replicas crashed.
+func TestPartOfAnswersThatCrashReplicasIsRefused(t *testing.T) {
+	f, other := newFleet(0), newFleet(0)
+	now := start
+	for i := range uint64(3) {
+		now = now.Add(3 * time.Second)
+		crashAnswering(t, f, now, []uint64{teamPart, poisonPart, i + 1}, []uint64{teamPart + 1, 77})
+		served := pick(t, f, partsRequest(teamPart, 50), now.Add(2*time.Second))
+		served.HeadReceived()
+		served.End(Served, now.Add(2*time.Second))
+	}
+	other.ApplyPartReports(f.PartReports(false, now), now)
+	for _, host := range []*Fleet{f, other} {
+		_, refusal := host.Pick(partsRequest(9, poisonPart), now)
+		require.NotNil(t, refusal)
+		assert.Equal(t, ReasonPoisonPart, refusal.Reason)
+		assert.EqualValues(t, poisonPart, refusal.Part)
+		assert.Positive(t, refusal.RetryAfter)
+		assert.False(t, host.Available(partsRequest(9, poisonPart), now))
+		for _, sound := range [][]uint64{{teamPart, 9}, {teamPart + 1, 77}, {2}, nil} {
+			_, refusal = host.Pick(partsRequest(sound...), now)
+			assert.Nil(t, refusal, "%v", sound)
+		}
+	}
+	assert.Contains(t, f.TakePartChanges(), PartChange{Part: poisonPart, Quarantined: true})
+	assert.Empty(t, f.TakePartChanges())
+}
+
+// Guards against taking an answer without length or chunks for complete, and its prompt for sound,
+// because the replica crashed at the end of an event.
+func TestAnswerThatEndsWithItsReplicaIsNoProof(t *testing.T) {
+	f := newFleet(0)
+	now := start
+	crashAnswering(t, f, now, []uint64{poisonPart})
+	ended := func(down bool) {
+		now = now.Add(3 * time.Second)
+		l := pick(t, f, partsRequest(poisonPart), now)
+		l.HeadReceived()
+		require.True(t, l.End(ServedUnframed, now), "a suspect's replica is inspected")
+		f.RecordInspection(l.Member.ID, down, now)
+	}
+	ended(true)
+	ended(true)
+	_, refusal := f.Pick(partsRequest(poisonPart), now)
+	require.NotNil(t, refusal)
+	assert.Equal(t, ReasonPoisonPart, refusal.Reason)
+
+	f = newFleet(0)
+	crashAnswering(t, f, now, []uint64{poisonPart})
+	ended(false)
+	l := pick(t, f, partsRequest(poisonPart), now)
+	assert.False(t, l.End(ServedUnframed, now), "the complete answer of a live replica shows that the part is sound")
+}
+
+// Guards against an inspection that is never started because a request without a prompt was the
+// first that the replica broke off.
+func TestRequestWithoutPromptDoesNotPreventInspection(t *testing.T) {
+	f := newFleet(0)
+	q := partsRequest(poisonPart)
+	q.Fingerprint = 0
+	l := pick(t, f, q, start)
+	plain := partsRequest()
+	plain.Fingerprint = 0
+	for _, id := range []string{"s0", "s1", "s2"} {
+		if id != l.Member.ID {
+			plain.Exclude = append(plain.Exclude, id)
+		}
+	}
+	other := pick(t, f, plain, start)
+	assert.False(t, other.End(ConnectionLost, start))
+	assert.True(t, l.End(ConnectionLost, start))
+}
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -82,7 +82,25 @@
 	suspendedUntil             time.Time
 	slowness                   float64       // moving average of measured over expected latency
 	limit                      *replicaLimit // nil if the replica has not stated one
-	suspects                   []uint64      // fingerprints of requests that lost their connection, until the replica is inspected
+	suspects                   []suspect     // until the replica is inspected
+}
+
+// suspect is a request whose answer ended in a way in which the crash of its replica would end it.
+type suspect struct {
+	fingerprint uint64
+	parts       []uint64 // Request.Parts
+	answering   bool     // the replica had begun to answer
+	complete    bool     // the answer is complete if the replica lives
+}
+
+// addSuspect records a suspect and reports whether it is the first since the last inspection, which
+// thus has to be started.
+func (r *replica) addSuspect(l *Lease, complete bool) (inspect bool) {
+	if l.fingerprint == 0 && len(l.parts) == 0 {
+		return false
+	}
+	r.suspects = append(r.suspects, suspect{fingerprint: l.fingerprint, parts: l.parts, answering: l.answering, complete: complete})
+	return len(r.suspects) == 1
 }
 
 func newReplica(m Member) *replica {
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -151,6 +151,8 @@
 	pendingPrompts []*rpc.PromptUse // to send with the next heartbeat
 	counts         time.Time        // when class counts were last sent
 	speeds         time.Time        // when engine speeds were last sent
+	// lastRefusedParts is when the group was last told of all parts that requests are refused for.
+	lastRefusedParts time.Time
 }
 
 // peer is another host, identified by the address of its pull service.
@@ -337,6 +339,7 @@
 			group.speeds, message.Speeds = now, e.speeds()
 		}
 		e.sendHeartbeat(recipients, message)
+		e.sendSuspectParts(recipients, &group.lastRefusedParts, now)
 	}
 }
 
@@ -472,8 +475,13 @@
 	}
 }
 
-// handleDatagram applies a heartbeat of another host, or a digest of another zone.
+// handleDatagram applies a heartbeat or a report of suspect parts of another host, or a digest of
+// another zone.
 func (e *Exchange) handleDatagram(m *rpc.Beat, now time.Time) {
+	if len(m.SuspectParts) > 0 {
+		e.opts.Fleet.ApplyPartReports(suspectPartsFromProto(m.SuspectParts, now), now)
+		return
+	}
 	if m.ZoneDigest != nil {
 		e.handleDigest(m.ZoneDigest, now)
 		return
--- /dev/null
+++ b/internal/gateway/peers/suspects.go
@@ -0,0 +1,78 @@
+package peers
+
+import (
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling/quarantine"
+)
+
+// Hosts report what they know of prompt parts that crash replicas, from their own requests and from
+// other hosts, in datagrams of their own beside the heartbeats and digests. Each host merges the
+// reports into its own, so that they reach all hosts without being relayed.
+
+// refusedPartsInterval is the interval at which parts that requests are refused for are reported
+// although nothing changed, for hosts that started or were cut off since.
+const refusedPartsInterval = time.Second
+
+// sendSuspectParts reports suspect parts to the recipients. lastRefused is when they were last told of
+// all parts that requests are refused for.
+func (e *Exchange) sendSuspectParts(recipients []*net.UDPAddr, lastRefused *time.Time, now time.Time) {
+	if len(recipients) == 0 {
+		return
+	}
+	refusedToo := now.Sub(*lastRefused) >= refusedPartsInterval
+	if refusedToo {
+		*lastRefused = now
+	}
+	entries := e.opts.Fleet.PartReports(refusedToo, now)
+	if len(entries) == 0 {
+		return
+	}
+	// Sequence 0 makes hosts that do not know this kind of datagram ignore it as an old heartbeat.
+	message := &rpc.Beat{Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, SuspectParts: suspectPartsToProto(entries, now)}
+	for proto.Size(message) > maxDatagramBytes {
+		message.SuspectParts = message.SuspectParts[:len(message.SuspectParts)-1]
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		e.opts.Logger.Error().Err(err).Msg("cannot encode suspect parts")
+		return
+	}
+	for _, to := range recipients {
+		// No retry: the same is sent again with the next heartbeats.
+		if _, err := e.socket.WriteToUDP(data, to); err != nil {
+			e.opts.Logger.Debug().Err(err).Stringer("to", to).Msg("cannot send suspect parts")
+		}
+	}
+}
+
+// suspectPartsToProto encodes entries. Times are sent as ages, as the clocks of hosts differ.
+func suspectPartsToProto(entries []quarantine.PartEntry, now time.Time) []*rpc.SuspectPart {
+	out := make([]*rpc.SuspectPart, len(entries))
+	for i := range entries {
+		e := &entries[i]
+		out[i] = &rpc.SuspectPart{Part: e.Part, Released: e.Released, Quarantined: e.Quarantined, ExpiresInS: uint32(max(e.Expires.Sub(now), 0).Seconds())}
+		for _, c := range e.Crashes {
+			out[i].Crashes = append(out[i].Crashes, &rpc.PartCrash{Replica: c.Replica, AgeMs: uint32(max(now.Sub(c.At), 0).Milliseconds())})
+		}
+	}
+	return out
+}
+
+// suspectPartsFromProto decodes entries.
+func suspectPartsFromProto(messages []*rpc.SuspectPart, now time.Time) []quarantine.PartEntry {
+	out := make([]quarantine.PartEntry, len(messages))
+	for i, m := range messages {
+		out[i] = quarantine.PartEntry{
+			Part: m.Part, Released: m.Released, Quarantined: m.Quarantined, Expires: now.Add(time.Duration(m.ExpiresInS) * time.Second),
+		}
+		for _, c := range m.Crashes {
+			out[i].Crashes = append(out[i].Crashes, quarantine.PartCrash{Replica: c.Replica, At: now.Add(-time.Duration(c.AgeMs) * time.Millisecond)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/peers/suspects_test.go
@@ -0,0 +1,47 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/scheduling/quarantine"
+)
+
+// refuses reports whether the host refuses requests with the part.
+func (host *testHost) refuses(part uint64) bool {
+	_, refusal := host.fleet.Pick(&fleet.Request{Upstream: "pool", TimeLeft: time.Minute, Parts: []uint64{1, part}}, time.Now())
+	return refusal != nil && refusal.Reason == fleet.ReasonPoisonPart
+}
+
+// Guards against a part of prompts that crashes replicas and is not recognized because each host saw
+// only one of the crashes, with and without zone speakers, or because a host started later.
+func TestCrashesOnOnePartAddUpOverAllHosts(t *testing.T) {
+	const part = 0xc0ffee
+	for port, zones := range map[int][]int{39887: {4, 4}, 39888: {1, 2}} {
+		hosts := startZones(t, port, zones...)
+		for i := range 3 {
+			now := time.Now()
+			h := hosts[len(hosts)-1-i]
+			crash := quarantine.PartCrash{Replica: uint64(i), At: now.Add(-time.Duration(3-i) * time.Second)}
+			h.fleet.ApplyPartReports([]quarantine.PartEntry{{Part: part, Crashes: []quarantine.PartCrash{crash}, Expires: now.Add(time.Minute)}}, now)
+			require.False(t, h.refuses(part))
+		}
+		for _, h := range hosts {
+			assert.Eventually(t, func() bool { return h.refuses(part) }, 20*time.Second, 10*time.Millisecond, h.opts.Host)
+		}
+	}
+}
+
+// Guards against reports that other hosts read differently.
+func TestSuspectPartsKeepTheirMeaningInTransit(t *testing.T) {
+	now := time.Now()
+	sent := []quarantine.PartEntry{
+		{Part: 7, Released: 2, Quarantined: true, Expires: now.Add(90 * time.Second), Crashes: []quarantine.PartCrash{{Replica: 9, At: now.Add(-1500 * time.Millisecond)}}},
+		{Part: 8, Released: 1, Expires: now.Add(time.Second)},
+	}
+	assert.Equal(t, sent, suspectPartsFromProto(suspectPartsToProto(sent, now), now))
+}
--- a/internal/gateway/peers/zone.go
+++ b/internal/gateway/peers/zone.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/bits"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strconv"
 	"time"
@@ -67,8 +68,8 @@
 }
 
 // zoneSpeaker is this host's view of the speaker of its zone and, if this host is the speaker, the
-// data queued for the next digest. Exchange.mu guards all fields except sequence and partCount,
-// which only the sending goroutine uses.
+// data queued for the next digest. Exchange.mu guards all fields except sequence, partCount and
+// lastRefusedParts, which only the sending goroutine uses.
 type zoneSpeaker struct {
 	active    bool                     // the zone has a speaker: this host or another one
 	isSelf    bool                     // this host is the speaker
@@ -76,6 +77,8 @@
 	crashes   map[uint64]reportedCrash // crashes that hosts of this zone reported, by request fingerprint
 	sequence  uint64                   // of the last datagram of a digest
 	partCount int                      // number of datagrams of a digest; never decreases
+	// lastRefusedParts is when other zones were last told of all parts that requests are refused for.
+	lastRefusedParts time.Time
 }
 
 // reportedCrash is a crash that a host of this zone reported.
@@ -197,6 +200,11 @@
 		}
 		e.sendDigestPart(targets, m)
 	}
+	addressees := make([]*net.UDPAddr, len(targets))
+	for i, to := range targets {
+		addressees[i] = to.udpAddr
+	}
+	e.sendSuspectParts(addressees, &e.speaker.lastRefusedParts, now)
 }
 
 // digestPartCount returns the number of datagrams that a digest is split into. A replica's part
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -75,6 +76,7 @@
 	NameConfig   string // name of the configuration object
 	KindMembers  string // kind of the replica registrations
 	KindHosts    string // kind of the host registrations, which the gateways write themselves
+	KindParts    string // kind of the refused prompt parts, which the gateways write themselves
 }
 
 // Program is the heatherbarrow-gateway process.
@@ -251,6 +253,7 @@
 		p.client.CloseIdle(now)
 		p.updateGauges()
 		p.logEngineSpeeds()
+		p.logPartChanges()
 		if err := p.state.Tick(); err != nil {
 			return // the program is stopping
 		}
@@ -268,6 +271,7 @@
 	}
 	scope.Gauge("store_reachable").Update(reachable)
 	scope.Gauge("hosts_heard").Update(float64(p.fleet.Hosts()))
+	scope.Gauge("prompt_parts_refused").Update(float64(len(p.fleet.RefusedParts(time.Now()))))
 	scope.Gauge("requests_in_progress").Update(float64(p.server.Active()))
 	if t := p.state.Table(); t != nil {
 		for _, u := range t.Upstreams {
@@ -286,6 +290,13 @@
 	}
 }
 
+// logPartChanges logs the prompt parts whose quarantine began or ended.
+func (p *Program) logPartChanges() {
+	for _, c := range p.fleet.TakePartChanges() {
+		p.logger.Warn().Str("part", strconv.FormatUint(c.Part, 16)).Bool("quarantined", c.Quarantined).Msg("quarantine of prompt part changed")
+	}
+}
+
 // minLoggedSpeedChange is the smallest relative change of an estimated engine speed that
 // is logged.
 const minLoggedSpeedChange = 0.2
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -48,12 +48,15 @@
 func (e *exchange) forwardPlain(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress) attemptResult {
 	lease.FirstByte(time.Now())
 	body, complete, err := upstream.ReadAll(response.Body, maxBufferedBodyBytes)
-	if err != nil || !complete && p.headerSent {
-		return e.handleUnusable(err, lease)
+	switch {
+	case err != nil:
+		return e.handleUnusable(err, fleet.Truncated, lease)
+	case !complete && p.headerSent:
+		return e.handleUnusable(errors.New("response is too long to continue a stream"), fleet.Failed, lease)
 	}
 	success := response.Status < http.StatusMultipleChoices
 	if success && !reply.Sealed {
-		return e.handleUnusable(errors.New("response has no server seal"), lease)
+		return e.handleUnusable(errors.New("response has no server seal"), fleet.Failed, lease)
 	}
 	if !complete {
 		return e.sendUnbuffered(response, body, lease)
@@ -65,7 +68,7 @@
 		p.replicaFailure = buffered
 		return attemptFailed
 	}
-	lease.End(fleet.Served, time.Now())
+	e.endServed(response, lease)
 	if p.headerSent {
 		// A plain response cannot continue the stream that the caller has begun to receive.
 		return attemptFailed
@@ -74,15 +77,23 @@
 	return attemptDone
 }
 
+// endServed ends the lease of a complete response.
+func (e *exchange) endServed(response *upstream.Response, lease *fleet.Lease) {
+	result := fleet.Served
+	if response.Unframed {
+		result = fleet.ServedUnframed
+	}
+	e.endLease(lease, result, time.Now())
+}
+
 // handleUnusable ends an attempt whose response broke off, had no events, lacked the server
 // seal (a header that shows that the replica itself produced the response) or is too long to
 // buffer although the caller has begun to receive a stream.
-func (e *exchange) handleUnusable(err error, lease *fleet.Lease) attemptResult {
-	leaseResult := fleet.Failed
+func (e *exchange) handleUnusable(err error, leaseResult fleet.Result, lease *fleet.Lease) attemptResult {
 	if e.r.Context().Err() != nil {
 		leaseResult = fleet.Abandoned
 	}
-	lease.End(leaseResult, time.Now())
+	e.endLease(lease, leaseResult, time.Now())
 	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
 		Str("parts", e.partIDs()).Err(err).Msg("answer is incomplete")
 	return attemptMayHaveRun
@@ -112,18 +123,22 @@
 	_, writeErr := e.w.Write(bodyStart)
 	_, copyErr := io.Copy(e.w, response.Body)
 	if writeErr != nil || copyErr != nil {
-		lease.End(fleet.Failed, time.Now())
+		leaseResult := fleet.Truncated
+		if writeErr != nil || e.r.Context().Err() != nil {
+			leaseResult = fleet.Failed
+		}
+		e.endLease(lease, leaseResult, time.Now())
 		e.abortResponse()
 	}
 	response.MarkComplete()
-	lease.End(fleet.Served, time.Now())
+	e.endServed(response, lease)
 	return attemptDone
 }
 
 // forwardStream forwards the events of a stream as they arrive.
 func (e *exchange) forwardStream(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *time.Timer) attemptResult {
 	if !reply.Sealed {
-		return e.handleUnusable(errors.New("stream has no server seal"), lease)
+		return e.handleUnusable(errors.New("stream has no server seal"), fleet.Failed, lease)
 	}
 	events := upstream.NewEventReader(response.Body)
 	controller := http.NewResponseController(e.w)
@@ -137,13 +152,13 @@
 			return e.handleStreamEnd(response, lease, p)
 		}
 		if err != nil {
-			return e.handleBrokenStream(err, lease, p, controller)
+			return e.handleBrokenStream(err, response, lease, p, controller)
 		}
 		if event.CommentOnly {
 			bufferedComments, err = e.forwardComments(bufferedComments, event.Raw, p)
 			switch {
 			case errors.Is(err, upstream.ErrResponseTooLarge):
-				return e.handleBrokenStream(err, lease, p, controller)
+				return e.handleBrokenStream(err, response, lease, p, controller)
 			case err != nil:
 				return e.endCallerGone(lease)
 			}
@@ -155,7 +170,7 @@
 		}
 		e.resetStallTimer(watchdog)
 		if !e.isNextEvent(event, p) {
-			return e.handleBrokenStream(errors.New("event ID is out of sequence"), lease, p, controller)
+			return e.handleBrokenStream(errors.New("event ID is out of sequence"), response, lease, p, controller)
 		}
 		if !p.headerSent {
 			p.headerSent = true
@@ -232,23 +247,34 @@
 // handleStreamEnd ends an attempt whose stream ended properly.
 func (e *exchange) handleStreamEnd(response *upstream.Response, lease *fleet.Lease, p *progress) attemptResult {
 	if !p.headerSent {
-		return e.handleUnusable(errors.New("stream ended without an event"), lease)
+		leaseResult := fleet.Failed
+		if response.Unframed {
+			leaseResult = fleet.Truncated
+		}
+		return e.handleUnusable(errors.New("stream ended without an event"), leaseResult, lease)
 	}
 	response.MarkComplete()
-	lease.End(fleet.Served, time.Now())
+	e.endServed(response, lease)
 	return attemptDone
 }
 
 // handleBrokenStream ends an attempt whose stream broke off, carried an event out of sequence,
 // or had an event or comments above a size limit. The caller receives the complete events that
 // arrived before.
-func (e *exchange) handleBrokenStream(err error, lease *fleet.Lease, p *progress, controller *http.ResponseController) attemptResult {
+func (e *exchange) handleBrokenStream(err error, response *upstream.Response, lease *fleet.Lease, p *progress, controller *http.ResponseController) attemptResult {
 	if p.headerSent {
 		_ = controller.Flush() // an error is ignored: callerGone below detects a disconnected caller
 	}
 	leaseResult := fleet.ConnectionLost
-	if e.r.Context().Err() != nil || errors.Is(err, upstream.ErrTruncatedEvent) {
+	switch {
+	case e.r.Context().Err() != nil:
 		leaseResult = fleet.Failed
+	case errors.Is(err, upstream.ErrTruncatedEvent):
+		// A framed body that ends in the middle of an event was sent that way.
+		leaseResult = fleet.Failed
+		if response.Unframed {
+			leaseResult = fleet.Truncated
+		}
 	}
 	if e.callerGone() {
 		leaseResult = fleet.Abandoned
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strconv"
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
@@ -92,6 +93,9 @@
 	if rec.attempts > 0 && rec.choice.Limit.Limited {
 		entry.Float64("limit_per_second", rec.choice.Limit.PerSecond)
 	}
+	if rec.refusal != nil && rec.refusal.Reason == fleet.ReasonPoisonPart {
+		entry.Str("part", strconv.FormatUint(rec.refusal.Part, 16))
+	}
 	if rec.refusal != nil {
 		entry.Dur("predicted_ms", rec.refusal.Expected).Dur("backlog_ms", rec.refusal.Backlog).
 			Dur("target_ms", e.route.Target).Dur("waited_ms", e.waitedBefore)
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -110,7 +110,7 @@
 		Upstream: upstreamName, Prompt: e.prompt, PromptTokens: e.call.PromptTokens, OutputTokens: outputTokens,
 		Target: target, MaxGap: e.route.GapTarget, TimeLeft: e.timeLeft(now), Waited: e.waitedBefore + now.Sub(e.arrived) + e.suspendedTime(),
 		Urgent: e.route.Priority == 0, Priority: e.route.Priority,
-		Exclude: p.exclude, Fingerprint: e.fingerprint, Session: sessionHash(e.prompt),
+		Exclude: p.exclude, Fingerprint: e.fingerprint, Parts: e.sharedParts, Session: sessionHash(e.prompt),
 	}
 	if e.team != nil {
 		req.Team = e.team.Name
@@ -229,6 +229,7 @@
 		return e.handleNotExecuted(response, lease)
 	}
 	p.possibleRuns++
+	lease.HeadReceived()
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
 		return e.forwardStream(response, reply, lease, p, watchdog)
 	}
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -116,6 +116,7 @@
 	deadline       time.Time // for the end of the response, before suspensions since the arrival are subtracted
 	suspendedNanos int64     // value of Server.suspendedNanos at the arrival
 	prompt         []fleet.PromptPart
+	sharedParts    []uint64      // IDs of the prompt parts that other requests may contain
 	fingerprint    uint64        // the same when the caller sends the request again
 	waitedBefore   time.Duration // estimate of the caller's wait in earlier attempts
 
@@ -182,6 +183,7 @@
 	e.deadline = e.arrived.Add(timeout)
 	e.waitedBefore = s.waitEstimator.waitedBefore(e.route.Name, e.call.TimeLimit)
 	e.prompt = promptParts(&e.call)
+	e.sharedParts = sharedPartIDs(e.call.Prompt)
 	return true
 }
 
@@ -230,6 +232,18 @@
 	return parts
 }
 
+// sharedPartIDs returns the IDs of all parts but the last, which belongs to the request itself.
+func sharedPartIDs(parts []routing.PromptPart) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, len(parts)-1)
+	for i := range ids {
+		ids[i] = parts[i].ID
+	}
+	return ids
+}
+
 // sessionHash returns the hash of the last prompt part that the requests of a session share.
 // This is the last but one, as the last part belongs to the request itself. The hash is 0 if
 // the prompt has fewer than two parts.
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -88,6 +88,7 @@
 		s.loadInitialHosts(ctx)
 		go config.Run(ctx)
 		go members.Run(ctx)
+		go (&partKeeper{program: p}).run(ctx)
 		s.maintainRegistration(ctx)
 	}()
 	return nil
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -94,6 +94,9 @@
 	Header http.Header
 	Body   io.Reader
 	Reused bool // the request was sent on a pooled connection
+	// Unframed means that the body has neither a length nor chunks and ends with the connection, so that
+	// the end of the replica's process looks like the end of the body.
+	Unframed bool
 
 	client         *Client
 	address        string
@@ -234,6 +237,7 @@
 		}
 		if req.Matches == nil || req.Matches(response.StatusCode, response.Header, r.Reused) {
 			r.Status, r.Header, r.Body, r.closeRequested = response.StatusCode, response.Header, response.Body, response.Close
+			r.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 			return nil
 		}
 		if foreign++; foreign > maxForeignResponses {
--- /dev/null
+++ b/internal/scheduling/quarantine/parts_test.go
@@ -0,0 +1,205 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	poisonPart = 100 // crashes each replica that answers a request with it
+	firstPart  = 1   // with which requests of one team begin
+	otherPart  = 2   // with which requests of another team begin
+)
+
+var partsStart = time.Unix(1_000, 0)
+
+func newTestParts() *Parts { return NewParts(3, 10*time.Minute) }
+
+func blamed(p *Parts, now time.Time, parts ...uint64) bool {
+	_, _, is := p.Blamed(parts, now)
+	return is
+}
+
+// Guards against a part that crashes replicas in requests which have nothing else in common and is
+// never recognized, and against blaming the parts beside it.
+func TestPartInAllCrashesIsQuarantined(t *testing.T) {
+	p := newTestParts()
+	now := partsStart
+	for crash := range uint64(3) {
+		require.False(t, blamed(p, now, firstPart, poisonPart), "crash %d", crash)
+		p.Completed([]uint64{firstPart, 50 + crash}, now)
+		now = now.Add(time.Second)
+		got := p.Crash([]uint64{firstPart, poisonPart, 10 + crash}, crash, now)
+		if crash < 2 {
+			assert.Empty(t, got)
+		} else {
+			assert.Equal(t, []uint64{poisonPart}, got)
+		}
+	}
+	assert.True(t, blamed(p, now, otherPart, poisonPart), "whatever else the request contains")
+	assert.False(t, blamed(p, now, firstPart, 77))
+	assert.False(t, blamed(p, now, 10))
+	_, expires, _ := p.Blamed([]uint64{poisonPart}, now)
+	assert.Equal(t, now.Add(10*time.Minute), expires)
+	assert.False(t, blamed(p, expires, poisonPart))
+}
+
+// Guards against refusing all requests of a team because the only requests that ran meanwhile had its
+// first part and the poison part alike: those with both are refused, the others go on and decide.
+func TestPartsThatCannotBeToldApartAreRefusedOnlyTogether(t *testing.T) {
+	p := newTestParts()
+	now := partsStart
+	for crash := range uint64(3) {
+		now = now.Add(time.Second)
+		assert.Empty(t, p.Crash([]uint64{firstPart, poisonPart}, crash, now))
+	}
+	assert.True(t, blamed(p, now, firstPart, poisonPart, 9))
+	assert.False(t, blamed(p, now, firstPart, 9))
+	assert.False(t, blamed(p, now, otherPart, poisonPart))
+	released, quarantined := p.Completed([]uint64{firstPart, 9}, now)
+	assert.Equal(t, []uint64{firstPart}, released)
+	assert.Equal(t, []uint64{poisonPart}, quarantined)
+	assert.True(t, blamed(p, now, otherPart, poisonPart))
+}
+
+// Guards against an outage of several replicas, with or without poison requests at the same time, that
+// makes sound parts look like the cause because their requests ran on all of them.
+func TestReplicasThatEndTogetherCountOnce(t *testing.T) {
+	p := newTestParts()
+	now := partsStart
+	for crash := range uint64(6) {
+		p.Crash([]uint64{firstPart, 20 + crash}, crash, now.Add(time.Duration(crash)*10*time.Millisecond))
+	}
+	assert.False(t, blamed(p, now, firstPart, 30))
+	for crash := range uint64(2) {
+		now = now.Add(time.Second)
+		p.Crash([]uint64{firstPart, poisonPart}, 100+crash, now)
+	}
+	assert.False(t, blamed(p, now, firstPart, poisonPart) && blamed(p, now, firstPart, 30))
+	now = now.Add(time.Second)
+	p.Completed([]uint64{firstPart}, now)
+	p.Crash([]uint64{firstPart, poisonPart}, 103, now.Add(time.Second))
+	assert.True(t, blamed(p, now, firstPart, poisonPart))
+	assert.False(t, blamed(p, now, firstPart, 30))
+}
+
+// Guards against crashes that a quarantined part explains and that still count against the parts that
+// were in flight beside it.
+func TestQuarantinedPartExplainsItsCrashes(t *testing.T) {
+	p := newTestParts()
+	now := partsStart
+	for crash := range uint64(6) {
+		now = now.Add(time.Second)
+		p.Crash([]uint64{poisonPart, firstPart}, crash, now)
+		if crash == 1 {
+			p.Completed([]uint64{firstPart}, now)
+		}
+	}
+	require.True(t, blamed(p, now, poisonPart))
+	assert.False(t, blamed(p, now, firstPart))
+}
+
+// Guards against a report of a crash that comes late, after an answer with the part was completed, and
+// makes the part a suspect again.
+func TestLateReportOfCrashDoesNotOutweighLaterAnswer(t *testing.T) {
+	p, reporter := newTestParts(), newTestParts()
+	now := partsStart
+	for crash := range uint64(3) {
+		reporter.Crash([]uint64{firstPart}, crash, now.Add(time.Duration(crash)*time.Second))
+	}
+	now = now.Add(10 * time.Second)
+	p.Completed([]uint64{firstPart}, now)
+	p.Merge(reporter.Reports(true, 10, now), now)
+	assert.False(t, blamed(p, now, firstPart))
+	reporter.Merge(p.Reports(true, 10, now), now)
+	assert.False(t, blamed(reporter, now, firstPart), "the reporter learns of the answer")
+}
+
+// Guards against a host that starts later, or learns of the crashes one at a time from others, and
+// does not refuse what the others refuse.
+func TestRefusedPartsAreKnownAfterMerge(t *testing.T) {
+	hosts := []*Parts{newTestParts(), newTestParts(), newTestParts()}
+	now := partsStart
+	for i, h := range hosts {
+		now = now.Add(time.Second)
+		h.Crash([]uint64{firstPart, poisonPart}, uint64(i), now)
+		h.Completed([]uint64{firstPart}, now)
+	}
+	for range 2 {
+		for _, from := range hosts {
+			for _, to := range hosts {
+				to.Merge(from.Reports(false, 10, now), now)
+			}
+		}
+	}
+	later := now.Add(time.Minute)
+	started := newTestParts()
+	assert.Empty(t, hosts[0].Reports(false, 10, later))
+	assert.Equal(t, []uint64{poisonPart}, started.Merge(hosts[0].Reports(true, 10, later), later))
+	for i, h := range append(hosts, started) {
+		assert.True(t, blamed(h, later, poisonPart), "host %d", i)
+		assert.False(t, blamed(h, later, firstPart), "host %d", i)
+	}
+	assert.True(t, started.Release(poisonPart, later))
+	hosts[0].Merge(started.Reports(false, 10, later), later)
+	assert.False(t, blamed(hosts[0], later, poisonPart), "a release reaches the others")
+}
+
+// Guards against hosts that end up with different entries because reports reached them in another
+// order or more than once.
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var reports []PartEntry
+		for range rapid.IntRange(1, 6).Draw(t, "reports") {
+			h := newTestParts()
+			for range rapid.IntRange(0, 4).Draw(t, "events") {
+				at := partsStart.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "second")) * time.Second)
+				if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+					h.Completed([]uint64{1}, at)
+				} else {
+					h.Crash([]uint64{1}, uint64(rapid.IntRange(0, 2).Draw(t, "replica")), at)
+				}
+			}
+			reports = append(reports, h.Reports(true, 1, partsStart.Add(20*time.Second))...)
+		}
+		now := partsStart.Add(20 * time.Second)
+		a, b := newTestParts(), newTestParts()
+		a.Merge(reports, now)
+		shuffled := append(slices.Clone(reports), reports...)
+		rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		for i := range shuffled {
+			b.Merge(shuffled[i:i+1], now)
+		}
+		if len(reports) == 0 {
+			return
+		}
+		ea, okA := a.entries.Peek(1)
+		eb, okB := b.entries.Peek(1)
+		assert.Equal(t, okA, okB)
+		if okA && okB {
+			assert.Equal(t, ea.Released, eb.Released)
+			assert.Equal(t, ea.Crashes, eb.Crashes)
+		}
+	})
+}
+
+// Guards against two poison parts at the same time, of which one is taken for the explanation of the
+// other.
+func TestTwoPoisonPartsAreBothQuarantined(t *testing.T) {
+	p := newTestParts()
+	now := partsStart
+	for crash := range uint64(10) {
+		now = now.Add(300 * time.Millisecond)
+		p.Crash([]uint64{firstPart, poisonPart + crash%2, 200 + crash}, crash, now)
+		p.Completed([]uint64{firstPart, 300}, now)
+	}
+	assert.True(t, blamed(p, now, poisonPart))
+	assert.True(t, blamed(p, now, poisonPart+1))
+	assert.False(t, blamed(p, now, firstPart))
+}
--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -226,6 +226,7 @@
 	for _, h := range d.hosts {
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
 	}
+	defer d.keepLogs(0)
 	crashed := d.crashOnPart()
 	p := newPromptCallers(d)
 	defer p.end()
