--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -168,6 +168,7 @@
 
 func (l *Loop) inForce(a *accepted, now time.Time) {
 	l.table.SetBundle(a.parsed, a.record.Generation)
+	l.table.ConfigureParts(a.parsed.Limits.PoisonCrashes, a.parsed.Limits.QuarantineTime.Std())
 	topology := buildTopology(l.table, a.parsed, now)
 	transfer := newTransfer(a.record, l.State().Bundle)
 	l.publish(func(s *State) {
--- a/internal/control/cluster_state_test.go
+++ b/internal/control/cluster_state_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -229,3 +230,53 @@
 	require.EqualValues(t, 3, c.hosts[0].loop.State().View.HostsInZone)
 	require.EqualValues(t, 1, c.hosts[0].loop.State().View.ZoneCount)
 }
+
+// refusesPart tells whether the host's routers refuse prompts with the part.
+func (n *node) refusesPart(part uint64) bool {
+	for _, p := range n.loop.State().View.SuspectParts {
+		if p.Part == part {
+			return p.Quarantined
+		}
+	}
+	return false
+}
+
+// Guards against a message that crashes engines in chats that are otherwise different and is not
+// recognized because each host saw one of the crashes, or forgotten when a zone restarts.
+func TestPartOfPromptsIsQuarantinedByTheCrashesOfAllHosts(t *testing.T) {
+	t.Parallel()
+	const poison, system = 7, 8
+	c := newCluster(t, "ate", "ate", "callao", "surco")
+	c.start()
+	c.waitFor(c.rollOut())
+	for i, n := range c.hosts[1:] {
+		response, err := n.feed.ReportCrash(context.Background(), &rpc.CrashRequest{
+			Fingerprint: uint64(100 + i), Upstream: "models", Replica: fmt.Sprintf("e%d", i), Parts: []uint64{system, poison, uint64(20 + i)},
+		})
+		require.NoError(t, err)
+		require.NotEmpty(t, response.SuspectParts, "the router must learn of its own crash at once")
+		_, err = n.feed.ReportCrash(context.Background(), &rpc.CrashRequest{Completed: true, Parts: []uint64{system}})
+		require.NoError(t, err)
+		time.Sleep(300 * time.Millisecond) // crashes at the same moment count once
+	}
+	for _, n := range c.hosts {
+		c.eventually("the part must be refused in all zones", func() bool { return n.refusesPart(poison) && !n.refusesPart(system) })
+	}
+	c.eventually("the platform must keep the part", func() bool {
+		o, err := c.store.Platform.Get(context.Background(), kindQuarantine, "ate")
+		var kept keptQuarantine
+		return err == nil && json.Unmarshal(o.Value, &kept) == nil && len(kept.Parts) == 1 && kept.Parts[0].Part == "7"
+	})
+	for _, n := range c.hosts {
+		n.stop()
+	}
+	c.hosts[0].start()
+	c.eventually("the part must come back from the platform", func() bool { return c.hosts[0].refusesPart(poison) })
+	released, err := c.hosts[0].operator.ReleaseQuarantine(context.Background(), &rpc.ReleaseRequest{Fingerprint: poison})
+	require.NoError(t, err)
+	require.True(t, released.Found)
+	c.hosts[1].start()
+	c.eventually("the release must reach a host that starts later", func() bool {
+		return !c.hosts[0].refusesPart(poison) && !c.hosts[1].refusesPart(poison) && len(c.hosts[1].loop.State().View.Hosts) > 1
+	})
+}
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -6,6 +6,7 @@
 	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/objectstore"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 // Events that providers publish. Those with results are published by pointer;
@@ -63,16 +64,20 @@
 type CrashReported struct {
 	Request *rpc.CrashRequest
 	Entries []*rpc.QuarantineEntry // result
+	Parts   []*rpc.SuspectPart     // result
 }
 
-// ReleaseRequested is an operator's release of a fingerprint.
+// ReleaseRequested is an operator's release of a fingerprint or a part of prompts.
 type ReleaseRequested struct {
 	Fingerprint uint64
 	Found       bool // result
 }
 
 // QuarantineLoaded holds entries of the platform's object.
-type QuarantineLoaded struct{ Entries []*rpc.QuarantineEntry }
+type QuarantineLoaded struct {
+	Entries []*rpc.QuarantineEntry
+	Parts   []poisonpart.Entry
+}
 
 // LeaveRequested marks this host as leaving.
 type LeaveRequested struct{}
@@ -100,9 +105,10 @@
 	AskedAt time.Time // the shares' times count from here
 }
 
-// QuarantineDue asks for all quarantine entries.
+// QuarantineDue asks for all quarantine entries and the refused parts.
 type QuarantineDue struct {
 	Entries []*rpc.QuarantineEntry // result
+	Parts   []poisonpart.Entry     // result
 }
 
 // DemandDue asks for the demand of the own zone.
@@ -117,5 +123,6 @@
 	Hosts      []*rpc.HostState
 	Replicas   []*rpc.ReplicaState
 	Quarantine []*rpc.QuarantineEntry
+	Parts      []*rpc.SuspectPart // that requests are refused for
 	Zones      []*rpc.ZoneStatus
 }
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -83,6 +83,13 @@
 			Upstream: l.Upstream, Replica: l.Replica, Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: l.AgeMs + add,
 		})
 	}
+	for _, p := range v.SuspectParts {
+		part := &rpc.SuspectPart{Part: p.Part, Released: p.Released, Quarantined: p.Quarantined, ExpiresInS: p.ExpiresInS}
+		for _, c := range p.Crashes {
+			part.Crashes = append(part.Crashes, &rpc.PartCrash{Replica: c.Replica, AgeMs: c.AgeMs + add})
+		}
+		out.SuspectParts = append(out.SuspectParts, part)
+	}
 	for i, r := range v.Replicas {
 		out.Replicas[i] = &rpc.ReplicaState{
 			Upstream: r.Upstream, Replica: r.Replica, State: r.State, Mark: r.Mark, Role: r.Role, Models: r.Models, UnlistedModels: r.UnlistedModels,
@@ -134,7 +141,7 @@
 	if err := f.bus.Publish(e); err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, "control is stopping")
 	}
-	return &rpc.CrashResponse{Quarantine: e.Entries}, nil
+	return &rpc.CrashResponse{Quarantine: e.Entries, SuspectParts: e.Parts}, nil
 }
 
 // Claim implements rpc.Feed.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,7 @@
 	"heatherbarrow/internal/placement"
 	"heatherbarrow/internal/rollout"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 const (
@@ -81,6 +84,9 @@
 	urgentAt    time.Time // when the last urgent view was made, or the next one is due
 	pushed      uint64
 	quarantined uint64
+
+	partChanges  uint64   // of the table when refusedParts was determined
+	refusedParts []string // parts that requests are refused for, with their number of releases
 }
 
 // probe is whether the platform answers this host.
@@ -182,11 +188,14 @@
 		l.recordCrash(e, now)
 	case *ReleaseRequested:
 		e.Found = l.table.ReleaseFingerprint(e.Fingerprint, l.quarantineTime(), now)
+		e.Found = l.table.ReleasePart(e.Fingerprint, now) || e.Found
 		l.noteQuarantine()
 	case *QuarantineDue:
 		e.Entries, _ = l.table.Quarantine()
+		e.Parts = l.table.RefusedParts(now)
 	case QuarantineLoaded:
 		l.table.MergeQuarantine(e.Entries, now)
+		l.table.MergeParts(e.Parts, now)
 	default:
 		return false
 	}
@@ -240,6 +249,12 @@
 
 func (l *Loop) recordCrash(e *CrashReported, now time.Time) {
 	r := e.Request
+	replica := r.Upstream + "/" + r.Replica
+	if r.Completed {
+		l.table.CompleteParts(r.Parts, now)
+	} else {
+		l.table.RecordPartCrash(r.Parts, replica, now)
+	}
 	switch {
 	case r.Fingerprint == 0:
 	case r.Completed:
@@ -247,10 +262,28 @@
 		// only a suspect again.
 		l.table.ReleaseFingerprint(r.Fingerprint, l.quarantineTime(), now)
 	default:
-		l.table.RecordCrash(r.Fingerprint, r.Upstream+"/"+r.Replica, r.Model, l.quarantineTime(), now)
+		l.table.RecordCrash(r.Fingerprint, replica, r.Model, l.quarantineTime(), now)
 		l.noteQuarantine()
 	}
 	e.Entries, _ = l.table.Quarantine()
+	e.Parts = l.table.SuspectParts(now)
+}
+
+// noteRefusedParts makes the platform keep the parts that requests are refused for when they change.
+func (l *Loop) noteRefusedParts(now time.Time) {
+	changes := l.table.PartChanges()
+	if changes == l.partChanges {
+		return
+	}
+	l.partChanges = changes
+	var refused []string
+	for _, e := range l.table.RefusedParts(now) {
+		refused = append(refused, poisonpart.Name(e.Part)+"/"+strconv.FormatUint(e.Released, 10))
+	}
+	if !slices.Equal(refused, l.refusedParts) {
+		l.refusedParts = refused
+		l.noteQuarantine()
+	}
 }
 
 func (l *Loop) quarantineTime() time.Duration {
@@ -282,6 +315,7 @@
 // afterEvent publishes what the event changed: urgent changes soon, others together.
 func (l *Loop) afterEvent(now time.Time) {
 	l.admitSettled(now)
+	l.noteRefusedParts(now)
 	if l.table.TakeUrgent() {
 		l.pushed++
 		l.hurry(now)
@@ -309,14 +343,16 @@
 func (l *Loop) buildView(version uint64, now time.Time) *rpc.View {
 	entries, _ := l.table.Quarantine()
 	return &rpc.View{
-		Version:     version,
-		Replicas:    l.table.Replicas(now),
-		Hosts:       l.table.Hosts(now),
-		Quarantine:  entries,
-		Shares:      l.sharing.current(now),
-		Limits:      l.table.Limits(now),
-		HostsInZone: uint32(l.table.HostsInZone(now)),
-		ZoneCount:   uint32(l.table.ZoneCount()),
+		Version:    version,
+		Replicas:   l.table.Replicas(now),
+		Hosts:      l.table.Hosts(now),
+		Quarantine: entries,
+		Shares:     l.sharing.current(now),
+		Limits:     l.table.Limits(now),
+
+		SuspectParts: l.table.SuspectParts(now),
+		HostsInZone:  uint32(l.table.HostsInZone(now)),
+		ZoneCount:    uint32(l.table.ZoneCount()),
 	}
 }
 
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -75,7 +75,7 @@
 	}
 	s := o.loop.State()
 	response := &rpc.StatusResponse{
-		Self: e.Self, NotReady: s.NotReady, Replicas: e.Replicas, Hosts: e.Hosts, Quarantine: e.Quarantine, Zones: e.Zones, Classes: e.Classes,
+		Self: e.Self, NotReady: s.NotReady, Replicas: e.Replicas, Hosts: e.Hosts, Quarantine: e.Quarantine, SuspectParts: e.Parts, Zones: e.Zones, Classes: e.Classes,
 		WatchesPlatform: s.Topology.Watching, PlatformCalls: o.platform.Calls(), PlatformLastOkMs: -1,
 	}
 	if last := o.platform.LastAnswer(); !last.IsZero() {
@@ -122,6 +122,7 @@
 	e.Replicas = l.table.Replicas(now)
 	e.Hosts = l.table.Hosts(now)
 	e.Quarantine, _ = l.table.Quarantine()
+	e.Parts = rpc.SuspectParts(l.table.RefusedParts(now), now)
 	e.Self = self
 	e.Classes = l.classes.status(l.State().Parsed, now)
 	for _, zone := range l.table.Zones() {
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"reflect"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,6 +15,7 @@
 	"heatherbarrow/internal/membership"
 	"heatherbarrow/internal/objectstore"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 const (
@@ -35,7 +38,8 @@
 }
 
 type keptQuarantine struct {
-	Entries []keptEntry `json:"entries"`
+	Entries []keptEntry         `json:"entries"`
+	Parts   []poisonpart.Record `json:"parts,omitempty"` // parts of prompts that requests are refused for
 }
 
 // QuarantineKeeper keeps the zone's quarantine in the platform: it reads the
@@ -106,14 +110,21 @@
 	if err != nil {
 		return eris.Wrap(ErrQuarantine, err.Error())
 	}
-	if err := q.bus.Publish(QuarantineLoaded{Entries: kept}); err != nil || !write {
+	loaded, err := kept.loaded()
+	if err != nil {
+		return eris.Wrap(ErrQuarantine, err.Error())
+	}
+	if err := q.bus.Publish(loaded); err != nil || !write {
 		return err
 	}
 	due := &QuarantineDue{}
 	if err := q.bus.Publish(due); err != nil {
 		return err
 	}
-	value := toKept(due.Entries)
+	value := toKept(due)
+	if value.equivalent(&kept) {
+		return nil // another host of the zone has written the same
+	}
 	if version == 0 {
 		_, err = q.client.Create(ctx, kindQuarantine, q.Zone, value)
 	} else {
@@ -125,31 +136,52 @@
 	return nil
 }
 
-func (q *QuarantineKeeper) read(ctx context.Context) ([]*rpc.QuarantineEntry, uint64, error) {
+// read returns the object and its version, which is 0 if there is none.
+func (q *QuarantineKeeper) read(ctx context.Context) (kept keptQuarantine, version uint64, err error) {
 	o, err := q.client.Get(ctx, kindQuarantine, q.Zone)
 	if errors.Is(err, objectstore.ErrNotFound) {
-		return nil, 0, nil
+		return keptQuarantine{}, 0, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return keptQuarantine{}, 0, err
 	}
-	var kept keptQuarantine
-	if err := json.Unmarshal(o.Value, &kept); err != nil {
-		return nil, 0, err
-	}
-	out := make([]*rpc.QuarantineEntry, 0, len(kept.Entries))
-	for _, e := range kept.Entries {
-		out = append(out, &rpc.QuarantineEntry{
+	return kept, o.Version, json.Unmarshal(o.Value, &kept)
+}
+
+// loaded returns the event that holds the entries of the object.
+func (k *keptQuarantine) loaded() (QuarantineLoaded, error) {
+	var out QuarantineLoaded
+	for _, e := range k.Entries {
+		out.Entries = append(out.Entries, &rpc.QuarantineEntry{
 			Fingerprint: e.Fingerprint, Model: e.Model, CrashedReplicas: e.CrashedReplicas,
 			ExpiresUnixMs: e.ExpiresUnixMS, Released: e.Released,
 		})
 	}
-	return out, o.Version, nil
+	for i := range k.Parts {
+		entry, err := k.Parts[i].Entry()
+		if err != nil {
+			return QuarantineLoaded{}, err
+		}
+		out.Parts = append(out.Parts, entry)
+	}
+	return out, nil
+}
+
+// equivalent reports whether both hold the same entries and refuse the same parts. The times of a part
+// differ a little from host to host.
+func (k *keptQuarantine) equivalent(other *keptQuarantine) bool {
+	samePart := func(a, b poisonpart.Record) bool {
+		return a.Part == b.Part && a.Released == b.Released && a.Quarantined == b.Quarantined
+	}
+	return reflect.DeepEqual(k.Entries, other.Entries) && slices.EqualFunc(k.Parts, other.Parts, samePart)
 }
 
-func toKept(entries []*rpc.QuarantineEntry) keptQuarantine {
-	entries = membership.LatestExpiring(entries, maxKept)
+func toKept(due *QuarantineDue) keptQuarantine {
+	entries := membership.LatestExpiring(due.Entries, maxKept)
 	kept := keptQuarantine{Entries: make([]keptEntry, 0, len(entries))}
+	for i := range due.Parts {
+		kept.Parts = append(kept.Parts, poisonpart.NewRecord(&due.Parts[i]))
+	}
 	for _, e := range entries {
 		kept.Entries = append(kept.Entries, keptEntry{
 			Fingerprint: e.Fingerprint, Model: e.Model, CrashedReplicas: e.CrashedReplicas,
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/routing"
+	"heatherbarrow/internal/scheduling/poisonpart"
 	"heatherbarrow/internal/scheduling/quarantine"
 	"heatherbarrow/internal/scheduling/requestlimit"
 )
@@ -47,7 +48,7 @@
 	dispatchedParts []dispatchedPart      // prompt parts sent since the previous call of Digest
 	teamShares      teamShares            // recent prefill time per team
 	poison          *quarantine.Quarantine
-	parts           *quarantine.Parts
+	parts           *poisonpart.Tracker
 	partChanges     []PartChange // since the previous call of TakePartChanges
 	crashes         []Crash      // crashes seen by this host, oldest first
 	outages         []outage
@@ -136,7 +137,7 @@
 		limits:     make(map[uint64]*replicaLimit),
 		limitHosts: &requestlimit.Hosts{Zone: opts.Zone, Reachable: 1},
 		poison:     quarantine.New(poisonCrashes, poisonQuarantineTime),
-		parts:      quarantine.NewParts(poisonPartCrashes, poisonQuarantineTime),
+		parts:      poisonpart.New(poisonpart.CrashLimit(poisonCrashes), poisonQuarantineTime),
 	}
 }
 
--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -12,10 +12,6 @@
 	// poisonCrashes is the number of distinct replicas that a request may crash before all
 	// hosts refuse it. A single crash may have another cause.
 	poisonCrashes = 2
-	// poisonPartCrashes is the number of replicas that requests with a prompt part may crash before all
-	// hosts refuse them. It is higher, as more requests are refused for a part: the requests that run
-	// beside a poison request on two replicas are then not blamed.
-	poisonPartCrashes = 3
 	// poisonQuarantineTime is how long such a request is refused. Callers resend it within
 	// seconds or minutes.
 	poisonQuarantineTime = 10 * time.Minute
--- a/internal/gateway/fleet/poisonpart.go
+++ b/internal/gateway/fleet/poisonpart.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"heatherbarrow/internal/scheduling/quarantine"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 // maxPartReports bounds the suspect parts that are reported together: a datagram has room for about
@@ -64,22 +64,23 @@
 	return changes
 }
 
-// PartReports returns what other hosts need to know of suspect parts; see quarantine.Parts.Reports.
-func (f *Fleet) PartReports(all bool, now time.Time) []quarantine.PartEntry {
+// PartReports returns what other hosts need to know of suspect parts; see poisonpart.Tracker.Reports.
+func (f *Fleet) PartReports(all bool, now time.Time) []poisonpart.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.parts.Reports(all, maxPartReports, now)
 }
 
 // ApplyPartReports applies what another host, or the store, knows of suspect parts.
-func (f *Fleet) ApplyPartReports(entries []quarantine.PartEntry, now time.Time) {
+func (f *Fleet) ApplyPartReports(entries []poisonpart.Entry, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.notePartChanges(f.parts.Merge(entries, now), true)
+	quarantined, _ := f.parts.Merge(entries, now)
+	f.notePartChanges(quarantined, true)
 }
 
 // RefusedParts returns the parts that requests are refused for.
-func (f *Fleet) RefusedParts(now time.Time) []quarantine.PartEntry {
+func (f *Fleet) RefusedParts(now time.Time) []poisonpart.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.parts.Refused(now)
--- a/internal/gateway/partkeeper.go
+++ b/internal/gateway/partkeeper.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"time"
 
-	"heatherbarrow/internal/scheduling/quarantine"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 const (
@@ -17,21 +16,6 @@
 	partCallTimeout = 2 * time.Second
 )
 
-// partRecord is the stored object of a prompt part that requests are refused for. Its name is the ID of
-// the part in hexadecimal.
-type partRecord struct {
-	Released      uint64        `json:"released"`
-	Quarantined   bool          `json:"quarantined"`
-	ExpiresUnixMs int64         `json:"expires_unix_ms"`
-	Crashes       []crashRecord `json:"crashes"`
-}
-
-// crashRecord is a crash that counts against a part.
-type crashRecord struct {
-	Replica  uint64 `json:"replica,string"`
-	AtUnixMs int64  `json:"at_unix_ms"`
-}
-
 // partKeeper keeps the prompt parts that requests are refused for in the store, so that they are known
 // after all hosts have restarted. Hosts that restart alone learn them from their peers.
 type partKeeper struct {
@@ -70,24 +54,19 @@
 		return err
 	}
 	k.stored = make(map[uint64]uint64)
-	var entries []quarantine.PartEntry
+	var entries []poisonpart.Entry
 	for _, o := range list.Objects {
-		part, err := strconv.ParseUint(o.Name, 16, 64)
-		var record partRecord
+		var record poisonpart.Record
+		var entry poisonpart.Entry
+		err := json.Unmarshal(o.Value, &record)
 		if err == nil {
-			err = json.Unmarshal(o.Value, &record)
+			entry, err = record.Entry()
 		}
 		if err != nil {
 			k.program.logger.Warn().Err(err).Str("name", o.Name).Msg("ignoring invalid prompt part in the store")
 			continue
 		}
-		k.stored[part] = record.Released
-		entry := quarantine.PartEntry{
-			Part: part, Released: record.Released, Quarantined: record.Quarantined, Expires: time.UnixMilli(record.ExpiresUnixMs),
-		}
-		for _, c := range record.Crashes {
-			entry.Crashes = append(entry.Crashes, quarantine.PartCrash{Replica: c.Replica, At: time.UnixMilli(c.AtUnixMs)})
-		}
+		k.stored[entry.Part] = entry.Released
 		entries = append(entries, entry)
 	}
 	k.program.fleet.ApplyPartReports(entries, time.Now())
@@ -105,7 +84,7 @@
 		if released, ok := k.stored[e.Part]; ok && released == e.Released {
 			continue
 		}
-		if err := p.store.Replace(callCtx, p.adapter.KindParts, partName(e.Part), newPartRecord(&e)); err != nil {
+		if err := p.store.Replace(callCtx, p.adapter.KindParts, poisonpart.Name(e.Part), poisonpart.NewRecord(&e)); err != nil {
 			return err
 		}
 		k.stored[e.Part] = e.Released
@@ -114,20 +93,10 @@
 		if refused[part] {
 			continue
 		}
-		if err := p.store.Remove(callCtx, p.adapter.KindParts, partName(part)); err != nil {
+		if err := p.store.Remove(callCtx, p.adapter.KindParts, poisonpart.Name(part)); err != nil {
 			return err
 		}
 		delete(k.stored, part)
 	}
 	return nil
 }
-
-func partName(part uint64) string { return strconv.FormatUint(part, 16) }
-
-func newPartRecord(e *quarantine.PartEntry) partRecord {
-	record := partRecord{Released: e.Released, Quarantined: e.Quarantined, ExpiresUnixMs: e.Expires.UnixMilli()}
-	for _, c := range e.Crashes {
-		record.Crashes = append(record.Crashes, crashRecord{Replica: c.Replica, AtUnixMs: c.At.UnixMilli()})
-	}
-	return record
-}
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -479,7 +479,7 @@
 // another zone.
 func (e *Exchange) handleDatagram(m *rpc.Beat, now time.Time) {
 	if len(m.SuspectParts) > 0 {
-		e.opts.Fleet.ApplyPartReports(suspectPartsFromProto(m.SuspectParts, now), now)
+		e.opts.Fleet.ApplyPartReports(rpc.SuspectPartEntries(m.SuspectParts, now), now)
 		return
 	}
 	if m.ZoneDigest != nil {
--- a/internal/gateway/peers/suspects.go
+++ b/internal/gateway/peers/suspects.go
@@ -7,7 +7,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"heatherbarrow/internal/rpc"
-	"heatherbarrow/internal/scheduling/quarantine"
 )
 
 // Hosts report what they know of prompt parts that crash replicas, from their own requests and from
@@ -33,7 +32,7 @@
 		return
 	}
 	// Sequence 0 makes hosts that do not know this kind of datagram ignore it as an old heartbeat.
-	message := &rpc.Beat{Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, SuspectParts: suspectPartsToProto(entries, now)}
+	message := &rpc.Beat{Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, SuspectParts: rpc.SuspectParts(entries, now)}
 	for proto.Size(message) > maxDatagramBytes {
 		message.SuspectParts = message.SuspectParts[:len(message.SuspectParts)-1]
 	}
@@ -49,30 +48,3 @@
 		}
 	}
 }
-
-// suspectPartsToProto encodes entries. Times are sent as ages, as the clocks of hosts differ.
-func suspectPartsToProto(entries []quarantine.PartEntry, now time.Time) []*rpc.SuspectPart {
-	out := make([]*rpc.SuspectPart, len(entries))
-	for i := range entries {
-		e := &entries[i]
-		out[i] = &rpc.SuspectPart{Part: e.Part, Released: e.Released, Quarantined: e.Quarantined, ExpiresInS: uint32(max(e.Expires.Sub(now), 0).Seconds())}
-		for _, c := range e.Crashes {
-			out[i].Crashes = append(out[i].Crashes, &rpc.PartCrash{Replica: c.Replica, AgeMs: uint32(max(now.Sub(c.At), 0).Milliseconds())})
-		}
-	}
-	return out
-}
-
-// suspectPartsFromProto decodes entries.
-func suspectPartsFromProto(messages []*rpc.SuspectPart, now time.Time) []quarantine.PartEntry {
-	out := make([]quarantine.PartEntry, len(messages))
-	for i, m := range messages {
-		out[i] = quarantine.PartEntry{
-			Part: m.Part, Released: m.Released, Quarantined: m.Quarantined, Expires: now.Add(time.Duration(m.ExpiresInS) * time.Second),
-		}
-		for _, c := range m.Crashes {
-			out[i].Crashes = append(out[i].Crashes, quarantine.PartCrash{Replica: c.Replica, At: now.Add(-time.Duration(c.AgeMs) * time.Millisecond)})
-		}
-	}
-	return out
-}
--- a/internal/gateway/peers/suspects_test.go
+++ b/internal/gateway/peers/suspects_test.go
@@ -8,7 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/gateway/fleet"
-	"heatherbarrow/internal/scheduling/quarantine"
+	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 // refuses reports whether the host refuses requests with the part.
@@ -26,8 +27,8 @@
 		for i := range 3 {
 			now := time.Now()
 			h := hosts[len(hosts)-1-i]
-			crash := quarantine.PartCrash{Replica: uint64(i), At: now.Add(-time.Duration(3-i) * time.Second)}
-			h.fleet.ApplyPartReports([]quarantine.PartEntry{{Part: part, Crashes: []quarantine.PartCrash{crash}, Expires: now.Add(time.Minute)}}, now)
+			crash := poisonpart.Crash{Replica: uint64(i), At: now.Add(-time.Duration(3-i) * time.Second)}
+			h.fleet.ApplyPartReports([]poisonpart.Entry{{Part: part, Crashes: []poisonpart.Crash{crash}, Expires: now.Add(time.Minute)}}, now)
 			require.False(t, h.refuses(part))
 		}
 		for _, h := range hosts {
@@ -39,9 +40,9 @@
 // Guards against reports that other hosts read differently.
 func TestSuspectPartsKeepTheirMeaningInTransit(t *testing.T) {
 	now := time.Now()
-	sent := []quarantine.PartEntry{
-		{Part: 7, Released: 2, Quarantined: true, Expires: now.Add(90 * time.Second), Crashes: []quarantine.PartCrash{{Replica: 9, At: now.Add(-1500 * time.Millisecond)}}},
+	sent := []poisonpart.Entry{
+		{Part: 7, Released: 2, Quarantined: true, Expires: now.Add(90 * time.Second), Crashes: []poisonpart.Crash{{Replica: 9, At: now.Add(-1500 * time.Millisecond)}}},
 		{Part: 8, Released: 1, Expires: now.Add(time.Second)},
 	}
-	assert.Equal(t, sent, suspectPartsFromProto(suspectPartsToProto(sent, now), now))
+	assert.Equal(t, sent, rpc.SuspectPartEntries(rpc.SuspectParts(sent, now), now))
 }
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -28,6 +27,7 @@
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/listen"
 	"heatherbarrow/internal/objectstore"
+	"heatherbarrow/internal/scheduling/poisonpart"
 	"heatherbarrow/internal/settings"
 	"heatherbarrow/internal/telemetry"
 )
@@ -293,7 +293,7 @@
 // logPartChanges logs the prompt parts whose quarantine began or ended.
 func (p *Program) logPartChanges() {
 	for _, c := range p.fleet.TakePartChanges() {
-		p.logger.Warn().Str("part", strconv.FormatUint(c.Part, 16)).Bool("quarantined", c.Quarantined).Msg("quarantine of prompt part changed")
+		p.logger.Warn().Str("part", poisonpart.Name(c.Part)).Bool("quarantined", c.Quarantined).Msg("quarantine of prompt part changed")
 	}
 }
 
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -1,10 +1,10 @@
 package proxy
 
 import (
-	"strconv"
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 // Outcomes of requests.
@@ -94,7 +94,7 @@
 		entry.Float64("limit_per_second", rec.choice.Limit.PerSecond)
 	}
 	if rec.refusal != nil && rec.refusal.Reason == fleet.ReasonPoisonPart {
-		entry.Str("part", strconv.FormatUint(rec.refusal.Part, 16))
+		entry.Str("part", poisonpart.Name(rec.refusal.Part))
 	}
 	if rec.refusal != nil {
 		entry.Dur("predicted_ms", rec.refusal.Expected).Dur("backlog_ms", rec.refusal.Backlog).
--- a/internal/hbctl/quarantine.go
+++ b/internal/hbctl/quarantine.go
@@ -23,6 +23,7 @@
 	stateQuarantined = "quarantined"
 	stateReleased    = "released"
 	stateUnknown     = "unknown" // the zone's bundle could not be read
+	statePart        = "part"    // a message that requests are refused for, whatever else their prompts contain
 )
 
 // zoneEntry is a quarantine entry with the zone that keeps it.
@@ -140,6 +141,41 @@
 	}
 }
 
+// zonePart is a part of prompts that the hosts of a zone refuse requests for.
+type zonePart struct {
+	*rpc.SuspectPart
+	zone string
+}
+
+// partsByZone returns each refused part once for each zone.
+func partsByZone(statuses []controlStatus) []zonePart {
+	var out []zonePart
+	for _, s := range statuses {
+		if s.response == nil {
+			continue
+		}
+		zone := s.response.Self.AvailabilityZone
+		for _, p := range s.response.SuspectParts {
+			known := func(o zonePart) bool { return o.zone == zone && o.Part == p.Part }
+			if !slices.ContainsFunc(out, known) {
+				out = append(out, zonePart{SuspectPart: p, zone: zone})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b zonePart) int { return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.Part, b.Part)) })
+	return out
+}
+
+func printParts(w io.Writer, parts []zonePart) {
+	for _, p := range parts {
+		last := dash("")
+		if n := len(p.Crashes); n > 0 {
+			last = (time.Duration(p.Crashes[n-1].AgeMs) * time.Millisecond).Round(time.Second).String()
+		}
+		fmt.Fprintf(w, "%016x\t%s\t%s\t%s\t%d crashes\t%s\t%s\n", p.Part, statePart, p.zone, dash(""), len(p.Crashes), last, time.Duration(p.ExpiresInS)*time.Second)
+	}
+}
+
 // quarantineList is "hbctl quarantine list".
 type quarantineList struct {
 	command
@@ -167,12 +203,19 @@
 	if !q.JSON {
 		w := tabwriter.NewWriter(q.app.stdout, 0, 0, 2, ' ', 0)
 		printQuarantine(w, entries)
+		printParts(w, partsByZone(statuses))
 		return w.Flush()
 	}
 	out := make([]listedEntry, 0, len(entries))
 	for _, e := range entries {
 		out = append(out, e.listed())
 	}
+	for _, p := range partsByZone(statuses) {
+		out = append(out, listedEntry{
+			Fingerprint: fmt.Sprintf("%016x", p.Part), State: statePart, Zone: p.zone, CrashedReplicas: []string{}, Released: p.Released,
+			Expires: formatUnix(time.Now().Add(time.Duration(p.ExpiresInS) * time.Second).UnixMilli()),
+		})
+	}
 	return json.NewEncoder(q.app.stdout).Encode(out)
 }
 
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -23,6 +23,8 @@
 		Quarantine: t.quarantine.updates(toOtherZone),
 		List:       t.listDigest(now),
 		Limits:     t.limitUpdates(now),
+
+		SuspectParts: t.partUpdates(now),
 	}
 	if !opensExchange {
 		return m
@@ -44,6 +46,7 @@
 		t.mergeHost(copyHostState(m.From), now)
 	}
 	t.quarantine.merge(t, m.Quarantine, now)
+	t.mergePartUpdates(m.SuspectParts, now)
 	for _, s := range m.Hosts {
 		t.mergeHost(s, now)
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -9,6 +9,7 @@
 
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 // Time limits for liveness, and limits on the content of one message.
@@ -52,6 +53,10 @@
 	maxQuarantineUpdates   = 16 // quarantine entries sent as updates in a message
 	maxQuarantineRepeats   = 2  // other quarantine entries repeated in a message
 	maxUpdateSends         = 8  // sends of an update, after which it is only repeated in rotation
+
+	// defaultPoisonCrashes and defaultQuarantineTime apply to parts of prompts until there is a bundle.
+	defaultPoisonCrashes  = 2
+	defaultQuarantineTime = time.Hour
 )
 
 // Options describes the local host.
@@ -127,6 +132,7 @@
 	generation      uint64     // of the current bundle; zero without a bundle
 	list            hostList
 	quarantine      quarantine
+	parts           *poisonpart.Tracker
 	demands         demands
 	drained         bool            // Leave was called: the local host stays leaving until it restarts
 	wantedHostIDs   map[uint32]bool // identifiers of unknown hosts in peers' digests
@@ -141,6 +147,7 @@
 		replicas: make(map[string]*replica), wantedHostIDs: make(map[uint32]bool),
 	}
 	t.quarantine.entries = make(map[uint64]*quarantineRecord)
+	t.parts = poisonpart.New(poisonpart.CrashLimit(defaultPoisonCrashes), defaultQuarantineTime)
 	t.demands.hosts = make(map[string]*hostDemand)
 	t.putHost(&rpc.HostState{
 		Host: o.Host, AvailabilityZone: o.Zone, PeerAddress: o.PeerAddress,
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -101,6 +101,7 @@
 		Upstreams:    c.upstreams(),
 		Model:        c.model,
 		Fingerprint:  c.prompt.fingerprint,
+		Parts:        c.prompt.parts,
 		PrefixHashes: c.prompt.prefixes,
 		PromptTokens: c.prompt.tokens,
 		MaxTokens:    c.maxTokens,
--- a/internal/router/chatbody.go
+++ b/internal/router/chatbody.go
@@ -58,7 +58,8 @@
 
 // prompt is what scheduling needs to know of a prompt.
 type prompt struct {
-	fingerprint uint64 // of model and messages
+	fingerprint uint64   // of model and messages
+	parts       []uint64 // hashes of the messages but the last, which other chats may contain too
 	prefixes    []uint64
 	tokens      int
 }
@@ -71,8 +72,12 @@
 	_, _ = identity.WriteString(r.Model)
 	separator := []byte{0}
 	hasher := prefixHasher{digest: xxhash.New(), next: shortestPrefix}
+	var parts []uint64
 	for i := range r.Messages {
 		content := r.Messages[i].text()
+		if i < len(r.Messages)-1 && len(content) > 0 {
+			parts = append(parts, xxhash.Sum64(content))
+		}
 		_, _ = identity.Write(separator)
 		_, _ = identity.WriteString(r.Messages[i].Role)
 		_, _ = identity.Write(separator)
@@ -81,6 +86,7 @@
 	}
 	return prompt{
 		fingerprint: identity.Sum64(),
+		parts:       parts,
 		prefixes:    hasher.finish(),
 		tokens:      hasher.length/charactersPerToken + 1,
 	}
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -41,7 +41,7 @@
 
 func refusalStatus(r *scheduling.RefusedError) int {
 	switch r.Reason {
-	case scheduling.ReasonQuarantined:
+	case scheduling.ReasonQuarantined, scheduling.ReasonPartQuarantined:
 		return http.StatusUnprocessableEntity
 	case scheduling.ReasonNoReplica, scheduling.ReasonDeadline:
 		return http.StatusServiceUnavailable
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -148,6 +148,7 @@
 		}
 	}
 	out.Quarantine = quarantineFromRPC(v.Quarantine)
+	out.Parts = rpc.SuspectPartEntries(v.SuspectParts, now)
 	for _, share := range v.Shares {
 		out.Shares = append(out.Shares, scheduling.TeamShare{
 			Team:            share.Team,
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -12,6 +12,7 @@
 	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/poisonpart"
 	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
@@ -122,7 +123,7 @@
 	for _, e := range s.Scheduler.SuspectEvents() {
 		go s.sendCrash(&rpc.CrashRequest{
 			Fingerprint: e.Fingerprint, Upstream: e.Replica.Upstream, Replica: e.Replica.Replica, Model: e.Model,
-			Completed: e.Cleared,
+			Completed: e.Cleared, Parts: e.Parts,
 		})
 	}
 }
@@ -148,7 +149,7 @@
 		s.Logger.Warn().Err(err).Str("fingerprint", formatFingerprint(request.Fingerprint)).Bool("completed", request.Completed).Msg("crash or completion could not be reported")
 		return
 	}
-	s.mergeQuarantine(quarantineFromRPC(response.Quarantine))
+	s.mergeQuarantine(quarantineFromRPC(response.Quarantine), rpc.SuspectPartEntries(response.SuspectParts, time.Now()))
 }
 
 // formatFingerprint returns the form that hbctl prints and takes.
@@ -158,8 +159,8 @@
 
 // mergeQuarantine adds entries to the view in force without waiting for the
 // next view from control.
-func (s *Server) mergeQuarantine(entries []scheduling.QuarantineEntry) {
-	if len(entries) == 0 {
+func (s *Server) mergeQuarantine(entries []scheduling.QuarantineEntry, parts []poisonpart.Entry) {
+	if len(entries) == 0 && len(parts) == 0 {
 		return
 	}
 	s.viewMu.Lock()
@@ -169,6 +170,7 @@
 		merged = *s.view
 	}
 	merged.Quarantine = mergeEntries(merged.Quarantine, entries)
+	merged.Parts = parts // the picker keeps those of earlier views
 	s.view = &merged
 	s.Scheduler.Update(nil, &merged)
 }
--- a/internal/scheduler/assignment.go
+++ b/internal/scheduler/assignment.go
@@ -129,6 +129,9 @@
 	s.picker.Finish(a.Replica, &t.request, result)
 	if result.Crashed {
 		s.refuseIneligibleWithFingerprint(t.request.Fingerprint)
+		if len(t.request.Parts) > 0 {
+			s.refuseAllIneligible()
+		}
 	}
 	s.dispatch(a.upstream.pools)
 }
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -14,6 +14,7 @@
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/scheduling"
 	"heatherbarrow/internal/scheduling/health"
+	"heatherbarrow/internal/scheduling/poisonpart"
 	"heatherbarrow/internal/scheduling/quarantine"
 	"heatherbarrow/internal/scheduling/requestlimit"
 )
@@ -36,6 +37,7 @@
 	pools         []*pool          // by index of the upstream in the bundle
 	replicas      map[scheduling.ReplicaID]*Replica
 	quarantine    *quarantine.Quarantine
+	parts         *poisonpart.Tracker
 	pendingEvents []scheduling.SuspectEvent // events that SuspectEvents has not returned yet
 	affinity      *affinity
 	filters       []Filter
@@ -55,6 +57,7 @@
 		rng:         rand.New(rand.NewPCG(opts.Seed, 0x9e3779b97f4a7c15)),
 		replicas:    make(map[scheduling.ReplicaID]*Replica),
 		quarantine:  quarantine.New(defaultPoisonCrashes, defaultQuarantineTime),
+		parts:       poisonpart.New(poisonpart.CrashLimit(defaultPoisonCrashes), defaultQuarantineTime),
 		affinity:    newAffinity(),
 		filters:     defaultFilters(),
 		scorers:     defaultScorers(),
@@ -80,6 +83,7 @@
 		duration = defaultQuarantineTime
 	}
 	p.quarantine.Configure(crashes, duration)
+	p.parts.Configure(poisonpart.CrashLimit(crashes), duration)
 }
 
 // Update implements scheduling.Picker.
@@ -95,6 +99,9 @@
 		p.hostsInZone = max(view.HostsInZone, 1)
 		p.totalHosts = p.hostsInZone * max(view.ZoneCount, 1)
 		p.quarantine.Update(view.Quarantine, p.opts.Clock.Now())
+		if _, released := p.parts.Merge(view.Parts, now); len(released) > 0 {
+			p.addEvent(scheduling.SuspectEvent{Parts: released, Cleared: true})
+		}
 		p.limitHosts = limitHosts(p.opts.Host, p.opts.AvailabilityZone, view.Hosts)
 		p.applyLimits(now)
 	}
@@ -204,10 +211,14 @@
 // Refusal implements scheduling.Picker.
 func (p *Picker) Refusal(req *scheduling.Request) *scheduling.RefusedError {
 	state, remaining := p.quarantine.State(req.Fingerprint, p.opts.Clock.Now())
-	if state != quarantine.Quarantined {
-		return nil
+	if state == quarantine.Quarantined {
+		return &scheduling.RefusedError{Reason: scheduling.ReasonQuarantined, RetryAfter: remaining}
+	}
+	now := p.opts.Clock.Now()
+	if _, expires, blamed := p.parts.Blamed(req.Parts, now); blamed {
+		return &scheduling.RefusedError{Reason: scheduling.ReasonPartQuarantined, RetryAfter: expires.Sub(now)}
 	}
-	return &scheduling.RefusedError{Reason: scheduling.ReasonQuarantined, RetryAfter: remaining}
+	return nil
 }
 
 // FirstToken implements scheduling.Picker.
@@ -270,13 +281,19 @@
 			p.addEvent(scheduling.SuspectEvent{Fingerprint: f.fingerprint, Model: req.Model, Cleared: true})
 		}
 	}
+	if result.Outcome == outcome.Completed && len(req.Parts) > 0 {
+		if released, _ := p.parts.Completed(req.Parts, now); len(released) > 0 {
+			p.addEvent(scheduling.SuspectEvent{Parts: released, Model: req.Model, Cleared: true})
+		}
+	}
 	if !result.Crashed {
 		return
 	}
 	position := req.Progress + result.Tokens // tokens of the answer so far, earlier attempts included
 	p.quarantine.Crash(f.fingerprint, r.id, position, f.otherSuspects == 0, now)
-	if f.fingerprint != 0 {
-		p.addEvent(scheduling.SuspectEvent{Fingerprint: f.fingerprint, Model: req.Model, Replica: r.id})
+	p.parts.Crash(req.Parts, r.id.Hash(), now)
+	if f.fingerprint != 0 || len(req.Parts) > 0 {
+		p.addEvent(scheduling.SuspectEvent{Fingerprint: f.fingerprint, Parts: req.Parts, Model: req.Model, Replica: r.id})
 	}
 	p.markSuspects(f.fingerprint, now)
 }
--- /dev/null
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -0,0 +1,391 @@
+// Package poisonpart identifies poison parts: parts of prompts that crash each replica that answers a
+// request which contains them, whatever else the request contains. Package quarantine does so for
+// requests that are the same each time.
+package poisonpart
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// maxEntries is the maximum number of suspect parts tracked on a host. An entry takes
+	// about 300 bytes.
+	maxEntries = 1024
+	// suspectDuration is how long a part stays a suspect without another crash.
+	suspectDuration = 5 * time.Minute
+	// maxSoundParts is the maximum number of parts whose latest complete answer is remembered. An
+	// entry takes about 130 bytes.
+	maxSoundParts = 1024
+	// maxCrashes is the maximum number of crashes kept for a part; the oldest are dropped.
+	maxCrashes = 8
+	// crashSeparation is the time between two crashes below which they count once for a part:
+	// replicas that end at the same moment have a common cause other than a prompt.
+	crashSeparation = 250 * time.Millisecond
+	// sameCrash is the time within which hosts notice the same crash of a replica; a later one is
+	// another crash.
+	sameCrash = time.Second
+	// minRepeatedCrashes is the number of crashes from which a suspect can explain those of others. One
+	// crash says nothing: each part of each request on the replica has it.
+	minRepeatedCrashes = 2
+	// newsTime is how long a change of an entry is reported to other hosts at every opportunity.
+	newsTime = 5 * time.Second
+)
+
+// CrashLimit returns the number of crashes after which a part is refused where a request that is the same
+// each time is refused after the given number. It is higher, as more requests are refused for a part:
+// those that ran beside a poison request on all but one of the replicas are not blamed.
+func CrashLimit(requestCrashes int) int { return requestCrashes + 1 }
+
+// Crash is a crash of a replica while it ran a request with a prompt part.
+type Crash struct {
+	Replica uint64 // hash by which all hosts identify the replica
+	At      time.Time
+}
+
+// same reports whether both are observations of one crash.
+func (c Crash) same(other Crash) bool {
+	return c.Replica == other.Replica && c.At.Sub(other.At).Abs() < sameCrash
+}
+
+func (c Crash) compare(other Crash) int {
+	return cmp.Or(c.At.Compare(other.At), cmp.Compare(c.Replica, other.Replica))
+}
+
+// Entry is what is known of a prompt part that was in flight on replicas that crashed.
+type Entry struct {
+	Part uint64
+	// Released is the number of times that the part was found sound, which voids all crashes before.
+	// Of two entries of a part, the one with the higher number holds; equal ones are combined.
+	Released    uint64
+	Crashes     []Crash // in order of time
+	Quarantined bool    // the crashes have no other explanation than the part
+	Expires     time.Time
+}
+
+// addCrash adds a crash and reports whether that changed the entry.
+func (e *Entry) addCrash(c Crash) bool {
+	if slices.ContainsFunc(e.Crashes, c.same) || len(e.Crashes) == maxCrashes && c.compare(e.Crashes[0]) < 0 {
+		return false
+	}
+	at, _ := slices.BinarySearchFunc(e.Crashes, c, Crash.compare)
+	e.Crashes = slices.Insert(e.Crashes, at, c)
+	e.Crashes = e.Crashes[max(len(e.Crashes)-maxCrashes, 0):]
+	return true
+}
+
+// localEntry is an entry with what this host needs to report it.
+type localEntry struct {
+	Entry
+	changedAt time.Time
+}
+
+// Tracker tracks suspect parts. All parts of the requests in flight on a crashed replica are suspects.
+// A complete answer shows that all parts of its request are sound. A suspect with crashes of enough
+// replicas is quarantined unless other suspects explain its crashes.
+//
+// Entries of different hosts are combined by Merge in any order and any number of times with the
+// same result. Tracker is not safe for concurrent use.
+type Tracker struct {
+	crashLimit int
+	duration   time.Duration
+	entries    *simplelru.LRU[uint64, *localEntry]
+	sound      *simplelru.LRU[uint64, time.Time] // when the latest complete answer to a request with the part ended
+	changes    uint64                            // number of times that classify ran
+	// The lists are derived from entries by classify.
+	quarantined []*localEntry
+	repeated    []*localEntry // suspects with minRepeatedCrashes crashes that quarantined parts do not explain
+}
+
+// New returns an empty Tracker. A part is quarantined for the given duration after crashes of
+// crashLimit replicas.
+func New(crashLimit int, duration time.Duration) *Tracker {
+	// NewLRU fails only for a size below one.
+	entries, _ := simplelru.NewLRU[uint64, *localEntry](maxEntries, nil)
+	sound, _ := simplelru.NewLRU[uint64, time.Time](maxSoundParts, nil)
+	return &Tracker{crashLimit: crashLimit, duration: duration, entries: entries, sound: sound}
+}
+
+// Configure changes the crash limit and the duration of quarantines.
+func (t *Tracker) Configure(crashLimit int, duration time.Duration) {
+	t.crashLimit, t.duration = crashLimit, duration
+}
+
+// Crash counts the crash of a replica against the parts of the requests that were in flight on it.
+// It returns the parts that are quarantined because of it.
+func (t *Tracker) Crash(parts []uint64, replica uint64, now time.Time) (quarantined []uint64) {
+	changed := false
+	for _, part := range parts {
+		e, ok := t.entries.Get(part)
+		if !ok {
+			e = &localEntry{Entry: Entry{Part: part}}
+			t.entries.Add(part, e)
+		}
+		if e.addCrash(Crash{Replica: replica, At: now}) {
+			e.changedAt, changed = now, true
+			e.Expires = later(e.Expires, now.Add(suspectDuration))
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return t.classify(now)
+}
+
+// Completed records a complete answer to a request with the parts, which shows that they are sound.
+// It returns the parts that no longer are suspects because of it, and those that are quarantined
+// because their crashes have no other explanation left.
+func (t *Tracker) Completed(parts []uint64, now time.Time) (released, quarantined []uint64) {
+	for _, part := range parts {
+		t.sound.Add(part, now)
+		if e, ok := t.entries.Peek(part); ok && e.release(now) {
+			released = append(released, part)
+		}
+	}
+	if len(released) > 0 {
+		quarantined = t.classify(now)
+	}
+	return released, quarantined
+}
+
+// release voids all crashes of the entry and reports whether there were any.
+func (e *localEntry) release(now time.Time) bool {
+	if len(e.Crashes) == 0 {
+		return false
+	}
+	e.Released++
+	e.Crashes, e.Quarantined = nil, false
+	e.changedAt, e.Expires = now, now.Add(suspectDuration)
+	return true
+}
+
+// Changes returns a number that increases with every change of the entries.
+func (t *Tracker) Changes() uint64 { return t.changes }
+
+// Release ends the quarantine of a part and voids its crashes, for an operator. It reports whether
+// the part was a suspect.
+func (t *Tracker) Release(part uint64, now time.Time) bool {
+	e, ok := t.entries.Peek(part)
+	if !ok || !e.release(now) {
+		return false
+	}
+	t.classify(now)
+	return true
+}
+
+// Blamed reports whether a request with the parts must not run, because one of them is quarantined,
+// or is a suspect with enough crashes that no repeated suspect outside the request explains. expires is when
+// that ends.
+func (t *Tracker) Blamed(parts []uint64, now time.Time) (part uint64, expires time.Time, blamed bool) {
+	for _, e := range t.quarantined {
+		if now.Before(e.Expires) && slices.Contains(parts, e.Part) {
+			return e.Part, e.Expires, true
+		}
+	}
+	if len(t.repeated) == 0 {
+		return 0, time.Time{}, false
+	}
+	var outside []*localEntry
+	for _, e := range t.repeated {
+		if !slices.Contains(parts, e.Part) {
+			outside = append(outside, e)
+		}
+	}
+	for _, e := range t.repeated {
+		if now.Before(e.Expires) && slices.Contains(parts, e.Part) && t.unexplained(e, outside) >= t.crashLimit {
+			e.Expires = now.Add(suspectDuration) // as long as such requests come
+			return e.Part, e.Expires, true
+		}
+	}
+	return 0, time.Time{}, false
+}
+
+// Suspect reports whether any of the parts has a crash against it.
+func (t *Tracker) Suspect(parts []uint64) bool {
+	return slices.ContainsFunc(parts, func(part uint64) bool {
+		e, ok := t.entries.Peek(part)
+		return ok && len(e.Crashes) > 0
+	})
+}
+
+// unexplained counts the crashes of an entry that neither a quarantined part nor one of the others
+// had a part in. Crashes closer together than crashSeparation count once.
+func (t *Tracker) unexplained(e *localEntry, others []*localEntry) int {
+	count := 0
+	var last time.Time
+	for _, c := range e.Crashes {
+		explains := func(o *localEntry) bool { return o != e && slices.ContainsFunc(o.Crashes, c.same) }
+		if count > 0 && c.At.Sub(last) < crashSeparation || slices.ContainsFunc(t.quarantined, explains) || slices.ContainsFunc(others, explains) {
+			continue
+		}
+		count++
+		last = c.At
+	}
+	return count
+}
+
+// classify removes expired entries, and quarantines the suspects whose crashes no other suspect
+// explains. It returns those.
+func (t *Tracker) classify(now time.Time) (quarantined []uint64) {
+	t.changes++
+	t.quarantined = t.quarantined[:0]
+	for _, part := range t.entries.Keys() {
+		e, _ := t.entries.Peek(part)
+		switch {
+		case !now.Before(e.Expires):
+			t.entries.Remove(part)
+		case e.Quarantined:
+			t.quarantined = append(t.quarantined, e)
+		}
+	}
+	for {
+		t.repeated = t.repeated[:0]
+		for _, e := range t.entries.Values() {
+			if !e.Quarantined && t.unexplained(e, nil) >= minRepeatedCrashes {
+				t.repeated = append(t.repeated, e)
+			}
+		}
+		i := slices.IndexFunc(t.repeated, func(e *localEntry) bool { return t.unexplained(e, t.repeated) >= t.crashLimit })
+		if i < 0 {
+			return quarantined
+		}
+		e := t.repeated[i]
+		e.Quarantined, e.changedAt, e.Expires = true, now, now.Add(t.duration)
+		t.quarantined = append(t.quarantined, e)
+		quarantined = append(quarantined, e.Part)
+	}
+}
+
+// Merge applies entries of other hosts or of a store. It returns the parts that are quarantined on
+// this host because of them, and those that this host knows to be sound.
+func (t *Tracker) Merge(entries []Entry, now time.Time) (quarantined, released []uint64) {
+	changed := false
+	for i := range entries {
+		entryChanged, sound := t.mergeEntry(&entries[i], now)
+		changed = changed || entryChanged
+		if sound {
+			released = append(released, entries[i].Part)
+		}
+	}
+	if !changed {
+		return nil, released
+	}
+	before := make([]uint64, len(t.quarantined))
+	for i, e := range t.quarantined {
+		before[i] = e.Part
+	}
+	t.classify(now)
+	for _, e := range t.quarantined {
+		if !slices.Contains(before, e.Part) {
+			quarantined = append(quarantined, e.Part)
+		}
+	}
+	return quarantined, released
+}
+
+// mergeEntry applies one entry. It reports whether this host's changed, and whether the part is
+// released again because an answer was completed after a crash that was not known yet.
+func (t *Tracker) mergeEntry(update *Entry, now time.Time) (changed, released bool) {
+	if !now.Before(update.Expires) {
+		return false, false
+	}
+	e, ok := t.entries.Get(update.Part)
+	if !ok {
+		e = &localEntry{Entry: Entry{Part: update.Part}}
+		t.entries.Add(update.Part, e)
+	}
+	changed = !ok
+	switch {
+	case update.Released < e.Released:
+		e.changedAt = now // the sender does not know of the release
+		return false, false
+	case update.Released > e.Released:
+		e.Entry = Entry{Part: update.Part, Released: update.Released}
+		changed = true
+	}
+	for _, c := range update.Crashes {
+		changed = e.addCrash(c) || changed
+	}
+	if update.Quarantined && !e.Quarantined {
+		e.Quarantined, changed = true, true
+	}
+	e.Expires = later(e.Expires, earlier(update.Expires, now.Add(max(t.duration, suspectDuration))))
+	if changed {
+		e.changedAt = now
+	}
+	if sound, ok := t.sound.Peek(e.Part); ok && len(e.Crashes) > 0 && !sound.Before(e.Crashes[0].At) {
+		return true, e.release(now)
+	}
+	return changed, false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Reports returns entries for other hosts, at most limit: those that changed in the last seconds,
+// and with all also those of parts that requests are refused for. If there are more, quarantined parts
+// are preferred, then those of which a second crash or a release is known; equal ones vary from call
+// to call.
+func (t *Tracker) Reports(all bool, limit int, now time.Time) []Entry {
+	var out []Entry
+	for _, e := range t.entries.Values() {
+		if now.Before(e.Expires) && (now.Sub(e.changedAt) < newsTime || all && t.refuses(e)) {
+			out = append(out, e.Entry)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b Entry) int { return cmp.Compare(b.reportRank(), a.reportRank()) })
+	return cloneEntries(out[:min(len(out), limit)])
+}
+
+// reportRank orders entries by what other hosts need first.
+func (e *Entry) reportRank() int {
+	switch {
+	case e.Quarantined:
+		return 2
+	case len(e.Crashes) != 1:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// refuses reports whether requests can be refused for the entry's part.
+func (t *Tracker) refuses(e *localEntry) bool {
+	return e.Quarantined || slices.Contains(t.repeated, e) && t.unexplained(e, nil) >= t.crashLimit
+}
+
+// Refused returns the entries of the parts that requests are refused for.
+func (t *Tracker) Refused(now time.Time) []Entry {
+	var out []Entry
+	for _, e := range t.entries.Values() {
+		if now.Before(e.Expires) && t.refuses(e) {
+			out = append(out, e.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Part, b.Part) })
+	return cloneEntries(out)
+}
+
+// cloneEntries makes the crashes of the entries independent of those of the Tracker.
+func cloneEntries(entries []Entry) []Entry {
+	for i := range entries {
+		entries[i].Crashes = slices.Clone(entries[i].Crashes)
+	}
+	return entries
+}
--- a/internal/scheduling/quarantine/parts_test.go
+++ b/internal/scheduling/poisonpart/poisonpart_test.go
@@ -1,4 +1,4 @@
-package quarantine
+package poisonpart
 
 import (
 	"math/rand/v2"
@@ -19,9 +19,9 @@
 
 var partsStart = time.Unix(1_000, 0)
 
-func newTestParts() *Parts { return NewParts(3, 10*time.Minute) }
+func newTestTracker() *Tracker { return New(3, 10*time.Minute) }
 
-func blamed(p *Parts, now time.Time, parts ...uint64) bool {
+func blamed(p *Tracker, now time.Time, parts ...uint64) bool {
 	_, _, is := p.Blamed(parts, now)
 	return is
 }
@@ -29,7 +29,7 @@
 // Guards against a part that crashes replicas in requests which have nothing else in common and is
 // never recognized, and against blaming the parts beside it.
 func TestPartInAllCrashesIsQuarantined(t *testing.T) {
-	p := newTestParts()
+	p := newTestTracker()
 	now := partsStart
 	for crash := range uint64(3) {
 		require.False(t, blamed(p, now, firstPart, poisonPart), "crash %d", crash)
@@ -53,7 +53,7 @@
 // Guards against refusing all requests of a team because the only requests that ran meanwhile had its
 // first part and the poison part alike: those with both are refused, the others go on and decide.
 func TestPartsThatCannotBeToldApartAreRefusedOnlyTogether(t *testing.T) {
-	p := newTestParts()
+	p := newTestTracker()
 	now := partsStart
 	for crash := range uint64(3) {
 		now = now.Add(time.Second)
@@ -71,7 +71,7 @@
 // Guards against an outage of several replicas, with or without poison requests at the same time, that
 // makes sound parts look like the cause because their requests ran on all of them.
 func TestReplicasThatEndTogetherCountOnce(t *testing.T) {
-	p := newTestParts()
+	p := newTestTracker()
 	now := partsStart
 	for crash := range uint64(6) {
 		p.Crash([]uint64{firstPart, 20 + crash}, crash, now.Add(time.Duration(crash)*10*time.Millisecond))
@@ -92,7 +92,7 @@
 // Guards against crashes that a quarantined part explains and that still count against the parts that
 // were in flight beside it.
 func TestQuarantinedPartExplainsItsCrashes(t *testing.T) {
-	p := newTestParts()
+	p := newTestTracker()
 	now := partsStart
 	for crash := range uint64(6) {
 		now = now.Add(time.Second)
@@ -108,14 +108,15 @@
 // Guards against a report of a crash that comes late, after an answer with the part was completed, and
 // makes the part a suspect again.
 func TestLateReportOfCrashDoesNotOutweighLaterAnswer(t *testing.T) {
-	p, reporter := newTestParts(), newTestParts()
+	p, reporter := newTestTracker(), newTestTracker()
 	now := partsStart
 	for crash := range uint64(3) {
 		reporter.Crash([]uint64{firstPart}, crash, now.Add(time.Duration(crash)*time.Second))
 	}
 	now = now.Add(10 * time.Second)
 	p.Completed([]uint64{firstPart}, now)
-	p.Merge(reporter.Reports(true, 10, now), now)
+	_, released := p.Merge(reporter.Reports(true, 10, now), now)
+	assert.Equal(t, []uint64{firstPart}, released)
 	assert.False(t, blamed(p, now, firstPart))
 	reporter.Merge(p.Reports(true, 10, now), now)
 	assert.False(t, blamed(reporter, now, firstPart), "the reporter learns of the answer")
@@ -124,7 +125,7 @@
 // Guards against a host that starts later, or learns of the crashes one at a time from others, and
 // does not refuse what the others refuse.
 func TestRefusedPartsAreKnownAfterMerge(t *testing.T) {
-	hosts := []*Parts{newTestParts(), newTestParts(), newTestParts()}
+	hosts := []*Tracker{newTestTracker(), newTestTracker(), newTestTracker()}
 	now := partsStart
 	for i, h := range hosts {
 		now = now.Add(time.Second)
@@ -139,9 +140,10 @@
 		}
 	}
 	later := now.Add(time.Minute)
-	started := newTestParts()
+	started := newTestTracker()
 	assert.Empty(t, hosts[0].Reports(false, 10, later))
-	assert.Equal(t, []uint64{poisonPart}, started.Merge(hosts[0].Reports(true, 10, later), later))
+	quarantined, _ := started.Merge(hosts[0].Reports(true, 10, later), later)
+	assert.Equal(t, []uint64{poisonPart}, quarantined)
 	for i, h := range append(hosts, started) {
 		assert.True(t, blamed(h, later, poisonPart), "host %d", i)
 		assert.False(t, blamed(h, later, firstPart), "host %d", i)
@@ -155,9 +157,9 @@
 // order or more than once.
 func TestMergeDoesNotDependOnOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var reports []PartEntry
+		var reports []Entry
 		for range rapid.IntRange(1, 6).Draw(t, "reports") {
-			h := newTestParts()
+			h := newTestTracker()
 			for range rapid.IntRange(0, 4).Draw(t, "events") {
 				at := partsStart.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "second")) * time.Second)
 				if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
@@ -169,7 +171,7 @@
 			reports = append(reports, h.Reports(true, 1, partsStart.Add(20*time.Second))...)
 		}
 		now := partsStart.Add(20 * time.Second)
-		a, b := newTestParts(), newTestParts()
+		a, b := newTestTracker(), newTestTracker()
 		a.Merge(reports, now)
 		shuffled := append(slices.Clone(reports), reports...)
 		rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
@@ -192,7 +194,7 @@
 // Guards against two poison parts at the same time, of which one is taken for the explanation of the
 // other.
 func TestTwoPoisonPartsAreBothQuarantined(t *testing.T) {
-	p := newTestParts()
+	p := newTestTracker()
 	now := partsStart
 	for crash := range uint64(10) {
 		now = now.Add(300 * time.Millisecond)
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -8,7 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/scheduling/poisonpart"
 	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
@@ -21,6 +24,9 @@
 // String returns "upstream/replica".
 func (id ReplicaID) String() string { return id.Upstream + "/" + id.Replica }
 
+// Hash returns a hash by which all hosts identify the replica.
+func (id ReplicaID) Hash() uint64 { return xxhash.Sum64String(id.String()) }
+
 // Request holds the properties of a request that scheduling depends on.
 type Request struct {
 	ID           string
@@ -29,6 +35,7 @@
 	Upstreams    []int    // indexes of the upstreams that may serve it
 	Model        string   // empty for calls to services
 	Fingerprint  uint64   // hash of model and prompt; 0 for calls to services
+	Parts        []uint64 // hashes of the prompt's messages but the last, which belongs to the request alone
 	PrefixHashes []uint64 // hashes of prompt prefixes, each twice as long as the previous one, except the last, which is the whole prompt
 	PromptTokens int
 	MaxTokens    int // limit set by the caller; 0 when there is none
@@ -93,13 +100,14 @@
 	Released    uint64 // number of releases; incremented by an operator's release and by a completion
 }
 
-// SuspectEvent reports to the other hosts that a request with the fingerprint crashed a
-// replica or completed on this host.
+// SuspectEvent reports to the other hosts that a request with the fingerprint or the parts crashed
+// a replica, or completed on this host.
 type SuspectEvent struct {
-	Fingerprint uint64
+	Fingerprint uint64   // 0 if only Parts are concerned
+	Parts       []uint64 // of the prompt; when Cleared is set, those that were suspects
 	Model       string
 	Replica     ReplicaID // the replica that crashed; empty when Cleared is set
-	Cleared     bool      // a request with the fingerprint completed
+	Cleared     bool      // a request with the fingerprint or the parts completed
 }
 
 // TeamShare is the part of a team's entitlement that this host may use in addition to its
@@ -129,6 +137,7 @@
 	Version     uint64
 	Replicas    []ReplicaLoad
 	Quarantine  []QuarantineEntry
+	Parts       []poisonpart.Entry // suspect parts of prompts
 	Shares      []TeamShare
 	Limits      []ReplicaLimit
 	Hosts       []EntryHost
@@ -143,7 +152,10 @@
 	ReasonDeadline    = "deadline"
 	ReasonTeamLimit   = "team_limit"
 	ReasonQuarantined = "quarantined"
-	ReasonRetryBudget = "retry_budget"
+	// ReasonPartQuarantined means that a message of the prompt crashed the replicas that answered
+	// requests with it.
+	ReasonPartQuarantined = "quarantined_part"
+	ReasonRetryBudget     = "retry_budget"
 )
 
 // RefusedError reports that a request was refused before anything was sent to a replica.
