--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -43,6 +43,7 @@
 	// watch or the pull.
 	Complete bool
 	AsOf     uint64
+	Era      uint64 // of the store's revisions, see objectstore.Revisions.Era
 }
 
 // StoreCall is the outcome of a call to the store.
@@ -234,7 +235,11 @@
 	// Updates from a peer start no hold because of this host's failed store calls: the store
 	// may be unreachable from this host only.
 	storeUnstable := update.Source == FromStore && s.storeUnstable(now)
-	changed := s.merge(update, storeUnstable, now)
+	changed, outdated := s.merge(update, storeUnstable, now)
+	if outdated > 0 || changed {
+		s.opts.Logger.Info().Str("source", string(update.Source)).Uint64("era", update.Era).Uint64("as_of", update.AsOf).
+			Int("entries", len(update.Entries)).Int("outdated", outdated).Bool("complete", update.Complete).Msg("registrations received")
+	}
 	if changed {
 		s.installMembers("registrations changed", update.Source, now)
 	}
@@ -243,14 +248,17 @@
 	}
 }
 
-// merge merges an update into the registry and reports whether the registry changed.
-func (s *State) merge(update Members, storeUnstable bool, now time.Time) bool {
+// merge merges an update into the registry. It reports whether the registry changed, and how many
+// entries of the update are older than those that this host has.
+func (s *State) merge(update Members, storeUnstable bool, now time.Time) (changed bool, outdated int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := false
 	listedIDs := make(map[string]bool, len(update.Entries))
 	for _, r := range update.Entries {
 		listedIDs[r.ID] = true
+		if old, ok := s.registry.entries[r.ID]; ok && old.Revision > r.Revision {
+			outdated++
+		}
 		changed = s.registry.merge(r, storeUnstable, now) || changed
 	}
 	if update.Complete {
@@ -260,7 +268,7 @@
 	if update.AsOf > s.membersAsOf.Load() {
 		s.membersAsOf.Store(update.AsOf)
 	}
-	return changed
+	return changed, outdated
 }
 
 // installMembers applies changed registrations to the fleet and, when they came from the store,
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -133,7 +133,7 @@
 // applyMembers publishes replica registrations received from the store. complete reports
 // whether r contains all registrations rather than only the changed ones.
 func (s *storeService) applyMembers(r objectstore.Revisions, complete bool) error {
-	update := state.Members{Source: state.FromStore, Complete: complete, AsOf: r.AsOf}
+	update := state.Members{Source: state.FromStore, Complete: complete, AsOf: r.AsOf, Era: r.Era}
 	for _, o := range r.Objects {
 		registration := state.Registration{Member: fleet.Member{ID: o.Name}, Revision: o.Version, Removed: o.Deleted}
 		if !o.Deleted {
