gateway: order what the store tells by its era before its revision

Cause: revisions of different eras were compared. After the restore they begin again at a lower number, and an entry that changed at such a revision lost against what a host had. The log line added before shows it: era 2, a change with outdated 1. Class: an order that holds only as long as its source keeps its history.

Registrations, full lists, heartbeats and pulls carry the era, and a later one holds; an earlier one is ignored, also from hosts that have not heard of the restore. A watch or list that shows a new era makes all watchers list again, since a watch from a revision that the store has reached again misses changes. Entries that the store lost are held as in any disturbance. A process that drained before does not return, and one whose removed entry comes back with a revision that it had is not used until the entry would have lapsed. Hosts write their own entries and refused prompt parts again.

--- a/internal/gateway/partkeeper.go
+++ b/internal/gateway/partkeeper.go
@@ -20,7 +20,8 @@
 // after all hosts have restarted. Hosts that restart alone learn them from their peers.
 type partKeeper struct {
 	program *Program
-	stored  map[uint64]uint64 // number of releases of the stored entries, by part
+	stored  map[uint64]uint64 // number of releases of the stored entries, by part; nil if they must be read
+	era     uint64            // of the store, of which stored tells
 }
 
 // run reads the stored parts, and then writes and removes them as they change, until ctx ends.
@@ -28,6 +29,9 @@
 	ticker := time.NewTicker(partSyncInterval)
 	defer ticker.Stop()
 	for {
+		if era := k.program.state.StoreEra(); era != k.era {
+			k.era, k.stored = era, nil // the store may have lost what was written
+		}
 		var err error
 		if k.stored == nil {
 			err = k.load(ctx)
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -399,7 +399,7 @@
 	message := &rpc.Beat{
 		Host: e.opts.Host, AvailabilityZone: e.opts.Zone, Incarnation: e.incarnation, Sequence: e.sequence,
 		PullAddress: e.opts.Listen, ConfigVersion: e.opts.State.ConfigVersion(),
-		MembersRevision: e.opts.State.MembersRevision(), StoreReachable: !e.opts.State.StoreLost(),
+		MembersEra: e.opts.State.MembersEra(), MembersRevision: e.opts.State.MembersRevision(), StoreReachable: !e.opts.State.StoreLost(),
 	}
 	uses, parts, tokens := e.opts.Fleet.Digest(now)
 	for key, u := range uses {
@@ -555,7 +555,7 @@
 	for _, address := range m.Peers {
 		e.addPeer(address)
 	}
-	if m.ConfigVersion > e.opts.State.ConfigVersion() || m.MembersRevision > e.opts.State.MembersRevision() {
+	if m.ConfigVersion > e.opts.State.ConfigVersion() || e.opts.State.MembersAhead(m.MembersEra, m.MembersRevision) {
 		if p.aheadSince.IsZero() {
 			p.aheadSince = now
 		}
--- a/internal/gateway/peers/pull.go
+++ b/internal/gateway/peers/pull.go
@@ -52,7 +52,9 @@
 // and publishes them to this host's state.
 func (e *Exchange) pullFrom(ctx context.Context, address string) error {
 	client := rpc.NewGatewayProtobufClient("http://"+address, e.client)
-	response, err := client.Pull(ctx, &rpc.PullRequest{ConfigVersion: e.opts.State.ConfigVersion(), MembersAsOf: e.opts.State.MembersAsOf()})
+	response, err := client.Pull(ctx, &rpc.PullRequest{
+		ConfigVersion: e.opts.State.ConfigVersion(), MembersEra: e.opts.State.MembersEra(), MembersAsOf: e.opts.State.MembersAsOf(),
+	})
 	if err != nil {
 		return err
 	}
@@ -72,11 +74,11 @@
 				ID: m.Id, Upstream: m.Upstream, Address: m.Address, Zone: m.AvailabilityZone,
 				Started: m.Started, Slots: int(m.Slots), Leaving: m.Leaving,
 			},
-			Revision: m.Revision, Removed: m.Removed, PeerHold: time.Duration(m.HeldMs) * time.Millisecond,
+			Era: m.Era, Revision: m.Revision, Removed: m.Removed, PeerHold: time.Duration(m.HeldMs) * time.Millisecond,
 		}
 	}
 	return e.opts.State.Publish(state.Members{
-		Entries: entries, Source: state.FromPeer, Complete: response.MembersComplete, AsOf: response.MembersAsOf,
+		Entries: entries, Source: state.FromPeer, Complete: response.MembersComplete, AsOf: response.MembersAsOf, Era: response.MembersEra,
 	})
 }
 
@@ -105,13 +107,13 @@
 		}
 	}
 	now := time.Now()
-	entries, asOf, complete := s.MembersSince(request.MembersAsOf)
-	response.MembersAsOf, response.MembersComplete = asOf, complete
+	entries, era, asOf, complete := s.MembersSince(request.MembersEra, request.MembersAsOf)
+	response.MembersEra, response.MembersAsOf, response.MembersComplete = era, asOf, complete
 	for i := range entries {
 		r := &entries[i]
 		response.Members = append(response.Members, &rpc.Member{
 			Id: r.ID, Upstream: r.Upstream, Address: r.Address, AvailabilityZone: r.Zone, Started: r.Started,
-			Slots: int32(r.Slots), Leaving: r.Leaving, Removed: r.Removed, Revision: r.Revision,
+			Slots: int32(r.Slots), Leaving: r.Leaving, Removed: r.Removed, Era: r.Era, Revision: r.Revision,
 			HeldMs: uint32(r.HeldFor(now).Milliseconds()),
 		})
 	}
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -93,6 +93,7 @@
 	peers        *peers.Exchange
 	server       *proxy.Server
 	store        objectstore.Store
+	newEra       chan struct{} // a value means that the store came back from a copy
 	metrics      *telemetry.Metrics
 	started      time.Time
 	loggedModels map[string]fleet.EngineModel // engine speeds logged last, by name of the upstream; used only by runHousekeeping
@@ -148,12 +149,20 @@
 // them.
 func (p *Program) registerServices() (*kernel.Registry, error) {
 	events := bus.New()
+	p.newEra = make(chan struct{}, 1)
 	p.fleet = fleet.New(fleet.Options{Zone: p.settings.AvailabilityZone, Model: p.settings.Engines.engineModel(), Seed: rand.Uint64()})
 	p.budget = proxy.NewBudget(clockwork.NewRealClock(), p.settings.RetryShare, p.settings.RetrySlack, minHosts)
 	p.client = upstream.NewClient(netio.Dial)
 	p.state = state.New(state.Options{
 		Bus: events, Fleet: p.fleet, Decode: p.adapter.DecodeConfig, Logger: p.logger,
-		MaxWithdrawTime: p.settings.WithdrawWithin.Std(), OnStoreChange: func() { p.peers.Announce() },
+		MaxWithdrawTime: p.settings.WithdrawWithin.Std(), RegistrationLapse: p.settings.registrationLapse(),
+		OnStoreChange: func() { p.peers.Announce() },
+		OnNewEra: func() {
+			select {
+			case p.newEra <- struct{}{}:
+			default: // the store service has not taken the last one yet
+			}
+		},
 	})
 	p.role = state.NewRole()
 	p.peers = peers.New(peers.Options{
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,8 +3,10 @@
 package gateway
 
 import (
+	"cmp"
 	"net"
 	"strconv"
+	"time"
 
 	"heatherbarrow/internal/settings"
 )
@@ -32,6 +34,8 @@
 	// WithdrawWithin is the time within which a removed replica must stop receiving
 	// requests.
 	WithdrawWithin settings.Duration `json:"withdraw_within"`
+	// ReplicaHeartbeat is the interval at which replicas renew their registrations. Zero means 1 s.
+	ReplicaHeartbeat settings.Duration `json:"replica_heartbeat,omitzero"`
 	// BalancerLag is how long the balancer may still send connections to a host that
 	// is no longer ready. Zero means 2.5 s.
 	BalancerLag settings.Duration `json:"balancer_lag,omitzero"`
@@ -82,6 +86,8 @@
 		return settings.Errorf("grace_seconds", "value must be positive")
 	case s.BalancerLag < 0:
 		return settings.Errorf("balancer_lag", "value must not be negative")
+	case s.ReplicaHeartbeat < 0:
+		return settings.Errorf("replica_heartbeat", "value must not be negative")
 	case s.WithdrawWithin <= 0:
 		return settings.Errorf("withdraw_within", "value must be positive")
 	case s.Engines.PrefillTokensPerMs < 0 || s.Engines.Step < 0 || s.Engines.StepPerRequest < 0 || s.Engines.First < 0, s.Engines.Chunk < 0:
@@ -90,6 +96,19 @@
 	return nil
 }
 
+// Constants of registrationLapse. The store removes a registration after three heartbeats that did not
+// come, and may do so up to one later.
+const (
+	defaultReplicaHeartbeat = time.Second
+	lapseHeartbeats         = 4
+)
+
+// registrationLapse returns the time in which the store removes the registration of a replica that is
+// gone.
+func (s *Settings) registrationLapse() time.Duration {
+	return lapseHeartbeats * cmp.Or(s.ReplicaHeartbeat.Std(), defaultReplicaHeartbeat)
+}
+
 // checkAddress returns an error for the setting at path if value is not IP:port.
 func checkAddress(path, value string) error {
 	host, port, err := net.SplitHostPort(value)
@@ -108,5 +127,5 @@
 	return s.Host == other.Host && s.AvailabilityZone == other.AvailabilityZone && s.Listen == other.Listen &&
 		s.ReadyListen == other.ReadyListen && s.PeerListen == other.PeerListen && s.BeatPort == other.BeatPort &&
 		s.Store == other.Store && s.MemoryLimitMB == other.MemoryLimitMB && s.GraceSeconds == other.GraceSeconds &&
-		s.WithdrawWithin == other.WithdrawWithin && s.BalancerLag == other.BalancerLag && s.Engines == other.Engines
+		s.WithdrawWithin == other.WithdrawWithin && s.ReplicaHeartbeat == other.ReplicaHeartbeat && s.BalancerLag == other.BalancerLag && s.Engines == other.Engines
 }
--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -83,6 +83,8 @@
 	// whether r holds all objects of the kind rather than changes.
 	Apply func(r objectstore.Revisions, complete bool) error
 
+	era uint64 // of the store at the last list; used only by Run
+
 	mu     sync.Mutex
 	cancel context.CancelFunc // of the call in progress
 	relist bool               // the next call must list
@@ -157,6 +159,10 @@
 			w.Logger.Info().Str("kind", w.Kind).Uint64("revision", revision).Msg("store dropped its history; listing again")
 			revision = 0
 			w.restartOthers(true)
+		case errors.Is(err, errNewEra):
+			w.Logger.Info().Str("kind", w.Kind).Uint64("revision", revision).Uint64("era", w.era).Msg("store came back from a copy; listing again")
+			revision = 0
+			w.restartOthers(true)
 		case errors.Is(err, errRestarted):
 		default:
 			callFailed = true
@@ -188,6 +194,10 @@
 // errRestarted means that restart canceled a call.
 var errRestarted = errors.New("store call canceled by a restart")
 
+// errNewEra means that the store has come back from a copy since the last list: a watch from a revision of
+// before may miss changes that have lower ones.
+var errNewEra = errors.New("store came back from a copy")
+
 func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -249,7 +259,7 @@
 	if err != nil && errors.Is(callCtx.Err(), context.Canceled) {
 		return revision, false, errRestarted
 	}
-	outcome := StoreCall{Err: err}
+	outcome := StoreCall{Err: err, Era: r.Era}
 	if errors.Is(err, objectstore.ErrHistoryGone) {
 		outcome.Err = nil // the store answered, so it counts as reachable
 	}
@@ -262,6 +272,10 @@
 	if r.Unreadable > 0 {
 		w.Logger.Warn().Str("kind", w.Kind).Int("entries", r.Unreadable).Uint64("revision", r.AsOf).Msg("cannot decode entries of the store")
 	}
+	if revision > 0 && r.Era != w.era {
+		return revision, false, errNewEra
+	}
+	w.era = r.Era
 	changed = len(r.Objects) > 0
 	if revision == 0 || changed {
 		if err := w.Apply(r, revision == 0); err != nil {
--- a/internal/gateway/state/follow_test.go
+++ b/internal/gateway/state/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	mu      sync.Mutex
 	lists   map[string]int
 	watches map[string]chan error // by kind; a value is the result of the open watch
+	era     atomic.Uint64
 }
 
 func newScriptedStore() *scriptedStore {
@@ -36,7 +38,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists[kind]++
-	return objectstore.Revisions{AsOf: 5}, nil
+	return objectstore.Revisions{AsOf: 5, Era: s.era.Load()}, nil
 }
 
 func (s *scriptedStore) WatchKind(ctx context.Context, kind string, _ uint64, _ time.Duration) (objectstore.Revisions, error) {
@@ -44,7 +46,7 @@
 	case <-ctx.Done():
 		return objectstore.Revisions{}, ctx.Err()
 	case err := <-s.watches[kind]:
-		return objectstore.Revisions{AsOf: 6}, err
+		return objectstore.Revisions{AsOf: 6, Era: s.era.Load()}, err
 	}
 }
 
--- a/internal/gateway/state/registry.go
+++ b/internal/gateway/state/registry.go
@@ -4,6 +4,8 @@
 package state
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
@@ -34,10 +36,18 @@
 // set.
 type Registration struct {
 	fleet.Member
-	Revision  uint64 // of the store; the entry with the higher revision wins
+	Era       uint64 // of the store, see objectstore.Revisions; the entry of the later era wins
+	Revision  uint64 // of the store; within an era, the entry with the higher revision wins
 	Removed   bool
 	removedAt time.Time
 	heldUntil time.Time // end of the hold; zero when the replica is not held
+	// withheldUntil is when a replica whose entry a restored store brought back comes into use, see
+	// carryOver; zero when it is not withheld.
+	withheldUntil time.Time
+	// leftBefore means that the process was draining in an earlier era.
+	leftBefore bool
+	// seen are the last revisions of its entries, of this era or the one before.
+	seen []uint64
 	// PeerHold is how much longer the peer that reported the removal keeps the replica in use,
 	// because the registration vanished while the store was unstable or in a mass removal.
 	PeerHold time.Duration
@@ -51,19 +61,23 @@
 	entries  map[string]*Registration
 	changed  map[string]struct{} // ids of entries that changed since the last call of takeChanges
 	holdTime time.Duration
-	revision uint64 // the highest of all entries
-	held     int    // number of removed entries that stay in use
+	// lapseTime is the time in which the entry of a replica that is gone is removed from the store.
+	lapseTime time.Duration
+	era       uint64 // of the store's last full list
+	revision  uint64 // the highest of all entries of the era
+	held      int    // number of removed entries that stay in use
 	// forgottenRevision is the highest revision of a removal that is no longer remembered.
 	forgottenRevision uint64
 }
 
 // newRegistry returns an empty registry. maxWithdrawTime is the time after a replica has left
-// within which it must stop receiving requests.
-func newRegistry(maxWithdrawTime time.Duration) *registry {
+// within which it must stop receiving requests, lapseTime the time in which its entry is removed from
+// the store when it is gone.
+func newRegistry(maxWithdrawTime, lapseTime time.Duration) *registry {
 	return &registry{
 		entries:  make(map[string]*Registration),
 		changed:  make(map[string]struct{}),
-		holdTime: time.Duration(holdFraction * float64(maxWithdrawTime)),
+		holdTime: time.Duration(holdFraction * float64(maxWithdrawTime)), lapseTime: lapseTime,
 	}
 }
 
@@ -73,21 +87,23 @@
 // in a mass removal.
 func (g *registry) merge(update Registration, storeUnstable bool, now time.Time) bool {
 	old, exists := g.entries[update.ID]
-	if exists && old.Revision >= update.Revision {
+	if exists && old.compare(&update) >= 0 {
 		return false
 	}
-	g.revision = max(g.revision, update.Revision)
+	if update.Era == g.era {
+		g.revision = max(g.revision, update.Revision)
+	}
 	if update.Removed {
 		if !exists || old.Removed {
 			if exists {
-				old.Revision = update.Revision
+				old.Era, old.Revision = update.Era, update.Revision
 			}
 			return false
 		}
-		update.Member = old.Member
+		update.Member, update.leftBefore, update.seen = old.Member, old.leftBefore, old.seen
 		update.removedAt = now
 		switch {
-		case update.Leaving:
+		case update.Leaving, now.Before(old.withheldUntil):
 		case update.PeerHold > 0:
 			update.heldUntil = now.Add(min(update.PeerHold, g.holdTime))
 			g.held++
@@ -95,6 +111,10 @@
 			g.startHold(&update, now)
 		}
 	}
+	if exists && !update.Removed {
+		g.carryOver(old, &update, now)
+	}
+	update.noteSeen()
 	if exists && old.heldUntil.After(now) {
 		g.held--
 	}
@@ -103,6 +123,51 @@
 	return true
 }
 
+// compare orders two entries of a replica by their positions in the store's history.
+func (r *Registration) compare(other *Registration) int {
+	return cmp.Or(cmp.Compare(r.Era, other.Era), cmp.Compare(r.Revision, other.Revision))
+}
+
+// sameProcess reports whether both entries describe one start of a replica.
+func (r *Registration) sameProcess(other *Registration) bool {
+	return r.Started == other.Started && r.Address == other.Address && r.Upstream == other.Upstream
+}
+
+// maxSeenRevisions bounds Registration.seen. A process changes its entry a few times.
+const maxSeenRevisions = 6
+
+// noteSeen records the revision of an entry that is not a removal.
+func (r *Registration) noteSeen() {
+	if !r.Removed {
+		r.seen = append(r.seen[max(len(r.seen)-maxSeenRevisions+1, 0):len(r.seen):len(r.seen)], r.Revision)
+	}
+}
+
+// carryOver applies what is known of a process to its newer entry. A store that came back from a copy
+// lists entries as they were then: a process that has drained does not return, and one whose entry was
+// removed is gone if the entry comes back with a revision that it had before. If such an entry does not
+// lapse, the process is alive.
+func (g *registry) carryOver(old, update *Registration, now time.Time) {
+	if !old.sameProcess(update) {
+		return
+	}
+	newEra := update.Era > old.Era
+	update.leftBefore = old.leftBefore || newEra && old.Leaving
+	update.Leaving = update.Leaving || update.leftBefore
+	if newEra && old.Removed && !old.heldUntil.After(now) && slices.Contains(old.seen, update.Revision) {
+		update.withheldUntil = now.Add(g.lapseTime)
+	}
+	if !newEra {
+		update.seen = old.seen
+	}
+}
+
+// beginEra prepares the registry for the full list of a later era: revisions of before say nothing of
+// it.
+func (g *registry) beginEra(era uint64) {
+	g.era, g.revision, g.forgottenRevision = era, 0, 0
+}
+
 // startHold keeps a removed replica in use for holdTime after its removal.
 func (g *registry) startHold(r *Registration, now time.Time) {
 	r.heldUntil = r.removedAt.Add(g.holdTime)
@@ -138,25 +203,35 @@
 	return true
 }
 
-// applyFullList removes the entries that are missing from a list of all entries as of a
-// revision, unless they are newer than the list. It reports whether the registry changed.
+// applyFullList removes the entries that are missing from a list of all entries as of a revision of the
+// registry's era, unless they are newer than the list. An entry of an earlier era may be one that the
+// store lost and that its replica writes again. It reports whether the registry changed.
 func (g *registry) applyFullList(listedIDs map[string]bool, revision uint64, storeUnstable bool, now time.Time) bool {
 	changed := false
 	for id, e := range g.entries {
-		if listedIDs[id] || e.Removed || e.Revision > revision {
+		if listedIDs[id] || e.Removed || e.Era == g.era && e.Revision > revision {
 			continue
 		}
-		update := Registration{Member: fleet.Member{ID: id}, Revision: max(revision, e.Revision+1), Removed: true}
-		changed = g.merge(update, storeUnstable, now) || changed
+		update := Registration{Member: fleet.Member{ID: id}, Era: g.era, Revision: revision, Removed: true}
+		lost := e.Era < g.era
+		if !lost {
+			update.Revision = max(revision, e.Revision+1)
+		}
+		changed = g.merge(update, storeUnstable || lost, now) || changed
 	}
 	return changed
 }
 
-// expire ends holds that have run out and forgets old removals. It reports whether a hold
-// ended.
+// expire ends holds that have run out, takes replicas into use that are no longer withheld, and forgets
+// old removals. It reports whether a replica came into use or out of it.
 func (g *registry) expire(now time.Time) bool {
 	changed := false
 	for id, e := range g.entries {
+		if !e.withheldUntil.IsZero() && !now.Before(e.withheldUntil) {
+			e.withheldUntil = time.Time{}
+			g.changed[id] = struct{}{}
+			changed = true
+		}
 		if !e.Removed {
 			continue
 		}
@@ -167,7 +242,9 @@
 			changed = true
 		}
 		if e.heldUntil.IsZero() && now.Sub(e.removedAt) > removalRetention {
-			g.forgottenRevision = max(g.forgottenRevision, e.Revision)
+			if e.Era == g.era {
+				g.forgottenRevision = max(g.forgottenRevision, e.Revision)
+			}
 			delete(g.entries, id)
 		}
 	}
@@ -179,7 +256,7 @@
 func (g *registry) takeChanges(now time.Time) (members []fleet.Member, removedIDs []string) {
 	for id := range g.changed {
 		e, ok := g.entries[id]
-		if !ok || e.Removed && !now.Before(e.heldUntil) {
+		if !ok || !e.inUse(now) {
 			removedIDs = append(removedIDs, id)
 			continue
 		}
@@ -191,10 +268,18 @@
 	return members, removedIDs
 }
 
+// inUse reports whether the replica may get requests, unless it is draining.
+func (r *Registration) inUse(now time.Time) bool {
+	if r.Removed {
+		return now.Before(r.heldUntil)
+	}
+	return !now.Before(r.withheldUntil)
+}
+
 // counts returns the number of replicas in use, and how many of these are draining.
 func (g *registry) counts(now time.Time) (inUse, leaving int) {
 	for _, e := range g.entries {
-		if e.Removed && !now.Before(e.heldUntil) {
+		if !e.inUse(now) {
 			continue
 		}
 		inUse++
@@ -205,11 +290,21 @@
 	return inUse, leaving
 }
 
-// since returns the entries, including removals, whose revision is higher than the given one.
+// all returns all entries, including removals.
+func (g *registry) all() []Registration {
+	out := make([]Registration, 0, len(g.entries))
+	for _, e := range g.entries {
+		out = append(out, *e)
+	}
+	return out
+}
+
+// since returns the entries of the registry's era, including removals, whose revision is higher than the
+// given one.
 func (g *registry) since(revision uint64) []Registration {
 	var out []Registration
 	for _, e := range g.entries {
-		if e.Revision > revision {
+		if e.Era == g.era && e.Revision > revision {
 			out = append(out, *e)
 		}
 	}
--- a/internal/gateway/state/registry_test.go
+++ b/internal/gateway/state/registry_test.go
@@ -10,7 +10,10 @@
 	"heatherbarrow/internal/gateway/fleet"
 )
 
-const testMaxWithdrawTime = 2 * time.Second
+const (
+	testMaxWithdrawTime = 2 * time.Second
+	testLapse           = 5 * time.Second
+)
 
 var start = time.Unix(1000, 0)
 
@@ -47,7 +50,7 @@
 // because it left without draining while the store was unstable and is held for too long. Found by
 // the check DRAIN with seed 279239108008 in the scenario scale-2 of Caceres.
 func TestHoldEndsBeforeReplicaMustBeWithdrawn(t *testing.T) {
-	g := newRegistry(testMaxWithdrawTime)
+	g := newRegistry(testMaxWithdrawTime, testLapse)
 	g.merge(registration("a", 1), false, start)
 	g.merge(registration("b", 2), false, start)
 	g.merge(registration("c", 3), false, start)
@@ -61,7 +64,7 @@
 // stop picking a held replica when its hold ends. Found by the check DRAIN with seed 282802981318
 // in the scenario mix of Kitamori.
 func TestHoldEndsWithoutExpireCall(t *testing.T) {
-	g := newRegistry(testMaxWithdrawTime)
+	g := newRegistry(testMaxWithdrawTime, testLapse)
 	g.merge(registration("a", 1), false, start)
 	g.merge(removal("a", 2), true, start)
 	held := g.membersInUse(start)
@@ -77,7 +80,7 @@
 
 // Guards against a removal that is delayed although the store is stable.
 func TestRemovalTakesEffectAtOnceWhenStoreIsStable(t *testing.T) {
-	g := newRegistry(testMaxWithdrawTime)
+	g := newRegistry(testMaxWithdrawTime, testLapse)
 	for i, id := range []string{"a", "b", "c", "d", "e"} {
 		g.merge(registration(id, uint64(i+1)), false, start)
 	}
@@ -88,7 +91,7 @@
 // Guards against the loss of a whole upstream when its registrations expire
 // together although the replicas are alive.
 func TestMassRemovalIsHeld(t *testing.T) {
-	g := newRegistry(testMaxWithdrawTime)
+	g := newRegistry(testMaxWithdrawTime, testLapse)
 	for i, id := range []string{"a", "b", "c", "d"} {
 		g.merge(registration(id, uint64(i+1)), false, start)
 	}
@@ -103,7 +106,7 @@
 
 // Guards against holding a draining replica after its entry is removed.
 func TestDrainingReplicaIsNeverHeld(t *testing.T) {
-	g := newRegistry(testMaxWithdrawTime)
+	g := newRegistry(testMaxWithdrawTime, testLapse)
 	leaving := registration("a", 1)
 	leaving.Leaving = true
 	g.merge(leaving, false, start)
@@ -114,7 +117,7 @@
 
 // Guards against an older update from a peer that undoes a newer one from the store.
 func TestOlderRegistrationsAreIgnored(t *testing.T) {
-	g := newRegistry(testMaxWithdrawTime)
+	g := newRegistry(testMaxWithdrawTime, testLapse)
 	g.merge(registration("a", 1), false, start)
 	g.merge(removal("a", 5), false, start)
 	assert.False(t, g.merge(registration("a", 4), false, start))
@@ -126,7 +129,7 @@
 // Guards against replicas that stay in use although a full list does not contain them, and
 // against the removal of one that registered after the list's revision.
 func TestFullListRemovesMissingReplicas(t *testing.T) {
-	g := newRegistry(testMaxWithdrawTime)
+	g := newRegistry(testMaxWithdrawTime, testLapse)
 	g.merge(registration("a", 1), false, start)
 	g.merge(registration("b", 2), false, start)
 	g.merge(registration("c", 3), false, start)
--- a/internal/gateway/state/role_test.go
+++ b/internal/gateway/state/role_test.go
@@ -112,32 +112,32 @@
 func TestMembersSinceMissesNoChange(t *testing.T) {
 	s, _ := newTestState(t, nil)
 	publish := func(m Members) { require.NoError(t, s.Publish(m)) }
-	_, _, complete := s.MembersSince(0)
+	_, _, _, complete := s.MembersSince(0, 0)
 	assert.False(t, complete, "a host that has received no list must not claim a full one")
 	// In a list of several pages, a later page can hold an entry that is newer than the list's revision.
 	publish(Members{Source: FromStore, Complete: true, AsOf: 100, Entries: []Registration{registration("a", 90), registration("b", 105)}})
 	assert.Equal(t, uint64(100), s.MembersAsOf())
 	publish(Members{Source: FromStore, AsOf: 106, Entries: []Registration{registration("c", 103)}})
-	entries, asOf, complete := s.MembersSince(100)
+	entries, _, asOf, complete := s.MembersSince(0, 100)
 	assert.False(t, complete)
 	assert.Equal(t, uint64(106), asOf)
 	assert.ElementsMatch(t, []string{"b", "c"}, registrationIDs(entries))
 	publish(Members{Source: FromStore, AsOf: 110, Entries: []Registration{removal("a", 110)}})
-	entries, _, _ = s.MembersSince(106)
+	entries, _, _, _ = s.MembersSince(0, 106)
 	require.Len(t, entries, 1)
 	assert.True(t, entries[0].Removed)
 	// After removalRetention the removal is forgotten; a request from before it gets a full list.
 	s.registry.expire(time.Now().Add(2 * removalRetention))
-	entries, _, complete = s.MembersSince(106)
+	entries, _, _, complete = s.MembersSince(0, 106)
 	assert.True(t, complete)
 	assert.ElementsMatch(t, []string{"b", "c"}, registrationIDs(entries))
-	entries, _, complete = s.MembersSince(110)
+	entries, _, _, complete = s.MembersSince(0, 110)
 	assert.False(t, complete)
 	assert.Empty(t, entries)
 
 	peer, _ := newTestState(t, nil)
 	require.NoError(t, peer.Publish(Members{Source: FromStore, Complete: true, AsOf: 100, Entries: []Registration{registration("a", 90), registration("b", 95)}}))
-	entries, asOf, complete = s.MembersSince(peer.MembersAsOf())
+	entries, _, asOf, complete = s.MembersSince(0, peer.MembersAsOf())
 	require.NoError(t, peer.Publish(Members{Source: FromPeer, Complete: complete, AsOf: asOf, Entries: entries}))
 	total, _ := peer.opts.Fleet.ReplicaCounts("pool", time.Now())
 	assert.Equal(t, 2, total)
@@ -153,7 +153,7 @@
 // Guards against a host that drops a replica at once when a peer reports its removal, although
 // the peer holds the replica because the entry vanished while the store was unstable.
 func TestHoldIsPropagatedToPeers(t *testing.T) {
-	g := newRegistry(testMaxWithdrawTime)
+	g := newRegistry(testMaxWithdrawTime, testLapse)
 	g.merge(registration("a", 1), false, start)
 	g.merge(registration("b", 2), false, start)
 	g.merge(registration("c", 3), false, start)
@@ -162,7 +162,7 @@
 	received := removal("a", 4)
 	received.PeerHold = g.entries["a"].HeldFor(later)
 	assert.Equal(t, g.holdTime-500*time.Millisecond, received.PeerHold)
-	peer := newRegistry(testMaxWithdrawTime)
+	peer := newRegistry(testMaxWithdrawTime, testLapse)
 	peer.merge(registration("a", 1), false, start)
 	peer.merge(received, false, later)
 	assert.Contains(t, memberIDs(peer.membersInUse(later)), "a")
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -47,7 +47,10 @@
 }
 
 // StoreCall is the outcome of a call to the store.
-type StoreCall struct{ Err error }
+type StoreCall struct {
+	Err error
+	Era uint64 // of the store, if Err is nil and the answer tells it
+}
 
 // tick is the periodic event that ends expired holds.
 type tick struct{}
@@ -61,6 +64,12 @@
 	// MaxWithdrawTime is the time after a replica has left within which it must stop receiving
 	// requests.
 	MaxWithdrawTime time.Duration
+	// RegistrationLapse is the time after which the store removes the registration of a replica that
+	// no longer renews it.
+	RegistrationLapse time.Duration
+	// OnNewEra is called when the store has come back from a copy: what this host wrote there may be
+	// lost.
+	OnNewEra func()
 	// OnStoreChange is called after a configuration or a change of replicas from the store took
 	// effect, and after a hold ended. It is not called for updates from a peer, as the
 	// other hosts get these from that peer too.
@@ -80,7 +89,9 @@
 	table           atomic.Pointer[routing.Table]
 	configOrigin    atomic.Pointer[Origin] // of the configuration in table
 	rawConfig       atomic.Pointer[[]byte]
-	membersRevision atomic.Uint64 // the highest revision of any registration
+	storeEra        atomic.Uint64 // the highest era of the store that this host knows of
+	membersEra      atomic.Uint64 // the era of the registrations
+	membersRevision atomic.Uint64 // the highest revision of any registration of the era
 	membersAsOf     atomic.Uint64 // the store's revision up to which no change of registrations is missing
 	storeReachable  atomic.Bool   // the last call to the store succeeded; false before the first call
 	storeLost       atomic.Bool   // the last call to the store failed; false before the first call
@@ -94,11 +105,12 @@
 	// The fields below are used only by the control goroutine.
 	lastUnstableAt time.Time // last failed call to the store, or the recovery after it, whichever is later
 	storeFailing   bool      // same value as storeLost
+	storeAnswered  bool      // a call to the store succeeded
 }
 
 // New returns a State without configuration and replicas.
 func New(opts Options) *State {
-	return &State{opts: opts, registry: newRegistry(opts.MaxWithdrawTime)}
+	return &State{opts: opts, registry: newRegistry(opts.MaxWithdrawTime, opts.RegistrationLapse)}
 }
 
 // Name implements kernel.Service.
@@ -150,21 +162,36 @@
 	return nil
 }
 
-// MembersRevision returns the highest revision of any registration.
+// StoreEra returns the highest era of the store that this host knows of.
+func (s *State) StoreEra() uint64 { return s.storeEra.Load() }
+
+// MembersEra returns the era of the registrations.
+func (s *State) MembersEra() uint64 { return s.membersEra.Load() }
+
+// MembersRevision returns the highest revision of any registration of the era.
 func (s *State) MembersRevision() uint64 { return s.membersRevision.Load() }
 
-// MembersSince returns the registrations that changed after revision, and the revision
-// membersAsOf up to which they include all changes. If revision is 0, or if removals after revision
-// are no longer remembered, it returns all known registrations instead. complete reports that these
-// include a full list; it is false if this host has not received one yet.
-func (s *State) MembersSince(revision uint64) (entries []Registration, membersAsOf uint64, complete bool) {
+// MembersAhead reports whether registrations of the given era up to the given revision are newer than
+// those of this host. Era 0 stands for that of this host.
+func (s *State) MembersAhead(era, revision uint64) bool {
+	if own := s.MembersEra(); era != 0 && era != own {
+		return era > own
+	}
+	return revision > s.MembersRevision()
+}
+
+// MembersSince returns the registrations that changed after a revision of an era, and the era and the
+// revision membersAsOf up to which they include all changes. If revision is 0 or of another era, or if
+// removals after it are no longer remembered, it returns all known registrations instead. complete
+// reports that these include a full list; it is false if this host has not received one yet.
+func (s *State) MembersSince(era, revision uint64) (entries []Registration, membersEra, membersAsOf uint64, complete bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	membersAsOf = s.membersAsOf.Load()
-	if revision == 0 || revision < s.registry.forgottenRevision {
-		return s.registry.since(0), membersAsOf, membersAsOf > 0
+	membersEra, membersAsOf = s.registry.era, s.membersAsOf.Load()
+	if revision == 0 || revision < s.registry.forgottenRevision || era != 0 && era != membersEra {
+		return s.registry.all(), membersEra, membersAsOf, membersAsOf > 0
 	}
-	return s.registry.since(revision), membersAsOf, false
+	return s.registry.since(revision), membersEra, membersAsOf, false
 }
 
 // MembersAsOf returns the store's revision up to which no change of registrations is missing.
@@ -190,6 +217,10 @@
 		s.applyMembers(e, now)
 	case StoreCall:
 		s.recordStoreCall(e.Err, now)
+		if e.Err == nil {
+			s.recordEra(e.Era, FromStore, s.storeAnswered, now)
+			s.storeAnswered = true
+		}
 	case tick:
 		s.mu.Lock()
 		expired := s.registry.expire(now)
@@ -235,6 +266,9 @@
 	// Updates from a peer start no hold because of this host's failed store calls: the store
 	// may be unreachable from this host only.
 	storeUnstable := update.Source == FromStore && s.storeUnstable(now)
+	if update.Source == FromPeer {
+		s.recordEra(update.Era, FromPeer, s.StoreEra() > 0, now)
+	}
 	changed, outdated := s.merge(update, storeUnstable, now)
 	if outdated > 0 || changed {
 		s.opts.Logger.Info().Str("source", string(update.Source)).Uint64("era", update.Era).Uint64("as_of", update.AsOf).
@@ -253,10 +287,23 @@
 func (s *State) merge(update Members, storeUnstable bool, now time.Time) (changed bool, outdated int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if update.Era == 0 {
+		update.Era = s.registry.era // from a store without eras, or from a host that does not tell them
+	}
+	switch {
+	case update.Era < s.registry.era, update.Era > s.registry.era && !update.Complete:
+		return false, len(update.Entries)
+	case update.Era > s.registry.era:
+		s.registry.beginEra(update.Era)
+		s.membersAsOf.Store(0)
+	}
 	listedIDs := make(map[string]bool, len(update.Entries))
 	for _, r := range update.Entries {
 		listedIDs[r.ID] = true
-		if old, ok := s.registry.entries[r.ID]; ok && old.Revision > r.Revision {
+		if update.Source == FromStore || r.Era == 0 {
+			r.Era = update.Era
+		}
+		if old, ok := s.registry.entries[r.ID]; ok && old.compare(&r) > 0 {
 			outdated++
 		}
 		changed = s.registry.merge(r, storeUnstable, now) || changed
@@ -264,6 +311,7 @@
 	if update.Complete {
 		changed = s.registry.applyFullList(listedIDs, update.AsOf, storeUnstable, now) || changed
 	}
+	s.membersEra.Store(s.registry.era)
 	s.membersRevision.Store(s.registry.revision)
 	if update.AsOf > s.membersAsOf.Load() {
 		s.membersAsOf.Store(update.AsOf)
@@ -277,13 +325,31 @@
 	changed, removedIDs := s.registry.takeChanges(now)
 	s.opts.Fleet.Update(changed, removedIDs)
 	inUse, leaving := s.registry.counts(now)
-	s.opts.Logger.Info().Uint64("revision", s.registry.revision).Str("source", string(source)).Str("why", reason).
+	s.opts.Logger.Info().Uint64("era", s.registry.era).Uint64("revision", s.registry.revision).Str("source", string(source)).Str("why", reason).
 		Int("replicas", inUse).Int("changed", len(changed)).Int("gone", len(removedIDs)).Int("leaving", leaving).Int("held", s.registry.held).Msg("replicas in use")
 	if source == FromStore {
 		s.opts.OnStoreChange()
 	}
 }
 
+// recordEra records the store's era, and whether an earlier one was known. A store that came back from a
+// copy has lost entries, which their writers write again, so it counts as unstable.
+func (s *State) recordEra(era uint64, source Source, earlierKnown bool, now time.Time) {
+	previous := s.storeEra.Load()
+	if era <= previous {
+		return
+	}
+	s.storeEra.Store(era)
+	if !earlierKnown {
+		return
+	}
+	s.lastUnstableAt = now
+	s.opts.Logger.Warn().Uint64("era", era).Uint64("before", previous).Str("source", string(source)).Msg("store came back from a copy")
+	if s.opts.OnNewEra != nil {
+		s.opts.OnNewEra()
+	}
+}
+
 // recordStoreCall updates the store's status after a call.
 func (s *State) recordStoreCall(err error, now time.Time) {
 	if err != nil {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
@@ -26,6 +27,9 @@
 	// listing. Hosts that start together do not see each other's registration any earlier,
 	// and the store may return a list that is seconds old.
 	firstHostListDelay = 3 * time.Second
+	// newEraRegisterSpread is the time over which hosts register again when the store came back from a
+	// copy.
+	newEraRegisterSpread = time.Second
 	// initialHostListTimeout limits the host listing before a host starts to follow the
 	// store.
 	initialHostListTimeout = 300 * time.Millisecond
@@ -190,6 +194,12 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return
+		case <-p.newEra:
+			timer.Stop()
+			p.logger.Info().Msg("registering this host again, as the store came back from a copy")
+			s.registered = false
+			s.sleep(ctx, rand.N(newEraRegisterSpread))
+			continue
 		case <-timer.C:
 		}
 		if err := s.refreshHosts(ctx); err != nil {
@@ -198,6 +208,15 @@
 	}
 }
 
+func (s *storeService) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // listHostRecords returns the registered hosts by name. Invalid registrations are logged
 // and skipped.
 func (s *storeService) listHostRecords(ctx context.Context) (map[string]hostRecord, error) {
--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/platform"
 )
 
 const (
@@ -249,6 +251,11 @@
 	assert.LessOrEqual(t, late, maxLateArrivals, "requests with the part reach replicas %v after the crashes", limitSettleTime)
 	assert.Greater(t, p.served(from.Add(limitSettleTime), until), 0.8, "sound requests with the same first part are served")
 
+	// The store loses what the hosts wrote there; they write it again.
+	saved := d.store.Copy()
+	saved.Drop(platform.KindParts)
+	d.store.Restore(saved)
+
 	restarts := [][]*host{d.hosts[:1], d.hosts}
 	for _, restarted := range restarts {
 		for _, h := range restarted {
--- a/internal/soak/restored_test.go
+++ b/internal/soak/restored_test.go
@@ -15,6 +15,10 @@
 // withdrawTime is how long after its last entry a replica may get requests.
 const withdrawTime = 2 * time.Second
 
+// lapseTime is the time in which the store removes an entry that is not renewed: three heartbeats of a
+// replica.
+const lapseTime = 3 * time.Second
+
 // sentTo counts the requests that the hosts sent to a replica in a time.
 func (d *deployment) sentTo(r *replica, from, until time.Time, hosts ...*host) int {
 	n := 0
@@ -66,6 +70,8 @@
 
 	d.store.Restore(saved)
 	restored := time.Now()
+	// The replica that had left does not renew the entry that came back.
+	time.AfterFunc(lapseTime, func() { d.store.Remove(platform.KindMembers, left.id) })
 	time.Sleep(200 * time.Millisecond)
 	d.putConfig(2)
 	d.register(0, "ready")
