soak: stores restored from a copy and crashing prompt parts among the random faults

Half of the seeds restore the store, a third of those with more than two replicas and no limit send requests with a part that crashes replicas. Both are drawn from a source of their own, so that kept seeds play the same faults as before. A replica that drained comes back as another process: the same one does not, and hosts rely on that across a restore.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -135,6 +135,7 @@
 	links    []*link // to the replicas
 	ledger   *ledger
 	version  atomic.Int64 // of the configuration, as confirmed by the store
+	writes   sync.Mutex   // held while the operator or a replica writes to the store, and while it is restored
 
 	mu       sync.Mutex
 	troubles map[string][]trouble // faults of hosts and of links to replicas, by name of the host or replica
@@ -213,15 +214,27 @@
 
 // register writes the entry of a replica.
 func (d *deployment) register(i int, state string) {
+	d.writes.Lock()
+	defer d.writes.Unlock()
+	d.replicas[i].state = state
+	d.writeEntry(i)
+}
+
+// writeEntry writes what a replica last registered. The caller holds d.writes.
+func (d *deployment) writeEntry(i int) {
 	d.store.Put(platform.KindMembers, d.replicas[i].id, map[string]any{
-		"service": "pool", "address": d.links[i].proxy.Listen, "zone": zoneName(i / 2), "slots": 16, "state": state, "born": 1,
+		"service": "pool", "address": d.links[i].proxy.Listen, "zone": zoneName(i / 2), "slots": 16, "state": d.replicas[i].state, "born": d.replicas[i].born.Load(),
 	})
 }
 
 // configure writes the next version of the configuration. Its own route names it.
-func (d *deployment) configure() { d.putConfig(d.version.Load() + 1) }
+func (d *deployment) configure() {
+	d.writes.Lock()
+	defer d.writes.Unlock()
+	d.putConfig(d.version.Load() + 1)
+}
 
-// putConfig writes a version of the configuration.
+// putConfig writes a version of the configuration. The caller holds d.writes.
 func (d *deployment) putConfig(version int64) {
 	route := func(name, prefix, kind string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -142,13 +142,32 @@
 	return r
 }
 
+// checkRefused ends the callers. If replicas crashed often enough, it first checks that hosts without
+// trouble no longer send requests with the part, and serve others.
+func (p *promptCallers) checkRefused() {
+	defer p.end()
+	if _, enough := p.crashed.nth(allowedCrashes); !enough {
+		return
+	}
+	time.Sleep(limitSettleTime)
+	from := time.Now()
+	time.Sleep(limitSettleTime)
+	var names []string
+	for _, h := range p.d.hosts {
+		names = append(names, h.name)
+	}
+	assert.LessOrEqual(p.d.t, p.d.ledger.arrivedWith("poison", from, time.Now(), names...), maxLateArrivals, "requests with the part reach replicas")
+	assert.Greater(p.d.t, p.served(from, time.Now().Add(-time.Second)), 0.8, "sound requests with the same first part are served")
+}
+
 // promptCallers send requests with crashingPart to random hosts, and sound ones that begin with the
 // same part.
 type promptCallers struct {
 	*callers
-	d    *deployment
-	stop context.CancelFunc
-	wg   sync.WaitGroup
+	crashed *crashes
+	d       *deployment
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 
 	mu    sync.Mutex
 	sound []result
@@ -156,7 +175,7 @@
 
 func newPromptCallers(d *deployment) *promptCallers {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &promptCallers{callers: &callers{d: d, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}, d: d, stop: cancel}
+	p := &promptCallers{crashed: d.crashOnPart(), callers: &callers{d: d, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}, d: d, stop: cancel}
 	p.every(ctx, 120*time.Millisecond, func(h *host) {
 		p.sendPrompt(h, "poison", firstPart, crashingPart, fmt.Sprintf("%x", rand.Uint32()))
 	})
@@ -229,9 +248,9 @@
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
 	}
 	defer d.keepLogs(0)
-	crashed := d.crashOnPart()
 	p := newPromptCallers(d)
 	defer p.end()
+	crashed := p.crashed
 	require.Eventually(t, func() bool { _, ok := crashed.nth(2); return ok }, settleTime, 10*time.Millisecond, "replicas crash")
 	from := time.Now().Add(limitSettleTime)
 	for time.Now().Before(from) {
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -68,10 +68,13 @@
 	fault  atomic.Int32
 	limit  atomic.Pointer[string] // request limit that the replica states; nil for none
 	crash  func()                 // ends the replica for a while; nil if no request makes it crash
+	state  string                 // that it registered last
+	born   atomic.Int64           // changes with each start
 }
 
 func newReplica(id string, l *ledger) *replica {
 	r := &replica{id: id, ledger: l}
+	r.born.Store(1)
 	r.server = httptest.NewServer(r)
 	return r
 }
--- a/internal/soak/restored_test.go
+++ b/internal/soak/restored_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -34,6 +35,28 @@
 	return n
 }
 
+// restoreStore brings the store back from a copy that is up to four seconds old, once or twice while
+// faults are played, and lets the operator and the replicas write again what they had written.
+func (d *deployment) restoreStore(random *rand.Rand) {
+	for range 1 + random.IntN(2) {
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+		d.writes.Lock()
+		saved := d.store.Copy()
+		d.writes.Unlock()
+		age := time.Duration(random.IntN(4000)) * time.Millisecond
+		time.Sleep(age)
+		d.t.Logf("store restored from a copy that is %v old", age)
+		d.writes.Lock()
+		d.store.Restore(saved)
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+		d.putConfig(d.version.Load())
+		for i := range d.replicas {
+			d.writeEntry(i)
+		}
+		d.writes.Unlock()
+	}
+}
+
 // Guards against a store that comes back from a copy and gives out revisions again: hosts must not keep
 // an older state because its revision is higher, take a replica for alive that had left, spread what
 // they know of before, or remain without their own entries. One host cannot reach the store until it
@@ -73,7 +96,9 @@
 	// The replica that had left does not renew the entry that came back.
 	time.AfterFunc(lapseTime, func() { d.store.Remove(platform.KindMembers, left.id) })
 	time.Sleep(200 * time.Millisecond)
+	d.writes.Lock()
 	d.putConfig(2)
+	d.writes.Unlock()
 	d.register(0, "ready")
 	d.register(3, "ready")
 	d.register(0, "draining")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,8 +38,8 @@
 // TestSoak plays random faults, in series and overlapping, and checks what callers and
 // replicas see of it: what must run once runs once, a refusal as not run is true, each answer
 // belongs to its request and is whole or visibly broken, repeats stay in their budget, the
-// configuration never goes back, a request limit that a replica states is kept, and all hosts serve
-// again afterwards.
+// configuration never goes back, a request limit that a replica states is kept, requests with a part of
+// their prompt that crashes replicas are stopped, and all hosts serve again afterwards.
 func TestSoak(t *testing.T) {
 	seeds := append([]uint64(nil), regressions...)
 	switch one, many := os.Getenv("SEED"), os.Getenv("SEEDS"); {
@@ -73,7 +73,19 @@
 	c := newCallers(d)
 	versions := watchVersions(c)
 	limit := d.limitReplica(random)
+	// Decided apart from the other faults, so that seeds kept from before play the same ones.
+	more := rand.New(rand.NewPCG(seed, 1))
+	var restored sync.WaitGroup
+	if more.IntN(2) == 0 {
+		restored.Go(func() { d.restoreStore(more) })
+	}
+	var poison *promptCallers
+	if len(d.replicas) > 2 && limit == nil && seed%3 == 0 {
+		d.t.Logf("requests with one part of their prompt crash replicas")
+		poison = newPromptCallers(d)
+	}
 	d.trouble(random)
+	restored.Wait()
 	healed := time.Now()
 	for _, h := range d.hosts {
 		assert.Eventually(t, func() bool {
@@ -82,6 +94,9 @@
 		}, settleTime, 50*time.Millisecond, "%s serves the last configuration after all faults", h.name)
 	}
 	t.Logf("all serve %v after the last fault", time.Since(healed).Round(time.Millisecond))
+	if poison != nil {
+		poison.checkRefused()
+	}
 	results := c.end()
 	versions.end()
 	d.check(results)
@@ -189,6 +204,7 @@
 		return func(lasts time.Duration) {
 			d.register(i, "draining")
 			time.Sleep(lasts)
+			r.born.Add(1) // a replica that drains does not return, another process does
 			d.register(i, "ready")
 		}, "drain of " + r.id
 	case 13:
