poisonpart: several suspects together do not explain the crashes of another

Each of several explanations would have to be a poison part itself; now only one suspect alone explains.

--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -178,7 +178,7 @@
 }
 
 // Blamed reports whether a request with the parts must not run, because one of them is quarantined,
-// or is a suspect with enough crashes that no repeated suspect outside the request explains. expires is when
+// or is a suspect with enough crashes that no repeated suspect outside the request explains alone. expires is when
 // that ends.
 func (t *Tracker) Blamed(parts []uint64, now time.Time) (part uint64, expires time.Time, blamed bool) {
 	for _, e := range t.quarantined {
@@ -196,7 +196,7 @@
 		}
 	}
 	for _, e := range t.repeated {
-		if now.Before(e.Expires) && slices.Contains(parts, e.Part) && t.unexplained(e, outside) >= t.crashLimit {
+		if now.Before(e.Expires) && slices.Contains(parts, e.Part) && t.blames(e, outside) {
 			e.Expires = now.Add(suspectDuration) // as long as such requests come
 			return e.Part, e.Expires, true
 		}
@@ -212,14 +212,14 @@
 	})
 }
 
-// unexplained counts the crashes of an entry that neither a quarantined part nor one of the others
-// had a part in. Crashes closer together than crashSeparation count once.
-func (t *Tracker) unexplained(e *localEntry, others []*localEntry) int {
+// unexplained counts the crashes of an entry in which neither a quarantined part was in flight nor the
+// other suspect. Crashes closer together than crashSeparation count once.
+func (t *Tracker) unexplained(e, other *localEntry) int {
 	count := 0
 	var last time.Time
 	for _, c := range e.Crashes {
 		explains := func(o *localEntry) bool { return o != e && slices.ContainsFunc(o.Crashes, c.same) }
-		if count > 0 && c.At.Sub(last) < crashSeparation || slices.ContainsFunc(t.quarantined, explains) || slices.ContainsFunc(others, explains) {
+		if count > 0 && c.At.Sub(last) < crashSeparation || slices.ContainsFunc(t.quarantined, explains) || other != nil && explains(other) {
 			continue
 		}
 		count++
@@ -228,6 +228,21 @@
 	return count
 }
 
+// blames reports whether an entry has enough crashes that none of the others explains alone. Several
+// others together do not count as an explanation: each of them would have to be a poison part, which is
+// less likely than one that all crashes have in common.
+func (t *Tracker) blames(e *localEntry, others []*localEntry) bool {
+	if t.unexplained(e, nil) < t.crashLimit {
+		return false
+	}
+	return !slices.ContainsFunc(others, func(o *localEntry) bool { return t.unexplained(e, o) < t.crashLimit })
+}
+
+// others returns the repeated suspects but e.
+func (t *Tracker) others(e *localEntry) []*localEntry {
+	return slices.DeleteFunc(slices.Clone(t.repeated), func(o *localEntry) bool { return o == e })
+}
+
 // classify removes expired entries, and quarantines the suspects whose crashes no other suspect
 // explains. It returns those.
 func (t *Tracker) classify(now time.Time) (quarantined []uint64) {
@@ -249,7 +264,7 @@
 				t.repeated = append(t.repeated, e)
 			}
 		}
-		i := slices.IndexFunc(t.repeated, func(e *localEntry) bool { return t.unexplained(e, t.repeated) >= t.crashLimit })
+		i := slices.IndexFunc(t.repeated, func(e *localEntry) bool { return t.blames(e, t.others(e)) })
 		if i < 0 {
 			return quarantined
 		}
--- /dev/null
+++ b/internal/scheduling/poisonpart/simulation_test.go
@@ -0,0 +1,232 @@
+package poisonpart
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Bounds of the operators.
+const (
+	simCrashes   = 5               // crashes after which the part must be refused
+	simSettle    = 3 * time.Second // time for that
+	simLate      = 3               // requests with the part that may reach replicas later, sent by hosts in touch
+	simStep      = 10 * time.Millisecond
+	simDuration  = 25 * time.Second
+	simGossip    = 100 * time.Millisecond
+	simReports   = 36
+	simLossShare = 5 // one report in so many is lost
+)
+
+// simulation plays requests of several teams on replicas. Those with poisonPart crash the replica that
+// begins to answer them.
+type simulation struct {
+	random   *rand.Rand
+	now      time.Time
+	hosts    []*simHost
+	replicas []*simReplica
+	stored   []Entry // that hosts keep in the store, and read when they start
+	crashes  []time.Time
+	late     int // requests with the part that reached replicas too late
+	sound    int // sound requests in the time in which they must be served
+	refused  int // of these
+}
+
+type simHost struct {
+	tracker *Tracker
+	since   time.Time // start, or end of a cut
+	cut     bool
+}
+
+type simReplica struct {
+	running   []*simRequest
+	crashAt   time.Time
+	downUntil time.Time
+}
+
+type simRequest struct {
+	host    *simHost
+	parts   []uint64
+	poison  bool
+	begins  time.Time
+	ends    time.Time
+	tracker *Tracker // of the host's process that sent it
+}
+
+func newSimulation(seed uint64, hosts, replicas int) *simulation {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 0)), now: partsStart}
+	for range hosts {
+		s.hosts = append(s.hosts, &simHost{tracker: newTestTracker(), since: partsStart.Add(-time.Minute)})
+	}
+	for range replicas {
+		s.replicas = append(s.replicas, &simReplica{})
+	}
+	return s
+}
+
+func (s *simulation) chance(perSecond float64) bool {
+	return s.random.Float64() < perSecond*simStep.Seconds()
+}
+
+// inTouch reports whether the host has neither started nor been cut off of late.
+func (s *simulation) inTouch(h *simHost) bool { return !h.cut && s.now.Sub(h.since) >= simSettle }
+
+// boundHolds reports whether a multiple of simSettle has passed since the crash from which it counts.
+func (s *simulation) boundHolds(times time.Duration) bool {
+	return len(s.crashes) >= simCrashes && s.now.Sub(s.crashes[simCrashes-1]) > times*simSettle
+}
+
+// send lets a random host send a request of a random team.
+func (s *simulation) send(poison bool) {
+	h := s.hosts[s.random.IntN(len(s.hosts))]
+	team := 1 + uint64(s.random.IntN(4)*s.random.IntN(3)) // some teams have more requests
+	parts := []uint64{team, 1000 + team*50 + uint64(s.random.IntN(20))}
+	if poison {
+		parts = append(parts[:1:1], poisonPart, parts[1])
+	}
+	isRefused := blamed(h.tracker, s.now, parts...)
+	if !poison && s.boundHolds(2) && s.inTouch(h) {
+		s.sound++
+		if isRefused {
+			s.refused++
+		}
+	}
+	if isRefused {
+		return
+	}
+	r := s.replicas[s.random.IntN(len(s.replicas))]
+	if s.now.Before(r.downUntil) {
+		return
+	}
+	if poison && s.boundHolds(1) && s.inTouch(h) {
+		s.late++
+	}
+	begins := s.now.Add(time.Duration(50+s.random.IntN(300)) * time.Millisecond)
+	r.running = append(r.running, &simRequest{
+		host: h, parts: parts, poison: poison, begins: begins, ends: begins.Add(time.Duration(100+s.random.IntN(900)) * time.Millisecond), tracker: h.tracker,
+	})
+}
+
+// crash ends a replica. The hosts of its requests learn of it, of those that it had begun to answer.
+func (s *simulation) crash(id int) {
+	r := s.replicas[id]
+	byHost := make(map[*simHost][]uint64)
+	for _, q := range r.running {
+		if q.tracker == q.host.tracker && !s.now.Before(q.begins) {
+			byHost[q.host] = append(byHost[q.host], q.parts...)
+		}
+	}
+	for h, parts := range byHost {
+		h.tracker.Crash(parts, uint64(id), s.now.Add(time.Duration(s.random.IntN(10))*time.Millisecond))
+	}
+	*r = simReplica{downUntil: s.now.Add(time.Duration(2+s.random.IntN(3)) * time.Second)}
+}
+
+// advance ends answers and crashes replicas.
+func (s *simulation) advance() {
+	for id, r := range s.replicas {
+		var left []*simRequest
+		for _, q := range r.running {
+			switch {
+			case q.poison && r.crashAt.IsZero() && !s.now.Before(q.begins):
+				r.crashAt = q.begins.Add(time.Duration(20+s.random.IntN(250)) * time.Millisecond)
+			case !q.poison && !s.now.Before(q.ends):
+				if q.tracker == q.host.tracker {
+					q.host.tracker.Completed(q.parts, s.now)
+				}
+				continue
+			}
+			left = append(left, q)
+		}
+		r.running = left
+		if !r.crashAt.IsZero() && !s.now.Before(r.crashAt) {
+			s.crashes = append(s.crashes, s.now)
+			s.crash(id)
+		}
+	}
+}
+
+// gossip sends the reports of each host to some others, of which some are lost.
+func (s *simulation) gossip(all bool) {
+	for _, from := range s.hosts {
+		reports := from.tracker.Reports(all, simReports, s.now)
+		for range min(len(s.hosts), 6) {
+			to := s.hosts[s.random.IntN(len(s.hosts))]
+			if from.cut == to.cut && s.random.IntN(simLossShare) > 0 {
+				to.tracker.Merge(reports, s.now)
+			}
+		}
+	}
+}
+
+// keep writes the refused parts of a random host to the store.
+func (s *simulation) keep() {
+	if h := s.hosts[s.random.IntN(len(s.hosts))]; !h.cut {
+		if refused := h.tracker.Refused(s.now); len(refused) > 0 {
+			s.stored = refused
+		}
+	}
+}
+
+// disturb restarts hosts, cuts some of them off together, and ends a third of the replicas at once.
+func (s *simulation) disturb() {
+	if s.chance(min(0.3, 0.05*float64(len(s.hosts)))) {
+		h := s.hosts[s.random.IntN(len(s.hosts))]
+		*h = simHost{tracker: newTestTracker(), since: s.now, cut: h.cut}
+		h.tracker.Merge(s.stored, s.now)
+	}
+	if s.chance(0.1) {
+		cut := s.random.IntN(2) == 0
+		for _, h := range s.hosts[:len(s.hosts)/3] {
+			h.cut, h.since = cut, s.now
+		}
+	}
+	if s.chance(0.1) {
+		for id := range s.replicas {
+			if s.random.IntN(3) == 0 {
+				s.crash(id)
+			}
+		}
+	}
+}
+
+// Guards against evidence that does not add up, because it is spread over many hosts, comes late, or is
+// lost with hosts that restart, and against blaming sound parts that were in flight in the same crashes or
+// in outages.
+func TestSimulatedFleetRefusesOnlyThePoisonPart(t *testing.T) {
+	for _, size := range []struct {
+		hosts, replicas int
+		seeds           uint64
+	}{{1, 4, 12}, {4, 18, 12}, {30, 90, 4}, {78, 117, 3}} {
+		t.Run(fmt.Sprintf("%d-hosts", size.hosts), func(t *testing.T) {
+			sound, refused := 0, 0
+			for seed := range size.seeds {
+				s := newSimulation(seed, size.hosts, size.replicas)
+				soundPerSecond := 2 * float64(size.replicas)
+				for tick := 0; s.now.Before(partsStart.Add(simDuration)); tick++ {
+					if s.chance(soundPerSecond) || s.chance(soundPerSecond/2) {
+						s.send(false)
+					}
+					// Crashes of all replicas at the same moment would count once, again and again.
+					if s.chance(min(1.5+4*float64(seed%3), float64(size.replicas)/2)) {
+						s.send(true)
+					}
+					s.advance()
+					s.disturb()
+					if s.now = s.now.Add(simStep); tick%int(simGossip/simStep) == 0 {
+						s.gossip(tick%int(time.Second/simStep) == 0)
+						s.keep()
+					}
+				}
+				assert.GreaterOrEqual(t, len(s.crashes), 3, "seed %d", seed)
+				assert.LessOrEqual(t, s.late, simLate, "seed %d: late requests with the part, %d crashes", seed, len(s.crashes))
+				sound, refused = sound+s.sound, refused+s.refused
+			}
+			t.Logf("%d of %d sound requests refused", refused, sound)
+			assert.Less(t, float64(refused), 0.01*float64(sound), "%d of %d sound requests are refused", refused, sound)
+		})
+	}
+}
