hbctl gateways: show the parts of prompts that each host refuses requests for

Also reads the refused parts from the store once at the start instead of twice: the era of the list tells whether the store came back from a copy since.

--- a/internal/gateway/partkeeper.go
+++ b/internal/gateway/partkeeper.go
@@ -21,7 +21,7 @@
 type partKeeper struct {
 	program *Program
 	stored  map[uint64]uint64 // number of releases of the stored entries, by part; nil if they must be read
-	era     uint64            // of the store, of which stored tells
+	era     uint64            // of the store when they were read
 }
 
 // run reads the stored parts, and then writes and removes them as they change, until ctx ends.
@@ -29,8 +29,8 @@
 	ticker := time.NewTicker(partSyncInterval)
 	defer ticker.Stop()
 	for {
-		if era := k.program.state.StoreEra(); era != k.era {
-			k.era, k.stored = era, nil // the store may have lost what was written
+		if k.program.state.StoreEra() > k.era {
+			k.stored = nil // the store may have lost what was written
 		}
 		var err error
 		if k.stored == nil {
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	k.stored = make(map[uint64]uint64)
+	k.stored, k.era = make(map[uint64]uint64), list.Era
 	var entries []poisonpart.Entry
 	for _, o := range list.Objects {
 		var record poisonpart.Record
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -38,6 +38,7 @@
 		out.Refusals = append(out.Refusals, &rpc.GatewayRefusals{Reason: reason, Requests: requests})
 	}
 	slices.SortFunc(out.Refusals, func(a, b *rpc.GatewayRefusals) int { return cmp.Compare(a.Reason, b.Reason) })
+	out.RefusedParts = rpc.SuspectParts(p.fleet.RefusedParts(now), now)
 	for _, speed := range p.fleet.Speeds() {
 		m := speed.Model
 		out.Speeds = append(out.Speeds, &rpc.GatewaySpeed{
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -13,6 +13,8 @@
 
 	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/hbctl"
+	"heatherbarrow/internal/scheduling/poisonpart"
+	"heatherbarrow/platform"
 )
 
 // Guards against an hbctl gateways command that does not show which configuration a host
@@ -23,6 +25,9 @@
 		w.Header().Set("Server-Limit", "2.5")
 		_, _ = io.WriteString(w, "x")
 	})
+	g.store.Put(platform.KindParts, "c0ffee", poisonpart.NewRecord(&poisonpart.Entry{
+		Part: 0xc0ffee, Quarantined: true, Expires: time.Now().Add(time.Minute), Crashes: []poisonpart.Crash{{Replica: 1, At: time.Now()}},
+	}))
 	hbctlOutput := func(args ...string) (string, string, int) {
 		var stdout, stderr bytes.Buffer
 		code := hbctl.Main(append([]string{"gateways"}, args...), &stdout, &stderr)
@@ -47,10 +52,11 @@
 	require.Eventually(t, func() bool {
 		var code int
 		out, _, code = hbctlOutput("--replicas", g.PeerListen, "127.0.0.1:1")
-		return code == cli.ExitOK && strings.Contains(out, "no_route")
+		return code == cli.ExitOK && strings.Contains(out, "no_route") && strings.Contains(out, "c0ffee")
 	}, 20*time.Second, 5*time.Millisecond)
 	assert.Regexp(t, `h +a +true +7 +store +\d+s +reached +1 +0`, out)
 	assert.Regexp(t, `h +no_route +1`, out)
+	assert.Regexp(t, `h +c0ffee +1 +true +\d+s`, out, "a part that the hosts refused before they restarted")
 	assert.Regexp(t, `h +pool +i-1 +127\.0\.0\.1:\d+ +a +ready +0 +0 ms +0\.00 +\d\.\d+ +2\.5/s`, out)
 	assert.Contains(t, out, "127.0.0.1:1  ", "an unreachable gateway is listed with the reason")
 
--- a/internal/hbctl/gateways.go
+++ b/internal/hbctl/gateways.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"heatherbarrow/internal/rpc"
+	"heatherbarrow/internal/scheduling/poisonpart"
 )
 
 // gatewayTimeout bounds the answer of one gateway, so that one that is gone does not
@@ -49,6 +50,7 @@
 	w := tabwriter.NewWriter(g.app.stdout, 0, 0, 2, ' ', 0)
 	reached := printGateways(w, statuses)
 	printRefusals(w, statuses)
+	printRefusedParts(w, statuses)
 	printSpeeds(w, statuses)
 	if g.Replicas {
 		printGatewayReplicas(w, statuses)
@@ -100,6 +102,16 @@
 	}
 }
 
+func printRefusedParts(w io.Writer, statuses []gatewayStatus) {
+	fmt.Fprintln(w, "\nHOST\tREFUSES PROMPTS WITH PART\tCRASHES\tQUARANTINED\tEXPIRES IN")
+	for _, s := range statuses {
+		for _, p := range s.response.GetRefusedParts() {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%t\t%s\n", s.response.Host, poisonpart.Name(p.Part), len(p.Crashes), p.Quarantined,
+				time.Duration(p.ExpiresInS)*time.Second)
+		}
+	}
+}
+
 func printSpeeds(w io.Writer, statuses []gatewayStatus) {
 	fmt.Fprintln(w, "\nHOST\tENGINES OF\tTOKENS READ IN A MS\tFIRST TOKEN\tSTEP\tEACH REQUEST ADDS\tSAMPLES")
 	for _, s := range statuses {
