gateway: a starting host takes changes of any era; less work for answers without suspects

A host without entries refused what a peer without a full list sent it, as it had no list of that era. A complete answer looked up all refused parts, also when none of its own is a suspect.

--- a/internal/gateway/fleet/poisonpart.go
+++ b/internal/gateway/fleet/poisonpart.go
@@ -36,11 +36,14 @@
 	if len(parts) == 0 {
 		return
 	}
-	before := f.parts.Refused(now)
+	var refused []poisonpart.Entry
+	if f.parts.Suspect(parts) {
+		refused = f.parts.Refused(now)
+	}
 	released, quarantined := f.parts.Completed(parts, now)
-	for i := range before {
-		if slices.Contains(released, before[i].Part) {
-			f.notePartChanges([]uint64{before[i].Part}, false)
+	for i := range refused {
+		if slices.Contains(released, refused[i].Part) {
+			f.notePartChanges([]uint64{refused[i].Part}, false)
 		}
 	}
 	f.notePartChanges(quarantined, true)
--- a/internal/gateway/state/era_test.go
+++ b/internal/gateway/state/era_test.go
@@ -143,6 +143,16 @@
 	assert.Equal(t, 2, usable, "entries of a host that does not tell eras count as those of this host's")
 }
 
+// Guards against a starting host that refuses the changes of a peer because it has no list of their era.
+func TestStartingHostTakesEntriesOfAnyEra(t *testing.T) {
+	s, _ := newTestState(t, nil)
+	require.NoError(t, s.Publish(Members{Source: FromPeer, Era: 3, Entries: []Registration{registration("a", 5)}}))
+	known, _ := s.opts.Fleet.ReplicaCounts("pool", time.Now())
+	assert.Equal(t, 1, known)
+	assert.EqualValues(t, 3, s.MembersEra())
+	assert.Zero(t, s.MembersAsOf(), "it still needs a full list")
+}
+
 // Guards against a watch that goes on from a revision of before the restore, which the store has
 // reached again, and against a host that writes nothing again of what the store lost.
 func TestNewEraRestartsWatchers(t *testing.T) {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -291,7 +291,10 @@
 		update.Era = s.registry.era // from a store without eras, or from a host that does not tell them
 	}
 	switch {
-	case update.Era < s.registry.era, update.Era > s.registry.era && !update.Complete:
+	case update.Era < s.registry.era:
+		return false, len(update.Entries)
+	case update.Era > s.registry.era && !update.Complete && len(s.registry.entries) > 0:
+		// What the other entries are in that era is not known.
 		return false, len(update.Entries)
 	case update.Era > s.registry.era:
 		s.registry.beginEra(update.Era)
