poisonpart: keep quarantined parts when many others become suspects

A storm of crashes with more than 1,024 suspect parts displaced a quarantined one, which was then sent again (TestManySuspectsDoNotDisplaceQuarantinedPart failed before). Found by reading. Control also no longer relies on the order in which the results of a return statement are evaluated.

--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -145,7 +145,10 @@
 	if err != nil {
 		return keptQuarantine{}, 0, err
 	}
-	return kept, o.Version, json.Unmarshal(o.Value, &kept)
+	if err := json.Unmarshal(o.Value, &kept); err != nil {
+		return keptQuarantine{}, 0, err
+	}
+	return kept, o.Version, nil
 }
 
 // loaded returns the event that holds the entries of the object.
--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -178,8 +178,8 @@
 }
 
 // Blamed reports whether a request with the parts must not run, because one of them is quarantined,
-// or is a suspect with enough crashes that no repeated suspect outside the request explains alone. expires is when
-// that ends.
+// or is a suspect with enough crashes that no repeated suspect outside the request explains alone.
+// expires is when that ends.
 func (t *Tracker) Blamed(parts []uint64, now time.Time) (part uint64, expires time.Time, blamed bool) {
 	for _, e := range t.quarantined {
 		if now.Before(e.Expires) && slices.Contains(parts, e.Part) {
@@ -254,6 +254,7 @@
 		case !now.Before(e.Expires):
 			t.entries.Remove(part)
 		case e.Quarantined:
+			t.entries.Get(part) // other suspects must not displace it
 			t.quarantined = append(t.quarantined, e)
 		}
 	}
--- a/internal/scheduling/poisonpart/poisonpart_test.go
+++ b/internal/scheduling/poisonpart/poisonpart_test.go
@@ -89,6 +89,26 @@
 	assert.False(t, blamed(p, now, firstPart, 30))
 }
 
+// Guards against forgetting a quarantined part because a storm of crashes makes suspects of many others.
+func TestManySuspectsDoNotDisplaceQuarantinedPart(t *testing.T) {
+	p := newTestTracker()
+	now := partsStart
+	for crash := range uint64(3) {
+		now = now.Add(time.Second)
+		p.Crash([]uint64{poisonPart}, crash, now)
+	}
+	require.True(t, blamed(p, now, poisonPart))
+	for crash := range uint64(100) {
+		parts := make([]uint64, 50)
+		for i := range parts {
+			parts[i] = 1000 + crash*50 + uint64(i)
+		}
+		p.Crash(parts, crash, now)
+	}
+	assert.True(t, blamed(p, now, poisonPart))
+	assert.Len(t, p.Refused(now), 1)
+}
+
 // Guards against crashes that a quarantined part explains and that still count against the parts that
 // were in flight beside it.
 func TestQuarantinedPartExplainsItsCrashes(t *testing.T) {
