peers: a digest that lacks hosts which send heartbeats does not replace these

Traced before: the first digest of a zone came from a speaker that did not know one of its neighbors yet, and a host that gets digests of a zone ignores the heartbeats of that zone's hosts. Such a digest is now ignored until it covers as many hosts as send heartbeats; what the hosts themselves say is complete.

TestIncompleteDigestDoesNotReplaceHeartbeats failed before.

--- a/internal/gateway/peers/zone.go
+++ b/internal/gateway/peers/zone.go
@@ -306,7 +306,9 @@
 }
 
 // recordDigest records the arrival of a digest of another zone and adds the peers that the digest
-// lists. It returns false for a digest that is a duplicate or arrives out of order.
+// lists. It returns false for a digest that is a duplicate or arrives out of order, and, while the
+// hosts of the zone send heartbeats, for one that covers fewer hosts than those: its speaker does not
+// know all of them yet, and the heartbeats would be ignored.
 func (e *Exchange) recordDigest(m *rpc.ZoneDigest, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -323,7 +325,11 @@
 	if c := cmp.Compare(m.Incarnation, previous.incarnation); c < 0 || c == 0 && m.Sequence <= previous.sequence {
 		return false
 	}
-	if now.Sub(z.lastDigestAt) > digestTimeout {
+	firstDigest := now.Sub(z.lastDigestAt) > digestTimeout
+	if firstDigest && int(m.Hosts) < e.hostsHeard(m.AvailabilityZone, now) {
+		return false
+	}
+	if firstDigest {
 		e.opts.Logger.Info().Str("zone", m.AvailabilityZone).Str("speaker", m.Speaker).Uint32("hosts", m.Hosts).Msg("receiving digests of zone")
 		for _, p := range e.peers {
 			if p.zone == m.AvailabilityZone {
@@ -350,6 +356,18 @@
 	return true
 }
 
+// hostsHeard returns the number of hosts of another zone whose last heartbeat is at most digestTimeout
+// old. The caller must hold e.mu.
+func (e *Exchange) hostsHeard(zone string, now time.Time) int {
+	heard := 0
+	for _, p := range e.peers {
+		if p.zone == zone && !p.lastHeartbeat.IsZero() && now.Sub(p.lastHeartbeat) <= digestTimeout {
+			heard++
+		}
+	}
+	return heard
+}
+
 // reportHostCount reports the number of known hosts: those of this zone plus those that the
 // digests of other zones report, or the number of hosts that ever sent a heartbeat to this one if
 // that is larger. The caller must hold e.mu.
--- a/internal/gateway/peers/zone_test.go
+++ b/internal/gateway/peers/zone_test.go
@@ -128,6 +128,33 @@
 	assert.Equal(t, 1, host.fleet.Hosts())
 }
 
+// Guards against a zone's first digest, whose speaker does not know all hosts of the zone yet, that takes
+// the place of the heartbeats that come from the hosts themselves.
+func TestIncompleteDigestDoesNotReplaceHeartbeats(t *testing.T) {
+	host := newTestHost(t, "a", "127.0.0.1:1")
+	now := time.Now()
+	for i := range 3 {
+		host.handleDatagram(&rpc.Beat{Host: fmt.Sprintf("b%d", i), AvailabilityZone: "b", Sequence: 1, PullAddress: fmt.Sprintf("127.0.1.%d:1", i+1)}, now)
+	}
+	require.Equal(t, 4, host.fleet.Hosts())
+	digest := func(sequence uint64, hosts uint32) {
+		host.handleDigest(&rpc.ZoneDigest{AvailabilityZone: "b", Speaker: "b0", Sequence: sequence, Hosts: hosts, HostsKnown: hosts, Relayed: true}, now)
+	}
+	digest(1, 2)
+	assert.Equal(t, 4, host.fleet.Hosts())
+	assert.False(t, host.receivesDigests("b", now))
+	digest(2, 3)
+	assert.Equal(t, 4, host.fleet.Hosts())
+	assert.True(t, host.receivesDigests("b", now))
+	digest(3, 2)
+	assert.Equal(t, 3, host.fleet.Hosts(), "one of the hosts is gone")
+
+	// A host that has been silent does not count.
+	now = now.Add(2 * digestTimeout)
+	digest(4, 1)
+	assert.True(t, host.receivesDigests("b", now))
+}
+
 // Guards against digests that do not fit a datagram, and against replicas that move from one part
 // of a digest to another and are counted twice.
 func TestDigestIsSplitIntoDatagrams(t *testing.T) {
