fleet: a repeated report of a crash does not undo a complete answer

Cause: a host reports each of its crashes for 3 s; a complete answer clears the fingerprint, and the next repeat of the same report counted again. Two crashes within 3 s of each other were enough.

Only the first report of a crash counts.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -49,8 +49,9 @@
 	teamShares      teamShares            // recent prefill time per team
 	poison          *quarantine.Quarantine
 	parts           *poisonpart.Tracker
-	partChanges     []PartChange // since the previous call of TakePartChanges
-	crashes         []Crash      // crashes seen by this host, oldest first
+	partChanges     []PartChange              // since the previous call of TakePartChanges
+	crashes         []Crash                   // crashes seen by this host, oldest first
+	crashReports    map[crashReport]time.Time // crashes that other hosts report, and when they last did
 	outages         []outage
 	zones           map[string]*zone
 	limits          map[uint64]*replicaLimit // stated request limits, by Member.Key
@@ -126,18 +127,19 @@
 // New returns a fleet without replicas.
 func New(opts Options) *Fleet {
 	return &Fleet{
-		opts:       opts,
-		random:     rand.New(rand.NewPCG(opts.Seed, 0)),
-		pools:      make(map[string]*pool),
-		replicas:   make(map[string]*replica),
-		byKey:      make(map[uint64]*replica),
-		active:     make(map[*replica]struct{}),
-		digests:    make(map[string]peerDigest),
-		zones:      make(map[string]*zone),
-		limits:     make(map[uint64]*replicaLimit),
-		limitHosts: &requestlimit.Hosts{Zone: opts.Zone, Reachable: 1},
-		poison:     quarantine.New(poisonCrashes, poisonQuarantineTime),
-		parts:      poisonpart.New(poisonpart.CrashLimit(poisonCrashes), poisonQuarantineTime),
+		opts:         opts,
+		random:       rand.New(rand.NewPCG(opts.Seed, 0)),
+		pools:        make(map[string]*pool),
+		replicas:     make(map[string]*replica),
+		byKey:        make(map[uint64]*replica),
+		active:       make(map[*replica]struct{}),
+		digests:      make(map[string]peerDigest),
+		zones:        make(map[string]*zone),
+		limits:       make(map[uint64]*replicaLimit),
+		limitHosts:   &requestlimit.Hosts{Zone: opts.Zone, Reachable: 1},
+		crashReports: make(map[crashReport]time.Time),
+		poison:       quarantine.New(poisonCrashes, poisonQuarantineTime),
+		parts:        poisonpart.New(poisonpart.CrashLimit(poisonCrashes), poisonQuarantineTime),
 	}
 }
 
--- a/internal/gateway/fleet/fleet_test.go
+++ b/internal/gateway/fleet/fleet_test.go
@@ -324,6 +324,25 @@
 	assert.Empty(t, f.Crashes(now.Add(time.Minute)))
 }
 
+// Guards against reports of a crash, which are repeated for seconds, that undo what a complete answer
+// showed since the first of them (soak seed 575053044204).
+func TestRepeatedCrashReportDoesNotOutweighAnswer(t *testing.T) {
+	const sound = 7
+	f := newFleet(0)
+	q := serviceRequest()
+	q.Fingerprint = sound
+	now := start
+	for _, replica := range []string{"s0", "s1", "s2"} {
+		for range 10 {
+			now = now.Add(CrashReportTime / 10)
+			f.ApplyCrashes([]Crash{{Fingerprint: sound, Upstream: service, Replica: "s0"}, {Fingerprint: sound, Upstream: service, Replica: replica}}, now)
+			l, refusal := f.Pick(q, now)
+			require.Nil(t, refusal)
+			l.End(Served, now)
+		}
+	}
+}
+
 // Guards against quarantining requests whose replicas lost answers or reset connections
 // without a crash (scenario answer_lost).
 func TestBrokenConnectionsAreNotCrashes(t *testing.T) {
--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -120,11 +120,28 @@
 	return append([]Crash(nil), f.crashes[max(len(f.crashes)-MaxCrashes, 0):]...)
 }
 
-// ApplyCrashes applies the crashes reported by another host.
+// crashReport identifies a crash that other hosts report.
+type crashReport struct {
+	fingerprint uint64
+	replica     scheduling.ReplicaID
+}
+
+// ApplyCrashes applies the crashes reported by another host. The reports of one crash are repeated, and
+// only the first one counts: a request with the fingerprint may have been completed since.
 func (f *Fleet) ApplyCrashes(crashes []Crash, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for report, last := range f.crashReports {
+		if now.Sub(last) > CrashReportTime {
+			delete(f.crashReports, report)
+		}
+	}
 	for i := range crashes {
-		f.poison.Crash(crashes[i].Fingerprint, crashes[i].id(), 0, true, now)
+		report := crashReport{fingerprint: crashes[i].Fingerprint, replica: crashes[i].id()}
+		_, known := f.crashReports[report]
+		f.crashReports[report] = now
+		if !known {
+			f.poison.Crash(report.fingerprint, report.replica, 0, true, now)
+		}
 	}
 }
