soak: a limited replica that returns as another process states its limit anew

Traced: since replicas come back from a drain as another process, the limited one did so twice within a second, and hosts rightly drop the limit of the earlier process. The operators' bound holds from 3 s after a replica first names its limit, so a drain now counts as trouble of the replica, as faults of its link do.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,9 @@
 	// Requests with a crashing part of their prompt ran beside others that are all alike, which were
 	// refused as poison requests themselves and stayed so.
 	575053044204,
+	// A replica that states a limit came back as another process twice within a second, and the bound on
+	// the limit was checked as if it had stated it before.
+	353083225119,
 }
 
 // TestSoak plays random faults, in series and overlapping, and checks what callers and
@@ -205,6 +208,8 @@
 		return onLink(l, "slicer", "downstream", `{"average_size":20,"size_variation":10,"delay":2000}`), "slow drip from " + r.id
 	case 12:
 		return func(lasts time.Duration) {
+			// The process that comes after states its limit for the first time.
+			defer d.noteTrouble(r.id, time.Now())
 			d.register(i, "draining")
 			time.Sleep(lasts)
 			r.born.Add(1) // a replica that drains does not return, another process does
