--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -77,14 +77,13 @@
 	offering sync.Mutex // held while a bundle is checked, so that none is checked twice
 	offered  uint64     // highest generation that passed the checks
 
-	teamsOf     *bundle.Bundle // bundle to which teamIndex belongs
-	teamIndex   map[string]*bundle.Team
-	seenVersion uint64    // table version of the newest view
-	urgent      bool      // an urgent change is not in the newest view
-	urgentAt    time.Time // when the last urgent view was made, or the next one is due
-	pushed      uint64
-	quarantined uint64
-
+	teamsOf      *bundle.Bundle // bundle to which teamIndex belongs
+	teamIndex    map[string]*bundle.Team
+	seenVersion  uint64    // table version of the newest view
+	urgent       bool      // an urgent change is not in the newest view
+	urgentAt     time.Time // when the last urgent view was made, or the next one is due
+	pushed       uint64
+	quarantined  uint64
 	partChanges  uint64   // of the table when refusedParts was determined
 	refusedParts []string // parts that requests are refused for, with their number of releases
 }
@@ -343,13 +342,12 @@
 func (l *Loop) buildView(version uint64, now time.Time) *rpc.View {
 	entries, _ := l.table.Quarantine()
 	return &rpc.View{
-		Version:    version,
-		Replicas:   l.table.Replicas(now),
-		Hosts:      l.table.Hosts(now),
-		Quarantine: entries,
-		Shares:     l.sharing.current(now),
-		Limits:     l.table.Limits(now),
-
+		Version:      version,
+		Replicas:     l.table.Replicas(now),
+		Hosts:        l.table.Hosts(now),
+		Quarantine:   entries,
+		Shares:       l.sharing.current(now),
+		Limits:       l.table.Limits(now),
 		SuspectParts: l.table.SuspectParts(now),
 		HostsInZone:  uint32(l.table.HostsInZone(now)),
 		ZoneCount:    uint32(l.table.ZoneCount()),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,17 +49,16 @@
 // and against errors that name another field.
 func TestValidationErrorNamesField(t *testing.T) {
 	for field, change := range map[string][2]string{
-		"host":            {`"edge-a-1"`, `""`},
-		"listen":          {`"10.1.0.1:8740"`, `"frontend"`},
-		"store":           {`"10.200.1.7:8742"`, `"10.200.1.7:0"`},
-		"seeds[1]":        {`"10.2.0.1:8748"`, `"x"`},
-		"beat_port":       {"7200", "0"},
-		"memory_limit_mb": {"414", "0"},
-		"retry_share":     {": 0.2,", ": 2,"},
-		"retry_slack":     {"54", "-1"},
-		"grace_seconds":   {": 8,", ": 0,"},
-		"withdraw_within": {"2000ms", "0ms"},
-
+		"host":              {`"edge-a-1"`, `""`},
+		"listen":            {`"10.1.0.1:8740"`, `"frontend"`},
+		"store":             {`"10.200.1.7:8742"`, `"10.200.1.7:0"`},
+		"seeds[1]":          {`"10.2.0.1:8748"`, `"x"`},
+		"beat_port":         {"7200", "0"},
+		"memory_limit_mb":   {"414", "0"},
+		"retry_share":       {": 0.2,", ": 2,"},
+		"retry_slack":       {"54", "-1"},
+		"grace_seconds":     {": 8,", ": 0,"},
+		"withdraw_within":   {"2000ms", "0ms"},
 		"replica_heartbeat": {"1200ms", "-1ms"},
 	} {
 		var s Settings
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -15,15 +15,14 @@
 // hosts known by identifier only.
 func (t *Table) Message(now time.Time, toOtherZone, opensExchange bool) *rpc.ExchangeMessage {
 	m := &rpc.ExchangeMessage{
-		From:       copyHostState(t.self.state),
-		Heartbeats: t.heartbeatDigest(now, toOtherZone),
-		Loads:      t.loadDigest(now, toOtherZone),
-		Hosts:      t.changedHosts(now),
-		Replicas:   t.replicaMarks(),
-		Quarantine: t.quarantine.updates(toOtherZone),
-		List:       t.listDigest(now),
-		Limits:     t.limitUpdates(now),
-
+		From:         copyHostState(t.self.state),
+		Heartbeats:   t.heartbeatDigest(now, toOtherZone),
+		Loads:        t.loadDigest(now, toOtherZone),
+		Hosts:        t.changedHosts(now),
+		Replicas:     t.replicaMarks(),
+		Quarantine:   t.quarantine.updates(toOtherZone),
+		List:         t.listDigest(now),
+		Limits:       t.limitUpdates(now),
 		SuspectParts: t.partUpdates(now),
 	}
 	if !opensExchange {
