poisonpart: simulate the lone host at the rates of the others; name the shares that tests allow

The simulation had restarts and poison requests of a lone host reduced after its runs failed; the traces show the limits of the mechanism, not that the cases are allowed. All sizes now play the same rates again. The share of sound requests that must be served has a name and its reason.

--- a/internal/scheduling/poisonpart/simulation_test.go
+++ b/internal/scheduling/poisonpart/simulation_test.go
@@ -173,7 +173,7 @@
 
 // disturb restarts hosts, cuts some of them off together, and ends a third of the replicas at once.
 func (s *simulation) disturb() {
-	if s.chance(min(0.3, 0.05*float64(len(s.hosts)))) {
+	if s.chance(0.3) {
 		h := s.hosts[s.random.IntN(len(s.hosts))]
 		*h = simHost{tracker: newTestTracker(), since: s.now, cut: h.cut}
 		h.tracker.Merge(s.stored, s.now)
@@ -193,6 +193,44 @@
 	}
 }
 
+// play plays simDuration of traffic, with two sound requests a second for each replica and the given
+// number of poison requests.
+func (s *simulation) play(poisonPerSecond float64) {
+	soundPerSecond := 2 * float64(len(s.replicas))
+	for tick := 0; s.now.Before(partsStart.Add(simDuration)); tick++ {
+		if s.chance(soundPerSecond) || s.chance(soundPerSecond/2) {
+			s.send(false)
+		}
+		if s.chance(poisonPerSecond) {
+			s.send(true)
+		}
+		s.advance()
+		s.disturb()
+		if s.now = s.now.Add(simStep); tick%int(simGossip/simStep) == 0 {
+			s.gossip(tick%int(time.Second/simStep) == 0)
+			s.keep()
+		}
+	}
+}
+
+// maxRefusedShare is the share of sound requests that may be refused. The operators' bound is half of
+// them, which callers would notice long before.
+const maxRefusedShare = 0.01
+
+// checkFleet plays a number of seeds and checks the bounds of poison and sound requests.
+func checkFleet(t *testing.T, hosts, replicas int, seeds uint64) {
+	sound, refused := 0, 0
+	for seed := range seeds {
+		s := newSimulation(seed, hosts, replicas)
+		s.play(1.5 + 4*float64(seed%3))
+		assert.GreaterOrEqual(t, len(s.crashes), 3, "seed %d", seed)
+		assert.LessOrEqual(t, s.late, simLate, "seed %d: late requests with the part, %d crashes", seed, len(s.crashes))
+		sound, refused = sound+s.sound, refused+s.refused
+	}
+	t.Logf("%d of %d sound requests refused", refused, sound)
+	assert.Less(t, float64(refused), maxRefusedShare*float64(sound), "%d of %d sound requests are refused", refused, sound)
+}
+
 // Guards against evidence that does not add up, because it is spread over many hosts, comes late, or is
 // lost with hosts that restart, and against blaming sound parts that were in flight in the same crashes or
 // in outages.
@@ -200,33 +238,11 @@
 	for _, size := range []struct {
 		hosts, replicas int
 		seeds           uint64
-	}{{1, 4, 12}, {4, 18, 12}, {30, 90, 4}, {78, 117, 3}} {
-		t.Run(fmt.Sprintf("%d-hosts", size.hosts), func(t *testing.T) {
-			sound, refused := 0, 0
-			for seed := range size.seeds {
-				s := newSimulation(seed, size.hosts, size.replicas)
-				soundPerSecond := 2 * float64(size.replicas)
-				for tick := 0; s.now.Before(partsStart.Add(simDuration)); tick++ {
-					if s.chance(soundPerSecond) || s.chance(soundPerSecond/2) {
-						s.send(false)
-					}
-					// Crashes of all replicas at the same moment would count once, again and again.
-					if s.chance(min(1.5+4*float64(seed%3), float64(size.replicas)/2)) {
-						s.send(true)
-					}
-					s.advance()
-					s.disturb()
-					if s.now = s.now.Add(simStep); tick%int(simGossip/simStep) == 0 {
-						s.gossip(tick%int(time.Second/simStep) == 0)
-						s.keep()
-					}
-				}
-				assert.GreaterOrEqual(t, len(s.crashes), 3, "seed %d", seed)
-				assert.LessOrEqual(t, s.late, simLate, "seed %d: late requests with the part, %d crashes", seed, len(s.crashes))
-				sound, refused = sound+s.sound, refused+s.refused
-			}
-			t.Logf("%d of %d sound requests refused", refused, sound)
-			assert.Less(t, float64(refused), 0.01*float64(sound), "%d of %d sound requests are refused", refused, sound)
-		})
+	}{{4, 18, 12}, {30, 90, 4}, {78, 117, 3}} {
+		t.Run(fmt.Sprintf("%d-hosts", size.hosts), func(t *testing.T) { checkFleet(t, size.hosts, size.replicas, size.seeds) })
 	}
 }
+
+// Guards against a lone host that does not refuse the part: it forgets the crashes with each restart until
+// the part is refused, and the crashes of all its replicas within a moment count once.
+func TestSimulatedLoneHostRefusesOnlyThePoisonPart(t *testing.T) { checkFleet(t, 1, 4, 12) }
--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -28,7 +28,10 @@
 	// that many crashes, at most so many requests with the part reach replicas.
 	allowedCrashes  = 5
 	maxLateArrivals = 3
-	crashDowntime   = 1200 * time.Millisecond
+	// minServedShare is the share of sound requests that must be served meanwhile. The operators ask for
+	// half of what is served at other times, which is all but a few.
+	minServedShare = 0.8
+	crashDowntime  = 1200 * time.Millisecond
 )
 
 // crashWith writes the beginning of an answer, ends the replica in the middle of it and starts it
@@ -103,7 +106,7 @@
 	return c
 }
 
-// since returns when the nth crash was, counted from 1, and false if there were fewer.
+// nth returns when the nth crash was, counted from 1, and false if there were fewer.
 func (c *crashes) nth(n int) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,7 +161,7 @@
 		names = append(names, h.name)
 	}
 	assert.LessOrEqual(p.d.t, p.d.ledger.arrivedWith("poison", from, time.Now(), names...), maxLateArrivals, "requests with the part reach replicas")
-	assert.Greater(p.d.t, p.served(from, time.Now().Add(-time.Second)), 0.8, "sound requests with the same first part are served")
+	assert.Greater(p.d.t, p.served(from, time.Now().Add(-time.Second)), minServedShare, "sound requests with the same first part are served")
 }
 
 // promptCallers send requests with crashingPart to random hosts, and sound ones that begin with the
@@ -269,7 +272,7 @@
 	until := time.Now()
 	late := d.ledger.arrivedWith("poison", from, until, names...)
 	assert.LessOrEqual(t, late, maxLateArrivals, "requests with the part reach replicas %v after the crashes", limitSettleTime)
-	assert.Greater(t, p.served(from.Add(limitSettleTime), until), 0.8, "sound requests with the same first part are served")
+	assert.Greater(t, p.served(from.Add(limitSettleTime), until), minServedShare, "sound requests with the same first part are served")
 
 	// The store loses what the hosts wrote there; they write it again.
 	saved := d.store.Copy()
@@ -293,6 +296,6 @@
 		time.Sleep(limitSettleTime)
 		late += d.ledger.arrivedWith("poison", from, time.Now(), names...)
 		assert.LessOrEqual(t, late, maxLateArrivals, "requests with the part reach replicas after the restart of %d hosts", len(restarted))
-		assert.Greater(t, p.served(from, time.Now().Add(-time.Second)), 0.8, "sound requests are served after the restart of %d hosts", len(restarted))
+		assert.Greater(t, p.served(from, time.Now().Add(-time.Second)), minServedShare, "sound requests are served after the restart of %d hosts", len(restarted))
 	}
 }
