--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -202,7 +202,7 @@
 	for i := range changed {
 		m := &changed[i]
 		r, ok := f.replicas[m.ID]
-		if ok && (r.member.Started != m.Started || r.member.Address != m.Address || r.member.Upstream != m.Upstream) {
+		if ok && !r.member.SameProcess(m) {
 			f.remove(r)
 			ok = false
 		}
--- a/internal/gateway/fleet/member.go
+++ b/internal/gateway/fleet/member.go
@@ -18,6 +18,9 @@
 	Started  int64 // Unix time in ms; a different value under the same ID means a different process
 	Slots    int
 	Leaving  bool
+	// SoftwareVersion is the version of the replica's software. Streams of different versions do not
+	// fit together. It is not that of the model weights.
+	SoftwareVersion string
 	// UsableUntil is when the replica must stop receiving requests; zero means no limit.
 	UsableUntil time.Time
 }
@@ -27,6 +30,11 @@
 	return !m.Leaving && (m.UsableUntil.IsZero() || now.Before(m.UsableUntil))
 }
 
+// SameProcess reports whether both registrations describe one process.
+func (m *Member) SameProcess(other *Member) bool {
+	return m.Started == other.Started && m.Address == other.Address && m.Upstream == other.Upstream && m.SoftwareVersion == other.SoftwareVersion
+}
+
 // Key returns the hash of the ID by which hosts refer to the replica in digests.
 func (m *Member) Key() uint64 { return xxhash.Sum64String(m.ID) }
 
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -280,7 +280,7 @@
 		leaseResult = fleet.Abandoned
 	}
 	e.endLease(lease, leaseResult, time.Now())
-	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
-		Str("parts", e.partIDs()).Err(err).Msg("stream broke off")
+	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).Str("software", lease.Member.SoftwareVersion).
+		Int("events", p.events).Str("parts", e.partIDs()).Err(err).Msg("stream broke off")
 	return attemptMayHaveRun
 }
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -83,13 +83,16 @@
 	}
 	if rec.attempts > 0 {
 		picked := &rec.choice
-		entry.Int("attempts", rec.attempts).Str("replica", picked.Member.ID).Dur("expected_ms", picked.Expected).
+		entry.Int("attempts", rec.attempts).Str("replica", picked.Member.ID).Str("software", picked.Member.SoftwareVersion).Dur("expected_ms", picked.Expected).
 			Dur("backlog_ms", picked.Backlog).Int("cached", picked.Cached).Int("prompt", e.call.PromptTokens).
 			Int("running", picked.Running).Int("eligible", picked.Eligible)
 		if picked.CopyFrom != "" {
 			entry.Str("copy_from", picked.CopyFrom).Int("copied", picked.Copied)
 		}
 	}
+	if e.call.Continues() {
+		entry.Str("resumes", e.call.Resumes).Str("after_event", e.call.LastEventID)
+	}
 	if rec.attempts > 0 && rec.choice.Limit.Limited {
 		entry.Float64("limit_per_second", rec.choice.Limit.PerSecond)
 	}
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -349,7 +349,7 @@
 		leaseResult = fleet.Abandoned
 	}
 	e.endLease(lease, leaseResult, now)
-	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
+	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).Str("software", lease.Member.SoftwareVersion).
 		Bool("sent", result == attemptMayHaveRun).Str("parts", e.partIDs()).Err(err).Msg("attempt had no answer")
 	return result
 }
--- a/internal/gateway/routing/call.go
+++ b/internal/gateway/routing/call.go
@@ -27,8 +27,12 @@
 	TimeLimit      time.Duration // how long the caller waits for the answer; 0 if unset
 	Key            string        // API key, which identifies the team
 	LastEventID    string        // the stream resumes after this event; empty for a new stream
+	Resumes        string        // AttemptID of the attempt that brought the first event of the stream to resume
 }
 
+// Continues reports whether the caller has received the beginning of the stream in an earlier attempt.
+func (c *Call) Continues() bool { return c.LastEventID != "" || c.Resumes != "" }
+
 // Dispatch holds the metadata of a request that the gateway sends to a replica in addition to the
 // caller's headers.
 type Dispatch struct {
--- a/internal/gateway/state/registry.go
+++ b/internal/gateway/state/registry.go
@@ -128,11 +128,6 @@
 	return cmp.Or(cmp.Compare(r.Era, other.Era), cmp.Compare(r.Revision, other.Revision))
 }
 
-// sameProcess reports whether both entries describe one start of a replica.
-func (r *Registration) sameProcess(other *Registration) bool {
-	return r.Started == other.Started && r.Address == other.Address && r.Upstream == other.Upstream
-}
-
 // maxSeenRevisions bounds Registration.seen. A process changes its entry a few times.
 const maxSeenRevisions = 6
 
@@ -148,7 +143,7 @@
 // removed is gone if the entry comes back with a revision that it had before. If such an entry does not
 // lapse, the process is alive.
 func (g *registry) carryOver(old, update *Registration, now time.Time) {
-	if !old.sameProcess(update) {
+	if !old.SameProcess(&update.Member) {
 		return
 	}
 	newEra := update.Era > old.Era
