Failing test: streams go on at a software version other than the one that began them

What callers see: a stream of 200 whose beginning is from one version of the replicas' software and whose rest is from another.

--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -69,6 +69,8 @@
 	limit  atomic.Pointer[string] // request limit that the replica states; nil for none
 	crash  atomic.Pointer[func()] // ends the replica for a while; nil if no request makes it crash
 	state  string                 // that it registered last
+	// software is the version of the replica's software; empty for one that does not tell it.
+	software string
 	born   atomic.Int64           // changes with each start
 }
 
@@ -122,6 +124,10 @@
 		r.streamUnframed(w, id)
 		return
 	}
+	if r.software != "" && strings.HasPrefix(id, longStreamPrefix) {
+		r.longStream(w, q)
+		return
+	}
 	if len(q.URL.Path) > 8 && q.URL.Path[:8] == "/stream/" {
 		r.stream(w, q, id, fault)
 		return
