gateway: a stream goes on only at the software version that began it

Cause: hosts did not know that replicas have versions. A continuation within an answer, and a stream that its caller takes up, went to any replica. Change: package origin remembers which version of an upstream began each stream. While an upstream has several versions, hosts report their streams to two hosts in each zone, and a host that does not know a stream asks these; the store keeps which versions may have begun streams. A continuation is picked among replicas of that version; a stream of unknown origin is refused as not run. Beside it: the first event of a continuation must have the ID after the last one that the caller has, also after the caller's own Last-Event-Id; a stream without event IDs is not continued; a framed continuation without events is the end of the stream, one without length or chunks is not.

--- a/cmd/heatherbarrow-gateway/main.go
+++ b/cmd/heatherbarrow-gateway/main.go
@@ -25,6 +25,7 @@
 		KindMembers:  platform.KindMembers,
 		KindHosts:    platform.KindHosts,
 		KindParts:    platform.KindParts,
+		KindVersions: platform.KindVersions,
 	})
 	os.Exit(cli.Main("heatherbarrow-gateway", os.Args[1:], &settings, program.Run))
 }
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -29,6 +29,9 @@
 	// share; 0 for none.
 	Session uint64
 
+	// SoftwareVersion is the only version of the replicas' software that may serve the request; nil for any.
+	SoftwareVersion *string
+
 	homeReplica *replica // home replica of the session, cached
 	sources     []source // replicas to copy the prompt from, cached
 }
@@ -51,6 +54,9 @@
 	// ReasonUnreachable means that no replica could be picked, and that at least one of
 	// them does not accept connections.
 	ReasonUnreachable = "unreachable"
+	// ReasonVersionGone means that no replica of the software version that began the stream may receive
+	// requests.
+	ReasonVersionGone = "version_gone"
 	// ReasonPoison means that the request crashed the replicas that ran it.
 	ReasonPoison = "poison"
 	// ReasonPoisonPart means that a part of the prompt crashed the replicas that answered requests
@@ -122,6 +128,9 @@
 	connectTrialTime = 500 * time.Millisecond
 	// noReplicaRetryAfter is about the time until hosts know of a restarted replica.
 	noReplicaRetryAfter = 500 * time.Millisecond
+	// versionGoneRetryAfter is about the time in which a crashed replica restarts with the same version.
+	// One that has left does not return.
+	versionGoneRetryAfter = 2 * time.Second
 )
 
 // Pick chooses a replica for the request, or returns why the request is refused.
@@ -145,9 +154,12 @@
 			return nil, &Refusal{Reason: ReasonFull, RetryAfter: f.jitteredRetryAfter(q.Target)}
 		case skippedNone:
 		}
-		if wait, ok := p.nextConnectTrial(now); ok {
+		if wait, ok := p.nextConnectTrial(q, now); ok {
 			return nil, &Refusal{Reason: ReasonUnreachable, RetryAfter: f.jitteredRetryAfter(wait)}
 		}
+		if q.SoftwareVersion != nil && p.usableReplicas(now) > 0 {
+			return nil, &Refusal{Reason: ReasonVersionGone, RetryAfter: f.jitteredRetryAfter(versionGoneRetryAfter)}
+		}
 		return nil, &Refusal{Reason: ReasonNoReplica, RetryAfter: f.jitteredRetryAfter(noReplicaRetryAfter)}
 	}
 	refusal := f.refuse(p, q, &best, now)
@@ -226,9 +238,9 @@
 
 // nextConnectTrial returns the time until the next trial of a connection to an unconnectable
 // replica ends. ok reports whether there is such a replica.
-func (p *pool) nextConnectTrial(now time.Time) (wait time.Duration, ok bool) {
+func (p *pool) nextConnectTrial(q *Request, now time.Time) (wait time.Duration, ok bool) {
 	for _, r := range p.replicas {
-		if !r.member.usable(now) || !r.unconnectable(now) {
+		if !q.allows(r, now) || !r.unconnectable(now) {
 			continue
 		}
 		if remaining := max(r.suspendedUntil.Sub(now), 0) + connectTrialTime; !ok || remaining < wait {
@@ -238,6 +250,21 @@
 	return wait, ok
 }
 
+// allows reports whether the replica's registration permits this request to it.
+func (q *Request) allows(r *replica, now time.Time) bool {
+	return r.member.usable(now) && (q.SoftwareVersion == nil || *q.SoftwareVersion == r.member.SoftwareVersion)
+}
+
+// usableReplicas returns the number of replicas whose registration allows requests.
+func (p *pool) usableReplicas(now time.Time) (n int) {
+	for _, r := range p.replicas {
+		if r.member.usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // meetsTarget reports whether the candidate is expected to meet the request's target.
 func (f *Fleet) meetsTarget(q *Request, c *candidate) bool {
 	return c.replica != nil && c.expected <= q.Target-q.Waited
@@ -264,7 +291,7 @@
 func (f *Fleet) best(p *pool, q *Request, now time.Time, healthyOnly bool, accept func(rank int) bool) (best candidate, skipped skipReason) {
 	eligible := 0
 	for rank, r := range p.replicas {
-		if !r.member.usable(now) || slices.Contains(q.Exclude, r.member.ID) || r.unconnectable(now) || healthyOnly && !r.admissible(now) {
+		if !q.allows(r, now) || slices.Contains(q.Exclude, r.member.ID) || r.unconnectable(now) || healthyOnly && !r.admissible(now) {
 			continue
 		}
 		if !f.hasCapacity(p, r, q) {
--- /dev/null
+++ b/internal/gateway/origin/origin.go
@@ -0,0 +1,226 @@
+// Package origin remembers which software version of an upstream began each stream. What two versions
+// write does not fit together, and replicas do not check it, so a stream may go on only at the version
+// that began it. The package performs no I/O and takes the time as an argument.
+package origin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Retention is how long the origin of a stream, and a version that is no longer in use, are
+	// remembered. It exceeds the time from the first event of a stream to its caller's last attempt, which
+	// the callers' deadlines bound.
+	Retention = 2 * time.Minute
+	// maxStreams bounds the streams of a generation; each takes about 20 bytes.
+	maxStreams = 1 << 16
+	// maxPending bounds the streams that wait to be reported to other hosts.
+	maxPending = 1 << 12
+)
+
+// Origin is what began a stream.
+type Origin struct {
+	Upstream string
+	Version  string // of the replica's software
+}
+
+// Entry is a stream with its origin.
+type Entry struct {
+	Stream uint64 // StreamID of the attempt that brought its first event
+	Origin
+}
+
+// StreamID identifies the stream whose first event an attempt brought.
+func StreamID(attemptID string) uint64 { return xxhash.Sum64String(attemptID) }
+
+// Tracker remembers the origins of streams and the versions of upstreams. It is safe for concurrent use.
+type Tracker struct {
+	mu        sync.Mutex
+	origins   []Origin // that were ever seen; streams refer to them by index
+	indexes   map[Origin]uint16
+	current   map[uint64]uint16 // streams of the present generation
+	previous  map[uint64]uint16
+	rotatedAt time.Time
+	// lastInUse holds for each version of an upstream when a replica of it was last registered.
+	lastInUse map[Origin]time.Time
+	inUse     map[Origin]bool
+	// completeFrom is when lastInUse holds all versions that began a stream within Retention; zero while
+	// no replicas are known.
+	completeFrom time.Time
+	pending      []Entry // to be reported to other hosts
+	wake         chan struct{}
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker {
+	return &Tracker{
+		indexes: make(map[Origin]uint16), current: make(map[uint64]uint16), previous: make(map[uint64]uint16),
+		lastInUse: make(map[Origin]time.Time), inUse: make(map[Origin]bool), wake: make(chan struct{}, 1),
+	}
+}
+
+// SetInUse sets the versions of all upstreams that have registered replicas.
+func (t *Tracker) SetInUse(inUse map[Origin]bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for o := range t.inUse {
+		t.lastInUse[o] = now
+	}
+	reportAll := false
+	for o := range inUse {
+		_, known := t.lastInUse[o]
+		reportAll = reportAll || !known
+		t.lastInUse[o] = now
+	}
+	t.inUse = inUse
+	if t.completeFrom.IsZero() {
+		t.completeFrom = now.Add(Retention)
+	}
+	if reportAll {
+		// Streams that began while their version was the only one were not reported.
+		for stream, index := range t.current {
+			t.report(Entry{Stream: stream, Origin: t.origins[index]}, now)
+		}
+	}
+}
+
+// AddEarlier adds versions that were in use before this host started. With complete set, they are all
+// that there were.
+func (t *Tracker) AddEarlier(versions []Origin, complete bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range versions {
+		t.lastInUse[o] = now
+	}
+	if complete && (t.completeFrom.IsZero() || now.Before(t.completeFrom)) {
+		t.completeFrom = now
+	}
+}
+
+// Versions returns the versions of all upstreams that are in use or were within Retention.
+func (t *Tracker) Versions(now time.Time) map[Origin]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[Origin]bool, len(t.lastInUse))
+	for o := range t.lastInUse {
+		if t.recent(o, now) {
+			out[o] = true
+		}
+	}
+	return out
+}
+
+// recent reports whether the version is in use or was within Retention, and forgets it otherwise.
+func (t *Tracker) recent(o Origin, now time.Time) bool {
+	at, known := t.lastInUse[o]
+	switch {
+	case t.inUse[o]:
+		return true
+	case known && now.Sub(at) > Retention:
+		delete(t.lastInUse, o)
+		return false
+	}
+	return known
+}
+
+// Record notes that a stream of this host has begun.
+func (t *Tracker) Record(attemptID string, o Origin, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := Entry{Stream: StreamID(attemptID), Origin: o}
+	t.put(e, now)
+	t.report(e, now)
+}
+
+// Apply notes streams that other hosts report.
+func (t *Tracker) Apply(entries []Entry, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range entries {
+		t.put(e, now)
+	}
+}
+
+// put remembers a stream.
+func (t *Tracker) put(e Entry, now time.Time) {
+	if now.Sub(t.rotatedAt) > Retention || len(t.current) >= maxStreams {
+		t.previous, t.current, t.rotatedAt = t.current, make(map[uint64]uint16), now
+	}
+	index, ok := t.indexes[e.Origin]
+	if !ok {
+		if len(t.origins) > int(^index) {
+			return // more versions than a process ever meets; unknown streams are refused
+		}
+		index = uint16(len(t.origins))
+		t.origins, t.indexes[e.Origin] = append(t.origins, e.Origin), index
+	}
+	t.current[e.Stream] = index
+}
+
+// report queues a stream for other hosts, if they cannot infer its origin.
+func (t *Tracker) report(e Entry, now time.Time) {
+	if len(t.pending) >= maxPending {
+		return
+	}
+	for o := range t.lastInUse {
+		if o.Upstream == e.Upstream && o.Version != e.Version && t.recent(o, now) {
+			t.pending = append(t.pending, e)
+			select {
+			case t.wake <- struct{}{}:
+			default: // the last one has not been received yet
+			}
+			return
+		}
+	}
+}
+
+// Pending returns a channel that receives a value when there are streams to report.
+func (t *Tracker) Pending() <-chan struct{} { return t.wake }
+
+// TakePending returns the streams to report to other hosts, and clears them.
+func (t *Tracker) TakePending() []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.pending
+	t.pending = nil
+	return out
+}
+
+// Recorded returns the origin of a stream that this host began or was told of.
+func (t *Tracker) Recorded(stream uint64) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	index, ok := t.current[stream]
+	if !ok {
+		index, ok = t.previous[stream]
+	}
+	if !ok {
+		return Origin{}, false
+	}
+	return t.origins[index], true
+}
+
+// Only returns the origin of all streams of the given upstreams, if there is just one. It must not be
+// relied on unless this host's replica list is up to date.
+func (t *Tracker) Only(upstreams []string, now time.Time) (only Origin, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.completeFrom.IsZero() || now.Before(t.completeFrom) {
+		return Origin{}, false
+	}
+	for o := range t.lastInUse {
+		for _, upstream := range upstreams {
+			if o.Upstream != upstream || !t.recent(o, now) {
+				continue
+			}
+			if ok && o != only {
+				return Origin{}, false
+			}
+			only, ok = o, true
+		}
+	}
+	return only, ok
+}
--- /dev/null
+++ b/internal/gateway/peers/origins.go
@@ -0,0 +1,226 @@
+package peers
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"heatherbarrow/internal/gateway/origin"
+	"heatherbarrow/internal/rpc"
+)
+
+// A stream may be taken up at a host that never saw its beginning, after the host that did has died. While
+// an upstream has replicas of several software versions, each host therefore reports the streams that it
+// begins to a few hosts, the stream's keepers, in datagrams of their own. All hosts compute the same
+// keepers, and a host that does not know a stream asks them.
+
+const (
+	// keepersPerZone is the number of keepers of a stream in each availability zone: one may have died
+	// together with the host that began the stream.
+	keepersPerZone = 2
+	// originsInterval is the time in which streams are collected for a report. Each is reported twice, as a
+	// datagram may be lost.
+	originsInterval = 50 * time.Millisecond
+	// maxOriginsPerDatagram keeps a report within a datagram.
+	maxOriginsPerDatagram = 120
+)
+
+// keeper is a host that may be a keeper of a stream.
+type keeper struct {
+	address string // of its pull service
+	udpAddr *net.UDPAddr
+	zone    string
+	hash    uint64 // of the address
+}
+
+// keepers returns the keepers of a stream among the other hosts.
+func keepers(hosts []keeper, stream uint64) []keeper {
+	rank := func(k *keeper) uint64 {
+		// An avalanching mix, so that each stream orders the hosts in its own way.
+		x := k.hash ^ stream
+		x = (x ^ x>>33) * 0xff51afd7ed558ccd
+		return x ^ x>>33
+	}
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, func(a, b keeper) int { return cmp.Compare(rank(&a), rank(&b)) })
+	inZone := make(map[string]int)
+	return slices.DeleteFunc(sorted, func(k keeper) bool {
+		inZone[k.zone]++
+		return inZone[k.zone] > keepersPerZone
+	})
+}
+
+// keeperHosts returns the other hosts that are not silent.
+func (e *Exchange) keeperHosts(now time.Time) []keeper {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hosts := make([]keeper, 0, len(e.peers))
+	for address, p := range e.peers {
+		if now.Sub(later(later(p.lastHeartbeat, p.lastInDigest), p.addedAt)) < silenceTimeout {
+			hosts = append(hosts, keeper{address: address, udpAddr: p.udpAddr, zone: p.zone, hash: xxhash.Sum64String(address)})
+		}
+	}
+	return hosts
+}
+
+// originLoop reports the streams that this host began until ctx ends.
+func (e *Exchange) originLoop(ctx context.Context) {
+	var sentOnce []origin.Entry
+	for {
+		if len(sentOnce) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-e.opts.Origins.Pending():
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(originsInterval):
+		}
+		fresh := e.opts.Origins.TakePending()
+		if len(fresh)+len(sentOnce) > 0 {
+			e.reportOrigins(append(sentOnce, fresh...), time.Now())
+		}
+		sentOnce = fresh
+	}
+}
+
+// reportOrigins sends streams to their keepers.
+func (e *Exchange) reportOrigins(entries []origin.Entry, now time.Time) {
+	hosts := e.keeperHosts(now)
+	byKeeper := make(map[string][]origin.Entry)
+	addresses := make(map[string]*net.UDPAddr)
+	for _, entry := range entries {
+		for _, k := range keepers(hosts, entry.Stream) {
+			byKeeper[k.address] = append(byKeeper[k.address], entry)
+			addresses[k.address] = k.udpAddr
+		}
+	}
+	for address, entries := range byKeeper {
+		for part := range slices.Chunk(entries, maxOriginsPerDatagram) {
+			// Sequence 0 makes hosts that do not know this kind of datagram ignore it as an old heartbeat.
+			message := &rpc.Beat{Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, StreamOrigins: originsToProto(part)}
+			data, err := proto.Marshal(message)
+			if err != nil {
+				e.opts.Logger.Error().Err(err).Msg("cannot encode origins of streams")
+				return
+			}
+			if _, err := e.socket.WriteToUDP(data, addresses[address]); err != nil {
+				e.opts.Logger.Debug().Err(err).Str("to", address).Msg("cannot send origins of streams")
+			}
+		}
+	}
+}
+
+// Record implements proxy.Origins.
+func (e *Exchange) Record(attemptID string, o origin.Origin, now time.Time) {
+	e.opts.Origins.Record(attemptID, o, now)
+}
+
+// Find implements proxy.Origins. It asks the stream's keepers if this host does not know its origin.
+func (e *Exchange) Find(ctx context.Context, attemptID string, upstreams []string) (o origin.Origin, known bool) {
+	stream := origin.StreamID(attemptID)
+	source := "this host"
+	if o, known = e.localOrigin(stream, upstreams); !known {
+		o, known = e.askKeepers(ctx, stream, upstreams)
+		source = "other hosts"
+	}
+	e.opts.Logger.Info().Str("resumes", attemptID).Bool("known", known).Str("upstream", o.Upstream).
+		Str("software", o.Version).Str("source", source).Msg("origin of stream looked up")
+	return o, known && slices.Contains(upstreams, o.Upstream)
+}
+
+// localOrigin returns the origin of a stream as far as this host knows it. That there is only one version
+// counts only if the replica list is complete and up to date.
+func (e *Exchange) localOrigin(stream uint64, upstreams []string) (origin.Origin, bool) {
+	if o, ok := e.opts.Origins.Recorded(stream); ok {
+		return o, true
+	}
+	now := time.Now()
+	if e.opts.State.MembersAsOf() == 0 || !e.opts.State.StoreReachable() && !e.upToDateWithPeers(now) {
+		return origin.Origin{}, false
+	}
+	return e.opts.Origins.Only(upstreams, now)
+}
+
+// upToDateWithPeers reports whether other hosts send heartbeats and none announces newer state.
+func (e *Exchange) upToDateWithPeers(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	heard := false
+	for _, p := range e.peers {
+		if now.Sub(p.lastHeartbeat) > maxHeartbeatInterval {
+			continue
+		}
+		if !p.aheadSince.IsZero() {
+			return false
+		}
+		heard = true
+	}
+	return heard
+}
+
+// askKeepers asks the keepers of a stream for its origin, all at the same time.
+func (e *Exchange) askKeepers(ctx context.Context, stream uint64, upstreams []string) (origin.Origin, bool) {
+	asked := keepers(e.keeperHosts(time.Now()), stream)
+	answers := make(chan *rpc.FindOriginResponse, len(asked))
+	for _, k := range asked {
+		go func() {
+			client := rpc.NewGatewayProtobufClient("http://"+k.address, e.client)
+			answer, err := client.FindOrigin(ctx, &rpc.FindOriginRequest{Stream: stream, Upstreams: upstreams})
+			if err != nil {
+				e.opts.Logger.Debug().Err(err).Str("address", k.address).Msg("cannot ask for the origin of a stream")
+			}
+			answers <- answer
+		}()
+	}
+	for range asked {
+		select {
+		case answer := <-answers:
+			if answer.GetKnown() {
+				return origin.Origin{Upstream: answer.Upstream, Version: answer.SoftwareVersion}, true
+			}
+		case <-ctx.Done():
+			return origin.Origin{}, false
+		}
+	}
+	return origin.Origin{}, false
+}
+
+// FindOrigin implements rpc.Gateway.
+func (e *Exchange) FindOrigin(_ context.Context, request *rpc.FindOriginRequest) (*rpc.FindOriginResponse, error) {
+	o, known := e.localOrigin(request.Stream, request.Upstreams)
+	return &rpc.FindOriginResponse{Known: known, Upstream: o.Upstream, SoftwareVersion: o.Version}, nil
+}
+
+// originsToProto encodes the origins of streams.
+func originsToProto(entries []origin.Entry) (out []*rpc.StreamOrigins) {
+	byOrigin := make(map[origin.Origin]*rpc.StreamOrigins)
+	for _, e := range entries {
+		group, ok := byOrigin[e.Origin]
+		if !ok {
+			group = &rpc.StreamOrigins{Upstream: e.Upstream, SoftwareVersion: e.Version}
+			byOrigin[e.Origin] = group
+			out = append(out, group)
+		}
+		group.Streams = append(group.Streams, e.Stream)
+	}
+	return out
+}
+
+// originsFromProto decodes the origins of streams.
+func originsFromProto(messages []*rpc.StreamOrigins) (out []origin.Entry) {
+	for _, m := range messages {
+		for _, stream := range m.Streams {
+			out = append(out, origin.Entry{Stream: stream, Origin: origin.Origin{Upstream: m.Upstream, Version: m.SoftwareVersion}})
+		}
+	}
+	return out
+}
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -17,6 +17,7 @@
 
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/netio"
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/state"
 	"heatherbarrow/internal/rpc"
 )
@@ -96,6 +97,7 @@
 	Seeds    []string // IP:port of the pull service of some hosts; may be out of date
 	State    *state.State
 	Fleet    *fleet.Fleet
+	Origins  *origin.Tracker // of streams, which the hosts tell each other
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	Logger   zerolog.Logger
 	// Status returns this host's view of the deployment and the requests that this host
@@ -173,6 +175,9 @@
 
 // New returns an Exchange.
 func New(opts Options) *Exchange {
+	if opts.Origins == nil {
+		opts.Origins = origin.NewTracker()
+	}
 	if opts.Role == nil {
 		opts.Role = state.NewRole()
 	}
@@ -215,6 +220,7 @@
 	}
 	go e.receiveLoop()
 	go e.sendLoop(ctx)
+	go e.originLoop(ctx)
 	go e.pullLoop(ctx)
 	go e.roleLoop(ctx)
 	return nil
@@ -321,6 +327,10 @@
 		e.opts.Fleet.ApplyPartReports(rpc.SuspectPartEntries(m.SuspectParts, now), now)
 		return
 	}
+	if len(m.StreamOrigins) > 0 {
+		e.opts.Origins.Apply(originsFromProto(m.StreamOrigins), now)
+		return
+	}
 	if m.ZoneDigest != nil {
 		e.handleDigest(m.ZoneDigest, now)
 		return
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -19,6 +19,7 @@
 	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/netio"
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/peers"
 	"heatherbarrow/internal/gateway/proxy"
 	"heatherbarrow/internal/gateway/routing"
@@ -77,6 +78,7 @@
 	KindMembers  string // kind of the replica registrations
 	KindHosts    string // kind of the host registrations, which the gateways write themselves
 	KindParts    string // kind of the refused prompt parts, which the gateways write themselves
+	KindVersions string // kind of the software versions of upstreams, which the gateways write themselves
 }
 
 // Program is the heatherbarrow-gateway process.
@@ -88,6 +90,7 @@
 	fleet        *fleet.Fleet
 	budget       *proxy.Budget
 	client       *upstream.Client
+	origins      *origin.Tracker
 	state        *state.State
 	role         *state.Role
 	peers        *peers.Exchange
@@ -153,8 +156,9 @@
 	p.fleet = fleet.New(fleet.Options{Zone: p.settings.AvailabilityZone, Model: p.settings.Engines.engineModel(), Seed: rand.Uint64()})
 	p.budget = proxy.NewBudget(clockwork.NewRealClock(), p.settings.RetryShare, p.settings.RetrySlack, minHosts)
 	p.client = upstream.NewClient(netio.Dial)
+	p.origins = origin.NewTracker()
 	p.state = state.New(state.Options{
-		Bus: events, Fleet: p.fleet, Decode: p.adapter.DecodeConfig, Logger: p.logger,
+		Bus: events, Fleet: p.fleet, Origins: p.origins, Decode: p.adapter.DecodeConfig, Logger: p.logger,
 		MaxWithdrawTime: p.settings.WithdrawWithin.Std(), RegistrationLapse: p.settings.registrationLapse(),
 		OnStoreChange: func() { p.peers.Announce() },
 		OnNewEra: func() {
@@ -167,11 +171,11 @@
 	p.role = state.NewRole()
 	p.peers = peers.New(peers.Options{
 		Host: p.settings.Host, Zone: p.settings.AvailabilityZone, Listen: p.settings.PeerListen,
-		BeatPort: p.settings.BeatPort, Seeds: p.settings.Seeds, State: p.state, Fleet: p.fleet,
+		BeatPort: p.settings.BeatPort, Seeds: p.settings.Seeds, State: p.state, Fleet: p.fleet, Origins: p.origins,
 		Dial: netio.Dial, Logger: p.logger, Status: p.status, OnHostCount: p.budget.SetHosts, Role: p.role,
 	})
 	p.server = proxy.New(proxy.Options{
-		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client,
+		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client, Origins: p.peers,
 		Table: p.state.Table, Known: p.state.Known, Logger: p.logger, Metrics: p.metrics.Scope,
 	})
 	p.store = p.adapter.Store(p.settings.Store, &http.Client{Transport: &http.Transport{
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -136,7 +136,7 @@
 }
 
 // forwardStream forwards the events of a stream as they arrive.
-func (e *exchange) forwardStream(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *time.Timer) attemptResult {
+func (e *exchange) forwardStream(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *watchdog) attemptResult {
 	if !reply.Sealed {
 		return e.handleUnusable(errors.New("stream has no server seal"), fleet.Failed, lease)
 	}
@@ -149,7 +149,7 @@
 		event, err := events.Next()
 		if err == io.EOF {
 			lease.RecordStream(p.events-eventsBefore, time.Since(firstEventAt), time.Now())
-			return e.handleStreamEnd(response, lease, p)
+			return e.handleStreamEnd(response, lease, p, p.events > eventsBefore)
 		}
 		if err != nil {
 			return e.handleBrokenStream(err, response, lease, p, controller)
@@ -168,16 +168,14 @@
 			firstEventAt = time.Now()
 			lease.FirstByte(firstEventAt)
 		}
-		e.resetStallTimer(watchdog)
-		if !e.isNextEvent(event, p) {
+		e.resetStallTimer(watchdog, lease)
+		if !isNextEvent(&event, p.lastEventID, p.events > eventsBefore) {
 			return e.handleBrokenStream(errors.New("event ID is out of sequence"), response, lease, p, controller)
 		}
 		if !p.headerSent {
-			p.headerSent = true
-			copyResponseHeader(e.w.Header(), response.Header)
-			e.record.responded(response.Status)
+			e.recordOrigin(lease, p)
 			e.record.firstEventAfter = time.Since(e.arrived)
-			e.w.WriteHeader(response.Status)
+			e.sendStreamHeader(response, p)
 			_, err = e.w.Write(bufferedComments)
 		}
 		if err == nil {
@@ -225,28 +223,43 @@
 // resetStallTimer restarts a running watchdog with the time allowed until the next event, or
 // stops it if the route sets no GapTarget. A watchdog that is not running, for example because
 // the stream cannot continue on another replica, stays stopped.
-func (e *exchange) resetStallTimer(watchdog *time.Timer) {
-	if !watchdog.Stop() || e.route.GapTarget <= 0 {
+func (e *exchange) resetStallTimer(w *watchdog, lease *fleet.Lease) {
+	if !w.timer.Stop() || e.route.GapTarget <= 0 {
 		return
 	}
-	watchdog.Reset(max(time.Duration(stallTimeoutGaps*float64(e.route.GapTarget)), minResponseTimeout))
+	w.request.SoftwareVersion = &lease.Member.SoftwareVersion
+	w.timer.Reset(max(time.Duration(stallTimeoutGaps*float64(e.route.GapTarget)), minResponseTimeout))
 }
 
-// isNextEvent reports whether an event may follow the last one forwarded. Numeric event IDs
-// must be consecutive, so that no event is lost or repeated when a stream continues on
-// another replica.
-func (e *exchange) isNextEvent(event upstream.Event, p *progress) bool {
-	lastID, err1 := strconv.ParseInt(p.lastEventID, 10, 64)
-	nextID, err2 := strconv.ParseInt(event.ID, 10, 64)
-	if err1 != nil || err2 != nil {
+// sendStreamHeader sends the header of a replica's stream to the caller.
+func (e *exchange) sendStreamHeader(response *upstream.Response, p *progress) {
+	p.headerSent = true
+	copyResponseHeader(e.w.Header(), response.Header)
+	e.record.responded(response.Status)
+	e.w.WriteHeader(response.Status)
+}
+
+// isNextEvent reports whether an event may follow the last one that the caller has. Numeric event
+// IDs must be consecutive, so that no event is lost or repeated when a stream continues on another
+// replica. The first event of a continuation must have an ID: one without could be anything that a
+// faulty replica sends. begun means that this replica has sent an event of the stream already.
+func isNextEvent(event *upstream.Event, lastEventID string, begun bool) bool {
+	lastID, err := strconv.ParseInt(lastEventID, 10, 64)
+	if err != nil {
 		return true // the first event, or IDs that are not numbers and have no defined order
 	}
+	nextID, err := strconv.ParseInt(event.ID, 10, 64)
+	if err != nil {
+		return begun
+	}
 	return nextID == lastID+1
 }
 
-// handleStreamEnd ends an attempt whose stream ended properly.
-func (e *exchange) handleStreamEnd(response *upstream.Response, lease *fleet.Lease, p *progress) attemptResult {
-	if !p.headerSent {
+// handleStreamEnd ends an attempt whose stream ended properly. begun means that the replica sent an
+// event. The caller may have all events but not the end, so that a continuation may have none; but
+// without a length or chunks, such an end may as well be that of the replica.
+func (e *exchange) handleStreamEnd(response *upstream.Response, lease *fleet.Lease, p *progress, begun bool) attemptResult {
+	if !begun && (p.lastEventID == "" || response.Unframed) {
 		leaseResult := fleet.Failed
 		if response.Unframed {
 			leaseResult = fleet.Truncated
@@ -255,6 +268,9 @@
 	}
 	response.MarkComplete()
 	e.endServed(response, lease)
+	if !p.headerSent {
+		e.sendStreamHeader(response, p)
+	}
 	return attemptDone
 }
 
--- a/internal/gateway/proxy/proxy_test.go
+++ b/internal/gateway/proxy/proxy_test.go
@@ -22,6 +22,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/proxy"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
@@ -37,6 +38,7 @@
 	members  []fleet.Member
 	table    atomic.Pointer[routing.Table]
 	metrics  tally.TestScope
+	origins  localOrigins
 }
 
 const (
@@ -69,7 +71,7 @@
 // newTestGateway starts a gateway and a replica of the upstream "pool" for each handler.
 func newTestGateway(t *testing.T, replicas ...http.Handler) *testGateway {
 	t.Helper()
-	g := &testGateway{t: t, metrics: tally.NewTestScope("", nil), fleet: fleet.New(fleet.Options{Zone: "a", Model: fleet.EngineModel{PrefillTokensPerMs: 36, Chunk: 2048}})}
+	g := &testGateway{t: t, origins: localOrigins{origin.NewTracker()}, metrics: tally.NewTestScope("", nil), fleet: fleet.New(fleet.Options{Zone: "a", Model: fleet.EngineModel{PrefillTokensPerMs: 36, Chunk: 2048}})}
 	for i, handler := range replicas {
 		s := httptest.NewServer(handler)
 		t.Cleanup(s.CloseClientConnections)
@@ -80,7 +82,7 @@
 	g.fleet.SetMembers(g.members)
 	g.table.Store(routing.Compile(testConfig()))
 	g.server = proxy.New(proxy.Options{
-		Dialect: platform.Dialect{}, Fleet: g.fleet, Client: upstream.NewClient((&net.Dialer{}).DialContext),
+		Dialect: platform.Dialect{}, Fleet: g.fleet, Client: upstream.NewClient((&net.Dialer{}).DialContext), Origins: g.origins,
 		Budget: proxy.NewBudget(clockwork.NewRealClock(), 0.2, 50, 1),
 		Table:  g.table.Load, Known: func() bool { return g.table.Load() != nil }, Logger: zerolog.Nop(), Metrics: g.metrics,
 	})
@@ -92,6 +94,16 @@
 	return g
 }
 
+// localOrigins are the origins of a host without others.
+type localOrigins struct{ *origin.Tracker }
+
+func (o localOrigins) Find(_ context.Context, attemptID string, upstreams []string) (origin.Origin, bool) {
+	if recorded, ok := o.Recorded(origin.StreamID(attemptID)); ok {
+		return recorded, true
+	}
+	return o.Only(upstreams, time.Now())
+}
+
 // testRequest is a request of a caller. The default method is POST.
 type testRequest struct {
 	method, path, body string
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
 )
@@ -45,7 +46,8 @@
 	triedReplicas  int               // one for each attempt, including replicas that were unreachable
 	possibleRuns   int               // attempts in which a replica may have run the request
 	headerSent     bool              // the response header has been sent to the caller
-	lastEventID    string            // of the last event forwarded that has an ID
+	lastEventID    string            // of the last event that the caller has, if it has an ID
+	origin         *origin.Origin    // of the stream; nil until its first event
 	events         int               // events forwarded
 	exclude        []string          // IDs of the replicas tried
 	replicaFailure *bufferedResponse // a replica's 5xx response, forwarded if no attempt succeeds
@@ -67,9 +69,15 @@
 func (e *exchange) dispatch(ctx context.Context) {
 	s := e.server
 	upstreamName := e.route.PickUpstream(e.call.AttemptID)
+	var p progress
+	if e.call.Continues() {
+		if !e.findOrigin(ctx, &p) {
+			return
+		}
+		upstreamName = p.origin.Upstream
+	}
 	e.record.upstream = upstreamName
 	s.opts.Budget.First(upstreamName)
-	var p progress
 	for {
 		lease, refusal := s.opts.Fleet.Pick(e.fleetRequest(upstreamName, &p), time.Now())
 		if refusal != nil {
@@ -112,6 +120,9 @@
 		Urgent: e.route.Priority == 0, Priority: e.route.Priority,
 		Exclude: p.exclude, Fingerprint: e.fingerprint, Parts: e.sharedParts, Session: sessionHash(e.prompt),
 	}
+	if p.origin != nil {
+		req.SoftwareVersion = &p.origin.Version
+	}
 	if e.team != nil {
 		req.Team = e.team.Name
 		req.Favored = e.team.Priority != nil && *e.team.Priority == 0
@@ -125,6 +136,9 @@
 	if p.triedReplicas >= maxTriedReplicas || e.timeLeft(time.Now()) < minTimeLeft {
 		return false
 	}
+	if p.headerSent && p.lastEventID == "" {
+		return false // without event IDs, no replica can go on where the stream broke off
+	}
 	if result != attemptNotRun && (!e.route.Repeatable() || p.possibleRuns >= e.route.MaxAttempts) {
 		return false
 	}
@@ -213,7 +227,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := e.startWatchdog(ctx, cancel, lease, p)
-	defer watchdog.Stop()
+	defer watchdog.timer.Stop()
 
 	startedAt := time.Now()
 	response, err := s.opts.Client.Do(ctx, e.upstreamRequest(lease, p))
@@ -297,39 +311,45 @@
 	return min(max(rank, 0), leastUrgent)
 }
 
+// watchdog cancels an attempt that takes much longer than expected.
+type watchdog struct {
+	timer   *time.Timer
+	request *fleet.Request // what another replica would be picked for
+}
+
 // startWatchdog returns a timer that cancels an attempt of a repeatable request that takes
 // much longer than expected. The timer is stopped if no other attempt is allowed, or if its
 // timeout exceeds half of the time left. When it fires, it cancels the attempt only if the
 // retry budget allows a retry and another replica is available: otherwise a slow response is
 // better than none.
-func (e *exchange) startWatchdog(ctx context.Context, cancel context.CancelFunc, lease *fleet.Lease, p *progress) *time.Timer {
+func (e *exchange) startWatchdog(ctx context.Context, cancel context.CancelFunc, lease *fleet.Lease, p *progress) *watchdog {
 	if !e.route.Repeatable() || p.possibleRuns+1 >= e.route.MaxAttempts {
 		stopped := time.NewTimer(unsetTimerDelay)
 		stopped.Stop()
-		return stopped
+		return &watchdog{timer: stopped}
 	}
 	timeout := lease.Expected + time.Duration(responseTimeoutTargets*float64(e.route.Target))
 	timeout = max(timeout, minResponseTimeout)
 	req := e.fleetRequest(lease.Member.Upstream, p)
 	req.Target = 0 // by the time the watchdog fires, the latency objective is missed
 	req.Exclude = append(slices.Clone(p.exclude), lease.Member.ID)
-	var timer *time.Timer
-	timer = time.AfterFunc(unsetTimerDelay, func() {
+	w := &watchdog{request: req}
+	w.timer = time.AfterFunc(unsetTimerDelay, func() {
 		req.TimeLeft = e.timeLeft(time.Now())
 		switch {
 		case ctx.Err() != nil:
 		case !e.server.opts.Budget.Spent(req.Upstream) && e.server.opts.Fleet.Available(req, time.Now()):
 			cancel()
 		default:
-			timer.Reset(minResponseTimeout)
+			w.timer.Reset(minResponseTimeout)
 		}
 	})
 	if timeout <= e.timeLeft(time.Now())/2 {
-		timer.Reset(timeout)
+		w.timer.Reset(timeout)
 	} else {
-		timer.Stop()
+		w.timer.Stop()
 	}
-	return timer
+	return w
 }
 
 // handleNoResponse ends an attempt without a response.
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -37,6 +37,7 @@
 	Fleet   *fleet.Fleet
 	Budget  *Budget
 	Client  *upstream.Client
+	Origins Origins
 	// Table returns the configuration in force, or nil if none is known.
 	Table func() *routing.Table
 	// Known reports whether the host knows a configuration and the replicas, which it needs
--- a/internal/gateway/state/registry.go
+++ b/internal/gateway/state/registry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 )
 
 const (
@@ -271,6 +272,17 @@
 	return !now.Before(r.withheldUntil)
 }
 
+// versions returns the software versions of the upstreams' registered replicas, draining ones included.
+func (g *registry) versions(now time.Time) map[origin.Origin]bool {
+	out := make(map[origin.Origin]bool)
+	for _, e := range g.entries {
+		if !e.Removed || e.inUse(now) {
+			out[origin.Origin{Upstream: e.Upstream, Version: e.SoftwareVersion}] = true
+		}
+	}
+	return out
+}
+
 // counts returns the number of replicas in use, and how many of these are draining.
 func (g *registry) counts(now time.Time) (inUse, leaving int) {
 	for _, e := range g.entries {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -11,6 +11,7 @@
 
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/routing"
 )
 
@@ -57,10 +58,12 @@
 
 // Options configures a State.
 type Options struct {
-	Bus    *bus.Bus
-	Fleet  *fleet.Fleet
-	Decode func([]byte) (routing.Config, error) // decodes a configuration that is encoded as in the store
-	Logger zerolog.Logger
+	Bus   *bus.Bus
+	Fleet *fleet.Fleet
+	// Origins is told which software versions are in use; nil for none.
+	Origins *origin.Tracker
+	Decode  func([]byte) (routing.Config, error) // decodes a configuration that is encoded as in the store
+	Logger  zerolog.Logger
 	// MaxWithdrawTime is the time after a replica has left within which it must stop receiving
 	// requests.
 	MaxWithdrawTime time.Duration
@@ -326,6 +329,10 @@
 // calls Options.OnStoreChange.
 func (s *State) installMembers(reason string, source Source, now time.Time) {
 	changed, removedIDs := s.registry.takeChanges(now)
+	if s.opts.Origins != nil {
+		// Before the fleet picks a replica of a new version: its first stream must be reported.
+		s.opts.Origins.SetInUse(s.registry.versions(now), now)
+	}
 	s.opts.Fleet.Update(changed, removedIDs)
 	inUse, leaving := s.registry.counts(now)
 	s.opts.Logger.Info().Uint64("era", s.registry.era).Uint64("revision", s.registry.revision).Str("source", string(source)).Str("why", reason).
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -28,7 +28,7 @@
 			Id: v.Member.ID, Upstream: v.Member.Upstream, Address: v.Member.Address, AvailabilityZone: v.Member.Zone,
 			State: string(v.State), Running: uint32(v.Running), BacklogMs: uint32(v.Backlog.Milliseconds()),
 			FailingPermille: uint32(v.FailureRate * permille), SlownessPermille: uint32(v.Slowness * permille),
-			Limited: v.Limit.Limited, LimitPerSecond: v.Limit.PerSecond,
+			SoftwareVersion: v.Member.SoftwareVersion, Limited: v.Limit.Limited, LimitPerSecond: v.Limit.PerSecond,
 		})
 	}
 	slices.SortFunc(out.Replicas, func(a, b *rpc.GatewayReplica) int {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -93,6 +93,7 @@
 		go config.Run(ctx)
 		go members.Run(ctx)
 		go (&partKeeper{program: p}).run(ctx)
+		go (&versionKeeper{program: p}).run(ctx)
 		s.maintainRegistration(ctx)
 	}()
 	return nil
--- a/internal/hbctl/gateways.go
+++ b/internal/hbctl/gateways.go
@@ -1,6 +1,7 @@
 package hbctl
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -123,7 +124,7 @@
 }
 
 func printGatewayReplicas(w io.Writer, statuses []gatewayStatus) {
-	fmt.Fprintln(w, "\nHOST\tUPSTREAM\tREPLICA\tADDRESS\tZONE\tSTATE\tRUNNING\tBACKLOG\tFAILING\tSLOWNESS\tLIMIT")
+	fmt.Fprintln(w, "\nHOST\tUPSTREAM\tREPLICA\tADDRESS\tZONE\tSTATE\tRUNNING\tBACKLOG\tFAILING\tSLOWNESS\tLIMIT\tSOFTWARE")
 	const permille = 1000.0
 	for _, s := range statuses {
 		for _, r := range s.response.GetReplicas() {
@@ -131,8 +132,8 @@
 			if r.Limited {
 				limit = fmt.Sprintf("%g/s", r.LimitPerSecond)
 			}
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d ms\t%.2f\t%.2f\t%s\n", s.response.Host, r.Upstream, r.Id, r.Address,
-				r.AvailabilityZone, r.State, r.Running, r.BacklogMs, float64(r.FailingPermille)/permille, float64(r.SlownessPermille)/permille, limit)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d ms\t%.2f\t%.2f\t%s\t%s\n", s.response.Host, r.Upstream, r.Id, r.Address,
+				r.AvailabilityZone, r.State, r.Running, r.BacklogMs, float64(r.FailingPermille)/permille, float64(r.SlownessPermille)/permille, limit, cmp.Or(r.SoftwareVersion, "-"))
 		}
 	}
 }
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -71,7 +71,7 @@
 	state  string                 // that it registered last
 	// software is the version of the replica's software; empty for one that does not tell it.
 	software string
-	born   atomic.Int64           // changes with each start
+	born     atomic.Int64 // changes with each start
 }
 
 func newReplica(id string, l *ledger) *replica {
