gateway: callers take their streams up after all hosts have restarted

Cause: which version began a stream was known only to hosts that were up. A stream that nobody knows is refused without a retry time, as it cannot go on later either; one whose keepers cannot be asked is refused for a second.

--- a/cmd/heatherbarrow-gateway/main.go
+++ b/cmd/heatherbarrow-gateway/main.go
@@ -26,6 +26,7 @@
 		KindHosts:    platform.KindHosts,
 		KindParts:    platform.KindParts,
 		KindVersions: platform.KindVersions,
+		KindStreams:  platform.KindStreams,
 	})
 	os.Exit(cli.Main("heatherbarrow-gateway", os.Args[1:], &settings, program.Run))
 }
--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -4,6 +4,7 @@
 package origin
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -19,6 +20,16 @@
 	maxStreams = 1 << 16
 	// maxPending bounds the streams that wait to be reported to other hosts.
 	maxPending = 1 << 12
+	// maxOpen bounds the streams that are kept in the store.
+	maxOpen = 1 << 13
+)
+
+// Errors of a search for the origin of a stream.
+var (
+	// ErrUnknown means that nobody knows it.
+	ErrUnknown = errors.New("origin of the stream is not known")
+	// ErrUnreachable means that some of those who may know it could not be asked.
+	ErrUnreachable = errors.New("origin of the stream cannot be asked for")
 )
 
 // Origin is what began a stream.
@@ -52,6 +63,10 @@
 	completeFrom time.Time
 	pending      []Entry // to be reported to other hosts
 	wake         chan struct{}
+	open         map[uint64]openStream // streams of this host that have not been completed
+	opened       chan struct{}
+	loaded       chan struct{} // closed when what was known before the start has been added
+	isLoaded     bool
 }
 
 // NewTracker returns an empty tracker.
@@ -59,6 +74,7 @@
 	return &Tracker{
 		indexes: make(map[Origin]uint16), current: make(map[uint64]uint16), previous: make(map[uint64]uint16),
 		lastInUse: make(map[Origin]time.Time), inUse: make(map[Origin]bool), wake: make(chan struct{}, 1),
+		open: make(map[uint64]openStream), opened: make(chan struct{}, 1), loaded: make(chan struct{}),
 	}
 }
 
@@ -95,6 +111,10 @@
 	for _, o := range versions {
 		t.lastInUse[o] = now
 	}
+	if !t.isLoaded {
+		t.isLoaded = true
+		close(t.loaded)
+	}
 	if complete && (t.completeFrom.IsZero() || now.Before(t.completeFrom)) {
 		t.completeFrom = now
 	}
@@ -133,8 +153,61 @@
 	e := Entry{Stream: StreamID(attemptID), Origin: o}
 	t.put(e, now)
 	t.report(e, now)
+	t.keepOpen(e, now)
+}
+
+// openStream is a stream of this host that has not been completed.
+type openStream struct {
+	Origin
+	begun time.Time
+}
+
+// keepOpen adds a stream to those that are kept in the store.
+func (t *Tracker) keepOpen(e Entry, now time.Time) {
+	if len(t.open) < maxOpen {
+		t.open[e.Stream] = openStream{Origin: e.Origin, begun: now}
+	}
+}
+
+// Complete notes that the caller has been sent all of a stream.
+func (t *Tracker) Complete(attemptID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, StreamID(attemptID))
+}
+
+// Open returns the streams of this host that have not been completed and whose upstreams have several
+// versions.
+func (t *Tracker) Open(now time.Time) (out []Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for stream, s := range t.open {
+		if now.Sub(s.begun) > Retention {
+			delete(t.open, stream)
+			continue
+		}
+		if t.severalVersions(s.Origin, now) {
+			out = append(out, Entry{Stream: stream, Origin: s.Origin})
+		}
+	}
+	return out
+}
+
+// AddOpen adds streams that this host had not completed before it restarted.
+func (t *Tracker) AddOpen(entries []Entry, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range entries {
+		t.keepOpen(e, now)
+	}
 }
 
+// Opened returns a channel that receives a value when the result of Open has grown.
+func (t *Tracker) Opened() <-chan struct{} { return t.opened }
+
+// Loaded returns a channel that is closed when what was known before the start has been added.
+func (t *Tracker) Loaded() <-chan struct{} { return t.loaded }
+
 // Apply notes streams that other hosts report.
 func (t *Tracker) Apply(entries []Entry, now time.Time) {
 	t.mu.Lock()
@@ -160,19 +233,28 @@
 	t.current[e.Stream] = index
 }
 
+// severalVersions reports whether the origin's upstream has another version too.
+func (t *Tracker) severalVersions(o Origin, now time.Time) bool {
+	for other := range t.lastInUse {
+		if other.Upstream == o.Upstream && other.Version != o.Version && t.recent(other, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // report queues a stream for other hosts, if they cannot infer its origin.
 func (t *Tracker) report(e Entry, now time.Time) {
-	if len(t.pending) >= maxPending {
+	if !t.severalVersions(e.Origin, now) {
 		return
 	}
-	for o := range t.lastInUse {
-		if o.Upstream == e.Upstream && o.Version != e.Version && t.recent(o, now) {
-			t.pending = append(t.pending, e)
-			select {
-			case t.wake <- struct{}{}:
-			default: // the last one has not been received yet
-			}
-			return
+	if len(t.pending) < maxPending {
+		t.pending = append(t.pending, e)
+	}
+	for _, wake := range []chan struct{}{t.wake, t.opened} {
+		select {
+		case wake <- struct{}{}:
+		default: // the last value has not been received yet
 		}
 	}
 }
--- /dev/null
+++ b/internal/gateway/origin/origin_test.go
@@ -0,0 +1,145 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against an answer that names another version than the one that began a stream, over random
+// sequences of versions that come and leave, streams, reports and restarts. Recorded and Only may know
+// nothing, but what they say must be true for each stream that may still be taken up.
+func TestOriginIsNeverWrong(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		type stream struct {
+			Entry
+			began time.Time
+		}
+		var streams []stream
+		inUse := map[Origin]bool{{"pool", "v0"}: true}
+		stored := map[Origin]bool{} // what an originKeeper wrote
+		next := 1
+		hosts := []*Tracker{NewTracker(), NewTracker()}
+		for _, h := range hosts {
+			h.AddEarlier(nil, true, now)
+			h.SetInUse(inUse, now)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+			i := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
+			switch rapid.SampledFrom([]string{"begin", "begin", "arrive", "leave", "report", "restart"}).Draw(t, "step") {
+			case "begin":
+				for o := range inUse {
+					id := fmt.Sprint(len(streams))
+					hosts[i].Record(id, o, now)
+					streams = append(streams, stream{Entry{StreamID(id), o}, now})
+					break
+				}
+			case "arrive", "leave":
+				changed := map[Origin]bool{}
+				for o := range inUse {
+					changed[o] = true
+				}
+				if changed[Origin{"pool", fmt.Sprintf("v%d", next)}] = true; len(inUse) > 1 {
+					for o := range inUse {
+						delete(changed, o)
+						break
+					}
+				}
+				next++
+				inUse = changed
+				for _, h := range hosts {
+					h.SetInUse(inUse, now)
+				}
+			case "report":
+				hosts[1-i].Apply(hosts[i].TakePending(), now)
+			case "restart":
+				open := hosts[i].Open(now)
+				hosts[i] = NewTracker()
+				hosts[i].SetInUse(inUse, now)
+				var earlier []Origin
+				for o := range stored {
+					earlier = append(earlier, o)
+				}
+				hosts[i].Apply(open, now)
+				hosts[i].AddOpen(open, now)
+				hosts[i].AddEarlier(earlier, true, now)
+			}
+			stored = hosts[0].Versions(now)
+			for o := range hosts[1].Versions(now) {
+				stored[o] = true
+			}
+			for _, h := range hosts {
+				only, single := h.Only([]string{"pool"}, now)
+				for _, s := range streams {
+					if now.Sub(s.began) > Retention {
+						continue
+					}
+					if o, known := h.Recorded(s.Stream); known {
+						assert.Equal(t, s.Origin, o)
+					} else if single {
+						assert.Equal(t, s.Origin, only)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against a host that takes the versions that it sees after its start for all that there were: the
+// last version may have left just before.
+func TestStartedHostDoesNotInferOrigins(t *testing.T) {
+	now := time.Unix(0, 0)
+	tracker := NewTracker()
+	tracker.SetInUse(map[Origin]bool{{"pool", "v2"}: true}, now)
+	_, ok := tracker.Only([]string{"pool"}, now)
+	assert.False(t, ok)
+	_, ok = tracker.Only([]string{"pool"}, now.Add(Retention))
+	assert.True(t, ok, "streams of before are over")
+	tracker.AddEarlier([]Origin{{"pool", "v1"}}, true, now)
+	_, ok = tracker.Only([]string{"pool"}, now.Add(time.Second))
+	assert.False(t, ok, "v1 has just left")
+}
+
+// Guards against streams that began while their version was the only one, and that no other host knows of
+// when a second version comes.
+func TestStreamsAreReportedWhenSecondVersionComes(t *testing.T) {
+	now := time.Unix(0, 0)
+	tracker := NewTracker()
+	v1, v2 := Origin{"pool", "v1"}, Origin{"pool", "v2"}
+	tracker.SetInUse(map[Origin]bool{v1: true}, now)
+	tracker.Record("a", v1, now)
+	assert.Empty(t, tracker.TakePending())
+	assert.Empty(t, tracker.Open(now))
+	tracker.SetInUse(map[Origin]bool{v1: true, v2: true}, now)
+	assert.Equal(t, []Entry{{StreamID("a"), v1}}, tracker.TakePending())
+	assert.Equal(t, []Entry{{StreamID("a"), v1}}, tracker.Open(now))
+	tracker.Complete("a")
+	assert.Empty(t, tracker.Open(now))
+	o, known := tracker.Recorded(StreamID("a"))
+	assert.True(t, known, "the caller may have missed the end")
+	assert.Equal(t, v1, o)
+}
+
+// Guards against memory that grows with the number of streams.
+func TestStreamsAreForgotten(t *testing.T) {
+	now := time.Unix(0, 0)
+	tracker := NewTracker()
+	v1, v2 := Origin{"pool", "v1"}, Origin{"pool", "v2"}
+	tracker.SetInUse(map[Origin]bool{v1: true, v2: true}, now)
+	for i := range 3 * maxStreams {
+		tracker.Record(fmt.Sprint(i), v1, now)
+	}
+	assert.LessOrEqual(t, len(tracker.current)+len(tracker.previous), 2*maxStreams)
+	assert.LessOrEqual(t, len(tracker.open), maxOpen)
+	assert.LessOrEqual(t, len(tracker.pending), maxPending)
+	now = now.Add(Retention + time.Second)
+	assert.Empty(t, tracker.Open(now))
+	tracker.Record("last", v2, now)
+	_, known := tracker.Recorded(StreamID(fmt.Sprint(3*maxStreams - 1)))
+	assert.True(t, known)
+}
--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -124,17 +124,38 @@
 	e.opts.Origins.Record(attemptID, o, now)
 }
 
-// Find implements proxy.Origins. It asks the stream's keepers if this host does not know its origin.
-func (e *Exchange) Find(ctx context.Context, attemptID string, upstreams []string) (o origin.Origin, known bool) {
-	stream := origin.StreamID(attemptID)
-	source := "this host"
-	if o, known = e.localOrigin(stream, upstreams); !known {
-		o, known = e.askKeepers(ctx, stream, upstreams)
-		source = "other hosts"
-	}
-	e.opts.Logger.Info().Str("resumes", attemptID).Bool("known", known).Str("upstream", o.Upstream).
-		Str("software", o.Version).Str("source", source).Msg("origin of stream looked up")
-	return o, known && slices.Contains(upstreams, o.Upstream)
+// Complete implements proxy.Origins.
+func (e *Exchange) Complete(attemptID string) { e.opts.Origins.Complete(attemptID) }
+
+// Find implements proxy.Origins.
+func (e *Exchange) Find(ctx context.Context, attemptID string, upstreams []string) (origin.Origin, error) {
+	o, err := e.find(ctx, origin.StreamID(attemptID), upstreams)
+	if err == nil && !slices.Contains(upstreams, o.Upstream) {
+		err = origin.ErrUnknown
+	}
+	e.opts.Logger.Info().Str("resumes", attemptID).Str("upstream", o.Upstream).Str("software", o.Version).Err(err).Msg("origin of stream looked up")
+	return o, err
+}
+
+// find returns the origin of a stream as this host knows it, or else as the stream's keepers do. A host that
+// has just started waits until it has read what the store keeps.
+func (e *Exchange) find(ctx context.Context, stream uint64, upstreams []string) (origin.Origin, error) {
+	if o, known := e.localOrigin(stream, upstreams); known {
+		return o, nil
+	}
+	o, err := e.askKeepers(ctx, stream, upstreams)
+	if err == nil {
+		return o, nil
+	}
+	select {
+	case <-e.opts.Origins.Loaded():
+	case <-ctx.Done():
+		return origin.Origin{}, origin.ErrUnreachable
+	}
+	if o, known := e.localOrigin(stream, upstreams); known {
+		return o, nil
+	}
+	return origin.Origin{}, err
 }
 
 // localOrigin returns the origin of a stream as far as this host knows it. That there is only one version
@@ -168,9 +189,9 @@
 }
 
 // askKeepers asks the keepers of a stream for its origin, all at the same time.
-func (e *Exchange) askKeepers(ctx context.Context, stream uint64, upstreams []string) (origin.Origin, bool) {
+func (e *Exchange) askKeepers(ctx context.Context, stream uint64, upstreams []string) (origin.Origin, error) {
 	asked := keepers(e.keeperHosts(time.Now()), stream)
-	answers := make(chan *rpc.FindOriginResponse, len(asked))
+	answers := make(chan *rpc.FindOriginResponse, len(asked)) // nil for none
 	for _, k := range asked {
 		go func() {
 			client := rpc.NewGatewayProtobufClient("http://"+k.address, e.client)
@@ -181,17 +202,21 @@
 			answers <- answer
 		}()
 	}
+	notFound := origin.ErrUnknown
 	for range asked {
 		select {
 		case answer := <-answers:
-			if answer.GetKnown() {
-				return origin.Origin{Upstream: answer.Upstream, Version: answer.SoftwareVersion}, true
+			switch {
+			case answer == nil:
+				notFound = origin.ErrUnreachable
+			case answer.Known:
+				return origin.Origin{Upstream: answer.Upstream, Version: answer.SoftwareVersion}, nil
 			}
 		case <-ctx.Done():
-			return origin.Origin{}, false
+			return origin.Origin{}, origin.ErrUnreachable
 		}
 	}
-	return origin.Origin{}, false
+	return origin.Origin{}, notFound
 }
 
 // FindOrigin implements rpc.Gateway.
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -227,7 +227,7 @@
 	if !w.timer.Stop() || e.route.GapTarget <= 0 {
 		return
 	}
-	w.request.SoftwareVersion = &lease.Member.SoftwareVersion
+	w.software.Store(&lease.Member.SoftwareVersion)
 	w.timer.Reset(max(time.Duration(stallTimeoutGaps*float64(e.route.GapTarget)), minResponseTimeout))
 }
 
@@ -271,6 +271,7 @@
 	if !p.headerSent {
 		e.sendStreamHeader(response, p)
 	}
+	e.server.opts.Origins.Complete(e.firstAttemptID())
 	return attemptDone
 }
 
--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -13,18 +14,20 @@
 	// findOriginTimeout bounds the search for the origin of a stream at other hosts, which are some
 	// milliseconds away.
 	findOriginTimeout = 250 * time.Millisecond
-	// unknownOriginRetryAfter is the retry time for a stream whose origin is not known. Hosts that know it
-	// may be cut off for the moment.
-	unknownOriginRetryAfter = time.Second
+	// originUnreachableRetryAfter is the retry time while hosts that may know the origin of a stream cannot be
+	// asked. They are cut off or restarting, which takes seconds.
+	originUnreachableRetryAfter = time.Second
 )
 
 // Origins knows which software version of an upstream began a stream.
 type Origins interface {
 	// Record notes that the attempt brought the first event of a stream.
 	Record(attemptID string, o origin.Origin, now time.Time)
+	// Complete notes that the caller has been sent all of that stream.
+	Complete(attemptID string)
 	// Find returns the origin of the stream whose first event the attempt brought, if it is one of the
-	// given upstreams.
-	Find(ctx context.Context, attemptID string, upstreams []string) (origin.Origin, bool)
+	// given upstreams, or origin.ErrUnknown or origin.ErrUnreachable.
+	Find(ctx context.Context, attemptID string, upstreams []string) (origin.Origin, error)
 }
 
 // findOrigin sets the origin of a stream that the caller takes up. If it is not known, findOrigin refuses
@@ -36,9 +39,14 @@
 	}
 	findCtx, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
-	o, known := e.server.opts.Origins.Find(findCtx, e.call.Resumes, upstreams)
-	if !known {
-		e.refuse(http.StatusServiceUnavailable, "unknown_origin", e.boundRetryAfter(unknownOriginRetryAfter))
+	o, err := e.server.opts.Origins.Find(findCtx, e.call.Resumes, upstreams)
+	switch {
+	case errors.Is(err, origin.ErrUnreachable):
+		e.refuse(http.StatusServiceUnavailable, "origin_unreachable", e.boundRetryAfter(originUnreachableRetryAfter))
+		return false
+	case err != nil:
+		// No retry time: the stream cannot go on later either.
+		e.refuse(http.StatusServiceUnavailable, "unknown_origin", 0)
 		return false
 	}
 	p.origin, p.lastEventID = &o, e.call.LastEventID
@@ -47,9 +55,19 @@
 
 // recordOrigin notes the origin of a stream when its first event has arrived.
 func (e *exchange) recordOrigin(lease *fleet.Lease, p *progress) {
-	if p.origin != nil {
-		return // the caller takes the stream up
+	if p.origin == nil {
+		p.origin = &origin.Origin{Upstream: lease.Member.Upstream, Version: lease.Member.SoftwareVersion}
+	}
+	if !e.route.Resumable {
+		return // its caller cannot take it up
+	}
+	e.server.opts.Origins.Record(e.firstAttemptID(), *p.origin, time.Now())
+}
+
+// firstAttemptID returns the ID of the attempt that brought the first event of the stream.
+func (e *exchange) firstAttemptID() string {
+	if e.call.Continues() {
+		return e.call.Resumes
 	}
-	p.origin = &origin.Origin{Upstream: lease.Member.Upstream, Version: lease.Member.SoftwareVersion}
-	e.server.opts.Origins.Record(e.call.AttemptID, *p.origin, time.Now())
+	return e.call.AttemptID
 }
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
@@ -313,8 +314,8 @@
 
 // watchdog cancels an attempt that takes much longer than expected.
 type watchdog struct {
-	timer   *time.Timer
-	request *fleet.Request // what another replica would be picked for
+	timer    *time.Timer
+	software atomic.Pointer[string] // the version of the replicas that may continue the stream; nil for any
 }
 
 // startWatchdog returns a timer that cancels an attempt of a repeatable request that takes
@@ -333,9 +334,10 @@
 	req := e.fleetRequest(lease.Member.Upstream, p)
 	req.Target = 0 // by the time the watchdog fires, the latency objective is missed
 	req.Exclude = append(slices.Clone(p.exclude), lease.Member.ID)
-	w := &watchdog{request: req}
+	w := &watchdog{}
+	w.software.Store(req.SoftwareVersion)
 	w.timer = time.AfterFunc(unsetTimerDelay, func() {
-		req.TimeLeft = e.timeLeft(time.Now())
+		req.TimeLeft, req.SoftwareVersion = e.timeLeft(time.Now()), w.software.Load()
 		switch {
 		case ctx.Err() != nil:
 		case !e.server.opts.Budget.Spent(req.Upstream) && e.server.opts.Fleet.Available(req, time.Now()):
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -93,7 +93,7 @@
 		go config.Run(ctx)
 		go members.Run(ctx)
 		go (&partKeeper{program: p}).run(ctx)
-		go (&versionKeeper{program: p}).run(ctx)
+		go (&originKeeper{program: p}).run(ctx)
 		s.maintainRegistration(ctx)
 	}()
 	return nil
@@ -253,8 +253,10 @@
 	for name, record := range records {
 		if s.program.peers.TakeExpired(record.PeerAddress) {
 			s.program.logger.Info().Str("name", name).Msg("removing the registration of a host that is gone")
-			if err := s.program.store.Remove(callCtx, s.program.adapter.KindHosts, name); err != nil {
-				return err
+			for _, kind := range []string{s.program.adapter.KindHosts, s.program.adapter.KindStreams} {
+				if err := s.program.store.Remove(callCtx, kind, name); err != nil {
+					return err
+				}
 			}
 			continue
 		}
