forward: an answer that an engine sends again on a kept connection is not taken

The gateway matches answers by the attempt's ID and was not concerned. Cause: refusals and errors of engines were not tied to the request. Change: engines return X-Request-Id; a refusal or an error with another ID, or on a kept connection without one, is an answer to another request: the connection is closed, and the outcome is unknown. Frames of streams carry the ID already. The stand-in and the engines of the router's tests return it. Evidence: TestAnswerSentAgainIsNotTaken fails without the check in all three forms, and passes.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,6 +33,8 @@
 	ErrTimeout = errors.New("replica sent no frame in time")
 	// ErrForeignFrame means that a frame belongs to another request or position.
 	ErrForeignFrame = errors.New("frame does not belong to the request")
+	// ErrForeignAnswer means that an answer belongs to another request.
+	ErrForeignAnswer = errors.New("answer does not belong to the request")
 	// ErrMissingEnd means that the stream ended without its proper end.
 	ErrMissingEnd = errors.New("stream ended without its proper end")
 	// ErrTooLarge means that the replica ran the request and that its answer is
@@ -48,6 +50,7 @@
 	refusalHeader   = "Heatherbarrow-Outcome"
 	refusalValue    = "not-run"
 	chatPath        = "/v1/chat/completions"
+	requestIDHeader = "X-Request-Id" // engines return it with the answer
 )
 
 // StatusError is an error that the replica reported after running the request.
@@ -141,7 +144,7 @@
 func (c *Client) sendChat(ctx context.Context, call *Chat) (*http.Response, bool, error) {
 	header := make(http.Header, 4)
 	header["Content-Type"] = []string{"application/json"}
-	header["X-Request-Id"] = []string{call.RequestID}
+	header[requestIDHeader] = []string{call.RequestID}
 	header["X-Priority"] = []string{strconv.Itoa(call.Tier)}
 	if call.ResumeFrom > 0 {
 		header["X-Resume-From"] = []string{strconv.Itoa(call.ResumeFrom)}
@@ -159,6 +162,10 @@
 	if err != nil {
 		return nil, tracker.reused, err
 	}
+	if isForeign(response, call.RequestID, tracker.reused) {
+		_ = response.Body.Close() // also closes the connection, on which the real answer is due
+		return nil, false, ErrForeignAnswer
+	}
 	call.OnLimit.report(response.Header)
 	if response.StatusCode == http.StatusOK {
 		return response, tracker.reused, nil
@@ -166,6 +173,17 @@
 	return nil, false, statusError(response)
 }
 
+// isForeign reports whether an answer belongs to another request: a faulty engine may send one again on a
+// kept connection. The frames of a stream are checked one by one, so only other answers need to name the
+// request.
+func isForeign(response *http.Response, requestID string, reused bool) bool {
+	id := response.Header.Get(requestIDHeader)
+	if id == "" {
+		return reused && response.StatusCode != http.StatusOK
+	}
+	return id != requestID
+}
+
 // roundTrip does not use http.Client, which would follow redirects and so send
 // a request a second time.
 func roundTrip(ctx context.Context, transport http.RoundTripper, request *http.Request, tracker *sendTracker) (*http.Response, error) {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -241,3 +241,57 @@
 	_, err = bufio.NewReader(far).ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against an earlier refusal, or an earlier error, that a faulty engine sends again on a kept
+// connection: the request that is told to have not run would be running.
+func TestAnswerSentAgainIsNotTaken(t *testing.T) {
+	for name, head := range map[string]string{
+		"refusal":            "HTTP/1.1 503 Service Unavailable\r\nHeatherbarrow-Outcome: not-run\r\nX-Request-Id: first\r\nContent-Length: 0\r\n\r\n",
+		"refusal without ID": "HTTP/1.1 503 Service Unavailable\r\nHeatherbarrow-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+		"error":              "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: first\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := repeatAnswer(t, head)
+			client := newTestClient(t)
+			chat := func(id string) error {
+				_, err := client.Chat(context.Background(), Chat{Address: address, RequestID: id, FirstTimeout: patience, FrameTimeout: patience})
+				return err
+			}
+			for range 3 {
+				first := chat("first")
+				require.Error(t, first)
+				require.NotErrorIs(t, first, ErrForeignAnswer, "on a connection of its own")
+				require.ErrorIs(t, chat("second"), ErrForeignAnswer)
+			}
+		})
+	}
+}
+
+// repeatAnswer starts a server that answers every request with the same text, and returns its address.
+func repeatAnswer(t *testing.T, answer string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, answer)
+		}
+	}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -49,6 +49,7 @@
 		act := p.script[min(p.calls, len(p.script)-1)]
 		p.calls++
 		p.mu.Unlock()
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		act(w, r)
 		if r.Context().Err() != nil {
 			p.canceled <- struct{}{}
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -40,6 +40,7 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	text := promptText(&request)
 	faults, crashed, hasModel := s.accept(r.Header.Get("X-Request-Id"), request.Model, text)
 	switch {
