forward: the connection of a foreign answer is closed; answers continue at their software version

Engines may name theirs in Heatherbarrow-Software-Version; a resumed answer of another version is closed unread. Beside it two rows of TestOutcomeOfEveryEnd: an error of the engine that is to resume stays out of the answer, and the answer does not end as completed. They passed before too.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -93,6 +93,19 @@
 	return t.conn == nil || t.conn.seal(t.mark)
 }
 
+// closeConn closes the connection. Requests that were given it meanwhile fail as not sent.
+func (t *sendTracker) closeConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return
+	}
+	t.conn.mu.Lock()
+	defer t.conn.mu.Unlock()
+	t.conn.sealed = true
+	_ = t.conn.Conn.Close()
+}
+
 func underlying(conn net.Conn) (*countedConn, bool) {
 	if wrapper, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = wrapper.NetConn()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -35,6 +35,8 @@
 	ErrForeignFrame = errors.New("frame does not belong to the request")
 	// ErrForeignAnswer means that an answer belongs to another request.
 	ErrForeignAnswer = errors.New("answer does not belong to the request")
+	// ErrOtherVersion means that the replica's software version is not the one that began the answer.
+	ErrOtherVersion = errors.New("replica has another software version than the one that began the answer")
 	// ErrMissingEnd means that the stream ended without its proper end.
 	ErrMissingEnd = errors.New("stream ended without its proper end")
 	// ErrTooLarge means that the replica ran the request and that its answer is
@@ -51,6 +53,7 @@
 	refusalValue    = "not-run"
 	chatPath        = "/v1/chat/completions"
 	requestIDHeader = "X-Request-Id" // engines return it with the answer
+	versionHeader   = "Heatherbarrow-Software-Version"
 )
 
 // StatusError is an error that the replica reported after running the request.
@@ -109,15 +112,17 @@
 
 // Chat is one attempt of a chat completion.
 type Chat struct {
-	Address      string // IP:port of the replica
-	RequestID    string
-	Tier         int
-	ResumeFrom   int // tokens that the caller already has
-	Body         []byte
-	FrameTimeout time.Duration // greatest time between two frames
-	FirstTimeout time.Duration // greatest time to the first frame
-	OnSend       func()        // called before the first byte may be written
-	OnLimit      OnLimit
+	Address    string // IP:port of the replica
+	RequestID  string
+	Tier       int
+	ResumeFrom int // tokens that the caller already has
+	// SoftwareVersion is the replica's that began the answer; it applies if ResumeFrom is above 0.
+	SoftwareVersion string
+	Body            []byte
+	FrameTimeout    time.Duration // greatest time between two frames
+	FirstTimeout    time.Duration // greatest time to the first frame
+	OnSend          func()        // called before the first byte may be written
+	OnLimit         OnLimit
 }
 
 // Chat starts a chat completion and returns its stream. ctx cancels the
@@ -137,7 +142,12 @@
 		}
 		return nil, err
 	}
+	s.SoftwareVersion = response.Header.Get(versionHeader)
 	s.read(response.Body)
+	if call.ResumeFrom > 0 && s.SoftwareVersion != call.SoftwareVersion {
+		s.Close()
+		return nil, ErrOtherVersion
+	}
 	return s, nil
 }
 
@@ -163,7 +173,8 @@
 		return nil, tracker.reused, err
 	}
 	if isForeign(response, call.RequestID, tracker.reused) {
-		_ = response.Body.Close() // also closes the connection, on which the real answer is due
+		_ = response.Body.Close()
+		tracker.closeConn() // the real answer is still due on it
 		return nil, false, ErrForeignAnswer
 	}
 	call.OnLimit.report(response.Header)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -38,6 +38,9 @@
 
 // Stream is an answer in progress. One goroutine uses it.
 type Stream struct {
+	// SoftwareVersion is the replica's, as the head of the answer states it.
+	SoftwareVersion string
+
 	frameTimer
 	id        string
 	prefix    []byte // beginning of a frame of this request in the common layout
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -61,6 +61,7 @@
 	prompt    prompt
 	upstream  int // upstream of the last attempt
 	attempts  attemptCount
+	software  string // version of the replica that began the answer
 	lastErr   error
 	tried     []scheduling.ReplicaID
 
@@ -186,10 +187,10 @@
 	}
 	before := c.answer.position()
 	stream, err := c.server.Forward.Chat(ctx, forward.Chat{
-		Address:      a.Address,
-		RequestID:    c.id,
-		Tier:         c.class.Tier,
-		ResumeFrom:   before,
+		Address:    a.Address,
+		RequestID:  c.id,
+		Tier:       c.class.Tier,
+		ResumeFrom: before, SoftwareVersion: c.software,
 		Body:         c.body,
 		FirstTimeout: firstTimeout(c.class, &c.snapshot.Bundle.Limits),
 		FrameTimeout: c.snapshot.Bundle.Limits.FrameTimeout.Std(),
@@ -197,6 +198,9 @@
 		OnLimit:      c.recordLimit(a),
 	})
 	if err == nil {
+		if before == 0 {
+			c.software = stream.SoftwareVersion
+		}
 		err = c.passOn(stream, a)
 		stream.Close()
 	}
--- a/internal/router/chat_test.go
+++ b/internal/router/chat_test.go
@@ -48,6 +48,8 @@
 		{"resumed after a repeated frame", "m", []behavior{repeatAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
 		{"resumed after a missing end", "m", []behavior{endAfter(5), whole}, 200, outcome.Completed, 2, wholeText},
 		{"resumed, then refused", "m", []behavior{breakAfter(2), refuse}, 200, outcome.Unknown, 2, "t0 t1 "},
+		{"resumed, then failed", "m", []behavior{breakAfter(2), status(500)}, 200, outcome.Unknown, 2, "t0 t1 "},
+		{"resumed, then an error of the caller", "m", []behavior{breakAfter(2), status(422)}, 200, outcome.Unknown, 2, "t0 t1 "},
 		{"broken, cannot resume", "f", []behavior{breakAfter(2)}, 200, outcome.Unknown, 1, "t0 t1 "},
 		{"silent, cannot resume", "f", []behavior{hangAfter(2)}, 200, outcome.Unknown, 1, "t0 t1 "},
 		{"foreign frame, cannot resume", "f", []behavior{foreignAfter(2)}, 200, outcome.Unknown, 1, "t0 t1 "},
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -54,6 +54,9 @@
 		http.Error(w, "failed by a fault switch", faults.FailStatus)
 		return
 	}
+	if faults.SoftwareVersion != "" {
+		w.Header().Set("Heatherbarrow-Software-Version", faults.SoftwareVersion)
+	}
 	resume, _ := strconv.Atoi(r.Header.Get("X-Resume-From"))
 	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
 	total := max(answerLength(text, request.MaxTokens)-resume, 1)
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -23,6 +23,8 @@
 	RepeatFrameAt  int    `json:"repeat_frame_at"`   // send a frame with the position of the one before
 	DropEvents     int    `json:"drop_events"`       // lose one in this many cache events
 	WeightStoreRPS int    `json:"weight_store_rps"`  // load orders allowed per second; 0 is without bound
+	// SoftwareVersion is named in answers; empty for none.
+	SoftwareVersion string `json:"software_version"`
 }
 
 // SetFaults sets the switches.
