upstream: a refusal sent again is not taken for the same request on the same connection

A host tries no replica twice within an attempt, and answers are matched by ID, so that callers whose attempts have IDs of their own were not concerned. Change: a connection remembers the requests that were refused on it and does not take them again. Evidence: TestRefusalSentAgainIsNotTaken fails for the same ID without the check and passes with it; for another ID it passed before.

--- a/internal/gateway/proxy/origin_test.go
+++ b/internal/gateway/proxy/origin_test.go
@@ -249,3 +249,39 @@
 	assert.Error(t, err)
 	assert.Equal(t, "data: a\n\ndata: b\n\n", string(body))
 }
+
+// Guards against a refusal as not run that a faulty replica sends once more on a kept connection: as the
+// answer to another request, or to the same one when the caller sends it again.
+func TestRefusalSentAgainIsNotTaken(t *testing.T) {
+	for _, second := range []string{"second", "first"} {
+		refusedOn := "" // the connection of the first request
+		replica := newReplica(func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(attemptIDHeader)
+			if refusedOn == "" {
+				refusedOn = r.RemoteAddr
+				w.Header().Set(attemptIDHeader, id)
+				refuseNotExecuted(w, r)
+				return
+			}
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			if r.RemoteAddr == refusedOn {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: first\r\nHeatherbarrow-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", attemptIDHeader)
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 3\r\n\r\nran", attemptIDHeader, id, sealHeader)
+		})
+		g := newTestGateway(t, replica)
+		send := func(id string) (int, string) {
+			status, body, _ := g.do(testRequest{path: "/lookup/1", header: map[string]string{attemptIDHeader: id}})
+			return status, body
+		}
+		status, _ := send("first")
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		status, body := send(second)
+		assert.Equal(t, http.StatusOK, status, second)
+		assert.Equal(t, "ran", body)
+	}
+}
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -264,7 +264,7 @@
 		dispatch.Urgency = e.urgency()
 	}
 	return &upstream.Request{
-		Address: lease.Member.Address, Method: e.r.Method, Target: e.requestTarget(), Host: e.r.Host,
+		Address: lease.Member.Address, ID: e.call.AttemptID, Method: e.r.Method, Target: e.requestTarget(), Host: e.r.Host,
 		Header: e.server.opts.Dialect.Forward(e.r.Header, dispatch), Body: e.body,
 		NewConnection: !e.route.Repeatable() && e.route.Kind != routing.Streaming,
 		MaxIdle:       e.maxIdle(lease.Member.Upstream),
@@ -430,6 +430,7 @@
 		leaseResult = fleet.Misdirected
 	}
 	lease.End(leaseResult, time.Now())
+	response.MarkRefused()
 	response.Discard()
 	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
 		Int("status", response.Status).Msg("replica refused the request as not run")
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -72,11 +72,13 @@
 // Request is a request to a replica.
 type Request struct {
 	Address string // IP:port
-	Method  string
-	Target  string // path and query, sent unchanged
-	Host    string
-	Header  http.Header
-	Body    []byte
+	// ID identifies the request; answers of the replica carry it. See Response.MarkRefused.
+	ID     string
+	Method string
+	Target string // path and query, sent unchanged
+	Host   string
+	Header http.Header
+	Body   []byte
 	// NewConnection prevents the use of a pooled connection. The replica may close a
 	// pooled connection just as the request is sent, and the request is then lost.
 	NewConnection bool
@@ -102,6 +104,7 @@
 	address        string
 	maxIdle        int
 	conn           *conn
+	id             string      // Request.ID
 	stop           func() bool // stops watching the context; false if the context has ended
 	bodyWritten    chan error  // result of the concurrent body write; nil if the body was written before the response was read
 	closeRequested bool        // the replica closes the connection after this response
@@ -120,7 +123,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrNotConnected, err)
 	}
-	resp := &Response{client: c, address: req.Address, maxIdle: req.MaxIdle, conn: connection, Reused: connection.usedBefore}
+	resp := &Response{client: c, address: req.Address, maxIdle: req.MaxIdle, id: req.ID, conn: connection, Reused: connection.usedBefore}
 	resp.stop = context.AfterFunc(ctx, func() { _ = connection.abort() })
 	if err := resp.send(req); err != nil {
 		resp.Close()
@@ -149,7 +152,7 @@
 // connect returns a pooled connection to the replica, or opens a new one.
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
 	if !req.NewConnection {
-		if pooled := c.pool.take(req.Address, time.Now()); pooled != nil {
+		if pooled := c.pool.take(req.Address, req.ID, time.Now()); pooled != nil {
 			return pooled, nil
 		}
 	}
@@ -269,6 +272,12 @@
 // connection to the pool.
 func (r *Response) MarkComplete() { r.bodyComplete = true }
 
+// MarkRefused records that the replica refused the request without running it. The connection does not
+// take a request with the same ID again: a faulty replica may send the refusal once more, as an answer to it.
+func (r *Response) MarkRefused() {
+	r.conn.refused = append(r.conn.refused[max(len(r.conn.refused)-maxRefusedIDs+1, 0):], r.id)
+}
+
 // Close returns the connection to the pool if the response was read completely and the
 // connection can be reused. A connection whose response is incomplete is reset, which
 // cancels the replica's work.
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,8 @@
 	idleTimeoutFraction = 0.5
 	// maxIdlePerReplica limits the idle connections to each replica; see also Request.MaxIdle.
 	maxIdlePerReplica = 16
+	// maxRefusedIDs bounds the refused requests that a connection remembers.
+	maxRefusedIDs = 16
 )
 
 // conn is one connection to a replica.
@@ -33,6 +36,7 @@
 	reader      *bufio.Reader
 	reuseUntil  time.Time // the connection must not be reused after this time
 	usedBefore  bool      // it has served a request already
+	refused     []string  // IDs of the latest requests that were refused on it
 }
 
 func newConn(raw net.Conn) *conn {
@@ -81,16 +85,16 @@
 	idle map[string][]*conn // by address
 }
 
-// take removes and returns an idle connection that is still open, or returns nil if
-// there is none.
-func (p *pool) take(address string, now time.Time) *conn {
+// take removes and returns an idle connection that is still open and on which the request has not been
+// refused, or returns nil if there is none.
+func (p *pool) take(address, id string, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
 	for len(conns) > 0 {
 		c := conns[len(conns)-1]
 		conns = conns[:len(conns)-1]
-		if now.Before(c.reuseUntil) && c.idleAndOpen() {
+		if now.Before(c.reuseUntil) && !slices.Contains(c.refused, id) && c.idleAndOpen() {
 			p.idle[address] = conns
 			return c
 		}
