gateway: a host that is cut off from all replicas lets other hosts run its requests

Cause: the host's only way to a replica were its own connections. Readiness does not help where half of a zone is cut off: the balancer then uses all hosts. Change: package fleet takes the host for cut off when three replicas in a row cannot be reached without any contact in between. Its requests, and those that meet refused or silent connections before, go to another host, of this zone first, which runs them as if the caller had sent them there and declines if it is cut off, stopping or without a configuration. Streams go on there after the last event. The host tries to connect to a replica every 250 ms while requests come, and uses replicas again after a success. What an inspection finds down while several replicas fail at once counts as an outage, not as crashes. TestCutOffHostDelegatesRequests and three more tests cover silent, refusing and half alive links, the way back, streams that were under way, hosts that are all cut off, and reports of crashes.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -57,6 +57,7 @@
 	limits          map[uint64]*replicaLimit // stated request limits, by Member.Key
 	limitHosts      *requestlimit.Hosts      // that share the limits
 	hostPeak        hostPeak
+	reach           reach
 }
 
 // peerDigest records what a host's latest digest contained. The uses themselves are stored
--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -14,7 +14,7 @@
 	Choice
 
 	fleet          *Fleet
-	replica        *replica
+	replica        *replica // nil for a request that another host runs
 	started        time.Time
 	prefill        time.Duration
 	idle           *idleSample // nil if prompts were ahead
@@ -59,6 +59,9 @@
 
 // FirstByte records that the first byte of the answer has arrived.
 func (l *Lease) FirstByte(now time.Time) {
+	if l.replica == nil {
+		return
+	}
 	f := l.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -66,6 +69,7 @@
 		return
 	}
 	*f.zone(l.replica.member.Zone) = zone{}
+	f.reach.recordContact()
 	l.replica.consecutiveConnectFailures = 0
 	latency := now.Sub(l.started)
 	p := f.pool(l.replica.member.Upstream)
@@ -84,6 +88,9 @@
 
 // RecordStream records the time from the first to the last event of a complete stream.
 func (l *Lease) RecordStream(events int, elapsed time.Duration, now time.Time) {
+	if l.replica == nil {
+		return
+	}
 	f := l.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -101,6 +108,9 @@
 // lost its connection or because the end of the answer could be that of the replica; the caller then
 // reports the outcome to RecordInspection.
 func (l *Lease) End(result Result, now time.Time) (inspect bool) {
+	if l.replica == nil {
+		return false
+	}
 	f := l.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -115,6 +125,7 @@
 	}
 	switch result {
 	case Served:
+		f.reach.recordContact()
 		r.recordSuccess()
 		f.poison.Ended(l.fingerprint, true)
 		f.completeParts(l.parts, now)
@@ -130,18 +141,22 @@
 		r.recordFailure(false, now)
 		inspect = r.addSuspect(l, false)
 	case ConnectionLost:
+		f.reach.recordFailure(r.member.ID, now)
 		r.recordFailure(true, now)
 		r.forgetParts()
 		f.zone(r.member.Zone).recordFailure(now)
 		inspect = r.addSuspect(l, false)
 	case Unconnected:
+		f.reach.recordFailure(r.member.ID, now)
 		r.recordFailure(true, now)
 		r.consecutiveConnectFailures++
 		f.zone(r.member.Zone).recordFailure(now)
 	case Misdirected:
 		r.recordFailure(true, now)
 		r.suspendedUntil = now.Add(maxSuspension)
-	case Rejected, Abandoned:
+	case Rejected:
+		f.reach.recordContact()
+	case Abandoned:
 	}
 	return inspect
 }
--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -57,6 +57,11 @@
 	suspects := r.suspects
 	r.suspects = nil
 	evidence := CrashEvidence{Suspects: len(suspects)}
+	if f.reach.failedTogether(now) {
+		// A partition that resets connections and refuses new ones looks like crashes from here.
+		evidence.Outages = len(suspects)
+		return evidence
+	}
 	if !down {
 		for i := range suspects {
 			if suspects[i].complete {
--- /dev/null
+++ b/internal/gateway/fleet/reach.go
@@ -0,0 +1,95 @@
+package fleet
+
+import "time"
+
+const (
+	// cutOffFailures is the number of different replicas that a host must fail to reach, with no contact to
+	// any in between, before it takes itself for cut off. Fewer may have crashed together.
+	cutOffFailures = 3
+	// contactTrialInterval is the interval at which a host that is cut off tries to connect to a replica.
+	contactTrialInterval = 250 * time.Millisecond
+	// failedTogetherTime is the time in which a partition that resets connections breaks all of them.
+	failedTogetherTime = 500 * time.Millisecond
+)
+
+// reach is what a host knows of its own links to the replicas.
+type reach struct {
+	failed    map[string]time.Time // when replicas, by ID, last could not be reached, since the last contact
+	nextTrial time.Time
+}
+
+// recordFailure notes that a replica could not be reached or broke its connection.
+func (r *reach) recordFailure(id string, now time.Time) {
+	if r.failed == nil {
+		r.failed = make(map[string]time.Time)
+	}
+	r.failed[id] = now
+}
+
+// recordContact notes that a replica has accepted a connection or answered.
+func (r *reach) recordContact() { clear(r.failed) }
+
+// failedTogether reports whether so many replicas failed just now that this host's links are the likely cause.
+func (r *reach) failedTogether(now time.Time) bool {
+	n := 0
+	for _, at := range r.failed {
+		if now.Sub(at) < failedTogetherTime {
+			n++
+		}
+	}
+	return n >= cutOffFailures
+}
+
+// CutOff reports whether this host seems to be partitioned from all replicas.
+func (f *Fleet) CutOff() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cutOff()
+}
+
+// cutOff is CutOff with the lock held.
+func (f *Fleet) cutOff() bool {
+	return len(f.reach.failed) >= cutOffFailures
+}
+
+// ContactTrial returns a replica that this host should try to connect to, if it is cut off and a trial is
+// due. The caller reports a success to RecordContact.
+func (f *Fleet) ContactTrial(now time.Time) (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.cutOff() || now.Before(f.reach.nextTrial) {
+		return Member{}, false
+	}
+	f.reach.nextTrial = now.Add(contactTrialInterval)
+	var usable []*replica
+	for _, r := range f.replicas {
+		if r.member.usable(now) {
+			usable = append(usable, r)
+		}
+	}
+	if len(usable) == 0 {
+		return Member{}, false
+	}
+	return usable[f.random.IntN(len(usable))].member, true
+}
+
+// RecordContact notes that a replica has accepted a connection. The failures that others have had may have
+// been those of this host's links, so that they may be tried again.
+func (f *Fleet) RecordContact(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wasCutOff := f.cutOff()
+	f.reach.recordContact()
+	if !wasCutOff {
+		return
+	}
+	for _, r := range f.replicas {
+		r.consecutiveFailures, r.consecutiveConnectFailures, r.suspendedUntil = 0, 0, now
+	}
+	for name := range f.zones {
+		f.zones[name] = &zone{}
+	}
+}
+
+// Delegated returns a lease of a request that another host runs. It has no effect here.
+func Delegated() *Lease { return &Lease{ended: true} }
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -169,6 +169,7 @@
 	lastSent       time.Time // when the last heartbeat to this peer was sent
 	storeReachable bool      // its last call to the store did not fail, or it made none
 	lastInDigest   time.Time // when the last digest of its zone that lists it arrived
+	declinedUntil  time.Time // when it may be offered requests again
 	replyDue       bool      // a heartbeat is due in reply to its first one
 	aheadSince     time.Time // since when its heartbeats announce newer state than this host's; zero if they do not
 }
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -176,7 +176,7 @@
 		Dial: netio.Dial, Logger: p.logger, Status: p.status, OnHostCount: p.budget.SetHosts, Role: p.role,
 	})
 	p.server = proxy.New(proxy.Options{
-		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client, Origins: p.peers,
+		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client, Origins: p.peers, Helpers: p.peers,
 		Table: p.state.Table, Known: p.state.Known, Logger: p.logger, Metrics: p.metrics.Scope,
 	})
 	p.store = p.adapter.Store(p.settings.Store, &http.Client{Transport: &http.Transport{
@@ -242,6 +242,7 @@
 	r := chi.NewRouter()
 	r.Handle("/metrics", p.metrics.Handler)
 	r.Mount("/twirp/", p.peers.Handler())
+	r.Handle(proxy.DelegatePath+"/*", p.server.DelegateHandler())
 	return r
 }
 
@@ -284,6 +285,11 @@
 		reachable = 1
 	}
 	scope.Gauge("store_reachable").Update(reachable)
+	cutOff := 0.0
+	if p.fleet.CutOff() {
+		cutOff = 1
+	}
+	scope.Gauge("cut_off_from_replicas").Update(cutOff)
 	scope.Gauge("hosts_heard").Update(float64(p.fleet.Hosts()))
 	scope.Gauge("prompt_parts_refused").Update(float64(len(p.fleet.RefusedParts(time.Now()))))
 	scope.Gauge("requests_in_progress").Update(float64(p.server.Active()))
--- /dev/null
+++ b/internal/gateway/proxy/delegate_test.go
@@ -0,0 +1,245 @@
+package proxy_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/gateway/proxy"
+)
+
+// cut is how the links of a host to the replicas fail.
+type cut int32
+
+const (
+	noCut      cut = iota
+	hangs          // packets are dropped
+	refuses        // new connections are refused and existing ones reset
+	halfAlive      // new connections are refused and existing ones live on
+	cutsOfLink     // number of cuts
+)
+
+// cutLinks dials replicas and fails as told.
+type cutLinks struct {
+	cut  atomic.Int32
+	open chan net.Conn
+}
+
+var errRefused = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+
+// dial implements upstream.Dial.
+func (l *cutLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	switch cut(l.cut.Load()) {
+	case noCut:
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			l.open <- c
+		}
+		return c, err
+	case hangs:
+		ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Err: context.DeadlineExceeded}
+	default:
+		return nil, errRefused
+	}
+}
+
+// begin starts a cut. Connections that are open break, unless they live on.
+func (l *cutLinks) begin(c cut) {
+	l.cut.Store(int32(c))
+	for c != halfAlive {
+		select {
+		case open := <-l.open:
+			_ = open.Close()
+		default:
+			return
+		}
+	}
+}
+
+// otherHosts are the hosts that requests are delegated to.
+type otherHosts struct {
+	addresses []string
+	declined  atomic.Int32
+}
+
+func (o *otherHosts) Helper(tried []string) (string, bool) {
+	if len(tried) < len(o.addresses) {
+		return o.addresses[len(tried)], true
+	}
+	return "", false
+}
+
+func (o *otherHosts) Declined(string) { o.declined.Add(1) }
+
+// addHelpers lets the gateway delegate requests to the others over links that a cut does not concern.
+func (g *testGateway) addHelpers(links *cutLinks, others ...*testGateway) *otherHosts {
+	hosts := &otherHosts{}
+	for _, other := range others {
+		mux := http.NewServeMux()
+		mux.Handle(proxy.DelegatePath+"/", other.server.DelegateHandler())
+		s := httptest.NewServer(mux)
+		g.t.Cleanup(s.CloseClientConnections)
+		hosts.addresses = append(hosts.addresses, s.Listener.Addr().String())
+	}
+	toHosts := func(ctx context.Context, network, address string) (net.Conn, error) {
+		for _, host := range hosts.addresses {
+			if address == host {
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}
+		}
+		return links.dial(ctx, network, address)
+	}
+	g.restart(func(o *proxy.Options) { o.Helpers = hosts }, toHosts)
+	return hosts
+}
+
+// Guards against callers that are served worse, or told something untrue, at a host that has lost its links to
+// all replicas while other hosts reach them. Each kind of request is sent before, during and after a cut.
+func TestCutOffHostDelegatesRequests(t *testing.T) {
+	for c := hangs; c < cutsOfLink; c++ {
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, "/quote/") || strings.HasPrefix(r.URL.Path, "/match/") {
+				events("a", 8, -1)(w, r)
+				return
+			}
+			setSeal(w)
+			body, _ := io.ReadAll(r.Body)
+			_, _ = io.WriteString(w, r.Method+" "+r.RequestURI+" "+string(body))
+		}
+		replicas := []*countingReplica{newReplica(handler), newReplica(handler), newReplica(handler), newReplica(handler)}
+		g := newTestGateway(t, replicas[0], replicas[1], replicas[2], replicas[3])
+		helper, cutOffToo := g.sibling(), g.sibling()
+		links := &cutLinks{open: make(chan net.Conn, 1000)}
+		for i := range 3 {
+			cutOffToo.failReplica(i)
+		}
+		hosts := g.addHelpers(links, cutOffToo, helper)
+		send := func(phase string) (worst time.Duration) {
+			sent := totalReceived(replicas...)
+			for _, path := range []string{"/lookup/1?a=%2f", "/order/1", "/quote/1", "/match/1"} {
+				began := time.Now()
+				status, body, header := g.do(testRequest{path: path, body: "text"})
+				worst = max(worst, time.Since(began))
+				assert.Equal(t, http.StatusOK, status, "cut %d, %s, %s", c, phase, path)
+				assert.NotEmpty(t, header.Get(sealHeader))
+				want := "POST " + path + " text"
+				if strings.Contains(header.Get("Content-Type"), "event-stream") {
+					want = eventsText(8)
+				}
+				assert.Equal(t, want, body)
+			}
+			assert.EqualValues(t, 4, totalReceived(replicas...)-sent, "%s: each request runs once", phase)
+			return worst
+		}
+		send("before")
+		links.begin(c)
+		assert.Less(t, send("first in the cut"), 2*time.Second)
+		if c != halfAlive {
+			for range 3 {
+				send("in the cut")
+			}
+			assert.Less(t, send("known to be cut off"), 400*time.Millisecond, "no request waits for a connection")
+			assert.True(t, g.fleet.CutOff())
+			assert.Positive(t, hosts.declined.Load(), "a host that is cut off too takes no requests")
+		}
+		links.cut.Store(int32(noCut))
+		assert.Eventually(t, func() bool { send("after"); return !g.fleet.CutOff() }, 5*time.Second, 50*time.Millisecond)
+		received := hosts.declined.Load()
+		send("long after")
+		assert.Equal(t, received, hosts.declined.Load(), "requests go to replicas again")
+	}
+}
+
+// Guards against a stream that breaks off at its caller, or holds events twice, because the host lost its
+// links in the middle of it.
+func TestStreamGoesOnAtAnotherHost(t *testing.T) {
+	cutNow := make(chan struct{}, 1)
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") == "" {
+			setSeal(w)
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, eventsText(3))
+			_ = http.NewResponseController(w).Flush()
+			cutNow <- struct{}{}
+			<-r.Context().Done()
+			return
+		}
+		events("a", 8, -1)(w, r)
+	}
+	g := newTestGateway(t, newReplica(handler), newReplica(handler))
+	g.setVersions("v1", "v1")
+	links := &cutLinks{open: make(chan net.Conn, 1000)}
+	g.addHelpers(links, g.sibling())
+	go func() {
+		<-cutNow
+		links.begin(refuses)
+	}()
+	status, body, _ := g.do(testRequest{path: "/quote/1"})
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, eventsText(8), body)
+}
+
+// Guards against a host without others that leaves requests unanswered, and against an endless chain of hosts
+// that are all cut off.
+func TestRequestsEndWhenAllHostsAreCutOff(t *testing.T) {
+	g := newTestGateway(t, newReplica(respondWith("a")), newReplica(respondWith("b")), newReplica(respondWith("c")))
+	other := g.sibling()
+	links := &cutLinks{open: make(chan net.Conn, 1000)}
+	g.addHelpers(links, other)
+	for i := range 3 {
+		other.failReplica(i)
+	}
+	links.begin(refuses)
+	for range 4 {
+		status, _, header := g.do(testRequest{path: "/order/1"})
+		assert.Equal(t, http.StatusServiceUnavailable, status)
+		assert.NotEmpty(t, header.Get("Retry-After"))
+	}
+}
+
+// Guards against crashes that a host reports to others because its own links were reset and refused: the
+// others would refuse sound requests.
+func TestCutOffHostReportsNoCrashes(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	handler := func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-hold:
+		case <-r.Context().Done():
+		}
+	}
+	g := newTestGateway(t, newReplica(handler), newReplica(handler), newReplica(handler), newReplica(handler))
+	links := &cutLinks{open: make(chan net.Conn, 1000)}
+	g.addHelpers(links)
+	ended := make(chan error, 12)
+	for range cap(ended) {
+		go func() {
+			response, err := g.send(t.Context(), testRequest{path: "/order/1"})
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			ended <- err
+		}()
+	}
+	require.Eventually(t, func() bool { return len(links.open) == cap(ended) }, 5*time.Second, time.Millisecond)
+	links.begin(refuses)
+	for range cap(ended) {
+		require.NoError(t, errors.Unwrap(<-ended))
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.Empty(t, g.fleet.Crashes(time.Now()))
+}
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -53,6 +53,7 @@
 	firstByte          tally.Histogram
 	repeatedAttempts   tally.Counter
 	copiedPromptTokens tally.Counter
+	delegated          tally.Counter // run by other hosts
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
 
 	mu        sync.Mutex
@@ -67,6 +68,7 @@
 		firstByte:          scope.Histogram("upstream_first_byte", latencyBuckets),
 		repeatedAttempts:   scope.Counter("repeated_attempts"),
 		copiedPromptTokens: scope.Counter("copied_prompt_tokens"),
+		delegated:          scope.Counter("delegated_requests"),
 		limitedAttempts:    scope.Counter("limited_attempts"),
 		requests:           make(map[requestSeries]tally.Counter),
 		refusals:           make(map[string]refusalCounter),
--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -55,6 +55,9 @@
 
 // recordOrigin notes the origin of a stream when its first event has arrived.
 func (e *exchange) recordOrigin(lease *fleet.Lease, p *progress) {
+	if lease.Member.ID == "" {
+		return // the host that runs the request records it
+	}
 	if p.origin == nil {
 		p.origin = &origin.Origin{Upstream: lease.Member.Upstream, Version: lease.Member.SoftwareVersion}
 	}
--- a/internal/gateway/proxy/proxy_test.go
+++ b/internal/gateway/proxy/proxy_test.go
@@ -81,17 +81,47 @@
 	}
 	g.fleet.SetMembers(g.members)
 	g.table.Store(routing.Compile(testConfig()))
-	g.server = proxy.New(proxy.Options{
-		Dialect: platform.Dialect{}, Fleet: g.fleet, Client: upstream.NewClient((&net.Dialer{}).DialContext), Origins: g.origins,
+	g.restart(func(*proxy.Options) {}, (&net.Dialer{}).DialContext)
+	return g
+}
+
+// restart starts the gateway's server with changed options and another way to open connections.
+func (g *testGateway) restart(change func(*proxy.Options), dial upstream.Dial) {
+	options := proxy.Options{
+		Dialect: platform.Dialect{}, Fleet: g.fleet, Client: upstream.NewClient(dial), Origins: g.origins,
 		Budget: proxy.NewBudget(clockwork.NewRealClock(), 0.2, 50, 1),
 		Table:  g.table.Load, Known: func() bool { return g.table.Load() != nil }, Logger: zerolog.Nop(), Metrics: g.metrics,
-	})
+	}
+	change(&options)
+	g.server = proxy.New(options)
 	g.frontend = httptest.NewUnstartedServer(nil)
 	g.frontend.Config = g.server.HTTPServer()
 	g.frontend.Config.ErrorLog = nil
 	g.frontend.Start()
-	t.Cleanup(g.frontend.CloseClientConnections)
-	return g
+	g.t.Cleanup(g.frontend.CloseClientConnections)
+}
+
+// sibling returns another host in front of the same replicas, which shares the origins of streams.
+func (g *testGateway) sibling() *testGateway {
+	other := &testGateway{t: g.t, origins: g.origins, members: g.members, metrics: tally.NewTestScope("", nil)}
+	other.fleet = fleet.New(fleet.Options{Zone: "a", Model: fleet.EngineModel{PrefillTokensPerMs: 36, Chunk: 2048}})
+	other.fleet.SetMembers(g.members)
+	other.table.Store(g.table.Load())
+	other.restart(func(*proxy.Options) {}, (&net.Dialer{}).DialContext)
+	return other
+}
+
+// failReplica lets a request of this host fail to connect to a replica.
+func (g *testGateway) failReplica(i int) {
+	request := &fleet.Request{Upstream: "pool", TimeLeft: time.Minute, Urgent: true}
+	for j := range g.members {
+		if j != i {
+			request.Exclude = append(request.Exclude, g.members[j].ID)
+		}
+	}
+	lease, refusal := g.fleet.Pick(request, time.Now())
+	require.Nil(g.t, refusal)
+	lease.End(fleet.Unconnected, time.Now())
 }
 
 // localOrigins are the origins of a host without others.
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -26,6 +26,7 @@
 	retryAfter      time.Duration
 	refusal         *fleet.Refusal // set if the fleet picked no replica
 	attempts        int
+	helper          string        // host that ran the request
 	choice          fleet.Choice  // of the latest attempt
 	firstEventAfter time.Duration // time from the arrival to the first event of a stream
 	longestPause    time.Duration // between two events of a stream
@@ -93,6 +94,12 @@
 	if e.call.Continues() {
 		entry.Str("resumes", e.call.Resumes).Str("after_event", e.call.LastEventID)
 	}
+	if rec.helper != "" {
+		entry.Str("helper", rec.helper)
+	}
+	if e.delegated {
+		entry.Str("delegated_by", e.r.RemoteAddr)
+	}
 	if rec.attempts > 0 && rec.choice.Limit.Limited {
 		entry.Float64("limit_per_second", rec.choice.Limit.PerSecond)
 	}
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -39,6 +39,8 @@
 	unsetTimerDelay = 24 * time.Hour
 	// inspectTimeout is the time within which a live replica accepts a connection.
 	inspectTimeout = 500 * time.Millisecond
+	// inspectSettleTime is the time until the outcome of an inspection counts.
+	inspectSettleTime = 50 * time.Millisecond
 )
 
 // progress is the state of a request between two attempts.
@@ -46,11 +48,17 @@
 	sentAttempts   int               // attempts in which the request was sent to a replica
 	triedReplicas  int               // one for each attempt, including replicas that were unreachable
 	possibleRuns   int               // attempts in which a replica may have run the request
+	unreachable    bool              // replicas could not be connected to, or one did not answer at all when a connection was opened
+	noHelper       bool              // no other host runs the request
+	delegated      bool              // another host has run the request
+	counted        bool              // the request counts for the retry budget
 	headerSent     bool              // the response header has been sent to the caller
 	lastEventID    string            // of the last event that the caller has, if it has an ID
 	origin         *origin.Origin    // of the stream; nil until its first event
 	events         int               // events forwarded
 	exclude        []string          // IDs of the replicas tried
+	unconnected    int               // replicas that no connection could be opened to
+	helpers        []string          // hosts that the request was offered to
 	replicaFailure *bufferedResponse // a replica's 5xx response, forwarded if no attempt succeeds
 }
 
@@ -68,7 +76,6 @@
 // dispatch sends the request to replicas until one of them responds or no further attempt
 // is allowed.
 func (e *exchange) dispatch(ctx context.Context) {
-	s := e.server
 	upstreamName := e.route.PickUpstream(e.call.AttemptID)
 	var p progress
 	if e.call.Continues() {
@@ -78,15 +85,9 @@
 		upstreamName = p.origin.Upstream
 	}
 	e.record.upstream = upstreamName
-	s.opts.Budget.First(upstreamName)
 	for {
-		lease, refusal := s.opts.Fleet.Pick(e.fleetRequest(upstreamName, &p), time.Now())
-		if refusal != nil {
-			e.endWithoutReplica(&p, refusal)
-			return
-		}
-		result := e.attempt(ctx, lease, &p)
-		if result == attemptDone {
+		result, ended := e.attemptOnce(ctx, &p)
+		if ended || result == attemptDone {
 			return
 		}
 		if e.callerGone() {
@@ -97,10 +98,39 @@
 			e.giveUp(ctx, &p)
 			return
 		}
-		p.exclude = append(p.exclude, lease.Member.ID)
 	}
 }
 
+// attemptOnce sends the request to a replica, or lets another host run it. It returns true if there is neither,
+// and the request has been answered.
+func (e *exchange) attemptOnce(ctx context.Context, p *progress) (result attemptResult, ended bool) {
+	s := e.server
+	if e.shouldDelegate(p) {
+		if result, taken := e.delegate(ctx, p); taken {
+			return result, false
+		}
+	}
+	if p.headerSent && p.origin == nil {
+		e.abortResponse() // only the hosts that ran the request know which replicas may go on
+	}
+	if !p.counted {
+		p.counted = true
+		s.opts.Budget.First(e.record.upstream)
+	}
+	lease, refusal := s.opts.Fleet.Pick(e.fleetRequest(e.record.upstream, p), time.Now())
+	if refusal != nil && (refusal.Reason == fleet.ReasonUnreachable || p.unconnected > 0) && !p.unreachable {
+		p.unreachable = true // the replicas that are left out may be those that only this host does not reach
+		return e.attemptOnce(ctx, p)
+	}
+	if refusal != nil {
+		e.endWithoutReplica(p, refusal)
+		return attemptNotRun, true
+	}
+	result = e.attempt(ctx, lease, p)
+	p.exclude = append(p.exclude, lease.Member.ID)
+	return result, false
+}
+
 // callerGone reports whether the caller has disconnected.
 func (e *exchange) callerGone() bool { return errors.Is(e.r.Context().Err(), context.Canceled) }
 
@@ -318,6 +348,15 @@
 	software atomic.Pointer[string] // the version of the replicas that may continue the stream; nil for any
 }
 
+func newWatchdog(timer *time.Timer) *watchdog { return &watchdog{timer: timer} }
+
+// stoppedTimer returns a timer that does not fire.
+func stoppedTimer() *time.Timer {
+	t := time.NewTimer(unsetTimerDelay)
+	t.Stop()
+	return t
+}
+
 // startWatchdog returns a timer that cancels an attempt of a repeatable request that takes
 // much longer than expected. The timer is stopped if no other attempt is allowed, or if its
 // timeout exceeds half of the time left. When it fires, it cancels the attempt only if the
@@ -325,22 +364,20 @@
 // better than none.
 func (e *exchange) startWatchdog(ctx context.Context, cancel context.CancelFunc, lease *fleet.Lease, p *progress) *watchdog {
 	if !e.route.Repeatable() || p.possibleRuns+1 >= e.route.MaxAttempts {
-		stopped := time.NewTimer(unsetTimerDelay)
-		stopped.Stop()
-		return &watchdog{timer: stopped}
+		return newWatchdog(stoppedTimer())
 	}
 	timeout := lease.Expected + time.Duration(responseTimeoutTargets*float64(e.route.Target))
 	timeout = max(timeout, minResponseTimeout)
 	req := e.fleetRequest(lease.Member.Upstream, p)
 	req.Target = 0 // by the time the watchdog fires, the latency objective is missed
 	req.Exclude = append(slices.Clone(p.exclude), lease.Member.ID)
-	w := &watchdog{}
+	w := newWatchdog(nil)
 	w.software.Store(req.SoftwareVersion)
 	w.timer = time.AfterFunc(unsetTimerDelay, func() {
 		req.TimeLeft, req.SoftwareVersion = e.timeLeft(time.Now()), w.software.Load()
 		switch {
 		case ctx.Err() != nil:
-		case !e.server.opts.Budget.Spent(req.Upstream) && e.server.opts.Fleet.Available(req, time.Now()):
+		case !e.server.opts.Budget.Spent(req.Upstream) && (e.server.opts.Fleet.CutOff() || e.server.opts.Fleet.Available(req, time.Now())):
 			cancel()
 		default:
 			w.timer.Reset(minResponseTimeout)
@@ -360,6 +397,7 @@
 	result, leaseResult := attemptMayHaveRun, fleet.ConnectionLost
 	if errors.Is(err, upstream.ErrNotConnected) {
 		leaseResult = fleet.Unconnected
+		p.noteUnconnected(err)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		result = attemptNotRun
@@ -401,6 +439,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
 	down := s.opts.Client.Down(ctx, member.Address)
+	if down {
+		// A partition that breaks the connections to other replicas too shows within this time.
+		time.Sleep(inspectSettleTime)
+	}
 	evidence := s.opts.Fleet.RecordInspection(member.ID, down, time.Now())
 	s.opts.Logger.Info().Str("request", attemptID).Str("replica", member.ID).Bool("down", down).
 		Int("suspects", evidence.Suspects).Int("outages", evidence.Outages).Msg("replica broke off requests")
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -38,6 +38,7 @@
 	Budget  *Budget
 	Client  *upstream.Client
 	Origins Origins
+	Helpers Helpers // nil if there are no other hosts
 	// Table returns the configuration in force, or nil if none is known.
 	Table func() *routing.Table
 	// Known reports whether the host knows a configuration and the replicas, which it needs
@@ -121,18 +122,30 @@
 	fingerprint    uint64        // the same when the caller sends the request again
 	waitedBefore   time.Duration // estimate of the caller's wait in earlier attempts
 
+	delegated bool   // another host has delegated the request to this one
+	target    string // path and query as the caller sent them
+
 	record record
 }
 
 // serve handles one request of a caller.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	s.serveFrom(w, r, target, false)
+}
+
+// serveFrom handles a request with the given path and query. delegated means that it comes from another host.
+func (s *Server) serveFrom(w http.ResponseWriter, r *http.Request, target string, delegated bool) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	now := time.Now()
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	e := &exchange{server: s, w: w, r: r, arrived: now, suspendedNanos: s.suspendedNanos.Load()}
+	e := &exchange{server: s, w: w, r: r, target: target, delegated: delegated, arrived: now, suspendedNanos: s.suspendedNanos.Load()}
 	defer e.finish()
 	if !e.admit() || !e.readBody() {
 		return
@@ -208,12 +221,7 @@
 }
 
 // requestTarget returns the path and query as the caller sent them.
-func (e *exchange) requestTarget() string {
-	if strings.HasPrefix(e.r.RequestURI, "/") {
-		return e.r.RequestURI
-	}
-	return e.r.URL.RequestURI()
-}
+func (e *exchange) requestTarget() string { return e.target }
 
 // promptParts returns the parts of the caller's prompt. The hash of a part covers the model
 // and all parts before it.
--- a/internal/gateway/routing/call.go
+++ b/internal/gateway/routing/call.go
@@ -44,6 +44,13 @@
 	CopyFrom    string        // IP:port of a replica that holds the KV cache of a part of the prompt, to copy it from; empty if there is none
 }
 
+// Delegation holds what a request that another host is to run needs in addition to the caller's headers.
+type Delegation struct {
+	Remaining   time.Duration // time until the request's deadline
+	LastEventID string        // the stream resumes after this event; if empty, the caller's value is sent
+	Resumes     string        // attempt that brought the first event of the stream; if empty, the caller's value is sent
+}
+
 // Reply holds the metadata of a replica's answer that is sent in headers.
 type Reply struct {
 	AttemptID   string // the attempt that the answer belongs to
@@ -63,6 +70,8 @@
 	Call(h http.Header) (Call, error)
 	// Forward returns the headers to send to a replica, based on the caller's headers.
 	Forward(h http.Header, d Dispatch) http.Header
+	// Delegate returns the headers to send to another host that is to run the request.
+	Delegate(h http.Header, d Delegation) http.Header
 	// Reply reads the headers of a replica's answer.
 	Reply(status int, h http.Header) Reply
 }
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -149,6 +149,18 @@
 	return false
 }
 
+// Connect opens a connection to a replica and keeps it for the next request.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	raw, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	connection := newConn(raw)
+	connection.reuseUntil = time.Now().Add(defaultIdleTimeout)
+	c.pool.put(address, connection, 0)
+	return nil
+}
+
 // connect returns a pooled connection to the replica, or opens a new one.
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
 	if !req.NewConnection {
