fleet: replicas that say how few rejections they bear are not overrun

Cause: nobody read Server-Brittle; hosts filled the queues of replicas, and each alone tried again. Change: while a replica says so, hosts divide its slots among themselves and let nothing wait there; after a rejection a host rests for as long as its share of the rejections takes. A value that cannot be read means that the replica bears none. Beside it: keepers of streams use package rendezvous instead of a hash of their own.

--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -156,6 +156,7 @@
 		r.suspendedUntil = now.Add(maxSuspension)
 	case Rejected:
 		f.reach.recordContact()
+		r.brittle.recordRejection(f.hosts(), now)
 	case Abandoned:
 	}
 	return inspect
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -294,7 +294,7 @@
 		if !q.allows(r, now) || slices.Contains(q.Exclude, r.member.ID) || r.unconnectable(now) || healthyOnly && !r.admissible(now) {
 			continue
 		}
-		if !f.hasCapacity(p, r, q) {
+		if !f.hasCapacity(p, r, q) || r.brittle.resting(now) {
 			skipped = max(skipped, skippedFull)
 			continue
 		}
@@ -319,6 +319,9 @@
 // for an engine, enough free KV cache for the request.
 func (f *Fleet) hasCapacity(p *pool, r *replica, q *Request) bool {
 	e := p.upstream.Engine
+	if r.brittle.stated && r.running >= f.brittlePart(p, r) {
+		return false
+	}
 	if p.upstream.MaxConns > 0 && r.inFlight() >= p.upstream.MaxConns {
 		return false
 	}
--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -1,16 +1,17 @@
 package peers
 
 import (
-	"cmp"
 	"context"
+	"maps"
 	"net"
 	"slices"
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"heatherbarrow/internal/gateway/origin"
+	"heatherbarrow/internal/rendezvous"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -35,34 +36,28 @@
 	address string // of its pull service
 	udpAddr *net.UDPAddr
 	zone    string
-	hash    uint64 // of the address
 }
 
 // keepers returns the keepers of a stream among the other hosts.
-func keepers(hosts []keeper, stream uint64) []keeper {
-	rank := func(k *keeper) uint64 {
-		// An avalanching mix, so that each stream orders the hosts in its own way.
-		x := k.hash ^ stream
-		x = (x ^ x>>33) * 0xff51afd7ed558ccd
-		return x ^ x>>33
-	}
-	sorted := slices.Clone(hosts)
-	slices.SortFunc(sorted, func(a, b keeper) int { return cmp.Compare(rank(&a), rank(&b)) })
+func keepers(hosts map[string]keeper, stream uint64) (out []keeper) {
 	inZone := make(map[string]int)
-	return slices.DeleteFunc(sorted, func(k keeper) bool {
-		inZone[k.zone]++
-		return inZone[k.zone] > keepersPerZone
-	})
+	for _, address := range rendezvous.Rank(strconv.FormatUint(stream, 16), slices.Collect(maps.Keys(hosts))) {
+		k := hosts[address]
+		if inZone[k.zone]++; inZone[k.zone] <= keepersPerZone {
+			out = append(out, k)
+		}
+	}
+	return out
 }
 
-// keeperHosts returns the other hosts that are not silent.
-func (e *Exchange) keeperHosts(now time.Time) []keeper {
+// keeperHosts returns the other hosts that are not silent, by address.
+func (e *Exchange) keeperHosts(now time.Time) map[string]keeper {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	hosts := make([]keeper, 0, len(e.peers))
+	hosts := make(map[string]keeper, len(e.peers))
 	for address, p := range e.peers {
 		if now.Sub(later(later(p.lastHeartbeat, p.lastInDigest), p.addedAt)) < silenceTimeout {
-			hosts = append(hosts, keeper{address: address, udpAddr: p.udpAddr, zone: p.zone, hash: xxhash.Sum64String(address)})
+			hosts[address] = keeper{address: address, udpAddr: p.udpAddr, zone: p.zone}
 		}
 	}
 	return hosts
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -270,6 +270,7 @@
 	s.metrics.firstByte.RecordDuration(time.Since(startedAt))
 	reply := s.opts.Dialect.Reply(response.Status, response.Header)
 	e.recordLimit(reply, response.Status, lease)
+	e.recordBrittle(reply, response.Status, lease)
 	if reply.NotExecuted {
 		return e.handleNotExecuted(response, lease)
 	}
@@ -465,6 +466,17 @@
 	}
 }
 
+// recordBrittle applies what a replica's answer says of the rejections that it bears.
+func (e *exchange) recordBrittle(reply routing.Reply, status int, lease *fleet.Lease) {
+	if status == http.StatusMisdirectedRequest || !reply.Brittle && !reply.Sealed {
+		return // from another process, or nothing that the replica itself says
+	}
+	if lease.RecordBrittle(reply.Brittle, reply.MaxRejections) {
+		e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
+			Bool("brittle", reply.Brittle).Float64("max_rejections_per_second", reply.MaxRejections).Msg("rejections that replica bears changed")
+	}
+}
+
 // handleNotExecuted ends an attempt whose request the replica refused without running it.
 func (e *exchange) handleNotExecuted(response *upstream.Response, lease *fleet.Lease) attemptResult {
 	leaseResult := fleet.Rejected
--- a/internal/gateway/routing/call.go
+++ b/internal/gateway/routing/call.go
@@ -57,6 +57,10 @@
 	Sealed      bool   // the answer has the seal header; the proxy treats a success without it as incomplete
 	NotExecuted bool   // the replica did not and will not run the request
 	ReplicaID   string
+	// Brittle means that the replica falls over if it has to reject more than MaxRejections requests in a
+	// second for want of room.
+	Brittle       bool
+	MaxRejections float64
 	// Limit is the replica's statement about the requests that it takes from all hosts together.
 	Limit requestlimit.Statement
 	// InvalidLimit is the value of a stated limit that cannot be read. Limit is then not valid.
--- a/internal/scheduling/requestlimit/hosts.go
+++ b/internal/scheduling/requestlimit/hosts.go
@@ -36,6 +36,17 @@
 	return n
 }
 
+// Part returns how many of the places of a replica this host may use, so that all hosts together use no more
+// than there are.
+func (h *Hosts) Part(replica uint64, replicaZone string, places int) int {
+	n := h.count()
+	part := places / n
+	if h.position(replica, replicaZone) < places%n {
+		part++
+	}
+	return part
+}
+
 // position returns how many hosts precede this one in the order of the replica. The order takes
 // one host of each zone in turn, beginning with the replica's own. All hosts compute the same
 // order if they know of the same hosts.
