--- a/internal/gateway/originkeeper.go
+++ b/internal/gateway/originkeeper.go
@@ -177,7 +177,11 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
-	return k.program.store.Replace(callCtx, k.program.adapter.KindStreams, k.program.settings.Host, newStreamsRecord(entries))
+	err := k.program.store.Replace(callCtx, k.program.adapter.KindStreams, k.program.settings.Host, newStreamsRecord(entries))
+	if err == nil {
+		k.program.streamsStored.Store(true)
+	}
+	return err
 }
 
 // newStreamsRecord encodes streams.
--- /dev/null
+++ b/internal/gateway/peers/origins_test.go
@@ -0,0 +1,88 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"google.golang.org/protobuf/proto"
+
+	"heatherbarrow/internal/gateway/origin"
+	"heatherbarrow/internal/rpc"
+)
+
+// Guards against hosts that compute different keepers of a stream, against keepers that are all in one zone,
+// and against a few hosts that keep all streams.
+func TestKeepersAreSpreadOverZonesAndHosts(t *testing.T) {
+	hosts := map[string]keeper{}
+	for i := range 12 {
+		address := fmt.Sprintf("10.0.0.%d:1", i)
+		hosts[address] = keeper{address: address, zone: fmt.Sprint("z", i%3)}
+	}
+	kept := map[string]int{}
+	for stream := range uint64(3000) {
+		zones := map[string]int{}
+		for _, k := range keepers(hosts, stream*0x9e3779b97f4a7c15) {
+			zones[k.zone]++
+			kept[k.address]++
+		}
+		assert.Equal(t, map[string]int{"z0": 2, "z1": 2, "z2": 2}, zones)
+		assert.Equal(t, keepers(hosts, stream), keepers(hosts, stream))
+	}
+	for address, n := range kept {
+		assert.InDelta(t, 1500, n, 300, address)
+	}
+}
+
+// Guards against a report of streams that does not fit a datagram, or that names another origin.
+func TestReportedOriginsFitDatagram(t *testing.T) {
+	var entries []origin.Entry
+	for i := range maxOriginsPerDatagram {
+		entries = append(entries, origin.Entry{
+			Stream: origin.StreamID(fmt.Sprint(i)), Origin: origin.Origin{Upstream: "heatherbarrow-pool", Version: fmt.Sprintf("v1.%d", i%3)},
+		})
+	}
+	message := &rpc.Beat{Host: "edge-lima-callao-1", PullAddress: "10.10.10.10:65535", StreamOrigins: originsToProto(entries)}
+	assert.LessOrEqual(t, proto.Size(message), maxDatagramBytes)
+	assert.ElementsMatch(t, entries, originsFromProto(message.StreamOrigins))
+}
+
+// Guards against requests that are delegated to hosts that are silent, or that have just declined, and against
+// hosts of other zones where one of this zone would do.
+func TestHelperIsLiveAndNear(t *testing.T) {
+	e := New(Options{Host: "h", Zone: "a", Listen: "10.0.0.1:1", Logger: zerolog.Nop()})
+	now := time.Now()
+	add := func(address, zone string, heard time.Time) {
+		e.AddInZone(address, zone)
+		e.peers[address].lastHeartbeat = heard
+	}
+	_, ok := e.Helper(nil)
+	assert.False(t, ok, "no other host is known")
+	add("10.0.0.2:1", "a", now)
+	add("10.0.0.3:1", "a", now.Add(-time.Minute))
+	add("10.0.0.4:1", "b", now)
+	for range 8 {
+		address, _ := e.Helper(nil)
+		assert.Equal(t, "10.0.0.2:1", address)
+	}
+	address, _ := e.Helper([]string{"10.0.0.2:1"})
+	assert.Equal(t, "10.0.0.4:1", address)
+	e.Declined("10.0.0.2:1")
+	address, _ = e.Helper(nil)
+	assert.Equal(t, "10.0.0.4:1", address)
+	_, ok = e.Helper([]string{"10.0.0.4:1"})
+	assert.False(t, ok, "neither silent hosts nor one that declined")
+}
+
+// Guards against a search that waits for hosts that do not answer, or that takes their silence for a no.
+func TestUnreachableKeepersAreNotTakenForUnknown(t *testing.T) {
+	e := newTestHost(t, "h", "127.0.0.1:9")
+	e.AddInZone("127.0.0.1:1", "b") // refuses connections
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err := e.askKeepers(ctx, 7, []string{"pool"})
+	assert.ErrorIs(t, err, origin.ErrUnreachable)
+}
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,20 +88,21 @@
 	settings *Settings
 	adapter  Adapter
 
-	logger       zerolog.Logger
-	fleet        *fleet.Fleet
-	budget       *proxy.Budget
-	client       *upstream.Client
-	origins      *origin.Tracker
-	state        *state.State
-	role         *state.Role
-	peers        *peers.Exchange
-	server       *proxy.Server
-	store        objectstore.Store
-	newEra       chan struct{} // a value means that the store came back from a copy
-	metrics      *telemetry.Metrics
-	started      time.Time
-	loggedModels map[string]fleet.EngineModel // engine speeds logged last, by name of the upstream; used only by runHousekeeping
+	logger        zerolog.Logger
+	fleet         *fleet.Fleet
+	budget        *proxy.Budget
+	client        *upstream.Client
+	origins       *origin.Tracker
+	state         *state.State
+	role          *state.Role
+	peers         *peers.Exchange
+	server        *proxy.Server
+	store         objectstore.Store
+	streamsStored atomic.Bool   // this host has written its incomplete streams to the store
+	newEra        chan struct{} // a value means that the store came back from a copy
+	metrics       *telemetry.Metrics
+	started       time.Time
+	loggedModels  map[string]fleet.EngineModel // engine speeds logged last, by name of the upstream; used only by runHousekeeping
 }
 
 // NewProgram returns a program. The settings may be filled in until Run is called.
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -138,8 +138,11 @@
 	}
 	response.MarkComplete()
 	e.sendBuffered(&bufferedResponse{status: response.Status, header: response.Header, body: body})
-	if refused {
+	switch {
+	case refused:
 		e.record.outcome, e.record.reason = outcomeNotRun, "refused_by_helper"
+	case !reply.Sealed && response.Status >= http.StatusInternalServerError:
+		e.record.outcome, e.record.reason = outcomeUnknown, "failed_at_helper"
 	}
 	return attemptDone
 }
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -45,7 +45,7 @@
 	registeredAt time.Time
 }
 
-// Stop implements kernel.Stopper. It removes the registration of this host. The
+// Stop implements kernel.Stopper. It removes the registration of this host and its streams. The
 // registration of a host that was killed is removed by other hosts.
 func (s *storeService) Stop(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -54,6 +54,13 @@
 	if err := p.store.Remove(callCtx, p.adapter.KindHosts, p.settings.Host); err != nil {
 		p.logger.Warn().Err(err).Msg("cannot remove the registration of this host")
 	}
+	if !p.streamsStored.Load() {
+		return nil
+	}
+	// The other hosts know the streams that callers may still take up.
+	if err := p.store.Remove(callCtx, p.adapter.KindStreams, p.settings.Host); err != nil {
+		p.logger.Warn().Err(err).Msg("cannot remove the streams of this host")
+	}
 	return nil
 }
 
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -226,7 +226,7 @@
 func (d *deployment) writeEntry(i int) {
 	d.store.Put(platform.KindMembers, d.replicas[i].id, map[string]any{
 		"service": "pool", "address": d.links[i].address, "zone": zoneName(i / 2), "slots": 16, "state": d.replicas[i].state, "born": d.replicas[i].born.Load(),
-		"version": d.replicas[i].software,
+		"version": d.replicas[i].softwareVersion(),
 	})
 }
 
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -69,8 +69,8 @@
 	limit  atomic.Pointer[string] // request limit that the replica states; nil for none
 	crash  atomic.Pointer[func()] // ends the replica for a while; nil if no request makes it crash
 	state  string                 // that it registered last
-	// software is the version of the replica's software; empty for one that does not tell it.
-	software string
+	// software is the version of the replica's software; nil for one that does not tell it.
+	software atomic.Pointer[string]
 	born     atomic.Int64 // changes with each start
 }
 
@@ -81,6 +81,14 @@
 	return r
 }
 
+// softwareVersion returns the version of the replica's software, or "".
+func (r *replica) softwareVersion() string {
+	if v := r.software.Load(); v != nil {
+		return *v
+	}
+	return ""
+}
+
 func answerTo(id string) string { return "answer to " + id }
 
 func eventOf(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", i, id, i) }
@@ -124,7 +132,7 @@
 		r.streamUnframed(w, id)
 		return
 	}
-	if r.software != "" && strings.HasPrefix(id, longStreamPrefix) {
+	if r.software.Load() != nil && strings.HasPrefix(id, longStreamPrefix) {
 		r.longStream(w, q)
 		return
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -90,8 +90,18 @@
 		d.t.Logf("requests with one part of their prompt crash replicas")
 		poison = newPromptCallers(d)
 	}
+	// Decided apart too.
+	var streams []longStream
+	var followed sync.WaitGroup
+	if rand.New(rand.NewPCG(seed, 2)).IntN(2) == 0 {
+		d.t.Logf("replicas of two software versions serve side by side")
+		d.setVersions()
+		s := &streamCallers{callers: c, hangUp: true, every: 60 * time.Millisecond}
+		followed.Go(func() { streams = s.follow(faultTime, nil) })
+	}
 	d.trouble(random)
 	restored.Wait()
+	followed.Wait()
 	healed := time.Now()
 	for _, h := range d.hosts {
 		assert.Eventually(t, func() bool {
@@ -107,6 +117,9 @@
 	versions.end()
 	d.check(results)
 	d.checkLimit(limit)
+	takenUp, wentOn, _ := taken(streams, time.Time{}, "v1", "v2")
+	t.Logf("%d streams followed, %d taken up, %.2f of these went on", len(streams), takenUp, wentOn)
+	assert.LessOrEqual(t, joined(streams), maxJoinedStreams, "streams hold events of two software versions")
 	for _, h := range d.hosts {
 		checkResources(t, h)
 	}
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -34,6 +34,7 @@
 // longStream writes events that name the replica's software version. One in eight of the streams
 // breaks off.
 func (r *replica) longStream(w http.ResponseWriter, q *http.Request) {
+	version := r.softwareVersion()
 	w.Header().Set("Content-Type", "text/event-stream")
 	last := -1
 	if text := q.Header.Get("Last-Event-Id"); text != "" {
@@ -48,7 +49,7 @@
 		if i == breakAt {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.software); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, version); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
@@ -68,7 +69,8 @@
 // streamCallers follow long streams at all hosts until they end.
 type streamCallers struct {
 	*callers
-	hangUp  bool // callers break off some of their streams and take them up elsewhere
+	hangUp  bool          // callers break off some of their streams and take them up elsewhere
+	every   time.Duration // between the beginnings of two streams
 	mu      sync.Mutex
 	streams []longStream
 }
@@ -78,7 +80,7 @@
 func (s *streamCallers) follow(lasts time.Duration, meanwhile func()) []longStream {
 	s.streams = nil
 	var wg sync.WaitGroup
-	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(15 * time.Millisecond) {
+	for end := time.Now().Add(lasts); time.Now().Before(end); time.Sleep(s.every) {
 		wg.Go(func() {
 			stream := s.followOne()
 			s.mu.Lock()
@@ -199,35 +201,43 @@
 func newVersionedDeployment(t *testing.T, perZone int) (*deployment, *streamCallers) {
 	t.Helper()
 	d := newDeployment(t, 3, perZone)
-	for i, r := range d.replicas {
-		r.software = fmt.Sprintf("v%d", 1+i%2)
-		r.born.Add(1)
-		d.register(i, "ready")
-	}
+	d.setVersions()
 	for _, h := range d.hosts {
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
 	}
 	time.Sleep(500 * time.Millisecond) // until all hosts know the versions
 	c := &callers{d: d, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}}}
 	t.Cleanup(c.client.CloseIdleConnections)
-	return d, &streamCallers{callers: c}
+	return d, &streamCallers{callers: c, every: 15 * time.Millisecond}
 }
 
 // release replaces the replicas of v1 by others of v3, as an operator would.
 func (d *deployment) release() {
 	for i, r := range d.replicas {
-		if r.software != "v1" {
+		if r.softwareVersion() != "v1" {
 			continue
 		}
 		d.register(i, "draining")
 		time.Sleep(2500 * time.Millisecond)
 		r.server.CloseClientConnections()
-		r.software = "v3"
-		r.born.Add(1)
-		d.register(i, "ready")
+		d.replace(i, "v3")
 	}
 }
 
+// setVersions gives even replicas the software version v1, odd ones v2.
+func (d *deployment) setVersions() {
+	for i := range d.replicas {
+		d.replace(i, fmt.Sprintf("v%d", 1+i%2))
+	}
+}
+
+// replace starts a replica again as another process with the given software version.
+func (d *deployment) replace(i int, version string) {
+	d.replicas[i].software.Store(&version)
+	d.replicas[i].born.Add(1)
+	d.register(i, "ready")
+}
+
 // killAll kills all hosts and starts them again after a while. meanwhile runs before they start.
 func (d *deployment) killAll(meanwhile func()) {
 	for _, h := range d.hosts {
