--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -64,12 +64,33 @@
 
 func (l *link) add(t *testing.T, kind, direction, attributes string) {
 	toxic := fmt.Sprintf(`{"name":"%s-%s","type":%q,"stream":%q,"attributes":%s}`, kind, direction, kind, direction, attributes)
-	if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
-		t.Logf("toxic %s: %v", kind, err) // the same one is active already
-	}
+	l.change(func() {
+		if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
+			t.Logf("toxic %s: %v", kind, err) // the same one is active already
+		}
+	})
 }
 
-func (l *link) heal() { l.proxy.Toxics.ResetToxics(context.Background()) }
+func (l *link) heal() { l.change(func() { l.proxy.Toxics.ResetToxics(context.Background()) }) }
+
+// change adds or removes toxics. toxiproxy waits for each connection meanwhile, without end for one whose peer
+// does not read, so that after linkPatience the connections are closed.
+func (l *link) change(act func()) {
+	const linkPatience = 3 * time.Second
+	done := make(chan struct{})
+	go func() {
+		act()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return
+	case <-time.After(linkPatience):
+	}
+	l.proxy.Stop()
+	<-done
+	_ = l.proxy.Start() // fails after the end of the test only
+}
 
 // host is a gateway's process.
 type host struct {
