--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -155,6 +155,17 @@
 	return nil
 }
 
+// storeAway lets the store answer no call, or ends that.
+func (d *deployment) storeAway(away bool) {
+	fault := storetest.None
+	if away {
+		fault = storetest.Down
+	}
+	d.record.note("store away: %v", away)
+	d.store.SetFault(fault)
+	d.replicas.setStoreAway(away)
+}
+
 // end ends all processes.
 func (d *deployment) end() {
 	for _, h := range d.hosts {
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -19,6 +19,9 @@
 var scenarios = map[string]func(d *deployment, trouble bool) (bool, error){
 	"poison-after-restart": poisonAfterRestart,
 	"poison-pair":          poisonPair,
+	"poison-part-burst":    poisonPartBurst,
+	"poison-part-silent":   poisonPartSilent,
+	"upgrade-in-place":     upgradeInPlace,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/lab/poison.go
+++ b/review/lab/poison.go
@@ -14,7 +14,7 @@
 )
 
 // configureRegistry writes a configuration with one plain service, and starts its replicas.
-func (d *deployment) configureRegistry() error {
+func (d *deployment) configureRegistry(replicas int) error {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": callerHost, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 1500, "goalMs": 300, "priority": 2,
@@ -28,8 +28,8 @@
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": teamName, "apiKeys": []string{teamKey}, "priority": 1}},
 	})
-	for _, zone := range []string{"sapporo", "asahikawa", "hakodate"} {
-		if err := d.replicas.boot("wuno96b", zone, "", 6, 60*time.Millisecond, 2500*time.Millisecond); err != nil {
+	for i := range replicas {
+		if err := d.replicas.boot("wuno96b", zones[1+i%3], "", 6, 60*time.Millisecond, 2500*time.Millisecond); err != nil {
 			return err
 		}
 	}
@@ -75,7 +75,7 @@
 // poisonAfterRestart sends one request that crashes replicas again and again, while the gateways are stopped
 // and started in turn.
 func poisonAfterRestart(d *deployment, trouble bool) (broken bool, err error) {
-	if err := d.configureRegistry(); err != nil {
+	if err := d.configureRegistry(3); err != nil {
 		return false, err
 	}
 	if err := d.start(); err != nil {
@@ -108,9 +108,10 @@
 	return c.checkPoison(body), nil
 }
 
-// poisonPair sends two requests that crash replicas, from callers in a zone with one gateway.
+// poisonPair sends two requests that crash replicas by turns, from a zone with one gateway. Without the
+// disruption there is only one of them.
 func poisonPair(d *deployment, trouble bool) (broken bool, err error) {
-	if err := d.configureRegistry(); err != nil {
+	if err := d.configureRegistry(5); err != nil {
 		return false, err
 	}
 	if err := d.start(); err != nil {
@@ -125,10 +126,10 @@
 		bodies = bodies[:1]
 	}
 	for _, body := range bodies {
-		c.stream("asahikawa", "poison", "POST", ordersPath+"9c", []byte(body), 1300*time.Millisecond)
-		time.Sleep(650 * time.Millisecond)
+		c.stream("asahikawa", "poison", "POST", ordersPath+"9c", []byte(body), 1600*time.Millisecond)
+		time.Sleep(800 * time.Millisecond)
 	}
-	time.Sleep(40 * time.Second)
+	time.Sleep(30 * time.Second)
 	ended := time.Now()
 	c.end()
 	served, all := c.served("order", began, ended)
--- /dev/null
+++ b/review/lab/streams.go
@@ -0,0 +1,363 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"heatherbarrow/platform"
+)
+
+const (
+	draftsPath   = "/pufi791/"
+	streamEvents = 60
+	eventPause   = 100 * time.Millisecond
+	streamWait   = 15 * time.Second
+	maxTakeUps   = 3
+	promptTime   = 60 * time.Millisecond
+	// poisonPart is the ID of a part of prompts that crashes each replica that begins to write an answer on it.
+	poisonPart = "dead0001"
+)
+
+// configureEngines writes a configuration with one service of model engines.
+func (d *deployment) configureEngines() {
+	d.store.Put(platform.KindConfig, platform.NameConfig, map[string]any{
+		"version": 7,
+		"routes": []any{map[string]any{
+			"name": "r-drafts", "host": callerHost, "pathPrefix": draftsPath, "routeKind": "streaming", "timeoutMs": 15000, "goalMs": 400, "priority": 0,
+			"service": "huvo11a", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "gapGoalMs": 300,
+		}},
+		"services": []any{map[string]any{
+			"name": "huvo11a", "healthPath": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false,
+			"engine": map[string]any{"slots": 64, "kvCapacity": 225506, "stride": 5, "models": []any{map[string]any{"name": "m"}}},
+		}},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": teamName, "apiKeys": []string{teamKey}, "priority": 1}},
+	})
+}
+
+// serveStream answers with events that name the software version of the replica.
+func (r *replica) serveStream(w http.ResponseWriter, q *http.Request, a *arrival) {
+	last := 0
+	if text := q.Header.Get("Last-Event-Id"); text != "" {
+		last, _ = strconv.Atoi(text)
+	}
+	h := w.Header()
+	h.Set("Heatherbarrow-Server-Seal", "3e1b."+r.id+"."+a.attempt)
+	h.Set("Content-Type", "text/event-stream")
+	if strings.Contains(q.Header.Get("Heatherbarrow-Prompt-Prefix"), poisonPart) {
+		// It reads the prompt, and crashes as it begins to write.
+		time.Sleep(promptTime)
+		if r.all.headFirst {
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+		r.all.mu.Lock()
+		a.crashed = !a.lost
+		r.all.mu.Unlock()
+		r.crash()
+		panic(http.ErrAbortHandler)
+	}
+	for i := last + 1; i <= streamEvents; i++ {
+		select {
+		case <-time.After(eventPause):
+		case <-q.Context().Done():
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.version); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
+
+// stream is a stream as its caller saw it, over all its attempts.
+type stream struct {
+	versions []string // of its events, without repetitions
+	lastID   int
+	ordered  bool // no event is missing or came twice
+	complete bool
+	takeUps  int
+	wentOn   bool // an attempt to take it up brought events or the end
+}
+
+// soundPrompt returns the parts of a prompt: one that all share, one that some share, and its own.
+func soundPrompt(n int) string {
+	return fmt.Sprintf("5c1e07a2:800,91bd3f%02x:110,%x:250", n%16, 0x10000+n)
+}
+
+// follow reads a stream and takes it up after each break, at another host each time.
+func (c *callers) follow(n int) *stream {
+	s := &stream{ordered: true}
+	resumes := ""
+	until := time.Now().Add(streamWait)
+	for try := 0; try <= maxTakeUps && !s.complete && time.Until(until) > time.Second; try++ {
+		h := c.d.pick("", n+try)
+		if h == nil {
+			return s
+		}
+		before := s.lastID
+		if before > 0 {
+			s.takeUps++
+		}
+		id := fmt.Sprintf("draft-%012x", c.next.Add(1))
+		c.readStream(h, id, resumes, soundPrompt(n), s, until)
+		if before == 0 && s.lastID > 0 {
+			resumes = id
+		}
+		s.wentOn = s.wentOn || before > 0 && (s.lastID > before || s.complete)
+		if !s.complete {
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	return s
+}
+
+// readStream sends one attempt and reads its events.
+func (c *callers) readStream(h *host, id, resumes, prompt string, s *stream, until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.at(h.ports.listen)+draftsPath+"2f", strings.NewReader("draft on "+prompt))
+	if err != nil {
+		panic(err)
+	}
+	q.Host = callerHost
+	q.Header.Set("Heatherbarrow-Attempt-Id", id)
+	q.Header.Set("Heatherbarrow-Model", "m")
+	q.Header.Set("Heatherbarrow-Token-Counts", "1160,300")
+	q.Header.Set("Heatherbarrow-Prompt-Prefix", prompt)
+	q.Header.Set("Heatherbarrow-Deadline-Ms", fmt.Sprint(time.Until(until).Milliseconds()))
+	q.Header.Set("Authorization", "Bearer "+teamKey)
+	if s.lastID > 0 {
+		q.Header.Set("Last-Event-Id", fmt.Sprint(s.lastID))
+		q.Header.Set("Resumes", resumes)
+	}
+	client := http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+	c.d.record.note("caller sends %s to %s, after event %d of %q", id, h.name, s.lastID, resumes)
+	response, err := client.Do(q)
+	if err != nil {
+		c.d.record.note("caller of %s gets no answer: %v", id, err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		c.d.record.note("caller of %s gets %d", id, response.StatusCode)
+		return
+	}
+	events := bufio.NewReader(response.Body)
+	first := s.lastID + 1
+	var seen []string
+	for {
+		line, err := events.ReadString('\n')
+		if err != nil {
+			s.complete = err == io.EOF
+			c.d.record.note("caller of %s gets events %d to %d of versions %v, end %v", id, first, s.lastID, seen, err)
+			return
+		}
+		text := strings.TrimSpace(line)
+		if value, ok := strings.CutPrefix(text, "id: "); ok {
+			eventID, _ := strconv.Atoi(value)
+			s.ordered = s.ordered && eventID == s.lastID+1
+			s.lastID = eventID
+		}
+		if version, ok := strings.CutPrefix(text, "data: "); ok {
+			if !slices.Contains(s.versions, version) {
+				s.versions = append(s.versions, version)
+			}
+			if len(seen) == 0 || seen[len(seen)-1] != version {
+				seen = append(seen, version)
+			}
+		}
+	}
+}
+
+func (s *stream) whole() bool { return s.complete && s.ordered && s.lastID == streamEvents }
+
+// sendDrafts begins streams for a time and returns those that have ended. The channel is closed after the
+// last one.
+func (c *callers) sendDrafts(every, lasts time.Duration) <-chan *stream {
+	out := make(chan *stream, int(lasts/every)+1)
+	go func() {
+		defer close(out)
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		for n, end := 0, time.Now().Add(lasts); time.Now().Before(end); n++ {
+			<-ticker.C
+			c.wait.Go(func() { out <- c.follow(n) })
+		}
+		c.wait.Wait()
+	}()
+	return out
+}
+
+// upgradeInPlace lets replicas crash and come back under the same id with another software version, while the
+// store is away.
+func upgradeInPlace(d *deployment, trouble bool) (broken bool, err error) {
+	const (
+		replicaCount = 12
+		waves        = 3 // of three crashes each, a quarter of the replicas
+		storeAway    = 8 * time.Second
+		downFor      = 1500 * time.Millisecond
+		maxJoined    = 2
+	)
+	d.configureEngines()
+	for i := range replicaCount {
+		version := "v1"
+		if i%4 == 3 {
+			version = "v2" // both serve side by side
+		}
+		r := &replica{service: "huvo11a", zone: zones[1+i%3], version: version, slots: make(chan struct{}, 64), downFor: downFor, streams: true}
+		if err := d.replicas.start(r, ""); err != nil {
+			return false, err
+		}
+	}
+	if err := d.start(); err != nil {
+		return false, err
+	}
+	c := newCallers(d)
+	drafts := c.sendDrafts(120*time.Millisecond, 26*time.Second)
+	time.Sleep(10 * time.Second)
+	d.storeAway(true)
+	time.Sleep(500 * time.Millisecond)
+	var upgraded []string
+	for wave := range waves {
+		for range 3 {
+			r := d.replicas.busiest("v1", upgraded)
+			if r == nil {
+				break
+			}
+			upgraded = append(upgraded, r.id)
+			next := "v1"
+			if trouble {
+				next = "v2"
+			}
+			r.crashAndReturn(next)
+		}
+		if wave < waves-1 {
+			time.Sleep(3 * time.Second)
+		}
+	}
+	time.Sleep(storeAway - 6500*time.Millisecond)
+	d.storeAway(false)
+	joined, takenUp, all, complete := 0, 0, 0, 0
+	for s := range drafts {
+		all++
+		if len(s.versions) > 1 {
+			joined++
+		}
+		if s.takeUps > 0 {
+			takenUp++
+		}
+		if s.whole() {
+			complete++
+		}
+	}
+	d.record.say("%d streams, %d complete, %d taken up by their callers; %d hold events of two software versions, %d allowed", all, complete, takenUp, joined, maxJoined)
+	return joined > maxJoined, nil
+}
+
+// poisonPartBurst lets a caller send prompts with a part that crashes replicas, several at the same time, and
+// send such prompts again after some seconds. Without the disruption they come one by one.
+func poisonPartBurst(d *deployment, trouble bool) (broken bool, err error) {
+	return playPoisonPart(d, trouble, true)
+}
+
+// poisonPartSilent lets prompts with a part that crashes replicas come one by one. The replica crashes before
+// any byte of its answer has left it. Without the disruption, the head of the answer arrives first.
+func poisonPartSilent(d *deployment, trouble bool) (broken bool, err error) {
+	return playPoisonPart(d, false, !trouble)
+}
+
+// playPoisonPart plays prompts with a part that crashes replicas, in bursts or one by one. headFirst lets the
+// head of an answer arrive before the crash.
+func playPoisonPart(d *deployment, inBursts, headFirst bool) (broken bool, err error) {
+	const (
+		burst   = 4
+		bursts  = 6
+		between = 4500 * time.Millisecond
+	)
+	d.replicas.headFirst = headFirst
+	d.configureEngines()
+	for i := range 12 {
+		r := &replica{service: "huvo11a", zone: zones[1+i%3], version: "v1", slots: make(chan struct{}, 64), downFor: 2500 * time.Millisecond, streams: true}
+		if err := d.replicas.start(r, ""); err != nil {
+			return false, err
+		}
+	}
+	if err := d.start(); err != nil {
+		return false, err
+	}
+	c := newCallers(d)
+	drafts := c.sendDrafts(100*time.Millisecond, 10*time.Second+bursts*between)
+	time.Sleep(8 * time.Second)
+	number := 0
+	poison := func() {
+		number++
+		n := number
+		c.wait.Go(func() {
+			id := fmt.Sprintf("poison-%012x", n)
+			prompt := fmt.Sprintf("5c1e07a2:800,%s:410,%x:250", poisonPart, 0x90000+n)
+			c.readStream(d.pick("", n), id, "", prompt, &stream{}, time.Now().Add(streamWait))
+		})
+	}
+	for range bursts {
+		for range burst {
+			poison()
+			if !inBursts {
+				time.Sleep(between / burst)
+			}
+		}
+		if inBursts {
+			time.Sleep(between)
+		}
+	}
+	all, complete := 0, 0
+	for s := range drafts {
+		all++
+		if s.whole() {
+			complete++
+		}
+	}
+	d.record.say("%d streams of other callers, %d complete", all, complete)
+	return d.checkPoisonPart(), nil
+}
+
+// checkPoisonPart applies the rule BUDGET to requests with a part that crashes replicas: after the fifth crash
+// and the stable window, no more than three may reach replicas. All machines are in touch.
+func (d *deployment) checkPoisonPart() (broken bool) {
+	const maxLate = 3
+	d.replicas.mu.Lock()
+	defer d.replicas.mu.Unlock()
+	crashes, late, reached := 0, 0, 0
+	var fifth time.Time
+	for _, run := range d.replicas.arrivals {
+		if !strings.HasPrefix(run.attempt, "poison-") {
+			continue
+		}
+		reached++
+		if !fifth.IsZero() && run.at.Sub(fifth) > stableWindow {
+			late++
+			d.record.note("%s reached replica %s %.1f s after the fifth crash", run.attempt, run.replica, run.at.Sub(fifth).Seconds())
+		}
+		if run.crashed {
+			if crashes++; crashes == 5 {
+				fifth = run.at.Add(promptTime)
+			}
+		}
+	}
+	d.record.say("requests with the part reached replicas %d times and crashed %d; %d later than %v after the fifth crash, %d allowed", reached, crashes, late, stableWindow, maxLate)
+	return late > maxLate
+}
