--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -57,6 +57,7 @@
 	program    string
 	settings   string
 	record     *record
+	view       *view // nil if the host has no links of its own
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -90,8 +91,9 @@
 	return ports{}, fmt.Errorf("no free ports")
 }
 
-// newDeployment starts a store and gateways. storeOf returns the address under which a host reaches the store.
-func newDeployment(r *record, program string, storeOf func(i int, address string) string) (*deployment, error) {
+// newDeployment prepares gateways with a store. With linked set, each host has links of its own to the replicas,
+// which can be cut; replicas that crash are not to be played then, as a link accepts connections all the same.
+func newDeployment(r *record, program string, linked bool) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "heatherbarrow-review-")
 	if err != nil {
 		return nil, err
@@ -116,8 +118,9 @@
 		h := &host{name: fmt.Sprintf("edge-%s-%d", zone, number[zone]), zone: zone, address: addresses[i], ports: p, program: program, record: r}
 		h.settings = filepath.Join(dir, h.name+".json")
 		storeAddress := d.store.Address()
-		if storeOf != nil {
-			storeAddress = storeOf(i, storeAddress)
+		if linked {
+			h.view = newView(storeAddress)
+			storeAddress = h.view.server.Listener.Addr().String()
 		}
 		// The fields of deploy/gateway.json.tmpl.
 		data, err := json.MarshalIndent(map[string]any{
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -15,13 +15,21 @@
 	exitCannotRun = 2
 )
 
-// scenarios are the cases by name. They report whether the rule was broken.
-var scenarios = map[string]func(d *deployment, trouble bool) (bool, error){
-	"poison-after-restart": poisonAfterRestart,
-	"poison-pair":          poisonPair,
-	"poison-part-burst":    poisonPartBurst,
-	"poison-part-silent":   poisonPartSilent,
-	"upgrade-in-place":     upgradeInPlace,
+// scenario is a case.
+type scenario struct {
+	// play reports whether the rule was broken. Without trouble, it leaves the disruption out.
+	play   func(d *deployment, trouble bool) (broken bool, err error)
+	linked bool // each host has links of its own to the replicas
+}
+
+// scenarios are the cases by name.
+var scenarios = map[string]scenario{
+	"poison-after-restart": {play: poisonAfterRestart},
+	"poison-pair":          {play: poisonPair},
+	"poison-part-burst":    {play: poisonPartBurst},
+	"poison-part-silent":   {play: poisonPartSilent},
+	"upgrade-in-place":     {play: upgradeInPlace},
+	"cut-off-roll":         {play: cutOffRoll, linked: true},
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -29,7 +37,7 @@
 // run plays the case that the first argument names, with the gateway of the second one, and writes record.txt
 // to the folder of the third.
 func run(args []string) int {
-	if len(args) != 3 || scenarios[args[0]] == nil {
+	if len(args) != 3 || scenarios[args[0]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab CASE GATEWAY FOLDER")
 		return exitCannotRun
 	}
@@ -39,14 +47,15 @@
 		return exitCannotRun
 	}
 	defer r.close()
-	d, err := newDeployment(r, args[1], nil)
+	played := scenarios[args[0]]
+	d, err := newDeployment(r, args[1], played.linked)
 	if err != nil {
 		r.say("cannot run: %v", err)
 		return exitCannotRun
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.note("case %s, disruption %v", args[0], trouble)
-	broken, err := scenarios[args[0]](d, trouble)
+	broken, err := played.play(d, trouble)
 	d.end()
 	switch {
 	case err != nil:
--- a/review/lab/streams.go
+++ b/review/lab/streams.go
@@ -18,11 +18,13 @@
 )
 
 const (
-	draftsPath   = "/pufi791/"
+	draftsPath   = "/pufi791/" // may be resumed
+	minutesPath  = "/lohu930/" // may not
 	streamEvents = 60
 	eventPause   = 100 * time.Millisecond
 	streamWait   = 15 * time.Second
 	maxTakeUps   = 3
+	retryPause   = 200 * time.Millisecond
 	promptTime   = 60 * time.Millisecond
 	// poisonPart is the ID of a part of prompts that crashes each replica that begins to write an answer on it.
 	poisonPart = "dead0001"
@@ -30,12 +32,15 @@
 
 // configureEngines writes a configuration with one service of model engines.
 func (d *deployment) configureEngines() {
+	route := func(name, prefix string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": callerHost, "pathPrefix": prefix, "routeKind": "streaming", "timeoutMs": 15000, "goalMs": 400, "priority": 0,
+			"service": "huvo11a", "maxAttempts": attempts, "public": false, "sticky": true, "resumable": resumable, "gapGoalMs": 300,
+		}
+	}
 	d.store.Put(platform.KindConfig, platform.NameConfig, map[string]any{
 		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-drafts", "host": callerHost, "pathPrefix": draftsPath, "routeKind": "streaming", "timeoutMs": 15000, "goalMs": 400, "priority": 0,
-			"service": "huvo11a", "maxAttempts": 2, "public": false, "sticky": true, "resumable": true, "gapGoalMs": 300,
-		}},
+		"routes":  []any{route("r-drafts", draftsPath, 2, true), route("r-minutes", minutesPath, 1, false)},
 		"services": []any{map[string]any{
 			"name": "huvo11a", "healthPath": "/healthz", "maxConns": 370, "protocol": "h1", "tls": false,
 			"engine": map[string]any{"slots": 64, "kvCapacity": 225506, "stride": 5, "models": []any{map[string]any{"name": "m"}}},
@@ -89,7 +94,12 @@
 	ordered  bool // no event is missing or came twice
 	complete bool
 	takeUps  int
-	wentOn   bool // an attempt to take it up brought events or the end
+	// retryAfter is what the last answer said; callers follow it up to a third of the time that they have left.
+	retryAfter time.Duration
+	// At machines in touch: its first attempt was sent there, and brought events; it was taken up there, and
+	// that brought events or the end.
+	fresh, began    bool
+	takenUp, wentOn bool
 }
 
 // soundPrompt returns the parts of a prompt: one that all share, one that some share, and its own.
@@ -97,6 +107,16 @@
 	return fmt.Sprintf("5c1e07a2:800,91bd3f%02x:110,%x:250", n%16, 0x10000+n)
 }
 
+// promptTokens returns the number of tokens of a prompt.
+func promptTokens(prompt string) (tokens int) {
+	for part := range strings.SplitSeq(prompt, ",") {
+		_, count, _ := strings.Cut(part, ":")
+		n, _ := strconv.Atoi(count)
+		tokens += n
+	}
+	return tokens
+}
+
 // follow reads a stream and takes it up after each break, at another host each time.
 func (c *callers) follow(n int) *stream {
 	s := &stream{ordered: true}
@@ -112,30 +132,29 @@
 			s.takeUps++
 		}
 		id := fmt.Sprintf("draft-%012x", c.next.Add(1))
-		c.readStream(h, id, resumes, soundPrompt(n), s, until)
+		c.readStream(h, draftsPath, id, resumes, soundPrompt(n), s, until)
 		if before == 0 && s.lastID > 0 {
 			resumes = id
 		}
-		s.wentOn = s.wentOn || before > 0 && (s.lastID > before || s.complete)
 		if !s.complete {
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(max(retryPause, min(s.retryAfter, time.Until(until)/3)))
 		}
 	}
 	return s
 }
 
 // readStream sends one attempt and reads its events.
-func (c *callers) readStream(h *host, id, resumes, prompt string, s *stream, until time.Time) {
+func (c *callers) readStream(h *host, path, id, resumes, prompt string, s *stream, until time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.at(h.ports.listen)+draftsPath+"2f", strings.NewReader("draft on "+prompt))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.at(h.ports.listen)+path+"2f", strings.NewReader("draft on "+prompt))
 	if err != nil {
 		panic(err)
 	}
 	q.Host = callerHost
 	q.Header.Set("Heatherbarrow-Attempt-Id", id)
 	q.Header.Set("Heatherbarrow-Model", "m")
-	q.Header.Set("Heatherbarrow-Token-Counts", "1160,300")
+	q.Header.Set("Heatherbarrow-Token-Counts", fmt.Sprintf("%d,300", promptTokens(prompt)))
 	q.Header.Set("Heatherbarrow-Prompt-Prefix", prompt)
 	q.Header.Set("Heatherbarrow-Deadline-Ms", fmt.Sprint(time.Until(until).Milliseconds()))
 	q.Header.Set("Authorization", "Bearer "+teamKey)
@@ -146,6 +165,14 @@
 	client := http.Client{Transport: &http.Transport{
 		DisableKeepAlives: true, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 	}}
+	if inTouch, before := h.wasInTouch(time.Now()), s.lastID; inTouch {
+		s.takenUp = s.takenUp || before > 0
+		s.fresh = s.fresh || before == 0
+		defer func() {
+			s.wentOn = s.wentOn || before > 0 && (s.lastID > before || s.complete)
+			s.began = s.began || before == 0 && s.lastID > 0
+		}()
+	}
 	c.d.record.note("caller sends %s to %s, after event %d of %q", id, h.name, s.lastID, resumes)
 	response, err := client.Do(q)
 	if err != nil {
@@ -154,7 +181,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		c.d.record.note("caller of %s gets %d", id, response.StatusCode)
+		text := response.Header.Get("Retry-After")
+		if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+			s.retryAfter = time.Duration(seconds * float64(time.Second))
+		}
+		c.d.record.note("caller of %s gets %d, Retry-After %q", id, response.StatusCode, text)
 		return
 	}
 	events := bufio.NewReader(response.Body)
@@ -284,11 +315,8 @@
 // playPoisonPart plays prompts with a part that crashes replicas, in bursts or one by one. headFirst lets the
 // head of an answer arrive before the crash.
 func playPoisonPart(d *deployment, inBursts, headFirst bool) (broken bool, err error) {
-	const (
-		burst   = 4
-		bursts  = 6
-		between = 4500 * time.Millisecond
-	)
+	const burst = 4
+	const bursts, between = 9, 4500 * time.Millisecond
 	d.replicas.headFirst = headFirst
 	d.configureEngines()
 	for i := range 12 {
@@ -303,6 +331,10 @@
 	c := newCallers(d)
 	drafts := c.sendDrafts(100*time.Millisecond, 10*time.Second+bursts*between)
 	time.Sleep(8 * time.Second)
+	path := draftsPath
+	if !inBursts {
+		path = minutesPath
+	}
 	number := 0
 	poison := func() {
 		number++
@@ -310,7 +342,7 @@
 		c.wait.Go(func() {
 			id := fmt.Sprintf("poison-%012x", n)
 			prompt := fmt.Sprintf("5c1e07a2:800,%s:410,%x:250", poisonPart, 0x90000+n)
-			c.readStream(d.pick("", n), id, "", prompt, &stream{}, time.Now().Add(streamWait))
+			c.readStream(d.pick("", n), path, id, "", prompt, &stream{}, time.Now().Add(streamWait))
 		})
 	}
 	for range bursts {
@@ -361,3 +393,71 @@
 	d.record.say("requests with the part reached replicas %d times and crashed %d; %d later than %v after the fifth crash, %d allowed", reached, crashes, late, stableWindow, maxLate)
 	return late > maxLate
 }
+
+// cutOffRoll cuts the two hosts of a zone off from all replicas, while the hosts of the other zones are stopped
+// and started in turn. Without the disruption only the restarts happen.
+func cutOffRoll(d *deployment, trouble bool) (broken bool, err error) {
+	d.configureEngines()
+	for i := range 12 {
+		r := &replica{service: "huvo11a", zone: zones[1+i%3], version: "v1", slots: make(chan struct{}, 64), downFor: 2500 * time.Millisecond, streams: true}
+		if err := d.replicas.start(r, ""); err != nil {
+			return false, err
+		}
+	}
+	if err := d.start(); err != nil {
+		return false, err
+	}
+	c := newCallers(d)
+	drafts := c.sendDrafts(100*time.Millisecond, 26*time.Second)
+	time.Sleep(10 * time.Second)
+	restarted := make(chan error, 2)
+	for i, h := range d.hosts[2:] {
+		go func() {
+			time.Sleep(time.Duration(i) * 2 * time.Second)
+			h.terminate()
+			time.Sleep(300 * time.Millisecond)
+			restarted <- h.start()
+		}()
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		d.record.note("the hosts of sapporo are cut off from all replicas")
+		for _, h := range d.hosts[:2] {
+			if err := h.view.setCut(true); err != nil {
+				return false, err
+			}
+		}
+	}
+	time.Sleep(6 * time.Second)
+	for _, h := range d.hosts[:2] {
+		if err := h.view.setCut(false); err != nil {
+			return false, err
+		}
+	}
+	d.record.note("the cut has ended")
+	for range 2 {
+		if err := <-restarted; err != nil {
+			return false, err
+		}
+	}
+	takenUp, wentOn, fresh, began, whole := 0, 0, 0, 0, 0
+	for s := range drafts {
+		takenUp += count(s.takenUp)
+		wentOn += count(s.wentOn)
+		fresh += count(s.fresh)
+		began += count(s.began)
+		whole += count(s.whole())
+	}
+	d.record.say("%d streams were complete in the end", whole)
+	d.record.say("of %d streams that callers took up at machines in touch %d went on; of %d new ones %d began", takenUp, wentOn, fresh, began)
+	const minTakenUp = 12
+	return takenUp >= minTakenUp && 2*wentOn*fresh < began*takenUp, nil
+}
+
+// count returns 1 for true.
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
