--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -25,11 +25,12 @@
 
 // callers send requests and keep what came of them.
 type callers struct {
-	d    *deployment
-	zone string // of those who ask for streams; empty for all zones
-	next atomic.Int64
-	stop chan struct{}
-	wait sync.WaitGroup
+	d     *deployment
+	zone  string // of those who ask for streams; empty for all zones
+	mixed bool   // every other stream is one that may not be resumed
+	next  atomic.Int64
+	stop  chan struct{}
+	wait  sync.WaitGroup
 
 	mu       sync.Mutex
 	attempts map[string]*attempt
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -29,6 +29,8 @@
 	"poison-part-burst":    {play: poisonPartBurst},
 	"poison-part-silent":   {play: poisonPartSilent},
 	"upgrade-in-place":     {play: upgradeInPlace},
+	"lone-restarts":        {play: loneRestarts},
+	"leave-untold":         {play: leaveUntold},
 	"cut-off-roll":         {play: cutOffRoll, linked: true},
 }
 
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -28,6 +28,8 @@
 	crashed bool   // it crashed the replica
 	ended   bool   // the run ended
 	lost    bool   // the replica crashed while it ran the request
+	leaving bool   // the replica said in its answer that it leaves
+	excused bool   // it was sent by a machine that was not in touch
 }
 
 // replicas are those of all services.
@@ -62,6 +64,7 @@
 	mu      sync.Mutex
 	conns   map[net.Conn]struct{}
 	crashed bool
+	leaving time.Time // since when it says so in its answers; zero if it does not
 	running map[*arrival]struct{}
 }
 
@@ -218,6 +221,11 @@
 	}
 	h.Set("Heatherbarrow-Replica-Id", r.id)
 	h.Set("Keep-Alive", "timeout=8")
+	r.mu.Lock()
+	if !r.leaving.IsZero() {
+		h.Set("Server-Leaving", "1")
+	}
+	r.mu.Unlock()
 	switch q.URL.Path {
 	case "/healthz":
 		return
@@ -250,6 +258,7 @@
 		return
 	}
 	r.running[a] = struct{}{}
+	a.leaving = !r.leaving.IsZero()
 	r.mu.Unlock()
 	r.all.mu.Lock()
 	r.all.arrivals = append(r.all.arrivals, a)
