--- a/review/lab/streams.go
+++ b/review/lab/streams.go
@@ -308,21 +308,28 @@
 // poisonPartBurst lets a caller send prompts with a part that crashes replicas, several at the same time, and
 // send such prompts again after some seconds. Without the disruption they come one by one.
 func poisonPartBurst(d *deployment, trouble bool) (broken bool, err error) {
-	return playPoisonPart(d, trouble, true)
+	return playPoisonPart(d, poisonPlan{path: draftsPath, inBursts: trouble, headFirst: true})
 }
 
 // poisonPartSilent lets prompts with a part that crashes replicas come one by one. The replica crashes before
 // any byte of its answer has left it. Without the disruption, the head of the answer arrives first.
 func poisonPartSilent(d *deployment, trouble bool) (broken bool, err error) {
-	return playPoisonPart(d, false, !trouble)
+	return playPoisonPart(d, poisonPlan{path: minutesPath, zone: "hakodate", headFirst: !trouble})
 }
 
-// playPoisonPart plays prompts with a part that crashes replicas, in bursts or one by one. headFirst lets the
-// head of an answer arrive before the crash.
-func playPoisonPart(d *deployment, inBursts, headFirst bool) (bool, error) {
+// poisonPlan says how prompts with a part that crashes replicas come.
+type poisonPlan struct {
+	path      string // of their route
+	zone      string // of all callers; empty for all zones
+	inBursts  bool   // several at the same time, not one by one
+	headFirst bool   // the head of an answer arrives before the crash
+}
+
+// playPoisonPart plays prompts with a part that crashes replicas.
+func playPoisonPart(d *deployment, plan poisonPlan) (bool, error) {
 	const burst = 4
 	const bursts, between = 9, 4500 * time.Millisecond
-	d.replicas.headFirst = headFirst
+	d.replicas.headFirst = plan.headFirst
 	d.configureEngines()
 	for i := range 12 {
 		r := &replica{service: "huvo11a", zone: zones[1+i%3], version: "v1", slots: make(chan struct{}, 64), downFor: 2500 * time.Millisecond, streams: true}
@@ -334,11 +341,7 @@
 		return false, err
 	}
 	c := newCallers(d)
-	c.mixed = true
-	path := draftsPath
-	if !inBursts {
-		path, c.zone = minutesPath, "hakodate"
-	}
+	c.mixed, c.zone = true, plan.zone
 	drafts := c.sendDrafts(100*time.Millisecond, 10*time.Second+bursts*between)
 	time.Sleep(8 * time.Second)
 	number := 0
@@ -348,17 +351,17 @@
 		c.wait.Go(func() {
 			id := fmt.Sprintf("poison-%012x", n)
 			prompt := fmt.Sprintf("5c1e07a2:800,%s:410,%x:250", poisonPart, 0x90000+n)
-			c.readStream(d.pick(c.zone, n), path, id, "", prompt, &stream{}, time.Now().Add(streamWait))
+			c.readStream(d.pick(c.zone, n), plan.path, id, "", prompt, &stream{}, time.Now().Add(streamWait))
 		})
 	}
 	for range bursts {
 		for range burst {
 			poison()
-			if !inBursts {
+			if !plan.inBursts {
 				time.Sleep(between / burst)
 			}
 		}
-		if inBursts {
+		if plan.inBursts {
 			time.Sleep(between)
 		}
 	}
