state: log which connections a call to the store used

Cause: when connections to the store go silent, the log does not tell whether the call after a failed one waited on another silent connection or on the store. Change: failed calls, and the first that succeeds after one, are logged with their time and their connections.

--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/objectstore"
 )
 
@@ -139,7 +140,8 @@
 		if w.takeRelist() {
 			revision = 0
 		}
-		next, changed, err := w.listOrWatch(ctx, revision, afterChange)
+		callCtx, conns := netio.TraceConn(ctx)
+		next, changed, err := w.listOrWatch(callCtx, revision, afterChange)
 		afterChange = changed || err != nil || revision == 0
 		if ctx.Err() != nil || errors.Is(err, ErrStopped) {
 			return
@@ -149,6 +151,7 @@
 			revision = next
 			backoff = initialBackoff
 			if callFailed {
+				w.Logger.Info().Str("kind", w.Kind).Uint64("revision", revision).EmbedObject(conns).Msg("store call succeeded after a failed one")
 				w.restartOthers(false)
 			}
 			callFailed = false
@@ -166,7 +169,7 @@
 		case errors.Is(err, errRestarted):
 		default:
 			callFailed = true
-			w.Logger.Warn().Err(err).Str("kind", w.Kind).Uint64("revision", revision).Msg("store call failed")
+			w.Logger.Warn().Err(err).Str("kind", w.Kind).Uint64("revision", revision).EmbedObject(conns).Msg("store call failed")
 			w.sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxBackoff)
 		}
