--- a/internal/gateway/program_test.go
+++ b/internal/gateway/program_test.go
@@ -47,6 +47,12 @@
 // startGateway starts a gateway whose only replica responds with the handler replica. The
 // store has no configuration yet.
 func startGateway(t *testing.T, replica http.HandlerFunc) *testGateway {
+	t.Helper()
+	return startGatewayWith(t, func(*testGateway) {}, replica)
+}
+
+// startGatewayWith is startGateway with settings that change adapts.
+func startGatewayWith(t *testing.T, change func(*testGateway), replica http.HandlerFunc) *testGateway {
 	t.Helper()
 	s := httptest.NewServer(replica)
 	t.Cleanup(s.CloseClientConnections)
@@ -58,6 +64,7 @@
 		BeatPort: 9004, Store: g.store.Address(), MemoryLimitMB: 400, RetryShare: 0.2, RetrySlack: 10,
 		GraceSeconds: 20, WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(300 * time.Millisecond),
 	}
+	change(g)
 	require.NoError(t, g.Validate())
 	g.store.Put(platform.KindMembers, "i-1", map[string]any{
 		"service": "pool", "address": s.Listener.Addr().String(), "zone": "a", "slots": 8, "state": "ready", "born": 1,
