peers: open a connection for each call to another host

Cause: pulls and questions for origins of streams used connections that had been idle for up to 10 s. If these go silent, a pull ends only with its timeout of 2 s, after which the configuration is already late. Change: no connection between hosts is kept for these calls; they come with changes only. Figures: TestPullAfterConnectionsBetweenHostsGoSilent failed with a timeout after 2 s before; passes.

--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -191,9 +191,9 @@
 		pullAddresses: make(chan string, 1),
 		now:           make(chan struct{}, 1),
 	}
-	transport := &http.Transport{
-		DialContext: opts.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: netio.MaxHeaderBytes,
-	}
+	// Each call opens a connection: one that has been idle may have gone silent, which only the timeout of the
+	// call would show, too late for a change of the configuration.
+	transport := &http.Transport{DialContext: opts.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: netio.MaxHeaderBytes}
 	e.client = &http.Client{Transport: netio.BoundBodies(transport, maxPullBytes), Timeout: pullTimeout}
 	return e
 }
