gateway: send nothing more to a replica that says that it leaves

What callers saw: requests went on to a replica after its answers had said that it leaves, up to the time at which the store or its end told so (DRAIN). Cause: the gateway did not read Server-Leaving. While the store cannot tell, it is the only news. Class: a statement of a replica in its answers that is dropped. Change: an answer that says so takes the replica's process out of use on this host, whatever its registration says, until another process starts under its ID. A host that delegated the request learns it from the answer too. Other hosts are not told: each learns it with its next answer, and the rule is between one host and a replica.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -54,8 +54,9 @@
 	crashReports    map[crashReport]time.Time // crashes that other hosts report, and when they last did
 	outages         []outage
 	zones           map[string]*zone
-	limits          map[uint64]*replicaLimit // stated request limits, by Member.Key
-	limitHosts      *requestlimit.Hosts      // that share the limits
+	limits          map[uint64]*replicaLimit  // stated request limits, by Member.Key
+	limitHosts      *requestlimit.Hosts       // that share the limits
+	leaving         map[string]leavingProcess // by ID
 	hostPeak        hostPeak
 	reach           reach
 }
@@ -137,6 +138,7 @@
 		digests:      make(map[string]peerDigest),
 		zones:        make(map[string]*zone),
 		limits:       make(map[uint64]*replicaLimit),
+		leaving:      make(map[string]leavingProcess),
 		limitHosts:   &requestlimit.Hosts{Zone: opts.Zone, Reachable: 1},
 		crashReports: make(map[crashReport]time.Time),
 		poison:       quarantine.New(poisonCrashes, poisonQuarantineTime),
@@ -201,16 +203,17 @@
 		}
 	}
 	for i := range changed {
-		m := &changed[i]
+		m := changed[i]
+		f.applyLeaving(&m)
 		r, ok := f.replicas[m.ID]
-		if ok && !r.member.SameProcess(m) {
+		if ok && !r.member.SameProcess(&m) {
 			f.remove(r)
 			ok = false
 		}
 		if ok {
-			r.member = *m
+			r.member = m
 		} else {
-			f.insert(newReplica(*m))
+			f.insert(newReplica(m))
 		}
 	}
 	cachedParts := partLimitFor(len(f.replicas))
@@ -376,8 +379,8 @@
 // taken to have ended.
 const digestLifetime = 2 * time.Second
 
-// ExpireDigests drops the digests that are older than digestLifetime, and the request limits that
-// have ended.
+// ExpireDigests drops the digests that are older than digestLifetime, the request limits that have
+// ended and what is remembered of replicas that have left.
 func (f *Fleet) ExpireDigests(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -389,6 +392,7 @@
 	}
 	f.limitHosts.Reachable = f.hostPeak.update(f.hosts(), now)
 	f.pruneLimits(now)
+	f.pruneLeaving(now)
 }
 
 // Hosts returns the number of hosts covered by the current digests, including this one.
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -23,6 +23,8 @@
 	DelegatePath = "/delegate"
 	// declinedHeader marks the answer of a host that takes no delegated requests now.
 	declinedHeader = "Heatherbarrow-Declined"
+	// servedByHeader names, in the answer to a delegated request, a replica that says that it leaves.
+	servedByHeader = "Heatherbarrow-Served-By"
 	// maxHelpers bounds the hosts that a request is offered to. One may have died, one may be cut off too.
 	maxHelpers = 3
 	// maxUnconnected is the number of replicas that must refuse a connection before a request is delegated.
@@ -119,6 +121,12 @@
 func (e *exchange) forwardDelegated(response *upstream.Response, p *progress) attemptResult {
 	lease := fleet.Delegated()
 	reply := e.server.opts.Dialect.Reply(response.Status, response.Header)
+	if id := response.Header.Get(servedByHeader); id != "" {
+		response.Header.Del(servedByHeader)
+		if reply.Leaving && e.server.opts.Fleet.RecordLeaving(id, time.Now()) {
+			e.server.noteLeaving(e.call.AttemptID, id)
+		}
+	}
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
 		p.possibleRuns++
 		return e.forwardStream(response, reply, lease, p, newWatchdog(stoppedTimer()))
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -54,6 +54,7 @@
 	repeatedAttempts   tally.Counter
 	copiedPromptTokens tally.Counter
 	delegated          tally.Counter // run by other hosts
+	leavingReplicas    tally.Counter // that said that they leave
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
 
 	mu        sync.Mutex
@@ -69,6 +70,7 @@
 		repeatedAttempts:   scope.Counter("repeated_attempts"),
 		copiedPromptTokens: scope.Counter("copied_prompt_tokens"),
 		delegated:          scope.Counter("delegated_requests"),
+		leavingReplicas:    scope.Counter("replicas_said_leaving"),
 		limitedAttempts:    scope.Counter("limited_attempts"),
 		requests:           make(map[requestSeries]tally.Counter),
 		refusals:           make(map[string]refusalCounter),
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -271,6 +271,7 @@
 	reply := s.opts.Dialect.Reply(response.Status, response.Header)
 	e.recordLimit(reply, response.Status, lease)
 	e.recordBrittle(reply, response.Status, lease)
+	e.recordLeaving(reply, response, lease)
 	if reply.NotExecuted {
 		return e.handleNotExecuted(response, lease)
 	}
@@ -477,6 +478,30 @@
 	}
 }
 
+// recordLeaving applies what an answer says of the replica's leaving. If another host delegated the request, the
+// answer names the replica to it.
+func (e *exchange) recordLeaving(reply routing.Reply, response *upstream.Response, lease *fleet.Lease) {
+	if reply.InvalidLeaving != "" {
+		e.server.opts.Logger.Warn().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
+			Str("value", reply.InvalidLeaving).Msg("replica states that it leaves in a way that cannot be read")
+	}
+	if !reply.Leaving || response.Status == http.StatusMisdirectedRequest {
+		return // nothing said, or by another process
+	}
+	if e.delegated {
+		response.Header.Set(servedByHeader, lease.Member.ID)
+	}
+	if lease.RecordLeaving(time.Now()) {
+		e.server.noteLeaving(e.call.AttemptID, lease.Member.ID)
+	}
+}
+
+// noteLeaving logs and counts a replica that has said that it leaves.
+func (s *Server) noteLeaving(attemptID, replica string) {
+	s.metrics.leavingReplicas.Inc(1)
+	s.opts.Logger.Info().Str("request", attemptID).Str("replica", replica).Msg("replica says that it leaves")
+}
+
 // handleNotExecuted ends an attempt whose request the replica refused without running it.
 func (e *exchange) handleNotExecuted(response *upstream.Response, lease *fleet.Lease) attemptResult {
 	leaseResult := fleet.Rejected
--- a/internal/gateway/routing/call.go
+++ b/internal/gateway/routing/call.go
@@ -62,7 +62,9 @@
 	Brittle       bool
 	MaxRejections float64
 	// Limit is the replica's statement about the requests that it takes from all hosts together.
-	Limit requestlimit.Statement
+	Limit          requestlimit.Statement
+	Leaving        bool   // the replica is about to stop
+	InvalidLeaving string // a statement about leaving that cannot be read; Leaving is then not set
 	// InvalidLimit is the value of a stated limit that cannot be read. Limit is then not valid.
 	InvalidLimit string
 }
