peers: ask the keepers of a stream before inferring its version

Change: keepers come first and answer only what they have recorded; the inference needs a recent answer of the store or a recent heartbeat, by a clock that counts suspensions.

--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -27,6 +27,9 @@
 	// originsInterval is the time in which streams are collected for a report. Each is reported twice, as a
 	// datagram may be lost.
 	originsInterval = 50 * time.Millisecond
+	// maxKeeperDelay bounds the wait for keepers while this host's replica list seems up to date and has one
+	// version: a keeper that has died would delay the stream by the time of a dial.
+	maxKeeperDelay = 150 * time.Millisecond
 	// maxOriginsPerDatagram keeps a report within a datagram.
 	maxOriginsPerDatagram = 120
 )
@@ -132,47 +135,58 @@
 	return o, err
 }
 
-// find returns the origin of a stream as this host knows it, or else as the stream's keepers do. A host that
-// has just started waits until it has read what the store keeps.
+// find returns the origin of a stream as this host or the stream's keepers have recorded it, or else as it follows
+// from the replica list. The keepers come before the list, which may lack a version that other hosts use already. A
+// host that has just started waits until it has read what the store keeps.
 func (e *Exchange) find(ctx context.Context, stream uint64, upstreams []string) (origin.Origin, error) {
-	if o, known := e.localOrigin(stream, upstreams); known {
+	if o, ok := e.opts.Origins.Recorded(stream); ok {
 		return o, nil
 	}
-	o, err := e.askKeepers(ctx, stream, upstreams)
+	keepersCtx, cancel := ctx, context.CancelFunc(func() {})
+	if _, ok := e.onlyOrigin(upstreams); ok {
+		keepersCtx, cancel = context.WithTimeout(ctx, maxKeeperDelay)
+	}
+	o, err := e.askKeepers(keepersCtx, stream, upstreams)
+	cancel()
 	if err == nil {
 		return o, nil
 	}
+	if o, ok := e.onlyOrigin(upstreams); ok {
+		return o, nil
+	}
 	select {
 	case <-e.opts.Origins.Loaded():
 	case <-ctx.Done():
 		return origin.Origin{}, origin.ErrUnreachable
 	}
-	if o, known := e.localOrigin(stream, upstreams); known {
+	if o, ok := e.opts.Origins.Recorded(stream); ok {
+		return o, nil
+	}
+	if o, ok := e.onlyOrigin(upstreams); ok {
 		return o, nil
 	}
 	return origin.Origin{}, err
 }
 
-// localOrigin returns the origin of a stream as far as this host knows it. That there is only one version
-// counts only if the replica list is complete and up to date.
-func (e *Exchange) localOrigin(stream uint64, upstreams []string) (origin.Origin, bool) {
-	if o, ok := e.opts.Origins.Recorded(stream); ok {
-		return o, true
-	}
+// onlyOrigin returns the origin of all streams of the upstreams if there is just one version. That counts only if
+// the replica list is complete and up to date.
+func (e *Exchange) onlyOrigin(upstreams []string) (origin.Origin, bool) {
 	now := time.Now()
-	if e.opts.State.MembersAsOf() == 0 || !e.opts.State.StoreReachable() && !e.upToDateWithPeers(now) {
+	followsStore := e.opts.Role.Following() && e.opts.State.StoreAnsweredRecently()
+	if e.opts.State.MembersAsOf() == 0 || !followsStore && !e.upToDateWithPeers() {
 		return origin.Origin{}, false
 	}
 	return e.opts.Origins.Only(upstreams, now)
 }
 
-// upToDateWithPeers reports whether other hosts send heartbeats and none announces newer state.
-func (e *Exchange) upToDateWithPeers(now time.Time) bool {
+// upToDateWithPeers reports whether other hosts send heartbeats and none announces newer state. A heartbeat from
+// before a suspension of this host does not count.
+func (e *Exchange) upToDateWithPeers() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	heard := false
 	for _, p := range e.peers {
-		if now.Sub(p.lastHeartbeat) > maxHeartbeatInterval {
+		if !p.heard.Within(maxHeartbeatInterval) {
 			continue
 		}
 		if !p.aheadSince.IsZero() {
@@ -214,9 +228,10 @@
 	return origin.Origin{}, notFound
 }
 
-// FindOrigin implements rpc.Gateway.
+// FindOrigin implements rpc.Gateway. It answers only what this host has recorded: what follows from its replica list
+// may be out of date, and would hide what another keeper has recorded.
 func (e *Exchange) FindOrigin(_ context.Context, request *rpc.FindOriginRequest) (*rpc.FindOriginResponse, error) {
-	o, known := e.localOrigin(request.Stream, request.Upstreams)
+	o, known := e.opts.Origins.Recorded(request.Stream)
 	return &rpc.FindOriginResponse{Known: known, Upstream: o.Upstream, SoftwareVersion: o.Version}, nil
 }
 
--- a/internal/gateway/peers/origins_test.go
+++ b/internal/gateway/peers/origins_test.go
@@ -8,9 +8,11 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	"heatherbarrow/internal/gateway/origin"
+	"heatherbarrow/internal/gateway/state"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -86,3 +88,38 @@
 	_, err := e.askKeepers(ctx, 7, []string{"pool"})
 	assert.ErrorIs(t, err, origin.ErrUnreachable)
 }
+
+// Guards against a stream that goes on at another software version at a host that does not know yet that replicas of
+// several versions serve: one that was suspended, or that is cut off from the store or the hosts that it pulls from.
+func TestStreamIsNotTakenForThatOfOnlyKnownVersion(t *testing.T) {
+	v1, v2 := origin.Origin{Upstream: "pool", Version: "1"}, origin.Origin{Upstream: "pool", Version: "2"}
+	const attempt = "begun elsewhere"
+	keeperHost := newTestHost(t, "keeper", "127.0.0.1:1")
+	keeperHost.opts.Origins.Apply([]origin.Entry{{Stream: origin.StreamID(attempt), Origin: v2}}, time.Now())
+	behind := newTestHost(t, "behind", "127.0.0.1:2")
+	registered := member("a", 3, false)
+	registered.SoftwareVersion = v1.Version
+	require.NoError(t, behind.state.Publish(state.Members{Entries: []state.Registration{registered}, Source: state.FromStore, Complete: true, AsOf: 3}))
+	require.NoError(t, behind.state.Publish(state.StoreCall{}))
+	behind.opts.Origins.SetInUse(map[origin.Origin]bool{v1: true}, time.Now())
+	behind.opts.Origins.AddEarlier(nil, true, time.Now())
+	find := func() (origin.Origin, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		return behind.Find(ctx, attempt, []string{"pool"})
+	}
+	o, err := find()
+	require.NoError(t, err, "the store has just answered, and there are no other hosts")
+	assert.Equal(t, v1, o)
+
+	behind.opts.Role.Set(false)
+	_, err = find()
+	require.Error(t, err, "the host does not follow the store and hears nobody")
+
+	address := keeperHost.serve(t)
+	behind.Add(address)
+	behind.opts.Role.Set(true)
+	o, err = find()
+	require.NoError(t, err)
+	assert.Equal(t, v2, o, "the keeper knows better than the list")
+}
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"heatherbarrow/internal/gateway/boottime"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/gateway/origin"
@@ -163,6 +164,7 @@
 	incarnation    int64
 	sequence       uint64
 	lastHeartbeat  time.Time
+	heard          boottime.Stamp // of the last heartbeat
 	addedAt        time.Time
 	lastSent       time.Time // when the last heartbeat to this peer was sent
 	storeReachable bool      // its last call to the store did not fail, or it made none
@@ -390,6 +392,7 @@
 		e.opts.Logger.Info().Str("peer", m.Host).Str("address", m.PullAddress).Msg("peer is live")
 	}
 	p.host, p.zone, p.incarnation, p.sequence, p.lastHeartbeat = m.Host, m.AvailabilityZone, m.Incarnation, m.Sequence, now
+	p.heard.Set()
 	p.storeReachable = m.StoreReachable
 	if _, ok := e.seenHosts[m.Host]; !ok {
 		e.seenHosts[m.Host] = struct{}{}
--- a/internal/gateway/peers/peers_test.go
+++ b/internal/gateway/peers/peers_test.go
@@ -38,7 +38,7 @@
 	t.Cleanup(cancel)
 	host := &testHost{fleet: fleet.New(fleet.Options{Zone: "a"})}
 	host.state = state.New(state.Options{
-		Bus: bus.New(), Fleet: host.fleet, Logger: zerolog.Nop(), MaxWithdrawTime: time.Second, OnStoreChange: func() {},
+		Bus: bus.New(), Fleet: host.fleet, Logger: zerolog.Nop(), MaxWithdrawTime: time.Second, MaxConfigDelay: 2 * time.Second, OnStoreChange: func() {},
 		Decode: func(raw []byte) (c routing.Config, err error) { return c, json.Unmarshal(raw, &c.Version) },
 	})
 	require.NoError(t, host.state.Start(ctx))
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -162,7 +162,7 @@
 	p.origins = origin.NewTracker()
 	p.state = state.New(state.Options{
 		Bus: events, Fleet: p.fleet, Origins: p.origins, Decode: p.adapter.DecodeConfig, Logger: p.logger,
-		MaxWithdrawTime: p.settings.WithdrawWithin.Std(), RegistrationLapse: p.settings.registrationLapse(),
+		MaxWithdrawTime: p.settings.WithdrawWithin.Std(), MaxConfigDelay: p.settings.configDelay(), RegistrationLapse: p.settings.registrationLapse(),
 		OnStoreChange: func() { p.peers.Announce() },
 		OnNewEra: func() {
 			select {
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"heatherbarrow/internal/bus"
+	"heatherbarrow/internal/gateway/boottime"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/routing"
@@ -67,6 +68,8 @@
 	// MaxWithdrawTime is the time after a replica has left within which it must stop receiving
 	// requests.
 	MaxWithdrawTime time.Duration
+	// MaxConfigDelay is the time within which a change of the configuration must be in force.
+	MaxConfigDelay time.Duration
 	// RegistrationLapse is the time after which the store removes the registration of a replica that
 	// no longer renews it.
 	RegistrationLapse time.Duration
@@ -92,13 +95,14 @@
 	table           atomic.Pointer[routing.Table]
 	configOrigin    atomic.Pointer[Origin] // of the configuration in table
 	rawConfig       atomic.Pointer[[]byte]
-	storeEra        atomic.Uint64 // the highest era of the store that this host knows of
-	membersEra      atomic.Uint64 // the era of the registrations
-	membersRevision atomic.Uint64 // the highest revision of any registration of the era
-	membersAsOf     atomic.Uint64 // the store's revision up to which no change of registrations is missing
-	storeReachable  atomic.Bool   // the last call to the store succeeded; false before the first call
-	storeLost       atomic.Bool   // the last call to the store failed; false before the first call
-	membersListed   atomic.Bool   // a full list, which may be empty, or some registrations from a peer have been received
+	storeEra        atomic.Uint64  // the highest era of the store that this host knows of
+	membersEra      atomic.Uint64  // the era of the registrations
+	membersRevision atomic.Uint64  // the highest revision of any registration of the era
+	membersAsOf     atomic.Uint64  // the store's revision up to which no change of registrations is missing
+	storeReachable  atomic.Bool    // the last call to the store succeeded; false before the first call
+	storeLost       atomic.Bool    // the last call to the store failed; false before the first call
+	storeAnswered   boottime.Stamp // the last successful call to the store
+	membersListed   atomic.Bool    // a full list, which may be empty, or some registrations from a peer have been received
 
 	// The control goroutine, which runs handle, alone changes the registry's entries, with mu
 	// locked; other goroutines read them with mu read-locked.
@@ -108,7 +112,7 @@
 	// The fields below are used only by the control goroutine.
 	lastUnstableAt time.Time // last failed call to the store, or the recovery after it, whichever is later
 	storeFailing   bool      // same value as storeLost
-	storeAnswered  bool      // a call to the store succeeded
+	everAnswered   bool      // a call to the store succeeded
 }
 
 // New returns a State without configuration and replicas.
@@ -211,6 +215,10 @@
 // StoreReachable reports whether the last call to the store succeeded.
 func (s *State) StoreReachable() bool { return s.storeReachable.Load() }
 
+// StoreAnsweredRecently reports whether a call to the store succeeded within the time in which a change of the
+// configuration must be in force. A host that does not follow the store makes no calls.
+func (s *State) StoreAnsweredRecently() bool { return s.storeAnswered.Within(s.opts.MaxConfigDelay) }
+
 func (s *State) handle(event any) {
 	now := time.Now()
 	switch e := event.(type) {
@@ -221,8 +229,8 @@
 	case StoreCall:
 		s.recordStoreCall(e.Err, now)
 		if e.Err == nil {
-			s.recordEra(e.Era, FromStore, s.storeAnswered, now)
-			s.storeAnswered = true
+			s.recordEra(e.Era, FromStore, s.everAnswered, now)
+			s.everAnswered = true
 		}
 	case tick:
 		s.mu.Lock()
@@ -377,6 +385,7 @@
 		s.lastUnstableAt = now
 	}
 	s.storeFailing = false
+	s.storeAnswered.Set()
 	s.storeReachable.Store(true)
 	s.storeLost.Store(false)
 }
--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"heatherbarrow/internal/gateway/boottime"
 )
 
 // minSuspension is the shortest time that counts as a suspension. Shorter differences
@@ -29,9 +31,10 @@
 
 // clockOffset returns how far CLOCK_BOOTTIME is ahead of CLOCK_MONOTONIC.
 func clockOffset() time.Duration {
-	var boot, monotonic unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil {
+	var monotonic unix.Timespec
+	boot, ok := boottime.Now()
+	if !ok || unix.ClockGettime(unix.CLOCK_MONOTONIC, &monotonic) != nil {
 		return 0 // without both clocks no suspension can be detected
 	}
-	return time.Duration(boot.Nano() - monotonic.Nano())
+	return boot - time.Duration(monotonic.Nano())
 }
