fleet: count crashes against parts of requests whose answers had not begun too

Cause: of the requests that a crash broke off, only those whose answers had begun were suspects if there was one, so that sound streams beside the request that caused the crash hid it. Class: evidence dropped in place of weighed. Change: both are suspects. Where answers had begun on the replica, a part of a request that still waited is the less likely cause: it does not explain the crashes of parts whose answers had begun. TestPartThatCrashesReplicasBeforeAnswerBeginsIsRefused failed before; passes.

--- a/internal/gateway/fleet/poisonpart.go
+++ b/internal/gateway/fleet/poisonpart.go
@@ -18,18 +18,23 @@
 	Quarantined bool
 }
 
-// recordPartCrash counts a crash against the prompt parts of the requests that ran on the replica: of
-// those that it had begun to answer, or of all if it had begun to answer none.
+// recordPartCrash counts a crash against the prompt parts of the requests that ran on the replica. Those of requests
+// whose answers had not begun while others had are the less likely cause, but a replica may crash before the first
+// byte of its answer leaves it.
 func (f *Fleet) recordPartCrash(m *Member, suspects []suspect, now time.Time) {
 	anyAnswering := slices.ContainsFunc(suspects, func(s suspect) bool { return s.answering })
-	var parts []uint64
+	var parts, waiting []uint64
 	for i := range suspects {
 		if suspects[i].answering == anyAnswering {
 			parts = append(parts, suspects[i].parts...)
+		} else {
+			waiting = append(waiting, suspects[i].parts...)
 		}
 	}
 	slices.Sort(parts)
-	f.notePartChanges(f.parts.Crash(slices.Compact(parts), m.Key(), now), true)
+	slices.Sort(waiting)
+	waiting = slices.DeleteFunc(slices.Compact(waiting), func(part uint64) bool { return slices.Contains(parts, part) })
+	f.notePartChanges(f.parts.Crash(slices.Compact(parts), waiting, m.Key(), now), true)
 }
 
 // crashByPart reports whether a quarantined part explains the crash of a replica.
--- a/internal/gateway/fleet/poisonpart_test.go
+++ b/internal/gateway/fleet/poisonpart_test.go
@@ -74,6 +74,30 @@
 	assert.Empty(t, f.TakePartChanges())
 }
 
+// Guards against a part that crashes replicas before the first byte of an answer has left them, beside sound requests
+// whose answers have begun: the crashes counted against these alone. Found by case 4 of the review (BUDGET).
+func TestPartThatCrashesReplicasBeforeAnswerBeginsIsRefused(t *testing.T) {
+	f, other := newFleet(0), newFleet(0)
+	now := start
+	for i := range uint64(3) {
+		now = now.Add(3 * time.Second)
+		crashAnswering(t, f, now, []uint64{teamPart, 100 + i}, []uint64{teamPart, poisonPart, i + 1})
+		served := pick(t, f, partsRequest(teamPart, 50), now.Add(2*time.Second))
+		served.HeadReceived()
+		served.End(Served, now.Add(2*time.Second))
+	}
+	other.ApplyPartReports(f.PartReports(false, now), now)
+	for _, host := range []*Fleet{f, other} {
+		_, refusal := host.Pick(partsRequest(9, poisonPart), now)
+		require.NotNil(t, refusal)
+		assert.EqualValues(t, poisonPart, refusal.Part)
+		for _, sound := range [][]uint64{{teamPart, 9}, {100}, {2}, nil} {
+			_, refusal = host.Pick(partsRequest(sound...), now)
+			assert.Nil(t, refusal, "%v", sound)
+		}
+	}
+}
+
 // Guards against refusing a request that callers send again and again because it was in flight in two
 // crashes that a part of other requests' prompts explains (soak seed 575053044204).
 func TestQuarantinedPartExplainsCrashesOfWholeRequests(t *testing.T) {
--- a/internal/membership/parts.go
+++ b/internal/membership/parts.go
@@ -23,7 +23,7 @@
 // prompt of a request that ran on it.
 func (t *Table) RecordPartCrash(parts []uint64, replica string, now time.Time) {
 	if len(parts) > 0 {
-		t.parts.Crash(parts, xxhash.Sum64String(replica), now)
+		t.parts.Crash(parts, nil, xxhash.Sum64String(replica), now)
 		t.recordChange(true)
 	}
 }
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -296,7 +296,7 @@
 	}
 	position := req.Progress + result.Tokens // tokens of the answer so far, earlier attempts included
 	p.quarantine.Crash(f.fingerprint, r.id, position, f.otherSuspects == 0, now)
-	p.parts.Crash(req.Parts, r.id.Hash(), now)
+	p.parts.Crash(req.Parts, nil, r.id.Hash(), now)
 	if f.fingerprint != 0 || len(req.Parts) > 0 {
 		p.addEvent(scheduling.SuspectEvent{Fingerprint: f.fingerprint, Parts: req.Parts, Model: req.Model, Replica: r.id})
 	}
--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -45,6 +45,9 @@
 type Crash struct {
 	Replica uint64 // hash by which all hosts identify the replica
 	At      time.Time
+	// Waiting means that the replica had begun to answer other requests, but none with the part. The part is
+	// then the less likely cause, unless the replica crashed before its answer had begun.
+	Waiting bool
 }
 
 // same reports whether both are observations of one crash.
@@ -67,9 +70,18 @@
 	Expires     time.Time
 }
 
-// addCrash adds a crash and reports whether that changed the entry.
+// explainedBy reports whether a part that was in flight in the other crash is as likely a cause of this one.
+func (c Crash) explainedBy(other Crash) bool { return c.same(other) && (c.Waiting || !other.Waiting) }
+
+// addCrash adds a crash, or what another host observed of it, and reports whether that changed the entry.
 func (e *Entry) addCrash(c Crash) bool {
-	if slices.ContainsFunc(e.Crashes, c.same) || len(e.Crashes) == maxCrashes && c.compare(e.Crashes[0]) < 0 {
+	if i := slices.IndexFunc(e.Crashes, c.same); i >= 0 {
+		known := &e.Crashes[i]
+		changed := known.Waiting && !c.Waiting
+		known.Waiting = known.Waiting && c.Waiting
+		return changed
+	}
+	if len(e.Crashes) == maxCrashes && c.compare(e.Crashes[0]) < 0 {
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(e.Crashes, c, Crash.compare)
@@ -115,17 +127,18 @@
 	t.crashLimit, t.duration = crashLimit, duration
 }
 
-// Crash counts the crash of a replica against the parts of the requests that were in flight on it.
-// It returns the parts that are quarantined because of it.
-func (t *Tracker) Crash(parts []uint64, replica uint64, now time.Time) (quarantined []uint64) {
+// Crash counts the crash of a replica against the parts of the requests that were in flight on it. waiting are the
+// parts of requests whose answers had not begun while others had; see Crash.Waiting. It returns the parts that are
+// quarantined because of it.
+func (t *Tracker) Crash(parts, waiting []uint64, replica uint64, now time.Time) (quarantined []uint64) {
 	changed := false
-	for _, part := range parts {
+	for i, part := range slices.Concat(parts, waiting) {
 		e, ok := t.entries.Get(part)
 		if !ok {
 			e = &localEntry{Entry: Entry{Part: part}}
 			t.entries.Add(part, e)
 		}
-		if e.addCrash(Crash{Replica: replica, At: now}) {
+		if e.addCrash(Crash{Replica: replica, At: now, Waiting: i >= len(parts)}) {
 			e.changedAt, changed = now, true
 			e.Expires = later(e.Expires, now.Add(suspectDuration))
 		}
@@ -228,8 +241,9 @@
 	count := 0
 	var last time.Time
 	for _, c := range e.Crashes {
-		explains := func(o *localEntry) bool { return o != e && slices.ContainsFunc(o.Crashes, c.same) }
-		if count > 0 && c.At.Sub(last) < crashSeparation || slices.ContainsFunc(t.quarantined, explains) || other != nil && explains(other) {
+		inFlight := func(o *localEntry) bool { return o != e && slices.ContainsFunc(o.Crashes, c.same) }
+		if count > 0 && c.At.Sub(last) < crashSeparation || slices.ContainsFunc(t.quarantined, inFlight) ||
+			other != nil && other != e && slices.ContainsFunc(other.Crashes, c.explainedBy) {
 			continue
 		}
 		count++
--- a/internal/scheduling/poisonpart/poisonpart_test.go
+++ b/internal/scheduling/poisonpart/poisonpart_test.go
@@ -35,7 +35,7 @@
 		require.False(t, blamed(p, now, firstPart, poisonPart), "crash %d", crash)
 		p.Completed([]uint64{firstPart, 50 + crash}, now)
 		now = now.Add(time.Second)
-		got := p.Crash([]uint64{firstPart, poisonPart, 10 + crash}, crash, now)
+		got := p.Crash([]uint64{firstPart, poisonPart, 10 + crash}, nil, crash, now)
 		if crash < 2 {
 			assert.Empty(t, got)
 		} else {
@@ -57,7 +57,7 @@
 	now := partsStart
 	for crash := range uint64(3) {
 		now = now.Add(time.Second)
-		assert.Empty(t, p.Crash([]uint64{firstPart, poisonPart}, crash, now))
+		assert.Empty(t, p.Crash([]uint64{firstPart, poisonPart}, nil, crash, now))
 	}
 	assert.True(t, blamed(p, now, firstPart, poisonPart, 9))
 	assert.False(t, blamed(p, now, firstPart, 9))
@@ -74,17 +74,17 @@
 	p := newTestTracker()
 	now := partsStart
 	for crash := range uint64(6) {
-		p.Crash([]uint64{firstPart, 20 + crash}, crash, now.Add(time.Duration(crash)*10*time.Millisecond))
+		p.Crash([]uint64{firstPart, 20 + crash}, nil, crash, now.Add(time.Duration(crash)*10*time.Millisecond))
 	}
 	assert.False(t, blamed(p, now, firstPart, 30))
 	for crash := range uint64(2) {
 		now = now.Add(time.Second)
-		p.Crash([]uint64{firstPart, poisonPart}, 100+crash, now)
+		p.Crash([]uint64{firstPart, poisonPart}, nil, 100+crash, now)
 	}
 	assert.False(t, blamed(p, now, firstPart, poisonPart) && blamed(p, now, firstPart, 30))
 	now = now.Add(time.Second)
 	p.Completed([]uint64{firstPart}, now)
-	p.Crash([]uint64{firstPart, poisonPart}, 103, now.Add(time.Second))
+	p.Crash([]uint64{firstPart, poisonPart}, nil, 103, now.Add(time.Second))
 	assert.True(t, blamed(p, now, firstPart, poisonPart))
 	assert.False(t, blamed(p, now, firstPart, 30))
 }
@@ -95,7 +95,7 @@
 	now := partsStart
 	for crash := range uint64(3) {
 		now = now.Add(time.Second)
-		p.Crash([]uint64{poisonPart}, crash, now)
+		p.Crash([]uint64{poisonPart}, nil, crash, now)
 	}
 	require.True(t, blamed(p, now, poisonPart))
 	for crash := range uint64(100) {
@@ -103,7 +103,7 @@
 		for i := range parts {
 			parts[i] = 1000 + crash*50 + uint64(i)
 		}
-		p.Crash(parts, crash, now)
+		p.Crash(parts, nil, crash, now)
 	}
 	assert.True(t, blamed(p, now, poisonPart))
 	assert.Len(t, p.Refused(now), 1)
@@ -116,7 +116,7 @@
 	now := partsStart
 	for crash := range uint64(6) {
 		now = now.Add(time.Second)
-		p.Crash([]uint64{poisonPart, firstPart}, crash, now)
+		p.Crash([]uint64{poisonPart, firstPart}, nil, crash, now)
 		if crash == 1 {
 			p.Completed([]uint64{firstPart}, now)
 		}
@@ -131,7 +131,7 @@
 	p, reporter := newTestTracker(), newTestTracker()
 	now := partsStart
 	for crash := range uint64(3) {
-		reporter.Crash([]uint64{firstPart}, crash, now.Add(time.Duration(crash)*time.Second))
+		reporter.Crash([]uint64{firstPart}, nil, crash, now.Add(time.Duration(crash)*time.Second))
 	}
 	now = now.Add(10 * time.Second)
 	p.Completed([]uint64{firstPart}, now)
@@ -149,7 +149,7 @@
 	now := partsStart
 	for i, h := range hosts {
 		now = now.Add(time.Second)
-		h.Crash([]uint64{firstPart, poisonPart}, uint64(i), now)
+		h.Crash([]uint64{firstPart, poisonPart}, nil, uint64(i), now)
 		h.Completed([]uint64{firstPart}, now)
 	}
 	for range 2 {
@@ -185,7 +185,11 @@
 				if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
 					h.Completed([]uint64{1}, at)
 				} else {
-					h.Crash([]uint64{1}, uint64(rapid.IntRange(0, 2).Draw(t, "replica")), at)
+					parts, waiting := []uint64{1}, []uint64(nil)
+					if rapid.Bool().Draw(t, "waiting") {
+						parts, waiting = waiting, parts
+					}
+					h.Crash(parts, waiting, uint64(rapid.IntRange(0, 2).Draw(t, "replica")), at)
 				}
 			}
 			reports = append(reports, h.Reports(true, 1, partsStart.Add(20*time.Second))...)
@@ -218,7 +222,7 @@
 	now := partsStart
 	for crash := range uint64(10) {
 		now = now.Add(300 * time.Millisecond)
-		p.Crash([]uint64{firstPart, poisonPart + crash%2, 200 + crash}, crash, now)
+		p.Crash([]uint64{firstPart, poisonPart + crash%2, 200 + crash}, nil, crash, now)
 		p.Completed([]uint64{firstPart, 300}, now)
 	}
 	assert.True(t, blamed(p, now, poisonPart))
--- a/internal/scheduling/poisonpart/simulation_test.go
+++ b/internal/scheduling/poisonpart/simulation_test.go
@@ -120,7 +120,7 @@
 		}
 	}
 	for h, parts := range byHost {
-		h.tracker.Crash(parts, uint64(id), s.now.Add(time.Duration(s.random.IntN(10))*time.Millisecond))
+		h.tracker.Crash(parts, nil, uint64(id), s.now.Add(time.Duration(s.random.IntN(10))*time.Millisecond))
 	}
 	*r = simReplica{downUntil: s.now.Add(time.Duration(2+s.random.IntN(3)) * time.Second)}
 }
