gateway: send nothing to a replica for the time that it asks for

Cause: the gateway did not read Retry-After of a replica's 503. Class: as Server-Leaving, a statement that is dropped. Change: the replica's process gets no request of this host until the longest time that it has asked for is over, at most 10 minutes; when all rest, requests are refused until the first has rested. The statements of a process are now kept together, so that they outlast its registration.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -54,9 +54,9 @@
 	crashReports    map[crashReport]time.Time // crashes that other hosts report, and when they last did
 	outages         []outage
 	zones           map[string]*zone
-	limits          map[uint64]*replicaLimit  // stated request limits, by Member.Key
-	limitHosts      *requestlimit.Hosts       // that share the limits
-	leaving         map[string]leavingProcess // by ID
+	limits          map[uint64]*replicaLimit // stated request limits, by Member.Key
+	limitHosts      *requestlimit.Hosts      // that share the limits
+	statements      map[string]*statement    // of replicas in their answers, by ID
 	hostPeak        hostPeak
 	reach           reach
 }
@@ -138,7 +138,7 @@
 		digests:      make(map[string]peerDigest),
 		zones:        make(map[string]*zone),
 		limits:       make(map[uint64]*replicaLimit),
-		leaving:      make(map[string]leavingProcess),
+		statements:   make(map[string]*statement),
 		limitHosts:   &requestlimit.Hosts{Zone: opts.Zone, Reachable: 1},
 		crashReports: make(map[crashReport]time.Time),
 		poison:       quarantine.New(poisonCrashes, poisonQuarantineTime),
@@ -203,17 +203,20 @@
 		}
 	}
 	for i := range changed {
-		m := changed[i]
-		f.applyLeaving(&m)
+		m := &changed[i]
+		f.dropStatementOfEarlierProcess(m)
 		r, ok := f.replicas[m.ID]
-		if ok && !r.member.SameProcess(&m) {
+		if ok && !r.member.SameProcess(m) {
 			f.remove(r)
 			ok = false
 		}
 		if ok {
-			r.member = m
+			r.member = *m
 		} else {
-			f.insert(newReplica(m))
+			f.insert(newReplica(*m))
+		}
+		if s, ok := f.statements[m.ID]; ok {
+			f.applyToReplica(s)
 		}
 	}
 	cachedParts := partLimitFor(len(f.replicas))
@@ -380,7 +383,7 @@
 const digestLifetime = 2 * time.Second
 
 // ExpireDigests drops the digests that are older than digestLifetime, the request limits that have
-// ended and what is remembered of replicas that have left.
+// ended and the statements of replicas that are gone.
 func (f *Fleet) ExpireDigests(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -392,7 +395,7 @@
 	}
 	f.limitHosts.Reachable = f.hostPeak.update(f.hosts(), now)
 	f.pruneLimits(now)
-	f.pruneLeaving(now)
+	f.pruneStatements(now)
 }
 
 // Hosts returns the number of hosts covered by the current digests, including this one.
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -42,6 +42,8 @@
 	ReasonNoReplica = "no_replica"
 	// ReasonFull means that all replicas are at capacity.
 	ReasonFull = "full"
+	// ReasonResting means that the replicas have said that they want no requests of this host for a time.
+	ReasonResting = "resting"
 	// ReasonLimited means that the replicas with capacity have stated request limits that are used
 	// up.
 	ReasonLimited = "limited"
@@ -150,6 +152,8 @@
 		switch skipped {
 		case skippedLimited:
 			return nil, &Refusal{Reason: ReasonLimited, RetryAfter: f.limitedRetryAfter(p, now)}
+		case skippedResting:
+			return nil, &Refusal{Reason: ReasonResting, RetryAfter: f.jitteredRetryAfter(p.soonestRestEnd(q, now))}
 		case skippedFull:
 			return nil, &Refusal{Reason: ReasonFull, RetryAfter: f.jitteredRetryAfter(q.Target)}
 		case skippedNone:
@@ -199,6 +203,7 @@
 
 const (
 	skippedNone    skipReason = iota
+	skippedResting            // they want no requests of this host for a time
 	skippedFull               // they have no capacity
 	skippedLimited            // at least one has capacity, but its request limit is used up
 )
@@ -294,6 +299,10 @@
 		if !q.allows(r, now) || slices.Contains(q.Exclude, r.member.ID) || r.unconnectable(now) || healthyOnly && !r.admissible(now) {
 			continue
 		}
+		if now.Before(r.restUntil) {
+			skipped = max(skipped, skippedResting)
+			continue
+		}
 		if !f.hasCapacity(p, r, q) || r.brittle.resting(now) {
 			skipped = max(skipped, skippedFull)
 			continue
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -80,7 +80,8 @@
 	consecutiveConnectFailures int     // attempts in a row that could not connect
 	failureRate                float64 // moving average
 	suspendedUntil             time.Time
-	slowness                   float64 // moving average of measured over expected latency
+	slowness                   float64   // moving average of measured over expected latency
+	restUntil                  time.Time // until when the replica wants no requests of this host
 	brittle                    brittle
 	limit                      *replicaLimit // nil if the replica has not stated one
 	suspects                   []suspect     // until the replica is inspected
--- /dev/null
+++ b/internal/gateway/fleet/statement.go
@@ -0,0 +1,112 @@
+package fleet
+
+import "time"
+
+const (
+	// statementRetention is how long the statements of a replica without a registration are remembered. Its
+	// registration may lapse while the store is away, and be back later.
+	statementRetention = time.Minute
+	// maxRest bounds the time for which a replica may want no requests.
+	maxRest = 10 * time.Minute
+)
+
+// statement is what a replica's process said of itself in its answers to this host. It outlasts the replica's
+// registration.
+type statement struct {
+	member    Member
+	leaving   bool
+	restUntil time.Time // when it may get requests of this host again
+	saidAt    time.Time
+}
+
+// RecordLeaving notes that the replica's process said that it leaves, so that it gets no further requests of this
+// host, whatever its registration says. It reports whether that is new.
+func (l *Lease) RecordLeaving(now time.Time) (changed bool) {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.recordLeaving(&l.Member, now)
+}
+
+// RecordLeaving is Lease.RecordLeaving for a request that another host ran at the replica with the given ID.
+func (f *Fleet) RecordLeaving(id string, now time.Time) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.replicas[id]
+	return ok && f.recordLeaving(&r.member, now)
+}
+
+// RecordRest notes that the replica rejected a request and wants none of this host for the given time. Of several
+// times, the one that ends last holds. It reports whether the replica was not resting before.
+func (l *Lease) RecordRest(rest time.Duration, now time.Time) (changed bool) {
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.statementOf(&l.Member, now)
+	changed = !now.Before(s.restUntil)
+	s.restUntil = later(s.restUntil, now.Add(min(rest, maxRest)))
+	f.applyToReplica(s)
+	return changed
+}
+
+// recordLeaving marks the process that member describes as leaving.
+func (f *Fleet) recordLeaving(member *Member, now time.Time) (changed bool) {
+	s := f.statementOf(member, now)
+	changed = !s.leaving
+	s.leaving = true
+	f.applyToReplica(s)
+	return changed
+}
+
+// statementOf returns the statement of the process that member describes, and creates it if needed.
+func (f *Fleet) statementOf(member *Member, now time.Time) *statement {
+	s, ok := f.statements[member.ID]
+	if !ok || !s.member.SameProcess(member) {
+		s = &statement{member: *member}
+		f.statements[member.ID] = s
+	}
+	s.saidAt = now
+	return s
+}
+
+// applyToReplica applies a statement to the replica if it is the process that made it.
+func (f *Fleet) applyToReplica(s *statement) {
+	if r, ok := f.replicas[s.member.ID]; ok && r.member.SameProcess(&s.member) {
+		r.member.Leaving = r.member.Leaving || s.leaving
+		r.restUntil = s.restUntil
+	}
+}
+
+// dropStatementOfEarlierProcess drops the statement of a process that another one has replaced under its ID.
+func (f *Fleet) dropStatementOfEarlierProcess(m *Member) {
+	if s, ok := f.statements[m.ID]; ok && !s.member.SameProcess(m) && m.Started > s.member.Started {
+		delete(f.statements, m.ID)
+	}
+}
+
+// pruneStatements forgets the statements of processes whose registrations are long gone.
+func (f *Fleet) pruneStatements(now time.Time) {
+	for id, s := range f.statements {
+		if _, registered := f.replicas[id]; !registered && now.Sub(s.saidAt) > statementRetention && !now.Before(s.restUntil) {
+			delete(f.statements, id)
+		}
+	}
+}
+
+// soonestRestEnd returns the time until the first of the pool's replicas that the request may use has rested.
+func (p *pool) soonestRestEnd(q *Request, now time.Time) time.Duration {
+	wait := maxRetryAfter
+	for _, r := range p.replicas {
+		if q.allows(r, now) && now.Before(r.restUntil) {
+			wait = min(wait, r.restUntil.Sub(now))
+		}
+	}
+	return wait
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/gateway/fleet/view.go
+++ b/internal/gateway/fleet/view.go
@@ -25,6 +25,7 @@
 	StateReady     ReplicaState = "ready"
 	StateLeaving   ReplicaState = "leaving"
 	StateHeld      ReplicaState = "held"      // registration vanished; the replica stays in use for a while
+	StateResting   ReplicaState = "resting"   // said that it wants no requests of this host for a time
 	StateSuspended ReplicaState = "suspended" // recently could not be reached or broke a connection
 )
 
@@ -41,6 +42,8 @@
 		switch {
 		case r.member.Leaving:
 			v.State = StateLeaving
+		case now.Before(r.restUntil):
+			v.State = StateResting
 		case !r.admissible(now):
 			v.State = StateSuspended
 		case !r.member.UsableUntil.IsZero():
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -55,6 +55,7 @@
 	copiedPromptTokens tally.Counter
 	delegated          tally.Counter // run by other hosts
 	leavingReplicas    tally.Counter // that said that they leave
+	restingReplicas    tally.Counter // that wanted no requests for a time
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
 
 	mu        sync.Mutex
@@ -71,6 +72,7 @@
 		copiedPromptTokens: scope.Counter("copied_prompt_tokens"),
 		delegated:          scope.Counter("delegated_requests"),
 		leavingReplicas:    scope.Counter("replicas_said_leaving"),
+		restingReplicas:    scope.Counter("replicas_resting"),
 		limitedAttempts:    scope.Counter("limited_attempts"),
 		requests:           make(map[requestSeries]tally.Counter),
 		refusals:           make(map[string]refusalCounter),
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -273,6 +273,7 @@
 	e.recordLimit(reply, response.Status, lease)
 	e.recordBrittle(reply, response.Status, lease)
 	e.recordLeaving(reply, response, lease)
+	e.recordRest(reply, lease)
 	if reply.NotExecuted {
 		return e.handleNotExecuted(response, lease)
 	}
@@ -497,6 +498,19 @@
 	}
 }
 
+// recordRest applies the time for which a replica that rejected the request wants none of this host.
+func (e *exchange) recordRest(reply routing.Reply, lease *fleet.Lease) {
+	if reply.InvalidRest != "" {
+		e.server.opts.Logger.Warn().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
+			Str("value", reply.InvalidRest).Msg("replica states a time without requests that cannot be read")
+	}
+	if reply.Rest > 0 && lease.RecordRest(reply.Rest, time.Now()) {
+		e.server.metrics.restingReplicas.Inc(1)
+		e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).
+			Dur("rest_ms", reply.Rest).Msg("replica wants no requests for a time")
+	}
+}
+
 // noteLeaving logs and counts a replica that has said that it leaves.
 func (s *Server) noteLeaving(attemptID, replica string) {
 	s.metrics.leavingReplicas.Inc(1)
--- a/internal/gateway/routing/call.go
+++ b/internal/gateway/routing/call.go
@@ -65,6 +65,9 @@
 	Limit          requestlimit.Statement
 	Leaving        bool   // the replica is about to stop
 	InvalidLeaving string // a statement about leaving that cannot be read; Leaving is then not set
+	// Rest is how long a replica that rejected the request wants none of this host; 0 if it did not say.
+	Rest        time.Duration
+	InvalidRest string // such a time that cannot be read; Rest is then not set
 	// InvalidLimit is the value of a stated limit that cannot be read. Limit is then not valid.
 	InvalidLimit string
 }
