--- a/Makefile
+++ b/Makefile
@@ -45,10 +45,11 @@
 	if [ -f out/faults.txt ]; then cat out/faults.txt; else cat out/faults.log; fi; exit $$status
 
 # soak plays random faults against real gateways: SEEDS=50 for many fresh seeds, SEED=n for
-# one again. Logs of failed seeds go to out/soak.
+# one again. Logs of failed seeds go to out/soak. With EARLIER, the path of an older gateway, hosts
+# change between both builds whenever they start.
 soak:
 	@mkdir -p out
-	HEATHERBARROW_SOAK_LOGS=$(CURDIR)/out/soak SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -v -timeout 90m -run '^TestSoak$$' ./internal/soak
+	HEATHERBARROW_SOAK_LOGS=$(CURDIR)/out/soak HEATHERBARROW_SOAK_EARLIER=$(EARLIER) SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -v -timeout 90m -run '^TestSoak$$' ./internal/soak
 
 # fuzz runs each fuzz target for 5 s; go test alone runs their seeds.
 fuzz:
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -118,6 +118,10 @@
 	h.t.Helper()
 	program, err := buildOnce()
 	require.NoError(h.t, err)
+	// With an earlier build, hosts change between both builds at each start, and neighbors differ.
+	if earlier := os.Getenv("HEATHERBARROW_SOAK_EARLIER"); earlier != "" && (h.boot.Load()+int64(h.name[len(h.name)-1]))%2 == 0 {
+		program = earlier
+	}
 	log, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(h.t, err)
 	defer func() { _ = log.Close() }()
