--- a/internal/gateway/fleet/statement.go
+++ b/internal/gateway/fleet/statement.go
@@ -44,7 +44,9 @@
 	defer f.mu.Unlock()
 	s := f.statementOf(&l.Member, now)
 	changed = !now.Before(s.restUntil)
-	s.restUntil = later(s.restUntil, now.Add(min(rest, maxRest)))
+	if end := now.Add(min(rest, maxRest)); end.After(s.restUntil) {
+		s.restUntil = end
+	}
 	f.applyToReplica(s)
 	return changed
 }
@@ -103,10 +105,3 @@
 	}
 	return wait
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
