proxy: an answer without a length that ends with its replica's process is broken

Callers could get part of a stream or of a plain answer with a proper end, when the process of the replica was killed during an answer that has neither a length nor chunks: the kernel closes its connections in order.

Cause: the end of the connection was taken for the end of the answer.

The gateway now opens a connection to the replica before such an answer counts as complete. If it is refused, the answer is broken and goes the way of a lost connection. The connection is kept for the next request. Replicas that leave are excepted: they end their answers before they exit.

--- a/internal/gateway/fleet/statement.go
+++ b/internal/gateway/fleet/statement.go
@@ -36,6 +36,18 @@
 	return ok && f.recordLeaving(&r.member, now)
 }
 
+// Leaving reports whether the replica's process leaves or has left, by its registration or its own statement.
+func (l *Lease) Leaving(now time.Time) bool {
+	if l.replica == nil {
+		return false // another host runs the request
+	}
+	f := l.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.byKey[l.replica.key]
+	return r != l.replica || !r.member.usable(now)
+}
+
 // RecordRest notes that the replica rejected a request and wants none of this host for the given time. Of several
 // times, the one that ends last holds. It reports whether the replica was not resting before.
 func (l *Lease) RecordRest(rest time.Duration, now time.Time) (changed bool) {
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -51,6 +52,8 @@
 	switch {
 	case err != nil:
 		return e.handleUnusable(err, fleet.Truncated, lease)
+	case complete && e.endedWithProcess(response, lease):
+		return e.handleUnusable(errProcessEnded, fleet.ConnectionLost, lease)
 	case !complete && p.headerSent:
 		return e.handleUnusable(errors.New("response is too long to continue a stream"), fleet.Failed, lease)
 	}
@@ -86,6 +89,22 @@
 	e.endLease(lease, result, time.Now())
 }
 
+// errProcessEnded means that the body of an unframed response ended with the replica's process.
+var errProcessEnded = errors.New("response without a length ended with the replica's process")
+
+// endedWithProcess reports whether a response whose body ended with its connection may be incomplete, because nothing
+// listens at the replica's address any more: the kernel closes the connections of a process that was killed in the same
+// way as the replica does after the last byte. A process that leaves ends its answers before it closes its listener.
+func (e *exchange) endedWithProcess(response *upstream.Response, lease *fleet.Lease) bool {
+	if !response.Unframed || lease.Leaving(time.Now()) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(e.r.Context(), inspectTimeout)
+	defer cancel()
+	err := e.server.opts.Client.Connect(ctx, lease.Member.Address, e.maxIdle(lease.Member.Upstream))
+	return upstream.Refused(err)
+}
+
 // handleUnusable ends an attempt whose response broke off, had no events, lacked the server
 // seal (a header that shows that the replica itself produced the response) or is too long to
 // buffer although the caller has begun to receive a stream.
@@ -122,6 +141,9 @@
 	e.w.WriteHeader(response.Status)
 	_, writeErr := e.w.Write(bodyStart)
 	_, copyErr := io.Copy(e.w, response.Body)
+	if copyErr == nil && e.endedWithProcess(response, lease) {
+		copyErr = errProcessEnded
+	}
 	if writeErr != nil || copyErr != nil {
 		leaseResult := fleet.Truncated
 		if writeErr != nil || e.r.Context().Err() != nil {
@@ -147,6 +169,9 @@
 	var bufferedComments []byte // received before the first event
 	for {
 		event, err := events.Next()
+		if err == io.EOF && p.events > eventsBefore && e.endedWithProcess(response, lease) {
+			err = errProcessEnded
+		}
 		if err == io.EOF {
 			lease.RecordStream(p.events-eventsBefore, time.Since(firstEventAt), time.Now())
 			return e.handleStreamEnd(response, lease, p, p.events > eventsBefore)
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -143,21 +143,24 @@
 func (c *Client) Down(ctx context.Context, address string) bool {
 	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return Refused(err)
 	}
 	_ = raw.Close() // the connection only served as a probe
 	return false
 }
 
-// Connect opens a connection to a replica and keeps it for the next request.
-func (c *Client) Connect(ctx context.Context, address string) error {
+// Refused reports whether the error of a connection attempt shows that nothing listens at the address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// Connect opens a connection to a replica and keeps it for the next request. maxIdle is that of Request.MaxIdle.
+func (c *Client) Connect(ctx context.Context, address string, maxIdle int) error {
 	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
 	connection := newConn(raw)
 	connection.reuseUntil = time.Now().Add(defaultIdleTimeout)
-	c.pool.put(address, connection, 0)
+	c.pool.put(address, connection, maxIdle)
 	return nil
 }
 
