proxy: do not delegate requests to hosts with an older configuration

Cause: a host that a request is delegated to finds the route and the key again in its own configuration, which may be older: it has been paused, is rejected by the store, or is some 200 ms behind in a series of changes.

Evidence: TestRequestsAreNotDelegatedToHostsWithAnOlderConfiguration failed before (200 of the former service, 404, 401).

The delegating host now sends the version with which it has admitted the request. A host that is behind declines, and the next one is asked. It is not left out for later requests, since it gets the configuration within milliseconds.

--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -23,10 +24,13 @@
 	DelegatePath = "/delegate"
 	// declinedHeader marks the answer of a host that does not take the delegated request. Its value is
 	// declinedStopping if the host stops and takes only requests that no other host runs, which have
-	// lastResortHeader.
-	declinedHeader   = "Heatherbarrow-Declined"
-	declinedStopping = "stopping"
-	lastResortHeader = "Heatherbarrow-Last-Resort"
+	// lastResortHeader, and declinedBehind if its configuration is older than the version in
+	// configVersionHeader, with which the delegating host has admitted the request.
+	declinedHeader      = "Heatherbarrow-Declined"
+	declinedStopping    = "stopping"
+	declinedBehind      = "behind"
+	lastResortHeader    = "Heatherbarrow-Last-Resort"
+	configVersionHeader = "Heatherbarrow-Config-Version"
 	// servedByHeader names, in the answer to a delegated request, a replica that says that it leaves.
 	servedByHeader = "Heatherbarrow-Served-By"
 	// maxHelpers bounds the hosts that a request is offered to. One may have died, one may be cut off too.
@@ -51,10 +55,13 @@
 		switch {
 		case !s.opts.Known() || s.opts.Fleet.CutOff():
 			decline = "1"
+		case s.opts.Table().Version < configVersionOf(r):
+			decline = declinedBehind
 		case s.draining.Load() && r.Header.Get(lastResortHeader) == "":
 			decline = declinedStopping
 		}
 		r.Header.Del(lastResortHeader)
+		r.Header.Del(configVersionHeader)
 		if decline != "" {
 			w.Header().Set(declinedHeader, decline)
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -64,6 +71,16 @@
 	})
 }
 
+// configVersionOf returns the version of the configuration with which another host has admitted a request, or 0 if
+// that host does not tell it.
+func configVersionOf(r *http.Request) int64 {
+	version, err := strconv.ParseInt(r.Header.Get(configVersionHeader), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return version
+}
+
 // shouldDelegate reports whether another host should run the request.
 func (e *exchange) shouldDelegate(p *progress) bool {
 	if e.delegated || p.noHelper || e.server.opts.Helpers == nil {
@@ -124,9 +141,11 @@
 	defer response.Close()
 	if reason := response.Header.Get(declinedHeader); reason != "" {
 		response.Discard()
-		if reason == declinedStopping {
+		switch reason {
+		case declinedStopping:
 			p.stopping = append(p.stopping, address)
-		} else {
+		case declinedBehind: // it takes the next request, as it gets the configuration too
+		default:
 			s.opts.Helpers.Declined(address)
 		}
 		return attemptNotRun, false
@@ -144,9 +163,11 @@
 	if p.headerSent {
 		d.Resumes = e.firstAttemptID()
 	}
+	header := e.server.opts.Dialect.Delegate(e.r.Header, d)
+	header.Set(configVersionHeader, strconv.FormatInt(e.table.Version, 10))
 	return &upstream.Request{
 		Address: address, ID: e.call.AttemptID, Method: e.r.Method, Target: DelegatePath + e.requestTarget(), Host: e.r.Host,
-		Header: e.server.opts.Dialect.Delegate(e.r.Header, d), Body: e.body, NewConnection: !e.route.Repeatable(),
+		Header: header, Body: e.body, NewConnection: !e.route.Repeatable(),
 	}
 }
 
--- a/internal/gateway/proxy/delegate_test.go
+++ b/internal/gateway/proxy/delegate_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/gateway/proxy"
+	"heatherbarrow/internal/gateway/routing"
 )
 
 // cut is how the links of a host to the replicas fail.
@@ -267,3 +268,45 @@
 		}
 	}
 }
+
+// Guards against a request that is answered as an older configuration says because the host that it is delegated to
+// does not have the newer one yet, on which the delegating host has acted already.
+func TestRequestsAreNotDelegatedToHostsWithAnOlderConfiguration(t *testing.T) {
+	pool, books := newReplica(respondWith("pool ")), newReplica(respondWith("books "))
+	g := newTestGateway(t, pool, newReplica(respondWith("pool ")), books)
+	g.members[2].Upstream = "books"
+	g.fleet.SetMembers(g.members)
+	older, current := g.sibling(), g.sibling()
+	config := testConfig()
+	config.Version++
+	for i := range config.Routes {
+		config.Routes[i].WeightedUpstreams = []routing.Target{{Upstream: "books", Weight: 1}}
+	}
+	added := config.Routes[0]
+	added.Name, added.PathPrefix = "added", "/added/"
+	config.Routes = append(config.Routes, added)
+	config.Teams[0].Keys = append(config.Teams[0].Keys, "new-key")
+	config.Upstreams = append(config.Upstreams, routing.Upstream{Name: "books"})
+	g.table.Store(routing.Compile(config))
+	links := &cutLinks{open: make(chan net.Conn, 1000)}
+	newKey := map[string]string{"Authorization": "Bearer new-key"}
+	requests := []testRequest{{path: "/lookup/1"}, {path: "/order/1"}, {path: "/added/1"}, {path: "/lookup/2", header: newKey}}
+
+	g.addHelpers(links, older)
+	links.begin(refuses)
+	for _, request := range requests {
+		status, body, _ := g.do(request)
+		assert.Equal(t, http.StatusServiceUnavailable, status, "%s: %s", request.path, body)
+	}
+	assert.Zero(t, pool.received.Load(), "the service that the routes led to before")
+
+	current.table.Store(g.table.Load())
+	hosts := g.addHelpers(links, older, current)
+	for _, request := range requests {
+		status, body, _ := g.do(request)
+		assert.Equal(t, http.StatusOK, status, request.path)
+		assert.Equal(t, "books ", body, request.path)
+	}
+	assert.Zero(t, hosts.declined.Load(), "a host that is behind takes requests again as soon as it is not")
+	assert.Empty(t, books.lastRequest.Header.Get("Heatherbarrow-Config-Version"))
+}
