peers: pull a change that hosts of other zones announce once

Cause: hosts of zones with speakers send each other no regular heartbeats. A change is announced in one datagram, and a host pulled only when a peer announced the same change again 200 ms later. The digests did not tell the speaker's state, so that a lost announcement was not made up for either.

Evidence: TestChangeReachesZoneThatTheStoreRejects: before, no host of the other zone had the change after 2 s, whether the announcement arrived or not.

A host now keeps what each peer has announced, and asks for it once its own watch should have delivered it. Digests announce the state of their speaker. Hosts that do not follow the store leave other zones to those that do, so that a change does not make whole zones pull from another one.

--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -171,7 +171,16 @@
 	lastInDigest   time.Time // when the last digest of its zone that lists it arrived
 	declinedUntil  time.Time // when it may be offered requests again
 	replyDue       bool      // a heartbeat is due in reply to its first one
-	aheadSince     time.Time // since when its heartbeats announce newer state than this host's; zero if they do not
+	aheadSince     time.Time // since when it announces newer state than this host's; zero if it does not
+	announced      announcement
+}
+
+// announcement is the state that a peer has, as it told last.
+type announcement struct {
+	configVersion   int64
+	era             uint64 // of the store, for membersRevision
+	membersRevision uint64
+	at              time.Time
 }
 
 // New returns an Exchange.
@@ -333,7 +342,7 @@
 		return
 	}
 	if m.ZoneDigest != nil {
-		e.handleDigest(m.ZoneDigest, now)
+		e.handleDigest(m, now)
 		return
 	}
 	if m.Host == e.opts.Host || !e.recordHeartbeat(m, now) {
@@ -406,22 +415,67 @@
 	for _, address := range m.Peers {
 		e.addPeer(address)
 	}
-	if m.ConfigVersion > e.opts.State.ConfigVersion() || e.opts.State.MembersAhead(m.MembersEra, m.MembersRevision) {
-		if p.aheadSince.IsZero() {
-			p.aheadSince = now
-		}
-	} else {
+	e.noteAnnouncement(p, m, now)
+	if e.pullDue(p, now) {
+		e.requestPull(p)
+	}
+	return true
+}
+
+// noteAnnouncement records the state that a peer has according to its heartbeat, or to the digest that it sends as
+// the speaker of its zone. The caller must hold e.mu.
+func (e *Exchange) noteAnnouncement(p *peer, m *rpc.Beat, now time.Time) {
+	p.announced = announcement{m.ConfigVersion, m.MembersEra, m.MembersRevision, now}
+	e.updateAhead(p, now)
+}
+
+// updateAhead compares what a peer announced last with the state of this host. The caller must hold e.mu.
+func (e *Exchange) updateAhead(p *peer, now time.Time) {
+	s, a := e.opts.State, &p.announced
+	switch {
+	case a.configVersion <= s.ConfigVersion() && !s.MembersAhead(a.era, a.membersRevision):
 		p.aheadSince = time.Time{}
+	case p.aheadSince.IsZero():
+		p.aheadSince = now
 	}
+}
+
+// pullDue reports whether this host waits no longer for its own watch to deliver what the peer has announced. The
+// caller must hold e.mu.
+func (e *Exchange) pullDue(p *peer, now time.Time) bool {
 	delay := pullDelay
 	if !e.opts.Role.Following() && p.zone == e.opts.Zone {
 		delay = 0
 	}
-	if !p.aheadSince.IsZero() && now.Sub(p.aheadSince) >= delay {
-		select {
-		case e.pullAddresses <- p.address:
-		default: // a pull is pending already
+	return !p.aheadSince.IsZero() && now.Sub(p.aheadSince) >= delay
+}
+
+// requestPull asks pullLoop to pull from a peer.
+func (e *Exchange) requestPull(p *peer) {
+	select {
+	case e.pullAddresses <- p.address:
+	default: // a pull is pending already
+	}
+}
+
+// pullAnnounced requests a pull from the peer that was the last to announce newer state, if one is due. Hosts of zones
+// that exchange digests announce a change only once, so that no further heartbeat would lead to the pull. A host that
+// does not follow the store leaves the other zones to the hosts of its zone that do.
+func (e *Exchange) pullAnnounced(now time.Time) {
+	following := e.opts.Role.Following()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var latest *peer
+	for _, p := range e.peers {
+		if now.Sub(p.announced.at) > silenceTimeout || p.zone != e.opts.Zone && !following {
+			continue
+		}
+		e.updateAhead(p, now)
+		if e.pullDue(p, now) && (latest == nil || p.announced.at.After(latest.announced.at)) {
+			latest = p
 		}
 	}
-	return true
+	if latest != nil {
+		e.requestPull(latest)
+	}
 }
--- a/internal/gateway/peers/role.go
+++ b/internal/gateway/peers/role.go
@@ -8,7 +8,7 @@
 	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
-// roleLoop updates this host's role regularly until ctx ends.
+// roleLoop updates this host's role and pulls what others have announced, regularly until ctx ends.
 func (e *Exchange) roleLoop(ctx context.Context) {
 	ticker := time.NewTicker(roleUpdateInterval)
 	defer ticker.Stop()
@@ -18,7 +18,9 @@
 			return
 		case <-ticker.C:
 		}
-		e.updateRole(time.Now())
+		now := time.Now()
+		e.updateRole(now)
+		e.pullAnnounced(now)
 	}
 }
 
--- a/internal/gateway/peers/zone.go
+++ b/internal/gateway/peers/zone.go
@@ -198,7 +198,10 @@
 		if part == 0 {
 			m.Crashes, m.Classes, m.Peers = recent, classes, addresses
 		}
-		e.sendDigestPart(targets, m)
+		e.sendDigestPart(targets, &rpc.Beat{
+			ZoneDigest: m, PullAddress: e.opts.Listen, ConfigVersion: e.opts.State.ConfigVersion(),
+			MembersEra: e.opts.State.MembersEra(), MembersRevision: e.opts.State.MembersRevision(),
+		})
 	}
 	addressees := make([]*net.UDPAddr, len(targets))
 	for i, to := range targets {
@@ -217,15 +220,16 @@
 	return e.speaker.partCount
 }
 
-// sendDigestPart sends one datagram of a digest to each of the targets.
-func (e *Exchange) sendDigestPart(targets []*peer, m *rpc.ZoneDigest) {
+// sendDigestPart sends one datagram of a digest, which also announces the state of the speaker, to each of the
+// targets.
+func (e *Exchange) sendDigestPart(targets []*peer, m *rpc.Beat) {
+	digest := m.ZoneDigest
 	// Drop the oldest prompt parts first: replicas may have evicted them from their prompt caches.
-	// The size is that of the digest, without the few bytes of the Beat around it.
-	for size := proto.Size(m); size > maxDatagramBytes && len(m.Prompts) > 0; size = proto.Size(m) {
-		drop := min((size-maxDatagramBytes)/promptEntryBytes+1, len(m.Prompts))
-		m.Prompts = m.Prompts[drop:]
+	for size := proto.Size(m); size > maxDatagramBytes && len(digest.Prompts) > 0; size = proto.Size(m) {
+		drop := min((size-maxDatagramBytes)/promptEntryBytes+1, len(digest.Prompts))
+		digest.Prompts = digest.Prompts[drop:]
 	}
-	data, err := proto.Marshal(&rpc.Beat{ZoneDigest: m})
+	data, err := proto.Marshal(m)
 	if err != nil {
 		e.opts.Logger.Error().Err(err).Msg("cannot encode zone digest")
 		return
@@ -276,10 +280,12 @@
 
 // handleDigest applies one part of a digest of another zone. If the part has not been relayed yet,
 // it also relays it to the neighbors with a heartbeat within silenceTimeout.
-func (e *Exchange) handleDigest(m *rpc.ZoneDigest, now time.Time) {
+func (e *Exchange) handleDigest(message *rpc.Beat, now time.Time) {
+	m := message.ZoneDigest
 	if m.AvailabilityZone == e.opts.Zone || m.AvailabilityZone == "" || !e.recordDigest(m, now) {
 		return
 	}
+	e.recordSpeaker(message, now)
 	uses, parts, tokens := usesFromProto(m.Uses, m.Prompts)
 	name := "zone/" + m.AvailabilityZone + "/" + strconv.Itoa(int(m.Part))
 	hosts := 0
@@ -302,7 +308,19 @@
 		}
 	}
 	e.mu.Unlock()
-	e.sendDigestPart(recentNeighbors, m)
+	e.sendDigestPart(recentNeighbors, message)
+}
+
+// recordSpeaker records the state that the speaker of another zone announces with its digest.
+func (e *Exchange) recordSpeaker(m *rpc.Beat, now time.Time) {
+	if m.PullAddress == "" {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.addPeer(m.PullAddress); p != nil {
+		e.noteAnnouncement(p, m, now)
+	}
 }
 
 // recordDigest records the arrival of a digest of another zone and adds the peers that the digest
--- a/internal/gateway/peers/zone_test.go
+++ b/internal/gateway/peers/zone_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -19,10 +22,16 @@
 // all others. Their fleets keep the zone "a" of newTestHost, which does not matter here.
 func startZones(t *testing.T, port int, zones ...int) (testHosts []*testHost) {
 	t.Helper()
-	const seed = "127.0.1.1:1"
+	return startZonesAt(t, port, 1, zones...)
+}
+
+// startZonesAt is startZones with the port of the pull service, which it does not start.
+func startZonesAt(t *testing.T, port, pullPort int, zones ...int) (testHosts []*testHost) {
+	t.Helper()
+	seed := fmt.Sprintf("127.0.1.1:%d", pullPort)
 	for z, hosts := range zones {
 		for h := range hosts {
-			address := fmt.Sprintf("127.0.%d.%d:1", z+1, h+1)
+			address := fmt.Sprintf("127.0.%d.%d:%d", z+1, h+1, pullPort)
 			host := newTestHost(t, fmt.Sprintf("z%d-h%d", z, h), address, seed)
 			host.opts.BeatPort, host.opts.Zone = port, fmt.Sprintf("z%d", z)
 			host.Exchange.peers = make(map[string]*peer)
@@ -124,7 +133,7 @@
 	assert.False(t, digest("b", 1, 4))
 	assert.True(t, digest("b", 2, 1))
 	assert.Equal(t, 8, host.hostCount, "this host and the seven hosts that zone b reports; the slack of the retry budget is divided by this count")
-	host.handleDigest(&rpc.ZoneDigest{AvailabilityZone: "a", Speaker: "s", Sequence: 1, Hosts: 9}, now)
+	host.handleDigest(&rpc.Beat{ZoneDigest: &rpc.ZoneDigest{AvailabilityZone: "a", Speaker: "s", Sequence: 1, Hosts: 9}}, now)
 	assert.Equal(t, 1, host.fleet.Hosts())
 }
 
@@ -138,7 +147,7 @@
 	}
 	require.Equal(t, 4, host.fleet.Hosts())
 	digest := func(sequence uint64, hosts uint32) {
-		host.handleDigest(&rpc.ZoneDigest{AvailabilityZone: "b", Speaker: "b0", Sequence: sequence, Hosts: hosts, HostsKnown: hosts, Relayed: true}, now)
+		host.handleDigest(&rpc.Beat{ZoneDigest: &rpc.ZoneDigest{AvailabilityZone: "b", Speaker: "b0", Sequence: sequence, Hosts: hosts, HostsKnown: hosts, Relayed: true}}, now)
 	}
 	digest(1, 2)
 	assert.Equal(t, 4, host.fleet.Hosts())
@@ -168,8 +177,9 @@
 	for i := range 300 {
 		m.Prompts = append(m.Prompts, &rpc.PromptUse{Replica: 1 << 60, Part: uint64(i) << 40, Tokens: 9000})
 	}
-	host.sendDigestPart(nil, m)
-	assert.LessOrEqual(t, proto.Size(m), maxDatagramBytes)
+	datagram := &rpc.Beat{ZoneDigest: m, PullAddress: host.opts.Listen, ConfigVersion: 1 << 60, MembersRevision: 1 << 60}
+	host.sendDigestPart(nil, datagram)
+	assert.LessOrEqual(t, proto.Size(datagram), maxDatagramBytes)
 	assert.NotEmpty(t, m.Prompts)
 	assert.Equal(t, uint64(299)<<40, m.Prompts[len(m.Prompts)-1].Part, "the newest parts stay")
 }
@@ -248,3 +258,48 @@
 	require.NoError(t, host.state.Publish(state.StoreCall{}))
 	assert.True(t, host.composeHeartbeat(time.Now()).StoreReachable)
 }
+
+// Guards against a zone that the store rejects, and that stays without a change of the configuration and of the
+// replicas which hosts of other zones have announced once, or not at all because the datagram was lost: hosts of zones
+// with speakers exchange no regular heartbeats.
+func TestChangeReachesZoneThatTheStoreRejects(t *testing.T) {
+	const port = 39881
+	hosts := startZonesAt(t, port, port, 4, 4)
+	for _, host := range hosts {
+		server := &http.Server{Handler: host.Handler()}
+		listener, err := net.Listen("tcp4", host.opts.Listen)
+		require.NoError(t, err)
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { _ = server.Close() })
+	}
+	quiet := func() bool {
+		for _, host := range hosts {
+			host.mu.Lock()
+			for _, p := range host.peers {
+				if p.zone != host.opts.Zone && host.needsHeartbeat(p, time.Now()) {
+					host.mu.Unlock()
+					return false
+				}
+			}
+			known := len(host.peers)
+			host.mu.Unlock()
+			if known != len(hosts)-1 {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, quiet, 20*time.Second, 10*time.Millisecond)
+	for i, announced := range []bool{true, false} {
+		want := i + 2
+		hosts[1].publish(t, strconv.Itoa(want), member("a", uint64(want), true))
+		if announced {
+			hosts[1].Announce()
+		}
+		for _, host := range hosts {
+			assert.Eventually(t, func() bool {
+				return host.state.ConfigVersion() == int64(want) && host.state.MembersRevision() == uint64(want)
+			}, 2*time.Second, 10*time.Millisecond, "%s, announced: %v", host.opts.Host, announced)
+		}
+	}
+}
