state: do not lose a request to list again between two calls

A host could keep replicas in use that had left, for up to 21.5 s, or an older configuration for up to 1.5 s, although it had learned that the store had dropped its history or had come back from a copy.

Cause: the request cancels the call in progress. Between the check for a request and the begin of the next watch there is none, and the request was looked at only after that watch.

Evidence: TestRestartBetweenTwoCallsIsNotLost, which puts the request into the gap, failed before (the watch went on).

A watch now begins canceled if there is such a request.

--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -109,6 +109,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancel, w.watching = cancel, watch
+	if watch && w.relist {
+		cancel() // requested after the last call of takeRelist
+	}
 	return callCtx, cancel
 }
 
--- a/internal/gateway/state/follow_test.go
+++ b/internal/gateway/state/follow_test.go
@@ -206,3 +206,24 @@
 	require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 5}))
 	assert.True(t, s.Known(), "a full list may be empty")
 }
+
+// Guards against a watch that goes on for its whole wait, and misses changes, because the request to list again came
+// at the moment between two calls.
+func TestRestartBetweenTwoCallsIsNotLost(t *testing.T) {
+	s, ctx := newTestState(t, nil)
+	w := &Watcher{Store: newScriptedStore(), Kind: "config", State: s, Logger: zerolog.Nop(), Times: WatchTimes{Wait: time.Minute}}
+	assert.False(t, w.takeRelist())
+	w.restart(true)
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := w.listOrWatch(ctx, 5)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, errRestarted)
+		assert.True(t, w.takeRelist())
+	case <-time.After(time.Second):
+		t.Error("the watch goes on")
+	}
+}
