state: no pause after a call to the store that timed out

After silent connections, the pause took up to 0.15 s of the 2 s within which a configuration must be in force.

Cause: the back-off was counted from the end of a failed call, also of one that had lasted longer than the back-off.

Evidence: TestNoPauseAfterCallThatTimedOut measured 531 ms between two calls to a silent store, and less than 50 ms now.

The back-off counts from the begin of the call, so that it still bounds the rate of calls to a store that rejects them.

--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -39,8 +39,9 @@
 	// listTimeout bounds a list call; a slow store takes a few hundred milliseconds.
 	listTimeout = 2 * time.Second
 	// The back-off after a failed call starts at initialBackoff and doubles with each further
-	// failure up to maxBackoff, so that a host reconnects within a second of the store's
-	// recovery and does not overload a store that refuses calls.
+	// failure up to maxBackoff, so that a host reconnects soon after the store's recovery and does
+	// not overload a store that refuses calls. It counts from the begin of the call: one that has
+	// timed out is followed by the next one at once.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
 )
@@ -155,6 +156,7 @@
 			revision = 0
 		}
 		callCtx, conns := netio.TraceConn(ctx)
+		started := time.Now()
 		next, changed, err := w.listOrWatch(callCtx, revision)
 		if ctx.Err() != nil || errors.Is(err, ErrStopped) {
 			return
@@ -188,7 +190,7 @@
 			}
 			callFailed = true
 			w.Logger.Warn().Err(err).Str("kind", w.Kind).Uint64("revision", revision).EmbedObject(conns).Msg("store call failed")
-			w.sleep(ctx, backoff/2+rand.N(backoff))
+			w.sleep(ctx, backoff/2+rand.N(backoff)-time.Since(started))
 			backoff = min(2*backoff, maxBackoff)
 		}
 	}
--- a/internal/gateway/state/follow_test.go
+++ b/internal/gateway/state/follow_test.go
@@ -227,3 +227,38 @@
 		t.Error("the watch goes on")
 	}
 }
+
+// silentStore answers no call.
+type silentStore struct {
+	objectstore.Store
+	mu    sync.Mutex
+	ended time.Time // of the last call that timed out
+	pause time.Duration
+}
+
+func (s *silentStore) ListKind(ctx context.Context, _ string) (objectstore.Revisions, error) {
+	s.mu.Lock()
+	if !s.ended.IsZero() {
+		s.pause = max(s.pause, time.Since(s.ended))
+	}
+	s.mu.Unlock()
+	<-ctx.Done()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = time.Now()
+	return objectstore.Revisions{}, ctx.Err()
+}
+
+// Guards against a host that has no news for longer than the platform allows after a silent store has come back,
+// because it pauses after a call that has taken longer than the pause.
+func TestNoPauseAfterCallThatTimedOut(t *testing.T) {
+	s, ctx := newTestState(t, nil)
+	store := &silentStore{}
+	w := &Watcher{Store: store, Kind: "config", State: s, Logger: zerolog.Nop(), Times: ProbeTimes(2 * time.Second)}
+	go w.Run(ctx)
+	time.Sleep(3*listTimeout + listTimeout/2)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	assert.False(t, store.ended.IsZero())
+	assert.Less(t, store.pause, initialBackoff/2)
+}
