proxy: no stream goes on at an upstream without weight

A stream that its caller took up again went on at an upstream to which the configuration in force gives none of the route's requests: its share in the split had been set to 0 (CONFIG: run by the old service). Found by reading.

Cause: the search for the origin of a stream admitted all upstreams that the route lists.

Evidence: TestStreamIsNotTakenUpAtUpstreamWithoutWeight failed before (200 in place of 503). The tests' stand-in for the origins checks the upstreams like the exchange between hosts does.

--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -33,13 +33,9 @@
 // findOrigin sets the origin of a stream that the caller takes up. If it is not known, findOrigin refuses
 // the request and returns false: replicas of another version would go on with a text that does not fit.
 func (e *exchange) findOrigin(ctx context.Context, p *progress) bool {
-	upstreams := make([]string, len(e.route.WeightedUpstreams))
-	for i, target := range e.route.WeightedUpstreams {
-		upstreams[i] = target.Upstream
-	}
 	findCtx, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
-	o, err := e.server.opts.Origins.Find(findCtx, e.call.Resumes, upstreams)
+	o, err := e.server.opts.Origins.Find(findCtx, e.call.Resumes, e.route.Upstreams())
 	switch {
 	case errors.Is(err, origin.ErrUnreachable):
 		e.refuse(http.StatusServiceUnavailable, "origin_unreachable", e.boundRetryAfter(originUnreachableRetryAfter))
--- a/internal/gateway/proxy/origin_test.go
+++ b/internal/gateway/proxy/origin_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/gateway/origin"
+	"heatherbarrow/internal/gateway/routing"
 )
 
 // setVersions gives the replicas software versions, in order.
@@ -285,3 +286,26 @@
 		assert.Equal(t, "ran", body)
 	}
 }
+
+// Guards against a stream that goes on at an upstream which the configuration in force gives no requests of its route
+// any more.
+func TestStreamIsNotTakenUpAtUpstreamWithoutWeight(t *testing.T) {
+	replica := newReplica(events("a", 8, -1))
+	g := newTestGateway(t, replica)
+	g.setVersions("v1")
+	g.origins.Record("began", origin.Origin{Upstream: "pool", Version: "v1"}, time.Now())
+	for _, weight := range []int{1, 0} {
+		config := testConfig()
+		for i := range config.Routes {
+			config.Routes[i].WeightedUpstreams = []routing.Target{{Upstream: "pool", Weight: weight}, {Upstream: "other", Weight: 9}}
+		}
+		g.table.Store(routing.Compile(config))
+		status, _, _ := g.takeUp("began", "4")
+		if weight > 0 {
+			assert.Equal(t, http.StatusOK, status)
+		} else {
+			assert.Equal(t, http.StatusServiceUnavailable, status)
+		}
+	}
+	assert.EqualValues(t, 1, replica.received.Load())
+}
--- a/internal/gateway/proxy/proxy_test.go
+++ b/internal/gateway/proxy/proxy_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -129,6 +130,9 @@
 
 func (o localOrigins) Find(_ context.Context, attemptID string, upstreams []string) (origin.Origin, error) {
 	if recorded, ok := o.Recorded(origin.StreamID(attemptID)); ok {
+		if !slices.Contains(upstreams, recorded.Upstream) {
+			return origin.Origin{}, origin.ErrUnknown
+		}
 		return recorded, nil
 	}
 	if only, ok := o.Only(upstreams, time.Now()); ok {
--- a/internal/gateway/routing/routing.go
+++ b/internal/gateway/routing/routing.go
@@ -79,6 +79,16 @@
 	return ""
 }
 
+// Upstreams returns the upstreams that PickUpstream may select.
+func (r *Route) Upstreams() (names []string) {
+	for _, t := range r.WeightedUpstreams {
+		if t.Weight > 0 || len(r.WeightedUpstreams) == 1 {
+			names = append(names, t.Upstream)
+		}
+	}
+	return names
+}
+
 // Upstream is a pool of replicas.
 type Upstream struct {
 	Name     string
