--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -341,7 +341,10 @@
 		seen[a.id] = true
 	}
 	d.ledger.mu.Unlock()
-	first := 0
+	first, most, closest := 0, 0, 0.0
+	defer func() {
+		d.t.Logf("%d repeats, at most %d in %v, %.2f of what is allowed", len(repeats), most, window, closest)
+	}()
 	for last := range repeats {
 		for repeats[last].Sub(repeats[first]) > window {
 			first++
@@ -352,7 +355,9 @@
 				sent++
 			}
 		}
-		if repeated := last - first + 1; float64(repeated) > retryShare*float64(sent)+retrySlack {
+		repeated, allowed := last-first+1, retryShare*float64(sent)+retrySlack
+		most, closest = max(most, repeated), max(closest, float64(repeated)/allowed)
+		if float64(repeated) > allowed {
 			d.t.Errorf("%d repeats in %v beside %d requests", repeated, window, sent)
 			return
 		}
