gateway: retry budget that holds for the fleet in each sliding window

Each host counted its retries in ten slices of a second and dropped the oldest one whole, so that retries 9.1 s apart were counted apart and a host could spend its part twice in 10 s. A host that restarted had forgotten what it spent and began with its part of the slack as for four hosts. And a window of each host bounds no sum while traffic moves between hosts.

Each upstream now has an account: half of the share is paid in with each first attempt, half of the host's part of the slack with time, and the balance is at most half of what the last 10 s allowed. In any 10 s a host then spends at most what the period before and this one allow by halves, with nothing to remember over a restart, and the sums over hosts stay below the bound. A new host goes without the slack for 10 s, until it knows the others.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -157,7 +157,7 @@
 	events := bus.New()
 	p.newEra = make(chan struct{}, 1)
 	p.fleet = fleet.New(fleet.Options{Zone: p.settings.AvailabilityZone, Model: p.settings.Engines.engineModel(), Seed: rand.Uint64()})
-	p.budget = proxy.NewBudget(clockwork.NewRealClock(), p.settings.RetryShare, p.settings.RetrySlack, minHosts)
+	p.budget = proxy.NewBudget(clockwork.NewRealClock(), p.started, p.settings.RetryShare, p.settings.RetrySlack, minHosts)
 	p.client = upstream.NewClient(netio.Dial)
 	p.origins = origin.NewTracker()
 	p.state = state.New(state.Options{
--- a/internal/gateway/proxy/budget.go
+++ b/internal/gateway/proxy/budget.go
@@ -2,33 +2,37 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"heatherbarrow/internal/scheduling/retry"
 )
 
-// usableSlackShare is the share of the slack that hosts may use. The rest covers requests
-// that fall into different windows on different hosts, as each host counts in its own.
+// usableSlackShare is the share of the slack that hosts may use. The rest covers retries that arrive later than
+// they were counted.
 const usableSlackShare = 0.8
 
 // Budget is the retry budget: it bounds the retries that each upstream receives from all
 // hosts together. A host may retry a share of its own first attempts, plus an equal part of
 // the slack, so that the total stays within the budget when hosts cannot reach each other.
 type Budget struct {
-	clock clockwork.Clock
+	clock   clockwork.Clock
+	started time.Time
 
 	mu        sync.Mutex
 	share     float64
 	slack     float64
 	hosts     int
-	upstreams map[string]*retry.Budget
+	upstreams map[string]*retry.Account
 }
 
-// NewBudget returns a budget that allows, in each retry.Window and for each upstream, retries
-// of the given share of the first attempts plus slack retries divided among the hosts.
-func NewBudget(clock clockwork.Clock, share, slack float64, hosts int) *Budget {
-	return &Budget{clock: clock, share: share, slack: slack, hosts: max(hosts, 1), upstreams: make(map[string]*retry.Budget)}
+// NewBudget returns the budget of a host that started at the given time. It allows, in each retry.Window and for
+// each upstream, retries of the given share of the first attempts plus slack retries divided among the hosts.
+func NewBudget(clock clockwork.Clock, started time.Time, share, slack float64, hosts int) *Budget {
+	return &Budget{
+		clock: clock, started: started, share: share, slack: slack, hosts: max(hosts, 1), upstreams: make(map[string]*retry.Account),
+	}
 }
 
 // SetHosts sets the number of hosts that divide the slack. The number never decreases: a host
@@ -36,12 +40,9 @@
 func (b *Budget) SetHosts(hosts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if hosts <= b.hosts {
-		return
-	}
-	b.hosts = hosts
-	for _, u := range b.upstreams {
-		u.SetMinRetries(b.hostSlack())
+	if hosts > b.hosts {
+		b.hosts = hosts
+		b.applyBounds()
 	}
 }
 
@@ -57,23 +58,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.share, b.slack = share, slack
+	b.applyBounds()
+}
+
+// applyBounds applies the bounds to all upstreams. The caller must hold b.mu.
+func (b *Budget) applyBounds() {
 	for _, u := range b.upstreams {
-		u.SetShare(share)
-		u.SetMinRetries(b.hostSlack())
+		u.SetBounds(b.share, b.hostSlack())
 	}
 }
 
-// hostSlack returns the retries that this host may send to an upstream whatever its traffic
-// is. The caller must hold b.mu.
-func (b *Budget) hostSlack() int { return int(usableSlackShare * b.slack / float64(b.hosts)) }
+// hostSlack returns this host's part of the slack. The caller must hold b.mu.
+func (b *Budget) hostSlack() float64 { return usableSlackShare * b.slack / float64(b.hosts) }
 
-// upstream returns the retry budget of the named upstream and creates it on first use. The
+// upstream returns the account of the named upstream and creates it on first use. The
 // caller must hold b.mu.
-func (b *Budget) upstream(name string) *retry.Budget {
+func (b *Budget) upstream(name string) *retry.Account {
 	u, ok := b.upstreams[name]
 	if !ok {
-		u = retry.New(b.clock, b.share)
-		u.SetMinRetries(b.hostSlack())
+		u = retry.NewAccount(b.clock, b.started, b.share, b.hostSlack())
 		b.upstreams[name] = u
 	}
 	return u
@@ -90,8 +93,7 @@
 func (b *Budget) Allow(upstream string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, ok := b.upstream(upstream).Allow()
-	return ok
+	return b.upstream(upstream).Allow()
 }
 
 // Spent reports whether the upstream's budget allows no retry now.
--- /dev/null
+++ b/internal/scheduling/retry/account.go
@@ -0,0 +1,96 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// savedShare is the share of the allowance of a window that may be saved up for a burst, such as a crash that
+	// breaks many requests at once. The rest accrues while it is used.
+	savedShare = 0.5
+)
+
+// Account is the retry budget of one host of several. The hosts do not tell each other what they spend; the
+// retries of all hosts in any period of Window stay below the share of the first attempts plus the slacks,
+// however traffic moves between hosts and however often they restart.
+//
+// An account accrues a part of the allowance with each first attempt and with time, and its balance is at most the
+// rest of what the last Window allowed. In a period of Window, a host thus spends at most what it had saved from
+// the period before plus what accrues in this one. It starts empty, as its predecessor may have spent the
+// balance, and without the slack, as it does not know yet how many hosts share that. It is not safe for
+// concurrent use.
+type Account struct {
+	clock         clockwork.Clock
+	started       time.Time // when the host started
+	share         float64   // allowed retries per first attempt
+	slack         float64   // allowed retries per Window besides
+	firstAttempts *window
+	balance       float64 // as of updated
+	updated       time.Time
+}
+
+// NewAccount returns an account of a host that started at the given time.
+func NewAccount(clock clockwork.Clock, started time.Time, share, slack float64) *Account {
+	now := clock.Now()
+	a := &Account{clock: clock, started: started, share: share, slack: slack, firstAttempts: newWindow(now), updated: now}
+	if a.slackAccrues(a.updated) {
+		a.balance = a.limit(a.updated) // nothing was spent in the last Window
+	}
+	return a
+}
+
+// SetBounds changes the share and the slack.
+func (a *Account) SetBounds(share, slack float64) {
+	a.update(a.clock.Now())
+	a.share, a.slack = share, slack
+}
+
+// First records a first attempt.
+func (a *Account) First() {
+	now := a.clock.Now()
+	a.update(now)
+	a.firstAttempts.add(now)
+	a.balance += (1 - savedShare) * a.share
+}
+
+// Allow takes a retry out of the balance and reports whether one was left.
+func (a *Account) Allow() bool {
+	if a.Spent() {
+		return false
+	}
+	a.balance--
+	return true
+}
+
+// Spent reports whether no retry is left.
+func (a *Account) Spent() bool {
+	a.update(a.clock.Now())
+	return a.balance < 1
+}
+
+// slackAccrues reports whether the host has known the number of hosts for long enough to use the slack.
+func (a *Account) slackAccrues(now time.Time) bool { return now.Sub(a.started) >= Window }
+
+// limit returns the highest balance that the last Window allows.
+func (a *Account) limit(now time.Time) float64 {
+	allowance := a.share * float64(a.firstAttempts.sum(now))
+	if a.slackAccrues(now) {
+		allowance += a.slack
+	}
+	return savedShare * allowance
+}
+
+// update adds what has accrued with time and applies the limit.
+func (a *Account) update(now time.Time) {
+	from := a.updated
+	if begin := a.started.Add(Window); from.Before(begin) {
+		from = begin
+	}
+	if accruing := now.Sub(from); accruing > 0 {
+		a.balance += (1 - savedShare) * a.slack * float64(accruing) / float64(Window)
+	}
+	a.balance = min(a.balance, a.limit(now))
+	a.updated = now
+}
--- /dev/null
+++ b/internal/scheduling/retry/account_test.go
@@ -0,0 +1,71 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+)
+
+// busyAccount returns an account of a host that has begun perSecond requests a second for longer than Window.
+func busyAccount(clock *clockwork.FakeClock, share, slack float64, perSecond int) *Account {
+	a := NewAccount(clock, clock.Now(), share, slack)
+	firstAttempts(a, clock, perSecond, 2*Window)
+	return a
+}
+
+func firstAttempts(a *Account, clock *clockwork.FakeClock, perSecond int, lasts time.Duration) {
+	for range int(lasts.Seconds()) * perSecond {
+		clock.Advance(time.Second / time.Duration(perSecond))
+		a.First()
+	}
+}
+
+// takeAll returns how many retries the account allows at once.
+func takeAll(allow func() bool) (n int) {
+	for allow() {
+		n++
+	}
+	return n
+}
+
+// Guards against a budget that is too small for a burst, such as the streams of a crashed replica, although the
+// requests of the last seconds allow it, and against failures that last and are then retried less than the share.
+func TestHalfOfAllowanceIsSavedForBursts(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := busyAccount(clock, 0.2, 16, 50)
+	assert.InDelta(t, 0.5*(0.2*500+16), takeAll(a.Allow), 1.5)
+	assert.True(t, a.Spent())
+	total := 0
+	for range 20 {
+		firstAttempts(a, clock, 50, time.Second)
+		total += takeAll(a.Allow)
+	}
+	assert.InDelta(t, 0.5*(0.2*1000+32), total, 2.5, "in 20 s")
+}
+
+// Guards against a host that has just started and spends what its predecessor has spent before, and against an
+// upstream that is first used long after the start and has no retries.
+func TestNewAccountStartsEmptyOnNewHostOnly(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	started := clock.Now()
+	a := NewAccount(clock, started, 0.2, 40)
+	assert.True(t, a.Spent())
+	firstAttempts(a, clock, 10, 2*time.Second)
+	assert.Equal(t, 2, takeAll(a.Allow), "half of the share of its requests")
+	clock.Advance(Window)
+	assert.Equal(t, 20, takeAll(NewAccount(clock, started, 0.2, 40).Allow))
+}
+
+// Guards against an idle upstream that has no retries left long after a burst.
+func TestSlackAccruesWithTime(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := NewAccount(clock, clock.Now(), 0.2, 40)
+	clock.Advance(2 * Window)
+	assert.Equal(t, 20, takeAll(a.Allow))
+	clock.Advance(Window / 2)
+	assert.Equal(t, 10, takeAll(a.Allow))
+	clock.Advance(time.Hour)
+	assert.Equal(t, 20, takeAll(a.Allow))
+}
