gateway: keep half of the retry budget for requests that may have run

The caller of a request that no replica has run can be told to come back; one whose stream broke off cannot. So a request that was only rejected is retried while the balance is above half of its limit. TestRejectionsLeaveRetriesForCrashes: nothing was left after rejections before.

--- a/internal/gateway/proxy/budget.go
+++ b/internal/gateway/proxy/budget.go
@@ -96,6 +96,13 @@
 	return b.upstream(upstream).Allow()
 }
 
+// AllowRejected is Allow for a request that no replica has run. A part of the budget is kept for others.
+func (b *Budget) AllowRejected(upstream string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.upstream(upstream).AllowRejected()
+}
+
 // Spent reports whether the upstream's budget allows no retry now.
 func (b *Budget) Spent(upstream string) bool {
 	b.mu.Lock()
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -177,7 +177,11 @@
 	if p.sentAttempts == 0 {
 		return true // no replica has received the request, so the next attempt is not a retry
 	}
-	if !e.server.opts.Budget.Allow(upstreamName) {
+	allow := e.server.opts.Budget.Allow
+	if p.possibleRuns == 0 && !p.headerSent {
+		allow = e.server.opts.Budget.AllowRejected
+	}
+	if !allow(upstreamName) {
 		e.record.reason = "retry_budget"
 		return false
 	}
--- a/internal/scheduling/retry/account.go
+++ b/internal/scheduling/retry/account.go
@@ -10,6 +10,9 @@
 	// savedShare is the share of the allowance of a window that may be saved up for a burst, such as a crash that
 	// breaks many requests at once. The rest accrues while it is used.
 	savedShare = 0.5
+	// reservedShare is the share of a full balance that is kept for requests that may have run, whose callers
+	// cannot be told that they did not.
+	reservedShare = 0.5
 )
 
 // Account is the retry budget of one host of several. The hosts do not tell each other what they spend; the
@@ -55,9 +58,19 @@
 	a.balance += (1 - savedShare) * a.share
 }
 
-// Allow takes a retry out of the balance and reports whether one was left.
-func (a *Account) Allow() bool {
-	if a.Spent() {
+// Allow takes a retry of a request that may have run, or that was sent to a replica that has failed, out of the
+// balance and reports whether one was left.
+func (a *Account) Allow() bool { return a.take(0) }
+
+// AllowRejected is Allow for a request that a replica rejected without running it. A part of the balance is kept
+// for others: the caller of a rejected request can be told to come back.
+func (a *Account) AllowRejected() bool {
+	return a.take(reservedShare * max(a.limit(a.clock.Now())-1, 0))
+}
+
+func (a *Account) take(reserve float64) bool {
+	a.update(a.clock.Now())
+	if a.balance < 1+reserve {
 		return false
 	}
 	a.balance--
--- a/internal/scheduling/retry/account_test.go
+++ b/internal/scheduling/retry/account_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // busyAccount returns an account of a host that has begun perSecond requests a second for longer than Window.
@@ -45,6 +46,18 @@
 	assert.InDelta(t, 0.5*(0.2*1000+32), total, 2.5, "in 20 s")
 }
 
+// Guards against rejections that take the retries with which requests go on after a crash.
+func TestRejectionsLeaveRetriesForCrashes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := busyAccount(clock, 0.2, 16, 50)
+	rejected := takeAll(a.AllowRejected)
+	crashed := takeAll(a.Allow)
+	assert.InDelta(t, rejected, crashed, 2)
+	assert.Positive(t, rejected)
+	small := busyAccount(clock, 0.2, 0, 1)
+	require.Equal(t, 1, takeAll(small.AllowRejected), "a balance of one retry is nobody's reserve")
+}
+
 // Guards against a host that has just started and spends what its predecessor has spent before, and against an
 // upstream that is first used long after the start and has no retries.
 func TestNewAccountStartsEmptyOnNewHostOnly(t *testing.T) {
