fleet: back off from replicas that reject requests

Callers got 503 not_accepted while other replicas had room, and the retry budget of seconds was spent in one (BUDGET): a rejection had no effect on the choice of a replica. One that rejects answers within a millisecond, has nothing in progress and so looks idle; each host sent it most requests, and each rejection took a retry.

Replicas that reject are still used when no other has room, the one whose time ends first, so that an upstream of which all reject is not left alone.

The gauge replicas_rejecting shows the state.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -450,3 +450,16 @@
 	}
 	return limited
 }
+
+// RejectingReplicas returns the number of replicas of an upstream that are likely to reject requests of this host.
+func (f *Fleet) RejectingReplicas(upstream string, now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, r := range f.pool(upstream).replicas {
+		if r.rejections.rejecting(now) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -25,6 +25,7 @@
 	fingerprint    uint64   // of the request
 	parts          []uint64 // Request.Parts
 	answering      bool     // the head of the answer has arrived
+	accepted       bool     // the replica has begun to run the request
 }
 
 // Result is the outcome of an attempt.
@@ -71,6 +72,7 @@
 	*f.zone(l.replica.member.Zone) = zone{}
 	f.reach.recordContact()
 	l.replica.consecutiveConnectFailures = 0
+	l.replica.rejections.accepted(l)
 	latency := now.Sub(l.started)
 	p := f.pool(l.replica.member.Upstream)
 	if l.idle != nil && l.Copied == 0 {
@@ -124,6 +126,14 @@
 		r.consecutiveConnectFailures = 0
 	}
 	switch result {
+	case Served, ServedUnframed, Failed, Truncated:
+		r.rejections.accepted(l)
+	case Rejected:
+		r.rejections.rejected(l, now)
+	case ConnectionLost, Unconnected, Abandoned, Misdirected:
+		r.rejections.ended(l)
+	}
+	switch result {
 	case Served:
 		f.reach.recordContact()
 		r.recordSuccess()
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -169,7 +169,7 @@
 	refusal := f.refuse(p, q, &best, now)
 	if refusal != nil && p.upstream.Engine != nil {
 		// The sample may have missed a replica with a shorter backlog.
-		if other, _ := f.best(p, q, now, true, anyRank); other.replica != nil && f.refuse(p, q, &other, now) == nil {
+		if other, _ := f.best(p, q, now, accepting, anyRank); other.replica != nil && f.refuse(p, q, &other, now) == nil {
 			best, refusal = other, nil
 		}
 	}
@@ -195,7 +195,7 @@
 	p := f.pool(q.Upstream)
 	q.sources = f.sources(p, q, now)
 	best, _ := f.choose(p, q, now)
-	return best.replica != nil && f.refuse(p, q, &best, now) == nil
+	return best.replica != nil && !best.replica.rejections.rejecting(now) && f.refuse(p, q, &best, now) == nil
 }
 
 // skipReason tells why replicas were not compared that could otherwise serve the request.
@@ -221,22 +221,26 @@
 // choose returns the best replica for the request. For engines it compares a sample of the
 // decode group if the request mostly generates, of the other replicas if not, and a sample of
 // all replicas if the request would be late there. It compares all replicas for plain
-// services or if both samples are empty, and replicas that failed recently only if there are
-// no others. Unconnectable replicas get one request at a time.
+// services or if both samples are empty, replicas that rejected requests recently only if there are
+// no others, and those that failed recently only if there is nothing else. Unconnectable replicas get
+// one request at a time.
 func (f *Fleet) choose(p *pool, q *Request, now time.Time) (best candidate, skipped skipReason) {
 	if p.upstream.Engine != nil {
-		if best, _ = f.best(p, q, now, true, f.sampleReplicas(p, q, f.rankFilter(p, q))); f.meetsTarget(q, &best) {
+		if best, _ = f.best(p, q, now, accepting, f.sampleReplicas(p, q, f.rankFilter(p, q))); f.meetsTarget(q, &best) {
 			return best, skippedNone
 		}
-		if other, _ := f.best(p, q, now, true, f.sampleReplicas(p, q, anyRank)); other.replica != nil && (best.replica == nil || other.cost < best.cost) {
+		if other, _ := f.best(p, q, now, accepting, f.sampleReplicas(p, q, anyRank)); other.replica != nil && (best.replica == nil || other.cost < best.cost) {
 			best = other
 		}
 		if best.replica != nil {
 			return best, skippedNone
 		}
 	}
-	if best, skipped = f.best(p, q, now, true, anyRank); best.replica == nil && skipped == skippedNone {
-		best, skipped = f.best(p, q, now, false, anyRank)
+	if best, skipped = f.best(p, q, now, accepting, anyRank); best.replica == nil {
+		best, skipped = f.best(p, q, now, healthy, anyRank)
+	}
+	if best.replica == nil && skipped == skippedNone {
+		best, skipped = f.best(p, q, now, usable, anyRank)
 	}
 	return best, skipped
 }
@@ -290,13 +294,26 @@
 	copied                int      // prompt tokens to copy
 }
 
-// best returns the replica with the lowest cost among those whose rank is accepted.
-// Unconnectable replicas are always skipped, and with healthyOnly also those that are
-// suspended after failures or already have a trial request.
-func (f *Fleet) best(p *pool, q *Request, now time.Time, healthyOnly bool, accept func(rank int) bool) (best candidate, skipped skipReason) {
+// condition is what a replica must meet to be compared.
+type condition int
+
+const (
+	usable    condition = iota // its registration allows requests, and it is not unconnectable
+	healthy                    // it is not suspended after failures and has no trial request either
+	accepting                  // nor is it likely to reject the request
+)
+
+// meets reports whether a replica meets the condition.
+func (r *replica) meets(c condition, now time.Time) bool {
+	return !r.unconnectable(now) && (c < healthy || r.admissible(now)) && (c < accepting || !r.rejections.rejecting(now))
+}
+
+// best returns the replica with the lowest cost among those that meet the condition and whose rank is
+// accepted.
+func (f *Fleet) best(p *pool, q *Request, now time.Time, c condition, accept func(rank int) bool) (best candidate, skipped skipReason) {
 	eligible := 0
 	for rank, r := range p.replicas {
-		if !q.allows(r, now) || slices.Contains(q.Exclude, r.member.ID) || r.unconnectable(now) || healthyOnly && !r.admissible(now) {
+		if !q.allows(r, now) || slices.Contains(q.Exclude, r.member.ID) || !r.meets(c, now) {
 			continue
 		}
 		if now.Before(r.restUntil) {
@@ -315,9 +332,9 @@
 			continue
 		}
 		eligible++
-		c := f.evaluate(p, rank, q, now)
-		if best.replica == nil || c.cost < best.cost {
-			best = c
+		evaluated := f.evaluate(p, rank, q, now)
+		if best.replica == nil || evaluated.cost < best.cost {
+			best = evaluated
 		}
 	}
 	best.eligible = eligible
@@ -365,6 +382,9 @@
 		}
 	}
 	c.cost += time.Duration(r.failureRate * float64(failureCost))
+	if r.rejections.rejecting(now) {
+		c.cost += max(r.rejections.retryAt.Sub(now), 0) // the one that may accept first
+	}
 	c.cost += time.Duration(f.random.Int64N(int64(costJitter)))
 	return c
 }
@@ -435,6 +455,7 @@
 		l.CopyFrom = c.source.member.Address
 	}
 	r.start(l, now)
+	r.rejections.start(l)
 	if r.limit != nil {
 		r.limit.Take(f.limitHosts, now)
 	}
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -83,6 +83,7 @@
 	slowness                   float64   // moving average of measured over expected latency
 	restUntil                  time.Time // until when the replica wants no requests of this host
 	brittle                    brittle
+	rejections                 rejections
 	limit                      *replicaLimit // nil if the replica has not stated one
 	suspects                   []suspect     // until the replica is inspected
 }
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -302,6 +302,7 @@
 			upstreamScope.Gauge("replicas").Update(float64(known))
 			upstreamScope.Gauge("replicas_usable").Update(float64(usable))
 			upstreamScope.Gauge("replicas_limited").Update(float64(p.fleet.LimitedReplicas(u.Name)))
+			upstreamScope.Gauge("replicas_rejecting").Update(float64(p.fleet.RejectingReplicas(u.Name, time.Now())))
 		}
 	}
 	for _, s := range p.fleet.Speeds() {
