gateway: answer each request before a stopping host ends

Cause: a host that stops took whatever it had read completely, without regard to the time that it had left; only the connections knew the end. Fix: package drain knows both times of a stop. After the balancer lag a request is taken only if its own time limit ends before the host does; any other is refused as not run once it has been read, with a retry time of 10 ms, as the balancer sends the caller to another host. All time left is bounded by the end of the host, so that picks, second attempts, delegated requests and the deadline handed to replicas follow. 200 ms before the connections are closed, requests in progress are answered: 504 if they may have run, 503 if not; streams break off as before. Replicas are not blamed for what the host ends. Delegating a late request would not help, as its answer passes through this host; a host that stops declines late delegated requests, so that they are offered to others. The margins are parts of a short grace period, so that streams still last into its last sixth.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -48,9 +49,13 @@
 	// that is no longer ready. It covers two readiness checks one second apart and one
 	// check in transit.
 	defaultBalancerLag = 2500 * time.Millisecond
-	// shutdownMargin is the reserve between the end of draining and the end of the grace
-	// period.
-	shutdownMargin = 700 * time.Millisecond
+	// shutdownMargin is the reserve between the end of draining and the end of the grace period, and
+	// answerMargin the time before the end of draining in which requests that are still in progress are
+	// answered. Each is a part of a short grace period, so that responses last into its last sixth.
+	shutdownMargin        = 700 * time.Millisecond
+	answerMargin          = 200 * time.Millisecond
+	shutdownMarginDivisor = 10
+	answerMarginDivisor   = 20
 	// minHosts is the number of hosts assumed to share the retry slack until more hosts
 	// are known.
 	minHosts = 4
@@ -368,16 +373,15 @@
 // shutdown drains the host. It reports the host as not ready at once and keeps serving
 // the connections that the balancer still sends. After the balancer lag it closes the
 // listener and the idle connections, so that callers connect to other hosts, and returns
-// when the in-flight requests have finished or the grace period is about to end.
+// when the in-flight requests have finished or the grace period is about to end; shortly
+// before, those that are still in progress are answered.
 func (p *Program) shutdown(registry *kernel.Registry) error {
 	start := time.Now()
-	deadline := start.Add(time.Duration(p.settings.GraceSeconds*float64(time.Second)) - shutdownMargin)
-	p.server.Drain()
+	grace := time.Duration(p.settings.GraceSeconds * float64(time.Second))
+	deadline := start.Add(grace - min(shutdownMargin, grace/shutdownMarginDivisor))
+	lag := cmp.Or(p.settings.BalancerLag.Std(), defaultBalancerLag)
+	p.server.Drain(start.Add(lag), deadline.Add(-min(answerMargin, grace/answerMarginDivisor)))
 	p.logger.Info().Time("until", deadline).Msg("draining")
-	lag := p.settings.BalancerLag.Std()
-	if lag == 0 {
-		lag = defaultBalancerLag
-	}
 	time.Sleep(min(lag, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -90,7 +90,7 @@
 // seal (a header that shows that the replica itself produced the response) or is too long to
 // buffer although the caller has begun to receive a stream.
 func (e *exchange) handleUnusable(err error, leaseResult fleet.Result, lease *fleet.Lease) attemptResult {
-	if e.r.Context().Err() != nil {
+	if e.abandoned() {
 		leaseResult = fleet.Abandoned
 	}
 	e.endLease(lease, leaseResult, time.Now())
@@ -103,7 +103,7 @@
 func (e *exchange) sendBuffered(a *bufferedResponse) {
 	h := e.w.Header()
 	copyResponseHeader(h, a.header)
-	if e.server.draining.Load() {
+	if e.server.drain.Begun() {
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -293,7 +293,7 @@
 			leaseResult = fleet.Truncated
 		}
 	}
-	if e.callerGone() {
+	if e.callerGone() || e.server.drain.Over() {
 		leaseResult = fleet.Abandoned
 	}
 	e.endLease(lease, leaseResult, time.Now())
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -21,10 +21,11 @@
 const (
 	// DelegatePath precedes the path of a delegated request.
 	DelegatePath = "/delegate"
-	// declinedHeader marks the answer of a host that does not take the delegated request. Its value is
+	// declinedHeader marks the answer of a host that does not take the delegated request. Its value is declined, or
 	// declinedStopping if the host stops and takes only requests that no other host runs, which have
 	// lastResortHeader.
 	declinedHeader   = "Heatherbarrow-Declined"
+	declined         = "1"
 	declinedStopping = "stopping"
 	lastResortHeader = "Heatherbarrow-Last-Resort"
 	// servedByHeader names, in the answer to a delegated request, a replica that says that it leaves.
@@ -50,8 +51,8 @@
 		decline := ""
 		switch {
 		case !s.opts.Known() || s.opts.Fleet.CutOff():
-			decline = "1"
-		case s.draining.Load() && r.Header.Get(lastResortHeader) == "":
+			decline = declined
+		case s.drain.Begun() && r.Header.Get(lastResortHeader) == "":
 			decline = declinedStopping
 		}
 		r.Header.Del(lastResortHeader)
--- a/internal/gateway/proxy/delegate_test.go
+++ b/internal/gateway/proxy/delegate_test.go
@@ -251,7 +251,7 @@
 		replicas := []*countingReplica{newReplica(respondWith("a")), newReplica(respondWith("b")), newReplica(respondWith("c"))}
 		g := newTestGateway(t, replicas[0], replicas[1], replicas[2])
 		stopping, ready := g.sibling(), g.sibling()
-		stopping.server.Drain()
+		stopping.server.Drain(time.Now().Add(time.Minute), time.Now().Add(time.Hour))
 		helpers := []*testGateway{stopping, ready}[:1+others]
 		links := &cutLinks{open: make(chan net.Conn, 1000)}
 		hosts := g.addHelpers(links, helpers...)
--- a/internal/gateway/proxy/idle.go
+++ b/internal/gateway/proxy/idle.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"time"
 )
 
@@ -79,13 +78,3 @@
 	}
 	return size > limit
 }
-
-// setBodyDeadline makes reads of the request body fail after the request's deadline. The
-// returned function removes this limit.
-func (e *exchange) setBodyDeadline() func() {
-	controller := http.NewResponseController(e.w)
-	if err := controller.SetReadDeadline(e.deadline); err != nil {
-		return func() {} // the connection has no deadlines, as in a test
-	}
-	return func() { _ = controller.SetReadDeadline(time.Time{}) } // setting a deadline succeeded above
-}
--- a/internal/gateway/proxy/proxy_test.go
+++ b/internal/gateway/proxy/proxy_test.go
@@ -527,7 +527,7 @@
 // Guards against a draining host that keeps its callers' connections open.
 func TestDrainingHostClosesCallerConnections(t *testing.T) {
 	g := newTestGateway(t, newReplica(respondWith("x")))
-	g.server.Drain()
+	g.server.Drain(time.Now().Add(time.Minute), time.Now().Add(time.Hour))
 	assert.False(t, g.server.Ready())
 	response, err := g.send(t.Context(), testRequest{path: "/order/1"})
 	require.NoError(t, err)
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/routing"
@@ -132,6 +133,9 @@
 	return result, false
 }
 
+// abandoned reports whether the caller has disconnected or this host, which stops, has ended the request.
+func (e *exchange) abandoned() bool { return e.r.Context().Err() != nil || e.server.drain.Over() }
+
 // callerGone reports whether the caller has disconnected.
 func (e *exchange) callerGone() bool { return errors.Is(e.r.Context().Err(), context.Canceled) }
 
@@ -215,8 +219,12 @@
 		e.abortResponse()
 	case p.replicaFailure != nil:
 		e.sendBuffered(p.replicaFailure)
+	case p.possibleRuns == 0 && hostStops(ctx):
+		e.refuseAtStop()
 	case p.possibleRuns == 0:
 		e.refuse(http.StatusServiceUnavailable, "not_accepted", e.boundRetryAfter(notAcceptedRetryAfter))
+	case hostStops(ctx):
+		e.failUnknown(http.StatusGatewayTimeout, "host_stops")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.failUnknown(http.StatusGatewayTimeout, "timeout")
 	default:
@@ -224,6 +232,9 @@
 	}
 }
 
+// hostStops reports whether a request's context has ended because its host stops.
+func hostStops(ctx context.Context) bool { return errors.Is(context.Cause(ctx), drain.ErrHostStops) }
+
 // notAcceptedRetryAfter is the retry time for a request that no replica accepted, because
 // the replicas tried were unreachable or refused it. They recover within seconds.
 const notAcceptedRetryAfter = 500 * time.Millisecond
@@ -409,7 +420,7 @@
 		p.sentAttempts++
 		p.possibleRuns++
 	}
-	if e.r.Context().Err() != nil {
+	if e.abandoned() {
 		leaseResult = fleet.Abandoned
 	}
 	e.endLease(lease, leaseResult, now)
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
@@ -29,6 +30,8 @@
 	// noConfigRetryAfter is the retry time while no configuration is known: a starting host
 	// usually receives it from the store within that time.
 	noConfigRetryAfter = 200 * time.Millisecond
+	// hostStopsRetryAfter is the retry time of a host that stops: the balancer sends the caller to another one.
+	hostStopsRetryAfter = 10 * time.Millisecond
 )
 
 // Options configure a Server.
@@ -53,7 +56,7 @@
 	opts          Options
 	metrics       *metrics
 	waitEstimator waitEstimator
-	draining      atomic.Bool
+	drain         *drain.Drain
 	active        atomic.Int64
 	// suspendedNanos is how long the host has been suspended since the start. The monotonic
 	// clock, which deadlines are compared with, does not advance during that time.
@@ -62,7 +65,7 @@
 
 // New returns a Server.
 func New(opts Options) *Server {
-	return &Server{opts: opts, metrics: newMetrics(opts.Metrics)}
+	return &Server{opts: opts, metrics: newMetrics(opts.Metrics), drain: drain.New()}
 }
 
 // HTTPServer returns the HTTP server for callers. Its connections must be wrapped by
@@ -88,11 +91,12 @@
 }
 
 // Ready reports whether the load balancer should send new connections to the server.
-func (s *Server) Ready() bool { return !s.draining.Load() && s.opts.Known() }
+func (s *Server) Ready() bool { return !s.drain.Begun() && s.opts.Known() }
 
 // Drain makes the server not ready. The server continues to serve requests, but asks callers
-// to close their connections.
-func (s *Server) Drain() { s.draining.Store(true) }
+// to close their connections. After lastCall it refuses requests that it may not be able to finish, and
+// at end it answers all that are still in progress.
+func (s *Server) Drain(lastCall, end time.Time) { s.drain.Begin(lastCall, end) }
 
 // AddSuspension records that the host was suspended for d, which reduces the remaining time of
 // all in-flight requests.
@@ -142,16 +146,18 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	now := time.Now()
-	if s.draining.Load() {
+	if s.drain.Begun() {
 		w.Header().Set("Connection", "close")
 	}
 	e := &exchange{server: s, w: w, r: r, target: target, delegated: delegated, arrived: now, suspendedNanos: s.suspendedNanos.Load()}
 	defer e.finish()
-	if !e.admit() || !e.readBody() {
+	if !e.admit() || !e.readBody() || !e.admitAtStop() {
 		return
 	}
 	e.setFingerprint()
-	ctx, cancel := context.WithDeadline(r.Context(), e.deadline)
+	bound, unbind := s.drain.Bound(r.Context())
+	defer unbind()
+	ctx, cancel := context.WithDeadline(bound, e.deadline)
 	defer cancel()
 	e.dispatch(ctx)
 }
@@ -206,9 +212,28 @@
 	return time.Duration(e.server.suspendedNanos.Load() - e.suspendedNanos)
 }
 
-// timeLeft returns the time until the request's deadline.
+// timeLeft returns the time until the request's deadline, or until this host ends its requests as it stops.
 func (e *exchange) timeLeft(now time.Time) time.Duration {
-	return e.deadline.Sub(now) - e.suspendedTime()
+	return min(e.deadline.Sub(now)-e.suspendedTime(), e.server.drain.Left(now))
+}
+
+// admitAtStop refuses the request and returns false if this host stops and may not be able to finish it. It follows
+// the body, which may take any part of the time that the host has.
+func (e *exchange) admitAtStop() bool {
+	if e.server.drain.TooLate(time.Now(), e.deadline.Add(-e.suspendedTime())) {
+		e.refuseAtStop()
+		return false
+	}
+	return true
+}
+
+// refuseAtStop refuses the request because this host stops. A host that has delegated it offers it to others.
+func (e *exchange) refuseAtStop() {
+	if e.delegated {
+		e.w.Header().Set(declinedHeader, declined)
+	}
+	e.w.Header().Set("Connection", "close")
+	e.refuse(http.StatusServiceUnavailable, "host_stops", hostStopsRetryAfter)
 }
 
 // callerTimeLeft returns how long the caller still waits, which can be longer than timeLeft
@@ -278,13 +303,16 @@
 	if e.r.ContentLength == 0 {
 		return true
 	}
-	clearDeadline := e.setBodyDeadline()
+	unbound := e.server.drain.BoundRead(http.NewResponseController(e.w).SetReadDeadline, e.deadline)
 	body, complete, err := upstream.ReadAll(e.r.Body, limit)
 	if err != nil || !complete {
 		// The rest of the body is not read, so the connection cannot be reused.
 		e.w.Header().Set("Connection", "close")
 	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && e.server.drain.Over():
+		e.refuseAtStop()
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		e.refuse(http.StatusRequestTimeout, "body_timeout", 0)
 		return false
@@ -298,7 +326,7 @@
 		e.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return false
 	}
-	clearDeadline()
+	unbound()
 	e.body = body
 	return true
 }
--- /dev/null
+++ b/internal/gateway/proxy/stop_test.go
@@ -0,0 +1,80 @@
+package proxy_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a second attempt at a host that stops which is given more time than the host has, or whose caller
+// gets no answer, and against replicas that count as broken because the host ends their requests.
+func TestSecondAttemptEndsBeforeHostDoes(t *testing.T) {
+	const firstFails, hostEnds = 300 * time.Millisecond, time.Second
+	var attempts, deadline atomic.Int64
+	handler := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if attempts.Add(1) == 1 {
+			time.Sleep(firstFails)
+			panic(http.ErrAbortHandler)
+		}
+		left, _ := strconv.ParseInt(r.Header.Get("Heatherbarrow-Deadline-Ms"), 10, 64)
+		deadline.Store(left)
+		<-r.Context().Done()
+	}
+	g := newTestGateway(t, newReplica(handler), newReplica(handler))
+	began := time.Now()
+	g.server.Drain(began.Add(time.Minute), began.Add(hostEnds))
+	status, body, _ := g.do(testRequest{path: "/lookup/1", body: "text"})
+	assert.Equal(t, http.StatusGatewayTimeout, status)
+	assert.Equal(t, "host_stops\n", body)
+	assert.Greater(t, time.Since(began), hostEnds-firstFails)
+	assert.Less(t, time.Since(began), hostEnds+time.Second)
+	assert.EqualValues(t, 2, attempts.Load())
+	assert.LessOrEqual(t, deadline.Load(), (hostEnds - firstFails).Milliseconds())
+	assert.Empty(t, g.fleet.Crashes(time.Now()))
+}
+
+// Guards against a request that no replica has received when its host ends, and whose caller is not told so.
+func TestRequestWithoutReplicaIsRefusedWhenHostEnds(t *testing.T) {
+	g := newTestGateway(t, newReplica(respondWith("x")))
+	links := &cutLinks{open: make(chan net.Conn, 100)}
+	g.addHelpers(links)
+	links.begin(hangs)
+	g.server.Drain(time.Now().Add(time.Minute), time.Now().Add(200*time.Millisecond))
+	status, body, header := g.do(testRequest{path: "/order/1", body: "text"})
+	assert.Equal(t, http.StatusServiceUnavailable, status)
+	assert.Equal(t, "host_stops\n", body)
+	assert.NotEmpty(t, header.Get("Retry-After"))
+}
+
+// Guards against a host that stops and takes a delegated request late although it may not be able to finish it: the
+// host that delegates it has to offer it to the others, and may refuse it only as not run.
+func TestHostThatStopsDeclinesLateDelegatedRequests(t *testing.T) {
+	replica := newReplica(respondWith("answer "))
+	g := newTestGateway(t, replica)
+	late, later := g.sibling(), g.sibling()
+	now := time.Now()
+	late.server.Drain(now, now.Add(2*time.Second))
+	later.server.Drain(now.Add(time.Minute), now.Add(time.Hour))
+	links := &cutLinks{open: make(chan net.Conn, 100)}
+	g.addHelpers(links, late, later)
+	links.begin(refuses)
+	status, body, _ := g.do(testRequest{path: "/order/1", body: "text"})
+	require.Equal(t, http.StatusOK, status, body)
+	assert.EqualValues(t, 1, late.server.Refusals()["host_stops"])
+	status, body, _ = g.do(testRequest{path: "/short/1", body: "text"})
+	assert.Equal(t, http.StatusOK, status, "a request that ends before the host does: %s", body)
+	assert.EqualValues(t, 2, replica.received.Load())
+	g.addHelpers(links, late)
+	status, _, header := g.do(testRequest{path: "/order/2", body: "text"})
+	assert.Equal(t, http.StatusServiceUnavailable, status)
+	assert.NotEmpty(t, header.Get("Retry-After"))
+	assert.EqualValues(t, 2, replica.received.Load())
+}
