router: answer requests in progress when a drain ends before they do

What callers saw: when drain_timeout passed, or after a second signal, requests in progress were cut without an answer and without an outcome, calls with an idempotency key among them, and so were requests that came late in the drain. Cause: the same as at the gateway: only the connections knew the end of a stop. Fix: the router uses package drain too. Requests in progress are ended 200 ms before the connections, with code host_stops: 503 and not-run, or 504 and unknown, streams with an outcome event. After the balancer lag a request whose deadline is after the end of drain_timeout is refused at once; without a drain_timeout the host waits for all of them as before. Attempts that the host ends are not held against their replicas.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -13,6 +13,21 @@
 // ErrHostStops is the cause for which the context of a request ends when its process does.
 var ErrHostStops = errors.New("host stops")
 
+const (
+	// maxAnswerMargin bounds AnswerMargin.
+	maxAnswerMargin     = 200 * time.Millisecond
+	answerMarginDivisor = 20
+)
+
+// AnswerMargin returns the time between the end of the requests in progress and that of their connections, in which
+// they are answered, for a process that stops within the given time; a stop of 0 has no bound.
+func AnswerMargin(stop time.Duration) time.Duration {
+	if stop == 0 {
+		return maxAnswerMargin
+	}
+	return min(maxAnswerMargin, stop/answerMarginDivisor)
+}
+
 // Drain is the stop of a process. It is safe for concurrent use.
 type Drain struct {
 	times atomic.Pointer[times]
@@ -34,12 +49,15 @@
 
 // Begin begins the stop. The balancer sends no new connections after lastCall. At end, the requests in progress are
 // ended, so that they can be answered before the process ends; a zero end sets no bound. Begin may be called again,
-// which changes the end.
+// which sets the end if none was set.
 func (d *Drain) Begin(lastCall, end time.Time) {
-	if t := d.times.Load(); t != nil {
-		lastCall = t.lastCall
+	if t := (&times{lastCall: lastCall, end: end}); !d.times.CompareAndSwap(nil, t) {
+		begun := d.times.Load()
+		t.lastCall = begun.lastCall
+		if !begun.end.IsZero() || !d.times.CompareAndSwap(begun, t) {
+			return
+		}
 	}
-	d.times.Store(&times{lastCall: lastCall, end: end})
 	if !end.IsZero() {
 		time.AfterFunc(time.Until(end), d.End)
 	}
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -19,6 +19,7 @@
 
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/gateway/origin"
@@ -49,13 +50,10 @@
 	// that is no longer ready. It covers two readiness checks one second apart and one
 	// check in transit.
 	defaultBalancerLag = 2500 * time.Millisecond
-	// shutdownMargin is the reserve between the end of draining and the end of the grace period, and
-	// answerMargin the time before the end of draining in which requests that are still in progress are
-	// answered. Each is a part of a short grace period, so that responses last into its last sixth.
+	// shutdownMargin is the reserve between the end of draining and the end of the grace period. It is
+	// smaller in a short grace period, so that responses last into its last sixth.
 	shutdownMargin        = 700 * time.Millisecond
-	answerMargin          = 200 * time.Millisecond
 	shutdownMarginDivisor = 10
-	answerMarginDivisor   = 20
 	// minHosts is the number of hosts assumed to share the retry slack until more hosts
 	// are known.
 	minHosts = 4
@@ -380,7 +378,7 @@
 	grace := time.Duration(p.settings.GraceSeconds * float64(time.Second))
 	deadline := start.Add(grace - min(shutdownMargin, grace/shutdownMarginDivisor))
 	lag := cmp.Or(p.settings.BalancerLag.Std(), defaultBalancerLag)
-	p.server.Drain(start.Add(lag), deadline.Add(-min(answerMargin, grace/answerMarginDivisor)))
+	p.server.Drain(start.Add(lag), deadline.Add(-drain.AnswerMargin(grace)))
 	p.logger.Info().Time("until", deadline).Msg("draining")
 	time.Sleep(min(lag, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -189,7 +189,7 @@
 	require.Eventually(t, func() bool { return h.calls() == streams }, patience, time.Millisecond)
 	drained := make(chan error, 1)
 	go func() { drained <- h.server.Drain(context.Background()) }()
-	require.Eventually(t, h.server.draining.Load, patience, time.Millisecond)
+	require.Eventually(t, h.server.drain.Begun, patience, time.Millisecond)
 	ready, err := http.Get(h.URL + "/readyz")
 	require.NoError(t, err)
 	require.NoError(t, ready.Body.Close())
@@ -213,7 +213,7 @@
 	h := newHost(t, hostOptions{})
 	h.play(whole)
 	_, _ = h.chat(t, "m", true)
-	h.server.draining.Store(true)
+	h.server.drain.Begin(time.Now(), time.Time{})
 	h.server.sendReport(context.Background())
 	report := <-h.feed.reports
 	require.EqualValues(t, 1, report.Generation)
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/scheduler"
@@ -45,7 +46,7 @@
 		return
 	}
 	e.accepted = true
-	ctx, cancel := context.WithDeadlineCause(r.Context(), e.deadline, errDeadline)
+	ctx, cancel := e.context()
 	defer cancel()
 	c := &chat{exchange: e, model: request.Model, maxTokens: request.MaxTokens, prompt: request.summary()}
 	c.answer = newAnswer(e, request)
@@ -243,7 +244,7 @@
 		return result
 	}
 	result.Outcome = outcomeOf(err)
-	result.Canceled = errors.Is(cause, errCallerGone) || errors.Is(cause, errPreempted) || errors.Is(err, errCallerGone)
+	result.Canceled = errors.Is(cause, errCallerGone) || errors.Is(cause, errPreempted) || errors.Is(cause, drain.ErrHostStops) || errors.Is(err, errCallerGone)
 	result.Refused = errors.Is(err, forward.ErrRefused)
 	result.TimedOut = errors.Is(err, forward.ErrTimeout) || errors.Is(cause, errRouteTimeout)
 	result.Crashed = cause == nil && (errors.Is(err, forward.ErrBroken) || errors.Is(err, forward.ErrMissingEnd))
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -5,11 +5,15 @@
 	"net/http"
 	"time"
 
+	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/scheduling"
 )
 
+// codeHostStops is the code of requests that end because their host stops.
+const codeHostStops = "host_stops"
+
 // retrySoon is the time after which a caller may retry a request that a replica
 // or control could not take at the moment.
 const retrySoon = time.Second
@@ -28,11 +32,13 @@
 		e.refuse(refusalStatus(refusal), code, refusal.Error(), refusal.RetryAfter)
 	case notRun && errors.Is(err, errDeadline):
 		e.refuse(http.StatusServiceUnavailable, code, "no replica was free before the deadline", retrySoon)
+	case notRun && errors.Is(err, drain.ErrHostStops):
+		e.refuseAtStop()
 	case notRun:
 		e.refuse(http.StatusServiceUnavailable, code, err.Error(), retrySoon)
 	case errors.As(err, &status) && status.Status/100 == http.StatusBadRequest/100:
 		e.fail(status.Status, e.outcome, code, err.Error())
-	case errors.Is(err, errDeadline), errors.Is(err, errRouteTimeout), errors.Is(err, forward.ErrTimeout):
+	case errors.Is(err, errDeadline), errors.Is(err, drain.ErrHostStops), errors.Is(err, errRouteTimeout), errors.Is(err, forward.ErrTimeout):
 		e.fail(http.StatusGatewayTimeout, e.outcome, code, err.Error())
 	default:
 		e.fail(http.StatusBadGateway, e.outcome, code, err.Error())
@@ -67,6 +73,7 @@
 		{errCallerGone, "caller_gone"},
 		{errPreempted, "preempted"},
 		{errDeadline, scheduling.ReasonDeadline},
+		{drain.ErrHostStops, codeHostStops},
 		{errRouteTimeout, "upstream_timeout"},
 		{errAnswerTooLong, "answer_too_large"},
 		{forward.ErrTooLarge, "answer_too_large"},
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/listen"
@@ -95,16 +96,25 @@
 
 // stop drains the host and then closes its listeners. Neither listener is closed
 // while a request is in progress, unless the drain timeout has passed or the
-// operator sent a second signal.
+// operator sent a second signal; then the requests in progress are answered.
 func (p *Program) stop(ctx context.Context, server *Server, registry *kernel.Registry) error {
-	drain, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	timeout := p.settings.DrainTimeout.Std()
+	draining, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	if timeout := p.settings.DrainTimeout.Std(); timeout > 0 {
-		drain, cancel = context.WithTimeout(drain, timeout)
+	if timeout > 0 {
+		draining, cancel = context.WithTimeout(draining, timeout-drain.AnswerMargin(timeout))
 		defer cancel()
 	}
 	defer context.AfterFunc(cli.Forced(ctx), cancel)()
-	drainErr := server.Drain(drain)
+	end, _ := draining.Deadline()
+	server.beginDrain(end)
+	closing, closeAll := context.WithCancel(context.WithoutCancel(ctx))
+	defer closeAll()
+	defer context.AfterFunc(draining, func() {
+		server.drain.End()
+		time.AfterFunc(drain.AnswerMargin(timeout), closeAll)
+	})()
+	drainErr := server.Drain(draining)
 	flush, cancelFlush := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer cancelFlush()
 	if drainErr == nil {
@@ -112,7 +122,7 @@
 	}
 	// A request that came in after the last one ended is served under the same
 	// bound; without one it may take as long as it needs.
-	stopErr := registry.Stop(drain)
+	stopErr := registry.Stop(closing)
 	if drainErr != nil {
 		return errors.New("stopped with requests in progress: " + drainErr.Error())
 	}
--- a/internal/router/report.go
+++ b/internal/router/report.go
@@ -45,7 +45,7 @@
 	request := reportToRPC(report)
 	request.Streams = uint32(s.inFlight.Load())
 	request.Generation = s.generation()
-	request.Draining = s.draining.Load()
+	request.Draining = s.drain.Begun()
 	request.Results = s.metrics.results()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -79,10 +79,27 @@
 		return nil, false
 	}
 	e.deadline = e.arrived.Add(e.class.Deadline.Std())
+	if s.drain.TooLate(time.Now(), e.deadline) {
+		e.refuseAtStop()
+		return nil, false
+	}
+	if left := s.drain.Left(time.Now()); left < time.Until(e.deadline) {
+		e.deadline = time.Now().Add(left) // no replica may be free by then
+	}
 	s.records.Begin(outcome.Record{RequestID: e.id, Team: e.team.Name, Class: e.class.Name, Started: e.arrived})
 	return e, true
 }
 
+// context returns the context of the request's work, which ends with the caller, the deadline or the host.
+func (e *exchange) context() (context.Context, context.CancelFunc) {
+	bound, unbind := e.server.drain.Bound(e.r.Context())
+	ctx, cancel := context.WithDeadlineCause(bound, e.deadline, errDeadline)
+	return ctx, func() {
+		cancel()
+		unbind()
+	}
+}
+
 func (e *exchange) authenticate() bool {
 	key, ok := strings.CutPrefix(e.r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
@@ -118,7 +135,7 @@
 		e.refuseBody(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes")
 		return false
 	}
-	_ = e.controller.SetReadDeadline(time.Now().Add(limits.BodyTimeout.Std()))
+	unbound := e.server.drain.BoundRead(e.controller.SetReadDeadline, time.Now().Add(limits.BodyTimeout.Std()))
 	body, err := readAll(http.MaxBytesReader(e.w, e.r.Body, limits.MaxBodyBytes), e.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
@@ -127,6 +144,9 @@
 	case errors.As(err, &tooLarge):
 		e.refuseBody(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes")
 		return false
+	case errors.As(err, &timeout) && timeout.Timeout() && e.server.drain.Over():
+		e.refuseAtStop()
+		return false
 	case errors.As(err, &timeout) && timeout.Timeout():
 		e.refuseBody(http.StatusRequestTimeout, "body_timeout", "the body did not arrive within "+limits.BodyTimeout.Std().String())
 		return false
@@ -134,7 +154,7 @@
 		e.refuseBody(http.StatusBadRequest, "body_incomplete", "the body is not complete")
 		return false
 	}
-	_ = e.controller.SetReadDeadline(time.Time{})
+	unbound()
 	e.body = body
 	return true
 }
@@ -159,6 +179,13 @@
 	e.refuse(status, code, message, 0)
 }
 
+// refuseAtStop refuses a request that may not end before its host does. With HTTP/2 too, net/http lets the caller
+// leave its connection when the answer has this header.
+func (e *exchange) refuseAtStop() {
+	e.w.Header().Set("Connection", "close")
+	e.refuse(http.StatusServiceUnavailable, codeHostStops, "the host stops, other hosts take the request", retrySoon)
+}
+
 // errorBody is the body of every answer that reports an error.
 type errorBody struct {
 	Error struct {
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/rpc"
@@ -46,7 +47,7 @@
 	Dependencies
 	snapshot  atomic.Pointer[bundle.Snapshot]
 	notReady  atomic.Pointer[string] // why there is no bundle
-	draining  atomic.Bool
+	drain     *drain.Drain
 	inFlight  atomic.Int64
 	records   *outcome.Store
 	recorder  *recorder
@@ -68,6 +69,7 @@
 		records:      outcome.NewStore(recordCapacity, recordTTL),
 		metrics:      newMetrics(d.Metrics),
 		ejections:    newEjections(d.Metrics),
+		drain:        drain.New(),
 		drained:      make(chan struct{}),
 	}
 	s.recorder = newRecorder(d.Feed, d.Logger, s.metrics)
@@ -104,7 +106,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ProtoMajor == 1 {
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Settings.WriteTimeout.Std()))
-			if s.draining.Load() {
+			if s.drain.Begun() {
 				w.Header().Set("Connection", "close")
 			}
 		}
@@ -124,7 +126,7 @@
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if s.draining.Load() {
+	if s.drain.Begun() {
 		http.Error(w, "not ready: draining", http.StatusServiceUnavailable)
 		return
 	}
@@ -139,8 +141,8 @@
 // no request is in progress, or until ctx ends. Requests that arrive during the
 // balancer's lag are still served.
 func (s *Server) Drain(ctx context.Context) error {
+	s.beginDrain(time.Time{})
 	s.drainOnce.Do(func() {
-		s.draining.Store(true)
 		s.Logger.Info().Int64("in_progress", s.inFlight.Load()).Msg("drain started")
 		go s.finishDrain()
 	})
@@ -153,6 +155,11 @@
 	}
 }
 
+// beginDrain makes the host not ready. Requests that are in progress at end are ended; a zero end sets no bound.
+func (s *Server) beginDrain(end time.Time) {
+	s.drain.Begin(time.Now().Add(s.Settings.BalancerLag.Std()), end)
+}
+
 func (s *Server) finishDrain() {
 	time.Sleep(s.Settings.BalancerLag.Std())
 	for s.inFlight.Load() > 0 {
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -29,7 +29,7 @@
 		return
 	}
 	e.accepted = true
-	ctx, cancel := context.WithDeadlineCause(r.Context(), e.deadline, errDeadline)
+	ctx, cancel := e.context()
 	defer cancel()
 	c.run(ctx)
 }
