--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -22,11 +22,12 @@
 const (
 	// DelegatePath precedes the path of a delegated request.
 	DelegatePath = "/delegate"
-	// declinedHeader marks the answer of a host that does not take the delegated request. Its value is
+	// declinedHeader marks the answer of a host that does not take the delegated request. Its value is declined, or
 	// declinedStopping if the host stops and takes only requests that no other host runs, which have
 	// lastResortHeader, and declinedBehind if its configuration is older than the version in
 	// configVersionHeader, with which the delegating host has admitted the request.
 	declinedHeader      = "Heatherbarrow-Declined"
+	declined            = "1"
 	declinedStopping    = "stopping"
 	declinedBehind      = "behind"
 	lastResortHeader    = "Heatherbarrow-Last-Resort"
@@ -54,10 +55,10 @@
 		decline := ""
 		switch {
 		case !s.opts.Known() || s.opts.Fleet.CutOff():
-			decline = "1"
+			decline = declined
 		case s.opts.Table().Version < configVersionOf(r):
 			decline = declinedBehind
-		case s.draining.Load() && r.Header.Get(lastResortHeader) == "":
+		case s.drain.Begun() && r.Header.Get(lastResortHeader) == "":
 			decline = declinedStopping
 		}
 		r.Header.Del(lastResortHeader)
