fleet: crashes of other replicas do not excuse a request that crashes replica after replica

Cause: a crash did not count against a request if another replica of the upstream had crashed within 2 s without it, as that looks like an outage. The crashes by each of the two requests excused the other for as long as they came; so would crashes of any other origin. Class: weak evidence was dropped and never added up. Change: each crash also counts in a tracker of whole requests that works as the one of prompt parts: a complete answer on any host voids them, reports are merged over all hosts, a quarantined prompt part explains its crashes. Crashes less than 1 s apart count once, so that a request that is repeated into one outage is not refused; three separate ones are enough. The quarantine after two crashes that nothing excuses is unchanged. Hosts that start learn refused requests from the others.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -49,6 +49,7 @@
 	teamShares      teamShares            // recent prefill time per team
 	poison          *quarantine.Quarantine
 	parts           *poisonpart.Tracker
+	requests        *poisonpart.Tracker       // whole requests, by fingerprint
 	partChanges     []PartChange              // since the previous call of TakePartChanges
 	crashes         []Crash                   // crashes seen by this host, oldest first
 	crashReports    map[crashReport]time.Time // crashes that other hosts report, and when they last did
@@ -128,6 +129,8 @@
 
 // New returns a fleet without replicas.
 func New(opts Options) *Fleet {
+	partLimit := poisonpart.CrashLimit(poisonCrashes)
+	parts := poisonpart.New(partLimit, poisonQuarantineTime)
 	return &Fleet{
 		opts:         opts,
 		random:       rand.New(rand.NewPCG(opts.Seed, 0)),
@@ -142,7 +145,8 @@
 		limitHosts:   &requestlimit.Hosts{Zone: opts.Zone, Reachable: 1},
 		crashReports: make(map[crashReport]time.Time),
 		poison:       quarantine.New(poisonCrashes, poisonQuarantineTime),
-		parts:        poisonpart.New(poisonpart.CrashLimit(poisonCrashes), poisonQuarantineTime),
+		parts:        parts,
+		requests:     poisonpart.NewForRequests(partLimit, poisonQuarantineTime, parts),
 	}
 }
 
--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -128,11 +128,12 @@
 		f.reach.recordContact()
 		r.recordSuccess()
 		f.poison.Ended(l.fingerprint, true)
+		f.completeRequest(l.fingerprint, now)
 		f.completeParts(l.parts, now)
 	case ServedUnframed:
 		r.recordSuccess()
 		f.poison.Ended(l.fingerprint, true)
-		if f.parts.Suspect(l.parts) {
+		if f.parts.Suspect(l.parts) || f.requests.Suspect([]uint64{l.fingerprint}) {
 			inspect = r.addSuspect(l, true)
 		}
 	case Failed:
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -142,6 +142,9 @@
 	if state, retryAfter := f.poison.UnexplainedState(q.Fingerprint, now, f.crashByPart); state == quarantine.Quarantined {
 		return nil, &Refusal{Reason: ReasonPoison, RetryAfter: retryAfter}
 	}
+	if expires, refused := f.refusesRequest(q.Fingerprint, now); refused {
+		return nil, &Refusal{Reason: ReasonPoison, RetryAfter: expires.Sub(now)}
+	}
 	if part, expires, blamed := f.parts.Blamed(q.Parts, now); blamed {
 		return nil, &Refusal{Reason: ReasonPoisonPart, RetryAfter: expires.Sub(now), Part: part}
 	}
--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -65,12 +65,14 @@
 	if !down {
 		for i := range suspects {
 			if suspects[i].complete {
+				f.completeRequest(suspects[i].fingerprint, now)
 				f.completeParts(suspects[i].parts, now)
 			}
 		}
 		return evidence
 	}
 	f.recordPartCrash(&r.member, suspects, now)
+	f.recordRequestCrash(&r.member, suspects, now)
 	alreadySuspect := 0
 	var fingerprints []uint64
 	for i := range suspects {
--- a/internal/gateway/fleet/poisonpart.go
+++ b/internal/gateway/fleet/poisonpart.go
@@ -12,9 +12,10 @@
 // so many with a single crash.
 const maxPartReports = 36
 
-// PartChange is the beginning or end of the quarantine of a prompt part on this host.
+// PartChange is the beginning or end of the quarantine of a prompt part, or of a whole request, on this host.
 type PartChange struct {
-	Part        uint64
+	Part        uint64 // the fingerprint of a whole request
+	Request     bool
 	Quarantined bool
 }
 
@@ -34,7 +35,7 @@
 	slices.Sort(parts)
 	slices.Sort(waiting)
 	waiting = slices.DeleteFunc(slices.Compact(waiting), func(part uint64) bool { return slices.Contains(parts, part) })
-	f.notePartChanges(f.parts.Crash(slices.Compact(parts), waiting, m.Key(), now), true)
+	f.notePartChanges(f.parts.Crash(slices.Compact(parts), waiting, m.Key(), now), false, true)
 }
 
 // crashByPart reports whether a quarantined part explains the crash of a replica.
@@ -48,25 +49,30 @@
 	if len(parts) == 0 {
 		return
 	}
+	f.complete(f.parts, parts, now)
+}
+
+// complete records a complete answer with a tracker.
+func (f *Fleet) complete(t *poisonpart.Tracker, parts []uint64, now time.Time) {
 	var refused []poisonpart.Entry
-	if f.parts.Suspect(parts) {
-		refused = f.parts.Refused(now)
+	if t.Suspect(parts) {
+		refused = t.Refused(now)
 	}
-	released, quarantined := f.parts.Completed(parts, now)
+	released, quarantined := t.Completed(parts, now)
 	for i := range refused {
 		if slices.Contains(released, refused[i].Part) {
-			f.notePartChanges([]uint64{refused[i].Part}, false)
+			f.notePartChanges([]uint64{refused[i].Part}, t == f.requests, false)
 		}
 	}
-	f.notePartChanges(quarantined, true)
+	f.notePartChanges(quarantined, t == f.requests, true)
 }
 
 // maxPartChanges bounds the changes that wait for TakePartChanges.
 const maxPartChanges = 64
 
-func (f *Fleet) notePartChanges(parts []uint64, quarantined bool) {
+func (f *Fleet) notePartChanges(parts []uint64, requests, quarantined bool) {
 	for _, part := range parts[:min(len(parts), maxPartChanges-len(f.partChanges))] {
-		f.partChanges = append(f.partChanges, PartChange{Part: part, Quarantined: quarantined})
+		f.partChanges = append(f.partChanges, PartChange{Part: part, Request: requests, Quarantined: quarantined})
 	}
 }
 
@@ -91,7 +97,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	quarantined, _ := f.parts.Merge(entries, now)
-	f.notePartChanges(quarantined, true)
+	f.notePartChanges(quarantined, false, true)
 }
 
 // RefusedParts returns the parts that requests are refused for.
--- /dev/null
+++ b/internal/gateway/fleet/poisonrequest.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"heatherbarrow/internal/scheduling/poisonpart"
+)
+
+// maxRequestReports bounds the suspect requests that are reported together.
+const maxRequestReports = 12
+
+// recordRequestCrash counts a crash against the requests that ran on the replica, also if other replicas crashed
+// without them at about the same time: a request that never completes in crash after crash, far enough apart,
+// is not the victim of one outage.
+func (f *Fleet) recordRequestCrash(m *Member, suspects []suspect, now time.Time) {
+	var fingerprints []uint64
+	for i := range suspects {
+		if suspects[i].fingerprint != 0 {
+			fingerprints = append(fingerprints, suspects[i].fingerprint)
+		}
+	}
+	slices.Sort(fingerprints)
+	f.notePartChanges(f.requests.Crash(slices.Compact(fingerprints), nil, m.Key(), now), true, true)
+}
+
+// completeRequest records a complete answer to a request.
+func (f *Fleet) completeRequest(fingerprint uint64, now time.Time) {
+	if fingerprint != 0 {
+		f.complete(f.requests, []uint64{fingerprint}, now)
+	}
+}
+
+// refusesRequest reports whether a request is refused for crashes that all hosts know of, and until when.
+func (f *Fleet) refusesRequest(fingerprint uint64, now time.Time) (expires time.Time, refused bool) {
+	if fingerprint == 0 {
+		return time.Time{}, false
+	}
+	_, expires, refused = f.requests.Blamed([]uint64{fingerprint}, now)
+	return expires, refused
+}
+
+// RequestReports returns what other hosts need to know of suspect requests; see poisonpart.Tracker.Reports.
+func (f *Fleet) RequestReports(all bool, now time.Time) []poisonpart.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests.Reports(all, maxRequestReports, now)
+}
+
+// ApplyRequestReports applies what another host, or the store, knows of suspect requests.
+func (f *Fleet) ApplyRequestReports(entries []poisonpart.Entry, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	quarantined, _ := f.requests.Merge(entries, now)
+	f.notePartChanges(quarantined, true, true)
+}
+
+// RefusedRequests returns the requests that are refused for crashes that all hosts know of.
+func (f *Fleet) RefusedRequests(now time.Time) []poisonpart.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests.Refused(now)
+}
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -321,11 +321,12 @@
 	}
 }
 
-// handleDatagram applies a heartbeat or a report of suspect parts of another host, or a digest of
+// handleDatagram applies a heartbeat or a report of suspect parts and requests of another host, or a digest of
 // another zone.
 func (e *Exchange) handleDatagram(m *rpc.Beat, now time.Time) {
-	if len(m.SuspectParts) > 0 {
+	if len(m.SuspectParts)+len(m.SuspectRequests) > 0 {
 		e.opts.Fleet.ApplyPartReports(rpc.SuspectPartEntries(m.SuspectParts, now), now)
+		e.opts.Fleet.ApplyRequestReports(rpc.SuspectPartEntries(m.SuspectRequests, now), now)
 		return
 	}
 	if len(m.StreamOrigins) > 0 {
--- a/internal/gateway/peers/suspects.go
+++ b/internal/gateway/peers/suspects.go
@@ -9,16 +9,16 @@
 	"heatherbarrow/internal/rpc"
 )
 
-// Hosts report what they know of prompt parts that crash replicas, from their own requests and from
+// Hosts report what they know of prompt parts and requests that crash replicas, from their own requests and from
 // other hosts, in datagrams of their own beside the heartbeats and digests. Each host merges the
 // reports into its own, so that they reach all hosts without being relayed.
 
-// refusedPartsInterval is the interval at which parts that requests are refused for are reported
+// refusedPartsInterval is the interval at which parts and requests that are refused are reported
 // although nothing changed, for hosts that started or were cut off since.
 const refusedPartsInterval = time.Second
 
-// sendSuspectParts reports suspect parts to the recipients. lastRefused is when they were last told of
-// all parts that requests are refused for.
+// sendSuspectParts reports suspect parts and requests to the recipients. lastRefused is when they were last
+// told of all that are refused.
 func (e *Exchange) sendSuspectParts(recipients []*net.UDPAddr, lastRefused *time.Time, now time.Time) {
 	if len(recipients) == 0 {
 		return
@@ -27,13 +27,20 @@
 	if refusedToo {
 		*lastRefused = now
 	}
-	entries := e.opts.Fleet.PartReports(refusedToo, now)
-	if len(entries) == 0 {
+	parts, requests := e.opts.Fleet.PartReports(refusedToo, now), e.opts.Fleet.RequestReports(refusedToo, now)
+	if len(parts)+len(requests) == 0 {
 		return
 	}
 	// Sequence 0 makes hosts that do not know this kind of datagram ignore it as an old heartbeat.
-	message := &rpc.Beat{Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, SuspectParts: rpc.SuspectParts(entries, now)}
+	message := &rpc.Beat{
+		Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen,
+		SuspectParts: rpc.SuspectParts(parts, now), SuspectRequests: rpc.SuspectParts(requests, now),
+	}
 	for proto.Size(message) > maxDatagramBytes {
+		if len(message.SuspectRequests) > len(message.SuspectParts) {
+			message.SuspectRequests = message.SuspectRequests[:len(message.SuspectRequests)-1]
+			continue
+		}
 		message.SuspectParts = message.SuspectParts[:len(message.SuspectParts)-1]
 	}
 	data, err := proto.Marshal(message)
--- a/internal/gateway/peers/suspects_test.go
+++ b/internal/gateway/peers/suspects_test.go
@@ -37,6 +37,34 @@
 	}
 }
 
+// refusesRequest reports whether the host refuses requests with the fingerprint.
+func (host *testHost) refusesRequest(fingerprint uint64) bool {
+	_, refusal := host.fleet.Pick(&fleet.Request{Upstream: "pool", TimeLeft: time.Minute, Fingerprint: fingerprint}, time.Now())
+	return refusal != nil && refusal.Reason == fleet.ReasonPoison
+}
+
+// Guards against a request that crashes replicas and is not refused because each host saw only one of the crashes,
+// beside so many suspect parts that these fill a datagram.
+func TestCrashesOnOneRequestAddUpOverAllHosts(t *testing.T) {
+	const fingerprint = 0xfeed
+	hosts := startZones(t, 39893, 1, 2)
+	for i, h := range hosts {
+		now := time.Now()
+		crash := poisonpart.Crash{Replica: uint64(i), At: now.Add(-time.Duration(6-2*i) * time.Second)}
+		h.fleet.ApplyRequestReports([]poisonpart.Entry{{Part: fingerprint, Crashes: []poisonpart.Crash{crash}, Expires: now.Add(time.Minute)}}, now)
+		require.False(t, h.refusesRequest(fingerprint))
+		var parts []poisonpart.Entry
+		for part := range uint64(200) {
+			parts = append(parts, poisonpart.Entry{Part: part<<32 + 1, Crashes: []poisonpart.Crash{crash}, Expires: now.Add(time.Minute)})
+		}
+		h.fleet.ApplyPartReports(parts, now)
+	}
+	for _, h := range hosts {
+		assert.Eventually(t, func() bool { return h.refusesRequest(fingerprint) }, 20*time.Second, 10*time.Millisecond, h.opts.Host)
+		assert.False(t, h.refusesRequest(fingerprint+1))
+	}
+}
+
 // Guards against reports that other hosts read differently.
 func TestSuspectPartsKeepTheirMeaningInTransit(t *testing.T) {
 	now := time.Now()
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -312,9 +312,13 @@
 	}
 }
 
-// logPartChanges logs the prompt parts whose quarantine began or ended.
+// logPartChanges logs the prompt parts and requests whose quarantine began or ended.
 func (p *Program) logPartChanges() {
 	for _, c := range p.fleet.TakePartChanges() {
+		if c.Request {
+			p.logger.Warn().Str("fingerprint", poisonpart.Name(c.Part)).Bool("quarantined", c.Quarantined).Msg("quarantine of request changed")
+			continue
+		}
 		p.logger.Warn().Str("part", poisonpart.Name(c.Part)).Bool("quarantined", c.Quarantined).Msg("quarantine of prompt part changed")
 	}
 }
--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -26,6 +26,9 @@
 	// crashSeparation is the time between two crashes below which they count once for a part:
 	// replicas that end at the same moment have a common cause other than a prompt.
 	crashSeparation = 250 * time.Millisecond
+	// requestCrashSeparation is crashSeparation for whole requests. Callers repeat them at once, into the
+	// same outage.
+	requestCrashSeparation = time.Second
 	// sameCrash is the time within which hosts notice the same crash of a replica; a later one is
 	// another crash.
 	sameCrash = time.Second
@@ -105,6 +108,8 @@
 type Tracker struct {
 	crashLimit int
 	duration   time.Duration
+	separation time.Duration // see crashSeparation
+	causes     *Tracker      // crashes that its quarantined parts explain do not count; may be nil
 	entries    *simplelru.LRU[uint64, *localEntry]
 	sound      *simplelru.LRU[uint64, time.Time] // when the latest complete answer to a request with the part ended
 	changes    uint64                            // number of times that classify ran
@@ -119,7 +124,15 @@
 	// NewLRU fails only for a size below one.
 	entries, _ := simplelru.NewLRU[uint64, *localEntry](maxEntries, nil)
 	sound, _ := simplelru.NewLRU[uint64, time.Time](maxSoundParts, nil)
-	return &Tracker{crashLimit: crashLimit, duration: duration, entries: entries, sound: sound}
+	return &Tracker{crashLimit: crashLimit, duration: duration, separation: crashSeparation, entries: entries, sound: sound}
+}
+
+// NewForRequests returns an empty Tracker of whole requests, each a part by its fingerprint. Crashes that
+// quarantined parts of prompts explain do not count.
+func NewForRequests(crashLimit int, duration time.Duration, parts *Tracker) *Tracker {
+	t := New(crashLimit, duration)
+	t.separation, t.causes = requestCrashSeparation, parts
+	return t
 }
 
 // Configure changes the crash limit and the duration of quarantines.
@@ -195,7 +208,7 @@
 // expires is when that ends.
 func (t *Tracker) Blamed(parts []uint64, now time.Time) (part uint64, expires time.Time, blamed bool) {
 	for _, e := range t.quarantined {
-		if now.Before(e.Expires) && slices.Contains(parts, e.Part) {
+		if now.Before(e.Expires) && slices.Contains(parts, e.Part) && t.upheld(e) {
 			return e.Part, e.Expires, true
 		}
 	}
@@ -227,6 +240,17 @@
 	})
 }
 
+// hasCause reports whether a part that another Tracker quarantines explains the crash.
+func (t *Tracker) hasCause(c Crash) bool {
+	return t.causes != nil && t.causes.Explains(c.Replica, c.At)
+}
+
+// upheld reports whether the crashes of a quarantined entry still have no cause in another Tracker, which may
+// have found it later.
+func (t *Tracker) upheld(e *localEntry) bool {
+	return t.causes == nil || len(slices.DeleteFunc(slices.Clone(e.Crashes), t.hasCause)) >= t.crashLimit
+}
+
 // Suspect reports whether any of the parts has a crash against it.
 func (t *Tracker) Suspect(parts []uint64) bool {
 	return slices.ContainsFunc(parts, func(part uint64) bool {
@@ -242,7 +266,7 @@
 	var last time.Time
 	for _, c := range e.Crashes {
 		inFlight := func(o *localEntry) bool { return o != e && slices.ContainsFunc(o.Crashes, c.same) }
-		if count > 0 && c.At.Sub(last) < crashSeparation || slices.ContainsFunc(t.quarantined, inFlight) ||
+		if count > 0 && c.At.Sub(last) < t.separation || t.hasCause(c) || slices.ContainsFunc(t.quarantined, inFlight) ||
 			other != nil && other != e && slices.ContainsFunc(other.Crashes, c.explainedBy) {
 			continue
 		}
@@ -407,7 +431,7 @@
 
 // refuses reports whether requests can be refused for the entry's part.
 func (t *Tracker) refuses(e *localEntry) bool {
-	return e.Quarantined || slices.Contains(t.repeated, e) && t.unexplained(e, nil) >= t.crashLimit
+	return e.Quarantined && t.upheld(e) || !e.Quarantined && slices.Contains(t.repeated, e) && t.unexplained(e, nil) >= t.crashLimit
 }
 
 // Refused returns the entries of the parts that requests are refused for.
