state: read only the newest of several configurations

Behind a slow connection, a host did not have the last version 30 s after it was written.

Cause: a watch returns all versions since the last one that succeeded, and each was decoded, compiled and announced. The further a host was behind, the longer the next answer was and the more it had to compile; once an answer took longer than the watch's timeout, each further watch returned still more.

Of an update, only the newest version is decoded, and earlier ones only if it cannot be. A watch of the configuration that reported a change or failed is followed by a list, whose size does not depend on how far the host is behind. This is one call more for each change. An answer that is too large leads to a list for all kinds.

--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -33,7 +33,7 @@
 	// peerUpdatePoll is the interval at which a starting host checks for these updates.
 	peerUpdatePoll = 20 * time.Millisecond
 	// coalesceDelay is the pause between a change (or a list that returned objects) and the
-	// next watch, which then returns all changes of that time in one call: replicas start and
+	// next call, which then returns all changes of that time: replicas start and
 	// leave in groups. It is a tenth of the time allowed for withdrawing a replica.
 	coalesceDelay = 200 * time.Millisecond
 	// listTimeout bounds a list call; a slow store takes a few hundred milliseconds.
@@ -54,6 +54,9 @@
 	Logger zerolog.Logger
 	// Times are the wait and the margin of a watch.
 	Times WatchTimes
+	// NewestOnly is set for a kind of which only the newest versions matter. A watch that reported a change or failed
+	// is followed by a list, as a further watch would return all versions that were written meanwhile.
+	NewestOnly bool
 	// Others follow the other kinds of objects on this host. They list again when this
 	// one finds that the store has dropped its history, restart their watches when a watch of this one
 	// fails, as their connections may have gone silent too, and restart their calls when a call of this
@@ -163,6 +166,7 @@
 		}
 		switch {
 		case err == nil:
+			watched := revision > 0
 			revision = next
 			backoff = initialBackoff
 			if callFailed {
@@ -170,8 +174,12 @@
 				w.restartOthers(false)
 			}
 			callFailed = false
-			if changed {
+			switch {
+			case changed && !w.NewestOnly:
 				w.sleep(ctx, coalesceDelay)
+			case changed && watched:
+				w.sleep(ctx, coalesceDelay)
+				revision = 0
 			}
 		case errors.Is(err, objectstore.ErrHistoryGone):
 			w.Logger.Info().Str("kind", w.Kind).Uint64("revision", revision).Msg("store dropped its history; listing again")
@@ -190,6 +198,9 @@
 			}
 			callFailed = true
 			w.Logger.Warn().Err(err).Str("kind", w.Kind).Uint64("revision", revision).EmbedObject(conns).Msg("store call failed")
+			if w.NewestOnly || errors.Is(err, objectstore.ErrTooLarge) {
+				revision = 0
+			}
 			w.sleep(ctx, backoff/2+rand.N(backoff)-time.Since(started))
 			backoff = min(2*backoff, maxBackoff)
 		}
--- a/internal/gateway/state/follow_test.go
+++ b/internal/gateway/state/follow_test.go
@@ -25,6 +25,7 @@
 	lists   map[string]int
 	watches map[string]chan error // by kind; a value is the result of the open watch
 	era     atomic.Uint64
+	changes []objectstore.Object // that each watch returns
 }
 
 func newScriptedStore() *scriptedStore {
@@ -46,7 +47,7 @@
 	case <-ctx.Done():
 		return objectstore.Revisions{}, ctx.Err()
 	case err := <-s.watches[kind]:
-		return objectstore.Revisions{AsOf: 6, Era: s.era.Load()}, err
+		return objectstore.Revisions{AsOf: 6, Era: s.era.Load(), Objects: s.changes}, err
 	}
 }
 
@@ -262,3 +263,50 @@
 	assert.False(t, store.ended.IsZero())
 	assert.Less(t, store.pause, initialBackoff/2)
 }
+
+// Guards against a host that compiles each of the versions that it gets at once, and against one that keeps an old
+// configuration because the newest of them cannot be decoded.
+func TestOnlyTheNewestVersionOfAnUpdateIsDecoded(t *testing.T) {
+	decoded := 0
+	s, _ := newTestState(t, func(raw []byte) (c routing.Config, err error) {
+		decoded++
+		_, err = fmt.Sscan(string(raw), &c.Version)
+		return c, err
+	})
+	require.NoError(t, s.Publish(Config{Raw: []byte("9"), Earlier: [][]byte{[]byte("8"), []byte("7")}}))
+	assert.Equal(t, int64(9), s.ConfigVersion())
+	assert.Equal(t, 1, decoded)
+	require.NoError(t, s.Publish(Config{Raw: []byte("garbled"), Earlier: [][]byte{[]byte("12"), []byte("11")}}))
+	assert.Equal(t, int64(12), s.ConfigVersion())
+	assert.Equal(t, "12", string(s.RawConfig()))
+	require.NoError(t, s.Publish(Config{Raw: []byte("garbled"), Earlier: [][]byte{[]byte("11")}}))
+	assert.Equal(t, int64(12), s.ConfigVersion())
+}
+
+// Guards against a watch that fails again and again because its answer, which holds all versions since the last one
+// that succeeded, grows, and against reading versions that are no longer the newest.
+func TestWatchForNewestObjectsIsFollowedByList(t *testing.T) {
+	for name, c := range map[string]struct {
+		newestOnly bool
+		changes    []objectstore.Object
+		err        error
+		lists      int
+	}{
+		"newest only":          {true, nil, objectstore.ErrUnavailable, 2},
+		"newest only, changed": {true, []objectstore.Object{{Name: "main"}}, nil, 2},
+		"newest only, calm":    {true, nil, nil, 1},
+		"all changes":          {false, nil, objectstore.ErrUnavailable, 1},
+		"all changes, changed": {false, []objectstore.Object{{Name: "main"}}, nil, 1},
+		"too large":            {false, nil, objectstore.ErrTooLarge, 2},
+	} {
+		s, ctx := newTestState(t, nil)
+		store := newScriptedStore()
+		store.changes = c.changes
+		apply := func(objectstore.Revisions, bool) error { return nil }
+		w := &Watcher{Store: store, Kind: "config", State: s, Logger: zerolog.Nop(), Times: WatchTimes{Wait: time.Hour}, NewestOnly: c.newestOnly, Apply: apply}
+		go w.Run(ctx)
+		store.watches["config"] <- c.err
+		store.watches["config"] <- nil
+		assert.Equal(t, c.lists, store.listCalls("config"), name)
+	}
+}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -34,6 +34,9 @@
 type Config struct {
 	Raw    []byte
 	Source Source
+	// Earlier are versions before Raw, the newest first. The first one that can be decoded takes effect if Raw
+	// cannot.
+	Earlier [][]byte
 }
 
 // Members is an update of the replicas' registrations.
@@ -247,6 +250,9 @@
 	decoded, err := s.opts.Decode(config.Raw)
 	if err != nil {
 		s.opts.Logger.Error().Err(err).Str("source", string(config.Source)).Msg("cannot decode configuration; keeping the previous one")
+		if len(config.Earlier) > 0 {
+			s.applyConfig(Config{Raw: config.Earlier[0], Source: config.Source, Earlier: config.Earlier[1:]})
+		}
 		return
 	}
 	previous := s.ConfigVersion()
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
@@ -75,7 +76,7 @@
 	p := s.program
 	config := &state.Watcher{
 		Store: p.store, Kind: p.adapter.KindConfig, State: p.state, Logger: p.logger, Apply: s.applyConfig, Role: p.role,
-		Times: state.ProbeTimes(p.settings.configDelay()),
+		Times: state.ProbeTimes(p.settings.configDelay()), NewestOnly: true,
 	}
 	members := &state.Watcher{
 		Store: p.store, Kind: p.adapter.KindMembers, State: p.state, Logger: p.logger, Apply: s.applyMembers, Role: p.role,
@@ -117,17 +118,19 @@
 	p.peers.AssumeLive(neighbors)
 }
 
-// applyConfig publishes a configuration received from the store.
+// applyConfig publishes the newest configuration received from the store. A watch may return many versions, which
+// cost time to compile.
 func (s *storeService) applyConfig(r objectstore.Revisions, _ bool) error {
-	for _, o := range r.Objects {
-		if o.Name != s.program.adapter.NameConfig || o.Deleted {
-			continue
-		}
-		if err := s.program.state.Publish(state.Config{Raw: o.Value, Source: state.FromStore}); err != nil {
-			return err
+	var versions [][]byte // the newest first
+	for _, o := range slices.Backward(r.Objects) {
+		if o.Name == s.program.adapter.NameConfig && !o.Deleted {
+			versions = append(versions, o.Value)
 		}
 	}
-	return nil
+	if len(versions) == 0 {
+		return nil
+	}
+	return s.program.state.Publish(state.Config{Raw: versions[0], Source: state.FromStore, Earlier: versions[1:]})
 }
 
 // applyMembers publishes replica registrations received from the store. complete reports
