--- a/Makefile
+++ b/Makefile
@@ -47,9 +47,10 @@
 # soak plays random faults against real gateways: SEEDS=50 for many fresh seeds, SEED=n for
 # one again. Logs of failed seeds go to out/soak. With EARLIER, the path of an older gateway, hosts
 # change between both builds whenever they start.
+soak: SOAK ?= TestSoak
 soak:
 	@mkdir -p out
-	HEATHERBARROW_SOAK_LOGS=$(CURDIR)/out/soak HEATHERBARROW_SOAK_EARLIER=$(EARLIER) SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -v -timeout 90m -run '^TestSoak$$' ./internal/soak
+	HEATHERBARROW_SOAK_LOGS=$(CURDIR)/out/soak HEATHERBARROW_SOAK_EARLIER=$(EARLIER) SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -v -timeout 90m -run '^$(SOAK)$$' ./internal/soak
 
 # fuzz runs each fuzz target for 5 s; go test alone runs their seeds.
 fuzz:
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -67,20 +67,33 @@
 func startStoppingGateway(t *testing.T, r *workReplica) *testGateway {
 	t.Helper()
 	g := startGatewayWith(t, func(g *testGateway) { g.GraceSeconds, g.BalancerLag = stopGrace.Seconds(), 0 }, r.serve)
+	g.putRoutes(t, 1, "once", "again", "events")
+	require.Eventually(t, g.isReady, 20*time.Second, 5*time.Millisecond)
+	return g
+}
+
+// putRoutes stores a configuration with the named ones of the routes once, again and events.
+func (g *testGateway) putRoutes(t *testing.T, version int, names ...string) {
+	t.Helper()
 	route := func(name, kind string, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": g.host(), "pathPrefix": "/" + name + "/", "routeKind": kind, "timeoutMs": 20000, "goalMs": 400, "service": "pool",
 			"maxAttempts": 2, "resumable": resumable, "public": true,
 		}
 	}
+	all := map[string]map[string]any{
+		"once": route("once", "non_idempotent", false), "again": route("again", "idempotent", false), "events": route("events", "streaming", true),
+	}
+	var routes []map[string]any
+	for _, name := range names {
+		routes = append(routes, all[name])
+	}
 	config, err := json.Marshal(map[string]any{
-		"version": 1, "services": []any{map[string]any{"name": "pool"}}, "limits": map[string]any{"idleTimeoutMs": 15000},
-		"routes": []any{route("once", "non_idempotent", false), route("again", "idempotent", false), route("events", "streaming", true)},
+		"version": version, "services": []any{map[string]any{"name": "pool"}}, "routes": routes,
+		"limits": map[string]any{"idleTimeoutMs": 15000 - 14000*(version-1)},
 	})
 	require.NoError(t, err)
 	g.store.Put(platform.KindConfig, platform.NameConfig, json.RawMessage(config))
-	require.Eventually(t, g.isReady, 20*time.Second, 5*time.Millisecond)
-	return g
 }
 
 // stopCase is a request around a stop. Times are since SIGTERM.
@@ -137,6 +150,7 @@
 	g := startStoppingGateway(t, replica)
 	ok, refused, unknown := []int{http.StatusOK}, []int{http.StatusServiceUnavailable}, []int{http.StatusGatewayTimeout}
 	before, at := -time.Second/2, func(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+	const shortLimit, takesUp = "Heatherbarrow-Deadline-Ms: 4500\r\n", "Last-Event-Id: 0\r\nResumes: stream-before-the-stop\r\n"
 	cases := []stopCase{
 		{name: "runs since before the stop", path: "/once/2000", sent: before, read: before, statuses: ok},
 		{name: "outlasts the host", path: "/once/20000", sent: before, read: before, statuses: unknown},
@@ -144,19 +158,22 @@
 		{name: "early body", path: "/once/2000", sent: before, read: at(2), statuses: ok},
 		{name: "early body outlasts the host", path: "/once/20000", sent: before, read: at(2), statuses: unknown},
 		{name: "repeatable late body", path: "/again/2000", sent: before, read: at(4), statuses: refused, notRun: true},
-		{name: "late body with a short limit", path: "/once/500", header: "Heatherbarrow-Deadline-Ms: 4500\r\n", sent: before, read: at(3), statuses: ok},
-		{name: "late body past its limit", path: "/once/5000", header: "Heatherbarrow-Deadline-Ms: 4500\r\n", sent: before, read: at(3), statuses: slices.Concat(unknown, refused)},
+		{name: "late body with a short limit", path: "/once/500", header: shortLimit, sent: before, read: at(3), statuses: ok},
+		{name: "late body past its limit", path: "/once/5000", header: shortLimit, sent: before, read: at(3), statuses: slices.Concat(unknown, refused)},
 		{name: "body without end", path: "/once/0", sent: before, read: neverRead, statuses: refused, notRun: true},
 		{name: "stream before the stop", path: "/events/1000", sent: before, read: before, statuses: ok},
 		{name: "stream outlasts the host", path: "/events/20000", sent: before, read: before, statuses: ok, broken: true},
 		{name: "late stream", path: "/events/20000", sent: before, read: at(4), statuses: refused, notRun: true},
-		{name: "late continuation", path: "/events/20000", header: "Last-Event-Id: 0\r\nResumes: stream-before-the-stop\r\n", sent: before, read: at(4), statuses: refused, notRun: true},
+		{name: "late continuation", path: "/events/20000", header: takesUp, sent: before, read: at(4), statuses: refused, notRun: true},
 		{name: "late request on a kept connection", path: "/once/2000", sent: at(3.5), read: at(3.5), statuses: []int{0}, notRun: true},
 		{name: "request on a kept connection in the lag", path: "/once/2000", sent: at(2.2), read: at(2.2), statuses: ok},
 		{name: "request on a kept connection in the lag outlasts the host", path: "/once/20000", sent: at(2.2), read: at(2.2), statuses: unknown},
 	}
 	for _, seconds := range []float64{2.6, 3.2, 3.6, 4, 4.5, 5} {
-		cases = append(cases, stopCase{name: fmt.Sprintf("body after %v s", seconds), path: "/once/2000", sent: before, read: at(seconds), statuses: refused, notRun: true, maxTime: time.Second})
+		cases = append(cases, stopCase{
+			name: fmt.Sprintf("body after %v s", seconds), path: "/once/2000", sent: before, read: at(seconds), statuses: refused,
+			notRun: true, maxTime: time.Second,
+		})
 	}
 	stopped := time.Now().Add(time.Second)
 	answers := make([]stopAnswer, len(cases))
@@ -218,3 +235,34 @@
 	runs, _ := replica.ran("pipelined-2")
 	require.Zero(t, runs)
 }
+
+// Guards against a configuration that drops the routes of requests in progress, lowers the timeout of idle connections,
+// or takes effect while a body is read, and cuts these requests.
+func TestConfigurationChangeCutsNoRequest(t *testing.T) {
+	replica := &workReplica{runs: make(map[string]int), deadlines: make(map[string]time.Duration)}
+	g := startStoppingGateway(t, replica)
+	changed := time.Now().Add(500 * time.Millisecond)
+	before, after := -400*time.Millisecond, 1500*time.Millisecond
+	cases := []stopCase{
+		{name: "order", path: "/once/2000", sent: before, read: before},
+		{name: "repeatable", path: "/again/2000", sent: before, read: before},
+		{name: "stream", path: "/events/2000", sent: before, read: before},
+		{name: "body", path: "/once/100", sent: before, read: after},
+		{name: "kept route", path: "/again/100", sent: after, read: after},
+	}
+	answers := make([]stopAnswer, len(cases))
+	var wg sync.WaitGroup
+	for i := range cases {
+		conn, err := net.Dial("tcp", g.Listen)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		wg.Go(func() { answers[i] = cases[i].send(conn, bufio.NewReader(conn), g.host(), changed) })
+	}
+	time.Sleep(time.Until(changed))
+	g.putRoutes(t, 2, "again")
+	wg.Wait()
+	for i := range cases {
+		assert.Equal(t, http.StatusOK, answers[i].status, cases[i].name)
+		assert.NoError(t, answers[i].err, cases[i].name)
+	}
+}
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -148,7 +148,10 @@
 		r.stream(w, q, id, fault)
 		return
 	}
-	time.Sleep(5 * time.Millisecond)
+	select {
+	case <-time.After(max(workOf(q), 5*time.Millisecond)):
+	case <-q.Context().Done():
+	}
 	if fault == doubled {
 		r.twice(w, id)
 		return
@@ -176,7 +179,7 @@
 		case fault == slowReplica && i == events/2:
 			time.Sleep(900 * time.Millisecond)
 		default:
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(max(workOf(q)/events, 10*time.Millisecond))
 		}
 		if _, err := io.WriteString(w, eventOf(id, i)); err != nil {
 			return
@@ -185,6 +188,14 @@
 	}
 }
 
+// workHeader is the time that a request takes, which its caller chooses.
+const workHeader = "Soak-Work"
+
+func workOf(q *http.Request) time.Duration {
+	work, _ := time.ParseDuration(q.Header.Get(workHeader))
+	return work
+}
+
 // flood sends header bytes until the caller closes.
 func (r *replica) flood(w http.ResponseWriter) {
 	c, _, err := http.NewResponseController(w).Hijack()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,14 @@
 // configuration never goes back, a request limit that a replica states is kept, requests with a part of
 // their prompt that crashes replicas are stopped, and all hosts serve again afterwards.
 func TestSoak(t *testing.T) {
+	for _, seed := range chosenSeeds(t, regressions) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed) })
+	}
+}
+
+// chosenSeeds returns the seeds that the environment asks for.
+func chosenSeeds(t *testing.T, regressions []uint64) []uint64 {
+	t.Helper()
 	seeds := append([]uint64(nil), regressions...)
 	switch one, many := os.Getenv("SEED"), os.Getenv("SEEDS"); {
 	case one != "":
@@ -64,9 +72,7 @@
 			seeds = append(seeds, uint64(i+1))
 		}
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed) })
-	}
+	return seeds
 }
 
 func play(t *testing.T, seed uint64) {
