gateway: requests that crash replicas are kept in the store

Cause: which requests are refused was known to the processes only; crashes are told for 3 s, and nobody told a host that started later. Class: a decision of the fleet kept in the memory of those who made it. Change: the refused requests are kept in the store as the refused prompt parts are, by the same code, in a kind of their own, as hosts of the build before take all objects of the other kind for parts; these do not read it. TestRequestRefusedBeforeRestartIsRefused fails without the keeper of requests (the request is served), passes with it.

--- a/cmd/heatherbarrow-gateway/main.go
+++ b/cmd/heatherbarrow-gateway/main.go
@@ -25,6 +25,7 @@
 		KindMembers:  platform.KindMembers,
 		KindHosts:    platform.KindHosts,
 		KindParts:    platform.KindParts,
+		KindRequests: platform.KindRequests,
 		KindVersions: platform.KindVersions,
 		KindStreams:  platform.KindStreams,
 	})
--- a/internal/gateway/partkeeper.go
+++ b/internal/gateway/partkeeper.go
@@ -9,22 +9,36 @@
 )
 
 const (
-	// partSyncInterval is the interval at which refused prompt parts are compared with those that were
-	// written to the store.
+	// partSyncInterval is the interval at which refused prompt parts and requests are compared with those that
+	// were written to the store.
 	partSyncInterval = time.Second
-	// partCallTimeout limits each call to the store for refused parts.
+	// partCallTimeout limits each call to the store for refused parts and requests.
 	partCallTimeout = 2 * time.Second
 )
 
-// partKeeper keeps the prompt parts that requests are refused for in the store, so that they are known
+// partKeeper keeps the refused prompt parts, or the refused requests, in the store, so that they are known
 // after all hosts have restarted. Hosts that restart alone learn them from their peers.
 type partKeeper struct {
 	program *Program
+	kind    string // of the objects in the store
+	refused func(now time.Time) []poisonpart.Entry
+	apply   func(entries []poisonpart.Entry, now time.Time)
 	stored  map[uint64]uint64 // number of releases of the stored entries, by part; nil if they must be read
 	era     uint64            // of the store when they were read
 }
 
-// run reads the stored parts, and then writes and removes them as they change, until ctx ends.
+// newPartKeeper returns a keeper of the refused prompt parts.
+func newPartKeeper(p *Program) *partKeeper {
+	return &partKeeper{program: p, kind: p.adapter.KindParts, refused: p.fleet.RefusedParts, apply: p.fleet.ApplyPartReports}
+}
+
+// newRequestKeeper returns a keeper of the refused requests. They have a kind of their own, as hosts of earlier
+// builds take all objects of the other one for prompt parts.
+func newRequestKeeper(p *Program) *partKeeper {
+	return &partKeeper{program: p, kind: p.adapter.KindRequests, refused: p.fleet.RefusedRequests, apply: p.fleet.ApplyRequestReports}
+}
+
+// run reads the stored entries, and then writes and removes them as they change, until ctx ends.
 func (k *partKeeper) run(ctx context.Context) {
 	ticker := time.NewTicker(partSyncInterval)
 	defer ticker.Stop()
@@ -39,7 +53,7 @@
 			err = k.sync(ctx)
 		}
 		if err != nil && ctx.Err() == nil {
-			k.program.logger.Warn().Err(err).Msg("refused prompt parts cannot be read from the store or written")
+			k.program.logger.Warn().Err(err).Str("kind", k.kind).Msg("refused prompt parts or requests cannot be read from the store or written")
 		}
 		select {
 		case <-ctx.Done():
@@ -49,11 +63,11 @@
 	}
 }
 
-// load applies the stored parts.
+// load applies the stored entries.
 func (k *partKeeper) load(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, partCallTimeout)
 	defer cancel()
-	list, err := k.program.store.ListKind(callCtx, k.program.adapter.KindParts)
+	list, err := k.program.store.ListKind(callCtx, k.kind)
 	if err != nil {
 		return err
 	}
@@ -67,28 +81,28 @@
 			entry, err = record.Entry()
 		}
 		if err != nil {
-			k.program.logger.Warn().Err(err).Str("name", o.Name).Msg("ignoring invalid prompt part in the store")
+			k.program.logger.Warn().Err(err).Str("kind", k.kind).Str("name", o.Name).Msg("ignoring invalid prompt part or request in the store")
 			continue
 		}
 		k.stored[entry.Part] = entry.Released
 		entries = append(entries, entry)
 	}
-	k.program.fleet.ApplyPartReports(entries, time.Now())
+	k.apply(entries, time.Now())
 	return nil
 }
 
-// sync writes the parts that are refused since the last call, and removes those that no longer are.
+// sync writes what is refused since the last call, and removes what no longer is.
 func (k *partKeeper) sync(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, partCallTimeout)
 	defer cancel()
 	p := k.program
 	refused := make(map[uint64]bool)
-	for _, e := range p.fleet.RefusedParts(time.Now()) {
+	for _, e := range k.refused(time.Now()) {
 		refused[e.Part] = true
 		if released, ok := k.stored[e.Part]; ok && released == e.Released {
 			continue
 		}
-		if err := p.store.Replace(callCtx, p.adapter.KindParts, poisonpart.Name(e.Part), poisonpart.NewRecord(&e)); err != nil {
+		if err := p.store.Replace(callCtx, k.kind, poisonpart.Name(e.Part), poisonpart.NewRecord(&e)); err != nil {
 			return err
 		}
 		k.stored[e.Part] = e.Released
@@ -97,7 +111,7 @@
 		if refused[part] {
 			continue
 		}
-		if err := p.store.Remove(callCtx, p.adapter.KindParts, poisonpart.Name(part)); err != nil {
+		if err := p.store.Remove(callCtx, k.kind, poisonpart.Name(part)); err != nil {
 			return err
 		}
 		delete(k.stored, part)
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -79,6 +79,7 @@
 	KindMembers  string // kind of the replica registrations
 	KindHosts    string // kind of the host registrations, which the gateways write themselves
 	KindParts    string // kind of the refused prompt parts, which the gateways write themselves
+	KindRequests string // kind of the refused requests, which the gateways write themselves
 	KindVersions string // kind of the software versions of upstreams, which the gateways write themselves
 	KindStreams  string // kind of the incomplete streams of hosts, which the gateways write themselves
 }
--- a/internal/gateway/program_test.go
+++ b/internal/gateway/program_test.go
@@ -78,7 +78,7 @@
 			return platform.NewStore(address, client)
 		},
 		DecodeConfig: platform.DecodeConfig, DecodeMember: platform.DecodeMember,
-		KindConfig: platform.KindConfig, NameConfig: platform.NameConfig, KindMembers: platform.KindMembers, KindHosts: platform.KindHosts, KindParts: platform.KindParts, KindVersions: platform.KindVersions, KindStreams: platform.KindStreams,
+		KindConfig: platform.KindConfig, NameConfig: platform.NameConfig, KindMembers: platform.KindMembers, KindHosts: platform.KindHosts, KindParts: platform.KindParts, KindRequests: platform.KindRequests, KindVersions: platform.KindVersions, KindStreams: platform.KindStreams,
 	})
 	go func() {
 		err := program.Run(ctx)
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -67,3 +68,37 @@
 	assert.Equal(t, cli.ExitFailure, code)
 	assert.Contains(t, errOutput, "peer_listen")
 }
+
+// Guards against hosts that forget with a restart which requests crash replicas, and send them again.
+func TestRequestRefusedBeforeRestartIsRefused(t *testing.T) {
+	g := startGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Heatherbarrow-Server-Seal", "s")
+		_, _ = io.WriteString(w, "x")
+	})
+	const target = "/r/poison"
+	entry := poisonpart.Entry{Part: xxhash.Sum64String("GET " + target + "\n"), Quarantined: true, Expires: time.Now().Add(time.Minute)}
+	for i := range 3 {
+		entry.Crashes = append(entry.Crashes, poisonpart.Crash{Replica: uint64(i), At: time.Now().Add(time.Duration(i-10) * time.Second)})
+	}
+	g.store.Put(platform.KindRequests, poisonpart.Name(entry.Part), poisonpart.NewRecord(&entry))
+	g.putConfig(t, 1)
+	status := func(target string) int {
+		request, err := http.NewRequest(http.MethodGet, "http://"+g.Listen+target, nil)
+		require.NoError(t, err)
+		request.Header.Set("Heatherbarrow-Attempt-Id", "1")
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	require.Eventually(t, func() bool { return status(target) == http.StatusServiceUnavailable }, 20*time.Second, 5*time.Millisecond)
+	assert.Equal(t, http.StatusOK, status("/r/sound"))
+
+	// The store loses what the hosts wrote there; they write it again.
+	saved := g.store.Copy()
+	saved.Drop(platform.KindRequests)
+	g.store.Restore(saved)
+	require.Zero(t, g.store.Count(platform.KindRequests))
+	assert.Eventually(t, func() bool { return g.store.Count(platform.KindRequests) == 1 }, 20*time.Second, 5*time.Millisecond)
+	assert.Equal(t, http.StatusServiceUnavailable, status(target))
+}
