proxy: an attempt that was not sent takes no second retry from the budget

Callers saw streams break off, and requests fail, for want of retry budget although no replica had received the retry: a retry whose replica could not be connected to was paid, and the attempt after it was paid again.

Cause: mayRetry took a retry for each attempt after the first one that was sent, whether or not the last one was. The budget bounds what reaches replicas.

--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -47,6 +47,7 @@
 type progress struct {
 	sentAttempts   int               // attempts in which the request was sent to a replica
 	triedReplicas  int               // one for each attempt, including replicas that were unreachable
+	paidAttempts   int               // of sentAttempts, those up to which the retry budget was asked
 	possibleRuns   int               // attempts in which a replica may have run the request
 	unreachable    bool              // replicas could not be connected to, or one did not answer at all when a connection was opened
 	noHelper       bool              // no other host runs the request
@@ -174,13 +175,14 @@
 	if result != attemptNotRun && (!e.route.Repeatable() || p.possibleRuns >= e.route.MaxAttempts) {
 		return false
 	}
-	if p.sentAttempts == 0 {
-		return true // no replica has received the request, so the next attempt is not a retry
+	if p.sentAttempts == 0 || p.paidAttempts > p.sentAttempts {
+		return true // no replica has received the request, or the last retry, so the next attempt is not a further one
 	}
 	if !e.server.opts.Budget.Allow(upstreamName) {
 		e.record.reason = "retry_budget"
 		return false
 	}
+	p.paidAttempts = p.sentAttempts + 1
 	return true
 }
 
