gateway: tell replicas' processes apart where streams depend on their version

Cause: the registration that a host holds was taken for what runs at the replica's address, however old it was and though connections to the process had broken. Class: a version that is not known taken for one that fits.

Now the host keeps evidence of the process: a connection leads to the process that was known to live at a later moment than the connection was opened. A stream that goes on is sent to no other process. The streams of an unregistered process are recorded under that process: they go on there, and at its version once its registration has arrived. If the process does not tell, they are recorded as unknown, so that no host infers their version. A version that was not stated fits no other while replicas of the upstream state theirs.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -206,14 +206,18 @@
 		m := &changed[i]
 		f.dropStatementOfEarlierProcess(m)
 		r, ok := f.replicas[m.ID]
-		if ok && !r.member.SameProcess(m) {
-			f.remove(r)
-			ok = false
-		}
-		if ok {
+		if ok && r.member.SameProcess(m) {
 			r.member = *m
 		} else {
-			f.insert(newReplica(*m))
+			next := newReplica(*m)
+			if ok {
+				if m.Started <= r.process.started {
+					// A store that came back from a copy may list an earlier process.
+					next.process = r.process
+				}
+				f.remove(r)
+			}
+			f.insert(next)
 		}
 		if s, ok := f.statements[m.ID]; ok {
 			f.applyToReplica(s)
--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -25,6 +25,7 @@
 	fingerprint    uint64   // of the request
 	parts          []uint64 // Request.Parts
 	answering      bool     // the head of the answer has arrived
+	process        int64    // start of the process that the request was sent to; 0 if it is not known
 }
 
 // Result is the outcome of an attempt.
@@ -71,6 +72,7 @@
 	*f.zone(l.replica.member.Zone) = zone{}
 	f.reach.recordContact()
 	l.replica.consecutiveConnectFailures = 0
+	l.recordProcessAlive(now)
 	latency := now.Sub(l.started)
 	p := f.pool(l.replica.member.Upstream)
 	if l.idle != nil && l.Copied == 0 {
@@ -124,7 +126,13 @@
 		r.consecutiveConnectFailures = 0
 	}
 	switch result {
+	case Truncated, ConnectionLost, Unconnected, Misdirected:
+		r.process.doubtedAt = now
+	case Served, ServedUnframed, Failed, Rejected, Abandoned:
+	}
+	switch result {
 	case Served:
+		l.recordProcessAlive(now)
 		f.reach.recordContact()
 		r.recordSuccess()
 		f.poison.Ended(l.fingerprint, true)
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/scheduling/quarantine"
 	"heatherbarrow/internal/scheduling/requestlimit"
 )
@@ -31,9 +32,25 @@
 
 	// SoftwareVersion is the only version of the replicas' software that may serve the request; nil for any.
 	SoftwareVersion *string
+	// Resumable means that the answer is a stream that other replicas of the same software version may continue.
+	Resumable bool
 
 	homeReplica *replica // home replica of the session, cached
 	sources     []source // replicas to copy the prompt from, cached
+	version     string   // SoftwareVersion, or that of the registration for which it stands
+	process     string   // ID of the replica whose process SoftwareVersion stands for, if its registration is not known
+	noVersion   bool     // no replica is known to have SoftwareVersion, as it was not stated and others are
+}
+
+// prepare sets the cached fields.
+func (q *Request) prepare(f *Fleet, p *pool, now time.Time) {
+	q.sources = f.sources(p, q, now)
+	if q.SoftwareVersion == nil {
+		return
+	}
+	q.version = f.resolveVersion(*q.SoftwareVersion)
+	q.process, _, _ = origin.ParseProcessVersion(q.version)
+	q.noVersion = q.version == "" && p.statesVersions()
 }
 
 // Reasons for refusals.
@@ -105,6 +122,9 @@
 	// failureCost is the cost of a replica that fails all requests. It exceeds the wait
 	// that still meets most targets.
 	failureCost = time.Second
+	// unknownVersionCost is the cost of a replica whose software version is not known, as no other replica can continue
+	// its streams, or is in doubt, for a stream that goes on at one version only.
+	unknownVersionCost = 50 * time.Millisecond
 	// costJitter bounds the random cost that spreads the choices of hosts which see the
 	// same state. It is about one step of an engine.
 	costJitter = 6 * time.Millisecond
@@ -146,7 +166,7 @@
 		return nil, &Refusal{Reason: ReasonPoisonPart, RetryAfter: expires.Sub(now), Part: part}
 	}
 	p := f.pool(q.Upstream)
-	q.sources = f.sources(p, q, now)
+	q.prepare(f, p, now)
 	best, skipped := f.choose(p, q, now)
 	if best.replica == nil {
 		switch skipped {
@@ -193,7 +213,7 @@
 		return false
 	}
 	p := f.pool(q.Upstream)
-	q.sources = f.sources(p, q, now)
+	q.prepare(f, p, now)
 	best, _ := f.choose(p, q, now)
 	return best.replica != nil && f.refuse(p, q, &best, now) == nil
 }
@@ -255,9 +275,12 @@
 	return wait, ok
 }
 
-// allows reports whether the replica's registration permits this request to it.
+// allows reports whether the replica's registration, and what is known of its process, permit this request to it.
 func (q *Request) allows(r *replica, now time.Time) bool {
-	return r.member.usable(now) && (q.SoftwareVersion == nil || *q.SoftwareVersion == r.member.SoftwareVersion)
+	if !r.member.usable(now) || q.SoftwareVersion == nil {
+		return r.member.usable(now)
+	}
+	return !q.noVersion && (q.version == r.version() || q.process == r.member.ID) && !r.process.silent(now)
 }
 
 // usableReplicas returns the number of replicas whose registration allows requests.
@@ -364,6 +387,9 @@
 			c.cost += avoidedZoneCost
 		}
 	}
+	if q.Resumable && r.replaced() || q.SoftwareVersion != nil && r.process.inDoubt() {
+		c.cost += unknownVersionCost
+	}
 	c.cost += time.Duration(r.failureRate * float64(failureCost))
 	c.cost += time.Duration(f.random.Int64N(int64(costJitter)))
 	return c
--- /dev/null
+++ b/internal/gateway/fleet/process.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"time"
+
+	"heatherbarrow/internal/gateway/origin"
+)
+
+// A replica's registration tells which process has its address and of which software version that is. While the
+// store is away, or before the registration is renewed, another process may have taken over ID and address. A
+// process lives for one span of time and owns its connections, so a connection leads to a process if it was opened
+// before a moment at which that process was known to live.
+
+// processEvidence is what a host knows of the process at a replica's address. It is guarded by Fleet.mu.
+type processEvidence struct {
+	started   int64     // Member.Started, or what another process states
+	aliveAt   time.Time // when that process was last known to live
+	doubtedAt time.Time // when a connection broke or could not be opened, as when a process ends
+	askAfter  time.Time // when it may be asked again after it has not answered
+}
+
+// processQuestionInterval is the shortest time between a question that a process has left unanswered and the next.
+const processQuestionInterval = time.Second
+
+// inDoubt reports whether the process may have ended.
+func (p *processEvidence) inDoubt() bool { return p.doubtedAt.After(p.aliveAt) }
+
+// silent reports whether the process recently left a question unanswered.
+func (p *processEvidence) silent(now time.Time) bool { return now.Before(p.askAfter) }
+
+// recordAlive records that the process lived at the given time.
+func (p *processEvidence) recordAlive(at time.Time) {
+	if at.After(p.aliveAt) {
+		p.aliveAt = at
+	}
+}
+
+// replaced reports whether another process than the registered one answers at the replica's address.
+func (r *replica) replaced() bool { return r.process.started != r.member.Started }
+
+// version returns the software version of the process at the replica's address, or what stands for it.
+func (r *replica) version() string {
+	if r.replaced() {
+		return origin.ProcessVersion(r.member.ID, r.process.started)
+	}
+	return r.member.SoftwareVersion
+}
+
+// resolveVersion returns the version that a registration states for a process, if the given version stands for that
+// of a process and its registration has arrived.
+func (f *Fleet) resolveVersion(version string) string {
+	if id, started, ok := origin.ParseProcessVersion(version); ok {
+		if r, registered := f.replicas[id]; registered && r.member.Started == started && r.member.SoftwareVersion != "" {
+			return r.member.SoftwareVersion
+		}
+	}
+	return version
+}
+
+// statesVersions reports whether any replica of the pool states its software version.
+func (p *pool) statesVersions() bool {
+	for _, r := range p.replicas {
+		if r.member.SoftwareVersion != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// ProcessKnown reports whether the process is known that a connection opened at the given time leads to; see
+// SoftwareVersion. registrationsCurrent means that this host's registrations are up to date, so that a process that
+// nothing speaks against is taken for the registered one.
+func (l *Lease) ProcessKnown(openedAt time.Time, registrationsCurrent bool, now time.Time) bool {
+	f, r := l.fleet, l.replica
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := !openedAt.After(r.process.aliveAt)
+	if !known && registrationsCurrent && f.replicas[l.Member.ID] == r && !r.replaced() && !r.process.inDoubt() {
+		known = true
+		r.process.recordAlive(now)
+	}
+	l.process = 0
+	if known {
+		l.process = r.process.started
+	}
+	return known
+}
+
+// DoubtProcess records that a connection to the replica broke, as when its process ends.
+func (l *Lease) DoubtProcess(now time.Time) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	l.replica.process.doubtedAt = now
+}
+
+// MayAskProcess reports whether the replica's process may be asked which one it is.
+func (l *Lease) MayAskProcess(now time.Time) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return !l.replica.process.silent(now)
+}
+
+// RecordProcessSilent records that the process did not answer which one it is.
+func (l *Lease) RecordProcessSilent(now time.Time) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	l.replica.process.askAfter = now.Add(processQuestionInterval)
+}
+
+// RecordProcess records the start time that the process at the replica's address has stated, asked at the given
+// time, and returns whether it is the process of the registration.
+func (l *Lease) RecordProcess(started int64, askedAt time.Time) (registered bool) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	r := l.replica
+	if started != r.process.started {
+		r.process = processEvidence{started: started}
+	}
+	r.process.askAfter = time.Time{}
+	r.process.recordAlive(askedAt)
+	l.process = started
+	return !r.replaced()
+}
+
+// recordProcessAlive records that the process which the request was sent to has answered.
+func (l *Lease) recordProcessAlive(now time.Time) {
+	if p := &l.replica.process; l.process != 0 && l.process == p.started {
+		p.recordAlive(now)
+	}
+}
+
+// SoftwareVersion returns the software version of the process that ProcessKnown or RecordProcess has found, or what
+// stands for it.
+func (l *Lease) SoftwareVersion() string {
+	if l.process != 0 && l.process != l.Member.Started {
+		return origin.ProcessVersion(l.Member.ID, l.process)
+	}
+	return l.Member.SoftwareVersion
+}
+
+// HasVersion reports whether that process has the given software version.
+func (l *Lease) HasVersion(version string) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return l.fleet.resolveVersion(l.SoftwareVersion()) == l.fleet.resolveVersion(version)
+}
--- /dev/null
+++ b/internal/gateway/fleet/process_test.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// streamRequest returns a request for a stream that goes on at the given software version.
+func streamRequest(version string) *Request {
+	q := longAnswerRequest()
+	q.Resumable, q.SoftwareVersion = true, &version
+	return q
+}
+
+// versioned returns a fleet with an engine of each given software version.
+func versioned(versions ...string) (*Fleet, []Member) {
+	f := newFleet(len(versions))
+	var members []Member
+	for i, version := range versions {
+		members = append(members, Member{ID: string(rune('a' + i)), Upstream: engines, Address: "10.0.0.9:" + string(rune('1'+i)), Zone: "a", Slots: 64, Started: 100, SoftwareVersion: version})
+	}
+	f.SetMembers(members)
+	return f, members
+}
+
+// Guards against a process that is taken for the registered one after its connections broke, or while the
+// registrations are out of date.
+func TestProcessIsKnownOnlyWithEvidence(t *testing.T) {
+	f, _ := versioned("v1")
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	l := pick(t, f, streamRequest("v1"), at(0))
+	assert.False(t, l.ProcessKnown(at(1), false, at(1)), "nothing is known while the registrations may be out of date")
+	assert.True(t, l.ProcessKnown(at(1), true, at(2)))
+	assert.True(t, l.ProcessKnown(at(1), false, at(3)), "the connection was opened while the process lived")
+	assert.False(t, l.ProcessKnown(at(3), false, at(3)), "a later connection may lead to another one")
+	l.ProcessKnown(at(1), false, at(3))
+	l.FirstByte(at(5))
+	assert.True(t, l.ProcessKnown(at(4), false, at(6)), "the process answered after that")
+	l.End(ConnectionLost, at(10))
+
+	l = pick(t, f, streamRequest("v1"), at(1000))
+	assert.False(t, l.ProcessKnown(at(1001), true, at(1001)), "a process may have ended with the connection")
+	assert.True(t, l.MayAskProcess(at(1001)))
+	assert.True(t, l.RecordProcess(100, at(1002)))
+	assert.True(t, l.ProcessKnown(at(1001), false, at(1003)))
+	assert.True(t, l.ProcessKnown(at(1003), true, at(1004)), "the doubt is over")
+}
+
+// Guards against streams that go on at a process that took over a replica's ID and address.
+func TestStreamDoesNotGoOnAtReplacedProcess(t *testing.T) {
+	f, members := versioned("v1")
+	l := pick(t, f, streamRequest("v1"), start)
+	assert.False(t, l.RecordProcess(200, start))
+	began := l.SoftwareVersion() // of a stream that this process begins
+	assert.False(t, l.HasVersion("v1"))
+	l.End(Abandoned, start)
+	assert.Equal(t, l.Member.ID, pick(t, f, streamRequest(began), start).Member.ID, "its own streams may go on there")
+	_, refusal := f.Pick(streamRequest("v1"), start)
+	require.NotNil(t, refusal)
+	assert.Equal(t, ReasonVersionGone, refusal.Reason)
+	pick(t, f, longAnswerRequest(), start).End(Served, start) // others are not concerned
+
+	// The entry of the new process arrives, and then a store restored from a copy lists the earlier one.
+	later := members[0]
+	later.Started, later.SoftwareVersion = 200, "v2"
+	other := later
+	other.ID, other.Address = "x", "10.0.0.9:9"
+	f.Update([]Member{later, other}, nil)
+	pick(t, f, streamRequest("v2"), start).End(Served, start)
+	ids := map[string]bool{}
+	for range 40 {
+		ids[pick(t, f, streamRequest(began), start).Member.ID] = true
+	}
+	assert.Len(t, ids, 2, "the version of the process is known by now")
+	f.Update(members, nil)
+	_, refusal = f.Pick(streamRequest("v1"), start)
+	assert.NotNil(t, refusal)
+}
+
+// Guards against a continuation that waits at a replica which does not tell which process it is.
+func TestSilentProcessIsNotAskedAgainAtOnce(t *testing.T) {
+	f, _ := versioned("v1", "v1")
+	l := pick(t, f, streamRequest("v1"), start)
+	l.RecordProcessSilent(start)
+	assert.False(t, l.MayAskProcess(start))
+	assert.True(t, l.MayAskProcess(start.Add(processQuestionInterval)))
+	for range 8 {
+		assert.NotEqual(t, l.Member.ID, pick(t, f, streamRequest("v1"), start).Member.ID)
+	}
+}
+
+// Guards against a stream of a replica that did not state its software version and goes on at another such replica:
+// what is not known is not the same.
+func TestUnstatedVersionsDoNotFitWhereOthersAreStated(t *testing.T) {
+	f, _ := versioned("", "", "v1")
+	_, refusal := f.Pick(streamRequest(""), start)
+	assert.NotNil(t, refusal)
+	f, _ = versioned("", "")
+	_, refusal = f.Pick(streamRequest(""), start)
+	assert.Nil(t, refusal, "no replica of the upstream states its version")
+}
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -84,7 +84,8 @@
 	restUntil                  time.Time // until when the replica wants no requests of this host
 	brittle                    brittle
 	limit                      *replicaLimit // nil if the replica has not stated one
-	suspects                   []suspect     // until the replica is inspected
+	process                    processEvidence
+	suspects                   []suspect // until the replica is inspected
 }
 
 // suspect is a request whose answer ended in a way in which the crash of its replica would end it.
@@ -112,6 +113,7 @@
 		pending:  make(map[*Lease]struct{}),
 		peers:    make(map[string]Use),
 		slowness: 1,
+		process:  processEvidence{started: m.Started},
 	}
 	// NewLRU fails only for a size below one.
 	r.cachedParts, _ = simplelru.NewLRU(maxPartsPerReplica, func(_ uint64, part cachedPart) { r.cachedPartTokens -= part.tokens })
--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -5,6 +5,8 @@
 
 import (
 	"errors"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +34,27 @@
 	ErrUnreachable = errors.New("origin of the stream cannot be asked for")
 )
 
+// UnknownVersion is the version of a process that is not known to be the registered one. It is recorded so that the
+// version of the stream is not inferred from the registrations.
+const UnknownVersion = "\x00"
+
+// ProcessVersion stands for the version of a process that is not the registered one of the replica with the given ID:
+// until its registration arrives, its streams may go on there only.
+func ProcessVersion(replicaID string, started int64) string {
+	return UnknownVersion + strconv.FormatInt(started, 10) + "/" + replicaID
+}
+
+// ParseProcessVersion returns the arguments of ProcessVersion, or false if the version is none of its results.
+func ParseProcessVersion(version string) (replicaID string, started int64, ok bool) {
+	text, ok := strings.CutPrefix(version, UnknownVersion)
+	if !ok {
+		return "", 0, false
+	}
+	text, replicaID, ok = strings.Cut(text, "/")
+	started, err := strconv.ParseInt(text, 10, 64)
+	return replicaID, started, ok && err == nil
+}
+
 // Origin is what began a stream.
 type Origin struct {
 	Upstream string
--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -103,20 +103,30 @@
 	}
 	for address, entries := range byKeeper {
 		for part := range slices.Chunk(entries, maxOriginsPerDatagram) {
-			// Sequence 0 makes hosts that do not know this kind of datagram ignore it as an old heartbeat.
-			message := &rpc.Beat{Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, StreamOrigins: originsToProto(part)}
-			data, err := proto.Marshal(message)
-			if err != nil {
-				e.opts.Logger.Error().Err(err).Msg("cannot encode origins of streams")
-				return
-			}
-			if _, err := e.socket.WriteToUDP(data, addresses[address]); err != nil {
-				e.opts.Logger.Debug().Err(err).Str("to", address).Msg("cannot send origins of streams")
-			}
+			e.sendOrigins(part, addresses[address])
 		}
 	}
 }
 
+// sendOrigins sends streams to a keeper, in several datagrams if they have too many different origins for one.
+func (e *Exchange) sendOrigins(entries []origin.Entry, to *net.UDPAddr) {
+	// Sequence 0 makes hosts that do not know this kind of datagram ignore it as an old heartbeat.
+	message := &rpc.Beat{Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, StreamOrigins: originsToProto(entries)}
+	if half := len(entries) / 2; half > 0 && proto.Size(message) > maxDatagramBytes {
+		e.sendOrigins(entries[:half], to)
+		e.sendOrigins(entries[half:], to)
+		return
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		e.opts.Logger.Error().Err(err).Msg("cannot encode origins of streams")
+		return
+	}
+	if _, err := e.socket.WriteToUDP(data, to); err != nil {
+		e.opts.Logger.Debug().Err(err).Stringer("to", to).Msg("cannot send origins of streams")
+	}
+}
+
 // Record implements proxy.Origins.
 func (e *Exchange) Record(attemptID string, o origin.Origin, now time.Time) {
 	e.opts.Origins.Record(attemptID, o, now)
@@ -173,15 +183,22 @@
 func (e *Exchange) onlyOrigin(upstreams []string) (origin.Origin, bool) {
 	now := time.Now()
 	followsStore := e.opts.Role.Following() && e.opts.State.StoreAnsweredRecently()
-	if e.opts.State.MembersAsOf() == 0 || !followsStore && !e.upToDateWithPeers() {
+	if e.opts.State.MembersAsOf() == 0 || !followsStore && !e.upToDateWithPeers(false) {
 		return origin.Origin{}, false
 	}
 	return e.opts.Origins.Only(upstreams, now)
 }
 
+// RegistrationsCurrent reports whether this host's registrations are those of the store, as far as it can tell.
+func (e *Exchange) RegistrationsCurrent() bool {
+	s := e.opts.State
+	return e.opts.Role.Following() && s.StoreReachable() && s.StoreAnsweredRecently() || e.upToDateWithPeers(true)
+}
+
 // upToDateWithPeers reports whether other hosts send heartbeats and none announces newer state. A heartbeat from
-// before a suspension of this host does not count.
-func (e *Exchange) upToDateWithPeers() bool {
+// before a suspension of this host does not count, with storeReachable set also none of a host whose last call to the
+// store failed.
+func (e *Exchange) upToDateWithPeers(storeReachable bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	heard := false
@@ -192,7 +209,7 @@
 		if !p.aheadSince.IsZero() {
 			return false
 		}
-		heard = true
+		heard = heard || p.storeReachable || !storeReachable
 	}
 	return heard
 }
--- a/internal/gateway/peers/origins_test.go
+++ b/internal/gateway/peers/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/state"
+	"heatherbarrow/internal/objectstore"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -123,3 +125,47 @@
 	require.NoError(t, err)
 	assert.Equal(t, v2, o, "the keeper knows better than the list")
 }
+
+// Guards against registrations that are taken for up to date while no host that this one hears reaches the store.
+func TestRegistrationsAreCurrentOnlyWithTheStore(t *testing.T) {
+	h := newTestHost(t, "h", "127.0.0.1:9")
+	require.NoError(t, h.state.Publish(state.StoreCall{}))
+	assert.True(t, h.RegistrationsCurrent())
+	require.NoError(t, h.state.Publish(state.StoreCall{Err: objectstore.ErrUnavailable}))
+	assert.False(t, h.RegistrationsCurrent(), "the store has gone away")
+	h.AddInZone("127.0.0.1:1", "a")
+	p := h.peers["127.0.0.1:1"]
+	p.heard.Set()
+	assert.False(t, h.RegistrationsCurrent(), "the other host does not reach it either")
+	p.storeReachable = true
+	assert.True(t, h.RegistrationsCurrent())
+	p.aheadSince = time.Now()
+	assert.False(t, h.RegistrationsCurrent(), "the other host has newer ones")
+}
+
+// Guards against reports of streams that are lost because many different origins do not fit a datagram.
+func TestReportOfManyOriginsIsSplit(t *testing.T) {
+	from := newTestHost(t, "from", "127.0.0.1:1")
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	from.socket = socket
+	var entries []origin.Entry
+	for i := range maxOriginsPerDatagram {
+		version := origin.ProcessVersion(fmt.Sprintf("i-%08x", i), int64(1_700_000_000_000+i))
+		entries = append(entries, origin.Entry{Stream: uint64(i), Origin: origin.Origin{Upstream: "heatherbarrow-pool", Version: version}})
+	}
+	from.sendOrigins(entries, socket.LocalAddr().(*net.UDPAddr))
+	var received []origin.Entry
+	buffer := make([]byte, 1<<16)
+	for len(received) < len(entries) {
+		require.NoError(t, socket.SetReadDeadline(time.Now().Add(time.Second)))
+		n, err := socket.Read(buffer)
+		require.NoError(t, err)
+		assert.LessOrEqual(t, n, maxDatagramBytes)
+		var message rpc.Beat
+		require.NoError(t, proto.Unmarshal(buffer[:n], &message))
+		received = append(received, originsFromProto(message.StreamOrigins)...)
+	}
+	assert.ElementsMatch(t, entries, received)
+}
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -168,16 +168,16 @@
 			firstEventAt = time.Now()
 			lease.FirstByte(firstEventAt)
 		}
-		e.resetStallTimer(watchdog, lease)
 		if !isNextEvent(&event, p.lastEventID, p.events > eventsBefore) {
 			return e.handleBrokenStream(errors.New("event ID is out of sequence"), response, lease, p, controller)
 		}
 		if !p.headerSent {
-			e.recordOrigin(lease, p)
+			e.recordOrigin(lease, response.Checked || !e.processMatters(lease), p)
 			e.record.firstEventAfter = time.Since(e.arrived)
 			e.sendStreamHeader(response, p)
 			_, err = e.w.Write(bufferedComments)
 		}
+		e.resetStallTimer(watchdog, p)
 		if err == nil {
 			_, err = e.w.Write(event.Raw)
 		}
@@ -223,11 +223,11 @@
 // resetStallTimer restarts a running watchdog with the time allowed until the next event, or
 // stops it if the route sets no GapTarget. A watchdog that is not running, for example because
 // the stream cannot continue on another replica, stays stopped.
-func (e *exchange) resetStallTimer(w *watchdog, lease *fleet.Lease) {
+func (e *exchange) resetStallTimer(w *watchdog, p *progress) {
 	if !w.timer.Stop() || e.route.GapTarget <= 0 {
 		return
 	}
-	w.software.Store(&lease.Member.SoftwareVersion)
+	w.software.Store(&p.origin.Version)
 	w.timer.Reset(max(time.Duration(stallTimeoutGaps*float64(e.route.GapTarget)), minResponseTimeout))
 }
 
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -56,6 +56,8 @@
 	delegated          tally.Counter // run by other hosts
 	leavingReplicas    tally.Counter // that said that they leave
 	restingReplicas    tally.Counter // that wanted no requests for a time
+	processQuestions   tally.Counter // asked replicas which process they are
+	replacedProcesses  tally.Counter // of these, answered by another one than the registered
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
 
 	mu        sync.Mutex
@@ -73,6 +75,8 @@
 		delegated:          scope.Counter("delegated_requests"),
 		leavingReplicas:    scope.Counter("replicas_said_leaving"),
 		restingReplicas:    scope.Counter("replicas_resting"),
+		processQuestions:   scope.Counter("process_questions"),
+		replacedProcesses:  scope.Counter("processes_replaced"),
 		limitedAttempts:    scope.Counter("limited_attempts"),
 		requests:           make(map[requestSeries]tally.Counter),
 		refusals:           make(map[string]refusalCounter),
--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -8,6 +8,7 @@
 
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/origin"
+	"heatherbarrow/internal/gateway/upstream"
 )
 
 const (
@@ -44,7 +45,7 @@
 	case errors.Is(err, origin.ErrUnreachable):
 		e.refuse(http.StatusServiceUnavailable, "origin_unreachable", e.boundRetryAfter(originUnreachableRetryAfter))
 		return false
-	case err != nil:
+	case err != nil, o.Version == origin.UnknownVersion:
 		// No retry time: the stream cannot go on later either.
 		e.refuse(http.StatusServiceUnavailable, "unknown_origin", 0)
 		return false
@@ -53,13 +54,17 @@
 	return true
 }
 
-// recordOrigin notes the origin of a stream when its first event has arrived.
-func (e *exchange) recordOrigin(lease *fleet.Lease, p *progress) {
+// recordOrigin notes the origin of a stream when its first event has arrived. processKnown means that it is known
+// which process sent it.
+func (e *exchange) recordOrigin(lease *fleet.Lease, processKnown bool, p *progress) {
 	if lease.Member.ID == "" {
 		return // the host that runs the request records it
 	}
 	if p.origin == nil {
-		p.origin = &origin.Origin{Upstream: lease.Member.Upstream, Version: lease.Member.SoftwareVersion}
+		p.origin = &origin.Origin{Upstream: lease.Member.Upstream, Version: lease.SoftwareVersion()}
+		if !processKnown {
+			p.origin.Version = origin.UnknownVersion
+		}
 	}
 	if !e.route.Resumable {
 		return // its caller cannot take it up
@@ -74,3 +79,51 @@
 	}
 	return e.call.AttemptID
 }
+
+// processMatters reports whether it matters, and can be told, which process of the replica runs a stream: other replicas
+// may continue it, and the registration states the start of its process.
+func (e *exchange) processMatters(lease *fleet.Lease) bool {
+	return e.route.Resumable && lease.Member.Started != 0
+}
+
+// checkTimeout bounds the time in which a replica's process tells which one it is. It needs no slot for that.
+const checkTimeout = 200 * time.Millisecond
+
+// processCheck returns the check that finds which process of the replica a stream is sent to, and that a stream that
+// goes on is sent to one of its software version; nil if that does not matter.
+func (e *exchange) processCheck(lease *fleet.Lease, p *progress) *upstream.Check {
+	member := &lease.Member
+	if !e.processMatters(lease) {
+		return nil
+	}
+	s := e.server
+	fits := func() bool { return p.origin == nil || lease.HasVersion(p.origin.Version) }
+	check := &upstream.Check{
+		Target: s.opts.Dialect.ProcessTarget(), Required: p.origin != nil,
+		Broken: func() { lease.DoubtProcess(time.Now()) },
+		Known: func(openedAt time.Time) bool {
+			current := s.opts.RegistrationsCurrent == nil || s.opts.RegistrationsCurrent()
+			return lease.ProcessKnown(openedAt, current, time.Now()) && fits()
+		},
+	}
+	check.Verify = func(askedAt time.Time, status int, body []byte) bool {
+		s.metrics.processQuestions.Inc(1)
+		started, stated := s.opts.Dialect.ProcessStarted(body)
+		if status != http.StatusOK || !stated {
+			lease.RecordProcessSilent(time.Now())
+			s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", member.ID).Int("status", status).
+				Msg("replica does not tell which process it is")
+			return false
+		}
+		if !lease.RecordProcess(started, askedAt) {
+			s.metrics.replacedProcesses.Inc(1)
+			s.opts.Logger.Warn().Str("request", e.call.AttemptID).Str("replica", member.ID).Str("software", member.SoftwareVersion).
+				Int64("registered", member.Started).Int64("started", started).Msg("another process answers for the replica")
+		}
+		return fits()
+	}
+	if lease.MayAskProcess(time.Now()) {
+		check.Timeout = checkTimeout
+	}
+	return check
+}
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -151,7 +151,7 @@
 		Upstream: upstreamName, Prompt: e.prompt, PromptTokens: e.call.PromptTokens, OutputTokens: outputTokens,
 		Target: target, MaxGap: e.route.GapTarget, TimeLeft: e.timeLeft(now), Waited: e.waitedBefore + now.Sub(e.arrived) + e.suspendedTime(),
 		Urgent: e.route.Priority == 0, Priority: e.route.Priority,
-		Exclude: p.exclude, Fingerprint: e.fingerprint, Parts: e.sharedParts, Session: sessionHash(e.prompt),
+		Resumable: e.route.Resumable, Exclude: p.exclude, Fingerprint: e.fingerprint, Parts: e.sharedParts, Session: sessionHash(e.prompt),
 	}
 	if p.origin != nil {
 		req.SoftwareVersion = &p.origin.Version
@@ -169,8 +169,8 @@
 	if p.triedReplicas >= maxTriedReplicas || e.timeLeft(time.Now()) < minTimeLeft {
 		return false
 	}
-	if p.headerSent && p.lastEventID == "" {
-		return false // without event IDs, no replica can go on where the stream broke off
+	if p.headerSent && (p.lastEventID == "" || p.origin != nil && p.origin.Version == origin.UnknownVersion) {
+		return false // without event IDs or the version, no replica can go on where the stream broke off
 	}
 	if result != attemptNotRun && (!e.route.Repeatable() || p.possibleRuns >= e.route.MaxAttempts) {
 		return false
@@ -304,6 +304,7 @@
 		Header: e.server.opts.Dialect.Forward(e.r.Header, dispatch), Body: e.body,
 		NewConnection: !e.route.Repeatable() && e.route.Kind != routing.Streaming,
 		MaxIdle:       e.maxIdle(lease.Member.Upstream),
+		Check:         e.processCheck(lease, p),
 		Matches: func(status int, h http.Header, reused bool) bool {
 			id := e.server.opts.Dialect.Reply(status, h).AttemptID
 			// On a reused connection, a response without an ID may be a late duplicate of
@@ -411,7 +412,7 @@
 		p.sentAttempts++
 		p.possibleRuns++
 	}
-	if e.r.Context().Err() != nil {
+	if e.r.Context().Err() != nil || errors.Is(err, upstream.ErrUnexpectedProcess) {
 		leaseResult = fleet.Abandoned
 	}
 	e.endLease(lease, leaseResult, now)
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -43,9 +43,11 @@
 	Table func() *routing.Table
 	// Known reports whether the host knows a configuration and the replicas, which it needs
 	// to serve.
-	Known   func() bool
-	Logger  zerolog.Logger
-	Metrics tally.Scope
+	Known func() bool
+	// RegistrationsCurrent reports whether the registrations of the replicas are up to date; nil if they always are.
+	RegistrationsCurrent func() bool
+	Logger               zerolog.Logger
+	Metrics              tally.Scope
 }
 
 // Server forwards the requests of callers to replicas.
--- a/internal/gateway/routing/call.go
+++ b/internal/gateway/routing/call.go
@@ -83,4 +83,8 @@
 	Delegate(h http.Header, d Delegation) http.Header
 	// Reply reads the headers of a replica's answer.
 	Reply(status int, h http.Header) Reply
+	// ProcessTarget returns the path at which a replica's process tells when it started.
+	ProcessTarget() string
+	// ProcessStarted reads that time, in the unit of the registration, from the answer.
+	ProcessStarted(body []byte) (started int64, ok bool)
 }
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -88,6 +88,8 @@
 	// Matches reports whether a response belongs to this request: on a reused connection,
 	// a response to an earlier request may arrive first. Nil accepts every response.
 	Matches func(status int, h http.Header, reused bool) bool
+	// Check verifies which process the connection leads to before the request is sent; nil for no check.
+	Check *Check
 }
 
 // Response is a replica's response. The caller must call Close exactly once.
@@ -96,6 +98,8 @@
 	Header http.Header
 	Body   io.Reader
 	Reused bool // the request was sent on a pooled connection
+	// Checked means that Request.Check found the connection to lead to the expected process.
+	Checked bool
 	// Unframed means that the body has neither a length nor chunks and ends with the connection, so that
 	// the end of the replica's process looks like the end of the body.
 	Unframed bool
@@ -119,11 +123,11 @@
 // connection is closed if ctx ends before Close is called. The error wraps the cause
 // and either ErrNotSent or ErrNoResponse.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
-	connection, err := c.connect(ctx, req)
+	connection, checked, err := c.connectChecked(ctx, req)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrNotConnected, err)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	resp := &Response{client: c, address: req.Address, maxIdle: req.MaxIdle, id: req.ID, conn: connection, Reused: connection.usedBefore}
+	resp := &Response{client: c, address: req.Address, maxIdle: req.MaxIdle, id: req.ID, conn: connection, Reused: connection.usedBefore, Checked: checked}
 	resp.stop = context.AfterFunc(ctx, func() { _ = connection.abort() })
 	if err := resp.send(req); err != nil {
 		resp.Close()
@@ -164,13 +168,17 @@
 // connect returns a pooled connection to the replica, or opens a new one.
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
 	if !req.NewConnection {
-		if pooled := c.pool.take(req.Address, req.ID, time.Now()); pooled != nil {
+		pooled, broken := c.pool.take(req.Address, req.ID, time.Now())
+		if broken && req.Check != nil {
+			req.Check.Broken()
+		}
+		if pooled != nil {
 			return pooled, nil
 		}
 	}
 	raw, err := c.dial(ctx, "tcp", req.Address)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 	}
 	return newConn(raw), nil
 }
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -34,6 +34,7 @@
 	net.Conn
 	byteLimiter *byteLimiter // between the network connection and reader
 	reader      *bufio.Reader
+	openedAt    time.Time
 	reuseUntil  time.Time // the connection must not be reused after this time
 	usedBefore  bool      // it has served a request already
 	refused     []string  // IDs of the latest requests that were refused on it
@@ -41,7 +42,7 @@
 
 func newConn(raw net.Conn) *conn {
 	limiter := &byteLimiter{source: raw, remaining: unlimited}
-	return &conn{Conn: raw, byteLimiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	return &conn{Conn: raw, byteLimiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), openedAt: time.Now()}
 }
 
 // unlimited is the byteLimiter setting that disables the limit.
@@ -86,22 +87,26 @@
 }
 
 // take removes and returns an idle connection that is still open and on which the request has not been
-// refused, or returns nil if there is none.
-func (p *pool) take(address, id string, now time.Time) *conn {
+// refused, or returns nil if there is none. broken reports whether it found connections that the replica had closed
+// before their time.
+func (p *pool) take(address, id string, now time.Time) (idle *conn, broken bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
 	for len(conns) > 0 {
 		c := conns[len(conns)-1]
 		conns = conns[:len(conns)-1]
-		if now.Before(c.reuseUntil) && !slices.Contains(c.refused, id) && c.idleAndOpen() {
-			p.idle[address] = conns
-			return c
+		if now.Before(c.reuseUntil) && !slices.Contains(c.refused, id) {
+			if c.idleAndOpen() {
+				p.idle[address] = conns
+				return c, broken
+			}
+			broken = true
 		}
 		_ = c.Close()
 	}
 	delete(p.idle, address)
-	return nil
+	return nil, broken
 }
 
 // put adds an idle connection, or closes it if the replica already has as many as maxIdle (see
