--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -26,6 +26,7 @@
 	parts          []uint64 // Request.Parts
 	answering      bool     // the head of the answer has arrived
 	accepted       bool     // the replica has begun to run the request
+	process        int64    // start of the process that the request was sent to; 0 if it is not known
 }
 
 // Result is the outcome of an attempt.
@@ -73,6 +74,7 @@
 	f.reach.recordContact()
 	l.replica.consecutiveConnectFailures = 0
 	l.replica.rejections.accepted(l)
+	l.recordProcessAlive(now)
 	latency := now.Sub(l.started)
 	p := f.pool(l.replica.member.Upstream)
 	if l.idle != nil && l.Copied == 0 {
@@ -126,15 +128,22 @@
 		r.consecutiveConnectFailures = 0
 	}
 	switch result {
-	case Served, ServedUnframed, Failed, Truncated:
+	case Served, ServedUnframed, Failed:
 		r.rejections.accepted(l)
+	case Truncated:
+		r.rejections.accepted(l)
+		r.process.doubtedAt = now
 	case Rejected:
 		r.rejections.rejected(l, now)
-	case ConnectionLost, Unconnected, Abandoned, Misdirected:
+	case ConnectionLost, Unconnected, Misdirected:
+		r.rejections.ended(l)
+		r.process.doubtedAt = now
+	case Abandoned:
 		r.rejections.ended(l)
 	}
 	switch result {
 	case Served:
+		l.recordProcessAlive(now)
 		f.reach.recordContact()
 		r.recordSuccess()
 		f.poison.Ended(l.fingerprint, true)
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -85,7 +85,8 @@
 	brittle                    brittle
 	rejections                 rejections
 	limit                      *replicaLimit // nil if the replica has not stated one
-	suspects                   []suspect     // until the replica is inspected
+	process                    processEvidence
+	suspects                   []suspect // until the replica is inspected
 }
 
 // suspect is a request whose answer ended in a way in which the crash of its replica would end it.
@@ -113,6 +114,7 @@
 		pending:  make(map[*Lease]struct{}),
 		peers:    make(map[string]Use),
 		slowness: 1,
+		process:  processEvidence{started: m.Started},
 	}
 	// NewLRU fails only for a size below one.
 	r.cachedParts, _ = simplelru.NewLRU(maxPartsPerReplica, func(_ uint64, part cachedPart) { r.cachedPartTokens -= part.tokens })
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -48,6 +48,7 @@
 type progress struct {
 	sentAttempts   int               // attempts in which the request was sent to a replica
 	triedReplicas  int               // one for each attempt, including replicas that were unreachable
+	paidAttempts   int               // of sentAttempts, those up to which the retry budget was asked
 	possibleRuns   int               // attempts in which a replica may have run the request
 	unreachable    bool              // replicas could not be connected to, or one did not answer at all when a connection was opened
 	noHelper       bool              // no other host runs the request
@@ -154,7 +155,7 @@
 		Upstream: upstreamName, Prompt: e.prompt, PromptTokens: e.call.PromptTokens, OutputTokens: outputTokens,
 		Target: target, MaxGap: e.route.GapTarget, TimeLeft: e.timeLeft(now), Waited: e.waitedBefore + now.Sub(e.arrived) + e.suspendedTime(),
 		Urgent: e.route.Priority == 0, Priority: e.route.Priority,
-		Exclude: p.exclude, Fingerprint: e.fingerprint, Parts: e.sharedParts, Session: sessionHash(e.prompt),
+		Resumable: e.route.Resumable, Exclude: p.exclude, Fingerprint: e.fingerprint, Parts: e.sharedParts, Session: sessionHash(e.prompt),
 	}
 	if p.origin != nil {
 		req.SoftwareVersion = &p.origin.Version
@@ -172,14 +173,14 @@
 	if p.triedReplicas >= maxTriedReplicas || e.timeLeft(time.Now()) < minTimeLeft {
 		return false
 	}
-	if p.headerSent && p.lastEventID == "" {
-		return false // without event IDs, no replica can go on where the stream broke off
+	if p.headerSent && (p.lastEventID == "" || p.origin != nil && p.origin.Version == origin.UnknownVersion) {
+		return false // without event IDs or the version, no replica can go on where the stream broke off
 	}
 	if result != attemptNotRun && (!e.route.Repeatable() || p.possibleRuns >= e.route.MaxAttempts) {
 		return false
 	}
-	if p.sentAttempts == 0 {
-		return true // no replica has received the request, so the next attempt is not a retry
+	if p.sentAttempts == 0 || p.paidAttempts > p.sentAttempts {
+		return true // no replica has received the request, or the last retry, so the next attempt is not a further one
 	}
 	allow := e.server.opts.Budget.Allow
 	if p.possibleRuns == 0 && !p.headerSent {
@@ -189,6 +190,7 @@
 		e.record.reason = "retry_budget"
 		return false
 	}
+	p.paidAttempts = p.sentAttempts + 1
 	return true
 }
 
@@ -317,6 +319,7 @@
 		Header: e.server.opts.Dialect.Forward(e.r.Header, dispatch), Body: e.body,
 		NewConnection: !e.route.Repeatable() && e.route.Kind != routing.Streaming,
 		MaxIdle:       e.maxIdle(lease.Member.Upstream),
+		Check:         e.processCheck(lease, p),
 		Matches: func(status int, h http.Header, reused bool) bool {
 			id := e.server.opts.Dialect.Reply(status, h).AttemptID
 			// On a reused connection, a response without an ID may be a late duplicate of
@@ -424,7 +427,7 @@
 		p.sentAttempts++
 		p.possibleRuns++
 	}
-	if e.abandoned() {
+	if e.abandoned() || errors.Is(err, upstream.ErrUnexpectedProcess) {
 		leaseResult = fleet.Abandoned
 	}
 	e.endLease(lease, leaseResult, now)
