peers: a pull from a stalled host holds up no others for 2 s

A host without a watch on the store could answer as an older configuration said for more than 2 s after a change (CONFIG), when the host that announced the change to it was paused at that moment. Found by reading.

Cause: pulls run one after another, and one from a host that accepts connections and does not answer took 2 s.

A pull ends when its answer has not begun after 0.5 s. Its body may take 2 s as before.

--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -41,6 +41,9 @@
 	// pullTimeout bounds a pull: 3,000 replicas take 0.2 MB, over links of 24 Mbit/s that are
 	// shared with other pulls.
 	pullTimeout = 2 * time.Second
+	// pullAnswerTimeout bounds the time until the answer to a pull begins. A host composes it within milliseconds;
+	// one that is paused must not hold up pulls from others.
+	pullAnswerTimeout = 500 * time.Millisecond
 	// maxPullBytes bounds the response to a pull: the largest configuration (1 MB) and all
 	// replicas fit.
 	maxPullBytes = 8 << 20
@@ -204,7 +207,9 @@
 	}
 	// Each call opens a connection: one that has been idle may have gone silent, which only the timeout of the
 	// call would show, too late for a change of the configuration.
-	transport := &http.Transport{DialContext: opts.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: netio.MaxHeaderBytes}
+	transport := &http.Transport{
+		DialContext: opts.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: netio.MaxHeaderBytes, ResponseHeaderTimeout: pullAnswerTimeout,
+	}
 	e.client = &http.Client{Transport: netio.BoundBodies(transport, maxPullBytes), Timeout: pullTimeout}
 	return e
 }
--- a/internal/gateway/peers/silence_test.go
+++ b/internal/gateway/peers/silence_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -27,3 +28,21 @@
 		relay.Silence()
 	}
 }
+
+// Guards against a host without a watch of its own that gets a change of the configuration too late because the host
+// which announced it first stalls: other hosts have the change too.
+func TestPullFromStalledHostLeavesTimeForAnotherOne(t *testing.T) {
+	stalled, err := net.Listen("tcp", "127.0.0.1:0") // the kernel accepts connections for a stopped process
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = stalled.Close() })
+	ahead := newTestHost(t, "ahead", "127.0.0.1:1")
+	ahead.publish(t, "7")
+	behind := newTestHost(t, "behind", "127.0.0.1:2")
+	behind.opts.Role.Set(false)
+	go behind.pullLoop(t.Context())
+	started := time.Now()
+	behind.pullAddresses <- stalled.Addr().String()
+	behind.pullAddresses <- ahead.serve(t)
+	assert.Eventually(t, func() bool { return behind.state.ConfigVersion() == 7 }, 2*pullTimeout, time.Millisecond)
+	assert.Less(t, time.Since(started), time.Second, "a change must be in force within 2 s")
+}
