--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X heatherbarrow/internal/cli.Version=$(VERSION)
 
-.PHONY: build test lint format generate demo bench faults soak fuzz clean
+.PHONY: build test lint format generate demo bench faults soak soak-config fuzz clean
 
 build:
 	@mkdir -p bin
@@ -51,6 +51,12 @@
 	@mkdir -p out
 	HEATHERBARROW_SOAK_LOGS=$(CURDIR)/out/soak HEATHERBARROW_SOAK_EARLIER=$(EARLIER) SEEDS=$(SEEDS) SEED=$(SEED) $(GO) test -count=1 -v -timeout 90m -run '^TestSoak$$' ./internal/soak
 
+# soak-config changes the configuration while faults are played: SEEDS and SEED as for soak, SECONDS is the time of a
+# seed, SITE a site file whose hosts and zones are used, BUSY a number of busy processes beside.
+soak-config:
+	@mkdir -p out
+	HEATHERBARROW_SOAK_LOGS=$(CURDIR)/out/soak SEEDS=$(SEEDS) SEED=$(SEED) SECONDS=$(SECONDS) SITE=$(SITE) BUSY=$(BUSY) $(GO) test -count=1 -v -timeout 90m -run '^TestConfigSoak$$' ./internal/soak
+
 # fuzz runs each fuzz target for 5 s; go test alone runs their seeds.
 fuzz:
 	GO="$(GO)" ./scripts/fuzz.sh
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -40,7 +40,11 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "build", "-o", dir, "heatherbarrow/cmd/heatherbarrow-gateway").CombinedOutput()
+	args := []string{"build", "-o", dir}
+	if os.Getenv("HEATHERBARROW_SOAK_RACE") != "" {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args, "heatherbarrow/cmd/heatherbarrow-gateway")...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w\n%s", err, out)
 	}
@@ -101,6 +105,7 @@
 	log      string
 	store    *link
 	boot     atomic.Int64 // counts starts
+	env      []string     // of the process; nil for that of the test
 
 	troubled atomic.Bool // stopped or paused by a fault in play
 
@@ -126,7 +131,7 @@
 	require.NoError(h.t, err)
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(program, "--config", h.path)
-	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Stdout, cmd.Stderr, cmd.Env = log, log, h.env
 	require.NoError(h.t, cmd.Start())
 	exited := make(chan struct{})
 	go func() {
@@ -211,32 +216,44 @@
 	}
 	d.configure()
 	dir := t.TempDir()
-	seed := net.JoinHostPort(hostAddress(0), "9003")
 	for i := range zones * perZone {
-		address := hostAddress(i)
-		h := &host{t: t, name: fmt.Sprintf("h%d", i), log: filepath.Join(dir, fmt.Sprintf("h%d.log", i)), path: filepath.Join(dir, fmt.Sprintf("h%d.json", i))}
-		h.store = newLink(t, proxies, d.store.Address())
-		h.settings = &gateway.Settings{
-			Host: h.name, AvailabilityZone: zoneName(i % zones), LogLevel: "info", Listen: address + ":9001", ReadyListen: address + ":9002",
-			PeerListen: address + ":9003", BeatPort: 9004, Seeds: []string{seed}, Store: h.store.proxy.Listen, MemoryLimitMB: 400,
-			RetryShare: retryShare, RetrySlack: retrySlack, GraceSeconds: graceSeconds,
-			WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(balancerLag),
-		}
-		require.NoError(t, h.settings.Validate())
-		data, err := json.Marshal(h.settings)
-		require.NoError(t, err)
-		require.NoError(t, os.WriteFile(h.path, data, 0o600))
-		h.start()
-		t.Cleanup(func() {
-			h.signal(syscall.SIGCONT)
-			h.signal(syscall.SIGKILL)
-			h.wait()
-		})
+		store := newLink(t, proxies, d.store.Address())
+		h := startHost(t, dir, i, zoneName(i%zones), store.proxy.Listen, nil)
+		h.store = store
 		d.hosts = append(d.hosts, h)
 	}
 	return d
 }
 
+// startHost starts the gateway with the given number, whose files are in dir.
+func startHost(t *testing.T, dir string, i int, zone, store string, env []string) *host {
+	address := hostAddress(i)
+	h := &host{t: t, name: fmt.Sprintf("h%d", i), log: filepath.Join(dir, fmt.Sprintf("h%d.log", i)), path: filepath.Join(dir, fmt.Sprintf("h%d.json", i)), env: env}
+	h.settings = &gateway.Settings{
+		Host: h.name, AvailabilityZone: zone, LogLevel: "info", Listen: address + ":9001", ReadyListen: address + ":9002",
+		PeerListen: address + ":9003", BeatPort: 9004, Seeds: []string{net.JoinHostPort(hostAddress(0), "9003")}, Store: store, MemoryLimitMB: 400,
+		RetryShare: retryShare, RetrySlack: retrySlack, GraceSeconds: graceSeconds,
+		WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(balancerLag),
+	}
+	require.NoError(t, h.settings.Validate())
+	h.writeSettings()
+	h.start()
+	t.Cleanup(func() {
+		h.signal(syscall.SIGCONT)
+		h.signal(syscall.SIGKILL)
+		h.wait()
+	})
+	return h
+}
+
+// writeSettings replaces the settings file.
+func (h *host) writeSettings() {
+	data, err := json.Marshal(h.settings)
+	require.NoError(h.t, err)
+	require.NoError(h.t, os.WriteFile(h.path+".new", data, 0o600))
+	require.NoError(h.t, os.Rename(h.path+".new", h.path))
+}
+
 func zoneName(i int) string { return fmt.Sprintf("z%d", i) }
 
 // register writes the entry of a replica.
