--- a/internal/gateway/proxy/unsent_test.go
+++ b/internal/gateway/proxy/unsent_test.go
@@ -24,7 +24,9 @@
 		require.NoError(t, closed.Close())
 		g.members = append(g.members, fleet.Member{ID: "r2", Upstream: "pool", Address: closed.Addr().String(), Zone: "a", Slots: 8})
 		g.setVersions("v1", "v1", "v1")
-		g.restart(func(o *proxy.Options) { o.Budget = proxy.NewBudget(clockwork.NewRealClock(), time.Now().Add(-time.Minute), 0.001, 4, 1) }, (&net.Dialer{}).DialContext)
+		g.restart(func(o *proxy.Options) {
+			o.Budget = proxy.NewBudget(clockwork.NewRealClock(), time.Now().Add(-time.Minute), 0.001, 4, 1)
+		}, (&net.Dialer{}).DialContext)
 		status, body, _ := g.do(testRequest{path: "/quote/1"})
 		assert.Equal(t, http.StatusOK, status)
 		assert.Equal(t, eventsText(8), body)
