proxy: a stopping host still takes repeatable requests as a last resort

A request that may run again is taken as a last resort until the host ends: a stream that breaks off then goes on elsewhere. Declining one request for its time limit says nothing of the next one. TestHostThatStopsTakesRepeatableRequestsAsLastResort and TestHostThatStopsIsOfferedShortRequestsAfterLongOnes failed before.

--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -24,11 +24,13 @@
 	DelegatePath = "/delegate"
 	// declinedHeader marks the answer of a host that does not take the delegated request. Its value is declined, or
 	// declinedStopping if the host stops and takes only requests that no other host runs, which have
-	// lastResortHeader, and declinedBehind if its configuration is older than the version in
-	// configVersionHeader, with which the delegating host has admitted the request.
+	// lastResortHeader, declinedLate if it stops before the time limit of this request, and declinedBehind if its
+	// configuration is older than the version in configVersionHeader, with which the delegating host has admitted the
+	// request.
 	declinedHeader      = "Heatherbarrow-Declined"
 	declined            = "1"
 	declinedStopping    = "stopping"
+	declinedLate        = "late"
 	declinedBehind      = "behind"
 	lastResortHeader    = "Heatherbarrow-Last-Resort"
 	configVersionHeader = "Heatherbarrow-Config-Version"
@@ -52,13 +54,14 @@
 // DelegateHandler returns the handler of requests that other hosts delegate to this one.
 func (s *Server) DelegateHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lastResort := r.Header.Get(lastResortHeader) != ""
 		decline := ""
 		switch {
 		case !s.opts.Known() || s.opts.Fleet.CutOff():
 			decline = declined
 		case s.opts.Table().Version < configVersionOf(r):
 			decline = declinedBehind
-		case s.drain.Begun() && r.Header.Get(lastResortHeader) == "":
+		case s.drain.Begun() && !lastResort:
 			decline = declinedStopping
 		}
 		r.Header.Del(lastResortHeader)
@@ -68,7 +71,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		s.serveFrom(w, r, strings.TrimPrefix(r.RequestURI, DelegatePath), true)
+		s.handle(&exchange{w: w, r: r, target: strings.TrimPrefix(r.RequestURI, DelegatePath), delegated: true, lastResort: lastResort})
 	})
 }
 
@@ -145,7 +148,7 @@
 		switch reason {
 		case declinedStopping:
 			p.stopping = append(p.stopping, address)
-		case declinedBehind: // it takes the next request, as it gets the configuration too
+		case declinedBehind, declinedLate: // it may take the next request
 		default:
 			s.opts.Helpers.Declined(address)
 		}
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -128,8 +128,9 @@
 	fingerprint    uint64        // the same when the caller sends the request again
 	waitedBefore   time.Duration // estimate of the caller's wait in earlier attempts
 
-	delegated bool   // another host has delegated the request to this one
-	target    string // path and query as the caller sent them
+	delegated  bool   // another host has delegated the request to this one
+	lastResort bool   // and no host that does not stop runs it
+	target     string // path and query as the caller sent them
 
 	record record
 }
@@ -140,24 +141,23 @@
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
 	}
-	s.serveFrom(w, r, target, false)
+	s.handle(&exchange{w: w, r: r, target: target})
 }
 
-// serveFrom handles a request with the given path and query. delegated means that it comes from another host.
-func (s *Server) serveFrom(w http.ResponseWriter, r *http.Request, target string, delegated bool) {
+// handle handles a request that a caller or another host has sent.
+func (s *Server) handle(e *exchange) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	now := time.Now()
+	e.server, e.arrived, e.suspendedNanos = s, time.Now(), s.suspendedNanos.Load()
 	if s.drain.Begun() {
-		w.Header().Set("Connection", "close")
+		e.w.Header().Set("Connection", "close")
 	}
-	e := &exchange{server: s, w: w, r: r, target: target, delegated: delegated, arrived: now, suspendedNanos: s.suspendedNanos.Load()}
 	defer e.finish()
 	if !e.admit() || !e.readBody() || !e.admitAtStop() {
 		return
 	}
 	e.setFingerprint()
-	bound, unbind := s.drain.Bound(r.Context())
+	bound, unbind := s.drain.Bound(e.r.Context())
 	defer unbind()
 	ctx, cancel := context.WithDeadline(bound, e.deadline)
 	defer cancel()
@@ -220,19 +220,21 @@
 }
 
 // admitAtStop refuses the request and returns false if this host stops and may not be able to finish it. It follows
-// the body, which may take any part of the time that the host has.
+// the body, which may take any part of the time that the host has. A request that may run again is taken as a last
+// resort: nobody else runs it, and a stream that breaks off again goes on elsewhere later.
 func (e *exchange) admitAtStop() bool {
-	if e.server.drain.TooLate(time.Now(), e.deadline.Add(-e.suspendedTime())) {
-		e.refuseAtStop()
-		return false
+	d := e.server.drain
+	if !d.TooLate(time.Now(), e.deadline.Add(-e.suspendedTime())) || e.lastResort && e.route.Repeatable() && !d.Over() {
+		return true
 	}
-	return true
+	e.refuseAtStop()
+	return false
 }
 
 // refuseAtStop refuses the request because this host stops. A host that has delegated it offers it to others.
 func (e *exchange) refuseAtStop() {
 	if e.delegated {
-		e.w.Header().Set(declinedHeader, declined)
+		e.w.Header().Set(declinedHeader, declinedLate)
 	}
 	e.w.Header().Set("Connection", "close")
 	e.refuse(http.StatusServiceUnavailable, "host_stops", hostStopsRetryAfter)
--- a/internal/gateway/proxy/stop_test.go
+++ b/internal/gateway/proxy/stop_test.go
@@ -78,3 +78,35 @@
 	assert.NotEmpty(t, header.Get("Retry-After"))
 	assert.EqualValues(t, 2, replica.received.Load())
 }
+
+// Guards against streams of a host that is cut off from replicas which no host goes on with, because the others stop:
+// a stream that is broken off again at the end of the host is taken up elsewhere.
+func TestHostThatStopsTakesRepeatableRequestsAsLastResort(t *testing.T) {
+	replica := newReplica(events("a", 8, -1))
+	g := newTestGateway(t, replica)
+	late := g.sibling()
+	late.server.Drain(time.Now(), time.Now().Add(5*time.Second))
+	links := &cutLinks{open: make(chan net.Conn, 100)}
+	g.addHelpers(links, late)
+	links.begin(refuses)
+	status, body, _ := g.do(testRequest{path: "/quote/1", body: "text"})
+	require.Equal(t, http.StatusOK, status, body)
+	assert.Equal(t, eventsText(8), body)
+}
+
+// Guards against a host that stops and is asked for no further request because it has declined one with a long time
+// limit.
+func TestHostThatStopsIsOfferedShortRequestsAfterLongOnes(t *testing.T) {
+	replica := newReplica(respondWith("answer "))
+	g := newTestGateway(t, replica)
+	late := g.sibling()
+	late.server.Drain(time.Now(), time.Now().Add(2*time.Second))
+	links := &cutLinks{open: make(chan net.Conn, 100)}
+	hosts := g.addHelpers(links, late)
+	links.begin(refuses)
+	status, _, _ := g.do(testRequest{path: "/order/1", body: "text"})
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	assert.Zero(t, hosts.declined.Load(), "the host is left out for a time")
+	status, body, _ := g.do(testRequest{path: "/short/1", body: "text"})
+	assert.Equal(t, http.StatusOK, status, body)
+}
