proxy: a host asks another replica before it takes crashes for a partition

Cause: a host dropped the evidence of all crashes when three replicas or more failed within half a second, as a partition that resets its connections looks like that. It did not look for what tells the two apart. Change: it connects to a replica that has not failed. If that accepts, and the failed one still refuses, the replicas have crashed; if the failed one accepts by then, the links had failed and are back; if neither accepts, or no replica is left to ask, the evidence is dropped as before.

--- a/internal/gateway/fleet/reach.go
+++ b/internal/gateway/fleet/reach.go
@@ -40,6 +40,35 @@
 	return n >= cutOffFailures
 }
 
+// Witness returns a replica that has not failed, if several have failed together just now: whether this host
+// reaches it tells crashes from a failure of the host's links. The caller reports an accepted connection to
+// RecordWitness.
+func (f *Fleet) Witness(now time.Time) (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.reach.failedTogether(now) {
+		return Member{}, false
+	}
+	var sound []*replica
+	for id, r := range f.replicas {
+		if _, failed := f.reach.failed[id]; !failed && r.member.usable(now) && r.consecutiveFailures == 0 {
+			sound = append(sound, r)
+		}
+	}
+	if len(sound) == 0 {
+		return Member{}, false
+	}
+	return sound[f.random.IntN(len(sound))].member, true
+}
+
+// RecordWitness notes that a replica has accepted a connection while those that had failed together were still
+// down: they have crashed.
+func (f *Fleet) RecordWitness() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reach.recordContact()
+}
+
 // CutOff reports whether this host seems to be partitioned from all replicas.
 func (f *Fleet) CutOff() bool {
 	f.mu.Lock()
--- a/internal/gateway/proxy/delegate_test.go
+++ b/internal/gateway/proxy/delegate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/proxy"
 )
 
@@ -211,6 +213,62 @@
 	}
 }
 
+// Guards against crashes of several replicas at once that do not count, as a partition of the host looks like that,
+// although other replicas can be reached. Found by case 5 of the review (BUDGET).
+func TestReplicasThatCrashTogetherAreNoPartition(t *testing.T) {
+	const crashing, requests = 3, 20
+	hold := make(chan struct{})
+	defer close(hold)
+	handler := func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-hold:
+		case <-r.Context().Done():
+		}
+	}
+	var replicas []*countingReplica
+	var handlers []http.Handler
+	for range crashing + 2 {
+		replicas = append(replicas, newReplica(handler))
+		handlers = append(handlers, replicas[len(replicas)-1])
+	}
+	g := newTestGateway(t, handlers...)
+	var down atomic.Bool
+	open := make(chan net.Conn, requests)
+	g.restart(func(*proxy.Options) {}, func(ctx context.Context, network, address string) (net.Conn, error) {
+		crashes := slices.ContainsFunc(g.members[:crashing], func(m fleet.Member) bool { return m.Address == address })
+		if crashes && down.Load() {
+			return nil, errRefused
+		}
+		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil && crashes {
+			open <- connection
+		}
+		return connection, err
+	})
+	for range requests {
+		go func() {
+			if response, err := g.send(t.Context(), testRequest{path: "/order/1"}); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+	}
+	require.Eventually(t, func() bool {
+		received := 0
+		for _, replica := range replicas {
+			received += int(replica.received.Load())
+		}
+		return received == requests
+	}, 5*time.Second, time.Millisecond)
+	down.Store(true)
+	for _, replica := range replicas[:crashing] {
+		require.NotZero(t, replica.received.Load())
+		for range replica.received.Load() {
+			_ = (<-open).Close()
+		}
+	}
+	assert.Eventually(t, func() bool { return len(g.fleet.Crashes(time.Now())) > 0 }, 2*time.Second, 5*time.Millisecond)
+}
+
 // Guards against crashes that a host reports to others because its own links were reset and refused: the
 // others would refuse sound requests.
 func TestCutOffHostReportsNoCrashes(t *testing.T) {
