poisonpart: crashes that come together count if it is no outage

Cause: crashes within 250 ms counted once, as in an outage parts that are in flight on many replicas have as many crashes as a poison part; so three bursts were needed. With retries a first burst crashes five replicas, and the second one is late. Change: such crashes count twice if no replica is known to have crashed at that moment without the part, and other answers have been completed since, none with it. A crash in a retry of a request that a failed replica had broken off followed that failure, and counts apart from it. Figures: TestReplicasThatEndTogetherTwiceOnOnePartAreEnough and TestPartThatCrashesReplicasAgainInRetriesIsRefused fail without; the tests of innocent requests are unchanged and pass.

--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -25,6 +25,7 @@
 	fingerprint    uint64   // of the request
 	parts          []uint64 // Request.Parts
 	answering      bool     // the head of the answer has arrived
+	retried        bool     // a replica that the request was tried on has failed
 }
 
 // Result is the outcome of an attempt.
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -414,6 +414,14 @@
 	return wait + time.Duration(f.random.Int64N(int64(wait/2)+1))
 }
 
+// failedOn reports whether a replica has failed on which the request was tried.
+func (f *Fleet) failedOn(q *Request) bool {
+	return slices.ContainsFunc(q.Exclude, func(id string) bool {
+		r, ok := f.replicas[id]
+		return ok && r.consecutiveFailures > 0
+	})
+}
+
 // acquire records the request as in flight on the candidate's replica.
 func (f *Fleet) acquire(p *pool, q *Request, c candidate, now time.Time) *Lease {
 	r := c.replica
@@ -423,6 +431,7 @@
 			Running: r.inFlight(), Eligible: c.eligible, Copied: c.copied, Limit: r.statedLimit(),
 		},
 		fleet: f, replica: r, started: now, prefill: c.prefill, fingerprint: q.Fingerprint, parts: q.Parts,
+		retried: f.failedOn(q),
 	}
 	if p.upstream.Engine != nil {
 		l.kvCacheTokens = q.PromptTokens + q.OutputTokens
--- a/internal/gateway/fleet/poisonpart.go
+++ b/internal/gateway/fleet/poisonpart.go
@@ -24,8 +24,11 @@
 // byte of its answer leaves it.
 func (f *Fleet) recordPartCrash(m *Member, suspects []suspect, now time.Time) {
 	anyAnswering := slices.ContainsFunc(suspects, func(s suspect) bool { return s.answering })
-	var parts, waiting []uint64
+	var parts, waiting, retried []uint64
 	for i := range suspects {
+		if suspects[i].retried {
+			retried = append(retried, suspects[i].parts...)
+		}
 		if suspects[i].answering == anyAnswering {
 			parts = append(parts, suspects[i].parts...)
 		} else {
@@ -35,7 +38,7 @@
 	slices.Sort(parts)
 	slices.Sort(waiting)
 	waiting = slices.DeleteFunc(slices.Compact(waiting), func(part uint64) bool { return slices.Contains(parts, part) })
-	f.notePartChanges(f.parts.Crash(slices.Compact(parts), waiting, m.Key(), now), false, true)
+	f.notePartChanges(f.parts.CrashInRetry(slices.Compact(parts), waiting, retried, m.Key(), now), false, true)
 }
 
 // crashByPart reports whether a quarantined part explains the crash of a replica.
--- a/internal/gateway/fleet/poisonpart_test.go
+++ b/internal/gateway/fleet/poisonpart_test.go
@@ -186,3 +186,31 @@
 	assert.False(t, other.End(ConnectionLost, start))
 	assert.True(t, l.End(ConnectionLost, start))
 }
+
+// Guards against counting crashes by requests that were sent again at once together with the crashes that broke these
+// requests off before.
+func TestCrashInRetryIsToldApart(t *testing.T) {
+	f := newFleet(0)
+	q := partsRequest(teamPart, poisonPart)
+	for _, retried := range []bool{false, true} {
+		l := pick(t, f, q, start)
+		l.HeadReceived()
+		q.Exclude = append(q.Exclude, l.Member.ID)
+		require.True(t, l.End(ConnectionLost, start))
+		f.RecordInspection(l.Member.ID, true, start)
+		for _, e := range f.PartReports(false, start) {
+			assert.Equal(t, retried, e.Crashes[len(e.Crashes)-1].Retried || len(e.Crashes) == 2 && e.Crashes[0].Retried)
+		}
+	}
+	rejected := newFleet(0)
+	q = partsRequest(teamPart, poisonPart)
+	l := pick(t, rejected, q, start)
+	l.End(Rejected, start)
+	q.Exclude = append(q.Exclude, l.Member.ID)
+	l = pick(t, rejected, q, start)
+	l.End(ConnectionLost, start)
+	rejected.RecordInspection(l.Member.ID, true, start)
+	for _, e := range rejected.PartReports(false, start) {
+		assert.False(t, e.Crashes[0].Retried)
+	}
+}
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -93,6 +93,7 @@
 	parts       []uint64 // Request.Parts
 	answering   bool     // the replica had begun to answer
 	complete    bool     // the answer is complete if the replica lives
+	retried     bool     // Lease.retried
 }
 
 // addSuspect records a suspect and reports whether it is the first since the last inspection, which
@@ -101,7 +102,7 @@
 	if l.fingerprint == 0 && len(l.parts) == 0 {
 		return false
 	}
-	r.suspects = append(r.suspects, suspect{fingerprint: l.fingerprint, parts: l.parts, answering: l.answering, complete: complete})
+	r.suspects = append(r.suspects, suspect{fingerprint: l.fingerprint, parts: l.parts, answering: l.answering, complete: complete, retried: l.retried})
 	return len(r.suspects) == 1
 }
 
--- a/internal/gateway/peers/suspects_test.go
+++ b/internal/gateway/peers/suspects_test.go
@@ -71,6 +71,7 @@
 	sent := []poisonpart.Entry{
 		{Part: 7, Released: 2, Quarantined: true, Expires: now.Add(90 * time.Second), Crashes: []poisonpart.Crash{{Replica: 9, At: now.Add(-1500 * time.Millisecond)}}},
 		{Part: 8, Released: 1, Expires: now.Add(time.Second)},
+		{Part: 9, Expires: now.Add(time.Second), Crashes: []poisonpart.Crash{{Replica: 9, At: now.Add(-time.Second), Waiting: true, Retried: true}}},
 	}
 	assert.Equal(t, sent, rpc.SuspectPartEntries(rpc.SuspectParts(sent, now), now))
 }
--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -29,6 +29,11 @@
 	// requestCrashSeparation is crashSeparation for whole requests. Callers repeat them at once, into the
 	// same outage.
 	requestCrashSeparation = time.Second
+	// maxCrashesTogether is how often such crashes count for a part of prompts if no replica ended without the
+	// part at that moment, as in an outage, and other answers have been completed since.
+	maxCrashesTogether = 2
+	// maxKnownCrashes is the maximum number of crashes remembered to tell outages.
+	maxKnownCrashes = 64
 	// sameCrash is the time within which hosts notice the same crash of a replica; a later one is
 	// another crash.
 	sameCrash = time.Second
@@ -51,6 +56,9 @@
 	// Waiting means that the replica had begun to answer other requests, but none with the part. The part is
 	// then the less likely cause, unless the replica crashed before its answer had begun.
 	Waiting bool
+	// Retried means that a request with the part ran which an earlier failure of a replica had broken off: it
+	// followed that failure, however soon.
+	Retried bool
 }
 
 // same reports whether both are observations of one crash.
@@ -80,8 +88,8 @@
 func (e *Entry) addCrash(c Crash) bool {
 	if i := slices.IndexFunc(e.Crashes, c.same); i >= 0 {
 		known := &e.Crashes[i]
-		changed := known.Waiting && !c.Waiting
-		known.Waiting = known.Waiting && c.Waiting
+		changed := known.Waiting && !c.Waiting || !known.Retried && c.Retried
+		known.Waiting, known.Retried = known.Waiting && c.Waiting, known.Retried || c.Retried
 		return changed
 	}
 	if len(e.Crashes) == maxCrashes && c.compare(e.Crashes[0]) < 0 {
@@ -109,6 +117,9 @@
 	crashLimit int
 	duration   time.Duration
 	separation time.Duration // see crashSeparation
+	together   int           // see maxCrashesTogether
+	completed  time.Time     // when the latest complete answer ended
+	known      []Crash       // the latest crashes, with whatever parts
 	causes     *Tracker      // crashes that its quarantined parts explain do not count; may be nil
 	entries    *simplelru.LRU[uint64, *localEntry]
 	sound      *simplelru.LRU[uint64, time.Time] // when the latest complete answer to a request with the part ended
@@ -124,14 +135,14 @@
 	// NewLRU fails only for a size below one.
 	entries, _ := simplelru.NewLRU[uint64, *localEntry](maxEntries, nil)
 	sound, _ := simplelru.NewLRU[uint64, time.Time](maxSoundParts, nil)
-	return &Tracker{crashLimit: crashLimit, duration: duration, separation: crashSeparation, entries: entries, sound: sound}
+	return &Tracker{crashLimit: crashLimit, duration: duration, separation: crashSeparation, together: maxCrashesTogether, entries: entries, sound: sound}
 }
 
 // NewForRequests returns an empty Tracker of whole requests, each a part by its fingerprint. Crashes that
 // quarantined parts of prompts explain do not count.
 func NewForRequests(crashLimit int, duration time.Duration, parts *Tracker) *Tracker {
 	t := New(crashLimit, duration)
-	t.separation, t.causes = requestCrashSeparation, parts
+	t.separation, t.together, t.causes = requestCrashSeparation, 1, parts
 	return t
 }
 
@@ -144,6 +155,13 @@
 // parts of requests whose answers had not begun while others had; see Crash.Waiting. It returns the parts that are
 // quarantined because of it.
 func (t *Tracker) Crash(parts, waiting []uint64, replica uint64, now time.Time) (quarantined []uint64) {
+	return t.CrashInRetry(parts, waiting, nil, replica, now)
+}
+
+// CrashInRetry is Crash with the parts of the requests that an earlier failure of a replica had broken off; see
+// Crash.Retried.
+func (t *Tracker) CrashInRetry(parts, waiting, retried []uint64, replica uint64, now time.Time) (quarantined []uint64) {
+	t.remember(Crash{Replica: replica, At: now})
 	changed := false
 	for i, part := range slices.Concat(parts, waiting) {
 		e, ok := t.entries.Get(part)
@@ -151,7 +169,7 @@
 			e = &localEntry{Entry: Entry{Part: part}}
 			t.entries.Add(part, e)
 		}
-		if e.addCrash(Crash{Replica: replica, At: now, Waiting: i >= len(parts)}) {
+		if e.addCrash(Crash{Replica: replica, At: now, Waiting: i >= len(parts), Retried: slices.Contains(retried, part)}) {
 			e.changedAt, changed = now, true
 			e.Expires = later(e.Expires, now.Add(suspectDuration))
 		}
@@ -166,6 +184,7 @@
 // It returns the parts that no longer are suspects because of it, and those that are quarantined
 // because their crashes have no other explanation left.
 func (t *Tracker) Completed(parts []uint64, now time.Time) (released, quarantined []uint64) {
+	t.completed = later(t.completed, now)
 	for _, part := range parts {
 		t.sound.Add(part, now)
 		if e, ok := t.entries.Peek(part); ok && e.release(now) {
@@ -260,22 +279,47 @@
 }
 
 // unexplained counts the crashes of an entry in which neither a quarantined part was in flight nor the
-// other suspect. Crashes closer together than crashSeparation count once.
+// other suspect. Crashes closer together than crashSeparation count once, or up to maxCrashesTogether; those in
+// retries, which followed the others, do so apart from them.
 func (t *Tracker) unexplained(e, other *localEntry) int {
-	count := 0
-	var last time.Time
+	count, together, inRetries := 0, 0, false
+	var first time.Time // of the crashes that came together
 	for _, c := range e.Crashes {
 		inFlight := func(o *localEntry) bool { return o != e && slices.ContainsFunc(o.Crashes, c.same) }
-		if count > 0 && c.At.Sub(last) < t.separation || t.hasCause(c) || slices.ContainsFunc(t.quarantined, inFlight) ||
+		if t.hasCause(c) || slices.ContainsFunc(t.quarantined, inFlight) ||
 			other != nil && other != e && slices.ContainsFunc(other.Crashes, c.explainedBy) {
 			continue
 		}
+		switch {
+		case count == 0 || c.At.Sub(first) >= t.separation || c.Retried && !inRetries:
+			first, together, inRetries = c.At, 1, c.Retried
+		case together < t.together && t.completed.After(c.At) && !t.outage(e, first):
+			together++
+		default:
+			continue
+		}
 		count++
-		last = c.At
 	}
 	return count
 }
 
+// remember notes a crash, with whatever parts.
+func (t *Tracker) remember(c Crash) {
+	if slices.ContainsFunc(t.known, c.same) {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(t.known, c, Crash.compare)
+	t.known = slices.Insert(t.known, at, c)
+	t.known = t.known[max(len(t.known)-maxKnownCrashes, 0):]
+}
+
+// outage reports whether a replica crashed within crashSeparation of the given time without the entry's part.
+func (t *Tracker) outage(e *localEntry, at time.Time) bool {
+	return slices.ContainsFunc(t.known, func(c Crash) bool {
+		return c.At.Sub(at).Abs() < t.separation && !slices.ContainsFunc(e.Crashes, c.same)
+	})
+}
+
 // blames reports whether an entry has enough crashes that none of the others explains alone. Several
 // others together do not count as an explanation: each of them would have to be a poison part, which is
 // less likely than one that all crashes have in common.
@@ -372,7 +416,10 @@
 		changed = true
 	}
 	for _, c := range update.Crashes {
-		changed = e.addCrash(c) || changed
+		if e.addCrash(c) {
+			t.remember(c)
+			changed = true
+		}
 	}
 	if update.Quarantined && !e.Quarantined {
 		e.Quarantined, changed = true, true
--- a/internal/scheduling/poisonpart/poisonpart_test.go
+++ b/internal/scheduling/poisonpart/poisonpart_test.go
@@ -89,6 +89,72 @@
 	assert.False(t, blamed(p, now, firstPart, 30))
 }
 
+// Guards against a part that crashes several replicas at a time and of which each time counts once, so that three
+// times are needed. Found by case 5 of the review (BUDGET).
+func TestReplicasThatEndTogetherTwiceOnOnePartAreEnough(t *testing.T) {
+	p := newTestTracker()
+	now := partsStart
+	for burst := range uint64(2) {
+		now = now.Add(4 * time.Second)
+		for crash := range uint64(4) {
+			p.Crash([]uint64{firstPart, poisonPart, burst*10 + crash + 1000}, nil, crash, now.Add(time.Duration(crash)*5*time.Millisecond))
+		}
+		assert.Equal(t, burst == 1, blamed(p, now, firstPart, poisonPart), "burst %d", burst)
+		p.Completed([]uint64{firstPart, 9}, now.Add(time.Second))
+	}
+	assert.True(t, blamed(p, now, otherPart, poisonPart))
+	assert.False(t, blamed(p, now, firstPart, 9))
+}
+
+// Guards against a part that comes in several requests at a time, each of which crashes a replica and, when it is
+// sent again at once, another one, and that is sent on as all these crashes lie within a moment. Found by case 5 of
+// the review (BUDGET).
+func TestPartThatCrashesReplicasAgainInRetriesIsRefused(t *testing.T) {
+	p, later := newTestTracker(), newTestTracker()
+	now := partsStart
+	crash := func(replica uint64, retried []uint64, beside ...uint64) {
+		parts := append([]uint64{firstPart, poisonPart}, beside...)
+		p.CrashInRetry(parts, nil, retried, replica, now)
+	}
+	crash(1, nil, 10, 11)
+	crash(2, nil, 12)
+	now = now.Add(70 * time.Millisecond)
+	p.Completed([]uint64{otherPart, 50}, now)
+	for replica := range uint64(3) {
+		crash(3+replica, []uint64{firstPart, poisonPart}, 20+replica)
+	}
+	p.Completed([]uint64{otherPart, 51}, now.Add(10*time.Millisecond))
+	now = now.Add(time.Second)
+	later.Completed([]uint64{otherPart, 52}, now)
+	later.Merge(p.Reports(true, 20, now), now)
+	for _, host := range []*Tracker{p, later} {
+		assert.True(t, blamed(host, now, firstPart, poisonPart))
+		assert.False(t, blamed(host, now, firstPart, 9), "cannot be told apart yet")
+		assert.False(t, blamed(host, now, otherPart, 10))
+	}
+	p.Completed([]uint64{firstPart, 9}, now)
+	assert.True(t, blamed(p, now, otherPart, poisonPart))
+}
+
+// Guards against refusing a part because requests with it were sent again into an outage of several replicas, in
+// which others ended that did not run it.
+func TestPartRetriedIntoOutageIsNotRefused(t *testing.T) {
+	p := newTestTracker()
+	now := partsStart
+	for replica := range uint64(4) {
+		p.Crash([]uint64{firstPart, 10 + replica}, nil, replica, now)
+	}
+	p.Crash([]uint64{otherPart}, nil, 5, now)
+	now = now.Add(100 * time.Millisecond)
+	p.Completed([]uint64{otherPart}, now)
+	for replica := range uint64(3) {
+		p.CrashInRetry([]uint64{firstPart, 10 + replica}, nil, []uint64{firstPart, 10 + replica}, 10+replica, now)
+	}
+	p.Completed([]uint64{otherPart}, now.Add(time.Millisecond))
+	assert.False(t, blamed(p, now, firstPart, 30))
+	assert.False(t, blamed(p, now, firstPart, 10))
+}
+
 // Guards against forgetting a quarantined part because a storm of crashes makes suspects of many others.
 func TestManySuspectsDoNotDisplaceQuarantinedPart(t *testing.T) {
 	p := newTestTracker()
@@ -189,7 +255,7 @@
 					if rapid.Bool().Draw(t, "waiting") {
 						parts, waiting = waiting, parts
 					}
-					h.Crash(parts, waiting, uint64(rapid.IntRange(0, 2).Draw(t, "replica")), at)
+					h.CrashInRetry(parts, waiting, slices.Repeat([]uint64{1}, rapid.IntRange(0, 1).Draw(t, "retried")), uint64(rapid.IntRange(0, 2).Draw(t, "replica")), at)
 				}
 			}
 			reports = append(reports, h.Reports(true, 1, partsStart.Add(20*time.Second))...)
--- a/internal/scheduling/poisonpart/record.go
+++ b/internal/scheduling/poisonpart/record.go
@@ -18,6 +18,8 @@
 type CrashRecord struct {
 	Replica  uint64 `json:"replica,string"`
 	AtUnixMs int64  `json:"at_unix_ms"`
+	Waiting  bool   `json:"waiting,omitempty"`
+	Retried  bool   `json:"retried,omitempty"`
 }
 
 // Name returns the form of a part's ID in records, logs and commands.
@@ -27,7 +29,7 @@
 func NewRecord(e *Entry) Record {
 	r := Record{Part: Name(e.Part), Released: e.Released, Quarantined: e.Quarantined, ExpiresUnixMs: e.Expires.UnixMilli()}
 	for _, c := range e.Crashes {
-		r.Crashes = append(r.Crashes, CrashRecord{Replica: c.Replica, AtUnixMs: c.At.UnixMilli()})
+		r.Crashes = append(r.Crashes, CrashRecord{Replica: c.Replica, AtUnixMs: c.At.UnixMilli(), Waiting: c.Waiting, Retried: c.Retried})
 	}
 	return r
 }
@@ -40,7 +42,7 @@
 	}
 	e := Entry{Part: part, Released: r.Released, Quarantined: r.Quarantined, Expires: time.UnixMilli(r.ExpiresUnixMs)}
 	for _, c := range r.Crashes {
-		e.Crashes = append(e.Crashes, Crash{Replica: c.Replica, At: time.UnixMilli(c.AtUnixMs)})
+		e.Crashes = append(e.Crashes, Crash{Replica: c.Replica, At: time.UnixMilli(c.AtUnixMs), Waiting: c.Waiting, Retried: c.Retried})
 	}
 	return e, nil
 }
--- a/internal/scheduling/poisonpart/simulation_test.go
+++ b/internal/scheduling/poisonpart/simulation_test.go
@@ -19,6 +19,8 @@
 	simGossip    = 100 * time.Millisecond
 	simReports   = 36
 	simLossShare = 5 // one report in so many is lost
+	simBurst     = 4 // requests with the part that come at the same moment, if they come in bursts
+	simBurstWait = 4500 * time.Millisecond
 )
 
 // simulation plays requests of several teams on replicas. Those with poisonPart crash the replica that
@@ -29,6 +31,8 @@
 	hosts    []*simHost
 	replicas []*simReplica
 	stored   []Entry // that hosts keep in the store, and read when they start
+	bursts   bool    // replicas crash as soon as they begin to answer, so that those of a burst crash together
+	retries  bool    // requests are sent once more when their replica crashes
 	crashes  []time.Time
 	late     int // requests with the part that reached replicas too late
 	sound    int // sound requests in the time in which they must be served
@@ -51,6 +55,7 @@
 	host    *simHost
 	parts   []uint64
 	poison  bool
+	retried bool // its replica has crashed before
 	begins  time.Time
 	ends    time.Time
 	tracker *Tracker // of the host's process that sent it
@@ -87,6 +92,11 @@
 	if poison {
 		parts = append(parts[:1:1], poisonPart, parts[1])
 	}
+	s.dispatch(h, parts, poison, false)
+}
+
+// dispatch lets a host send a request to a random replica, unless it is refused.
+func (s *simulation) dispatch(h *simHost, parts []uint64, poison, retried bool) {
 	isRefused := blamed(h.tracker, s.now, parts...)
 	if !poison && s.boundHolds(2) && s.inTouch(h) {
 		s.sound++
@@ -105,24 +115,36 @@
 		s.late++
 	}
 	begins := s.now.Add(time.Duration(50+s.random.IntN(300)) * time.Millisecond)
+	if poison && s.bursts {
+		begins = s.now.Add(time.Duration(50+s.random.IntN(30)) * time.Millisecond)
+	}
 	r.running = append(r.running, &simRequest{
-		host: h, parts: parts, poison: poison, begins: begins, ends: begins.Add(time.Duration(100+s.random.IntN(900)) * time.Millisecond), tracker: h.tracker,
+		host: h, parts: parts, poison: poison, retried: retried, begins: begins, ends: begins.Add(time.Duration(100+s.random.IntN(900)) * time.Millisecond), tracker: h.tracker,
 	})
 }
 
 // crash ends a replica. The hosts of its requests learn of it, of those that it had begun to answer.
 func (s *simulation) crash(id int) {
 	r := s.replicas[id]
-	byHost := make(map[*simHost][]uint64)
+	byHost, retried := make(map[*simHost][]uint64), make(map[*simHost][]uint64)
 	for _, q := range r.running {
 		if q.tracker == q.host.tracker && !s.now.Before(q.begins) {
 			byHost[q.host] = append(byHost[q.host], q.parts...)
+			if q.retried {
+				retried[q.host] = append(retried[q.host], q.parts...)
+			}
 		}
 	}
 	for h, parts := range byHost {
-		h.tracker.Crash(parts, nil, uint64(id), s.now.Add(time.Duration(s.random.IntN(10))*time.Millisecond))
+		h.tracker.CrashInRetry(parts, nil, retried[h], uint64(id), s.now.Add(time.Duration(s.random.IntN(10))*time.Millisecond))
 	}
+	brokenOff := r.running
 	*r = simReplica{downUntil: s.now.Add(time.Duration(2+s.random.IntN(3)) * time.Second)}
+	for _, q := range brokenOff {
+		if s.retries && !q.retried && q.tracker == q.host.tracker {
+			s.dispatch(q.host, q.parts, q.poison, true)
+		}
+	}
 }
 
 // advance ends answers and crashes replicas.
@@ -133,6 +155,9 @@
 			switch {
 			case q.poison && r.crashAt.IsZero() && !s.now.Before(q.begins):
 				r.crashAt = q.begins.Add(time.Duration(20+s.random.IntN(250)) * time.Millisecond)
+				if s.bursts {
+					r.crashAt = q.begins.Add(2 * simStep)
+				}
 			case !q.poison && !s.now.Before(q.ends):
 				if q.tracker == q.host.tracker {
 					q.host.tracker.Completed(q.parts, s.now)
@@ -196,14 +221,33 @@
 // play plays simDuration of traffic, with two sound requests a second for each replica and the given
 // number of poison requests.
 func (s *simulation) play(poisonPerSecond float64) {
+	s.playWith(func(int) {
+		if s.chance(poisonPerSecond) {
+			s.send(true)
+		}
+	})
+}
+
+// playBursts is play with poison requests that come several at a time.
+func (s *simulation) playBursts() {
+	s.bursts = true
+	s.playWith(func(tick int) {
+		for range simBurst {
+			if tick%int(simBurstWait/simStep) == 0 {
+				s.send(true)
+			}
+		}
+	})
+}
+
+// playWith plays traffic and calls sendPoison at each step.
+func (s *simulation) playWith(sendPoison func(tick int)) {
 	soundPerSecond := 2 * float64(len(s.replicas))
 	for tick := 0; s.now.Before(partsStart.Add(simDuration)); tick++ {
 		if s.chance(soundPerSecond) || s.chance(soundPerSecond/2) {
 			s.send(false)
 		}
-		if s.chance(poisonPerSecond) {
-			s.send(true)
-		}
+		sendPoison(tick)
 		s.advance()
 		s.disturb()
 		if s.now = s.now.Add(simStep); tick%int(simGossip/simStep) == 0 {
@@ -219,10 +263,16 @@
 
 // checkFleet plays a number of seeds and checks the bounds of poison and sound requests.
 func checkFleet(t *testing.T, hosts, replicas int, seeds uint64) {
+	t.Helper()
+	checkPlays(t, hosts, replicas, seeds, func(s *simulation, seed uint64) { s.play(1.5 + 4*float64(seed%3)) })
+}
+
+func checkPlays(t *testing.T, hosts, replicas int, seeds uint64, play func(s *simulation, seed uint64)) {
+	t.Helper()
 	sound, refused := 0, 0
 	for seed := range seeds {
 		s := newSimulation(seed, hosts, replicas)
-		s.play(1.5 + 4*float64(seed%3))
+		play(s, seed)
 		assert.GreaterOrEqual(t, len(s.crashes), 3, "seed %d", seed)
 		assert.LessOrEqual(t, s.late, simLate, "seed %d: late requests with the part, %d crashes", seed, len(s.crashes))
 		sound, refused = sound+s.sound, refused+s.refused
@@ -243,6 +293,34 @@
 	}
 }
 
+// Guards against requests with the part that come several at a time, so that replicas crash together as in an
+// outage and the crashes count too little, with and without retries. Found by case 5 of the review (BUDGET).
+func TestSimulatedBurstsOfThePoisonPartAreRefused(t *testing.T) {
+	checkPlays(t, 4, 18, 36, func(s *simulation, seed uint64) {
+		s.retries = seed%2 == 0
+		s.playBursts()
+	})
+}
+
+// Guards against a part that is not refused after a burst, because the part of one of its requests alone was in flight
+// in half of the crashes and takes the blame for them.
+func TestSimulatedBurstThatOneRequestExplainsInPart(t *testing.T) {
+	const seed = 38
+	s := newSimulation(seed, 4, 18)
+	s.retries = true
+	s.playBursts()
+	assert.LessOrEqual(t, s.late, simLate)
+}
+
+// Guards against refusing sound requests that are sent again into outages of several replicas, and against a poison
+// part that is found too late because its requests are sent again.
+func TestSimulatedFleetWithRetriesRefusesOnlyThePoisonPart(t *testing.T) {
+	checkPlays(t, 4, 18, 12, func(s *simulation, seed uint64) {
+		s.retries = true
+		s.play(1.5 + 4*float64(seed%3))
+	})
+}
+
 // Guards against a lone host that does not refuse the part: it forgets the crashes with each restart until
 // the part is refused, and the crashes of all its replicas within a moment count once.
 func TestSimulatedLoneHostRefusesOnlyThePoisonPart(t *testing.T) { checkFleet(t, 1, 4, 12) }
