--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -27,6 +27,7 @@
 	answering      bool     // the head of the answer has arrived
 	accepted       bool     // the replica has begun to run the request
 	process        int64    // start of the process that the request was sent to; 0 if it is not known
+	retried        bool     // a replica that the request was tried on has failed
 }
 
 // Result is the outcome of an attempt.
