gateway: a delegated request runs once at the other host

The request also counted at both hosts for the retry budget, which allowed retries for it twice.

The host that took the request from its caller now knows and decides on all runs. It sends with the request how many runs are left, the replicas that had it, and whether it counts already; the other host runs it once and names the replica in its answer. A failure or a stream that breaks off there goes on from the first host, at the same other host if there is no further one. A host of an earlier version names no replica; it may have used all runs and gets no further one. To it, or from it, a delegation is as before. Headers of delegations that callers or replicas send are dropped: a caller could make its request a last resort.

--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -5,6 +5,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -29,6 +32,12 @@
 	lastResortHeader = "Heatherbarrow-Last-Resort"
 	// servedByHeader names, in the answer to a delegated request, a replica that says that it leaves.
 	servedByHeader = "Heatherbarrow-Served-By"
+	// delegationHeader holds the delegation of a request, see parseDelegation. Hosts of earlier versions neither
+	// send nor read it.
+	delegationHeader = "Heatherbarrow-Delegation"
+	// ranHeader lists, in the answer to a request with delegationHeader, the IDs of the replicas that may have
+	// run it.
+	ranHeader = "Heatherbarrow-Ran"
 	// maxHelpers bounds the hosts that a request is offered to. One may have died, one may be cut off too.
 	maxHelpers = 3
 	// maxUnconnected is the number of replicas that must refuse a connection before a request is delegated.
@@ -44,6 +53,71 @@
 	Declined(address string)
 }
 
+// delegation is what the host that took a request from its caller tells the one that it delegates it to. The
+// request may run once there: the first host knows all of its runs, and decides on further ones.
+type delegation struct {
+	runsLeft int      // runs that the route still allows
+	counted  bool     // the request counts for the retry budget, and its next arrival at a replica is paid for
+	ran      []string // IDs of the replicas that may have run the request
+}
+
+// String returns the delegation as it is sent.
+func (d *delegation) String() string {
+	v := url.Values{"runs": {strconv.Itoa(d.runsLeft)}, "ran": d.ran}
+	if d.counted {
+		v.Set("counted", "1")
+	}
+	return v.Encode()
+}
+
+// parseDelegation is the inverse of String. It returns nil for a request of a host of an earlier version.
+func parseDelegation(text string) *delegation {
+	v, err := url.ParseQuery(text)
+	runsLeft, numberErr := strconv.Atoi(v.Get("runs"))
+	if err != nil || numberErr != nil {
+		return nil
+	}
+	return &delegation{runsLeft: runsLeft, counted: v.Get("counted") != "", ran: v["ran"]}
+}
+
+// maxAttempts returns the number of replicas that may run the request at this host.
+func (e *exchange) maxAttempts() int {
+	if e.delegation != nil {
+		return e.delegation.runsLeft
+	}
+	return e.route.MaxAttempts
+}
+
+// newProgress returns the progress of a request before its first attempt at this host.
+func (e *exchange) newProgress() progress {
+	if e.delegation == nil {
+		return progress{}
+	}
+	return progress{counted: e.delegation.counted, exclude: slices.Clone(e.delegation.ran)}
+}
+
+// noteRun records that a replica may have run the request.
+func (e *exchange) noteRun(p *progress, replicaID string) {
+	p.possibleRuns++
+	p.ran = append(p.ran, replicaID)
+	if e.delegation != nil && !p.headerSent {
+		e.w.Header().Set(ranHeader, url.Values{"ran": p.ran}.Encode())
+	}
+}
+
+// noteDelegatedRuns records the runs that the answer to a delegated request names. A host of an earlier version
+// names none and may have used all that the route allows.
+func (e *exchange) noteDelegatedRuns(p *progress, h http.Header) {
+	text := h.Get(ranHeader)
+	h.Del(ranHeader)
+	if v, err := url.ParseQuery(text); err == nil && text != "" {
+		p.possibleRuns += len(v["ran"])
+		p.ran = append(p.ran, v["ran"]...)
+		return
+	}
+	p.possibleRuns = max(p.possibleRuns, e.route.MaxAttempts)
+}
+
 // DelegateHandler returns the handler of requests that other hosts delegate to this one.
 func (s *Server) DelegateHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -54,13 +128,15 @@
 		case s.draining.Load() && r.Header.Get(lastResortHeader) == "":
 			decline = declinedStopping
 		}
+		d := parseDelegation(r.Header.Get(delegationHeader))
 		r.Header.Del(lastResortHeader)
+		r.Header.Del(delegationHeader)
 		if decline != "" {
 			w.Header().Set(declinedHeader, decline)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		s.serveFrom(w, r, strings.TrimPrefix(r.RequestURI, DelegatePath), true)
+		s.serveFrom(w, r, strings.TrimPrefix(r.RequestURI, DelegatePath), true, d)
 	})
 }
 
@@ -80,7 +156,8 @@
 }
 
 // delegate offers the request to other hosts and forwards the answer of the one that takes it. It returns
-// false if there is none. Hosts that stop come last, as they may not be able to finish it.
+// false if there is none. Hosts that ran it before come after others, and those that stop come last, as they may not
+// be able to finish it.
 func (e *exchange) delegate(ctx context.Context, p *progress) (attemptResult, bool) {
 	go e.server.tryContact()
 	for len(p.helpers) < maxHelpers {
@@ -93,6 +170,13 @@
 			return result, true
 		}
 	}
+	for len(p.ranAt) > 0 {
+		address := p.ranAt[0]
+		p.ranAt = p.ranAt[1:]
+		if result, taken := e.offer(ctx, address, false, p); taken {
+			return result, true
+		}
+	}
 	for len(p.stopping) > 0 {
 		address := p.stopping[0]
 		p.stopping = p.stopping[1:]
@@ -119,6 +203,7 @@
 		}
 		p.sentAttempts++
 		p.possibleRuns++
+		p.delegated, p.counted = true, true
 		return attemptMayHaveRun, true
 	}
 	defer response.Close()
@@ -133,9 +218,14 @@
 	}
 	s.metrics.delegated.Inc(1)
 	e.record.helper = address
-	p.delegated = true
+	p.delegated, p.counted = true, true
 	p.sentAttempts++
-	return e.forwardDelegated(response, p), true
+	runs := len(p.ran)
+	result = e.forwardDelegated(response, p)
+	if len(p.ran) > runs {
+		p.ranAt = append(p.ranAt, address)
+	}
+	return result, true
 }
 
 // delegatedRequest returns the caller's request as it is sent to another host.
@@ -144,9 +234,12 @@
 	if p.headerSent {
 		d.Resumes = e.firstAttemptID()
 	}
+	header := e.server.opts.Dialect.Delegate(e.r.Header, d)
+	header.Del(lastResortHeader) // of the caller
+	header.Set(delegationHeader, (&delegation{runsLeft: max(e.route.MaxAttempts, 1) - p.possibleRuns, counted: p.counted, ran: p.ran}).String())
 	return &upstream.Request{
 		Address: address, ID: e.call.AttemptID, Method: e.r.Method, Target: DelegatePath + e.requestTarget(), Host: e.r.Host,
-		Header: e.server.opts.Dialect.Delegate(e.r.Header, d), Body: e.body, NewConnection: !e.route.Repeatable(),
+		Header: header, Body: e.body, NewConnection: !e.route.Repeatable(),
 	}
 }
 
@@ -160,13 +253,12 @@
 			e.server.noteLeaving(e.call.AttemptID, id)
 		}
 	}
-	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
-		p.possibleRuns++
-		return e.forwardStream(response, reply, lease, p, newWatchdog(stoppedTimer()))
-	}
 	refused := response.Status == http.StatusServiceUnavailable && !reply.Sealed
 	if !refused {
-		p.possibleRuns++
+		e.noteDelegatedRuns(p, response.Header)
+	}
+	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
+		return e.forwardStream(response, reply, lease, p, newWatchdog(stoppedTimer()))
 	}
 	body, complete, err := upstream.ReadAll(response.Body, maxBufferedBodyBytes)
 	switch {
@@ -178,14 +270,20 @@
 		return e.sendUnbuffered(response, body, lease)
 	}
 	response.MarkComplete()
-	e.sendBuffered(&bufferedResponse{status: response.Status, header: response.Header, body: body})
+	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	switch {
 	case refused:
+		e.sendBuffered(buffered)
 		e.record.outcome, e.record.reason = outcomeNotRun, "refused_by_helper"
-	case !reply.Sealed && response.Status >= http.StatusInternalServerError:
-		e.record.outcome, e.record.reason = outcomeUnknown, "failed_at_helper"
+		return attemptDone
+	case response.Status < http.StatusInternalServerError:
+		e.sendBuffered(buffered)
+		return attemptDone
+	case reply.Sealed:
+		p.replicaFailure = buffered
+		return attemptFailed
 	}
-	return attemptDone
+	return attemptMayHaveRun
 }
 
 // tryContact tries to connect to a replica if this host seems to be cut off from all of them.
--- a/internal/gateway/proxy/delegate_test.go
+++ b/internal/gateway/proxy/delegate_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -167,14 +168,12 @@
 // Guards against a stream that breaks off at its caller, or holds events twice, because the host lost its
 // links in the middle of it.
 func TestStreamGoesOnAtAnotherHost(t *testing.T) {
-	cutNow := make(chan struct{}, 1)
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Last-Event-Id") == "" {
 			setSeal(w)
 			w.Header().Set("Content-Type", "text/event-stream")
 			_, _ = io.WriteString(w, eventsText(3))
 			_ = http.NewResponseController(w).Flush()
-			cutNow <- struct{}{}
 			<-r.Context().Done()
 			return
 		}
@@ -184,13 +183,17 @@
 	g.setVersions("v1", "v1")
 	links := &cutLinks{open: make(chan net.Conn, 1000)}
 	g.addHelpers(links, g.sibling())
-	go func() {
-		<-cutNow
-		links.begin(refuses)
-	}()
-	status, body, _ := g.do(testRequest{path: "/quote/1"})
-	assert.Equal(t, http.StatusOK, status)
-	assert.Equal(t, eventsText(8), body)
+	response, err := g.send(t.Context(), testRequest{path: "/quote/1"})
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	begin := make([]byte, len(eventsText(3)))
+	_, err = io.ReadFull(response.Body, begin)
+	require.NoError(t, err)
+	links.begin(refuses)
+	rest, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, eventsText(8), string(begin)+string(rest))
 }
 
 // Guards against a host without others that leaves requests unanswered, and against an endless chain of hosts
@@ -267,3 +270,151 @@
 		}
 	}
 }
+
+// repeatCounter counts the replicas that ran each attempt.
+type repeatCounter struct{ runs atomic.Int64 }
+
+// failing returns a replica that runs requests and fails.
+func (c *repeatCounter) failing(then func()) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c.runs.Add(1)
+		setSeal(w)
+		w.WriteHeader(http.StatusInternalServerError)
+		then()
+	}
+}
+
+// Guards against a delegated request that runs on more replicas than its route allows, as the other host does not
+// know of the runs before (KNOWN-RED 13: 3 replicas, 2 allowed), and against a first run that is not repeated.
+func TestRunsBeforeDelegationCount(t *testing.T) {
+	for name, cutBefore := range map[string]bool{"cut after the first run": false, "cut before it": true} {
+		links := &cutLinks{open: make(chan net.Conn, 1000)}
+		counter := &repeatCounter{}
+		handler := counter.failing(func() { links.begin(refuses) })
+		g := newTestGateway(t, newReplica(handler), newReplica(handler), newReplica(handler), newReplica(handler), newReplica(handler))
+		g.addHelpers(links, g.sibling(), g.sibling())
+		if cutBefore {
+			links.begin(refuses)
+		}
+		status, _, header := g.do(testRequest{path: "/lookup/1", body: "text"})
+		assert.Equal(t, http.StatusInternalServerError, status, name)
+		assert.NotEmpty(t, header.Get(sealHeader), name)
+		assert.Empty(t, header.Get("Heatherbarrow-Ran"), "%s: callers do not see it", name)
+		assert.EqualValues(t, 2, counter.runs.Load(), name)
+	}
+}
+
+// Guards against a delegated request whose replica fails or breaks off and that does not go on elsewhere although
+// its route allows another run, with only one other host.
+func TestDelegatedRequestGoesOnAtAnotherReplica(t *testing.T) {
+	var runs atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		first := runs.Add(1)%2 == 1
+		if strings.HasPrefix(r.URL.Path, "/quote/") {
+			if !first {
+				assert.Equal(t, "2", r.Header.Get("Last-Event-Id"))
+				events("a", 8, -1)(w, r)
+				return
+			}
+			setSeal(w)
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, eventsText(3))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		setSeal(w)
+		if first {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = io.WriteString(w, "served")
+	}
+	g := newTestGateway(t, newReplica(handler), newReplica(handler), newReplica(handler))
+	g.setVersions("v1", "v1", "v1")
+	links := &cutLinks{open: make(chan net.Conn, 1000)}
+	g.addHelpers(links, g.sibling())
+	links.begin(refuses)
+	for path, want := range map[string]string{"/lookup/1": "served", "/quote/1": eventsText(8)} {
+		status, body, _ := g.do(testRequest{path: path, header: map[string]string{attemptIDHeader: path}})
+		assert.Equal(t, http.StatusOK, status, path)
+		assert.Equal(t, want, body, path)
+	}
+	assert.EqualValues(t, 4, runs.Load())
+}
+
+// Guards against more runs than a route allows while hosts of an earlier version, which do not tell theirs, run
+// delegated requests, and against a delegation of theirs that is not understood.
+func TestDelegationBetweenVersions(t *testing.T) {
+	counter := &repeatCounter{}
+	handler := counter.failing(func() {})
+	g := newTestGateway(t, newReplica(handler), newReplica(handler), newReplica(handler), newReplica(handler))
+	helper := g.sibling()
+	links := &cutLinks{open: make(chan net.Conn, 1000)}
+	hosts := g.addHelpers(links, helper, g.sibling())
+	earlier := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del("Heatherbarrow-Delegation")
+		helper.server.DelegateHandler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(earlier.CloseClientConnections)
+	hosts.addresses[0] = earlier.Listener.Addr().String()
+	links.begin(refuses)
+	status, _, _ := g.do(testRequest{path: "/lookup/1", body: "text"})
+	assert.Equal(t, http.StatusInternalServerError, status)
+	assert.EqualValues(t, 2, counter.runs.Load(), "the host of an earlier version used both")
+}
+
+// Guards against callers who set the headers of delegations: a request that may not run, or one that is taken for
+// a last resort.
+func TestCallersCannotSetHeadersOfDelegations(t *testing.T) {
+	replica := newReplica(respondWith("served"))
+	g := newTestGateway(t, replica)
+	header := map[string]string{"Heatherbarrow-Delegation": "runs=0&ran=r0&counted=1", "Heatherbarrow-Last-Resort": "1"}
+	status, body, _ := g.do(testRequest{path: "/lookup/1", header: header})
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, "served", body)
+	stopping := g.sibling()
+	stopping.server.Drain()
+	links := &cutLinks{open: make(chan net.Conn, 1000)}
+	taken := make(chan string, 10)
+	hosts := g.addHelpers(links, stopping)
+	watched := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		taken <- r.Header.Get("Heatherbarrow-Last-Resort") + " " + r.Header.Get("Heatherbarrow-Delegation")
+		stopping.server.DelegateHandler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(watched.CloseClientConnections)
+	hosts.addresses[0] = watched.Listener.Addr().String()
+	links.begin(refuses)
+	status, _, _ = g.do(testRequest{path: "/lookup/1", header: header})
+	assert.Equal(t, http.StatusOK, status)
+	require.Len(t, taken, 2, "the caller does not make it a last resort")
+	assert.Equal(t, " counted=1&runs=2", <-taken, "offered to a host that stops like any request")
+	assert.Equal(t, "1 counted=1&runs=2", <-taken, "then as a last resort")
+	assert.Empty(t, replica.lastRequest.Header.Get("Heatherbarrow-Delegation"))
+}
+
+// Guards against a delegated request that counts twice for the retry budget: the other host would allow a retry
+// for a request that the first has counted.
+func TestDelegatedRequestCountsOnceForRetryBudget(t *testing.T) {
+	const enough = 30 // requests that pay for several retries
+	for name, c := range map[string]struct {
+		delegation string
+		spent      bool
+	}{
+		"counted": {"runs=1&counted=1", true}, "not counted": {"runs=1", false}, "earlier version": {"", false},
+	} {
+		g := newTestGateway(t, newReplica(respondWith("served")))
+		budget := proxy.NewBudget(clockwork.NewFakeClock(), time.Time{}, 0.2, 0, 1)
+		g.restart(func(o *proxy.Options) { o.Budget = budget }, (&net.Dialer{}).DialContext)
+		for range enough {
+			r := httptest.NewRequest(http.MethodPost, proxy.DelegatePath+"/lookup/1", http.NoBody)
+			r.Host = requestHost
+			r.Header.Set(attemptIDHeader, "attempt-1")
+			r.Header.Set("Authorization", "Bearer "+apiKey)
+			r.Header.Set("Heatherbarrow-Delegation", c.delegation)
+			w := httptest.NewRecorder()
+			g.server.DelegateHandler().ServeHTTP(w, r)
+			require.Equal(t, http.StatusOK, w.Code)
+		}
+		assert.Equal(t, c.spent, budget.Spent("pool"), name)
+	}
+}
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -57,8 +57,10 @@
 	origin         *origin.Origin    // of the stream; nil until its first event
 	events         int               // events forwarded
 	exclude        []string          // IDs of the replicas tried
+	ran            []string          // IDs of the replicas that may have run the request
 	unconnected    int               // replicas that no connection could be opened to
 	helpers        []string          // hosts that the request was offered to
+	ranAt          []string          // of these, hosts that may run it on another replica
 	stopping       []string          // of these, hosts that stop and take it only as a last resort
 	replicaFailure *bufferedResponse // a replica's 5xx response, forwarded if no attempt succeeds
 }
@@ -78,7 +80,7 @@
 // is allowed.
 func (e *exchange) dispatch(ctx context.Context) {
 	upstreamName := e.route.PickUpstream(e.call.AttemptID)
-	var p progress
+	p := e.newProgress()
 	if e.call.Continues() {
 		if !e.findOrigin(ctx, &p) {
 			return
@@ -171,8 +173,8 @@
 	if p.headerSent && p.lastEventID == "" {
 		return false // without event IDs, no replica can go on where the stream broke off
 	}
-	if result != attemptNotRun && (!e.route.Repeatable() || p.possibleRuns >= e.route.MaxAttempts) {
-		return false
+	if result != attemptNotRun && (!e.route.Repeatable() || p.possibleRuns >= e.maxAttempts() || e.delegation != nil) {
+		return false // or the host that delegated the request decides
 	}
 	if p.sentAttempts == 0 {
 		return true // no replica has received the request, so the next attempt is not a retry
@@ -271,6 +273,9 @@
 		return e.handleNoResponse(err, lease, p)
 	}
 	defer response.Close()
+	for _, name := range []string{declinedHeader, servedByHeader, ranHeader} {
+		response.Header.Del(name) // only hosts set them
+	}
 	p.sentAttempts++
 	s.metrics.firstByte.RecordDuration(time.Since(startedAt))
 	reply := s.opts.Dialect.Reply(response.Status, response.Header)
@@ -281,7 +286,7 @@
 	if reply.NotExecuted {
 		return e.handleNotExecuted(response, lease)
 	}
-	p.possibleRuns++
+	e.noteRun(p, lease.Member.ID)
 	lease.HeadReceived()
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
 		return e.forwardStream(response, reply, lease, p, watchdog)
@@ -371,7 +376,7 @@
 // retry budget allows a retry and another replica is available: otherwise a slow response is
 // better than none.
 func (e *exchange) startWatchdog(ctx context.Context, cancel context.CancelFunc, lease *fleet.Lease, p *progress) *watchdog {
-	if !e.route.Repeatable() || p.possibleRuns+1 >= e.route.MaxAttempts {
+	if !e.route.Repeatable() || p.possibleRuns+1 >= e.maxAttempts() {
 		return newWatchdog(stoppedTimer())
 	}
 	timeout := lease.Expected + time.Duration(responseTimeoutTargets*float64(e.route.Target))
@@ -411,7 +416,7 @@
 		result = attemptNotRun
 	} else {
 		p.sentAttempts++
-		p.possibleRuns++
+		e.noteRun(p, lease.Member.ID)
 	}
 	if e.r.Context().Err() != nil {
 		leaseResult = fleet.Abandoned
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -122,8 +122,9 @@
 	fingerprint    uint64        // the same when the caller sends the request again
 	waitedBefore   time.Duration // estimate of the caller's wait in earlier attempts
 
-	delegated bool   // another host has delegated the request to this one
-	target    string // path and query as the caller sent them
+	delegated  bool        // another host has delegated the request to this one
+	delegation *delegation // nil if the other host sent none
+	target     string      // path and query as the caller sent them
 
 	record record
 }
@@ -134,18 +135,19 @@
 	if !strings.HasPrefix(target, "/") {
 		target = r.URL.RequestURI()
 	}
-	s.serveFrom(w, r, target, false)
+	s.serveFrom(w, r, target, false, nil)
 }
 
-// serveFrom handles a request with the given path and query. delegated means that it comes from another host.
-func (s *Server) serveFrom(w http.ResponseWriter, r *http.Request, target string, delegated bool) {
+// serveFrom handles a request with the given path and query. delegated means that it comes from another host, which
+// sends a delegation with it unless its version is an earlier one.
+func (s *Server) serveFrom(w http.ResponseWriter, r *http.Request, target string, delegated bool, d *delegation) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	now := time.Now()
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	e := &exchange{server: s, w: w, r: r, target: target, delegated: delegated, arrived: now, suspendedNanos: s.suspendedNanos.Load()}
+	e := &exchange{server: s, w: w, r: r, target: target, delegated: delegated, delegation: d, arrived: now, suspendedNanos: s.suspendedNanos.Load()}
 	defer e.finish()
 	if !e.admit() || !e.readBody() {
 		return
