--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -128,9 +128,10 @@
 	fingerprint    uint64        // the same when the caller sends the request again
 	waitedBefore   time.Duration // estimate of the caller's wait in earlier attempts
 
-	delegated  bool   // another host has delegated the request to this one
-	lastResort bool   // and no host that does not stop runs it
-	target     string // path and query as the caller sent them
+	delegated  bool        // another host has delegated the request to this one
+	lastResort bool        // and no host that does not stop runs it
+	delegation *delegation // nil if the other host sent none, as its build is an earlier one
+	target     string      // path and query as the caller sent them
 
 	record record
 }
