proxy: the end of a replica's process does not complete its answer

Callers could get streams that end as complete before their last event, and plain answers with a part of their body: an answer without a length or chunks ends with its connection, and the operating system of a killed process closes its connections in order.

Cause: the end of such a connection was taken for the end of the answer whatever became of the replica. Class: absence of evidence taken for proof.

Before such an answer counts as complete, the host opens a connection to the replica, which it keeps for the next request. If none is accepted, the answer has broken off: it goes on elsewhere where it may, and otherwise ends visibly incomplete.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -61,6 +62,9 @@
 	if !complete {
 		return e.sendUnbuffered(response, body, lease)
 	}
+	if e.endedWithProcess(response, lease) {
+		return e.handleUnusable(errProcessEnded, fleet.Truncated, lease)
+	}
 	response.MarkComplete()
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
@@ -77,6 +81,24 @@
 	return attemptDone
 }
 
+// errProcessEnded means that a replica's process ended together with its answer, which therefore may not be complete.
+var errProcessEnded = errors.New("process of the replica ended with its answer")
+
+// processEndSettleTime is the time in which a process that ends closes its connections and its listener.
+const processEndSettleTime = 5 * time.Millisecond
+
+// endedWithProcess reports whether an answer without a length or chunks, which ends with its connection, may have
+// ended because the replica's process did: it accepts no connection any more.
+func (e *exchange) endedWithProcess(response *upstream.Response, lease *fleet.Lease) bool {
+	if !response.Unframed || lease.Member.ID == "" {
+		return false
+	}
+	time.Sleep(processEndSettleTime)
+	ctx, cancel := context.WithTimeout(e.r.Context(), inspectTimeout)
+	defer cancel()
+	return e.server.opts.Client.Connect(ctx, lease.Member.Address, e.maxIdle(lease.Member.Upstream)) != nil
+}
+
 // endServed ends the lease of a complete response.
 func (e *exchange) endServed(response *upstream.Response, lease *fleet.Lease) {
 	result := fleet.Served
@@ -122,6 +144,9 @@
 	e.w.WriteHeader(response.Status)
 	_, writeErr := e.w.Write(bodyStart)
 	_, copyErr := io.Copy(e.w, response.Body)
+	if copyErr == nil && e.endedWithProcess(response, lease) {
+		copyErr = errProcessEnded
+	}
 	if writeErr != nil || copyErr != nil {
 		leaseResult := fleet.Truncated
 		if writeErr != nil || e.r.Context().Err() != nil {
@@ -148,6 +173,9 @@
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
+			if p.events > eventsBefore && e.endedWithProcess(response, lease) {
+				return e.handleBrokenStream(errProcessEnded, response, lease, p, controller)
+			}
 			lease.RecordStream(p.events-eventsBefore, time.Since(firstEventAt), time.Now())
 			return e.handleStreamEnd(response, lease, p, p.events > eventsBefore)
 		}
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -196,7 +196,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), netio.DialTimeout)
 	defer cancel()
-	err := s.opts.Client.Connect(ctx, member.Address)
+	err := s.opts.Client.Connect(ctx, member.Address, 0)
 	if err == nil {
 		s.opts.Fleet.RecordContact(time.Now())
 	}
--- a/internal/gateway/upstream/check_test.go
+++ b/internal/gateway/upstream/check_test.go
@@ -126,7 +126,7 @@
 	process := &processReplica{name: "a"}
 	server := startReplica(t, process.serve)
 	client := newTestClient()
-	require.NoError(t, client.Connect(t.Context(), server.address))
+	require.NoError(t, client.Connect(t.Context(), server.address, 0))
 	stale := client.pool.idle[server.address][0]
 	stale.usedBefore = true
 	require.NoError(t, stale.Conn.(*net.TCPConn).CloseWrite())
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -153,15 +153,15 @@
 	return false
 }
 
-// Connect opens a connection to a replica and keeps it for the next request.
-func (c *Client) Connect(ctx context.Context, address string) error {
+// Connect opens a connection to a replica and keeps it for the next request, if maxIdle (see Request.MaxIdle) allows.
+func (c *Client) Connect(ctx context.Context, address string, maxIdle int) error {
 	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
 	connection := newConn(raw)
 	connection.reuseUntil = time.Now().Add(defaultIdleTimeout)
-	c.pool.put(address, connection, 0)
+	c.pool.put(address, connection, maxIdle)
 	return nil
 }
 
