--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -380,24 +380,25 @@
 func (rig *configRig) fault(random *rand.Rand) (play func(time.Duration), name string) {
 	i := random.IntN(len(rig.hosts))
 	h := rig.hosts[i]
-	onHost := func(act func(time.Duration)) func(time.Duration) {
+	pause := func(h *host, lasts time.Duration) {
+		defer rig.note(h.name, time.Now(), false, false)
+		h.signal(syscall.SIGSTOP)
+		time.Sleep(lasts)
+		h.signal(syscall.SIGCONT)
+	}
+	restart := func(s syscall.Signal) func(time.Duration) {
 		return func(lasts time.Duration) {
 			if !h.claim() {
 				return
 			}
 			defer h.release()
 			defer rig.note(h.name, time.Now(), false, false)
-			act(lasts)
-		}
-	}
-	restart := func(s syscall.Signal) func(time.Duration) {
-		return onHost(func(lasts time.Duration) {
 			h.boot.Add(1) // the process that ends and the next one are told apart
 			h.signal(s)
 			h.wait()
 			time.Sleep(lasts / 2)
 			h.start()
-		})
+		}
 	}
 	seed := random.Uint64()
 	switch n := random.IntN(15); n {
@@ -406,11 +407,12 @@
 	case 1:
 		return restart(syscall.SIGTERM), "stop of " + h.name
 	case 2, 3:
-		return onHost(func(lasts time.Duration) {
-			h.signal(syscall.SIGSTOP)
-			time.Sleep(lasts)
-			h.signal(syscall.SIGCONT)
-		}), "pause of " + h.name
+		return func(lasts time.Duration) {
+			if h.claim() {
+				pause(h, lasts)
+				h.release()
+			}
+		}, "pause of " + h.name
 	case 4:
 		return func(lasts time.Duration) {
 			if !h.claim() {
@@ -467,26 +469,24 @@
 			}
 		}, "connections to the store go silent"
 	case 11, 12:
-		// The host stays in touch: callers, hosts and the store reach it. The others may be behind.
+		// The host stays in touch: callers, hosts and the store reach it. Another one may be behind.
 		return func(lasts time.Duration) {
 			if rig.cutOff.Swap(true) {
 				return // healing a link twice would wait for its port
 			}
 			defer rig.cutOff.Store(false)
-			others := slices.Concat(rig.fronts[:i], rig.fronts[i+1:])
-			if n == 12 {
-				defer rig.note("", time.Now(), false, false)
-				setModes(others, frontRejects)
-				defer setModes(others, frontOpen)
-			}
 			for _, l := range rig.fronts[i].links {
 				l.cut()
 			}
-			time.Sleep(2 * lasts)
+			if other := rig.hosts[(i+1)%len(rig.hosts)]; n == 12 && other.claim() {
+				pause(other, lasts)
+				other.release()
+			}
+			time.Sleep(lasts)
 			for _, l := range rig.fronts[i].links {
 				l.heal()
 			}
-		}, fmt.Sprintf("%s cut off from all replicas, others rejected by the store: %v", h.name, n == 12)
+		}, fmt.Sprintf("%s cut off from all replicas, next host paused: %v", h.name, n == 12)
 	default:
 		gap := 50 + random.IntN(300)
 		return func(lasts time.Duration) {
