gateway: suspects with two crashes are kept in the store

Cause: only what is refused was kept in the store; the crashes until then were in memory. TestSuspectsAreKnownAfterRestart is new.

--- a/internal/gateway/fleet/poisonpart.go
+++ b/internal/gateway/fleet/poisonpart.go
@@ -109,3 +109,10 @@
 	defer f.mu.Unlock()
 	return f.parts.Refused(now)
 }
+
+// SuspectParts returns the prompt parts that are suspects and not refused; see poisonpart.Tracker.Suspects.
+func (f *Fleet) SuspectParts(limit int, now time.Time) []poisonpart.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.parts.Suspects(limit, now)
+}
--- a/internal/gateway/fleet/poisonrequest.go
+++ b/internal/gateway/fleet/poisonrequest.go
@@ -61,3 +61,10 @@
 	defer f.mu.Unlock()
 	return f.requests.Refused(now)
 }
+
+// SuspectRequests returns the requests that are suspects and not refused; see poisonpart.Tracker.Suspects.
+func (f *Fleet) SuspectRequests(limit int, now time.Time) []poisonpart.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests.Suspects(limit, now)
+}
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -102,3 +103,43 @@
 	assert.Eventually(t, func() bool { return g.store.Count(platform.KindRequests) == 1 }, 20*time.Second, 5*time.Millisecond)
 	assert.Equal(t, http.StatusServiceUnavailable, status(target))
 }
+
+// Guards against hosts that forget the crashes of a part or a request with a restart before it is refused, so that it
+// crashes more replicas in each of their lives. Found by KNOWN-RED 7 (BUDGET).
+func TestSuspectsAreKnownAfterRestart(t *testing.T) {
+	g := startGateway(t, func(http.ResponseWriter, *http.Request) {})
+	kinds := []string{platform.KindParts, platform.KindRequests}
+	for _, kind := range kinds {
+		var entries []poisonpart.Entry
+		for part, crashes := range []int{1: 1, 2: 2} {
+			e := poisonpart.Entry{Part: uint64(part), Expires: time.Now().Add(time.Minute)}
+			for i := range crashes {
+				e.Crashes = append(e.Crashes, poisonpart.Crash{Replica: uint64(i), At: time.Now().Add(time.Duration(i-10) * time.Second)})
+			}
+			entries = append(entries, e)
+		}
+		g.store.Put(kind, "suspects", poisonpart.NewSuspectsRecord(entries))
+	}
+	g.putConfig(t, 1)
+	for _, kind := range kinds {
+		require.Eventually(t, func() bool { return g.store.ListCalls(kind) > 0 }, 20*time.Second, 5*time.Millisecond)
+	}
+	time.Sleep(time.Second) // until the lists are applied
+
+	// The store loses what the hosts wrote there; they write again what they know.
+	saved := g.store.Copy()
+	for _, kind := range kinds {
+		saved.Drop(kind)
+	}
+	g.store.Restore(saved)
+	for _, kind := range kinds {
+		assert.Eventually(t, func() bool { return g.store.Count(kind) == 1 }, 20*time.Second, 5*time.Millisecond)
+		written, err := json.Marshal(g.store.Spec(kind, "suspects"))
+		require.NoError(t, err)
+		var record poisonpart.SuspectsRecord
+		require.NoError(t, json.Unmarshal(written, &record))
+		require.Len(t, record.Suspects, 1, "one with a single crash is not kept: %s", written)
+		assert.Equal(t, "2", record.Suspects[0].Part)
+		assert.Len(t, record.Suspects[0].Crashes, 2)
+	}
+}
--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -493,6 +493,21 @@
 	return cloneEntries(out)
 }
 
+// Suspects returns the entries that are not refused and have minRepeatedCrashes crashes or more, which hosts that
+// start need to know: at most limit, those with the most crashes first.
+func (t *Tracker) Suspects(limit int, now time.Time) []Entry {
+	var out []Entry
+	for _, e := range t.entries.Values() {
+		if now.Before(e.Expires) && len(e.Crashes) >= minRepeatedCrashes && !t.refuses(e) {
+			out = append(out, e.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Part, b.Part))
+	})
+	return cloneEntries(out[:min(len(out), limit)])
+}
+
 // cloneEntries makes the crashes of the entries independent of those of the Tracker.
 func cloneEntries(entries []Entry) []Entry {
 	for i := range entries {
--- a/internal/scheduling/poisonpart/record.go
+++ b/internal/scheduling/poisonpart/record.go
@@ -22,6 +22,20 @@
 	Retried  bool   `json:"retried,omitempty"`
 }
 
+// SuspectsRecord is the form in which suspects that are not refused are kept together.
+type SuspectsRecord struct {
+	Suspects []Record `json:"suspects"`
+}
+
+// NewSuspectsRecord returns the record of the entries.
+func NewSuspectsRecord(entries []Entry) SuspectsRecord {
+	var r SuspectsRecord
+	for i := range entries {
+		r.Suspects = append(r.Suspects, NewRecord(&entries[i]))
+	}
+	return r
+}
+
 // Name returns the form of a part's ID in records, logs and commands.
 func Name(part uint64) string { return strconv.FormatUint(part, 16) }
 
--- a/internal/scheduling/poisonpart/simulation_test.go
+++ b/internal/scheduling/poisonpart/simulation_test.go
@@ -18,6 +18,7 @@
 	simDuration  = 25 * time.Second
 	simGossip    = 100 * time.Millisecond
 	simReports   = 36
+	simKept      = 24
 	simLossShare = 5 // one report in so many is lost
 	simBurst     = 4 // requests with the part that come at the same moment, if they come in bursts
 	simBurstWait = 4500 * time.Millisecond
@@ -187,11 +188,11 @@
 	}
 }
 
-// keep writes the refused parts of a random host to the store.
+// keep writes the refused and suspect parts of a random host to the store.
 func (s *simulation) keep() {
 	if h := s.hosts[s.random.IntN(len(s.hosts))]; !h.cut {
-		if refused := h.tracker.Refused(s.now); len(refused) > 0 {
-			s.stored = refused
+		if kept := append(h.tracker.Refused(s.now), h.tracker.Suspects(simKept, s.now)...); len(kept) > 0 {
+			s.stored = kept
 		}
 	}
 }
