--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -103,10 +103,11 @@
 }
 
 // BoundRead sets the read deadline of a connection, and lets its reads fail when the requests in progress are ended.
-// The returned function removes both.
-func (d *Drain) BoundRead(setDeadline func(time.Time) error, deadline time.Time) (unbound func()) {
+// The returned function must be called when the read has ended. It removes the deadline if the connection is read
+// again.
+func (d *Drain) BoundRead(setDeadline func(time.Time) error, deadline time.Time) (unbound func(readAgain bool)) {
 	if setDeadline(deadline) != nil {
-		return func() {} // the connection has no deadlines, as in a test
+		return func(bool) {} // the connection has no deadlines, as in a test
 	}
 	var mu sync.Mutex
 	reading := true
@@ -117,11 +118,13 @@
 			_ = setDeadline(time.Now()) // setting a deadline succeeded above
 		}
 	})
-	return func() {
+	return func(readAgain bool) {
 		stop()
 		mu.Lock()
 		defer mu.Unlock()
 		reading = false
-		_ = setDeadline(time.Time{})
+		if readAgain {
+			_ = setDeadline(time.Time{})
+		}
 	}
 }
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -39,7 +39,7 @@
 			d.End()
 			time.Sleep(50 * time.Millisecond) // the read fails meanwhile
 		}
-		unbound()
+		unbound(true)
 		d.End()
 		time.Sleep(50 * time.Millisecond)
 		assert.True(t, set[len(set)-1].IsZero())
@@ -56,3 +56,16 @@
 	<-ctx.Done()
 	require.ErrorIs(t, context.Cause(ctx), ErrHostStops)
 }
+
+// Guards against failed reads that a process keeps until it stops: each would take memory, and act on its connection
+// at the end.
+func TestFailedReadLeavesNothingBehind(t *testing.T) {
+	d, set := New(), 0
+	d.BoundRead(func(time.Time) error {
+		set++
+		return nil
+	}, time.Now().Add(time.Hour))(false)
+	d.End()
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, 1, set, "the deadline of the read stays, as nothing more is read")
+}
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -310,6 +310,7 @@
 	}
 	unbound := e.server.drain.BoundRead(http.NewResponseController(e.w).SetReadDeadline, e.deadline)
 	body, complete, err := upstream.ReadAll(e.r.Body, limit)
+	unbound(err == nil && complete)
 	if err != nil || !complete {
 		// The rest of the body is not read, so the connection cannot be reused.
 		e.w.Header().Set("Connection", "close")
@@ -331,7 +332,6 @@
 		e.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return false
 	}
-	unbound()
 	e.body = body
 	return true
 }
--- a/internal/gateway/proxy/stop_test.go
+++ b/internal/gateway/proxy/stop_test.go
@@ -4,7 +4,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -110,3 +112,46 @@
 	status, body, _ := g.do(testRequest{path: "/short/1", body: "text"})
 	assert.Equal(t, http.StatusOK, status, body)
 }
+
+// Guards against a host whose memory grows with each request body that its caller breaks off.
+func TestBrokenOffBodiesTakeNoMemory(t *testing.T) {
+	g := newTestGateway(t, newReplica(respondWith("x")))
+	address := g.frontend.Listener.Addr().String()
+	heap := func() uint64 {
+		time.Sleep(300 * time.Millisecond)
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	play := func(n int) {
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				buf := make([]byte, 1000)
+				for range n / 4 {
+					c, err := net.Dial("tcp", address)
+					if err != nil {
+						continue
+					}
+					_, _ = c.Write([]byte("POST /lookup/1 HTTP/1.1\r\nHost: shop.example\r\nHeatherbarrow-Attempt-Id: a\r\nAuthorization: Bearer counter-key\r\nContent-Length: 100\r\n\r\nabc"))
+					_ = c.(*net.TCPConn).CloseWrite()
+					_, _ = c.Read(buf)
+					_ = c.Close()
+				}
+			}()
+		}
+		wg.Wait()
+	}
+	play(200)
+	before := heap()
+	const n = 2000
+	play(n)
+	after := heap()
+	t.Logf("%d bytes for each request", (int64(after)-int64(before))/n)
+	require.Less(t, before, uint64(1<<30))
+	assert.Less(t, (int64(after)-int64(before))/n, int64(500))
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -137,6 +137,7 @@
 	}
 	unbound := e.server.drain.BoundRead(e.controller.SetReadDeadline, time.Now().Add(limits.BodyTimeout.Std()))
 	body, err := readAll(http.MaxBytesReader(e.w, e.r.Body, limits.MaxBodyBytes), e.r.ContentLength)
+	unbound(err == nil)
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
@@ -154,7 +155,6 @@
 		e.refuseBody(http.StatusBadRequest, "body_incomplete", "the body is not complete")
 		return false
 	}
-	unbound()
 	e.body = body
 	return true
 }
