proxy: a refused connection shows the end of a process only if another replica is reached

It now connects to another replica too. TestUnframedAnswerIsForwardedWhileNewConnectionsAreRefused failed before. The check also ends with the host at a stop.

--- a/internal/gateway/fleet/reach.go
+++ b/internal/gateway/fleet/reach.go
@@ -49,9 +49,20 @@
 	if !f.reach.failedTogether(now) {
 		return Member{}, false
 	}
+	return f.soundReplica(now, "")
+}
+
+// SoundReplica returns a replica other than the one with the given ID to which this host has had no failure lately.
+func (f *Fleet) SoundReplica(except string, now time.Time) (Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.soundReplica(now, except)
+}
+
+func (f *Fleet) soundReplica(now time.Time, except string) (Member, bool) {
 	var sound []*replica
 	for id, r := range f.replicas {
-		if _, failed := f.reach.failed[id]; !failed && r.member.usable(now) && r.consecutiveFailures == 0 {
+		if _, failed := f.reach.failed[id]; !failed && id != except && r.member.usable(now) && r.consecutiveFailures == 0 {
 			sound = append(sound, r)
 		}
 	}
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -95,14 +95,22 @@
 // endedWithProcess reports whether a response whose body ended with its connection may be incomplete, because nothing
 // listens at the replica's address any more: the kernel closes the connections of a process that was killed in the same
 // way as the replica does after the last byte. A process that leaves ends its answers before it closes its listener.
+// The refusal shows nothing if this host opens no connection to another replica either.
 func (e *exchange) endedWithProcess(response *upstream.Response, lease *fleet.Lease) bool {
+	s := e.server
 	if !response.Unframed || lease.Leaving(time.Now()) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(e.r.Context(), inspectTimeout)
+	bound, unbind := s.drain.Bound(e.r.Context())
+	defer unbind()
+	ctx, cancel := context.WithTimeout(bound, inspectTimeout)
 	defer cancel()
-	err := e.server.opts.Client.Connect(ctx, lease.Member.Address, e.maxIdle(lease.Member.Upstream))
-	return upstream.Refused(err)
+	maxIdle := e.maxIdle(lease.Member.Upstream)
+	if err := s.opts.Client.Connect(ctx, lease.Member.Address, maxIdle); !upstream.Refused(err) || s.opts.Fleet.CutOff() {
+		return false
+	}
+	other, ok := s.opts.Fleet.SoundReplica(lease.Member.ID, time.Now())
+	return !ok || s.opts.Client.Connect(ctx, other.Address, maxIdle) == nil
 }
 
 // handleUnusable ends an attempt whose response broke off, had no events, lacked the server
--- a/internal/gateway/proxy/unframed_test.go
+++ b/internal/gateway/proxy/unframed_test.go
@@ -126,3 +126,33 @@
 		assert.Equal(t, "answer", body, name)
 	}
 }
+
+// Guards against complete answers without a length that a host takes for broken while new connections to all replicas are
+// refused to it and open ones live on.
+func TestUnframedAnswerIsForwardedWhileNewConnectionsAreRefused(t *testing.T) {
+	for _, path := range []string{"/order/x", "/match/x"} {
+		links := &cutLinks{open: make(chan net.Conn, 100)}
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			links.begin(halfAlive)
+			contentType, body := "text/plain", "answer"
+			if path == "/match/x" {
+				contentType, body = "text/event-stream", eventsText(4)
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Type: %s\r\n\r\n%s", attemptIDHeader, r.Header.Get(attemptIDHeader), sealHeader, contentType, body)
+		}
+		g := newTestGateway(t, http.HandlerFunc(handler), http.HandlerFunc(handler))
+		g.addHelpers(links, g.sibling())
+		response, err := g.send(t.Context(), testRequest{path: path, header: promptHeader})
+		if assert.NoError(t, err, path) {
+			_, err = io.ReadAll(response.Body)
+			assert.NoError(t, err, path)
+			assert.Equal(t, http.StatusOK, response.StatusCode, path)
+			_ = response.Body.Close()
+		}
+	}
+}
