upstream: an abandoned question and a late duplicate say nothing of a process

A question counts as unanswered only when its own time is over, and answers that bear an attempt ID are skipped. TestCallerThatLeavesMakesNoReplicaSilent and TestLateDuplicateIsNotTheAnswerToAQuestion failed before.

--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -102,6 +102,7 @@
 			return lease.ProcessKnown(openedAt, current, time.Now()) && fits()
 		},
 	}
+	check.Matches = func(status int, h http.Header) bool { return s.opts.Dialect.Reply(status, h).AttemptID == "" }
 	check.Verify = func(askedAt time.Time, status int, body []byte) bool {
 		s.metrics.processQuestions.Inc(1)
 		started, stated := s.opts.Dialect.ProcessStarted(body)
--- a/internal/gateway/proxy/process_test.go
+++ b/internal/gateway/proxy/process_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -137,3 +138,31 @@
 	}
 	assert.EqualValues(t, 1, replica.asked.Load(), "once after a connection failed")
 }
+
+// Guards against a replica that counts as silent, and takes no stream that goes on, because a caller left while its process
+// was asked.
+func TestCallerThatLeavesMakesNoReplicaSilent(t *testing.T) {
+	asked := make(chan struct{}, 10)
+	p := newProcess(registeredStart, events("a", 8, -1))
+	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/report" {
+			asked <- struct{}{}
+			time.Sleep(50 * time.Millisecond)
+		}
+		p.ServeHTTP(w, r)
+	})
+	g := newTestGateway(t, slow)
+	g.withoutStore()
+	g.setVersions("v1")
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-asked
+		cancel()
+	}()
+	_, err := g.send(ctx, testRequest{path: "/quote/1"})
+	require.Error(t, err)
+	time.Sleep(20 * time.Millisecond)
+	g.origins.Record("began", origin.Origin{Upstream: "pool", Version: "v1"}, time.Now())
+	status, body, _ := g.takeUp("began", "4")
+	assert.Equal(t, http.StatusOK, status, body)
+}
--- a/internal/gateway/upstream/check.go
+++ b/internal/gateway/upstream/check.go
@@ -25,8 +25,11 @@
 	Known   func(openedAt time.Time) bool
 	Target  string // path of the question
 	Timeout time.Duration
+	// Matches reports whether an answer may be that to a question: on a reused connection, an answer to an earlier
+	// request may arrive first. Nil accepts every answer.
+	Matches func(status int, h http.Header) bool
 	// Verify reports whether the answer to a question sent at that time is that of the expected process. It is also
-	// called, with status 0, if there is no answer.
+	// called, with status 0, if there is no answer in time.
 	Verify func(askedAt time.Time, status int, body []byte) bool
 	// Broken is called when the replica has closed or reset an idle connection before its time.
 	Broken func()
@@ -83,6 +86,9 @@
 	askCtx, cancel := context.WithTimeout(ctx, req.Check.Timeout)
 	defer cancel()
 	question := &Request{Address: req.Address, Method: http.MethodGet, Target: req.Check.Target, Host: req.Address}
+	if req.Check.Matches != nil {
+		question.Matches = func(status int, h http.Header, _ bool) bool { return req.Check.Matches(status, h) }
+	}
 	answer := &Response{client: c, address: req.Address, conn: connection, Reused: connection.usedBefore}
 	stop := context.AfterFunc(askCtx, func() { _ = connection.abort() })
 	askedAt := time.Now()
@@ -96,7 +102,9 @@
 		body, complete, err = ReadAll(answer.Body, maxCheckBytes)
 	}
 	if !stop() || err != nil || !complete {
-		req.Check.Verify(askedAt, 0, nil)
+		if ctx.Err() == nil { // the request that needs the answer has not ended before it
+			req.Check.Verify(askedAt, 0, nil)
+		}
 		return noAnswer, false
 	}
 	connection.usedBefore = true
--- a/internal/gateway/upstream/check_test.go
+++ b/internal/gateway/upstream/check_test.go
@@ -135,3 +135,40 @@
 	assert.True(t, response.Checked)
 	response.Close()
 }
+
+// Guards against a late duplicate of an earlier answer that is taken for the answer to a question: the process would count as
+// one that does not tell which it is.
+func TestLateDuplicateIsNotTheAnswerToAQuestion(t *testing.T) {
+	server := startReplica(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			request, _, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			if request.URL.Path == "/which" {
+				_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nHeatherbarrow-Attempt-Id: 1\r\nContent-Length: 4\r\n\r\nlate") // duplicate
+				time.Sleep(20 * time.Millisecond)
+				_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na")
+				continue
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHeatherbarrow-Attempt-Id: %s\r\nContent-Length: 6\r\n\r\nanswer", request.Header.Get("Heatherbarrow-Attempt-Id"))
+		}
+	})
+	client := newTestClient()
+	plain := &Request{Address: server.address, Method: http.MethodPost, Target: "/x", Host: "h", ID: "1", Header: http.Header{"Heatherbarrow-Attempt-Id": {"1"}}}
+	response, err := client.Do(t.Context(), plain)
+	require.NoError(t, err)
+	response.Discard()
+	response.Close()
+	request := checkedRequest(server.address, "a", true)
+	request.ID, request.Header = "2", http.Header{"Heatherbarrow-Attempt-Id": {"2"}}
+	request.Check.Matches = func(_ int, h http.Header) bool { return h.Get("Heatherbarrow-Attempt-Id") == "" }
+	request.Matches = func(_ int, h http.Header, reused bool) bool {
+		id := h.Get("Heatherbarrow-Attempt-Id")
+		return id == "2" || id == "" && !reused
+	}
+	response, err = client.Do(t.Context(), request)
+	require.NoError(t, err)
+	assert.True(t, response.Checked)
+	response.Close()
+}
