poisonpart: a part found later frees the part that was blamed for it

Cause: answers of one subject were in flight in three crashes in a row and took the blame. The quarantine then stood, although the part that caused the crashes went on without that subject and was refused too. Class: a decision that evidence found later did not correct. Change: a quarantined part refuses and explains nothing while another quarantined part was in flight in its crashes and has enough crashes without it; likewise for whole requests. This is derived at each host, so that reports and the store need nothing new. Figures: TestPartFoundLaterFreesThePartThatWasBlamed failed before (both parts refused); passes.

--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -126,6 +126,7 @@
 	changes    uint64                            // number of times that classify ran
 	// The lists are derived from entries by classify.
 	quarantined []*localEntry
+	upheld      []*localEntry // quarantined parts whose crashes no other one explains
 	repeated    []*localEntry // suspects with minRepeatedCrashes crashes that quarantined parts do not explain
 }
 
@@ -227,7 +228,7 @@
 // expires is when that ends.
 func (t *Tracker) Blamed(parts []uint64, now time.Time) (part uint64, expires time.Time, blamed bool) {
 	for _, e := range t.quarantined {
-		if now.Before(e.Expires) && slices.Contains(parts, e.Part) && t.upheld(e) {
+		if now.Before(e.Expires) && slices.Contains(parts, e.Part) && t.isUpheld(e) {
 			return e.Part, e.Expires, true
 		}
 	}
@@ -252,7 +253,7 @@
 // Explains reports whether a quarantined part was in flight in the crash of a replica at about the given
 // time, or at any time if that is zero.
 func (t *Tracker) Explains(replica uint64, at time.Time) bool {
-	return slices.ContainsFunc(t.quarantined, func(e *localEntry) bool {
+	return slices.ContainsFunc(t.upheld, func(e *localEntry) bool {
 		return slices.ContainsFunc(e.Crashes, func(c Crash) bool {
 			return c.Replica == replica && (at.IsZero() || c.same(Crash{Replica: replica, At: at}))
 		})
@@ -264,10 +265,29 @@
 	return t.causes != nil && t.causes.Explains(c.Replica, c.At)
 }
 
-// upheld reports whether the crashes of a quarantined entry still have no cause in another Tracker, which may
-// have found it later.
-func (t *Tracker) upheld(e *localEntry) bool {
-	return t.causes == nil || len(slices.DeleteFunc(slices.Clone(e.Crashes), t.hasCause)) >= t.crashLimit
+// isUpheld reports whether the crashes of a quarantined entry have no other cause that was found later: a part that
+// another Tracker quarantines, or one here that crashed as many replicas without the entry's part.
+func (t *Tracker) isUpheld(e *localEntry) bool {
+	count := 0
+	for _, c := range e.Crashes {
+		explains := func(o *localEntry) bool {
+			return o != e && slices.ContainsFunc(o.Crashes, c.same) && t.crashesWithout(o, e) >= t.crashLimit
+		}
+		if !t.hasCause(c) && !slices.ContainsFunc(t.quarantined, explains) {
+			count++
+		}
+	}
+	return count >= min(t.crashLimit, len(e.Crashes))
+}
+
+// crashesWithout counts the crashes of an entry in which the other's part was not in flight.
+func (t *Tracker) crashesWithout(e, other *localEntry) (count int) {
+	for _, c := range e.Crashes {
+		if !slices.ContainsFunc(other.Crashes, c.same) {
+			count++
+		}
+	}
+	return count
 }
 
 // Suspect reports whether any of the parts has a crash against it.
@@ -286,7 +306,7 @@
 	var first time.Time // of the crashes that came together
 	for _, c := range e.Crashes {
 		inFlight := func(o *localEntry) bool { return o != e && slices.ContainsFunc(o.Crashes, c.same) }
-		if t.hasCause(c) || slices.ContainsFunc(t.quarantined, inFlight) ||
+		if t.hasCause(c) || slices.ContainsFunc(t.upheld, inFlight) ||
 			other != nil && other != e && slices.ContainsFunc(other.Crashes, c.explainedBy) {
 			continue
 		}
@@ -351,6 +371,12 @@
 		}
 	}
 	for {
+		t.upheld = t.upheld[:0]
+		for _, e := range t.quarantined {
+			if t.isUpheld(e) {
+				t.upheld = append(t.upheld, e)
+			}
+		}
 		t.repeated = t.repeated[:0]
 		for _, e := range t.entries.Values() {
 			if !e.Quarantined && t.unexplained(e, nil) >= minRepeatedCrashes {
@@ -478,7 +504,7 @@
 
 // refuses reports whether requests can be refused for the entry's part.
 func (t *Tracker) refuses(e *localEntry) bool {
-	return e.Quarantined && t.upheld(e) || !e.Quarantined && slices.Contains(t.repeated, e) && t.unexplained(e, nil) >= t.crashLimit
+	return e.Quarantined && t.isUpheld(e) || !e.Quarantined && slices.Contains(t.repeated, e) && t.unexplained(e, nil) >= t.crashLimit
 }
 
 // Refused returns the entries of the parts that requests are refused for.
--- a/internal/scheduling/poisonpart/poisonpart_test.go
+++ b/internal/scheduling/poisonpart/poisonpart_test.go
@@ -155,6 +155,31 @@
 	assert.False(t, blamed(p, now, firstPart, 10))
 }
 
+// Guards against refusing a sound part for ten minutes because the answers that ran beside the first three crashes all
+// held it, although the part that caused them goes on crashing replicas without it (case 4 of the review).
+func TestPartFoundLaterFreesThePartThatWasBlamed(t *testing.T) {
+	const sound = 7
+	p, other := newTestTracker(), newTestTracker()
+	now := partsStart
+	for crash := range uint64(6) {
+		now = now.Add(1100 * time.Millisecond)
+		answering := []uint64{firstPart, sound}
+		if crash >= 3 {
+			require.True(t, blamed(p, now, firstPart, sound), "crash %d", crash)
+			answering = []uint64{firstPart, 200 + crash}
+		}
+		p.Crash(answering, []uint64{poisonPart}, crash, now)
+		p.Completed([]uint64{firstPart, 300}, now.Add(500*time.Millisecond))
+	}
+	other.Merge(p.Reports(true, 10, now), now)
+	for _, host := range []*Tracker{p, other} {
+		assert.True(t, blamed(host, now, firstPart, poisonPart))
+		assert.False(t, blamed(host, now, firstPart, sound))
+		require.Len(t, host.Refused(now), 1)
+		assert.EqualValues(t, poisonPart, host.Refused(now)[0].Part)
+	}
+}
+
 // Guards against forgetting a quarantined part because a storm of crashes makes suspects of many others.
 func TestManySuspectsDoNotDisplaceQuarantinedPart(t *testing.T) {
 	p := newTestTracker()
--- a/internal/scheduling/poisonpart/simulation_test.go
+++ b/internal/scheduling/poisonpart/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 	replicas []*simReplica
 	stored   []Entry // that hosts keep in the store, and read when they start
 	bursts   bool    // replicas crash as soon as they begin to answer, so that those of a burst crash together
+	silent   bool    // replicas crash before the first byte of an answer to requests with the part has left them
 	retries  bool    // requests are sent once more when their replica crashes
 	crashes  []time.Time
 	late     int // requests with the part that reached replicas too late
@@ -127,17 +129,28 @@
 // crash ends a replica. The hosts of its requests learn of it, of those that it had begun to answer.
 func (s *simulation) crash(id int) {
 	r := s.replicas[id]
-	byHost, retried := make(map[*simHost][]uint64), make(map[*simHost][]uint64)
+	byHost, waiting, retried := make(map[*simHost][]uint64), make(map[*simHost][]uint64), make(map[*simHost][]uint64)
 	for _, q := range r.running {
-		if q.tracker == q.host.tracker && !s.now.Before(q.begins) {
-			byHost[q.host] = append(byHost[q.host], q.parts...)
+		if q.tracker == q.host.tracker && (!s.now.Before(q.begins) || s.silent) {
+			if s.silent && (q.poison || s.now.Before(q.begins)) {
+				waiting[q.host] = append(waiting[q.host], q.parts...)
+			} else {
+				byHost[q.host] = append(byHost[q.host], q.parts...)
+			}
 			if q.retried {
 				retried[q.host] = append(retried[q.host], q.parts...)
 			}
 		}
 	}
-	for h, parts := range byHost {
-		h.tracker.CrashInRetry(parts, nil, retried[h], uint64(id), s.now.Add(time.Duration(s.random.IntN(10))*time.Millisecond))
+	for _, h := range s.hosts {
+		answering, other := byHost[h], waiting[h]
+		if len(answering) == 0 {
+			answering, other = other, nil
+		}
+		other = slices.DeleteFunc(other, func(part uint64) bool { return slices.Contains(answering, part) })
+		if len(answering) > 0 {
+			h.tracker.CrashInRetry(answering, other, retried[h], uint64(id), s.now.Add(time.Duration(s.random.IntN(10))*time.Millisecond))
+		}
 	}
 	brokenOff := r.running
 	*r = simReplica{downUntil: s.now.Add(time.Duration(2+s.random.IntN(3)) * time.Second)}
@@ -322,6 +335,15 @@
 	})
 }
 
+// Guards against a part that crashes replicas before the answers to its requests begin, while answers of sound requests
+// are in flight there and take the blame.
+func TestSimulatedFleetRefusesPartThatCrashesBeforeAnswers(t *testing.T) {
+	checkPlays(t, 4, 18, 20, func(s *simulation, _ uint64) {
+		s.silent = true
+		s.play(0.9)
+	})
+}
+
 // Guards against a lone host that does not refuse the part: it forgets the crashes with each restart until
 // the part is refused, and the crashes of all its replicas within a moment count once.
 func TestSimulatedLoneHostRefusesOnlyThePoisonPart(t *testing.T) { checkFleet(t, 1, 4, 12) }
