fleet: back-off of replicas alone refuses no request

Callers were refused for the backlog of the replicas that accept, while one that had rejected a request earlier had room: replicas in back-off or with a trial request were compared only if no other replica could take the request at all, and a trial went on until the first byte of its answer.

Before a request is refused, replicas of which the back-off has ended are compared too, also while another request tries them: a request that is refused anyway loses nothing there. The head of an answer other than a rejection ends the trial.

--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -56,9 +56,19 @@
 	Misdirected
 )
 
-// HeadReceived records that the head of the answer has arrived. It must be called by the goroutine
-// that calls End.
-func (l *Lease) HeadReceived() { l.answering = true }
+// HeadReceived records that the head of an answer other than a rejection has arrived. It must be called by the
+// goroutine that calls End.
+func (l *Lease) HeadReceived() {
+	l.answering = true
+	if l.replica == nil {
+		return
+	}
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	if !l.ended {
+		l.replica.rejections.accepted(l)
+	}
+}
 
 // FirstByte records that the first byte of the answer has arrived.
 func (l *Lease) FirstByte(now time.Time) {
--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -192,7 +192,14 @@
 	refusal := f.refuse(p, q, &best, now)
 	if refusal != nil && p.upstream.Engine != nil {
 		// The sample may have missed a replica with a shorter backlog.
-		if other, _ := f.best(p, q, now, accepting, anyRank); other.replica != nil && f.refuse(p, q, &other, now) == nil {
+		if other, admitted := f.bestAdmitted(p, q, now, accepting, anyRank); admitted {
+			best, refusal = other, nil
+		}
+	}
+	if refusal != nil {
+		// A request that is refused anyway loses nothing at a replica that may reject it.
+		rejecting := func(rank int) bool { return p.replicas[rank].rejections.rejecting(now) }
+		if other, admitted := f.bestAdmitted(p, q, now, retriable, rejecting); admitted {
 			best, refusal = other, nil
 		}
 	}
@@ -245,7 +252,7 @@
 // decode group if the request mostly generates, of the other replicas if not, and a sample of
 // all replicas if the request would be late there. It compares all replicas for plain
 // services or if both samples are empty, replicas that rejected requests recently only if there are
-// no others, and those that failed recently only if there is nothing else. Unconnectable replicas get
+// no others (Pick compares them too before it refuses the request), and those that failed recently only if there is nothing else. Unconnectable replicas get
 // one request at a time.
 func (f *Fleet) choose(p *pool, q *Request, now time.Time) (best candidate, skipped skipReason) {
 	if p.upstream.Engine != nil {
@@ -326,12 +333,21 @@
 const (
 	usable    condition = iota // its registration allows requests, and it is not unconnectable
 	healthy                    // it is not suspended after failures and has no trial request either
+	retriable                  // nor has it rejected a request so recently that it should get none
 	accepting                  // nor is it likely to reject the request
 )
 
 // meets reports whether a replica meets the condition.
 func (r *replica) meets(c condition, now time.Time) bool {
-	return !r.unconnectable(now) && (c < healthy || r.admissible(now)) && (c < accepting || !r.rejections.rejecting(now))
+	return !r.unconnectable(now) && (c < healthy || r.admissible(now)) &&
+		(c < retriable || !r.rejections.backingOff(now)) && (c < accepting || !r.rejections.rejecting(now))
+}
+
+// bestAdmitted returns the best replica that meets the condition and whose rank is accepted, and whether it admits
+// the request.
+func (f *Fleet) bestAdmitted(p *pool, q *Request, now time.Time, c condition, accept func(rank int) bool) (best candidate, admitted bool) {
+	best, _ = f.best(p, q, now, c, accept)
+	return best, best.replica != nil && f.refuse(p, q, &best, now) == nil
 }
 
 // best returns the replica with the lowest cost among those that meet the condition and whose rank is
--- a/internal/gateway/fleet/rejection.go
+++ b/internal/gateway/fleet/rejection.go
@@ -22,9 +22,12 @@
 // rejecting reports whether the replica is likely to reject a request: its back-off has not ended, or another
 // request is trying.
 func (r *rejections) rejecting(now time.Time) bool {
-	return r.level > 0 && (now.Before(r.retryAt) || r.trial != nil)
+	return r.backingOff(now) || r.level > 0 && r.trial != nil
 }
 
+// backingOff reports whether the replica's back-off has not ended.
+func (r *rejections) backingOff(now time.Time) bool { return r.level > 0 && now.Before(r.retryAt) }
+
 // start notes a request sent to the replica.
 func (r *rejections) start(l *Lease) {
 	if r.level > 0 && r.trial == nil {
--- a/internal/gateway/fleet/rejection_test.go
+++ b/internal/gateway/fleet/rejection_test.go
@@ -214,3 +214,53 @@
 	}
 	assert.Equal(t, 1, f.replicas["s0"].rejections.level)
 }
+
+// Guards against a request that is refused for the backlog of the only replica that has not rejected one lately, while another
+// one, of which the back-off has ended, has room.
+func TestBackOffAloneIsNoReasonToRefuse(t *testing.T) {
+	f := newFleet(2)
+	rejecting := pick(t, f, longAnswerRequest(), start).Member.ID
+	accepting := map[string]string{"e0": "e1", "e1": "e0"}[rejecting]
+	only := longAnswerRequest()
+	only.Exclude = []string{accepting}
+	pick(t, f, only, start).End(Rejected, start.Add(time.Millisecond))
+	now := start.Add(time.Second) // the back-off has ended
+	only = longAnswerRequest()
+	only.Exclude = []string{accepting}
+	pick(t, f, only, now) // the trial
+	picked := map[string]int{}
+	for range 30 {
+		q := &Request{Upstream: engines, PromptTokens: 9190, OutputTokens: 50, Target: 800 * time.Millisecond, MaxGap: 500 * time.Millisecond, TimeLeft: 5 * time.Second, Priority: 1}
+		l, refusal := f.Pick(q, now)
+		if refusal == nil {
+			picked[l.Member.ID]++
+			continue
+		}
+		for _, id := range []string{rejecting, accepting} {
+			elsewhere := *q
+			elsewhere.Exclude = []string{id}
+			_, refusal := f.Pick(&elsewhere, now)
+			assert.NotNil(t, refusal, "without %s, of %v", id, picked)
+		}
+		break
+	}
+	assert.Positive(t, picked[rejecting])
+	assert.Positive(t, picked[accepting])
+}
+
+// Guards against a replica that other requests avoid until the first byte of a long answer, although it has taken the request.
+func TestHeadOfAnswerEndsTrial(t *testing.T) {
+	f := newFleet(0)
+	rejecting := pick(t, f, serviceRequest(), start)
+	rejecting.End(Rejected, start)
+	later := start.Add(time.Second)
+	var trial *Lease
+	for trial == nil {
+		if l := pick(t, f, serviceRequest(), later); l.Member.ID == rejecting.Member.ID {
+			trial = l
+		}
+	}
+	require.Equal(t, 1, f.RejectingReplicas(service, later))
+	trial.HeadReceived()
+	assert.Zero(t, f.RejectingReplicas(service, later))
+}
