proxy: a watchdog takes the retry when it gives up a slow answer

Callers got 502 for slow answers that would have arrived: watchdogs that fired together all found the budget unspent and canceled their attempts, but only the first few of these requests got a retry. A host that runs a delegated request gave slow answers up as well, although only the delegating host pays for retries and might have none left.

The watchdog now takes the retry out of the budget itself before it cancels the attempt, and the next attempt counts as paid for. What it decides and the end of the attempt exclude each other. There is no watchdog if no replica may be tried any more, and none for a delegated request whose runs the other host decides on. A stalled stream of such a request thus waits for its deadline.

Spent, which nothing uses any more, is removed; tests ask Allow instead.

--- a/internal/gateway/proxy/budget.go
+++ b/internal/gateway/proxy/budget.go
@@ -102,10 +102,3 @@
 	defer b.mu.Unlock()
 	return b.upstream(upstream).AllowRejected()
 }
-
-// Spent reports whether the upstream's budget allows no retry now.
-func (b *Budget) Spent(upstream string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.upstream(upstream).Spent()
-}
--- a/internal/gateway/proxy/delegate_test.go
+++ b/internal/gateway/proxy/delegate_test.go
@@ -516,6 +516,6 @@
 			g.server.DelegateHandler().ServeHTTP(w, r)
 			require.Equal(t, http.StatusOK, w.Code)
 		}
-		assert.Equal(t, c.spent, budget.Spent("pool"), name)
+		assert.Equal(t, !c.spent, budget.Allow("pool"), name)
 	}
 }
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -278,7 +279,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := e.startWatchdog(ctx, cancel, lease, p)
-	defer watchdog.timer.Stop()
+	defer watchdog.end(p)
 
 	startedAt := time.Now()
 	response, err := s.opts.Client.Do(ctx, e.upstreamRequest(lease, p))
@@ -373,10 +374,23 @@
 type watchdog struct {
 	timer    *time.Timer
 	software atomic.Pointer[string] // the version of the replicas that may continue the stream; nil for any
+
+	mu        sync.Mutex
+	ended     bool // the attempt has ended
+	paidUntil int  // what progress.paidAttempts becomes if the watchdog has taken a retry; 0 if it has not
 }
 
 func newWatchdog(timer *time.Timer) *watchdog { return &watchdog{timer: timer} }
 
+// end stops the watchdog at the end of its attempt and records the retry that it has taken.
+func (w *watchdog) end(p *progress) {
+	w.timer.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	p.paidAttempts = max(p.paidAttempts, w.paidUntil)
+}
+
 // stoppedTimer returns a timer that does not fire.
 func stoppedTimer() *time.Timer {
 	t := time.NewTimer(unsetTimerDelay)
@@ -385,12 +399,12 @@
 }
 
 // startWatchdog returns a timer that cancels an attempt of a repeatable request that takes
-// much longer than expected. The timer is stopped if no other attempt is allowed, or if its
-// timeout exceeds half of the time left. When it fires, it cancels the attempt only if the
-// retry budget allows a retry and another replica is available: otherwise a slow response is
+// much longer than expected. The timer is stopped if no other attempt is allowed, if another host decides
+// on it, or if its timeout exceeds half of the time left. When it fires, it cancels the attempt only if
+// another replica is available and it gets a retry from the retry budget: otherwise a slow response is
 // better than none.
 func (e *exchange) startWatchdog(ctx context.Context, cancel context.CancelFunc, lease *fleet.Lease, p *progress) *watchdog {
-	if !e.route.Repeatable() || p.possibleRuns+1 >= e.maxAttempts() {
+	if !e.route.Repeatable() || p.possibleRuns+1 >= e.maxAttempts() || p.triedReplicas >= maxTriedReplicas || e.delegation != nil {
 		return newWatchdog(stoppedTimer())
 	}
 	timeout := lease.Expected + time.Duration(responseTimeoutTargets*float64(e.route.Target))
@@ -400,11 +414,16 @@
 	req.Exclude = append(slices.Clone(p.exclude), lease.Member.ID)
 	w := newWatchdog(nil)
 	w.software.Store(req.SoftwareVersion)
+	paidAttempts, paidUntil := p.paidAttempts, p.sentAttempts+2 // this attempt, if it is sent, and the retry
 	w.timer = time.AfterFunc(unsetTimerDelay, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		req.TimeLeft, req.SoftwareVersion = e.timeLeft(time.Now()), w.software.Load()
 		switch {
-		case ctx.Err() != nil:
-		case !e.server.opts.Budget.Spent(req.Upstream) && (e.server.opts.Fleet.CutOff() || e.server.opts.Fleet.Available(req, time.Now())):
+		case w.ended || ctx.Err() != nil:
+		case (e.server.opts.Fleet.CutOff() || e.server.opts.Fleet.Available(req, time.Now())) &&
+			(paidAttempts >= paidUntil || e.server.opts.Budget.Allow(req.Upstream)):
+			w.paidUntil = paidUntil
 			cancel()
 		default:
 			w.timer.Reset(minResponseTimeout)
--- a/internal/gateway/proxy/stall_test.go
+++ b/internal/gateway/proxy/stall_test.go
@@ -3,14 +3,19 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/proxy"
 	"heatherbarrow/internal/gateway/routing"
 )
 
@@ -91,3 +96,54 @@
 	assert.Equal(t, eventsText(3), body)
 	assert.Equal(t, int32(1), runs.Load())
 }
+
+// Guards against slow answers that are given up together for retries of which the budget has fewer.
+func TestNoMoreAnswersAreGivenUpThanTheBudgetRetries(t *testing.T) {
+	const requests, slack, retries = 24, 5, 4 // of the slack, a host uses four fifths
+	var ran atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		ran.Add(1)
+		time.Sleep(1500 * time.Millisecond)
+		respondWith("x")(w, r)
+	}
+	g := newTestGateway(t, newReplica(handler), newReplica(handler), newReplica(handler), newReplica(handler))
+	g.restart(func(o *proxy.Options) {
+		o.Budget = proxy.NewBudget(clockwork.NewRealClock(), time.Now().Add(-time.Minute), 0, slack, 1)
+	}, (&net.Dialer{}).DialContext)
+	var failed atomic.Int64
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if status, _, _ := g.do(testRequest{path: "/lookup/1", body: "text"}); status != http.StatusOK {
+				failed.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	assert.Zero(t, failed.Load())
+	assert.Greater(t, ran.Load(), int64(requests), "slow answers are given up while the budget allows it")
+	assert.LessOrEqual(t, ran.Load(), int64(requests+retries))
+}
+
+// Guards against a slow answer to a delegated request that is given up for a retry which only the other host may allow.
+func TestSlowAnswerToDelegatedRequestIsNotGivenUp(t *testing.T) {
+	var ran atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		time.Sleep(1500 * time.Millisecond)
+		respondWith("x")(w, r)
+	}
+	g := newTestGateway(t, newReplica(handler), newReplica(handler))
+	r := httptest.NewRequest(http.MethodPost, proxy.DelegatePath+"/lookup/1", http.NoBody)
+	r.Host = requestHost
+	r.Header.Set(attemptIDHeader, "attempt-1")
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	r.Header.Set("Heatherbarrow-Delegation", "runs=2&counted=1")
+	w := httptest.NewRecorder()
+	g.server.DelegateHandler().ServeHTTP(w, r)
+	assert.Equal(t, http.StatusOK, w.Code)
+	assert.Equal(t, int64(1), ran.Load())
+}
--- a/internal/scheduling/retry/account.go
+++ b/internal/scheduling/retry/account.go
@@ -77,12 +77,6 @@
 	return true
 }
 
-// Spent reports whether no retry is left.
-func (a *Account) Spent() bool {
-	a.update(a.clock.Now())
-	return a.balance < 1
-}
-
 // slackAccrues reports whether the host has known the number of hosts for long enough to use the slack.
 func (a *Account) slackAccrues(now time.Time) bool { return now.Sub(a.started) >= Window }
 
--- a/internal/scheduling/retry/account_test.go
+++ b/internal/scheduling/retry/account_test.go
@@ -37,7 +37,7 @@
 	clock := clockwork.NewFakeClock()
 	a := busyAccount(clock, 0.2, 16, 50)
 	assert.InDelta(t, 0.5*(0.2*500+16), takeAll(a.Allow), 1.5)
-	assert.True(t, a.Spent())
+	assert.False(t, a.Allow())
 	total := 0
 	for range 20 {
 		firstAttempts(a, clock, 50, time.Second)
@@ -64,7 +64,7 @@
 	clock := clockwork.NewFakeClock()
 	started := clock.Now()
 	a := NewAccount(clock, started, 0.2, 40)
-	assert.True(t, a.Spent())
+	assert.False(t, a.Allow())
 	firstAttempts(a, clock, 10, 2*time.Second)
 	assert.Equal(t, 2, takeAll(a.Allow), "half of the share of its requests")
 	clock.Advance(Window)
