fleet: an answer shows that its process lived when the request was sent

Streams could go on at a process of another software version: the first byte and the end of an answer counted as evidence that the process which sent it lives, dated when this host read them. A slow caller or a frozen host reads them long after the process has ended, and a connection that was opened to its successor in between was then taken for one of the earlier process, and its streams for those of the earlier version.

The evidence is now dated when the connection was found to lead to that process, right before the request was sent on it: the process has received the request after that.

TestLateReadAnswerDoesNotShowThatProcessLives failed before. A line of TestProcessIsKnownOnlyWithEvidence held the fault as intended: it took the time at which the first byte was read for one at which the process lived. It now asserts the time at which the request was sent, and that a connection opened later is not known.

--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -22,12 +22,13 @@
 	kvCacheTokens  int
 	longAnswer     bool // mostly generates
 	ended          bool
-	fingerprint    uint64   // of the request
-	parts          []uint64 // Request.Parts
-	answering      bool     // the head of the answer has arrived
-	accepted       bool     // the replica has begun to run the request
-	process        int64    // start of the process that the request was sent to; 0 if it is not known
-	retried        bool     // a replica that the request was tried on has failed
+	fingerprint    uint64    // of the request
+	parts          []uint64  // Request.Parts
+	answering      bool      // the head of the answer has arrived
+	accepted       bool      // the replica has begun to run the request
+	process        int64     // start of the process that the request was sent to; 0 if it is not known
+	processAt      time.Time // when its connection was found to lead to that process, before the request was sent
+	retried        bool      // a replica that the request was tried on has failed
 }
 
 // Result is the outcome of an attempt.
@@ -85,7 +86,7 @@
 	f.reach.recordContact()
 	l.replica.consecutiveConnectFailures = 0
 	l.replica.rejections.accepted(l)
-	l.recordProcessAlive(now)
+	l.recordProcessAlive()
 	latency := now.Sub(l.started)
 	p := f.pool(l.replica.member.Upstream)
 	if l.idle != nil && l.Copied == 0 {
@@ -154,7 +155,7 @@
 	}
 	switch result {
 	case Served:
-		l.recordProcessAlive(now)
+		l.recordProcessAlive()
 		f.reach.recordContact()
 		r.recordSuccess()
 		f.poison.Ended(l.fingerprint, true)
--- a/internal/gateway/fleet/process.go
+++ b/internal/gateway/fleet/process.go
@@ -81,7 +81,7 @@
 	}
 	l.process = 0
 	if known {
-		l.process = r.process.started
+		l.process, l.processAt = r.process.started, now
 	}
 	return known
 }
@@ -118,14 +118,15 @@
 	}
 	r.process.askAfter = time.Time{}
 	r.process.recordAlive(askedAt)
-	l.process = started
+	l.process, l.processAt = started, askedAt
 	return !r.replaced()
 }
 
-// recordProcessAlive records that the process which the request was sent to has answered.
-func (l *Lease) recordProcessAlive(now time.Time) {
+// recordProcessAlive records that the process which the request was sent to has answered. It lived when it was sent
+// the request; the answer may be read long after its end.
+func (l *Lease) recordProcessAlive() {
 	if p := &l.replica.process; l.process != 0 && l.process == p.started {
-		p.recordAlive(now)
+		p.recordAlive(l.processAt)
 	}
 }
 
--- a/internal/gateway/fleet/process_test.go
+++ b/internal/gateway/fleet/process_test.go
@@ -36,9 +36,10 @@
 	assert.True(t, l.ProcessKnown(at(1), true, at(2)))
 	assert.True(t, l.ProcessKnown(at(1), false, at(3)), "the connection was opened while the process lived")
 	assert.False(t, l.ProcessKnown(at(3), false, at(3)), "a later connection may lead to another one")
-	l.ProcessKnown(at(1), false, at(3))
-	l.FirstByte(at(5))
-	assert.True(t, l.ProcessKnown(at(4), false, at(6)), "the process answered after that")
+	l.ProcessKnown(at(1), false, at(4)) // the request is sent
+	l.FirstByte(at(6))
+	assert.True(t, l.ProcessKnown(at(4), false, at(7)), "the process lived when it got the request that it answered")
+	assert.False(t, l.ProcessKnown(at(5), false, at(7)), "it may have answered before that")
 	l.End(ConnectionLost, at(10))
 
 	l = pick(t, f, streamRequest("v1"), at(1000))
@@ -102,3 +103,19 @@
 	_, refusal = f.Pick(streamRequest(""), start)
 	assert.Nil(t, refusal, "no replica of the upstream states its version")
 }
+
+// Guards against a connection that is taken for one of an earlier process, because that process's last answer was read after
+// the connection was opened.
+func TestLateReadAnswerDoesNotShowThatProcessLives(t *testing.T) {
+	f, _ := versioned("v1")
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	slow := pick(t, f, streamRequest("v1"), at(0))
+	require.True(t, slow.RecordProcess(100, at(0)))
+	slow.FirstByte(at(10))
+	// The process sends the rest and ends; the caller reads slowly. Another process takes over and does not answer yet.
+	next := pick(t, f, longAnswerRequest(), at(3000))
+	require.False(t, next.ProcessKnown(at(3000), false, at(3000)))
+	next.RecordProcessSilent(at(3200))
+	slow.End(Served, at(3300))
+	assert.False(t, next.ProcessKnown(at(3000), false, at(3400)), "nothing shows which process the connection leads to")
+}
