retry: a host with a small part of the slack may save a whole retry

Hosts of large fleets with few requests never retried, however long ago the last retry was: at most half of the allowance is saved up, which is less than one retry where the allowance is below two (24 hosts and more with a slack of 54).

A host whose part of the slack is at least one may now save a whole retry. The sum over the hosts stays within the bound: while the allowance is below two, what accrues in a window makes no second retry. With parts below one nothing changes (docs/decisions/retries.md).

--- a/internal/scheduling/retry/account.go
+++ b/internal/scheduling/retry/account.go
@@ -10,6 +10,9 @@
 	// savedShare is the share of the allowance of a window that may be saved up for a burst, such as a crash that
 	// breaks many requests at once. The rest accrues while it is used.
 	savedShare = 0.5
+	// minSaved is the lowest limit of the balance of a host whose slack covers it: a host with few requests could
+	// never retry below it.
+	minSaved = 1.0
 	// reservedShare is the share of a full balance that is kept for requests that may have run, whose callers
 	// cannot be told that they did not.
 	reservedShare = 0.5
@@ -83,10 +86,15 @@
 // limit returns the highest balance that the last Window allows.
 func (a *Account) limit(now time.Time) float64 {
 	allowance := a.share * float64(a.firstAttempts.sum(now))
-	if a.slackAccrues(now) {
-		allowance += a.slack
+	if !a.slackAccrues(now) {
+		return savedShare * allowance
 	}
-	return savedShare * allowance
+	limit := savedShare * (allowance + a.slack)
+	if a.slack >= minSaved {
+		// While the allowance is below two retries, what accrues in a Window does not make a second one.
+		limit = max(limit, minSaved)
+	}
+	return limit
 }
 
 // update adds what has accrued with time and applies the limit.
--- a/internal/scheduling/retry/account_test.go
+++ b/internal/scheduling/retry/account_test.go
@@ -7,6 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // busyAccount returns an account of a host that has begun perSecond requests a second for longer than Window.
@@ -82,3 +83,67 @@
 	clock.Advance(time.Hour)
 	assert.Equal(t, 20, takeAll(a.Allow))
 }
+
+// Guards against hosts with a small part of the slack that never go on after a crash, however long ago the last retry was.
+func TestSmallPartOfSlackAllowsARetryInTheEnd(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	for _, hosts := range []float64{4, 12, 20, 24, 30, 40} {
+		busy, idle := busyAccount(clock, 0.2, 0.8*54/hosts, 1), NewAccount(clock, clock.Now(), 0.2, 0.8*54/hosts)
+		clock.Advance(10 * time.Minute)
+		assert.Positive(t, takeAll(idle.Allow), "%v hosts, idle service", hosts)
+		assert.Zero(t, takeAll(idle.Allow))
+		clock.Advance(10 * time.Minute)
+		assert.Positive(t, takeAll(idle.Allow), "%v hosts, idle service, again", hosts)
+		firstAttempts(busy, clock, 1, time.Minute)
+		assert.Positive(t, takeAll(busy.Allow), "%v hosts, 1/s", hosts)
+	}
+}
+
+// Guards the sum over hosts in each sliding window while traffic moves and hosts restart.
+func TestSumOverHostsStaysInBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		const hosts, share = 4, 0.2
+		slack := rapid.SampledFrom([]float64{2, 4, 4.4, 6, 8, 40}).Draw(rt, "slack")
+		accounts := make([]*Account, hosts)
+		old := rapid.Bool().Draw(rt, "old")
+		for i := range accounts {
+			started := clock.Now()
+			if old {
+				started = started.Add(-time.Hour)
+			}
+			accounts[i] = NewAccount(clock, started, share, slack/hosts)
+		}
+		var firsts, retries []time.Time
+		count := func(times []time.Time, from, to time.Time) (n int) {
+			for _, at := range times {
+				if at.After(from) && !at.After(to) {
+					n++
+				}
+			}
+			return n
+		}
+		most, restarts := rapid.SampledFrom([]int{0, 1, 60}).Draw(rt, "most"), rapid.Bool().Draw(rt, "restarts")
+		for range rapid.IntRange(50, 400).Draw(rt, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(1, 400).Draw(rt, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, hosts-1).Draw(rt, "host")
+			switch what := rapid.IntRange(0, 9).Draw(rt, "what"); {
+			case what == 0 && restarts:
+				accounts[i] = NewAccount(clock, clock.Now(), share, slack/hosts)
+			case what <= 3:
+				for accounts[i].Allow() {
+					retries = append(retries, clock.Now())
+				}
+			default:
+				for range rapid.IntRange(0, most).Draw(rt, "firsts") {
+					accounts[i].First()
+					firsts = append(firsts, clock.Now())
+				}
+			}
+			now := clock.Now()
+			r := count(retries, now.Add(-Window), now)
+			f := max(count(firsts, now.Add(-Window), now), count(firsts, now.Add(-Window*3/2), now.Add(-Window/2)), count(firsts, now.Add(-2*Window), now.Add(-Window)))
+			require.LessOrEqual(rt, float64(r), share*float64(f)+slack)
+		}
+	})
+}
