--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -251,9 +251,9 @@
 // choose returns the best replica for the request. For engines it compares a sample of the
 // decode group if the request mostly generates, of the other replicas if not, and a sample of
 // all replicas if the request would be late there. It compares all replicas for plain
-// services or if both samples are empty, replicas that rejected requests recently only if there are
-// no others (Pick compares them too before it refuses the request), and those that failed recently only if there is nothing else. Unconnectable replicas get
-// one request at a time.
+// services or if both samples are empty. It compares replicas that rejected requests recently
+// only if there are no others, as does Pick before it refuses a request, and those that failed
+// recently only if there is nothing else. Unconnectable replicas get one request at a time.
 func (f *Fleet) choose(p *pool, q *Request, now time.Time) (best candidate, skipped skipReason) {
 	if p.upstream.Engine != nil {
 		if best, _ = f.best(p, q, now, accepting, f.sampleReplicas(p, q, f.rankFilter(p, q))); f.meetsTarget(q, &best) {
