--- a/internal/scheduling/poisonpart/simulation_test.go
+++ b/internal/scheduling/poisonpart/simulation_test.go
@@ -281,10 +281,13 @@
 	checkPlays(t, hosts, replicas, seeds, func(s *simulation, seed uint64) { s.play(1.5 + 4*float64(seed%3)) })
 }
 
-func checkPlays(t *testing.T, hosts, replicas int, seeds uint64, play func(s *simulation, seed uint64)) {
+func checkPlays(t *testing.T, hosts, replicas int, seeds uint64, play func(s *simulation, seed uint64), except ...uint64) {
 	t.Helper()
 	sound, refused := 0, 0
 	for seed := range seeds {
+		if slices.Contains(except, seed) {
+			continue
+		}
 		s := newSimulation(seed, hosts, replicas)
 		play(s, seed)
 		assert.GreaterOrEqual(t, len(s.crashes), 3, "seed %d", seed)
@@ -307,20 +310,22 @@
 	}
 }
 
+// partlyExplainedSeed has a test of its own, as it fails; see KNOWN-RED.txt.
+const partlyExplainedSeed = 38
+
 // Guards against requests with the part that come several at a time, so that replicas crash together as in an
 // outage and the crashes count too little, with and without retries. Found by case 5 of the review (BUDGET).
 func TestSimulatedBurstsOfThePoisonPartAreRefused(t *testing.T) {
-	checkPlays(t, 4, 18, 36, func(s *simulation, seed uint64) {
+	checkPlays(t, 4, 18, 40, func(s *simulation, seed uint64) {
 		s.retries = seed%2 == 0
 		s.playBursts()
-	})
+	}, partlyExplainedSeed)
 }
 
 // Guards against a part that is not refused after a burst, because the part of one of its requests alone was in flight
 // in half of the crashes and takes the blame for them.
 func TestSimulatedBurstThatOneRequestExplainsInPart(t *testing.T) {
-	const seed = 38
-	s := newSimulation(seed, 4, 18)
+	s := newSimulation(partlyExplainedSeed, 4, 18)
 	s.retries = true
 	s.playBursts()
 	assert.LessOrEqual(t, s.late, simLate)
