cli: handle signals from the initialization of a process on

Callers lost a host whose settings changed while it started: SIGHUP ended the gateway, and SIGTERM ended all programs by its default action. Router, control and stand-in were ended by SIGHUP at any time.

Cause: signals were handled when Run began, or after the settings had been read. A SIGHUP before Run is kept and reloads.

The existing cases of cli_test.go only pass the channels that runMain takes now.

--- a/cmd/hbload/main.go
+++ b/cmd/hbload/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/loadgen"
@@ -10,5 +12,7 @@
 
 func main() {
 	var settings loadgen.Settings
-	os.Exit(cli.Main("hbload", os.Args[1:], &settings, loadgen.NewProgram(&settings, os.Stdout).Run))
+	signals := cli.Signals{Stop: make(chan os.Signal, cli.MaxSignals)}
+	signal.Notify(signals.Stop, os.Interrupt, syscall.SIGTERM) // SIGHUP ends a tool whose terminal is closed
+	os.Exit(cli.Main("hbload", os.Args[1:], &settings, signals, loadgen.NewProgram(&settings, os.Stdout).Run))
 }
--- a/cmd/heatherbarrow-control/main.go
+++ b/cmd/heatherbarrow-control/main.go
@@ -5,10 +5,12 @@
 	"os"
 
 	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/cli/earlysignal"
 	"heatherbarrow/internal/control"
 )
 
 func main() {
 	var settings control.Settings
-	os.Exit(cli.Main("heatherbarrow-control", os.Args[1:], &settings, control.NewProgram(&settings).Run))
+	signals := cli.Signals{Stop: earlysignal.Stop, Reload: earlysignal.Reload}
+	os.Exit(cli.Main("heatherbarrow-control", os.Args[1:], &settings, signals, control.NewProgram(&settings).Run))
 }
--- a/cmd/heatherbarrow-gateway/main.go
+++ b/cmd/heatherbarrow-gateway/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/cli/earlysignal"
 	"heatherbarrow/internal/gateway"
 	"heatherbarrow/internal/objectstore"
 	"heatherbarrow/platform"
@@ -29,5 +30,6 @@
 		KindVersions: platform.KindVersions,
 		KindStreams:  platform.KindStreams,
 	})
-	os.Exit(cli.Main("heatherbarrow-gateway", os.Args[1:], &settings, program.Run))
+	signals := cli.Signals{Stop: earlysignal.Stop, Reload: earlysignal.Reload}
+	os.Exit(cli.Main("heatherbarrow-gateway", os.Args[1:], &settings, signals, program.Run))
 }
--- a/cmd/heatherbarrow-router/main.go
+++ b/cmd/heatherbarrow-router/main.go
@@ -5,10 +5,12 @@
 	"os"
 
 	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/cli/earlysignal"
 	"heatherbarrow/internal/router"
 )
 
 func main() {
 	var settings router.Settings
-	os.Exit(cli.Main("heatherbarrow-router", os.Args[1:], &settings, router.NewProgram(&settings).Run))
+	signals := cli.Signals{Stop: earlysignal.Stop, Reload: earlysignal.Reload}
+	os.Exit(cli.Main("heatherbarrow-router", os.Args[1:], &settings, signals, router.NewProgram(&settings).Run))
 }
--- a/cmd/heatherbarrow-standin/main.go
+++ b/cmd/heatherbarrow-standin/main.go
@@ -6,10 +6,12 @@
 	"os"
 
 	"heatherbarrow/internal/cli"
+	"heatherbarrow/internal/cli/earlysignal"
 	"heatherbarrow/internal/standin"
 )
 
 func main() {
 	var settings standin.Settings
-	os.Exit(cli.Main("heatherbarrow-standin", os.Args[1:], &settings, standin.NewProgram(&settings).Run))
+	signals := cli.Signals{Stop: earlysignal.Stop, Reload: earlysignal.Reload}
+	os.Exit(cli.Main("heatherbarrow-standin", os.Args[1:], &settings, signals, standin.NewProgram(&settings).Run))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
@@ -32,15 +31,22 @@
 	Version bool   `long:"version" description:"print the version and exit"`
 }
 
+// Signals are the channels of the signals of a process that are handled since it was initialized, as in package
+// earlysignal.
+type Signals struct {
+	Stop   chan os.Signal // SIGINT and SIGTERM
+	Reload chan os.Signal // SIGHUP
+}
+
 // Main parses the common flags, loads the settings file into target and calls
 // run with a context that ends at the first SIGINT or SIGTERM; the context of
-// Forced ends at the second one, and a third ends the process. It returns the
-// process's exit code.
-func Main(name string, args []string, target any, run func(ctx context.Context) error) int {
-	return runMain(name, args, target, run, os.Stdout, os.Stderr)
+// Forced ends at the second one, and a third ends the process. The program does
+// not run if one has arrived before. It returns the process's exit code.
+func Main(name string, args []string, target any, signals Signals, run func(ctx context.Context) error) int {
+	return runMain(name, args, target, signals, run, os.Stdout, os.Stderr)
 }
 
-func runMain(name string, args []string, target any, run func(ctx context.Context) error, stdout, stderr io.Writer) int {
+func runMain(name string, args []string, target any, signals Signals, run func(ctx context.Context) error, stdout, stderr io.Writer) int {
 	var opts Options
 	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
@@ -72,12 +78,15 @@
 		fmt.Fprintln(stdout, opts.Config+": ok")
 		return ExitOK
 	}
-	signals := make(chan os.Signal, maxSignals)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	ctx, cancel := withSignals(signals)
+	select {
+	case <-signals.Stop:
+		return ExitOK
+	default:
+	}
+	ctx, cancel := withSignals(signals.Stop)
 	defer cancel()
-	if err := run(context.WithValue(ctx, fileKey{}, opts.Config)); err != nil {
+	ctx = context.WithValue(context.WithValue(ctx, fileKey{}, opts.Config), reloadKey{}, signals.Reload)
+	if err := run(ctx); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return ExitFailure
 	}
@@ -94,11 +103,21 @@
 	return path
 }
 
+// reloadKey is the key of the channel that Reload returns.
+type reloadKey struct{}
+
+// Reload returns a channel that receives a value when the settings file has changed. ctx is the one passed to run or
+// derived from it; for any other context nothing is received.
+func Reload(ctx context.Context) <-chan os.Signal {
+	reload, _ := ctx.Value(reloadKey{}).(chan os.Signal)
+	return reload
+}
+
 // forcedKey is the key of the context that Forced returns.
 type forcedKey struct{}
 
-// maxSignals is the number of signals that are told apart.
-const maxSignals = 2
+// MaxSignals is the number of stop signals that are told apart.
+const MaxSignals = 2
 
 // Forced returns a context that ends at the second signal, when the operator no
 // longer wants to wait for a graceful stop. ctx is the one passed to run, or one
@@ -122,7 +141,7 @@
 	ctx, cancel := context.WithCancel(WithForced(context.Background(), forced))
 	returned := make(chan struct{})
 	go func() {
-		for _, end := range [maxSignals]context.CancelFunc{cancel, force} {
+		for _, end := range [MaxSignals]context.CancelFunc{cancel, force} {
 			select {
 			case <-signals:
 				end()
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -44,16 +44,32 @@
 			ran = true
 			return os.NewSyscallError("boom", syscall.EIO)
 		}
-		code := runMain("program", test.args, &testSettings{}, run, &out, &out)
+		code := runMain("program", test.args, &testSettings{}, Signals{}, run, &out, &out)
 		require.Equal(t, test.code, code, test.args)
 		require.Contains(t, out.String(), test.text)
 		require.Equal(t, test.runs, ran)
 	}
 }
 
+// Guards against a program that serves although it was told to stop while it started.
+func TestStopSignalBeforeRun(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(file, []byte(`{"name":"x"}`), 0o600))
+	signals := Signals{Stop: make(chan os.Signal, MaxSignals)}
+	signals.Stop <- syscall.SIGTERM
+	var out bytes.Buffer
+	ran := false
+	run := func(context.Context) error {
+		ran = true
+		return nil
+	}
+	require.Equal(t, ExitOK, runMain("program", []string{"--config", file}, &testSettings{}, signals, run, &out, &out))
+	require.False(t, ran)
+}
+
 // Guards against a second signal that does not end the wait for a graceful stop.
 func TestSecondSignalForces(t *testing.T) {
-	signals := make(chan os.Signal, maxSignals)
+	signals := make(chan os.Signal, MaxSignals)
 	ctx, cancel := withSignals(signals)
 	defer cancel()
 	derived, cancelDerived := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -7,10 +7,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -114,11 +112,8 @@
 	return &Program{settings: s, adapter: adapter}
 }
 
-// Run serves until ctx ends, then drains and returns. SIGHUP reloads the settings file.
+// Run serves until ctx ends, then drains and returns. A value of cli.Reload reloads the settings file.
 func (p *Program) Run(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(p.settings.MemoryLimitMB) * (1 << 20)))
 	out := telemetry.NewAsyncWriter(os.Stdout)
@@ -145,7 +140,7 @@
 	go p.runHousekeeping(serviceCtx)
 	for {
 		select {
-		case <-hup:
+		case <-cli.Reload(ctx):
 			p.reload(cli.SettingsFile(ctx))
 			continue
 		case <-ctx.Done():
