gateway: the wait for the reader of the log ends in the grace period

A host whose log nobody reads ended after its grace period, so that it would have been killed: the last lines had 0.5 s from the end of the drain on, which itself ends a tenth of the grace period, at most 0.7 s, before its end.

Evidence: TestGatewayEndsInGraceIfLogIsNotRead (real process, grace 3 s, full pipe, one request in progress until the end) ends after 3.27 s on the code before and passes now, 3 of 3, also with -race. Half of the margin is left to the log.

--- a/internal/cli/process_test.go
+++ b/internal/cli/process_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -25,11 +26,11 @@
 // The packages of a program follow, and then its main function.
 const initialized = "init net/http "
 
-// buildPrograms builds all programs of cmd and returns their directory.
-func buildPrograms(t *testing.T) string {
+// buildPrograms builds programs and returns their directory.
+func buildPrograms(t *testing.T, packages string) string {
 	t.Helper()
 	dir := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", dir, "heatherbarrow/cmd/...").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", dir+"/", packages).CombinedOutput()
 	require.NoError(t, err, string(out))
 	return dir
 }
@@ -59,6 +60,16 @@
 	}
 }
 
+// writeSettings writes a settings file and returns its path.
+func writeSettings(t *testing.T, fields map[string]any) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	data, err := json.Marshal(fields)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
 // program is a process that has been started.
 type program struct {
 	*exec.Cmd
@@ -103,14 +114,11 @@
 // TestSignalRightAfterStart guards against a signal that ends a process because it arrives before the process handles
 // signals: SIGHUP of an operator whose settings changed during the start ended the gateway.
 func TestSignalRightAfterStart(t *testing.T) {
-	dir := buildPrograms(t)
+	dir := buildPrograms(t, "heatherbarrow/cmd/...")
 	for name, fields := range programSettings() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			settings := filepath.Join(t.TempDir(), "settings.json")
-			data, err := json.Marshal(fields)
-			require.NoError(t, err)
-			require.NoError(t, os.WriteFile(settings, data, 0o600))
+			settings := writeSettings(t, fields)
 			for _, delay := range []time.Duration{0, 0, 0, 1, 2, 3, 5, 8, 13, 30, 80} {
 				delay *= time.Millisecond
 				p := startProgram(t, filepath.Join(dir, name), settings)
@@ -136,3 +144,35 @@
 		})
 	}
 }
+
+// TestGatewayEndsInGraceIfLogIsNotRead guards against a gateway that is killed at the end of its grace period while it
+// waits for the reader of its log.
+func TestGatewayEndsInGraceIfLogIsNotRead(t *testing.T) {
+	const name, grace = "heatherbarrow-gateway", 3 * time.Second
+	fields := programSettings()[name]
+	fields["grace_seconds"] = grace.Seconds()
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	defer func() { _, _ = reader.Close(), writer.Close() }()
+	require.NoError(t, writer.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	for err == nil {
+		_, err = writer.Write(make([]byte, 4096))
+	}
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the pipe is full")
+	cmd := exec.Command(filepath.Join(buildPrograms(t, "heatherbarrow/cmd/"+name), name), "--config", writeSettings(t, fields))
+	cmd.Stdout = writer
+	require.NoError(t, cmd.Start())
+	var unfinished net.Conn
+	require.Eventually(t, func() bool {
+		unfinished, err = net.Dial("tcp", fields["listen"].(string))
+		return err == nil
+	}, processTimeout, 10*time.Millisecond)
+	defer func() { _ = unfinished.Close() }()
+	_, err = io.WriteString(unfinished, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx") // lasts until the end
+	require.NoError(t, err)
+	time.Sleep(300 * time.Millisecond)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	stopped := time.Now()
+	require.NoError(t, cmd.Wait())
+	assert.Less(t, time.Since(stopped), grace)
+}
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -49,7 +49,8 @@
 	// check in transit.
 	defaultBalancerLag = 2500 * time.Millisecond
 	// shutdownMargin is the reserve between the end of draining and the end of the grace period. It is
-	// smaller in a short grace period, so that responses last into its last sixth.
+	// smaller in a short grace period, so that responses last into its last sixth. Half of it is left to
+	// the log.
 	shutdownMargin        = 700 * time.Millisecond
 	shutdownMarginDivisor = 10
 	// minHosts is the number of hosts assumed to share the retry slack until more hosts
@@ -117,7 +118,8 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(p.settings.MemoryLimitMB) * (1 << 20)))
 	out := telemetry.NewAsyncWriter(os.Stdout)
-	defer func() { _ = out.Close() }()
+	logUntil := time.Now().Add(math.MaxInt64)
+	defer func() { out.CloseBefore(logUntil) }()
 	var err error
 	p.logger, err = telemetry.NewLogger(out, p.settings.LogLevel, programName, p.settings.Host, p.settings.AvailabilityZone)
 	if err != nil {
@@ -147,7 +149,11 @@
 		}
 		break
 	}
-	return p.shutdown(registry)
+	grace := time.Duration(p.settings.GraceSeconds * float64(time.Second))
+	margin := min(shutdownMargin, grace/shutdownMarginDivisor)
+	deadline := time.Now().Add(grace - margin)
+	logUntil = deadline.Add(margin / 2)
+	return p.shutdown(registry, grace, deadline)
 }
 
 // registerServices creates the services of the program and registers and provisions
@@ -374,10 +380,8 @@
 // listener and the idle connections, so that callers connect to other hosts, and returns
 // when the in-flight requests have finished or the grace period is about to end; shortly
 // before, those that are still in progress are answered.
-func (p *Program) shutdown(registry *kernel.Registry) error {
+func (p *Program) shutdown(registry *kernel.Registry, grace time.Duration, deadline time.Time) error {
 	start := time.Now()
-	grace := time.Duration(p.settings.GraceSeconds * float64(time.Second))
-	deadline := start.Add(grace - min(shutdownMargin, grace/shutdownMarginDivisor))
 	lag := cmp.Or(p.settings.BalancerLag.Std(), defaultBalancerLag)
 	p.server.Drain(start.Add(lag), deadline.Add(-drain.AnswerMargin(grace)))
 	p.logger.Info().Time("until", deadline).Msg("draining")
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -50,12 +50,17 @@
 
 // Close writes what is left, as far as the reader takes it within asyncInterval.
 func (w *AsyncWriter) Close() error {
+	w.CloseBefore(time.Now().Add(asyncInterval))
+	return nil
+}
+
+// CloseBefore is Close for a process that must end at the given time.
+func (w *AsyncWriter) CloseBefore(end time.Time) {
 	close(w.stop)
 	select {
 	case <-w.stopped:
-	case <-time.After(asyncInterval):
+	case <-time.After(min(asyncInterval, time.Until(end))):
 	}
-	return nil
 }
 
 func (w *AsyncWriter) run() {
