claims: failed rounds of an earlier outage refuse no later claim

Callers saw a call refused (not run, so that it may be sent again) after the store had recovered, because the answer to one write was lost.

Cause: a writer refuses waiting claims after two failed rounds in a row, and kept its count while its shard was idle. A claim that came any time after an outage was refused at its first failed round, though the second one would have found it in the log. Rounds are in a row now if one starts within AppendTimeout of the failure of the last; in an outage claims are still refused at once.

Looked at and found as intended: a claim is refused as not run only while it can no longer be granted (abandon, finish).

--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -353,6 +353,20 @@
 	}, 10*time.Second, 10*time.Millisecond)
 }
 
+// Guards against a claim that is refused after one failed round because rounds had failed in an outage that is over.
+func TestClaimAfterOutageOutlastsOneFailedRound(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	service := c.hosts[0].currentService()
+	caller := &testCaller{cluster: c, key: 1}
+	c.platform.SetFaults(standin.Faults{Down: true})
+	refused := service.Claim(context.Background(), caller.request("refused"))
+	require.Equal(t, rpc.ClaimResult_CLAIM_RESULT_UNAVAILABLE, refused.Result)
+	c.platform.SetFaults(standin.Faults{LoseWriteAnswers: 1})
+	time.Sleep(2 * service.options.AppendTimeout)
+	granted := service.Claim(context.Background(), caller.request("granted"))
+	require.Equal(t, rpc.ClaimResult_CLAIM_RESULT_GRANTED, granted.Result)
+}
+
 // Guards against a key that stays occupied by an attempt that the router recorded as not
 // run before or while it was granted, and against a grant to such an attempt later.
 func TestRevokedAttemptFreesItsKey(t *testing.T) {
--- a/internal/claims/writer.go
+++ b/internal/claims/writer.go
@@ -9,7 +9,9 @@
 )
 
 // refuseAfterFailures is the number of consecutive failed rounds (calls of appendBatch)
-// after which waiting claims are refused at once instead of at their deadline.
+// after which waiting claims are refused at once instead of at their deadline. Rounds are
+// consecutive if one starts within AppendTimeout after the failure of the last: those of an
+// earlier outage say nothing about a claim that comes later.
 const refuseAfterFailures = 2
 
 // shardWriter queues operations and appends them to the log of a shard in batches.
@@ -23,6 +25,7 @@
 	dueAt        time.Time     // when the queue is to be written; zero when the queue is empty
 	wake         chan struct{} // signals that operations were queued
 	failures     int           // consecutive failed rounds
+	failedAt     time.Time     // when the last of them failed
 	maintainedAt time.Time
 	notBefore    time.Time // no round starts before this time
 }
@@ -120,13 +123,16 @@
 	}
 	options := &w.service.options
 	started := options.Clock.Now()
+	if started.Sub(w.failedAt) > options.AppendTimeout {
+		w.failures = 0
+	}
 	err := w.withIndex(ctx, func(callCtx context.Context) error { return w.log.append(callCtx, batch) })
 	if err == nil {
 		w.failures = 0
 		w.setNotBefore(started.Add(options.WriteSpacing))
 		return
 	}
-	w.failures++
+	w.failures, w.failedAt = w.failures+1, options.Clock.Now()
 	w.service.logFailure(w.shard, w.failures, err)
 	w.setNotBefore(options.Clock.Now().Add(options.RetryDelay))
 	w.requeue(batch, err)
