--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -76,7 +78,9 @@
 		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 		stops[h.name] = time.Now()
 		h.signal(syscall.SIGTERM)
+		late := time.AfterFunc(graceSeconds*time.Second, h.logThreads)
 		h.wait()
+		late.Stop()
 		assert.Less(t, time.Since(stops[h.name]), graceSeconds*time.Second, "%s ends in its grace period", h.name)
 		h.start()
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts again", h.name)
@@ -100,6 +104,24 @@
 	d.check(results)
 }
 
+// logThreads logs what the threads of the process wait for, which tells a process that is paused, starved, or held in the
+// kernel from one that waits by itself.
+func (h *host) logThreads() {
+	h.mu.Lock()
+	pid := h.cmd.Process.Pid
+	h.mu.Unlock()
+	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", pid))
+	h.t.Logf("%s, process %d, has not ended; %d threads", h.name, pid, len(paths))
+	for _, path := range paths {
+		status, _ := os.ReadFile(filepath.Join(path, "status")) // the thread may end meanwhile
+		wait, _ := os.ReadFile(filepath.Join(path, "wchan"))
+		call, _ := os.ReadFile(filepath.Join(path, "syscall"))
+		_, state, _ := strings.Cut(string(status), "State:")
+		state, _, _ = strings.Cut(state, "\n")
+		h.t.Logf("%s: state %s, waits in %s, system call %s", path, strings.TrimSpace(state), wait, strings.TrimSpace(string(call)))
+	}
+}
+
 // slowRoutes writes a configuration whose requests may outlast a host.
 func (d *deployment) slowRoutes() {
 	route := func(kind, routeKind string, attempts int) map[string]any {
