--- a/internal/gateway/proxy/stop_test.go
+++ b/internal/gateway/proxy/stop_test.go
@@ -81,6 +81,35 @@
 	assert.EqualValues(t, 2, replica.received.Load())
 }
 
+// Guards against a delegated request whose caller gets no answer, or whose run is denied, because the host that runs it
+// stops and ends it.
+func TestDelegatedRequestIsAnsweredWhenItsHostEnds(t *testing.T) {
+	var attempts atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if attempts.Add(1) != 2 {
+			<-r.Context().Done()
+			return
+		}
+		respondWith("answer ")(w, r)
+	}
+	g := newTestGateway(t, newReplica(handler), newReplica(handler))
+	ending, other := g.sibling(), g.sibling()
+	links := &cutLinks{open: make(chan net.Conn, 100)}
+	g.addHelpers(links, ending, other)
+	links.begin(refuses)
+	time.AfterFunc(200*time.Millisecond, func() { ending.server.Drain(time.Now().Add(time.Minute), time.Now().Add(300*time.Millisecond)) })
+	status, body, _ := g.do(testRequest{path: "/lookup/1", body: "text"})
+	assert.Equal(t, http.StatusOK, status, "repeated at another host: %s", body)
+	require.EqualValues(t, 2, attempts.Load())
+	last := g.sibling()
+	g.addHelpers(links, last)
+	time.AfterFunc(200*time.Millisecond, func() { last.server.Drain(time.Now().Add(time.Minute), time.Now().Add(300*time.Millisecond)) })
+	status, body, _ = g.do(testRequest{path: "/order/1", body: "text"})
+	assert.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, status, "it has run: %s", body)
+	assert.EqualValues(t, 3, attempts.Load())
+}
+
 // Guards against streams of a host that is cut off from replicas which no host goes on with, because the others stop:
 // a stream that is broken off again at the end of the host is taken up elsewhere.
 func TestHostThatStopsTakesRepeatableRequestsAsLastResort(t *testing.T) {
