Gateway: the time left is computed when the connection is open

Replicas were handed more time than was left: the request's header was composed before its connection was opened, and before the process at the other end had told which one it is. Opening a connection may take half a second, twice if the first one leads to another process, and each question 0.2 s. First attempts, repeats, streams that go on and delegated requests were concerned.

The client now composes the header when it has the connection that it writes the request to.

Ruled out: a wait of the write itself, as the header goes out in one write before a long body. The tests of the client give their header by a function now; what they check is unchanged.

--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -213,11 +213,10 @@
 // offer offers the request to another host and forwards the answer if the host takes it.
 func (e *exchange) offer(ctx context.Context, address string, lastResort bool, p *progress) (result attemptResult, taken bool) {
 	s := e.server
-	request := e.delegatedRequest(address, p)
-	if lastResort {
-		request.Header.Set(lastResortHeader, "1")
-	}
-	response, err := s.opts.Client.Do(ctx, request)
+	response, err := s.opts.Client.Do(ctx, &upstream.Request{
+		Address: address, ID: e.call.AttemptID, Method: e.r.Method, Target: DelegatePath + e.requestTarget(), Host: e.r.Host,
+		Header: func() http.Header { return e.delegatedHeader(lastResort, p) }, Body: e.body, NewConnection: !e.route.Repeatable(),
+	})
 	if err != nil {
 		s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("helper", address).Err(err).Msg("host does not take the request over")
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -252,8 +251,8 @@
 	return result, true
 }
 
-// delegatedRequest returns the caller's request as it is sent to another host.
-func (e *exchange) delegatedRequest(address string, p *progress) *upstream.Request {
+// delegatedHeader returns the header of the caller's request as it is written to another host now.
+func (e *exchange) delegatedHeader(lastResort bool, p *progress) http.Header {
 	d := routing.Delegation{Remaining: e.timeLeft(time.Now()), LastEventID: p.lastEventID}
 	if p.headerSent {
 		d.Resumes = e.firstAttemptID()
@@ -261,11 +260,11 @@
 	header := e.server.opts.Dialect.Delegate(e.r.Header, d)
 	header.Set(configVersionHeader, strconv.FormatInt(e.table.Version, 10))
 	header.Del(lastResortHeader) // of the caller
-	header.Set(delegationHeader, (&delegation{runsLeft: max(e.route.MaxAttempts, 1) - p.possibleRuns, counted: p.counted, ran: p.ran}).String())
-	return &upstream.Request{
-		Address: address, ID: e.call.AttemptID, Method: e.r.Method, Target: DelegatePath + e.requestTarget(), Host: e.r.Host,
-		Header: header, Body: e.body, NewConnection: !e.route.Repeatable(),
+	if lastResort {
+		header.Set(lastResortHeader, "1")
 	}
+	header.Set(delegationHeader, (&delegation{runsLeft: max(e.route.MaxAttempts, 1) - p.possibleRuns, counted: p.counted, ran: p.ran}).String())
+	return header
 }
 
 // forwardDelegated forwards the answer of the host that runs the request.
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -296,19 +296,9 @@
 
 // upstreamRequest returns the request to the leased replica.
 func (e *exchange) upstreamRequest(lease *fleet.Lease, p *progress) *upstream.Request {
-	dispatch := routing.Dispatch{
-		ReplicaID: lease.Member.ID, Remaining: e.timeLeft(time.Now()), Urgency: -1, LastEventID: p.lastEventID,
-		CopyFrom: lease.CopyFrom,
-	}
-	if e.team != nil {
-		dispatch.Team = e.team.Name
-	}
-	if e.route.Kind == routing.Streaming {
-		dispatch.Urgency = e.urgency()
-	}
 	return &upstream.Request{
 		Address: lease.Member.Address, ID: e.call.AttemptID, Method: e.r.Method, Target: e.requestTarget(), Host: e.r.Host,
-		Header: e.server.opts.Dialect.Forward(e.r.Header, dispatch), Body: e.body,
+		Header: func() http.Header { return e.upstreamHeader(lease, p) }, Body: e.body,
 		NewConnection: !e.route.Repeatable() && e.route.Kind != routing.Streaming,
 		MaxIdle:       e.maxIdle(lease.Member.Upstream),
 		Check:         e.processCheck(lease, p),
@@ -321,6 +311,21 @@
 	}
 }
 
+// upstreamHeader returns the header of a request that is written to the leased replica now.
+func (e *exchange) upstreamHeader(lease *fleet.Lease, p *progress) http.Header {
+	dispatch := routing.Dispatch{
+		ReplicaID: lease.Member.ID, Remaining: e.timeLeft(time.Now()), Urgency: -1, LastEventID: p.lastEventID,
+		CopyFrom: lease.CopyFrom,
+	}
+	if e.team != nil {
+		dispatch.Team = e.team.Name
+	}
+	if e.route.Kind == routing.Streaming {
+		dispatch.Urgency = e.urgency()
+	}
+	return e.server.opts.Dialect.Forward(e.r.Header, dispatch)
+}
+
 // maxIdle returns the limit of idle connections to a replica of the upstream.
 func (e *exchange) maxIdle(upstreamName string) int {
 	u := e.table.Upstream(upstreamName)
--- a/internal/gateway/upstream/check_test.go
+++ b/internal/gateway/upstream/check_test.go
@@ -155,13 +155,13 @@
 		}
 	})
 	client := newTestClient()
-	plain := &Request{Address: server.address, Method: http.MethodPost, Target: "/x", Host: "h", ID: "1", Header: http.Header{"Heatherbarrow-Attempt-Id": {"1"}}}
+	plain := &Request{Address: server.address, Method: http.MethodPost, Target: "/x", Host: "h", ID: "1", Header: fixedHeader("Heatherbarrow-Attempt-Id", "1")}
 	response, err := client.Do(t.Context(), plain)
 	require.NoError(t, err)
 	response.Discard()
 	response.Close()
 	request := checkedRequest(server.address, "a", true)
-	request.ID, request.Header = "2", http.Header{"Heatherbarrow-Attempt-Id": {"2"}}
+	request.ID, request.Header = "2", fixedHeader("Heatherbarrow-Attempt-Id", "2")
 	request.Check.Matches = func(_ int, h http.Header) bool { return h.Get("Heatherbarrow-Attempt-Id") == "" }
 	request.Matches = func(_ int, h http.Header, reused bool) bool {
 		id := h.Get("Heatherbarrow-Attempt-Id")
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -77,7 +77,9 @@
 	Method string
 	Target string // path and query, sent unchanged
 	Host   string
-	Header http.Header
+	// Header returns the headers. It is called when the connection is open, right before the request is written, so
+	// that they can state how much time is left. Nil stands for no headers.
+	Header func() http.Header
 	Body   []byte
 	// NewConnection prevents the use of a pooled connection. The replica may close a
 	// pooled connection just as the request is sent, and the request is then lost.
@@ -227,7 +229,11 @@
 	b = append(b, " HTTP/1.1\r\nHost: "...)
 	b = append(b, req.Host...)
 	b = append(b, "\r\n"...)
-	for name, values := range req.Header {
+	var header http.Header
+	if req.Header != nil {
+		header = req.Header()
+	}
+	for name, values := range header {
 		for _, value := range values {
 			b = append(b, name...)
 			b = append(b, ": "...)
--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -72,11 +72,16 @@
 	return itoa(n/10) + digits[n%10:n%10+1]
 }
 
+// fixedHeader returns a Request.Header with one line.
+func fixedHeader(name, value string) func() http.Header {
+	return func() http.Header { return http.Header{name: {value}} }
+}
+
 // newRequest returns a request that accepts responses with its ID or without one.
 func newRequest(address, id string) *Request {
 	return &Request{
 		Address: address, Method: http.MethodPost, Target: "/a/b?c=%20d", Host: "models.example",
-		Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Header: fixedHeader("Id", id), Body: []byte("body"),
 		Matches: func(_ int, h http.Header, _ bool) bool { return h.Get("Id") == "" || h.Get("Id") == id },
 	}
 }
