Gateway: a stream does not go on after an event without an ID

A caller got an event twice when its stream broke off: an event without an ID left the ID of the event before it in place, so that the next replica was asked to go on after that one and sent the event without an ID again.

Another replica may now go on only if the last event that the caller has bears an ID; otherwise the stream ends visibly broken.

Evidence: TestEventWithoutIDIsNotRepeated got "b" twice, in a stream that looked complete, on the code before.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -220,11 +220,8 @@
 		if err != nil {
 			return e.endCallerGone(lease)
 		}
-		p.events++
+		p.noteEvent(event.ID)
 		e.record.event(time.Now())
-		if event.ID != "" {
-			p.lastEventID = event.ID
-		}
 	}
 }
 
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -42,7 +42,8 @@
 	delegated      bool              // another host has run the request
 	counted        bool              // the request counts for the retry budget
 	headerSent     bool              // the response header has been sent to the caller
-	lastEventID    string            // of the last event that the caller has, if it has an ID
+	lastEventID    string            // of the last event with an ID that the caller has
+	unidentified   bool              // the caller has events without an ID after that one
 	origin         *origin.Origin    // of the stream; nil until its first event
 	events         int               // events forwarded
 	exclude        []string          // IDs of the replicas tried
@@ -54,6 +55,21 @@
 	replicaFailure *bufferedResponse // a replica's 5xx response, forwarded if no attempt succeeds
 }
 
+// noteEvent records an event that is forwarded to the caller.
+func (p *progress) noteEvent(id string) {
+	p.events++
+	p.unidentified = id == ""
+	if id != "" {
+		p.lastEventID = id
+	}
+}
+
+// mayContinue reports whether another replica may go on with the stream whose beginning the caller has. Without the ID
+// of its last event or its version, none can go on where the stream broke off.
+func (p *progress) mayContinue() bool {
+	return p.lastEventID != "" && !p.unidentified && (p.origin == nil || p.origin.Version != origin.UnknownVersion)
+}
+
 // attemptResult is how an attempt ended. It decides whether the request may be sent to
 // another replica.
 type attemptResult int
@@ -162,8 +178,8 @@
 	if p.triedReplicas >= maxTriedReplicas || e.timeLeft(time.Now()) < minTimeLeft {
 		return false
 	}
-	if p.headerSent && (p.lastEventID == "" || p.origin != nil && p.origin.Version == origin.UnknownVersion) {
-		return false // without event IDs or the version, no replica can go on where the stream broke off
+	if p.headerSent && !p.mayContinue() {
+		return false
 	}
 	if result != attemptNotRun && (!e.route.Repeatable() || p.possibleRuns >= e.maxAttempts() || e.delegation != nil) {
 		return false // or the host that delegated the request decides
--- a/internal/gateway/proxy/stall_test.go
+++ b/internal/gateway/proxy/stall_test.go
@@ -147,3 +147,25 @@
 	assert.Equal(t, http.StatusOK, w.Code)
 	assert.Equal(t, int64(1), ran.Load())
 }
+
+// Guards against an event without an ID that a caller gets twice when a stream goes on after the event before it.
+func TestEventWithoutIDIsNotRepeated(t *testing.T) {
+	const last = "data: b\n\n"
+	replica := func(w http.ResponseWriter, r *http.Request) {
+		setSeal(w)
+		w.Header().Set("Content-Type", "text/event-stream")
+		if r.Header.Get("Last-Event-Id") == "" {
+			_, _ = io.WriteString(w, "id: x\ndata: a\n\n"+last)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, last+"id: y\ndata: c\n\n")
+	}
+	g := newTestGateway(t, newReplica(replica), newReplica(replica))
+	response, err := g.send(t.Context(), testRequest{path: "/quote/1"})
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	assert.Error(t, err, "the stream ends visibly broken")
+	assert.Equal(t, "id: x\ndata: a\n\n"+last, string(body))
+}
