Gateway: an answer is cut for a retry only if the retry is possible

Callers lost sound streams and long answers: the watchdog of a slow attempt asked whether another replica would take the request, but not whether the stream could go on after its last event (it may have no ID), and it went on while a long answer was forwarded, after which no retry is possible. An event that arrived while it fired was forwarded although the attempt had been given up.

The watchdog now waits only for a response of which nothing is forwarded, and for events of streams that may go on. Its decision and the arrival of an event exclude each other. The time in which an event is written to a slow caller no longer counts against the replica.

Evidence: TestSlowStreamWithoutEventIDsIsNotCanceled got the first events and an unexpected EOF after 0.5 s, in one of two cases after a second run; TestLongAnswerIsNotCanceledWhileForwarded got 2 of 4 MB. Both pass now. That an event crosses the cancellation was found by reading and has no test.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -46,7 +46,7 @@
 
 // forwardPlain forwards a response that is not an event stream. A 5xx response is kept in
 // p.replicaFailure instead, in case another replica succeeds.
-func (e *exchange) forwardPlain(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress) attemptResult {
+func (e *exchange) forwardPlain(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *watchdog) attemptResult {
 	lease.FirstByte(time.Now())
 	body, complete, err := upstream.ReadAll(response.Body, maxBufferedBodyBytes)
 	switch {
@@ -62,6 +62,9 @@
 		return e.handleUnusable(errors.New("response has no server seal"), fleet.Failed, lease)
 	}
 	if !complete {
+		if !watchdog.received() {
+			return e.handleUnusable(errStalled, fleet.Failed, lease)
+		}
 		return e.sendUnbuffered(response, body, lease)
 	}
 	response.MarkComplete()
@@ -165,6 +168,9 @@
 	return attemptDone
 }
 
+// errStalled means that the watchdog has given the attempt up.
+var errStalled = errors.New("replica took too long")
+
 // forwardStream forwards the events of a stream as they arrive.
 func (e *exchange) forwardStream(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *watchdog) attemptResult {
 	if !reply.Sealed {
@@ -204,13 +210,15 @@
 		if !isNextEvent(&event, p.lastEventID, p.events > eventsBefore) {
 			return e.handleBrokenStream(errors.New("event ID is out of sequence"), response, lease, p, controller)
 		}
+		if !watchdog.received() {
+			return e.handleBrokenStream(errStalled, response, lease, p, controller)
+		}
 		if !p.headerSent {
 			e.recordOrigin(lease, response.Checked || !e.processMatters(lease), p)
 			e.record.firstEventAfter = time.Since(e.arrived)
 			e.sendStreamHeader(response, p)
 			_, err = e.w.Write(bufferedComments)
 		}
-		e.resetStallTimer(watchdog, p)
 		if err == nil {
 			_, err = e.w.Write(event.Raw)
 		}
@@ -222,6 +230,7 @@
 		}
 		p.noteEvent(event.ID)
 		e.record.event(time.Now())
+		e.awaitEvent(watchdog, p)
 	}
 }
 
@@ -250,17 +259,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// resetStallTimer restarts a running watchdog with the time allowed until the next event, or
-// stops it if the route sets no GapTarget. A watchdog that is not running, for example because
-// the stream cannot continue on another replica, stays stopped.
-func (e *exchange) resetStallTimer(w *watchdog, p *progress) {
-	if !w.timer.Stop() || e.route.GapTarget <= 0 {
-		return
-	}
-	w.software.Store(&p.origin.Version)
-	w.timer.Reset(max(time.Duration(stallTimeoutGaps*float64(e.route.GapTarget)), minResponseTimeout))
-}
-
 // sendStreamHeader sends the header of a replica's stream to the caller.
 func (e *exchange) sendStreamHeader(response *upstream.Response, p *progress) {
 	p.headerSent = true
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -282,7 +282,7 @@
 		e.noteDelegatedRuns(p, response.Header)
 	}
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
-		return e.forwardStream(response, reply, lease, p, newWatchdog(stoppedTimer()))
+		return e.forwardStream(response, reply, lease, p, &watchdog{})
 	}
 	body, complete, err := upstream.ReadAll(response.Body, maxBufferedBodyBytes)
 	switch {
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -307,7 +307,7 @@
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
 		return e.forwardStream(response, reply, lease, p, watchdog)
 	}
-	return e.forwardPlain(response, reply, lease, p)
+	return e.forwardPlain(response, reply, lease, p, watchdog)
 }
 
 // upstreamRequest returns the request to the leased replica.
--- a/internal/gateway/proxy/stall_test.go
+++ b/internal/gateway/proxy/stall_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -169,3 +171,54 @@
 	assert.Error(t, err, "the stream ends visibly broken")
 	assert.Equal(t, "id: x\ndata: a\n\n"+last, string(body))
 }
+
+// Guards against a slow stream that is cut for a retry that is then refused, as the last event has no ID after which
+// another replica could go on.
+func TestSlowStreamWithoutEventIDsIsNotCanceled(t *testing.T) {
+	for name, begin := range map[string]string{"no IDs": "data: a\n\n", "last event has no ID": "id: 0\ndata: a\n\ndata: b\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const end = "data: c\n\n"
+			slow := func(w http.ResponseWriter, _ *http.Request) {
+				setSeal(w)
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, begin)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(1500 * time.Millisecond) // three times minResponseTimeout
+				_, _ = io.WriteString(w, end)
+			}
+			replicas := []*countingReplica{newReplica(slow), newReplica(slow)}
+			g := newTestGateway(t, replicas[0], replicas[1])
+			response, err := g.send(t.Context(), testRequest{path: "/quote/1"})
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			assert.NoError(t, err)
+			assert.Equal(t, begin+end, string(body))
+			assert.Equal(t, int64(1), totalReceived(replicas...))
+		})
+	}
+}
+
+// Guards against a long answer that is cut while it is forwarded, for a retry that is no longer possible.
+func TestLongAnswerIsNotCanceledWhileForwarded(t *testing.T) {
+	const piece, pieces = 1 << 20, 4
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		setSeal(w)
+		w.Header().Set("Content-Length", strconv.Itoa(pieces*piece))
+		for range pieces {
+			_, _ = io.WriteString(w, strings.Repeat("x", piece))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(400 * time.Millisecond)
+		}
+	}
+	replicas := []*countingReplica{newReplica(slow), newReplica(slow)}
+	g := newTestGateway(t, replicas[0], replicas[1])
+	response, err := g.send(t.Context(), testRequest{path: "/lookup/1"})
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	n, err := io.Copy(io.Discard, response.Body)
+	assert.NoError(t, err)
+	assert.Equal(t, int64(pieces*piece), n)
+}
