Gateway: a delegated request that stalls goes on at another host

Callers of hosts that are cut off from the replicas waited for their deadline when the replica of a delegated stream stalled, or when the host that the request was delegated to was paused, although another host could go on.

The host that runs a delegated request leaves further runs to the one that delegated it, and that one did not watch the attempt. It now does, with the watchdog that attempts at replicas have: it cancels a repeatable attempt that takes too long if another host would be offered the request, the origin of a stream that has begun is known, and the retry budget has a retry.

Ruled out: the checks of unacknowledged bytes, as the kernel of a paused process acknowledges what is sent.

--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -213,6 +213,10 @@
 // offer offers the request to another host and forwards the answer if the host takes it.
 func (e *exchange) offer(ctx context.Context, address string, lastResort bool, p *progress) (result attemptResult, taken bool) {
 	s := e.server
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := e.startDelegationWatchdog(ctx, cancel, address, p)
+	defer watchdog.end(p)
 	response, err := s.opts.Client.Do(ctx, &upstream.Request{
 		Address: address, ID: e.call.AttemptID, Method: e.r.Method, Target: DelegatePath + e.requestTarget(), Host: e.r.Host,
 		Header: func() http.Header { return e.delegatedHeader(lastResort, p) }, Body: e.body, NewConnection: !e.route.Repeatable(),
@@ -222,6 +226,9 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			return attemptNotRun, false
 		}
+		if !watchdog.received() {
+			s.opts.Helpers.Declined(address) // it may be paused
+		}
 		p.sentAttempts++
 		p.possibleRuns++
 		p.delegated, p.counted = true, true
@@ -244,7 +251,7 @@
 	p.delegated, p.counted = true, true
 	p.sentAttempts++
 	runs := len(p.ran)
-	result = e.forwardDelegated(response, p)
+	result = e.forwardDelegated(response, p, watchdog)
 	if len(p.ran) > runs {
 		p.ranAt = append(p.ranAt, address)
 	}
@@ -268,7 +275,7 @@
 }
 
 // forwardDelegated forwards the answer of the host that runs the request.
-func (e *exchange) forwardDelegated(response *upstream.Response, p *progress) attemptResult {
+func (e *exchange) forwardDelegated(response *upstream.Response, p *progress, watchdog *watchdog) attemptResult {
 	lease := fleet.Delegated()
 	reply := e.server.opts.Dialect.Reply(response.Status, response.Header)
 	if id := response.Header.Get(servedByHeader); id != "" {
@@ -282,7 +289,7 @@
 		e.noteDelegatedRuns(p, response.Header)
 	}
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
-		return e.forwardStream(response, reply, lease, p, &watchdog{})
+		return e.forwardStream(response, reply, lease, p, watchdog)
 	}
 	body, complete, err := upstream.ReadAll(response.Body, maxBufferedBodyBytes)
 	switch {
@@ -290,6 +297,8 @@
 		return e.handleUnusable(err, fleet.Truncated, lease)
 	case p.headerSent, refused && p.possibleRuns > 0:
 		return attemptFailed
+	case !complete && !watchdog.received():
+		return e.handleUnusable(errStalled, fleet.Failed, lease)
 	case !complete:
 		return e.sendUnbuffered(response, body, lease)
 	}
--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -50,6 +50,14 @@
 	return true
 }
 
+// originKnown reports whether hosts know the origin of the stream whose beginning the caller has.
+func (e *exchange) originKnown(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, findOriginTimeout)
+	defer cancel()
+	o, err := e.server.opts.Origins.Find(ctx, e.firstAttemptID(), e.route.Upstreams())
+	return err == nil && o.Version != origin.UnknownVersion
+}
+
 // recordOrigin notes the origin of a stream when its first event has arrived. processKnown means that it is known
 // which process sent it.
 func (e *exchange) recordOrigin(lease *fleet.Lease, processKnown bool, p *progress) {
--- a/internal/gateway/proxy/watchdog.go
+++ b/internal/gateway/proxy/watchdog.go
@@ -28,11 +28,12 @@
 type watchdog struct {
 	timer *time.Timer // nil if the attempt must not be canceled
 
-	mu        sync.Mutex
-	awaiting  bool    // the response or the next event is awaited
-	canceled  bool    // the attempt has been canceled
-	software  *string // the version of the replicas that may continue the stream; nil for any
-	paidUntil int     // what progress.paidAttempts becomes if the watchdog has taken a retry; 0 if it has not
+	mu         sync.Mutex
+	awaiting   bool    // the response or the next event is awaited
+	canceled   bool    // the attempt has been canceled
+	forwarding bool    // the caller has events of this attempt
+	software   *string // then, the version of the replicas that may continue the stream, if this host knows it
+	paidUntil  int     // what progress.paidAttempts becomes if the watchdog has taken a retry; 0 if it has not
 }
 
 // received stops the wait and returns true, or returns false if the attempt has been canceled before. What a canceled
@@ -55,7 +56,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.awaiting, w.software = true, software
+	w.awaiting, w.forwarding, w.software = true, true, software
 	w.timer.Reset(timeout)
 }
 
@@ -66,32 +67,61 @@
 }
 
 // startWatchdog returns a watchdog that cancels an attempt of a repeatable request that takes much longer than
-// expected. It never does if no other attempt is allowed, if another host decides on it, or if its timeout exceeds half
-// of the time left. Otherwise it cancels the attempt only if another replica is available and it gets a retry from the
-// retry budget: a slow response is better than none.
+// expected. It never does if no other attempt is allowed or another host decides on it. Otherwise it cancels the attempt
+// only if another replica is available: a slow response is better than none.
 func (e *exchange) startWatchdog(ctx context.Context, cancel context.CancelFunc, lease *fleet.Lease, p *progress) *watchdog {
-	w := &watchdog{}
-	if !e.route.Repeatable() || p.possibleRuns+1 >= e.maxAttempts() || p.triedReplicas >= maxTriedReplicas || e.delegation != nil {
-		return w
-	}
-	timeout := lease.Expected + time.Duration(responseTimeoutTargets*float64(e.route.Target))
-	timeout = max(timeout, minResponseTimeout)
-	if timeout > e.timeLeft(time.Now())/2 {
-		return w
+	if p.triedReplicas >= maxTriedReplicas || e.delegation != nil {
+		return &watchdog{}
 	}
+	s := e.server
 	req := e.fleetRequest(lease.Member.Upstream, p)
 	req.Target = 0 // by the time the watchdog fires, the latency objective is missed
 	req.Exclude = append(slices.Clone(p.exclude), lease.Member.ID)
-	w.awaiting, w.software = true, req.SoftwareVersion
+	available := func(w *watchdog) bool {
+		req.TimeLeft = e.timeLeft(time.Now())
+		if w.forwarding {
+			req.SoftwareVersion = w.software
+		}
+		return s.opts.Fleet.CutOff() || s.opts.Fleet.Available(req, time.Now())
+	}
+	return e.newWatchdog(ctx, cancel, lease.Expected, p, available)
+}
+
+// startDelegationWatchdog is startWatchdog for an attempt at another host, which does not give it up itself.
+func (e *exchange) startDelegationWatchdog(ctx context.Context, cancel context.CancelFunc, address string, p *progress) *watchdog {
+	s := e.server
+	tried, ranElsewhere := slices.Clone(p.helpers), len(p.ranAt) > 0
+	available := func(w *watchdog) bool {
+		if _, ok := s.opts.Helpers.Helper(tried); !ranElsewhere && (!ok || len(tried) >= maxHelpers) {
+			return false
+		}
+		if w.forwarding && !e.originKnown(ctx) {
+			return false
+		}
+		s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("helper", address).Msg("host takes too long with the delegated request")
+		return true
+	}
+	return e.newWatchdog(ctx, cancel, e.route.Target, p, available) // the prediction of the other host is not known
+}
+
+// newWatchdog returns a watchdog for an attempt whose response is expected after the given time. It cancels the attempt
+// if available returns true, which is called in the meantime of two events, and there is a retry in the retry budget.
+// The watchdog never cancels the attempt if the route allows no other one, or if it would do so after more than half of
+// the time left.
+func (e *exchange) newWatchdog(ctx context.Context, cancel context.CancelFunc, expected time.Duration, p *progress, available func(*watchdog) bool) *watchdog {
+	w := &watchdog{awaiting: true}
+	timeout := max(expected+time.Duration(responseTimeoutTargets*float64(e.route.Target)), minResponseTimeout)
+	if !e.route.Repeatable() || p.possibleRuns+1 >= e.maxAttempts() || timeout > e.timeLeft(time.Now())/2 {
+		return w
+	}
+	upstreamName := e.record.upstream
 	paidAttempts, paidUntil := p.paidAttempts, p.sentAttempts+2 // this attempt, if it is sent, and the retry
 	w.timer = time.AfterFunc(unsetTimerDelay, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		req.TimeLeft, req.SoftwareVersion = e.timeLeft(time.Now()), w.software
 		switch {
 		case !w.awaiting || ctx.Err() != nil:
-		case (e.server.opts.Fleet.CutOff() || e.server.opts.Fleet.Available(req, time.Now())) &&
-			(paidAttempts >= paidUntil || e.server.opts.Budget.Allow(req.Upstream)):
+		case available(w) && (paidAttempts >= paidUntil || e.server.opts.Budget.Allow(upstreamName)):
 			w.canceled, w.paidUntil = true, paidUntil
 			cancel()
 		default:
