Router: the end of a service's process is not the end of its answer

Callers of plain services got part of an answer as the completed one, and the claim of a call that must not be repeated kept that part, when the answer had neither a length nor chunks and the process of the service was killed: the kernel closes its connections in order.

Such an answer now counts as broken if the replica refuses a connection and another replica of the service accepts one, or there is none.

Ruled out: streams, which need an end marker, and answers with a length or chunks, which net/http checks.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -91,6 +92,7 @@
 type Client struct {
 	repeatable http.RoundTripper
 	once       http.RoundTripper // opens a connection for each request
+	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	scheme     string
 }
 
@@ -107,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{repeatable: repeatable, once: once, scheme: scheme}, nil
+	return &Client{repeatable: repeatable, once: once, dial: once.DialContext, scheme: scheme}, nil
 }
 
 // Chat is one attempt of a chat completion.
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -121,7 +121,7 @@
 	defer cancel()
 	answer, err := c.server.Forward.Service(ctx, forward.ServiceCall{
 		Address: a.Address, Method: c.r.Method, Path: c.rawPath, Query: c.r.URL.RawQuery,
-		Header: c.requestHeader(), Body: c.body, Repeatable: c.route.Repeatable,
+		Header: c.requestHeader(), Body: c.body, Others: func() []string { return c.otherAddresses(a.Replica) }, Repeatable: c.route.Repeatable,
 		OnSend: func() { c.server.records.Sent(c.id) }, OnLimit: c.recordLimit(a),
 	})
 	cause := ended(ctx)
@@ -136,6 +136,18 @@
 	return nil, err
 }
 
+// otherAddresses returns the addresses of the service's replicas but the given one.
+func (c *serviceCall) otherAddresses(replica scheduling.ReplicaID) []string {
+	upstream := &c.snapshot.Bundle.Upstreams[c.upstream]
+	addresses := make([]string, 0, len(upstream.Replicas))
+	for i := range upstream.Replicas {
+		if upstream.Replicas[i].ID != replica.Replica {
+			addresses = append(addresses, upstream.Replicas[i].Address)
+		}
+	}
+	return addresses
+}
+
 // requestHeader is what the service receives. The key that identifies the team
 // stays with the router.
 func (c *serviceCall) requestHeader() http.Header {
--- a/internal/router/services_test.go
+++ b/internal/router/services_test.go
@@ -66,6 +66,31 @@
 	}
 }
 
+// Guards against part of an answer without a length that is told to be the completed answer after the process of the
+// service ended.
+func TestUnframedAnswerOfEndedServiceIsNotCompleted(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		h := newHost(t, hostOptions{})
+		h.feed.claim.Result = rpc.ClaimResult_CLAIM_RESULT_GRANTED
+		h.service.play(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf of the ans")
+			_ = h.service.Listener.Close()
+		})
+		request := h.order(t, t.Context())
+		if method == http.MethodGet {
+			request = h.request(t, t.Context(), method, "/services/warehouse/stock/glue", "")
+		}
+		response, body := h.send(t, request)
+		require.Equal(t, http.StatusBadGateway, response.StatusCode, body)
+		require.Equal(t, string(outcome.Unknown), response.Header.Get(outcome.HeaderOutcome), method)
+	}
+}
+
 // Guards against headers that are lost between caller and service, against a
 // team's key that reaches a service, and against an outcome told by a service.
 func TestServiceHeaders(t *testing.T) {
