Gateway: an event does not wait for the rest of the next one

Callers got an event late when a part of the next one, a comment or an empty line had arrived together with it, as happens wherever a segment ends inside an event: the host sent nothing on while any byte was left to read, and did not send on after comments.

It now reads on before it sends only if the next event has arrived completely, and comments are sent on like events.

Evidence: in the three cases of TestEventIsForwardedBeforeTheNextIsComplete the event reached the caller with the next write of the replica, 3 s later, on the code before.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -195,6 +195,9 @@
 		}
 		if event.CommentOnly {
 			bufferedComments, err = e.forwardComments(bufferedComments, event.Raw, p)
+			if err == nil && p.headerSent && !events.Pending() {
+				err = controller.Flush()
+			}
 			switch {
 			case errors.Is(err, upstream.ErrResponseTooLarge):
 				return e.handleBrokenStream(err, response, lease, p, controller)
--- a/internal/gateway/proxy/proxy_test.go
+++ b/internal/gateway/proxy/proxy_test.go
@@ -493,6 +493,42 @@
 	assert.Equal(t, "data: e0\n\nid: 1\ndata: e1\n\n", string(rest))
 }
 
+// Guards against a complete event that waits at the host for the rest of what arrived with a part of it: the next
+// event, or a comment, which is no event.
+func TestEventIsForwardedBeforeTheNextIsComplete(t *testing.T) {
+	for name, c := range map[string]struct{ part, rest string }{
+		"next event": {"id: 1\nda", "ta: e1\n\n"},
+		"comment":    {": wait\n\n", "id: 1\ndata: e1\n\n"},
+		"empty line": {"\n", "id: 1\ndata: e1\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			time.AfterFunc(3*time.Second, func() { close(release) })
+			g := newTestGateway(t, newReplica(func(w http.ResponseWriter, _ *http.Request) {
+				setSeal(w)
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, eventsText(1)+c.part)
+				_ = http.NewResponseController(w).Flush()
+				<-release
+				_, _ = io.WriteString(w, c.rest)
+			}))
+			started := time.Now()
+			response, err := g.send(t.Context(), testRequest{path: "/match/1"})
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			first := make([]byte, len(eventsText(1)))
+			_, err = io.ReadFull(response.Body, first)
+			require.NoError(t, err)
+			assert.Equal(t, eventsText(1), string(first))
+			assert.Less(t, time.Since(started), 2*time.Second)
+			rest, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			assert.Equal(t, c.part+c.rest, string(rest))
+		})
+	}
+}
+
 // Guards against a stream that waits for a stalled replica although it may continue on
 // another one.
 func TestStalledResumableStreamContinuesElsewhere(t *testing.T) {
--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -67,5 +67,17 @@
 	}
 }
 
-// Pending reports whether received bytes are buffered.
-func (r *EventReader) Pending() bool { return r.reader.Buffered() > 0 }
+// Pending reports whether the next event has been received completely.
+func (r *EventReader) Pending() bool {
+	received, _ := r.reader.Peek(r.reader.Buffered()) // never fails
+	for {
+		line, rest, found := bytes.Cut(received, []byte{'\n'})
+		if !found {
+			return false
+		}
+		if len(bytes.TrimRight(line, "\r")) == 0 {
+			return true
+		}
+		received = rest
+	}
+}
