Router: silence inside a frame is silence

A stream whose engine fell silent after a part of a frame waited for its deadline although another engine could go on, if that part had arrived together with the frame before: any buffered byte counted as the next frame, so that the wait was not timed, and the frame before was not flushed.

Stream.Buffered now tells whether the next event has arrived completely.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -23,7 +23,10 @@
 	endTimeout = 50 * time.Millisecond
 )
 
-var doneMarker = []byte("[DONE]")
+var (
+	dataPrefix = []byte("data:")
+	doneMarker = []byte("[DONE]")
+)
 
 // readers are kept for reuse, since each stream needs one.
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
@@ -49,7 +52,7 @@
 	reader    *bufio.Reader
 	timeout   time.Duration
 	begun     bool // the first frame was read, so timeout applies
-	buffered  bool // Buffered found more, so the next frame needs no wait
+	buffered  bool // Buffered found the next frame, so that it needs no wait
 	finished  bool // the frame with the finish reason was read
 	ended     bool // the proper end was read
 	trailing  int  // bytes of the frames behind the finish reason
@@ -180,7 +183,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+		if data, ok := bytes.CutPrefix(line, dataPrefix); ok {
 			s.noteFrame()
 			return bytes.TrimSpace(data), nil
 		}
@@ -212,12 +215,21 @@
 	return s.lineBytes, err
 }
 
-// Buffered tells whether more of the stream than the end of the last event has
-// arrived, so that it is worth reading on before flushing.
+// Buffered tells whether the next event has arrived completely, so that it is worth reading on before flushing.
 func (s *Stream) Buffered() bool {
 	pending, _ := s.reader.Peek(s.reader.Buffered())
-	s.buffered = len(bytes.TrimLeft(pending, "\r\n")) > 0
-	return s.buffered
+	s.buffered = false
+	for {
+		line, rest, complete := bytes.Cut(pending, []byte{'\n'})
+		if !complete {
+			return false
+		}
+		if bytes.HasPrefix(line, dataPrefix) {
+			s.buffered = true
+			return true
+		}
+		pending = rest
+	}
 }
 
 // Position returns the position of the next frame.
--- a/internal/router/chat_test.go
+++ b/internal/router/chat_test.go
@@ -44,6 +44,8 @@
 		{"no frame in time", "f", []behavior{hangAfter(0), whole}, 200, outcome.Completed, 2, wholeText},
 		{"resumed after a break", "m", []behavior{breakAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
 		{"resumed after silence", "m", []behavior{hangAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
+		{"resumed after silence inside a frame", "m", []behavior{hangInside(2), whole}, 200, outcome.Completed, 2, wholeText},
+		{"silent inside a frame, cannot resume", "f", []behavior{hangInside(2)}, 200, outcome.Unknown, 1, "t0 t1 "},
 		{"resumed after a foreign frame", "m", []behavior{foreignAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
 		{"resumed after a repeated frame", "m", []behavior{repeatAfter(2), whole}, 200, outcome.Completed, 2, wholeText},
 		{"resumed after a missing end", "m", []behavior{endAfter(5), whole}, 200, outcome.Completed, 2, wholeText},
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -143,6 +143,20 @@
 	}
 }
 
+// hangInside writes n frames and a part of the next one together, and then nothing.
+func hangInside(n int) behavior {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range n {
+			writeFrame(w, r.Header.Get("X-Request-Id"), i, false)
+		}
+		_, _ = io.WriteString(w, `data: {"id`)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+}
+
 // fakeFeed is control on this host.
 type fakeFeed struct {
 	rpc.Feed
