Relay for tests: faults that end by themselves

The relay of the tests can now silence one direction, reset connections, delay bytes with jitter, let them drip in pieces, and stop and start its listener on the same address. A fault ends by itself and leaves others that overlap in place. Nothing waits for a peer while a lock is held: each direction of a connection has a goroutine of its own that reads and one that writes, and closing never waits. A connection that lacks bytes stays silent in that direction until it is closed, so that no caller sees bytes after a gap.

--- a/internal/gateway/netio/relaytest/relaytest.go
+++ b/internal/gateway/netio/relaytest/relaytest.go
@@ -1,101 +1,335 @@
-// Package relaytest provides a TCP relay for tests, whose connections can go silent.
+// Package relaytest provides a TCP relay for tests, whose connections can be harmed in many ways.
 package relaytest
 
 import (
-	"io"
+	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
-// Relay forwards connections to a target.
+// Direction is that of the bytes on a connection.
+type Direction int
+
+// The directions, as seen from the caller.
+const (
+	ToTarget Direction = iota
+	FromTarget
+)
+
+// Fault is what happens to the bytes of one direction, on the connections that are open and on later ones.
+type Fault struct {
+	Direction Direction
+	// Silent drops the bytes, and the end of the connection too. They are acknowledged, so that only a timeout shows
+	// it. The connections are closed when no fault that is Silent lasts any more, as they lack bytes.
+	Silent bool
+	// Reset resets a connection when bytes come.
+	Reset bool
+	// Latency delays the bytes, by up to Jitter more or less.
+	Latency, Jitter time.Duration
+	// PieceSize passes the bytes on in pieces of this size, PieceVariation more or less, with PieceDelay after each.
+	PieceSize, PieceVariation int
+	PieceDelay                time.Duration
+}
+
+// active is a fault that lasts.
+type active struct {
+	Fault
+	ended chan struct{}
+}
+
+// Relay forwards connections to a target. No method waits for a peer.
 type Relay struct {
-	target   string
-	listener net.Listener
+	target, address string
+	faults          atomic.Pointer[[]*active] // replaced while mu is held
 
-	mu     sync.Mutex
-	silent map[net.Conn]chan struct{} // open connections of both sides; the channel is closed when one goes silent
-	closed chan struct{}
+	mu       sync.Mutex // never held during I/O with a peer
+	listener net.Listener
+	stopped  context.CancelFunc // ends the time of the listener
+	open     map[*connection]struct{}
+	closed   bool
 }
 
 // New starts a relay to an address on a loopback address. The caller must Close it.
-func New(target string) (*Relay, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Relay, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt is New for a relay that listens on the given address.
+func NewAt(address, target string) (*Relay, error) {
+	r := &Relay{target: target, address: address, open: make(map[*connection]struct{})}
+	r.faults.Store(&[]*active{})
+	return r, r.Start()
+}
+
+// Address returns the IP:port of the relay.
+func (r *Relay) Address() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.address
+}
+
+// Start listens again, on the same address, after Stop.
+func (r *Relay) Start() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return net.ErrClosed
+	}
+	if r.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	r := &Relay{target: target, listener: listener, silent: make(map[net.Conn]chan struct{}), closed: make(chan struct{})}
-	go r.accept()
-	return r, nil
+	ctx, cancel := context.WithCancel(context.Background())
+	r.listener, r.address, r.stopped = listener, listener.Addr().String(), cancel
+	go r.accept(ctx, listener)
+	return nil
 }
 
-// Address returns the IP:port of the relay.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+// Stop closes the listener and all connections, as the end of the target's process does. Faults last on.
+func (r *Relay) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener == nil {
+		return
+	}
+	_ = r.listener.Close()
+	r.stopped()
+	r.listener = nil
+	for c := range r.open {
+		r.end(c, false)
+	}
+}
+
+// Close stops the relay for good.
+func (r *Relay) Close() {
+	r.Stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+}
 
 // Silence stops forwarding on all open connections, in both directions and for good. They stay open, and what is
 // sent on them is acknowledged, so that only a timeout shows it. Later connections work.
 func (r *Relay) Silence() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for c, silent := range r.silent {
-		select {
-		case <-silent:
-		default:
-			close(silent)
+	for c := range r.open {
+		c.silent[ToTarget].Store(true)
+		c.silent[FromTarget].Store(true)
+		c.forGood = true
+	}
+}
+
+// Begin begins a fault, which lasts until end is called. Others that overlap last on.
+func (r *Relay) Begin(f Fault) (end func()) {
+	a := &active{Fault: f, ended: make(chan struct{})}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	faults := append(slices.Clone(*r.faults.Load()), a)
+	r.faults.Store(&faults)
+	for c := range r.open {
+		if f.Silent {
+			c.silent[f.Direction].Store(true)
+			c.lacks = true
+		}
+		if f.Reset && c.waiting[f.Direction].Load() > 0 {
+			r.end(c, true)
 		}
-		delete(r.silent, c)
 	}
+	return sync.OnceFunc(func() { r.finish(a) })
 }
 
-// Close stops the relay and closes its connections.
-func (r *Relay) Close() {
-	_ = r.listener.Close()
-	close(r.closed)
+func (r *Relay) finish(a *active) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	faults := slices.DeleteFunc(slices.Clone(*r.faults.Load()), func(other *active) bool { return other == a })
+	r.faults.Store(&faults)
+	close(a.ended)
+	if slices.ContainsFunc(faults, func(other *active) bool { return other.Silent }) {
+		return
+	}
+	for c := range r.open {
+		if c.lacks && !c.forGood {
+			r.end(c, false)
+		}
+	}
+}
+
+// acting returns the faults of a direction.
+func (r *Relay) acting(d Direction) (faults []*active) {
+	for _, a := range *r.faults.Load() {
+		if a.Direction == d {
+			faults = append(faults, a)
+		}
+	}
+	return faults
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(ctx context.Context, listener net.Listener) {
 	for {
-		caller, err := r.listener.Accept()
+		caller, err := listener.Accept()
 		if err != nil {
-			return // the relay is closed
+			return // the relay is stopped
+		}
+		go r.connect(ctx, caller)
+	}
+}
+
+func (r *Relay) connect(ctx context.Context, caller net.Conn) {
+	target, err := new(net.Dialer).DialContext(ctx, "tcp", r.target)
+	if err != nil {
+		_ = caller.Close()
+		return
+	}
+	c := &connection{relay: r, ends: [2]net.Conn{caller, target}, closed: make(chan struct{})}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ctx.Err() != nil {
+		_, _ = caller.Close(), target.Close()
+		return
+	}
+	for _, a := range *r.faults.Load() {
+		if a.Silent {
+			c.silent[a.Direction].Store(true)
+			c.lacks = true
+		}
+	}
+	r.open[c] = struct{}{}
+	for _, d := range []Direction{ToTarget, FromTarget} {
+		chunks := make(chan chunk, chunksWaiting)
+		go c.read(d, chunks)
+		go c.write(d, chunks)
+	}
+}
+
+// end closes a connection. The caller holds r.mu; closing does not wait for the peer.
+func (r *Relay) end(c *connection, reset bool) {
+	if _, open := r.open[c]; !open {
+		return
+	}
+	delete(r.open, c)
+	close(c.closed)
+	for _, end := range c.ends {
+		if tcp, ok := end.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0)
+		}
+		_ = end.Close()
+	}
+}
+
+// connection is one of a caller, forwarded to the target.
+type connection struct {
+	relay   *Relay
+	ends    [2]net.Conn // the caller's and the target's
+	closed  chan struct{}
+	silent  [2]atomic.Bool  // by direction; stays, as bytes are missing from then on
+	waiting [2]atomic.Int64 // chunks read and not yet written, by direction
+
+	// Guarded by the relay's mu.
+	lacks, forGood bool // open during a fault that is Silent, and during Silence
+}
+
+// chunksWaiting is how many chunks wait in a direction until the relay reads no more.
+const chunksWaiting = 64
+
+// chunk is bytes as they were read.
+type chunk struct {
+	data []byte
+	at   time.Time
+}
+
+func (c *connection) close(reset bool) {
+	c.relay.mu.Lock()
+	defer c.relay.mu.Unlock()
+	c.relay.end(c, reset)
+}
+
+// read reads the bytes of a direction until the connection ends.
+func (c *connection) read(d Direction, chunks chan<- chunk) {
+	defer close(chunks)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := c.ends[d].Read(buffer)
+		if n > 0 {
+			c.waiting[d].Add(1)
+			select {
+			case chunks <- chunk{slices.Clone(buffer[:n]), time.Now()}:
+			case <-c.closed:
+				return
+			}
 		}
-		server, err := net.Dial("tcp", r.target)
 		if err != nil {
-			_ = caller.Close()
-			continue
+			return
 		}
-		silent := make(chan struct{})
-		r.mu.Lock()
-		r.silent[caller] = silent
-		r.mu.Unlock()
-		go r.forward(caller, server, silent)
-		go r.forward(server, caller, silent)
 	}
 }
 
-// forward copies bytes until one side closes its connection, and drops them once the connection is silent.
-func (r *Relay) forward(from, to net.Conn, silent chan struct{}) {
-	_, _ = io.Copy(gate{to, silent}, from) // fails when either side closes
-	select {
-	case <-silent:
-		<-r.closed // the other side is not told
-	default:
+// write passes the bytes of a direction on.
+func (c *connection) write(d Direction, chunks <-chan chunk) {
+	for next := range chunks {
+		if !c.pass(d, next) {
+			return
+		}
+		c.waiting[d].Add(-1)
+	}
+	if !c.silent[d].Load() {
+		c.close(false)
 	}
-	_ = from.Close()
-	_ = to.Close()
 }
 
-// gate drops what is written once the connection is silent.
-type gate struct {
-	net.Conn
-	silent chan struct{}
+// pass passes a chunk on as the faults allow, and reports whether the connection is still open.
+func (c *connection) pass(d Direction, next chunk) bool {
+	for _, a := range c.relay.acting(d) {
+		if a.Latency > 0 {
+			delay := a.Latency
+			if a.Jitter > 0 {
+				delay += rand.N(2*a.Jitter) - a.Jitter
+			}
+			c.wait(time.Until(next.at.Add(delay)), a)
+		}
+	}
+	for data := next.data; len(data) > 0; {
+		if c.silent[d].Load() {
+			return true
+		}
+		size, slowest := len(data), (*active)(nil)
+		for _, a := range c.relay.acting(d) {
+			if a.Reset {
+				c.close(true)
+				return false
+			}
+			if a.PieceSize > 0 {
+				piece := a.PieceSize
+				if a.PieceVariation > 0 {
+					piece += rand.N(2*a.PieceVariation) - a.PieceVariation
+				}
+				size, slowest = min(size, max(piece, 1)), a
+			}
+		}
+		if _, err := c.ends[1-d].Write(data[:size]); err != nil {
+			c.close(false)
+			return false
+		}
+		data = data[size:]
+		if slowest != nil {
+			c.wait(slowest.PieceDelay, slowest)
+		}
+	}
+	return true
 }
 
-// Write implements io.Writer.
-func (g gate) Write(p []byte) (int, error) {
+// wait waits for a time, or until the fault or the connection ends.
+func (c *connection) wait(delay time.Duration, a *active) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
 	select {
-	case <-g.silent:
-		return len(p), nil
-	default:
-		return g.Conn.Write(p)
+	case <-timer.C:
+	case <-a.ended:
+	case <-c.closed:
 	}
 }
