Soak: faults of links from the relay of the tests instead of toxiproxy

And two faults of one kind that overlapped on a link were one ("toxic slicer: toxic already exists"), which the end of either ended, as ResetToxics ends all.

The relay waits for no peer, and each fault ends by itself (relaytest). The guard that closed links after 3 s is gone. Faults do as before: a silence drops the bytes of one direction and closes the connections it harmed when it ends, a reset comes with the next bytes. New: the end of a connection is not passed on in a silent direction.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -1,26 +1,22 @@
 package soak
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/Shopify/toxiproxy/v2"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/gateway"
+	"heatherbarrow/internal/gateway/netio/relaytest"
 	"heatherbarrow/internal/settings"
 	"heatherbarrow/platform"
 	"heatherbarrow/platform/storetest"
@@ -51,49 +47,12 @@
 	return filepath.Join(dir, "heatherbarrow-gateway"), nil
 })
 
-// link is a connection path that can be cut, slowed and reset.
-type link struct {
-	proxy   *toxiproxy.Proxy
-	address string // on which it listens
-}
-
-func newLink(t *testing.T, server *toxiproxy.ApiServer, upstream string) *link {
+func newRelay(t *testing.T, target string) *relaytest.Relay {
 	t.Helper()
-	l := &link{proxy: toxiproxy.NewProxy(server, upstream, "127.0.0.1:0", upstream)}
-	require.NoError(t, l.proxy.Start())
-	l.address = l.proxy.Listen
-	t.Cleanup(l.proxy.Stop)
-	return l
-}
-
-func (l *link) add(t *testing.T, kind, direction, attributes string) {
-	toxic := fmt.Sprintf(`{"name":"%s-%s","type":%q,"stream":%q,"attributes":%s}`, kind, direction, kind, direction, attributes)
-	l.change(func() {
-		if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
-			t.Logf("toxic %s: %v", kind, err) // the same one is active already
-		}
-	})
-}
-
-func (l *link) heal() { l.change(func() { l.proxy.Toxics.ResetToxics(context.Background()) }) }
-
-// change adds or removes toxics. toxiproxy waits for each connection meanwhile, without end for one whose peer
-// does not read, so that after linkPatience the connections are closed.
-func (l *link) change(act func()) {
-	const linkPatience = 3 * time.Second
-	done := make(chan struct{})
-	go func() {
-		act()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return
-	case <-time.After(linkPatience):
-	}
-	l.proxy.Stop()
-	<-done
-	_ = l.proxy.Start() // fails after the end of the test only
+	r, err := relaytest.New(target)
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	return r
 }
 
 // host is a gateway's process.
@@ -103,7 +62,7 @@
 	settings *gateway.Settings
 	path     string // of its settings
 	log      string
-	store    *link
+	store    *relaytest.Relay
 	boot     atomic.Int64 // counts starts
 	env      []string     // of the process; nil for that of the test
 
@@ -164,7 +123,7 @@
 	store    *storetest.Store
 	hosts    []*host
 	replicas []*replica
-	links    []*link // to the replicas
+	links    []*relaytest.Relay // to the replicas
 	ledger   *ledger
 	version  atomic.Int64 // of the configuration, as confirmed by the store
 	writes   sync.Mutex   // held while the operator or a replica writes to the store, and while it is restored
@@ -206,19 +165,18 @@
 	t.Helper()
 	d := &deployment{t: t, store: storetest.New(), ledger: &ledger{runs: make(map[string]int)}, troubles: make(map[string][]trouble)}
 	t.Cleanup(d.store.Close)
-	proxies := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	for i := range 2 * zones {
 		r := newReplica(fmt.Sprintf("r%d", i), d.ledger)
 		t.Cleanup(r.server.CloseClientConnections)
-		l := newLink(t, proxies, r.server.Listener.Addr().String())
+		l := newRelay(t, r.server.Listener.Addr().String())
 		d.replicas, d.links = append(d.replicas, r), append(d.links, l)
 		d.register(i, "ready")
 	}
 	d.configure()
 	dir := t.TempDir()
 	for i := range zones * perZone {
-		store := newLink(t, proxies, d.store.Address())
-		h := startHost(t, dir, i, zoneName(i%zones), store.proxy.Listen, nil)
+		store := newRelay(t, d.store.Address())
+		h := startHost(t, dir, i, zoneName(i%zones), store.Address(), nil)
 		h.store = store
 		d.hosts = append(d.hosts, h)
 	}
@@ -267,7 +225,7 @@
 // writeEntry writes what a replica last registered. The caller holds d.writes.
 func (d *deployment) writeEntry(i int) {
 	d.store.Put(platform.KindMembers, d.replicas[i].id, map[string]any{
-		"service": "pool", "address": d.links[i].address, "zone": zoneName(i / 2), "slots": 16, "state": d.replicas[i].state, "born": d.replicas[i].born.Load(),
+		"service": "pool", "address": d.links[i].Address(), "zone": zoneName(i / 2), "slots": 16, "state": d.replicas[i].state, "born": d.replicas[i].born.Load(),
 		"version": d.replicas[i].softwareVersion(),
 	})
 }
--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -95,10 +95,10 @@
 			c.mu.Lock()
 			c.at = append(c.at, time.Now())
 			c.mu.Unlock()
-			d.links[i].proxy.Stop()
+			d.links[i].Stop()
 			time.AfterFunc(crashDowntime, func() {
 				down.Store(false)
-				_ = d.links[i].proxy.Start() // fails after the end of the test only
+				_ = d.links[i].Start() // fails after the end of the test only
 			})
 		}
 		r.crash.Store(&crash)
--- a/internal/soak/restored_test.go
+++ b/internal/soak/restored_test.go
@@ -77,7 +77,7 @@
 
 	saved := d.store.Copy()
 	saved.Drop(platform.KindHosts)
-	late.store.proxy.Stop()
+	late.store.Stop()
 	for range 5 {
 		for i := range d.replicas {
 			d.register(i, "ready") // the revision rises
@@ -113,7 +113,7 @@
 	for range 10 {
 		d.register(3, "ready")
 	}
-	require.NoError(t, late.store.proxy.Start())
+	require.NoError(t, late.store.Start())
 	healed := time.Now()
 	assert.Eventually(t, func() bool { return serves(late, 3) }, withdrawTime, 20*time.Millisecond, "the late host serves the route")
 	time.Sleep(time.Until(healed.Add(2 * withdrawTime)))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/netio/relaytest"
 	"heatherbarrow/platform/storetest"
 )
 
@@ -164,14 +165,14 @@
 	h := d.hosts[random.IntN(len(d.hosts))]
 	i := random.IntN(len(d.replicas))
 	r, l := d.replicas[i], d.links[i]
-	onLink := func(l *link, kind, direction, attributes string) func(time.Duration) {
+	onLink := func(l *relaytest.Relay, f relaytest.Fault) func(time.Duration) {
 		return func(lasts time.Duration) {
 			if l == d.links[i] {
 				defer d.noteTrouble(r.id, time.Now())
 			}
-			l.add(d.t, kind, direction, attributes)
+			end := l.Begin(f)
 			time.Sleep(lasts)
-			l.heal()
+			end()
 		}
 	}
 	restart := func(s syscall.Signal) func(time.Duration) {
@@ -206,9 +207,9 @@
 	case 3:
 		return func(time.Duration) { h.signal(syscall.SIGHUP) }, "reload of " + h.name
 	case 4:
-		return onLink(h.store, "timeout", "downstream", `{"timeout":0}`), "silent store for " + h.name
+		return onLink(h.store, relaytest.Fault{Direction: relaytest.FromTarget, Silent: true}), "silent store for " + h.name
 	case 5:
-		return onLink(h.store, "reset_peer", "downstream", `{"timeout":0}`), "resets by the store for " + h.name
+		return onLink(h.store, relaytest.Fault{Direction: relaytest.FromTarget, Reset: true}), "resets by the store for " + h.name
 	case 6:
 		return func(lasts time.Duration) {
 			fault := []storetest.Fault{storetest.Down, storetest.Silent, storetest.Slow, storetest.AnswerLost}[int(lasts)%4]
@@ -221,11 +222,11 @@
 	case 8:
 		return func(time.Duration) { d.configure() }, "new configuration"
 	case 9:
-		return onLink(l, "timeout", "upstream", `{"timeout":0}`), "one way cut to " + r.id
+		return onLink(l, relaytest.Fault{Direction: relaytest.ToTarget, Silent: true}), "one way cut to " + r.id
 	case 10:
-		return onLink(l, "latency", "downstream", `{"latency":150,"jitter":100}`), "slow link to " + r.id
+		return onLink(l, relaytest.Fault{Direction: relaytest.FromTarget, Latency: 150 * time.Millisecond, Jitter: 100 * time.Millisecond}), "slow link to " + r.id
 	case 11:
-		return onLink(l, "slicer", "downstream", `{"average_size":20,"size_variation":10,"delay":2000}`), "slow drip from " + r.id
+		return onLink(l, relaytest.Fault{Direction: relaytest.FromTarget, PieceSize: 20, PieceVariation: 10, PieceDelay: 2 * time.Millisecond}), "slow drip from " + r.id
 	case 12:
 		return func(lasts time.Duration) {
 			// The process that comes after states its limit for the first time.
