Soak: the answer of the fault doubled states the replica's limit

The answer of its fault doubled had no Server-Limit, and an answer without a limit ends it, so that hosts were right to send more. Both copies state the limit now.

Looked for the same elsewhere in the stand-in: unframed streams write their own head too, but only where replicas crash, and then none states a limit.

--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -121,7 +121,7 @@
 		id = "none-none-0" // counts as a request that no caller sent
 	}
 	if limit := r.limit.Load(); limit != nil {
-		w.Header().Set("Server-Limit", *limit)
+		w.Header().Set(limitHeader, *limit)
 	}
 	if fault == full {
 		r.ledger.note(r.id, id, false)
@@ -219,6 +219,9 @@
 	}
 }
 
+// limitHeader states the replica's request limit.
+const limitHeader = "Server-Limit"
+
 // twice sends an answer, and a late copy of it without the id of its request.
 func (r *replica) twice(w http.ResponseWriter, id string) {
 	c, _, err := http.NewResponseController(w).Hijack()
@@ -226,10 +229,13 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	body := answerTo(id)
+	body, limit := answerTo(id), ""
+	if stated := w.Header().Get(limitHeader); stated != "" { // an answer without a limit ends it
+		limit = limitHeader + ": " + stated + "\r\n"
+	}
 	format := "HTTP/1.1 200 OK\r\n%sHeatherbarrow-Server-Seal: s\r\nKeep-Alive: timeout=4\r\nContent-Length: %d\r\n\r\n%s"
-	_, _ = fmt.Fprintf(c, format, "Heatherbarrow-Attempt-Id: "+id+"\r\n", len(body), body)
+	_, _ = fmt.Fprintf(c, format, "Heatherbarrow-Attempt-Id: "+id+"\r\n"+limit, len(body), body)
 	time.Sleep(20 * time.Millisecond)
-	_, _ = fmt.Fprintf(c, format, "", len(body), body)
+	_, _ = fmt.Fprintf(c, format, limit, len(body), body)
 	time.Sleep(200 * time.Millisecond)
 }
