--- a/internal/control/cluster_bundle_test.go
+++ b/internal/control/cluster_bundle_test.go
@@ -9,10 +9,9 @@
 	"testing"
 	"time"
 
-	toxiproxy "github.com/Shopify/toxiproxy/v2"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/netio/relaytest"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/objectstore"
 	"heatherbarrow/internal/rollout"
@@ -184,15 +183,13 @@
 func TestWatcherBehindABlackHoleIsReplaced(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, "ate", "ate", "ate", "ate")
-	nop := zerolog.Nop()
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), nop)
-	proxies := map[*node]*toxiproxy.Proxy{}
+	relays := map[*node]*relaytest.Relay{}
 	for _, n := range c.hosts {
-		proxy := toxiproxy.NewProxy(server, n.settings.Host, "127.0.0.1:0", strings.TrimPrefix(c.url, "http://"))
-		require.NoError(t, proxy.Start())
-		t.Cleanup(proxy.Stop)
-		proxies[n] = proxy
-		n.settings.Platform = "http://" + proxy.Listen
+		relay, err := relaytest.New(strings.TrimPrefix(c.url, "http://"))
+		require.NoError(t, err)
+		t.Cleanup(relay.Close)
+		relays[n] = relay
+		n.settings.Platform = "http://" + relay.Address()
 	}
 	c.start()
 	c.waitFor(c.rollOut())
@@ -207,11 +204,7 @@
 	})
 	for _, n := range c.hosts {
 		if n.loop.State().Topology.Watching {
-			// The toxic timeout without a time drops all data and keeps the connection.
-			_, err := proxies[n].Toxics.AddToxicJson(bytes.NewReader(asJSON(map[string]any{
-				"type": "timeout", "stream": "downstream", "attributes": map[string]int{"timeout": 0},
-			})))
-			require.NoError(t, err)
+			relays[n].Begin(relaytest.Fault{Direction: relaytest.FromTarget, Silent: true})
 		}
 	}
 	c.waitFor(c.rollOut())
--- a/internal/faults/cluster_test.go
+++ b/internal/faults/cluster_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/Shopify/toxiproxy/v2"
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/bundle"
@@ -90,11 +89,10 @@
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	t.Cleanup(c.keepLogs)
-	proxies := newProxyServer()
 	newStandIn := func(name string, s standin.Settings) *standIn {
 		s.Listen = freeAddresses(t, 1)[0]
 		p := startProcess(t, c.dir, name, "heatherbarrow-standin", s)
-		return &standIn{address: s.Listen, link: newLink(t, proxies, s.Listen), process: p}
+		return &standIn{address: s.Listen, link: newLink(t, s.Listen), process: p}
 	}
 	c.platform = newStandIn("platform", standin.Settings{Role: "platform"})
 	for i := range 3 {
@@ -118,7 +116,7 @@
 	operators, err := rollout.ParseOperators(c.operatorKeys())
 	require.NoError(t, err)
 	c.store = &rollout.Store{Platform: objectstore.NewClient("http://"+c.platform.address, c.http), Operators: operators}
-	c.startHosts(proxies)
+	c.startHosts()
 	return c
 }
 
@@ -143,14 +141,14 @@
 	return out
 }
 
-func (c *cluster) startHosts(proxies *toxiproxy.ApiServer) {
+func (c *cluster) startHosts() {
 	t := c.t
 	const listeners = 5
 	addresses := freeAddresses(t, hostCount*listeners)
 	at := func(host, listener int) string { return addresses[host*listeners+listener] }
 	for i := range hostCount {
 		h := &host{name: fmt.Sprintf("host%d", i), zone: zoneOf(i), callers: at(i, 0), operator: at(i, 4)}
-		h.platform = newLink(t, proxies, c.platform.address)
+		h.platform = newLink(t, c.platform.address)
 		var peers []control.Peer
 		// Hosts learn the addresses of peers from each other; without translations
 		// they would go around the links.
@@ -160,12 +158,12 @@
 				h.peers = append(h.peers, nil)
 				continue
 			}
-			peer := newLink(t, proxies, at(j, 2))
+			peer := newLink(t, at(j, 2))
 			h.peers = append(h.peers, peer)
 			translations[at(j, 2)] = peer.listen
 			peers = append(peers, control.Peer{Host: fmt.Sprintf("host%d", j), AvailabilityZone: zoneOf(j), Address: peer.listen})
 		}
-		c.linkReplicas(proxies, h, translations)
+		c.linkReplicas(h, translations)
 		h.control = startProcess(t, c.dir, fmt.Sprintf("control%d", i), "heatherbarrow-control", control.Settings{
 			Host: h.name, AvailabilityZone: h.zone, FeedListen: at(i, 1), PeerListen: at(i, 2), Router: at(i, 3),
 			OperatorListen: h.operator, Platform: "http://" + h.platform.listen, Peers: peers, Translations: translations, Operators: c.operatorKeys(), LogLevel: "info",
@@ -180,13 +178,13 @@
 
 // linkReplicas puts a link of its own between a host and each replica of another
 // zone, in front of the replica's link, so that zones can be cut from each other.
-func (c *cluster) linkReplicas(proxies *toxiproxy.ApiServer, h *host, translations map[string]string) {
+func (c *cluster) linkReplicas(h *host, translations map[string]string) {
 	for _, standIns := range [][]*standIn{c.engines, c.services} {
 		for i, s := range standIns {
 			if zoneOf(i) == h.zone {
 				continue
 			}
-			l := newLink(c.t, proxies, s.link.listen)
+			l := newLink(c.t, s.link.listen)
 			h.replicas = append(h.replicas, l)
 			translations[s.link.listen] = l.listen
 		}
@@ -312,15 +310,15 @@
 			p.signal(sigCont)
 			p.ensureRunning()
 		}
-		h.platform.heal()
+		h.platform.Heal()
 		for _, l := range append(slices.Clone(h.peers), h.replicas...) {
 			if l != nil {
-				l.heal()
+				l.Heal()
 			}
 		}
 	}
 	for _, s := range append(append([]*standIn{c.platform}, c.engines...), c.services...) {
-		s.link.heal()
+		s.link.Heal()
 		s.faults = nil
 		put(c.t, s.address, "/admin/faults", `{}`)
 	}
--- a/internal/faults/network_test.go
+++ b/internal/faults/network_test.go
@@ -1,72 +1,54 @@
 package faults
 
 import (
-	"context"
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
-	"github.com/Shopify/toxiproxy/v2"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/gateway/netio/relaytest"
 )
 
 // link is a connection between two processes that can be cut, slowed and healed.
 type link struct {
-	t      *testing.T
-	proxy  *toxiproxy.Proxy
-	listen string
+	*relaytest.Relay
+	listen, target string
 }
 
-// newLink opens a proxy to the address upstream on a free port. Another process
-// can take a port between its choice and its use, so a few are tried.
-func newLink(t *testing.T, server *toxiproxy.ApiServer, upstream string) *link {
+// newLink opens a relay to the address target.
+func newLink(t *testing.T, target string) *link {
 	t.Helper()
-	const tries = 5
-	var err error
-	for range tries {
-		listen := freeAddresses(t, 1)[0]
-		proxy := toxiproxy.NewProxy(server, listen, listen, upstream)
-		if err = proxy.Start(); err == nil {
-			t.Cleanup(proxy.Stop)
-			return &link{t: t, proxy: proxy, listen: listen}
-		}
-	}
+	relay, err := relaytest.New(target)
 	require.NoError(t, err)
-	return nil
-}
-
-func newProxyServer() *toxiproxy.ApiServer {
-	return toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
+	t.Cleanup(relay.Close)
+	return &link{Relay: relay, listen: relay.Address(), target: target}
 }
 
 // cut drops all data in both directions and keeps connections open, as a
 // partition does.
 func (l *link) cut() {
-	l.add("timeout", "upstream", `{"timeout":0}`)
-	l.add("timeout", "downstream", `{"timeout":0}`)
+	l.Begin(relaytest.Fault{Direction: relaytest.ToTarget, Silent: true})
+	l.Begin(relaytest.Fault{Direction: relaytest.FromTarget, Silent: true})
 }
 
 // slow limits what callers of the link send.
 func (l *link) slow(kilobytesPerSecond int) {
-	l.add("bandwidth", "upstream", fmt.Sprintf(`{"rate":%d}`, kilobytesPerSecond))
+	const piecesPerSecond = 10
+	l.Begin(relaytest.Fault{Direction: relaytest.ToTarget, PieceSize: 1000 * kilobytesPerSecond / piecesPerSecond, PieceDelay: time.Second / piecesPerSecond})
 }
 
-func (l *link) add(kind, direction, attributes string) {
-	toxic := fmt.Sprintf(`{"name":"%s-%s","type":%q,"stream":%q,"attributes":%s}`, kind, direction, kind, direction, attributes)
-	_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic))
-	if err != nil {
-		l.t.Errorf("add toxic: %v", err)
-	}
+// delay makes what goes in a direction late.
+func (l *link) delay(d relaytest.Direction, latency time.Duration) {
+	l.Begin(relaytest.Fault{Direction: d, Latency: latency})
 }
 
 // reaches tells whether the link leads to a replica of the zone.
 func (l *link) reaches(c *cluster, zone string) bool {
 	for _, standIns := range [][]*standIn{c.engines, c.services} {
 		for i, s := range standIns {
-			if s.link.listen == l.proxy.Upstream {
+			if s.link.listen == l.target {
 				return zoneOf(i) == zone
 			}
 		}
@@ -74,8 +56,6 @@
 	return false
 }
 
-func (l *link) heal() { l.proxy.Toxics.ResetToxics(context.Background()) }
-
 // put sends a JSON document to a stand-in's switch.
 func put(t *testing.T, address, path, document string) {
 	t.Helper()
--- a/internal/faults/order_test.go
+++ b/internal/faults/order_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/gateway/netio/relaytest"
 	"heatherbarrow/internal/standin/engine"
 )
 
@@ -40,12 +41,12 @@
 	{"renew", func(c *cluster) { c.eventually("the zone's lease is held", orderTimeout, c.leaseHeld) }},
 	{"decide", func(c *cluster) { c.eventually("hosts are ready", readyTimeout, c.allReady) }},
 	{"send", func(c *cluster) {
-		c.engines[0].link.add("latency", "upstream", `{"latency":600}`)
+		c.engines[0].link.delay(relaytest.ToTarget, 600*time.Millisecond)
 		c.eventually("the zone's lease is held", orderTimeout, c.leaseHeld)
 	}},
 	{"answer", func(c *cluster) {
 		// Shorter than the timeout of load polls, without which nothing is placed.
-		c.engines[0].link.add("latency", "downstream", `{"latency":600}`)
+		c.engines[0].link.delay(relaytest.FromTarget, 600*time.Millisecond)
 		c.eventually("an order was sent", orderTimeout, func() bool { return len(c.orders(0)) > 0 })
 	}},
 	{"record", func(c *cluster) {
--- a/internal/faults/steps_test.go
+++ b/internal/faults/steps_test.go
@@ -98,12 +98,12 @@
 
 // enterConnect lets connections to one engine be refused.
 func enterConnect(ctx context.Context, c *cluster, a *caller) func() {
-	c.engines[0].link.proxy.Stop()
+	c.engines[0].link.Stop()
 	sendChats(ctx, c, a, stepRequests, "quote", "[length=20] connect")
 	time.Sleep(50 * time.Millisecond)
 	return func() {
-		if err := c.engines[0].link.proxy.Start(); err != nil {
-			c.t.Errorf("start proxy: %v", err)
+		if err := c.engines[0].link.Start(); err != nil {
+			c.t.Errorf("start relay: %v", err)
 		}
 	}
 }
@@ -117,7 +117,7 @@
 	time.Sleep(300 * time.Millisecond)
 	return func() {
 		for _, e := range c.engines {
-			e.link.heal()
+			e.link.Heal()
 		}
 	}
 }
--- a/internal/gateway/netio/relaytest/relaytest.go
+++ b/internal/gateway/netio/relaytest/relaytest.go
@@ -141,13 +141,25 @@
 			r.end(c, true)
 		}
 	}
-	return sync.OnceFunc(func() { r.finish(a) })
+	return func() { r.finish(a) }
+}
+
+// Heal ends all faults.
+func (r *Relay) Heal() {
+	for _, a := range *r.faults.Load() {
+		r.finish(a)
+	}
 }
 
 func (r *Relay) finish(a *active) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	faults := slices.DeleteFunc(slices.Clone(*r.faults.Load()), func(other *active) bool { return other == a })
+	faults := slices.Clone(*r.faults.Load())
+	at := slices.Index(faults, a)
+	if at < 0 {
+		return // it has ended before
+	}
+	faults = slices.Delete(faults, at, at+1)
 	r.faults.Store(&faults)
 	close(a.ended)
 	if slices.ContainsFunc(faults, func(other *active) bool { return other.Silent }) {
--- a/internal/gateway/netio/relaytest/relaytest_test.go
+++ b/internal/gateway/netio/relaytest/relaytest_test.go
@@ -221,6 +221,21 @@
 	expects(t, p.caller, string(text))
 }
 
+func TestHealEndsAllFaults(t *testing.T) {
+	r, target := newRelay(t)
+	r.Heal()
+	end := r.Begin(Fault{Direction: ToTarget, Silent: true})
+	r.Begin(Fault{Direction: FromTarget, Silent: true})
+	r.Begin(Fault{Direction: FromTarget, Reset: true})
+	p := connect(t, r, target)
+	r.Heal()
+	assert.ErrorIs(t, ended(t, p.caller), io.EOF)
+	p = connect(t, r, target)
+	end() // again
+	passes(t, p.caller, p.target, "question")
+	passes(t, p.target, p.caller, "answer")
+}
+
 func TestStopAndStartOnTheSameAddress(t *testing.T) {
 	r, target := newRelay(t)
 	p := connect(t, r, target)
