Soak: three independent deployments at a time

Tests and seeds run in three lanes now, each with host addresses of its own. No seed, check or bound changes; TestAllHostsRestartTogether, which starts twelve hosts at once, still runs alone, and so do seeds chosen by hand (SEED, SEEDS), so that their load is as before.

--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -193,13 +193,14 @@
 }
 
 func newConfigRig(t *testing.T, random *rand.Rand) *configRig {
+	lane := takeLane(t)
 	rig := &configRig{t: t, store: storetest.New(), timeouts: []time.Duration{time.Second, 300 * time.Millisecond}}
 	rig.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}, Timeout: 6 * time.Second}
 	t.Cleanup(rig.store.Close)
 	var replicas []string
 	for i, service := range []string{"pool", "pool", "books", "books"} {
 		id := fmt.Sprintf("%s-%d", service, i)
-		replica := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answerAs(w, r, id, service) }))
+		replica := startServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answerAs(w, r, id, service) }))
 		t.Cleanup(replica.CloseClientConnections)
 		replicas = append(replicas, replica.Listener.Addr().String())
 		rig.store.Put(platform.KindMembers, id, map[string]any{
@@ -220,7 +221,7 @@
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		for range zones[zone] {
 			front := newStoreFront(t, rig.store, replicas)
-			rig.hosts = append(rig.hosts, startHost(t, dir, len(rig.hosts), zone, front.server.Listener.Addr().String(), env))
+			rig.hosts = append(rig.hosts, startHost(t, dir, lane, len(rig.hosts), zone, front.server.Listener.Addr().String(), env))
 			rig.fronts = append(rig.fronts, front)
 		}
 	}
@@ -509,6 +510,7 @@
 // SITE names a site file whose hosts and zones are used, SEEDS and SEED are as for TestSoak, SECONDS is the time of a
 // seed, BUSY a number of processes that keep processors busy.
 func TestConfigSoak(t *testing.T) {
+	concurrently(t)
 	seeds, lasts, busy := []uint64{1}, 8*time.Second, 0
 	if text := os.Getenv("SEED"); text != "" {
 		seed, err := strconv.ParseUint(text, 10, 64)
@@ -525,7 +527,10 @@
 	}
 	busy, _ = strconv.Atoi(os.Getenv("BUSY"))
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playConfig(t, seed, lasts, busy) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			concurrently(t)
+			playConfig(t, seed, lasts, busy)
+		})
 	}
 }
 
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -49,7 +49,7 @@
 
 func newRelay(t *testing.T, target string) *relaytest.Relay {
 	t.Helper()
-	r, err := relaytest.New(target)
+	r, err := relaytest.NewAt(otherAddress(), target)
 	require.NoError(t, err)
 	t.Cleanup(r.Close)
 	return r
@@ -155,14 +155,47 @@
 	return true
 }
 
-// hostAddress returns the address of a host of a seed; seeds that run at the same time do
-// not share any.
-func hostAddress(i int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()/250%100, 1+os.Getpid()%250, i+1)
+// lanes are the deployments that may run at the same time, by number.
+var lanes = func() chan int {
+	const most = 3
+	free := make(chan int, most)
+	for i := range most {
+		free <- i
+	}
+	return free
+}()
+
+// concurrently lets a test or a group of tests run beside others, unless seeds are chosen by hand: those run one by one.
+func concurrently(t *testing.T) {
+	if os.Getenv("SEED") == "" && os.Getenv("SEEDS") == "" {
+		t.Parallel()
+	}
+}
+
+// takeLane waits for a lane, and returns its number. The test keeps it until its processes have ended.
+func takeLane(t *testing.T) int {
+	lane := <-lanes
+	t.Cleanup(func() { lanes <- lane })
+	return lane
+}
+
+// hostAddress returns the address of a host; neither processes nor lanes that run at the same time share any.
+func hostAddress(lane, i int) string { return processAddress(1 + hostsInLane*lane + i) }
+
+// hostsInLane is the number of hosts for which a lane has addresses. A test with more of them runs alone.
+const hostsInLane = 80
+
+// otherAddress is where relays and replicas listen: no other process dials there, or takes the port of a
+// relay that is stopped.
+func otherAddress() string { return net.JoinHostPort(processAddress(254), "0") }
+
+func processAddress(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()/250%100, 1+os.Getpid()%250, i)
 }
 
 func newDeployment(t *testing.T, zones, perZone int) *deployment {
 	t.Helper()
+	lane := takeLane(t)
 	d := &deployment{t: t, store: storetest.New(), ledger: &ledger{runs: make(map[string]int)}, troubles: make(map[string][]trouble)}
 	t.Cleanup(d.store.Close)
 	for i := range 2 * zones {
@@ -176,20 +209,20 @@
 	dir := t.TempDir()
 	for i := range zones * perZone {
 		store := newRelay(t, d.store.Address())
-		h := startHost(t, dir, i, zoneName(i%zones), store.Address(), nil)
+		h := startHost(t, dir, lane, i, zoneName(i%zones), store.Address(), nil)
 		h.store = store
 		d.hosts = append(d.hosts, h)
 	}
 	return d
 }
 
-// startHost starts the gateway with the given number, whose files are in dir.
-func startHost(t *testing.T, dir string, i int, zone, store string, env []string) *host {
-	address := hostAddress(i)
+// startHost starts the gateway with the given number in a lane, whose files are in dir.
+func startHost(t *testing.T, dir string, lane, i int, zone, store string, env []string) *host {
+	address := hostAddress(lane, i)
 	h := &host{t: t, name: fmt.Sprintf("h%d", i), log: filepath.Join(dir, fmt.Sprintf("h%d.log", i)), path: filepath.Join(dir, fmt.Sprintf("h%d.json", i)), env: env}
 	h.settings = &gateway.Settings{
 		Host: h.name, AvailabilityZone: zone, LogLevel: "info", Listen: address + ":9001", ReadyListen: address + ":9002",
-		PeerListen: address + ":9003", BeatPort: 9004, Seeds: []string{net.JoinHostPort(hostAddress(0), "9003")}, Store: store, MemoryLimitMB: 400,
+		PeerListen: address + ":9003", BeatPort: 9004, Seeds: []string{net.JoinHostPort(hostAddress(lane, 0), "9003")}, Store: store, MemoryLimitMB: 400,
 		RetryShare: retryShare, RetrySlack: retrySlack, GraceSeconds: graceSeconds,
 		WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(balancerLag),
 	}
--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -58,6 +58,7 @@
 // that it states in its answers, and against replicas that get none although their limit allows
 // some.
 func TestStatedRequestLimitHoldsOverAllHosts(t *testing.T) {
+	concurrently(t)
 	const observed = 10 * time.Second
 	d := newDeployment(t, 2, 2)
 	for _, h := range d.hosts {
--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -247,6 +247,7 @@
 // after the other: after a few crashes no host sends any more of them, also hosts that saw none of
 // the crashes or restarted since, while other requests with the same first part are served.
 func TestPromptPartThatCrashesReplicasIsRefusedByAllHosts(t *testing.T) {
+	concurrently(t)
 	d := newDeployment(t, 2, 2)
 	for _, h := range d.hosts {
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -77,10 +78,23 @@
 func newReplica(id string, l *ledger) *replica {
 	r := &replica{id: id, ledger: l}
 	r.born.Store(1)
-	r.server = httptest.NewServer(r)
+	r.server = startServer(r)
 	return r
 }
 
+// startServer serves on an address of this process.
+func startServer(h http.Handler) *httptest.Server {
+	listener, err := net.Listen("tcp", otherAddress())
+	if err != nil {
+		panic(err) // as httptest does
+	}
+	server := httptest.NewUnstartedServer(h)
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	return server
+}
+
 // softwareVersion returns the version of the replica's software, or "".
 func (r *replica) softwareVersion() string {
 	if v := r.software.Load(); v != nil {
--- a/internal/soak/restored_test.go
+++ b/internal/soak/restored_test.go
@@ -62,6 +62,7 @@
 // they know of before, or remain without their own entries. One host cannot reach the store until it
 // has reached the old revisions again.
 func TestStoreRestoredFromCopy(t *testing.T) {
+	concurrently(t)
 	d := newDeployment(t, 2, 2)
 	defer d.keepLogs(1)
 	for _, h := range d.hosts {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,8 +48,12 @@
 // configuration never goes back, a request limit that a replica states is kept, requests with a part of
 // their prompt that crashes replicas are stopped, and all hosts serve again afterwards.
 func TestSoak(t *testing.T) {
+	concurrently(t)
 	for _, seed := range chosenSeeds(t, regressions) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			concurrently(t)
+			play(t, seed)
+		})
 	}
 }
 
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -40,8 +40,12 @@
 // keep their connections until the process is gone, with slow bodies, slow replicas and streams, while the hosts stop
 // one after the other.
 func TestStopsInSeries(t *testing.T) {
+	concurrently(t)
 	for _, seed := range chosenSeeds(t, nil) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playStops(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			concurrently(t)
+			playStops(t, seed)
+		})
 	}
 }
 
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -283,6 +283,7 @@
 // and leave, and after all hosts were killed, with the store in place, away or restored from a copy. It also
 // guards against the remedy of refusing all that is taken up.
 func TestStreamsGoOnAtTheSoftwareVersionThatBeganThem(t *testing.T) {
+	concurrently(t)
 	d, s := newVersionedDeployment(t, 2)
 	check := func(name string, streams []longStream) {
 		n, complete := joined(streams), 0
