Soak: beats lost, late, doubled or one way

The soak harmed no datagram between hosts. In half of the seeds a relay of datagrams now stands between each host and each other one: a host sends to the port of its own datagrams, so that with a port for each host the relays get what is sent to their address. While other faults are played, datagrams from one host to another, from one to all, or all of them are dropped (all or half), delayed with overtaking, or doubled. Drawn from a random stream of its own, so that kept seeds draw the same other faults. Where a replica states a limit none is played, as hosts with harmed links are excused from it: no check is relaxed for this. A seed fails if a host's datagrams don't go through its relays.

--- a/internal/gateway/netio/relaytest/relaytest.go
+++ b/internal/gateway/netio/relaytest/relaytest.go
@@ -1,4 +1,4 @@
-// Package relaytest provides a TCP relay for tests, whose connections can be harmed in many ways.
+// Package relaytest provides relays for tests, of TCP connections and of UDP datagrams, which can be harmed in many ways.
 package relaytest
 
 import (
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -29,6 +29,7 @@
 	retrySlack   = 40
 	graceSeconds = 6
 	balancerLag  = 500 * time.Millisecond
+	beatPort     = 9004
 )
 
 var buildOnce = sync.OnceValues(func() (string, error) {
@@ -123,7 +124,8 @@
 	store    *storetest.Store
 	hosts    []*host
 	replicas []*replica
-	links    []*relaytest.Relay // to the replicas
+	links    []*relaytest.Relay       // to the replicas
+	beats    [][]*relaytest.Datagrams // by sender, to each host but itself; nil without relays
 	ledger   *ledger
 	version  atomic.Int64 // of the configuration, as confirmed by the store
 	writes   sync.Mutex   // held while the operator or a replica writes to the store, and while it is restored
@@ -194,6 +196,12 @@
 }
 
 func newDeployment(t *testing.T, zones, perZone int) *deployment {
+	t.Helper()
+	return newDeploymentWith(t, zones, perZone, false)
+}
+
+// newDeploymentWith is newDeployment, with relays for the datagrams between hosts if wanted.
+func newDeploymentWith(t *testing.T, zones, perZone int, relayBeats bool) *deployment {
 	t.Helper()
 	lane := takeLane(t)
 	d := &deployment{t: t, store: storetest.New(), ledger: &ledger{runs: make(map[string]int)}, troubles: make(map[string][]trouble)}
@@ -209,7 +217,12 @@
 	dir := t.TempDir()
 	for i := range zones * perZone {
 		store := newRelay(t, d.store.Address())
-		h := startHost(t, dir, lane, i, zoneName(i%zones), store.Address(), nil)
+		port := beatPort
+		if relayBeats {
+			port += i
+			d.beats = append(d.beats, relayBeatsOf(t, lane, i, zones*perZone))
+		}
+		h := startHost(t, dir, lane, i, zoneName(i%zones), store.Address(), port, nil)
 		h.store = store
 		d.hosts = append(d.hosts, h)
 	}
@@ -217,12 +230,12 @@
 }
 
 // startHost starts the gateway with the given number in a lane, whose files are in dir.
-func startHost(t *testing.T, dir string, lane, i int, zone, store string, env []string) *host {
+func startHost(t *testing.T, dir string, lane, i int, zone, store string, beatPort int, env []string) *host {
 	address := hostAddress(lane, i)
 	h := &host{t: t, name: fmt.Sprintf("h%d", i), log: filepath.Join(dir, fmt.Sprintf("h%d.log", i)), path: filepath.Join(dir, fmt.Sprintf("h%d.json", i)), env: env}
 	h.settings = &gateway.Settings{
 		Host: h.name, AvailabilityZone: zone, LogLevel: "info", Listen: address + ":9001", ReadyListen: address + ":9002",
-		PeerListen: address + ":9003", BeatPort: 9004, Seeds: []string{net.JoinHostPort(hostAddress(lane, 0), "9003")}, Store: store, MemoryLimitMB: 400,
+		PeerListen: address + ":9003", BeatPort: beatPort, Seeds: []string{net.JoinHostPort(hostAddress(lane, 0), "9003")}, Store: store, MemoryLimitMB: 400,
 		RetryShare: retryShare, RetrySlack: retrySlack, GraceSeconds: graceSeconds,
 		WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(balancerLag),
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,7 +82,9 @@
 
 func play(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	d := newDeployment(t, 1+random.IntN(3), 1+random.IntN(4))
+	// Decided apart from the other faults, so that seeds kept from before play the same ones.
+	beats := rand.New(rand.NewPCG(seed, 4))
+	d := newDeploymentWith(t, 1+random.IntN(3), 1+random.IntN(4), beats.IntN(2) == 0)
 	defer d.keepLogs(seed)
 	for _, h := range d.hosts {
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
@@ -90,7 +92,7 @@
 	c := newCallers(d)
 	versions := watchVersions(c)
 	limit := d.limitReplica(random)
-	// Decided apart from the other faults, so that seeds kept from before play the same ones.
+	// Decided apart too.
 	more := rand.New(rand.NewPCG(seed, 1))
 	var restored sync.WaitGroup
 	if more.IntN(2) == 0 {
@@ -110,7 +112,13 @@
 		s := &streamCallers{callers: c, hangUp: true, every: 60 * time.Millisecond}
 		followed.Go(func() { streams = s.follow(faultTime, nil) })
 	}
+	// Hosts share a stated limit out by datagrams, so that harm to these would excuse them.
+	var harmed sync.WaitGroup
+	if d.beats != nil && limit == nil {
+		harmed.Go(func() { d.troubleBeats(beats) })
+	}
 	d.trouble(random)
+	harmed.Wait()
 	restored.Wait()
 	followed.Wait()
 	healed := time.Now()
@@ -128,6 +136,7 @@
 	versions.end()
 	d.check(results)
 	d.checkLimit(limit)
+	d.checkBeats()
 	takenUp, wentOn, _ := taken(streams, time.Time{}, "v1", "v2")
 	t.Logf("%d streams followed, %d taken up, %.2f of these went on", len(streams), takenUp, wentOn)
 	assert.LessOrEqual(t, joined(streams), maxJoinedStreams, "streams hold events of two software versions")
