--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -1,26 +1,22 @@
 package soak
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/Shopify/toxiproxy/v2"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/gateway"
+	"heatherbarrow/internal/gateway/netio/relaytest"
 	"heatherbarrow/internal/settings"
 	"heatherbarrow/platform"
 	"heatherbarrow/platform/storetest"
@@ -33,6 +29,7 @@
 	retrySlack   = 40
 	graceSeconds = 6
 	balancerLag  = 500 * time.Millisecond
+	beatPort     = 9004
 )
 
 var buildOnce = sync.OnceValues(func() (string, error) {
@@ -51,49 +48,12 @@
 	return filepath.Join(dir, "heatherbarrow-gateway"), nil
 })
 
-// link is a connection path that can be cut, slowed and reset.
-type link struct {
-	proxy   *toxiproxy.Proxy
-	address string // on which it listens
-}
-
-func newLink(t *testing.T, server *toxiproxy.ApiServer, upstream string) *link {
+func newRelay(t *testing.T, target string) *relaytest.Relay {
 	t.Helper()
-	l := &link{proxy: toxiproxy.NewProxy(server, upstream, "127.0.0.1:0", upstream)}
-	require.NoError(t, l.proxy.Start())
-	l.address = l.proxy.Listen
-	t.Cleanup(l.proxy.Stop)
-	return l
-}
-
-func (l *link) add(t *testing.T, kind, direction, attributes string) {
-	toxic := fmt.Sprintf(`{"name":"%s-%s","type":%q,"stream":%q,"attributes":%s}`, kind, direction, kind, direction, attributes)
-	l.change(func() {
-		if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(toxic)); err != nil {
-			t.Logf("toxic %s: %v", kind, err) // the same one is active already
-		}
-	})
-}
-
-func (l *link) heal() { l.change(func() { l.proxy.Toxics.ResetToxics(context.Background()) }) }
-
-// change adds or removes toxics. toxiproxy waits for each connection meanwhile, without end for one whose peer
-// does not read, so that after linkPatience the connections are closed.
-func (l *link) change(act func()) {
-	const linkPatience = 3 * time.Second
-	done := make(chan struct{})
-	go func() {
-		act()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return
-	case <-time.After(linkPatience):
-	}
-	l.proxy.Stop()
-	<-done
-	_ = l.proxy.Start() // fails after the end of the test only
+	r, err := relaytest.NewAt(otherAddress(), target)
+	require.NoError(t, err)
+	t.Cleanup(r.Close)
+	return r
 }
 
 // host is a gateway's process.
@@ -103,7 +63,7 @@
 	settings *gateway.Settings
 	path     string // of its settings
 	log      string
-	store    *link
+	store    *relaytest.Relay
 	boot     atomic.Int64 // counts starts
 	env      []string     // of the process; nil for that of the test
 
@@ -164,7 +124,8 @@
 	store    *storetest.Store
 	hosts    []*host
 	replicas []*replica
-	links    []*link // to the replicas
+	links    []*relaytest.Relay       // to the replicas
+	beats    [][]*relaytest.Datagrams // by sender, to each host but itself; nil without relays
 	ledger   *ledger
 	version  atomic.Int64 // of the configuration, as confirmed by the store
 	writes   sync.Mutex   // held while the operator or a replica writes to the store, and while it is restored
@@ -196,42 +157,85 @@
 	return true
 }
 
-// hostAddress returns the address of a host of a seed; seeds that run at the same time do
-// not share any.
-func hostAddress(i int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()/250%100, 1+os.Getpid()%250, i+1)
+// lanes are the deployments that may run at the same time, by number.
+var lanes = func() chan int {
+	const most = 3
+	free := make(chan int, most)
+	for i := range most {
+		free <- i
+	}
+	return free
+}()
+
+// concurrently lets a test or a group of tests run beside others, unless seeds are chosen by hand: those run one by one.
+func concurrently(t *testing.T) {
+	if os.Getenv("SEED") == "" && os.Getenv("SEEDS") == "" {
+		t.Parallel()
+	}
+}
+
+// takeLane waits for a lane, and returns its number. The test keeps it until its processes have ended.
+func takeLane(t *testing.T) int {
+	lane := <-lanes
+	t.Cleanup(func() { lanes <- lane })
+	return lane
+}
+
+// hostAddress returns the address of a host; neither processes nor lanes that run at the same time share any.
+func hostAddress(lane, i int) string { return processAddress(1 + hostsInLane*lane + i) }
+
+// hostsInLane is the number of hosts for which a lane has addresses. A test with more of them runs alone.
+const hostsInLane = 80
+
+// otherAddress is where relays and replicas listen: no other process dials there, or takes the port of a
+// relay that is stopped.
+func otherAddress() string { return net.JoinHostPort(processAddress(254), "0") }
+
+func processAddress(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()/250%100, 1+os.Getpid()%250, i)
 }
 
 func newDeployment(t *testing.T, zones, perZone int) *deployment {
 	t.Helper()
+	return newDeploymentWith(t, zones, perZone, false)
+}
+
+// newDeploymentWith is newDeployment, with relays for the datagrams between hosts if wanted.
+func newDeploymentWith(t *testing.T, zones, perZone int, relayBeats bool) *deployment {
+	t.Helper()
+	lane := takeLane(t)
 	d := &deployment{t: t, store: storetest.New(), ledger: &ledger{runs: make(map[string]int)}, troubles: make(map[string][]trouble)}
 	t.Cleanup(d.store.Close)
-	proxies := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	for i := range 2 * zones {
 		r := newReplica(fmt.Sprintf("r%d", i), d.ledger)
 		t.Cleanup(r.server.CloseClientConnections)
-		l := newLink(t, proxies, r.server.Listener.Addr().String())
+		l := newRelay(t, r.server.Listener.Addr().String())
 		d.replicas, d.links = append(d.replicas, r), append(d.links, l)
 		d.register(i, "ready")
 	}
 	d.configure()
 	dir := t.TempDir()
 	for i := range zones * perZone {
-		store := newLink(t, proxies, d.store.Address())
-		h := startHost(t, dir, i, zoneName(i%zones), store.proxy.Listen, nil)
+		store := newRelay(t, d.store.Address())
+		port := beatPort
+		if relayBeats {
+			port += i
+			d.beats = append(d.beats, relayBeatsOf(t, lane, i, zones*perZone))
+		}
+		h := startHost(t, dir, lane, i, zoneName(i%zones), store.Address(), port, nil)
 		h.store = store
 		d.hosts = append(d.hosts, h)
 	}
 	return d
 }
 
-// startHost starts the gateway with the given number, whose files are in dir.
-func startHost(t *testing.T, dir string, i int, zone, store string, env []string) *host {
-	address := hostAddress(i)
+// startHost starts the gateway with the given number in a lane, whose files are in dir.
+func startHost(t *testing.T, dir string, lane, i int, zone, store string, beatPort int, env []string) *host {
+	address := hostAddress(lane, i)
 	h := &host{t: t, name: fmt.Sprintf("h%d", i), log: filepath.Join(dir, fmt.Sprintf("h%d.log", i)), path: filepath.Join(dir, fmt.Sprintf("h%d.json", i)), env: env}
 	h.settings = &gateway.Settings{
 		Host: h.name, AvailabilityZone: zone, LogLevel: "info", Listen: address + ":9001", ReadyListen: address + ":9002",
-		PeerListen: address + ":9003", BeatPort: 9004, Seeds: []string{net.JoinHostPort(hostAddress(0), "9003")}, Store: store, MemoryLimitMB: 400,
+		PeerListen: address + ":9003", BeatPort: beatPort, Seeds: []string{net.JoinHostPort(hostAddress(lane, 0), "9003")}, Store: store, MemoryLimitMB: 400,
 		RetryShare: retryShare, RetrySlack: retrySlack, GraceSeconds: graceSeconds,
 		WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(balancerLag),
 	}
@@ -267,7 +271,7 @@
 // writeEntry writes what a replica last registered. The caller holds d.writes.
 func (d *deployment) writeEntry(i int) {
 	d.store.Put(platform.KindMembers, d.replicas[i].id, map[string]any{
-		"service": "pool", "address": d.links[i].address, "zone": zoneName(i / 2), "slots": 16, "state": d.replicas[i].state, "born": d.replicas[i].born.Load(),
+		"service": "pool", "address": d.links[i].Address(), "zone": zoneName(i / 2), "slots": 16, "state": d.replicas[i].state, "born": d.replicas[i].born.Load(),
 		"version": d.replicas[i].softwareVersion(),
 	})
 }
--- a/internal/soak/parts_test.go
+++ b/internal/soak/parts_test.go
@@ -95,10 +95,10 @@
 			c.mu.Lock()
 			c.at = append(c.at, time.Now())
 			c.mu.Unlock()
-			d.links[i].proxy.Stop()
+			d.links[i].Stop()
 			time.AfterFunc(crashDowntime, func() {
 				down.Store(false)
-				_ = d.links[i].proxy.Start() // fails after the end of the test only
+				_ = d.links[i].Start() // fails after the end of the test only
 			})
 		}
 		r.crash.Store(&crash)
@@ -247,6 +247,7 @@
 // after the other: after a few crashes no host sends any more of them, also hosts that saw none of
 // the crashes or restarted since, while other requests with the same first part are served.
 func TestPromptPartThatCrashesReplicasIsRefusedByAllHosts(t *testing.T) {
+	concurrently(t)
 	d := newDeployment(t, 2, 2)
 	for _, h := range d.hosts {
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -77,10 +78,23 @@
 func newReplica(id string, l *ledger) *replica {
 	r := &replica{id: id, ledger: l}
 	r.born.Store(1)
-	r.server = httptest.NewServer(r)
+	r.server = startServer(r)
 	return r
 }
 
+// startServer serves on an address of this process.
+func startServer(h http.Handler) *httptest.Server {
+	listener, err := net.Listen("tcp", otherAddress())
+	if err != nil {
+		panic(err) // as httptest does
+	}
+	server := httptest.NewUnstartedServer(h)
+	_ = server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	return server
+}
+
 // softwareVersion returns the version of the replica's software, or "".
 func (r *replica) softwareVersion() string {
 	if v := r.software.Load(); v != nil {
@@ -121,7 +135,7 @@
 		id = "none-none-0" // counts as a request that no caller sent
 	}
 	if limit := r.limit.Load(); limit != nil {
-		w.Header().Set("Server-Limit", *limit)
+		w.Header().Set(limitHeader, *limit)
 	}
 	if fault == full {
 		r.ledger.note(r.id, id, false)
@@ -219,6 +233,9 @@
 	}
 }
 
+// limitHeader states the replica's request limit.
+const limitHeader = "Server-Limit"
+
 // twice sends an answer, and a late copy of it without the id of its request.
 func (r *replica) twice(w http.ResponseWriter, id string) {
 	c, _, err := http.NewResponseController(w).Hijack()
@@ -226,10 +243,13 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
-	body := answerTo(id)
+	body, limit := answerTo(id), ""
+	if stated := w.Header().Get(limitHeader); stated != "" { // an answer without a limit ends it
+		limit = limitHeader + ": " + stated + "\r\n"
+	}
 	format := "HTTP/1.1 200 OK\r\n%sHeatherbarrow-Server-Seal: s\r\nKeep-Alive: timeout=4\r\nContent-Length: %d\r\n\r\n%s"
-	_, _ = fmt.Fprintf(c, format, "Heatherbarrow-Attempt-Id: "+id+"\r\n", len(body), body)
+	_, _ = fmt.Fprintf(c, format, "Heatherbarrow-Attempt-Id: "+id+"\r\n"+limit, len(body), body)
 	time.Sleep(20 * time.Millisecond)
-	_, _ = fmt.Fprintf(c, format, "", len(body), body)
+	_, _ = fmt.Fprintf(c, format, limit, len(body), body)
 	time.Sleep(200 * time.Millisecond)
 }
--- a/internal/soak/restored_test.go
+++ b/internal/soak/restored_test.go
@@ -62,6 +62,7 @@
 // they know of before, or remain without their own entries. One host cannot reach the store until it
 // has reached the old revisions again.
 func TestStoreRestoredFromCopy(t *testing.T) {
+	concurrently(t)
 	d := newDeployment(t, 2, 2)
 	defer d.keepLogs(1)
 	for _, h := range d.hosts {
@@ -77,7 +78,7 @@
 
 	saved := d.store.Copy()
 	saved.Drop(platform.KindHosts)
-	late.store.proxy.Stop()
+	late.store.Stop()
 	for range 5 {
 		for i := range d.replicas {
 			d.register(i, "ready") // the revision rises
@@ -113,7 +114,7 @@
 	for range 10 {
 		d.register(3, "ready")
 	}
-	require.NoError(t, late.store.proxy.Start())
+	require.NoError(t, late.store.Start())
 	healed := time.Now()
 	assert.Eventually(t, func() bool { return serves(late, 3) }, withdrawTime, 20*time.Millisecond, "the late host serves the route")
 	time.Sleep(time.Until(healed.Add(2 * withdrawTime)))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/netio/relaytest"
 	"heatherbarrow/platform/storetest"
 )
 
@@ -47,8 +48,12 @@
 // configuration never goes back, a request limit that a replica states is kept, requests with a part of
 // their prompt that crashes replicas are stopped, and all hosts serve again afterwards.
 func TestSoak(t *testing.T) {
+	concurrently(t)
 	for _, seed := range chosenSeeds(t, regressions) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			concurrently(t)
+			play(t, seed)
+		})
 	}
 }
 
@@ -77,7 +82,9 @@
 
 func play(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	d := newDeployment(t, 1+random.IntN(3), 1+random.IntN(4))
+	// Decided apart from the other faults, so that seeds kept from before play the same ones.
+	beats := rand.New(rand.NewPCG(seed, 4))
+	d := newDeploymentWith(t, 1+random.IntN(3), 1+random.IntN(4), beats.IntN(2) == 0)
 	defer d.keepLogs(seed)
 	for _, h := range d.hosts {
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
@@ -85,7 +92,7 @@
 	c := newCallers(d)
 	versions := watchVersions(c)
 	limit := d.limitReplica(random)
-	// Decided apart from the other faults, so that seeds kept from before play the same ones.
+	// Decided apart too.
 	more := rand.New(rand.NewPCG(seed, 1))
 	var restored sync.WaitGroup
 	if more.IntN(2) == 0 {
@@ -105,7 +112,13 @@
 		s := &streamCallers{callers: c, hangUp: true, every: 60 * time.Millisecond}
 		followed.Go(func() { streams = s.follow(faultTime, nil) })
 	}
+	// Hosts share a stated limit out by datagrams, so that harm to these would excuse them.
+	var harmed sync.WaitGroup
+	if d.beats != nil && limit == nil {
+		harmed.Go(func() { d.troubleBeats(beats) })
+	}
 	d.trouble(random)
+	harmed.Wait()
 	restored.Wait()
 	followed.Wait()
 	healed := time.Now()
@@ -123,6 +136,7 @@
 	versions.end()
 	d.check(results)
 	d.checkLimit(limit)
+	d.checkBeats()
 	takenUp, wentOn, _ := taken(streams, time.Time{}, "v1", "v2")
 	t.Logf("%d streams followed, %d taken up, %.2f of these went on", len(streams), takenUp, wentOn)
 	assert.LessOrEqual(t, joined(streams), maxJoinedStreams, "streams hold events of two software versions")
@@ -164,14 +178,14 @@
 	h := d.hosts[random.IntN(len(d.hosts))]
 	i := random.IntN(len(d.replicas))
 	r, l := d.replicas[i], d.links[i]
-	onLink := func(l *link, kind, direction, attributes string) func(time.Duration) {
+	onLink := func(l *relaytest.Relay, f relaytest.Fault) func(time.Duration) {
 		return func(lasts time.Duration) {
 			if l == d.links[i] {
 				defer d.noteTrouble(r.id, time.Now())
 			}
-			l.add(d.t, kind, direction, attributes)
+			end := l.Begin(f)
 			time.Sleep(lasts)
-			l.heal()
+			end()
 		}
 	}
 	restart := func(s syscall.Signal) func(time.Duration) {
@@ -206,9 +220,9 @@
 	case 3:
 		return func(time.Duration) { h.signal(syscall.SIGHUP) }, "reload of " + h.name
 	case 4:
-		return onLink(h.store, "timeout", "downstream", `{"timeout":0}`), "silent store for " + h.name
+		return onLink(h.store, relaytest.Fault{Direction: relaytest.FromTarget, Silent: true}), "silent store for " + h.name
 	case 5:
-		return onLink(h.store, "reset_peer", "downstream", `{"timeout":0}`), "resets by the store for " + h.name
+		return onLink(h.store, relaytest.Fault{Direction: relaytest.FromTarget, Reset: true}), "resets by the store for " + h.name
 	case 6:
 		return func(lasts time.Duration) {
 			fault := []storetest.Fault{storetest.Down, storetest.Silent, storetest.Slow, storetest.AnswerLost}[int(lasts)%4]
@@ -221,11 +235,11 @@
 	case 8:
 		return func(time.Duration) { d.configure() }, "new configuration"
 	case 9:
-		return onLink(l, "timeout", "upstream", `{"timeout":0}`), "one way cut to " + r.id
+		return onLink(l, relaytest.Fault{Direction: relaytest.ToTarget, Silent: true}), "one way cut to " + r.id
 	case 10:
-		return onLink(l, "latency", "downstream", `{"latency":150,"jitter":100}`), "slow link to " + r.id
+		return onLink(l, relaytest.Fault{Direction: relaytest.FromTarget, Latency: 150 * time.Millisecond, Jitter: 100 * time.Millisecond}), "slow link to " + r.id
 	case 11:
-		return onLink(l, "slicer", "downstream", `{"average_size":20,"size_variation":10,"delay":2000}`), "slow drip from " + r.id
+		return onLink(l, relaytest.Fault{Direction: relaytest.FromTarget, PieceSize: 20, PieceVariation: 10, PieceDelay: 2 * time.Millisecond}), "slow drip from " + r.id
 	case 12:
 		return func(lasts time.Duration) {
 			// The process that comes after states its limit for the first time.
