fleet: an answer on any host voids the crashes of a request on all hosts

Cause: crashes of a request are remembered twice. A complete answer on any host voids them in the tracker of requests, but in the quarantine after two crashes only an answer on the same host did, and that host refused all. Two occasions: reports of a crash counted from when they arrived, so that an answer or a refused part since did not excuse them, and a part whose crash its host took for an outage explains nothing. Change: the release of a request in the tracker voids its crashes in the quarantine. Reports of a crash carry its age; one older than the latest known answer does not count. A host tells the crashes it counted, each second while it refuses for them, so that hosts which complete such requests answer with the release. Builds before ignore the age, and theirs count as before. Reports of the tracker moved to a file of their own.

--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -30,6 +30,7 @@
 	Fingerprint uint64
 	Upstream    string
 	Replica     string
+	Age         time.Duration // when it is reported; 0 if the host that reports it does not tell
 
 	at time.Time
 }
@@ -94,7 +95,7 @@
 		c := Crash{Fingerprint: fingerprint, Upstream: r.member.Upstream, Replica: id, at: now}
 		// The position in the answer is unknown here, hence 0. If several requests were
 		// suspects already, the crash does not show which of them caused it.
-		f.poison.Crash(fingerprint, c.id(), 0, alreadySuspect <= 1, now)
+		f.countCrash(&c, alreadySuspect <= 1, now)
 		f.crashes = append(f.crashes, c)
 	}
 	return evidence
@@ -124,7 +125,20 @@
 	for len(f.crashes) > 0 && now.Sub(f.crashes[0].at) > CrashReportTime {
 		f.crashes = f.crashes[1:]
 	}
-	return append([]Crash(nil), f.crashes[max(len(f.crashes)-MaxCrashes, 0):]...)
+	crashes := append([]Crash(nil), f.crashes[max(len(f.crashes)-MaxCrashes, 0):]...)
+	for i := range crashes {
+		crashes[i].Age = max(now.Sub(crashes[i].at), time.Millisecond)
+	}
+	return crashes
+}
+
+// countCrash counts a crash against its request.
+func (f *Fleet) countCrash(c *Crash, onlySuspect bool, now time.Time) {
+	before, _ := f.poison.State(c.Fingerprint, now)
+	f.poison.Crash(c.Fingerprint, c.id(), 0, onlySuspect, c.at)
+	if after, _ := f.poison.State(c.Fingerprint, now); after == quarantine.Quarantined && before != after {
+		f.notePartChanges([]uint64{c.Fingerprint}, true, true)
+	}
 }
 
 // crashReport identifies a crash that other hosts report.
@@ -134,7 +148,9 @@
 }
 
 // ApplyCrashes applies the crashes reported by another host. The reports of one crash are repeated, and
-// only the first one counts: a request with the fingerprint may have been completed since.
+// only the first one counts: a request with the fingerprint may have been completed since. So may one before the first
+// report arrived, on any host, which then does not count either. One that counts is told to the hosts that complete
+// such requests, as this one may refuse them all.
 func (f *Fleet) ApplyCrashes(crashes []Crash, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -147,8 +163,19 @@
 		report := crashReport{fingerprint: crashes[i].Fingerprint, replica: crashes[i].id()}
 		_, known := f.crashReports[report]
 		f.crashReports[report] = now
-		if !known {
-			f.poison.Crash(report.fingerprint, report.replica, 0, true, now)
+		if known {
+			continue
+		}
+		c := crashes[i]
+		c.at = now
+		if c.Age > 0 {
+			c.at = now.Add(-c.Age)
+			counts, quarantined := f.requests.Reported(c.Fingerprint, trackedCrash(c.id(), c.at), now)
+			f.notePartChanges(quarantined, true, true)
+			if !counts {
+				continue
+			}
 		}
+		f.countCrash(&c, true, now)
 	}
 }
--- /dev/null
+++ b/internal/gateway/fleet/poisonrelease_test.go
@@ -0,0 +1,225 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/scheduling/poisonpart"
+)
+
+func (f *Fleet) refusesFingerprint(fingerprint uint64, now time.Time) bool {
+	q := serviceRequest()
+	q.Fingerprint = fingerprint
+	l, refusal := f.Pick(q, now)
+	if refusal == nil {
+		l.End(Abandoned, now)
+	}
+	return refusal != nil && refusal.Reason == ReasonPoison
+}
+
+// Guards against a host that refuses a request for minutes, as reports of two crashes reached it after its last
+// complete answer, although the other hosts complete such requests all the time (soak seed 575053044204).
+func TestRequestThatOtherHostsCompleteIsFreed(t *testing.T) {
+	const sound = 5
+	victim, other, f := newFleet(0), newFleet(0), newFleet(0)
+	now := start
+	crash(t, victim, sound, now)
+	crash(t, victim, sound, now.Add(10*time.Millisecond))
+	now = now.Add(50 * time.Millisecond)
+	f.ApplyCrashes(victim.Crashes(now), now)
+	require.True(t, f.refusesFingerprint(sound, now), "nobody has completed one")
+	for range 20 { // the first reports are lost on the way to the refusing host
+		now = now.Add(500 * time.Millisecond)
+		other.ApplyRequestReports(victim.RequestReports(true, now), now)
+		serveFingerprint(t, other, sound, now)
+	}
+	for range 4 {
+		now = now.Add(500 * time.Millisecond)
+		other.ApplyRequestReports(f.RequestReports(true, now), now)
+		serveFingerprint(t, other, sound, now)
+		f.ApplyRequestReports(other.RequestReports(true, now), now)
+	}
+	assert.False(t, f.refusesFingerprint(sound, now))
+}
+
+// Guards against counting crashes from before a complete answer because their reports arrive later (soak seed
+// 575053044204).
+func TestLateReportDoesNotOutweighAnswer(t *testing.T) {
+	const sound = 5
+	victim, f := newFleet(0), newFleet(0)
+	now := start
+	crash(t, victim, sound, now)
+	crash(t, victim, sound, now.Add(10*time.Millisecond))
+	now = now.Add(time.Second)
+	serveFingerprint(t, f, sound, now)
+	now = now.Add(time.Second)
+	f.ApplyCrashes(victim.Crashes(now), now)
+	assert.False(t, f.refusesFingerprint(sound, now))
+}
+
+// Guards against blaming a request for crashes that a part of other requests' prompts explains, as their reports
+// arrive seconds later and count from then on.
+func TestLateReportIsExplainedByPart(t *testing.T) {
+	const sound = 5
+	victim, f := newFleet(0), newFleet(0)
+	now := start
+	for i := range 3 {
+		at := now.Add(time.Duration(i) * 400 * time.Millisecond)
+		m := Member{ID: []string{"s0", "s1", "s2"}[i]}
+		victim.parts.Crash([]uint64{poisonPart}, nil, m.Key(), at)
+	}
+	crash(t, victim, sound, now)
+	crash(t, victim, sound, now.Add(400*time.Millisecond))
+	now = now.Add(2500 * time.Millisecond)
+	f.ApplyPartReports(victim.PartReports(true, now), now)
+	f.ApplyCrashes(victim.Crashes(now), now)
+	assert.False(t, f.refusesFingerprint(sound, now))
+}
+
+// Guards against forgetting crashes that follow an answer on another host, and those that nothing voids.
+func TestRequestThatCrashesReplicasAfterAnswerIsRefused(t *testing.T) {
+	const poison = 7
+	f, other := newFleet(0), newFleet(0)
+	now := start
+	exchange := func(count int) {
+		for range count {
+			now = now.Add(100 * time.Millisecond)
+			f.ApplyRequestReports(other.RequestReports(true, now), now)
+			other.ApplyRequestReports(f.RequestReports(true, now), now)
+		}
+	}
+	crash(t, f, poison, now)
+	other.ApplyCrashes(f.Crashes(now), now)
+	exchange(2)
+	serveFingerprint(t, other, poison, now)
+	exchange(20)
+	for range 2 {
+		now = now.Add(maxSuspension)
+		crash(t, f, poison, now)
+		other.ApplyCrashes(f.Crashes(now), now)
+		exchange(5)
+	}
+	for range 60 {
+		exchange(1)
+		now = now.Add(2 * time.Second)
+		require.True(t, f.refusesFingerprint(poison, now))
+		require.True(t, other.refusesFingerprint(poison, now))
+	}
+}
+
+// simulatedHosts are hosts that share replicas s0 to s2 and tell each other of crashes. Datagrams are lost or late.
+type simulatedHosts struct {
+	fleets    []*Fleet
+	random    *rand.Rand
+	now       time.Time
+	downUntil map[string]time.Time
+	due       [][]func() // datagrams, by the steps until they arrive
+}
+
+// run picks a replica for a request, and ends the request at once if that is down.
+func (s *simulatedHosts) run(f *Fleet, fingerprint uint64) *Lease {
+	q := serviceRequest()
+	q.Fingerprint = fingerprint
+	l, refusal := f.Pick(q, s.now)
+	if refusal != nil {
+		return nil
+	}
+	if s.now.Before(s.downUntil[l.Member.ID]) {
+		l.End(Unconnected, s.now)
+		return nil
+	}
+	return l
+}
+
+// tell sends what a host knows of crashes to the others.
+func (s *simulatedHosts) tell(from *Fleet, all bool) {
+	sent, crashes, reports := s.now, from.Crashes(s.now), from.RequestReports(all, s.now)
+	for _, to := range s.fleets {
+		if to == from || s.random.IntN(3) == 0 {
+			continue
+		}
+		delay := s.random.IntN(len(s.due))
+		s.due[delay] = append(s.due[delay], func() {
+			to.ApplyCrashes(crashes, s.now)
+			// Ages are sent, so that the way takes no time for the receiver.
+			var received []poisonpart.Entry
+			for _, e := range reports {
+				e.Crashes = slices.Clone(e.Crashes)
+				for i := range e.Crashes {
+					e.Crashes[i].At = e.Crashes[i].At.Add(s.now.Sub(sent))
+				}
+				received = append(received, e)
+			}
+			to.ApplyRequestReports(received, s.now)
+		})
+	}
+}
+
+// Guards against hosts that refuse requests which others complete, and against requests that crash replicas and
+// are not refused, whatever reports are lost or late. The poison request ends the sound ones on its replica too.
+func TestSimulatedHostsAgreeOnRequests(t *testing.T) {
+	const sound, poison, hosts, delays, downtime = 5, 7, 4, 5, 1200 * time.Millisecond
+	for seed := range uint64(200) {
+		s := &simulatedHosts{random: rand.New(rand.NewPCG(seed, 0)), now: start, downUntil: map[string]time.Time{}, due: make([][]func(), delays)}
+		for range hosts {
+			s.fleets = append(s.fleets, newFleet(0))
+		}
+		var third time.Time
+		crashes, late := 0, 0
+		for step := range 320 {
+			s.now = s.now.Add(50 * time.Millisecond)
+			arrived := s.due[0]
+			s.due = append(s.due[1:], nil)
+			for _, deliver := range arrived {
+				deliver()
+			}
+			leases := make([]*Lease, hosts)
+			for i, f := range s.fleets {
+				leases[i] = s.run(f, sound)
+			}
+			sender := s.random.IntN(hosts)
+			var crashing *Lease
+			if step < 240 && s.random.IntN(5) == 0 {
+				crashing = s.run(s.fleets[sender], poison)
+			}
+			if crashing != nil {
+				if crashes++; crashes == 3 {
+					third = s.now
+				}
+				if crashes > 3 && s.now.Sub(third) > poisonSettle {
+					late++
+				}
+				s.downUntil[crashing.Member.ID] = s.now.Add(downtime)
+				crashing.End(ConnectionLost, s.now)
+			}
+			for i, f := range s.fleets {
+				crashed := crashing != nil && leases[i] != nil && leases[i].Member.ID == crashing.Member.ID
+				switch {
+				case crashed:
+					leases[i].End(ConnectionLost, s.now)
+				case leases[i] != nil:
+					leases[i].End(Served, s.now)
+				}
+				if crashed || crashing != nil && i == sender {
+					f.RecordInspection(crashing.Member.ID, true, s.now)
+				}
+			}
+			for _, f := range s.fleets {
+				s.tell(f, step%20 == 0)
+			}
+		}
+		assert.LessOrEqual(t, late, maxLatePoison, "seed %d: the poison request reaches replicas", seed)
+		refused := 0
+		for _, f := range s.fleets {
+			if f.refusesFingerprint(sound, s.now) {
+				refused++
+			}
+		}
+		assert.Contains(t, []int{0, hosts}, refused, "seed %d: hosts that refuse the sound request", seed)
+	}
+}
--- a/internal/gateway/fleet/poisonrequest.go
+++ b/internal/gateway/fleet/poisonrequest.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"heatherbarrow/internal/scheduling"
 	"heatherbarrow/internal/scheduling/poisonpart"
+	"heatherbarrow/internal/scheduling/quarantine"
 )
 
 // maxRequestReports bounds the suspect requests that are reported together.
@@ -44,7 +46,11 @@
 func (f *Fleet) RequestReports(all bool, now time.Time) []poisonpart.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.requests.Reports(all, maxRequestReports, now)
+	refused := func(fingerprint uint64) bool {
+		state, _ := f.poison.UnexplainedState(fingerprint, now, f.crashByPart)
+		return state == quarantine.Quarantined
+	}
+	return f.requests.ReportsWith(all, refused, maxRequestReports, now)
 }
 
 // ApplyRequestReports applies what another host, or the store, knows of suspect requests.
@@ -53,6 +59,25 @@
 	defer f.mu.Unlock()
 	quarantined, _ := f.requests.Merge(entries, now)
 	f.notePartChanges(quarantined, true, true)
+	for i := range entries {
+		f.voidCrashes(entries[i].Part, now)
+	}
+}
+
+// voidCrashes removes the crashes of a request that answers on other hosts, completed since, have voided.
+func (f *Fleet) voidCrashes(fingerprint uint64, now time.Time) {
+	freed := f.poison.Void(fingerprint, now, func(id scheduling.ReplicaID, at time.Time) bool {
+		return f.requests.Voided(fingerprint, trackedCrash(id, at))
+	})
+	if freed {
+		f.notePartChanges([]uint64{fingerprint}, true, false)
+	}
+}
+
+// trackedCrash returns the form of a crash in a Tracker.
+func trackedCrash(id scheduling.ReplicaID, at time.Time) poisonpart.Crash {
+	m := Member{ID: id.Replica}
+	return poisonpart.Crash{Replica: m.Key(), At: at}
 }
 
 // RefusedRequests returns the requests that are refused for crashes that all hosts know of.
--- a/internal/gateway/peers/heartbeat.go
+++ b/internal/gateway/peers/heartbeat.go
@@ -145,7 +145,7 @@
 		e.otherZones.addPrompt(use)
 	}
 	for _, c := range e.opts.Fleet.Crashes(now) {
-		message.Crashes = append(message.Crashes, &rpc.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica})
+		message.Crashes = append(message.Crashes, &rpc.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica, AgeMs: uint32(max(c.Age.Milliseconds(), 1))})
 	}
 	return message
 }
--- a/internal/gateway/peers/messages.go
+++ b/internal/gateway/peers/messages.go
@@ -94,7 +94,7 @@
 func crashesFromProto(messages []*rpc.Crash) []fleet.Crash {
 	crashes := make([]fleet.Crash, len(messages))
 	for i, c := range messages {
-		crashes[i] = fleet.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica}
+		crashes[i] = fleet.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica, Age: time.Duration(c.AgeMs) * time.Millisecond}
 	}
 	return crashes
 }
--- a/internal/gateway/peers/zone.go
+++ b/internal/gateway/peers/zone.go
@@ -139,7 +139,11 @@
 		if now.Sub(c.reportedAt) > fleet.CrashReportTime {
 			delete(s.crashes, fingerprint)
 		} else if len(out) < fleet.MaxCrashes {
-			out = append(out, c.crash)
+			forwarded := &rpc.Crash{Fingerprint: c.crash.Fingerprint, Upstream: c.crash.Upstream, Replica: c.crash.Replica}
+			if c.crash.AgeMs > 0 {
+				forwarded.AgeMs = c.crash.AgeMs + uint32(now.Sub(c.reportedAt).Milliseconds())
+			}
+			out = append(out, forwarded)
 		}
 	}
 	return out
--- a/internal/gateway/peers/zone_test.go
+++ b/internal/gateway/peers/zone_test.go
@@ -215,6 +215,24 @@
 	assert.Empty(t, host.speaker.recentCrashes(now.Add(fleet.CrashReportTime+time.Second)))
 }
 
+// Guards against crashes that count from when their reports arrive (soak seed 575053044204).
+func TestAgeOfCrashIsForwarded(t *testing.T) {
+	host := newTestHost(t, "a", "127.0.0.1:1")
+	now := time.Now()
+	host.speaker.isSelf = true
+	host.collectForDigest(&rpc.Beat{AvailabilityZone: "a", Crashes: []*rpc.Crash{{Fingerprint: 1, AgeMs: 700}}}, now)
+	host.collectForDigest(&rpc.Beat{AvailabilityZone: "a", Crashes: []*rpc.Crash{{Fingerprint: 2}}}, now)
+	for range 2 {
+		for _, c := range crashesFromProto(host.speaker.recentCrashes(now.Add(500 * time.Millisecond))) {
+			want := 1200 * time.Millisecond
+			if c.Fingerprint == 2 {
+				want = 0 // a build before does not tell it
+			}
+			assert.Equal(t, want, c.Age)
+		}
+	}
+}
+
 // Guards against hosts that start together and all follow the store before they have received each
 // other's heartbeats, and against dead hosts that stay registered and keep the others from
 // following the store.
--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -104,7 +103,8 @@
 // localEntry is an entry with what this host needs to report it.
 type localEntry struct {
 	Entry
-	changedAt time.Time
+	changedAt  time.Time
+	releasedAt time.Time // crashes until then are void, unless they are in Crashes
 }
 
 // Tracker tracks suspect parts. All parts of the requests in flight on a crashed replica are suspects.
@@ -205,10 +205,34 @@
 	}
 	e.Released++
 	e.Crashes, e.Quarantined = nil, false
-	e.changedAt, e.Expires = now, now.Add(suspectDuration)
+	e.changedAt, e.releasedAt, e.Expires = now, now, now.Add(suspectDuration)
 	return true
 }
 
+// Voided reports whether a crash no longer counts against a part, because an answer to a request with the part has
+// been completed since, on any host.
+func (t *Tracker) Voided(part uint64, c Crash) bool {
+	if sound, ok := t.sound.Peek(part); ok && !sound.Before(c.At) {
+		return true
+	}
+	e, ok := t.entries.Peek(part)
+	return ok && !c.At.After(e.releasedAt) && !slices.ContainsFunc(e.Crashes, c.same)
+}
+
+// Reported counts a crash that another host told by itself, and not in its entry of the part. It returns whether the
+// crash counts, and the parts that are quarantined because of it.
+func (t *Tracker) Reported(part uint64, c Crash, now time.Time) (counts bool, quarantined []uint64) {
+	if t.Voided(part, c) {
+		return false, nil
+	}
+	update := Entry{Part: part, Crashes: []Crash{c}, Expires: now.Add(suspectDuration)}
+	if e, ok := t.entries.Peek(part); ok {
+		update.Released = e.Released
+	}
+	quarantined, _ = t.Merge([]Entry{update}, now)
+	return true, quarantined
+}
+
 // Changes returns a number that increases with every change of the entries.
 func (t *Tracker) Changes() uint64 { return t.changes }
 
@@ -438,6 +462,9 @@
 		e.changedAt = now // the sender does not know of the release
 		return false, false
 	case update.Released > e.Released:
+		if ok {
+			e.releasedAt = now
+		}
 		e.Entry = Entry{Part: update.Part, Released: update.Released}
 		changed = true
 	}
@@ -455,7 +482,9 @@
 		e.changedAt = now
 	}
 	if sound, ok := t.sound.Peek(e.Part); ok && len(e.Crashes) > 0 && !sound.Before(e.Crashes[0].At) {
-		return true, e.release(now)
+		released = e.release(now)
+		e.releasedAt = sound
+		return true, released
 	}
 	return changed, false
 }
@@ -473,71 +502,3 @@
 	}
 	return b
 }
-
-// Reports returns entries for other hosts, at most limit: those that changed in the last seconds,
-// and with all also those of parts that requests are refused for. If there are more, quarantined parts
-// are preferred, then those of which a second crash or a release is known; equal ones vary from call
-// to call.
-func (t *Tracker) Reports(all bool, limit int, now time.Time) []Entry {
-	var out []Entry
-	for _, e := range t.entries.Values() {
-		if now.Before(e.Expires) && (now.Sub(e.changedAt) < newsTime || all && t.refuses(e)) {
-			out = append(out, e.Entry)
-		}
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	slices.SortStableFunc(out, func(a, b Entry) int { return cmp.Compare(b.reportRank(), a.reportRank()) })
-	return cloneEntries(out[:min(len(out), limit)])
-}
-
-// reportRank orders entries by what other hosts need first.
-func (e *Entry) reportRank() int {
-	switch {
-	case e.Quarantined:
-		return 2
-	case len(e.Crashes) != 1:
-		return 1
-	default:
-		return 0
-	}
-}
-
-// refuses reports whether requests can be refused for the entry's part.
-func (t *Tracker) refuses(e *localEntry) bool {
-	return e.Quarantined && t.isUpheld(e) || !e.Quarantined && slices.Contains(t.repeated, e) && t.unexplained(e, nil) >= t.crashLimit
-}
-
-// Refused returns the entries of the parts that requests are refused for.
-func (t *Tracker) Refused(now time.Time) []Entry {
-	var out []Entry
-	for _, e := range t.entries.Values() {
-		if now.Before(e.Expires) && t.refuses(e) {
-			out = append(out, e.Entry)
-		}
-	}
-	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Part, b.Part) })
-	return cloneEntries(out)
-}
-
-// Suspects returns the entries that are not refused and have minRepeatedCrashes crashes or more, which hosts that
-// start need to know: at most limit, those with the most crashes first.
-func (t *Tracker) Suspects(limit int, now time.Time) []Entry {
-	var out []Entry
-	for _, e := range t.entries.Values() {
-		if now.Before(e.Expires) && len(e.Crashes) >= minRepeatedCrashes && !t.refuses(e) {
-			out = append(out, e.Entry)
-		}
-	}
-	slices.SortFunc(out, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Part, b.Part))
-	})
-	return cloneEntries(out[:min(len(out), limit)])
-}
-
-// cloneEntries makes the crashes of the entries independent of those of the Tracker.
-func cloneEntries(entries []Entry) []Entry {
-	for i := range entries {
-		entries[i].Crashes = slices.Clone(entries[i].Crashes)
-	}
-	return entries
-}
--- a/internal/scheduling/poisonpart/poisonpart_test.go
+++ b/internal/scheduling/poisonpart/poisonpart_test.go
@@ -320,3 +320,37 @@
 	assert.True(t, blamed(p, now, poisonPart+1))
 	assert.False(t, blamed(p, now, firstPart))
 }
+
+// Guards against a crash that another host tells, late or twice, and that counts although an answer was completed since
+// (soak seed 575053044204), and against dropping one that followed the answer.
+func TestReportedCrashCountsOnlyAfterLatestAnswer(t *testing.T) {
+	const part = 7
+	tracker, other := New(2, time.Hour), New(2, time.Hour)
+	crash := func(replica uint64, after time.Duration) Crash {
+		return Crash{Replica: replica, At: partsStart.Add(after)}
+	}
+	now := partsStart.Add(10 * time.Second)
+	counts, _ := tracker.Reported(part, crash(1, 5*time.Second), now)
+	assert.True(t, counts)
+	other.Merge(tracker.Reports(true, 10, now), now)
+	other.Completed([]uint64{part}, now.Add(time.Second))
+	now = now.Add(2 * time.Second)
+	tracker.Merge(other.Reports(true, 10, now), now)
+	assert.True(t, tracker.Voided(part, crash(1, 5*time.Second)))
+	for _, at := range []time.Duration{5 * time.Second, 12 * time.Second} {
+		counts, _ = tracker.Reported(part, crash(2, at), now)
+		assert.False(t, counts, "the answer of another host is known")
+	}
+	tracker.Completed([]uint64{part}, now.Add(time.Second))
+	now = now.Add(3 * time.Second)
+	counts, _ = tracker.Reported(part, crash(2, 13*time.Second), now)
+	assert.False(t, counts, "an answer of this host followed")
+	counts, _ = tracker.Reported(part, crash(3, 14*time.Second), now)
+	assert.True(t, counts)
+	assert.False(t, tracker.Voided(part, crash(3, 14*time.Second)))
+	counts, quarantined := tracker.Reported(part, crash(2, 15*time.Second), now)
+	assert.True(t, counts)
+	assert.Equal(t, []uint64{part}, quarantined)
+	counts, _ = tracker.Reported(part+1, crash(2, 5*time.Second), now)
+	assert.True(t, counts, "a part without answers")
+}
--- /dev/null
+++ b/internal/scheduling/poisonpart/reports.go
@@ -0,0 +1,81 @@
+package poisonpart
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Reports returns entries for other hosts, at most limit: those that changed in the last seconds,
+// and with all also those of parts that requests are refused for. If there are more, quarantined parts
+// are preferred, then those of which a second crash or a release is known; equal ones vary from call
+// to call.
+func (t *Tracker) Reports(all bool, limit int, now time.Time) []Entry {
+	return t.ReportsWith(all, func(uint64) bool { return false }, limit, now)
+}
+
+// ReportsWith is Reports where requests with a part are also refused if refused returns true.
+func (t *Tracker) ReportsWith(all bool, refused func(part uint64) bool, limit int, now time.Time) []Entry {
+	var out []Entry
+	for _, e := range t.entries.Values() {
+		if now.Before(e.Expires) && (now.Sub(e.changedAt) < newsTime || all && (t.refuses(e) || refused(e.Part))) {
+			out = append(out, e.Entry)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b Entry) int { return cmp.Compare(b.reportRank(), a.reportRank()) })
+	return cloneEntries(out[:min(len(out), limit)])
+}
+
+// reportRank orders entries by what other hosts need first.
+func (e *Entry) reportRank() int {
+	switch {
+	case e.Quarantined:
+		return 2
+	case len(e.Crashes) != 1:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// refuses reports whether requests can be refused for the entry's part.
+func (t *Tracker) refuses(e *localEntry) bool {
+	return e.Quarantined && t.isUpheld(e) || !e.Quarantined && slices.Contains(t.repeated, e) && t.unexplained(e, nil) >= t.crashLimit
+}
+
+// Refused returns the entries of the parts that requests are refused for.
+func (t *Tracker) Refused(now time.Time) []Entry {
+	var out []Entry
+	for _, e := range t.entries.Values() {
+		if now.Before(e.Expires) && t.refuses(e) {
+			out = append(out, e.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Part, b.Part) })
+	return cloneEntries(out)
+}
+
+// Suspects returns the entries that are not refused and have minRepeatedCrashes crashes or more, which hosts that
+// start need to know: at most limit, those with the most crashes first.
+func (t *Tracker) Suspects(limit int, now time.Time) []Entry {
+	var out []Entry
+	for _, e := range t.entries.Values() {
+		if now.Before(e.Expires) && len(e.Crashes) >= minRepeatedCrashes && !t.refuses(e) {
+			out = append(out, e.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Part, b.Part))
+	})
+	return cloneEntries(out[:min(len(out), limit)])
+}
+
+// cloneEntries makes the crashes of the entries independent of those of the Tracker.
+func cloneEntries(entries []Entry) []Entry {
+	for i := range entries {
+		entries[i].Crashes = slices.Clone(entries[i].Crashes)
+	}
+	return entries
+}
--- a/internal/scheduling/quarantine/quarantine.go
+++ b/internal/scheduling/quarantine/quarantine.go
@@ -297,6 +297,29 @@
 	e.isolated = false
 }
 
+// Void removes the crashes of a fingerprint, counted on this host, for which voided returns true. It reports whether
+// the fingerprint was quarantined and no longer is.
+func (q *Quarantine) Void(fingerprint uint64, now time.Time, voided func(id scheduling.ReplicaID, at time.Time) bool) (freed bool) {
+	e, ok := q.get(fingerprint, now)
+	if !ok {
+		return false
+	}
+	before, _ := q.State(fingerprint, now)
+	var replicas []scheduling.ReplicaID
+	var times []time.Time
+	for i, id := range e.crashedReplicas {
+		if !voided(id, e.crashTimes[i]) {
+			replicas, times = append(replicas, id), append(times, e.crashTimes[i])
+		}
+	}
+	e.crashedReplicas, e.crashTimes = replicas, times
+	if len(replicas) == 0 {
+		e.isolated = false
+	}
+	after, _ := q.State(fingerprint, now)
+	return before == Quarantined && after != Quarantined
+}
+
 // ensure returns the local entry of a fingerprint, and adds one when there is none.
 func (q *Quarantine) ensure(fingerprint uint64, now time.Time) *entry {
 	e, ok := q.get(fingerprint, now)
--- a/internal/scheduling/quarantine/quarantine_test.go
+++ b/internal/scheduling/quarantine/quarantine_test.go
@@ -88,3 +88,22 @@
 		}
 	})
 }
+
+// Guards against crashes that stay counted when answers on other hosts have voided them, and against dropping others.
+func TestVoidRemovesOnlyVoidedCrashes(t *testing.T) {
+	q := New(2, time.Hour)
+	for i := range 3 {
+		q.Crash(1, replicaID(i), 0, true, start.Add(time.Duration(i)*time.Second))
+	}
+	until := func(end time.Time) func(scheduling.ReplicaID, time.Time) bool {
+		return func(_ scheduling.ReplicaID, at time.Time) bool { return !at.After(end) }
+	}
+	now := start.Add(time.Minute)
+	require.False(t, q.Void(1, now, until(start)), "two crashes are left")
+	require.Equal(t, Quarantined, stateOf(q, 1, now))
+	require.True(t, q.Void(1, now, until(start.Add(time.Second))))
+	require.Equal(t, Suspect, stateOf(q, 1, now))
+	require.False(t, q.Void(1, now, until(now)))
+	require.Equal(t, Clear, stateOf(q, 1, now))
+	require.False(t, q.Void(2, now, until(now)), "unknown")
+}
