Gateway: a stream that breaks off is reset for callers of HTTP/1.0

Callers of HTTP/1.0 took a stream that had broken off for a complete one: they know no chunks, so that the end of the connection is the end of the answer, and the gateway closed it in order.

The gateway now resets their connections when it breaks an answer off. The wrappers of accepted connections give access to the one below for this, and the reset of connections to replicas and callers is one function, netio.Reset.

Ruled out: a reset for HTTP/1.1 too, as it could drop events on their way to a caller that sees the missing last chunk anyway.

--- a/internal/gateway/proxy/idle.go
+++ b/internal/gateway/proxy/idle.go
@@ -36,6 +36,9 @@
 	header func() time.Duration // timeout for reading request headers
 }
 
+// NetConn returns the wrapped connection.
+func (c *timeoutConn) NetConn() net.Conn { return c.Conn }
+
 // SetReadDeadline implements net.Conn.
 func (c *timeoutConn) SetReadDeadline(t time.Time) error {
 	if !t.IsZero() {
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -9,6 +9,7 @@
 
 	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
@@ -263,9 +264,19 @@
 // the caller does not take the response for a complete one. It does not return.
 func (e *exchange) abortResponse() {
 	e.record.outcome = outcomeBroken
+	if !e.r.ProtoAtLeast(1, 1) {
+		e.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetCaller resets the connection of a caller that knows no chunks, for whom an orderly end is the end of the response.
+func (e *exchange) resetCaller() {
+	if c, _, err := http.NewResponseController(e.w).Hijack(); err == nil {
+		_ = netio.Reset(c) // nothing more can be done for the caller
+	}
+}
+
 // attempt sends the request to the leased replica and forwards its response.
 func (e *exchange) attempt(ctx context.Context, lease *fleet.Lease, p *progress) attemptResult {
 	s := e.server
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"heatherbarrow/internal/gateway/netio"
 )
 
 const (
@@ -73,12 +75,7 @@
 // bytes of an abandoned request. After an orderly close the kernel would retransmit
 // them, and a replica behind a network partition would receive and run the request once
 // the partition heals.
-func (c *conn) abort() error {
-	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is already closed
-	}
-	return c.Close()
-}
+func (c *conn) abort() error { return netio.Reset(c.Conn) }
 
 // pool holds the idle connections to each replica, most recently used last.
 type pool struct {
--- a/internal/listen/connections.go
+++ b/internal/listen/connections.go
@@ -101,6 +101,9 @@
 
 func noteFirstByte(conn net.Conn) net.Conn { return &firstByteConn{Conn: conn} }
 
+// NetConn returns the wrapped connection.
+func (f *firstByteConn) NetConn() net.Conn { return f.Conn }
+
 // Read implements net.Conn.
 func (f *firstByteConn) Read(p []byte) (int, error) {
 	n, err := f.Conn.Read(p)
