--- a/internal/soak/beats_test.go
+++ b/internal/soak/beats_test.go
@@ -10,11 +10,19 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway"
 	"heatherbarrow/internal/gateway/netio/relaytest"
 )
 
-// relayBeatsOf puts a relay between a host and each other one. A host sends to the port of its own datagrams, so that
-// with a port for each host the relays receive what is sent to their address.
+// beatPort returns the port on which a host receives datagrams. Hosts send them to the port of their own on the
+// address of the other host, where a relay receives them.
+func beatPort(i int) int { return 9100 + i }
+
+func ownBeatPort(i int) func(*gateway.Settings) {
+	return func(s *gateway.Settings) { s.BeatPort = beatPort(i) }
+}
+
+// relayBeatsOf puts a relay between a host and each other one. Hosts started with ownBeatPort use them.
 func relayBeatsOf(t *testing.T, lane, from, hosts int) (relays []*relaytest.Datagrams) {
 	t.Helper()
 	for to := range hosts {
@@ -22,7 +30,7 @@
 			continue
 		}
 		address := hostAddress(lane, to)
-		r, err := relaytest.NewDatagrams(fmt.Sprintf("%s:%d", address, beatPort+from), fmt.Sprintf("%s:%d", address, beatPort+to))
+		r, err := relaytest.NewDatagrams(fmt.Sprintf("%s:%d", address, beatPort(from)), fmt.Sprintf("%s:%d", address, beatPort(to)))
 		require.NoError(t, err)
 		t.Cleanup(r.Close)
 		relays = append(relays, r)
--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -221,7 +221,7 @@
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		for range zones[zone] {
 			front := newStoreFront(t, rig.store, replicas)
-			rig.hosts = append(rig.hosts, startHost(t, dir, lane, len(rig.hosts), zone, front.server.Listener.Addr().String(), beatPort, env))
+			rig.hosts = append(rig.hosts, startHost(t, dir, lane, len(rig.hosts), zone, front.server.Listener.Addr().String(), env))
 			rig.fronts = append(rig.fronts, front)
 		}
 	}
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -29,7 +29,6 @@
 	retrySlack   = 40
 	graceSeconds = 6
 	balancerLag  = 500 * time.Millisecond
-	beatPort     = 9004
 )
 
 var buildOnce = sync.OnceValues(func() (string, error) {
@@ -217,12 +216,12 @@
 	dir := t.TempDir()
 	for i := range zones * perZone {
 		store := newRelay(t, d.store.Address())
-		port := beatPort
+		var change []func(*gateway.Settings)
 		if relayBeats {
-			port += i
 			d.beats = append(d.beats, relayBeatsOf(t, lane, i, zones*perZone))
+			change = append(change, ownBeatPort(i))
 		}
-		h := startHost(t, dir, lane, i, zoneName(i%zones), store.Address(), port, nil)
+		h := startHost(t, dir, lane, i, zoneName(i%zones), store.Address(), nil, change...)
 		h.store = store
 		d.hosts = append(d.hosts, h)
 	}
@@ -230,15 +229,18 @@
 }
 
 // startHost starts the gateway with the given number in a lane, whose files are in dir.
-func startHost(t *testing.T, dir string, lane, i int, zone, store string, beatPort int, env []string) *host {
+func startHost(t *testing.T, dir string, lane, i int, zone, store string, env []string, change ...func(*gateway.Settings)) *host {
 	address := hostAddress(lane, i)
 	h := &host{t: t, name: fmt.Sprintf("h%d", i), log: filepath.Join(dir, fmt.Sprintf("h%d.log", i)), path: filepath.Join(dir, fmt.Sprintf("h%d.json", i)), env: env}
 	h.settings = &gateway.Settings{
 		Host: h.name, AvailabilityZone: zone, LogLevel: "info", Listen: address + ":9001", ReadyListen: address + ":9002",
-		PeerListen: address + ":9003", BeatPort: beatPort, Seeds: []string{net.JoinHostPort(hostAddress(lane, 0), "9003")}, Store: store, MemoryLimitMB: 400,
+		PeerListen: address + ":9003", BeatPort: 9004, Seeds: []string{net.JoinHostPort(hostAddress(lane, 0), "9003")}, Store: store, MemoryLimitMB: 400,
 		RetryShare: retryShare, RetrySlack: retrySlack, GraceSeconds: graceSeconds,
 		WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(balancerLag),
 	}
+	for _, c := range change {
+		c(h.settings)
+	}
 	require.NoError(t, h.settings.Validate())
 	h.writeSettings()
 	h.start()
