--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -24,6 +24,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/netio/relaytest"
 	"heatherbarrow/platform"
 	"heatherbarrow/platform/storetest"
 )
@@ -32,68 +33,14 @@
 	storeLatency = 4 * time.Millisecond
 )
 
-// replicaLink is the way of one host to one replica. While it is cut, connections to it are refused.
-type replicaLink struct {
-	target, address string
-	mu              sync.Mutex
-	listener        net.Listener
-	open            []net.Conn
-}
-
-func newReplicaLink(t *testing.T, target string) *replicaLink {
-	l := &replicaLink{target: target, address: "127.0.0.1:0"}
-	l.heal()
-	l.address = l.listener.Addr().String()
-	t.Cleanup(l.cut)
-	return l
-}
-
-func (l *replicaLink) heal() {
-	for l.listener = nil; l.listener == nil; time.Sleep(time.Millisecond) {
-		l.listener, _ = net.Listen("tcp", l.address)
-	}
-	go func(listener net.Listener) {
-		for {
-			caller, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			replica, err := net.Dial("tcp", l.target)
-			if err != nil {
-				_ = caller.Close()
-				continue
-			}
-			l.mu.Lock()
-			l.open = append(l.open, caller, replica)
-			l.mu.Unlock()
-			for _, ends := range [][2]net.Conn{{caller, replica}, {replica, caller}} {
-				go func() {
-					_, _ = io.Copy(ends[0], ends[1]) // ends with either connection
-					_ = ends[0].Close()
-				}()
-			}
-		}
-	}(l.listener)
-}
-
-func (l *replicaLink) cut() {
-	_ = l.listener.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.open {
-		_ = c.Close()
-	}
-	l.open = nil
-}
-
 // storeFront passes the calls of one host on to the store, or fails them. It names the host's links as the addresses
 // of the replicas.
 type storeFront struct {
 	store  *storetest.Store
 	server *httptest.Server
 	mode   atomic.Int32
-	silent atomic.Int64 // connections opened before this Unix time in ns get no answer
-	links  []*replicaLink
+	silent atomic.Int64       // connections opened before this Unix time in ns get no answer
+	links  []*relaytest.Relay // this host's ways to the replicas
 	rename *strings.Replacer
 }
 
@@ -112,9 +59,9 @@
 	f := &storeFront{store: store}
 	var pairs []string
 	for _, target := range replicas {
-		l := newReplicaLink(t, target)
+		l := newRelay(t, target)
 		f.links = append(f.links, l)
-		pairs = append(pairs, strconv.Quote(target), strconv.Quote(l.address))
+		pairs = append(pairs, strconv.Quote(target), strconv.Quote(l.Address()))
 	}
 	f.rename = strings.NewReplacer(pairs...)
 	f.server = httptest.NewUnstartedServer(f)
@@ -473,11 +420,11 @@
 		// The host stays in touch: callers, hosts and the store reach it. Another one may be behind.
 		return func(lasts time.Duration) {
 			if rig.cutOff.Swap(true) {
-				return // healing a link twice would wait for its port
+				return // the end of the first would end the second
 			}
 			defer rig.cutOff.Store(false)
 			for _, l := range rig.fronts[i].links {
-				l.cut()
+				l.Stop()
 			}
 			if other := rig.hosts[(i+1)%len(rig.hosts)]; n == 12 && other.claim() {
 				pause(other, lasts)
@@ -485,7 +432,7 @@
 			}
 			time.Sleep(lasts)
 			for _, l := range rig.fronts[i].links {
-				l.heal()
+				assert.NoError(rig.t, l.Start())
 			}
 		}, fmt.Sprintf("%s cut off from all replicas, next host paused: %v", h.name, n == 12)
 	default:
