peers: the age of a forwarded crash does not wrap, and an older crash shortens no quarantine

A request that crashes replicas was free again at hosts of other zones (BUDGET), if a report of a further crash reached the speaker of a zone while it composed its digest. Cause: the digest has the time at which its composition began, the report that of its arrival. The difference was negative, and as an unsigned number of milliseconds 49 days. The end of a quarantine was set by the time of the latest report's crash, however old. Change: the time at the speaker counts from zero; an age is at most twice CrashReportTime, as long as reports are sent and forwarded; the end of a quarantine counts from the latest crash. Evidence, on the code before: TestAgeOfCrashThatArrivesDuringDigest (1193h2m47.294s instead of 1ms), TestReportOfImpossibleAgeFreesNothing (no longer refused) and TestOldCrashDoesNotShortenQuarantine (clear instead of quarantined) fail. Ruled out: that an end that only moves later would do, as the configured duration may be below that of a suspect.

--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -18,6 +18,9 @@
 	// CrashReportTime is how long a crash is reported to other hosts, so that a lost datagram
 	// does not matter.
 	CrashReportTime = 3 * time.Second
+	// maxCrashAge bounds the age of a crash that is reported: its host reports it for CrashReportTime, and so does the
+	// speaker of its zone from then on.
+	maxCrashAge = 2 * CrashReportTime
 	// outageWindow is the time within which crashes of several replicas count as one
 	// outage for requests that did not run on all of them.
 	outageWindow = 2 * time.Second
@@ -169,7 +172,7 @@
 		c := crashes[i]
 		c.at = now
 		if c.Age > 0 {
-			c.at = now.Add(-c.Age)
+			c.at = now.Add(-min(c.Age, maxCrashAge))
 			counts, quarantined := f.requests.Reported(c.Fingerprint, trackedCrash(c.id(), c.at), now)
 			f.notePartChanges(quarantined, true, true)
 			if !counts {
--- a/internal/gateway/fleet/poisonrelease_test.go
+++ b/internal/gateway/fleet/poisonrelease_test.go
@@ -223,3 +223,17 @@
 		assert.Contains(t, []int{0, hosts}, refused, "seed %d: hosts that refuse the sound request", seed)
 	}
 }
+
+// Guards against a report with a wrong age, which frees a request that crashes replicas.
+func TestReportOfImpossibleAgeFreesNothing(t *testing.T) {
+	const poison = 7
+	victim, f := newFleet(0), newFleet(0)
+	now := start
+	crash(t, victim, poison, now)
+	crash(t, victim, poison, now.Add(10*time.Millisecond))
+	now = now.Add(50 * time.Millisecond)
+	f.ApplyCrashes(victim.Crashes(now), now)
+	require.True(t, f.refusesFingerprint(poison, now))
+	f.ApplyCrashes([]Crash{{Fingerprint: poison, Upstream: "service", Replica: "s9", Age: 49 * 24 * time.Hour}}, now)
+	assert.True(t, f.refusesFingerprint(poison, now))
+}
--- a/internal/gateway/peers/zone.go
+++ b/internal/gateway/peers/zone.go
@@ -141,7 +141,8 @@
 		} else if len(out) < fleet.MaxCrashes {
 			forwarded := &rpc.Crash{Fingerprint: c.crash.Fingerprint, Upstream: c.crash.Upstream, Replica: c.crash.Replica}
 			if c.crash.AgeMs > 0 {
-				forwarded.AgeMs = c.crash.AgeMs + uint32(now.Sub(c.reportedAt).Milliseconds())
+				// now may be before reportedAt: heartbeats arrive while a digest is composed.
+				forwarded.AgeMs = c.crash.AgeMs + uint32(max(now.Sub(c.reportedAt), 0).Milliseconds())
 			}
 			out = append(out, forwarded)
 		}
--- a/internal/gateway/peers/zone_test.go
+++ b/internal/gateway/peers/zone_test.go
@@ -233,6 +233,18 @@
 	}
 }
 
+// Guards against an age of weeks, which ends the quarantine of a request at hosts of other zones: the crash arrived while
+// the digest was composed.
+func TestAgeOfCrashThatArrivesDuringDigest(t *testing.T) {
+	host := newTestHost(t, "a", "127.0.0.1:1")
+	now := time.Now()
+	host.speaker.isSelf = true
+	host.collectForDigest(&rpc.Beat{AvailabilityZone: "a", Crashes: []*rpc.Crash{{Fingerprint: 1, AgeMs: 1}}}, now.Add(3*time.Millisecond))
+	crashes := crashesFromProto(host.speaker.recentCrashes(now))
+	require.Len(t, crashes, 1)
+	assert.Equal(t, time.Millisecond, crashes[0].Age)
+}
+
 // Guards against hosts that start together and all follow the store before they have received each
 // other's heartbeats, and against dead hosts that stay registered and keep the others from
 // following the store.
--- a/internal/scheduling/quarantine/quarantine.go
+++ b/internal/scheduling/quarantine/quarantine.go
@@ -267,7 +267,7 @@
 		return
 	}
 	e := q.ensure(fingerprint, now)
-	e.crashedAt = now
+	e.crashedAt = later(e.crashedAt, now) // a crash may be reported after later ones
 	if slices.Contains(e.crashedReplicas, id) {
 		return
 	}
@@ -282,9 +282,9 @@
 		e.crashedReplicas, e.crashTimes = append(e.crashedReplicas, id), append(e.crashTimes, now)
 	}
 	e.crashPosition = max(e.crashPosition, crashPosition)
-	e.expires = now.Add(suspectDuration)
+	e.expires = e.crashedAt.Add(suspectDuration)
 	if len(e.crashedReplicas) >= q.crashLimit {
-		e.expires = now.Add(q.duration)
+		e.expires = e.crashedAt.Add(q.duration)
 	}
 }
 
--- a/internal/scheduling/quarantine/quarantine_test.go
+++ b/internal/scheduling/quarantine/quarantine_test.go
@@ -38,6 +38,16 @@
 	require.Equal(t, Clear, stateOf(q, 2, start))
 }
 
+// Guards against a crash that is reported late, with the time of long ago, and ends the quarantine for the others.
+func TestOldCrashDoesNotShortenQuarantine(t *testing.T) {
+	q := New(2, 10*time.Minute)
+	q.Crash(1, replicaID(1), 0, true, start)
+	q.Crash(1, replicaID(2), 0, true, start)
+	q.Crash(1, replicaID(3), 0, true, start.Add(-time.Hour))
+	require.Equal(t, Quarantined, stateOf(q, 1, start.Add(9*time.Minute)))
+	require.True(t, q.CrashedWithin(1, time.Second, start))
+}
+
 // Guards against crashes that other hosts observed and that are not counted, are
 // counted twice, or still count after the request completed.
 func TestSharedEntriesCount(t *testing.T) {
