Gateway: a delegated stream is not given up where no other replica may go on

A silence of a sound replica for a second or so is usual. Cause: the watchdog of a delegated attempt asked whether another host would be offered the request, but not whether that one has a replica, as the watchdog of attempts at replicas does. The tests of the watchdog of delegated requests pass as before, with -race. Why: the delegating host asks its registrations, not its own load and connections, which are worth nothing where it is cut off. Replicas that the answer named as runs are left out. Open: before the first event the replicas that run are not known; a repeatable request with a slow answer is sent once more to its only replica.

--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -228,6 +228,18 @@
 	return best.replica != nil && !best.replica.rejections.rejecting(now) && f.refuse(p, q, &best, now) == nil
 }
 
+// OthersMayServe reports whether a replica that the request does not exclude may serve it, as far as the registrations
+// tell: what this host knows of loads and connections does not matter to other hosts.
+func (f *Fleet) OthersMayServe(q *Request, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pool(q.Upstream)
+	q.prepare(f, p, now)
+	return slices.ContainsFunc(p.replicas, func(r *replica) bool {
+		return q.allows(r, now) && !slices.Contains(q.Exclude, r.member.ID)
+	})
+}
+
 // skipReason tells why replicas were not compared that could otherwise serve the request.
 type skipReason int
 
--- a/internal/gateway/proxy/delegatestall_test.go
+++ b/internal/gateway/proxy/delegatestall_test.go
@@ -1,8 +1,10 @@
 package proxy_test
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,3 +81,19 @@
 	assert.Equal(t, "answer", body)
 	assert.Equal(t, int64(1), replica.received.Load())
 }
+
+// Guards against a delegated stream that is broken off although no other replica may go on with it: its only replica
+// falls silent for a moment.
+func TestDelegatedStreamAtOnlyReplicaIsNotGivenUp(t *testing.T) {
+	replica := newReplica(func(w http.ResponseWriter, r *http.Request) {
+		events("a", 2, -1)(w, r)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(2 * time.Second)
+		_, _ = io.WriteString(w, strings.TrimPrefix(eventsText(4), eventsText(2)))
+	})
+	g, _ := cutOffGateway(t, replica)
+	status, body, _ := g.do(testRequest{path: "/quote/1"})
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, eventsText(4), body)
+	assert.Equal(t, int64(1), replica.received.Load())
+}
--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -50,12 +50,19 @@
 	return true
 }
 
-// originKnown reports whether hosts know the origin of the stream whose beginning the caller has.
-func (e *exchange) originKnown(ctx context.Context) bool {
+// mayGoOnElsewhere reports whether another host can send the rest of a stream, whose beginning the caller has, to a
+// replica that has not run it: hosts know the origin of the stream, and there is such a replica of its version. It is
+// called while the stream's next event is awaited.
+func (e *exchange) mayGoOnElsewhere(ctx context.Context, p *progress) bool {
 	ctx, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
 	o, err := e.server.opts.Origins.Find(ctx, e.firstAttemptID(), e.route.Upstreams())
-	return err == nil && o.Version != origin.UnknownVersion
+	if err != nil || o.Version == origin.UnknownVersion {
+		return false
+	}
+	req := e.fleetRequest(o.Upstream, p)
+	req.SoftwareVersion, req.Exclude = &o.Version, p.ran
+	return e.server.opts.Fleet.OthersMayServe(req, time.Now())
 }
 
 // recordOrigin notes the origin of a stream when its first event has arrived. processKnown means that it is known
--- a/internal/gateway/proxy/watchdog.go
+++ b/internal/gateway/proxy/watchdog.go
@@ -95,7 +95,7 @@
 		if _, ok := s.opts.Helpers.Helper(tried); !ranElsewhere && (!ok || len(tried) >= maxHelpers) {
 			return false
 		}
-		if w.forwarding && !e.originKnown(ctx) {
+		if w.forwarding && !e.mayGoOnElsewhere(ctx, p) {
 			return false
 		}
 		s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("helper", address).Msg("host takes too long with the delegated request")
