Gateway: a stream is reset for callers of HTTP/1.0 that have closed their side too

Cause: resets the connection where an answer is broken off, but a caller that counts as gone takes another way, on which the connection was closed in order; one that has closed its side only still reads. Ruled out: to serve such a caller on, as the closed side counts as the end of the caller's interest for all others.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -259,7 +259,8 @@
 func (e *exchange) endCallerGone(lease *fleet.Lease) attemptResult {
 	lease.End(fleet.Abandoned, time.Now())
 	e.record.outcome = outcomeCallerGone
-	panic(http.ErrAbortHandler)
+	e.closeCaller()
+	return attemptDone
 }
 
 // sendStreamHeader sends the header of a replica's stream to the caller.
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -101,7 +101,7 @@
 		}
 		if e.callerGone() {
 			e.record.outcome = outcomeCallerGone
-			panic(http.ErrAbortHandler)
+			e.closeCaller()
 		}
 		if ctx.Err() != nil || !e.mayRetry(result, &p, upstreamName) {
 			e.giveUp(ctx, &p)
@@ -260,21 +260,22 @@
 	e.respondError(status, reason, 0)
 }
 
-// abortResponse panics with http.ErrAbortHandler, which closes the caller's connection, so that
-// the caller does not take the response for a complete one. It does not return.
+// abortResponse closes the caller's connection, so that the caller does not take the response for a complete one. It
+// does not return.
 func (e *exchange) abortResponse() {
 	e.record.outcome = outcomeBroken
-	if !e.r.ProtoAtLeast(1, 1) {
-		e.resetCaller()
-	}
-	panic(http.ErrAbortHandler)
+	e.closeCaller()
 }
 
-// resetCaller resets the connection of a caller that knows no chunks, for whom an orderly end is the end of the response.
-func (e *exchange) resetCaller() {
-	if c, _, err := http.NewResponseController(e.w).Hijack(); err == nil {
-		_ = netio.Reset(c) // nothing more can be done for the caller
+// closeCaller panics with http.ErrAbortHandler, which closes the caller's connection. That of a caller that knows no
+// chunks is reset, as an orderly end is the end of the response for it. It may still read if it has closed its own side.
+func (e *exchange) closeCaller() {
+	if !e.r.ProtoAtLeast(1, 1) {
+		if c, _, err := http.NewResponseController(e.w).Hijack(); err == nil {
+			_ = netio.Reset(c) // nothing more can be done for the caller
+		}
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // attempt sends the request to the leased replica and forwards its response.
