peers: tests that run at the same time share no address

TestCrashesOnOnePartAddUpOverAllHosts, TestSpeakerFailover and TestZonesTellEachOtherThroughSpeakers failed twice while other copies of the package's tests ran on the machine: the heartbeat ports of the tests are fixed, and so were their loopback addresses. That the third test failed for the same reason is not shown.

--- a/internal/gateway/peers/zone_test.go
+++ b/internal/gateway/peers/zone_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -28,10 +29,12 @@
 // startZonesAt is startZones with the port of the pull service, which it does not start.
 func startZonesAt(t *testing.T, port, pullPort int, zones ...int) (testHosts []*testHost) {
 	t.Helper()
-	seed := fmt.Sprintf("127.0.1.1:%d", pullPort)
+	// Runs of this package at the same time share no address.
+	run := 1 + os.Getpid()%250
+	seed := fmt.Sprintf("127.%d.1.1:%d", run, pullPort)
 	for z, hosts := range zones {
 		for h := range hosts {
-			address := fmt.Sprintf("127.0.%d.%d:%d", z+1, h+1, pullPort)
+			address := fmt.Sprintf("127.%d.%d.%d:%d", run, z+1, h+1, pullPort)
 			host := newTestHost(t, fmt.Sprintf("z%d-h%d", z, h), address, seed)
 			host.opts.BeatPort, host.opts.Zone = port, fmt.Sprintf("z%d", z)
 			host.Exchange.peers = make(map[string]*peer)
