Relay for tests: a connection is open before its target knows of it

TestSilenceForGood failed beside load: bytes came through a connection that was open before Silence. It is registered before the dial now.

--- a/internal/gateway/netio/relaytest/relaytest.go
+++ b/internal/gateway/netio/relaytest/relaytest.go
@@ -188,22 +188,21 @@
 		if err != nil {
 			return // the relay is stopped
 		}
-		go r.connect(ctx, caller)
+		c := &connection{relay: r, ends: [2]net.Conn{caller, nil}, closed: make(chan struct{})}
+		if r.register(ctx, c) {
+			go r.connect(ctx, c)
+		}
 	}
 }
 
-func (r *Relay) connect(ctx context.Context, caller net.Conn) {
-	target, err := new(net.Dialer).DialContext(ctx, "tcp", r.target)
-	if err != nil {
-		_ = caller.Close()
-		return
-	}
-	c := &connection{relay: r, ends: [2]net.Conn{caller, target}, closed: make(chan struct{})}
+// register makes a connection one of the open ones, before the target can know of it, so that no fault passes it by.
+func (r *Relay) register(ctx context.Context, c *connection) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.open[c] = struct{}{}
 	if ctx.Err() != nil {
-		_, _ = caller.Close(), target.Close()
-		return
+		r.end(c, false)
+		return false
 	}
 	for _, a := range *r.faults.Load() {
 		if a.Silent {
@@ -211,7 +210,22 @@
 			c.lacks = true
 		}
 	}
-	r.open[c] = struct{}{}
+	return true
+}
+
+func (r *Relay) connect(ctx context.Context, c *connection) {
+	target, err := new(net.Dialer).DialContext(ctx, "tcp", r.target)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.end(c, false)
+		return
+	}
+	if _, open := r.open[c]; !open {
+		_ = target.Close()
+		return
+	}
+	c.ends[1] = target
 	for _, d := range []Direction{ToTarget, FromTarget} {
 		chunks := make(chan chunk, chunksWaiting)
 		go c.read(d, chunks)
@@ -227,6 +241,9 @@
 	delete(r.open, c)
 	close(c.closed)
 	for _, end := range c.ends {
+		if end == nil {
+			continue // the target is still dialed
+		}
 		if tcp, ok := end.(*net.TCPConn); ok && reset {
 			_ = tcp.SetLinger(0)
 		}
@@ -237,7 +254,7 @@
 // connection is one of a caller, forwarded to the target.
 type connection struct {
 	relay   *Relay
-	ends    [2]net.Conn // the caller's and the target's
+	ends    [2]net.Conn // the caller's, and the target's once it is connected
 	closed  chan struct{}
 	silent  [2]atomic.Bool  // by direction; stays, as bytes are missing from then on
 	waiting [2]atomic.Int64 // chunks read and not yet written, by direction
