--- a/internal/gateway/netio/relaytest/datagrams.go
+++ b/internal/gateway/netio/relaytest/datagrams.go
@@ -11,12 +11,10 @@
 
 // DatagramFault is what happens to datagrams.
 type DatagramFault struct {
-	// Loss is the share that is dropped.
-	Loss float64
+	// Loss is the share that is dropped, Doubled that of which a second copy is sent, Latency and Jitter of its own later.
+	Loss, Doubled float64
 	// Latency delays each datagram, by up to Jitter more or less, so that some overtake others.
 	Latency, Jitter time.Duration
-	// Doubled sends a second copy of each, Latency and Jitter of its own after it came.
-	Doubled bool
 }
 
 // Datagrams forwards UDP datagrams to a target. Answers do not pass.
@@ -102,7 +100,7 @@
 		if rand.Float64() < f.Loss {
 			return nil
 		}
-		if f.Doubled {
+		if rand.Float64() < f.Doubled {
 			copies = append(copies, copies...)
 		}
 		for i := range copies {
--- a/internal/gateway/netio/relaytest/datagrams_test.go
+++ b/internal/gateway/netio/relaytest/datagrams_test.go
@@ -69,7 +69,7 @@
 func TestDatagramsAreDoubledAndLate(t *testing.T) {
 	const latency, jitter = 300 * time.Millisecond, 100 * time.Millisecond
 	relay, sender, target := newDatagrams(t)
-	end := relay.Begin(DatagramFault{Doubled: true})
+	end := relay.Begin(DatagramFault{Doubled: 1})
 	sendAll(t, sender, "1")
 	assert.Equal(t, []string{"1", "1"}, received(t, target, quiet))
 	end()
--- a/internal/soak/beats_test.go
+++ b/internal/soak/beats_test.go
@@ -58,7 +58,7 @@
 			}
 		}
 		delay := time.Duration(random.IntN(1500)) * time.Millisecond
-		f := []relaytest.DatagramFault{{Loss: 1}, {Loss: 0.5}, {Latency: delay, Jitter: delay}, {Doubled: true, Jitter: delay}}[random.IntN(4)]
+		f := []relaytest.DatagramFault{{Loss: 1}, {Loss: 0.5}, {Latency: delay, Jitter: delay}, {Doubled: 1, Jitter: delay}}[random.IntN(4)]
 		lasts := time.Duration(200+random.IntN(2500)) * time.Millisecond
 		d.t.Logf("beats harmed on %d ways (h%d), %+v for %v", len(harmed), from, f, lasts)
 		wg.Go(func() {
