--- a/internal/gateway/netio/relaytest/datagrams_test.go
+++ b/internal/gateway/netio/relaytest/datagrams_test.go
@@ -90,6 +90,27 @@
 	assert.Less(t, time.Since(began), latency-jitter)
 }
 
+// Guards against a relay that loses or adds datagrams when many come at once.
+func TestEachOfManyDatagrams(t *testing.T) {
+	const sent = 100
+	for name, c := range map[string]struct {
+		fault    DatagramFault
+		received int
+	}{
+		"calm": {DatagramFault{}, sent}, "lost": {DatagramFault{Loss: 1}, 0}, "doubled": {DatagramFault{Doubled: 1}, 2 * sent},
+		"late": {DatagramFault{Latency: 50 * time.Millisecond, Jitter: 50 * time.Millisecond}, sent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			relay, sender, target := newDatagrams(t)
+			defer relay.Begin(c.fault)()
+			for range sent {
+				sendAll(t, sender, "x")
+			}
+			assert.Len(t, received(t, target, time.Second), c.received)
+		})
+	}
+}
+
 // Guards against a relay that ends because its target is away, as that of a host which starts again.
 func TestDatagramsToATargetThatIsAway(t *testing.T) {
 	_, sender, target := newDatagrams(t)
