Watch the replicas again when the store's revision has risen

Callers of a route to a service with new replicas got 503 for up to 20 s after the store had dropped its history: a watch that is open at that moment is told nothing, and that of the replicas waits for 20 s.

The loss was found by the watch of the configuration, which ends each second, and only if it got 410. It gets none if its last answer is as new as the drop, so that it starts again from a revision that the store still has.

The shorter watch's answers tell the store's revision. If it is later than that up to which the other watch has seen all changes, that one starts again, which returns the changes, or 410. The watch of the configuration is ended by its wait each second and needs no check.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -64,3 +65,42 @@
 	require.NoError(t, response.Body.Close())
 	return response.StatusCode
 }
+
+// Guards against replicas that are not used, or used on, for up to 20 s because the store dropped its history while
+// the watch of the replicas was open, and did not report it: a route to a service with new replicas is not served.
+func TestReplicasAreFollowedAfterUnreportedLossOfHistory(t *testing.T) {
+	const within = 4 * time.Second
+	replica := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Heatherbarrow-Server-Seal", "s")
+		w.Header().Set("Heatherbarrow-Attempt-Id", r.Header.Get("Heatherbarrow-Attempt-Id"))
+	}
+	g := startGateway(t, replica)
+	g.putConfig(t, 1)
+	added := httptest.NewServer(http.HandlerFunc(replica))
+	t.Cleanup(added.CloseClientConnections)
+	g.store.Put(platform.KindConfig, platform.NameConfig, json.RawMessage(fmt.Sprintf(
+		`{"version":2,"routes":[{"name":"r","host":%q,"pathPrefix":"/added/","routeKind":"idempotent","timeoutMs":1000,"goalMs":400,"service":"added","maxAttempts":1,"public":true}],"services":[{"name":"pool"},{"name":"added"}],"limits":{"idleTimeoutMs":15000}}`,
+		g.host())))
+	require.Eventually(t, func() bool { return g.status(t, "/added/") == http.StatusServiceUnavailable }, within, 10*time.Millisecond)
+	for round := range 2 {
+		// The watch of the configuration, which ends each second, starts from the last revision before the drop. That of
+		// the replicas started before.
+		time.Sleep(3 * time.Second)
+		g.store.DropHistoryUnreported()
+		time.Sleep(100 * time.Millisecond)
+		changed, want := time.Now(), http.StatusOK
+		if round == 1 {
+			want = http.StatusServiceUnavailable
+			g.store.Remove(platform.KindMembers, "i-added")
+		} else {
+			g.store.Put(platform.KindMembers, "i-added", map[string]any{
+				"service": "added", "address": added.Listener.Addr().String(), "zone": "a", "slots": 8, "state": "ready", "born": 2 + round,
+			})
+		}
+		for g.status(t, "/added/") != want && time.Since(changed) < 6*within {
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("round %d: followed after %v", round, time.Since(changed))
+		assert.Less(t, time.Since(changed), within, "round %d", round)
+	}
+}
--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -30,6 +30,8 @@
 	// added so that not all hosts list at once. The first hosts of a zone list 3,000
 	// replicas in about half a second.
 	minPeerUpdateWait = 1500 * time.Millisecond
+	// minWatchWait is the shortest wait of a watch.
+	minWatchWait = time.Millisecond
 	// peerUpdatePoll is the interval at which a starting host checks for these updates.
 	peerUpdatePoll = 20 * time.Millisecond
 	// coalesceDelay is the pause between a change (or a list that returned objects) and the
@@ -60,7 +62,8 @@
 	// Others follow the other kinds of objects on this host. They list again when this
 	// one finds that the store has dropped its history, restart their watches when a watch of this one
 	// fails, as their connections may have gone silent too, and restart their calls when a call of this
-	// one succeeds after a failed one.
+	// one succeeds after a failed one. Those with a longer wait watch again when the revision of the store has
+	// risen, as a store that dropped its history may leave open watches unanswered.
 	Others []*Watcher
 	// Role determines whether this host follows the store; nil means always. A host that
 	// does not follow gets updates from peers, and lists again when it resumes following.
@@ -78,6 +81,11 @@
 	cancel   context.CancelFunc // of the call in progress
 	watching bool               // the call in progress is a watch
 	relist   bool               // the next call must list
+	check    bool               // the watch must start again, to check for changes up to reported
+	checked  time.Time          // when check was last set
+	reported uint64             // latest revision that another watcher has reported
+	seenTo   uint64             // revision up to which the open watch returns all changes, 0 during a list
+	began    time.Time          // when the open watch began, or that which it continues after a check
 }
 
 // WatchTimes are the times of a watch: Wait is how long the store may wait for a change, Margin is added to
@@ -113,12 +121,50 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancel, w.watching = cancel, watch
-	if watch && w.relist {
-		cancel() // requested after the last call of takeRelist
+	if watch && (w.relist || w.check) {
+		cancel() // requested after the last call of takeRelist or beginCall
 	}
 	return callCtx, cancel
 }
 
+// checkOthers makes the watchers with a longer wait check for changes up to a revision that the store has reported.
+func (w *Watcher) checkOthers(revision uint64) {
+	for _, other := range w.Others {
+		if other.Times.Wait > w.Times.Wait {
+			other.checkFor(revision, w.Times.Wait)
+		}
+	}
+}
+
+// checkFor starts an open watch again that began before a revision: the store then returns what it did not report to
+// that watch. The interval bounds the rate.
+func (w *Watcher) checkFor(revision uint64, interval time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.seenTo == 0 || revision <= w.seenTo || time.Since(w.checked) < interval {
+		return
+	}
+	w.check, w.checked, w.reported = true, time.Now(), revision
+	if w.cancel != nil {
+		w.cancel()
+	}
+}
+
+// beginCall notes that a call starts from a revision, 0 for a list, and returns how long the store may wait for a
+// change. Checks do not prolong a watch, as its revision must not get older than the store's history.
+func (w *Watcher) beginCall(revision uint64) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	check := w.check && revision > 0
+	w.check, w.seenTo = false, revision
+	if !check {
+		w.began = time.Now()
+		return w.Times.Wait
+	}
+	w.seenTo = max(revision, w.reported)
+	return max(w.Times.Wait-time.Since(w.began), minWatchWait)
+}
+
 // restartWatch cancels the call in progress if it is a watch.
 func (w *Watcher) restartWatch() {
 	w.mu.Lock()
@@ -174,6 +220,7 @@
 				w.restartOthers(false)
 			}
 			callFailed = false
+			w.checkOthers(revision)
 			switch {
 			case changed && !w.NewestOnly:
 				w.sleep(ctx, coalesceDelay)
@@ -259,9 +306,9 @@
 // continue from and whether the store returned any objects.
 func (w *Watcher) listOrWatch(ctx context.Context, revision uint64) (next uint64, changed bool, err error) {
 	w.margin = max(w.margin, w.Times.Margin)
-	timeout := listTimeout
+	timeout, wait := listTimeout, w.beginCall(revision)
 	if revision > 0 {
-		timeout = w.Times.Wait + w.margin
+		timeout = wait + w.margin
 	}
 	callCtx, cancel := w.newCallContext(ctx, timeout, revision > 0)
 	defer cancel()
@@ -270,7 +317,7 @@
 	if revision == 0 {
 		r, err = w.Store.ListKind(callCtx, w.Kind)
 	} else {
-		r, err = w.Store.WatchKind(callCtx, w.Kind, revision, w.Times.Wait)
+		r, err = w.Store.WatchKind(callCtx, w.Kind, revision, wait)
 	}
 	if ctx.Err() != nil {
 		return revision, false, ctx.Err()
