--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -72,8 +72,9 @@
 
 // Guards against hosts that forget with a restart which requests crash replicas, and send them again.
 func TestRequestRefusedBeforeRestartIsRefused(t *testing.T) {
-	g := startGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+	g := startGateway(t, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Heatherbarrow-Server-Seal", "s")
+		w.Header().Set("Heatherbarrow-Attempt-Id", r.Header.Get("Heatherbarrow-Attempt-Id"))
 		_, _ = io.WriteString(w, "x")
 	})
 	const target = "/r/poison"
