Configuration soak: datagrams, invalid documents, services that are added

Links harm the datagrams between hosts, which have a port of their own each; invalid documents are written between valid ones; routes lead to new services. The judge asks of routes to new services what it asks of added ones; its other checks are unchanged.

--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -28,150 +27,27 @@
 	"heatherbarrow/platform/storetest"
 )
 
-const (
-	storeLatency = 4 * time.Millisecond
-)
-
-// replicaLink is the way of one host to one replica. While it is cut, connections to it are refused.
-type replicaLink struct {
-	target, address string
-	mu              sync.Mutex
-	listener        net.Listener
-	open            []net.Conn
-}
-
-func newReplicaLink(t *testing.T, target string) *replicaLink {
-	l := &replicaLink{target: target, address: "127.0.0.1:0"}
-	l.heal()
-	l.address = l.listener.Addr().String()
-	t.Cleanup(l.cut)
-	return l
-}
-
-func (l *replicaLink) heal() {
-	for l.listener = nil; l.listener == nil; time.Sleep(time.Millisecond) {
-		l.listener, _ = net.Listen("tcp", l.address)
-	}
-	go func(listener net.Listener) {
-		for {
-			caller, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			replica, err := net.Dial("tcp", l.target)
-			if err != nil {
-				_ = caller.Close()
-				continue
-			}
-			l.mu.Lock()
-			l.open = append(l.open, caller, replica)
-			l.mu.Unlock()
-			for _, ends := range [][2]net.Conn{{caller, replica}, {replica, caller}} {
-				go func() {
-					_, _ = io.Copy(ends[0], ends[1]) // ends with either connection
-					_ = ends[0].Close()
-				}()
-			}
-		}
-	}(l.listener)
-}
-
-func (l *replicaLink) cut() {
-	_ = l.listener.Close()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.open {
-		_ = c.Close()
-	}
-	l.open = nil
-}
-
-// storeFront passes the calls of one host on to the store, or fails them. It names the host's links as the addresses
-// of the replicas.
-type storeFront struct {
-	store  *storetest.Store
-	server *httptest.Server
-	mode   atomic.Int32
-	silent atomic.Int64 // connections opened before this Unix time in ns get no answer
-	links  []*replicaLink
-	rename *strings.Replacer
-}
-
-const (
-	frontOpen int32 = iota
-	frontRejects
-	frontLimits
-	frontResets
-	frontSilent
-	frontModes
-)
-
-type openedKey struct{}
-
-func newStoreFront(t *testing.T, store *storetest.Store, replicas []string) *storeFront {
-	f := &storeFront{store: store}
-	var pairs []string
-	for _, target := range replicas {
-		l := newReplicaLink(t, target)
-		f.links = append(f.links, l)
-		pairs = append(pairs, strconv.Quote(target), strconv.Quote(l.address))
-	}
-	f.rename = strings.NewReplacer(pairs...)
-	f.server = httptest.NewUnstartedServer(f)
-	f.server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
-		return context.WithValue(ctx, openedKey{}, time.Now().UnixNano())
-	}
-	f.server.Start()
-	t.Cleanup(f.server.CloseClientConnections)
-	return f
-}
-
-// ServeHTTP implements http.Handler.
-func (f *storeFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(storeLatency)
-	switch f.mode.Load() {
-	case frontRejects:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case frontLimits:
-		w.WriteHeader(http.StatusTooManyRequests)
-		return
-	case frontResets:
-		panic(http.ErrAbortHandler)
-	case frontSilent:
-		<-r.Context().Done()
-		return
-	}
-	opened, _ := r.Context().Value(openedKey{}).(int64)
-	buffered := httptest.NewRecorder()
-	f.store.ServeHTTP(buffered, r)
-	if opened < f.silent.Load() || f.mode.Load() == frontSilent {
-		<-r.Context().Done()
-		return
-	}
-	maps.Copy(w.Header(), buffered.Header())
-	w.WriteHeader(buffered.Code)
-	_, _ = f.rename.WriteString(w, buffered.Body.String())
-}
-
 // configRig is gateways in the shape of a deployment, an operator who changes the configuration all the time, and
 // callers who ask each host for routes and keys that came and went.
 type configRig struct {
-	t        *testing.T
-	store    *storetest.Store
-	hosts    []*host
-	fronts   []*storeFront
-	timeouts []time.Duration
-	client   *http.Client
-	next     atomic.Int64
-	writing  sync.Mutex
-	cutOff   atomic.Bool // a host is cut off from all replicas
+	t         *testing.T
+	store     *storetest.Store
+	hosts     []*host
+	fronts    []*storeFront
+	datagrams []*datagramLink
+	timeouts  []time.Duration
+	client    *http.Client
+	next      atomic.Int64
+	writing   sync.Mutex
+	added     []addedReplica // that registered in this run; guarded by writing
+	cutOff    atomic.Bool    // a host is cut off from all replicas
 
-	mu     sync.Mutex
-	ledger configLedger
-	filler int // further routes
-	gone   []string
-	spent  []string // keys that were removed
+	mu       sync.Mutex
+	ledger   configLedger
+	filler   int // further routes
+	gone     []string
+	spent    []string // keys that were removed
+	services []string // that were added
 }
 
 // hostsPerZone returns the shape of CI, or that of the site file in the environment variable SITE.
@@ -192,7 +68,7 @@
 	return shape
 }
 
-func newConfigRig(t *testing.T, random *rand.Rand) *configRig {
+func newConfigRig(t *testing.T, random *rand.Rand, seed uint64) *configRig {
 	rig := &configRig{t: t, store: storetest.New(), timeouts: []time.Duration{time.Second, 300 * time.Millisecond}}
 	rig.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}, Timeout: 6 * time.Second}
 	t.Cleanup(rig.store.Close)
@@ -209,6 +85,7 @@
 	first := configWrite{version: 1, keys: []string{teamKey}, routes: map[string]configRoute{
 		"/first/": {"pool", 4 * time.Second}, "/moved/": {"books", 4 * time.Second}, "/held/": {"pool", rig.timeouts[0]},
 	}}
+	rig.ledger.newServices = make(map[string]time.Time)
 	rig.ledger.first = map[string]bool{"/first/": true, "/moved/": true}
 	rig.write(first)
 	dir := t.TempDir()
@@ -217,10 +94,15 @@
 	if procs != "" {
 		env = append(env, procs)
 	}
+	hosts := 0
+	for _, n := range zones {
+		hosts += n
+	}
+	rig.relayDatagrams(hosts, seed)
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		for range zones[zone] {
 			front := newStoreFront(t, rig.store, replicas)
-			rig.hosts = append(rig.hosts, startHost(t, dir, len(rig.hosts), zone, front.server.Listener.Addr().String(), env))
+			rig.hosts = append(rig.hosts, startHost(t, dir, len(rig.hosts), zone, front.server.Listener.Addr().String(), env, ownBeatPort(len(rig.hosts))))
 			rig.fronts = append(rig.fronts, front)
 		}
 	}
@@ -250,8 +132,12 @@
 func (rig *configRig) document(w *configWrite) map[string]any {
 	routes := make([]any, 0, len(w.routes)+rig.filler)
 	for _, prefix := range slices.Sorted(maps.Keys(w.routes)) {
+		priority := 0
+		if strings.HasPrefix(prefix, newServicePrefix) {
+			priority = 3
+		}
 		routes = append(routes, map[string]any{
-			"name": strings.Trim(prefix, "/"), "host": callerHost, "pathPrefix": prefix, "routeKind": "idempotent", "goalMs": 300,
+			"name": strings.Trim(prefix, "/"), "host": callerHost, "priority": priority, "pathPrefix": prefix, "routeKind": "idempotent", "goalMs": 300,
 			"timeoutMs": w.routes[prefix].timeout.Milliseconds(), "service": w.routes[prefix].service, "maxAttempts": 2,
 		})
 	}
@@ -261,9 +147,28 @@
 			"service": "pool", "timeoutMs": 1000, "goalMs": 300, "maxAttempts": 1, "priority": 1,
 		})
 	}
+	services := []any{map[string]any{"name": "pool"}, map[string]any{"name": "books"}}
+	rig.mu.Lock()
+	for _, name := range rig.services {
+		service := map[string]any{"name": name}
+		if strings.HasPrefix("/"+name, newEnginePrefix) {
+			service["engine"] = map[string]any{"slots": 64, "kvCapacity": 200_000, "stride": 5}
+		}
+		services = append(services, service)
+	}
+	rig.mu.Unlock()
+	// Keys that came with a service are those of a team of its own.
+	var keys, newKeys []string
+	for _, key := range w.keys {
+		if strings.HasPrefix(key, "new-") {
+			newKeys = append(newKeys, key)
+		} else {
+			keys = append(keys, key)
+		}
+	}
 	return map[string]any{
-		"version": w.version, "routes": routes, "services": []any{map[string]any{"name": "pool"}, map[string]any{"name": "books"}},
-		"limits": map[string]any{"idleTimeoutMs": 10_000}, "tenants": []any{map[string]any{"name": "counter", "apiKeys": w.keys}},
+		"version": w.version, "routes": routes, "services": services, "limits": map[string]any{"idleTimeoutMs": 10_000},
+		"tenants": []any{map[string]any{"name": "counter", "apiKeys": keys}, map[string]any{"name": "new", "apiKeys": newKeys}},
 	}
 }
 
@@ -281,27 +186,38 @@
 
 // change writes the next version, in which one thing differs.
 func (rig *configRig) change(random *rand.Rand) {
+	rig.changeBy(random, random.Int64N(6), random.IntN(6))
+}
+
+// changeBy writes a version with a number that is higher by 1 + step, in which one thing differs: a route is dropped, one is
+// moved, its timeout is changed, a key is added, one is removed, or a route is added.
+func (rig *configRig) changeBy(random *rand.Rand, step int64, kind int) {
 	rig.writing.Lock()
 	defer rig.writing.Unlock()
+	rig.writeNext(random, step, kind)
+}
+
+// writeNext is changeBy for a caller that holds rig.writing.
+func (rig *configRig) writeNext(random *rand.Rand, step int64, kind int) {
 	last := rig.last()
-	next := configWrite{version: last.version + 1 + random.Int64N(6), routes: maps.Clone(last.routes), keys: slices.Clone(last.keys)}
+	next := configWrite{version: last.version + 1 + step, routes: maps.Clone(last.routes), keys: slices.Clone(last.keys)}
 	added := slices.DeleteFunc(slices.Sorted(maps.Keys(next.routes)), func(p string) bool { return !strings.HasPrefix(p, "/added") })
-	switch n := random.IntN(6); {
-	case n == 0 && len(added) > 2:
+	switch {
+	case kind == 0 && len(added) > 2:
 		prefix := added[random.IntN(len(added))]
 		delete(next.routes, prefix)
 		rig.mu.Lock()
 		rig.gone = append(rig.gone, prefix)
 		rig.mu.Unlock()
-	case n == 1:
+	case kind == 1:
 		service := map[string]string{"pool": "books", "books": "pool"}[next.routes["/moved/"].service]
 		next.routes["/moved/"] = configRoute{service, 4 * time.Second}
-	case n == 2:
+	case kind == 2:
 		timeout := rig.timeouts[random.IntN(len(rig.timeouts))]
 		next.routes["/held/"] = configRoute{"pool", timeout}
-	case n == 3:
+	case kind == 3:
 		next.keys = append(next.keys, fmt.Sprintf("key-%d", next.version))
-	case n == 4 && len(next.keys) > 1:
+	case kind == 4 && len(next.keys) > 1:
 		i := 1 + random.IntN(len(next.keys)-1)
 		rig.mu.Lock()
 		rig.spent = append(rig.spent, next.keys[i])
@@ -351,6 +267,11 @@
 	request.Header.Set("Heatherbarrow-Attempt-Id", id)
 	request.Header.Set("Heatherbarrow-Deadline-Ms", "5000")
 	request.Header.Set("Authorization", "Bearer "+key)
+	if strings.HasPrefix(path, newEnginePrefix) {
+		request.Header.Set("Heatherbarrow-Model", "m")
+		request.Header.Set("Heatherbarrow-Token-Counts", "300,10")
+		request.Header.Set("Heatherbarrow-Prompt-Prefix", fmt.Sprintf("5c1e07a2:200,%x:100", rig.next.Load()))
+	}
 	response, err := rig.client.Do(request)
 	if err == nil {
 		body, _ := io.ReadAll(response.Body)
@@ -456,6 +377,9 @@
 			time.Sleep(300 * time.Millisecond)
 			last := rig.last()
 			rig.store.Put(platform.KindConfig, platform.NameConfig, rig.document(&last))
+			for _, r := range rig.added {
+				rig.store.Put(platform.KindMembers, r.id, r.spec)
+			}
 		}, "store restored from a copy"
 	case 10:
 		return func(time.Duration) {
@@ -531,7 +455,7 @@
 
 func playConfig(t *testing.T, seed uint64, lasts time.Duration, busy int) {
 	random := rand.New(rand.NewPCG(seed, 0))
-	rig := newConfigRig(t, random)
+	rig := newConfigRig(t, random, seed)
 	defer (&deployment{t: t, hosts: rig.hosts}).keepLogs(seed)
 	for _, h := range rig.hosts {
 		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
@@ -566,6 +490,15 @@
 			time.Sleep(time.Duration(100+r.IntN(3000)) * time.Millisecond)
 		}
 	})
+	harming, endHarm := context.WithCancel(ctx)
+	defer endHarm()
+	if random := rand.New(rand.NewPCG(seed, 2001)); random.IntN(2) == 0 {
+		faults.Go(func() { rig.writeInvalid(harming, random) })
+	}
+	if random := rand.New(rand.NewPCG(seed, 2002)); random.IntN(2) == 0 {
+		faults.Go(func() { rig.addServices(harming, random) })
+	}
+	faults.Go(func() { rig.harmDatagrams(harming, rand.New(rand.NewPCG(seed, 2000))) })
 	for end := time.Now().Add(lasts); time.Now().Before(end); {
 		play, name := rig.fault(random)
 		t.Logf("%s %s", clock(time.Now()), name)
@@ -573,6 +506,7 @@
 		faults.Go(func() { play(d) })
 		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
 	}
+	endHarm()
 	faults.Wait()
 	time.Sleep(testBounds.settle + testBounds.within + time.Second)
 	cancel()
@@ -580,6 +514,7 @@
 	v := rig.ledger.judge(testBounds)
 	t.Logf("%d versions, %d questions, %d judged with a bound, %d cases; undisturbed hosts acted on an older version for at most %v",
 		len(rig.ledger.writes), len(rig.ledger.questions), v.judged, len(v.cases), v.stale.Round(time.Millisecond))
+	t.Logf("served: %s", strings.Join(v.served, "; "))
 	for _, c := range v.cases[:min(len(v.cases), 20)] {
 		t.Error(c)
 	}
--- a/internal/soak/configjudge_test.go
+++ b/internal/soak/configjudge_test.go
@@ -82,7 +82,8 @@
 	writes       []configWrite
 	questions    []configQuestion
 	disturbances []disturbance
-	first        map[string]bool // path prefixes of the first version
+	first        map[string]bool      // path prefixes of the first version
+	newServices  map[string]time.Time // when there were a route and a replica, by path prefix
 }
 
 // bound returns the time within which a version must be in force for a request to a host, and false if there is none.
@@ -111,6 +112,7 @@
 // verdict is the outcome of a run.
 type verdict struct {
 	cases  []string      // in which a host broke a bound
+	served []string      // how many requests were served on which routes where nothing is disturbed
 	judged int           // questions that say something of the configuration, to hosts with bounds
 	stale  time.Duration // the longest time after the confirmation of a version in which an undisturbed host acted on the one before
 }
@@ -175,7 +177,14 @@
 			shown[process] = append(known, seen{first, q.ended}) // later versions may say the same
 		}
 	}
-	v.cases = append(append(v.cases, l.judgeTimeouts(b)...), l.judgeAdded(b)...)
+	v.cases = append(append(v.cases, l.judgeTimeouts(b)...), l.judgeAdded(&v, b, "added routes", func(q *configQuestion) bool {
+		_, ok := l.newServices[prefixOf(q.path)]
+		return !ok
+	})...)
+	v.cases = append(v.cases, l.judgeAdded(&v, b, "routes to new services", func(q *configQuestion) bool {
+		ready, ok := l.newServices[prefixOf(q.path)]
+		return ok && q.sent.Sub(ready) > b.settle
+	})...)
 	return v
 }
 
@@ -223,8 +232,9 @@
 	return nil
 }
 
-// judgeAdded checks that routes that were added are served about as often as the first ones where nothing is disturbed.
-func (l *configLedger) judgeAdded(b bounds) []string {
+// judgeAdded checks that routes that were added and are meant are served about as often as the first ones where nothing is
+// disturbed.
+func (l *configLedger) judgeAdded(v *verdict, b bounds, what string, meant func(*configQuestion) bool) []string {
 	const fewest, share = 20, 4
 	var asked, served [2]int // of the first routes, of added ones
 	for i := range l.questions {
@@ -237,14 +247,17 @@
 		kind := 1
 		if l.first[prefixOf(q.path)] {
 			kind = 0
+		} else if !meant(q) {
+			continue
 		}
 		asked[kind]++
 		if q.status == 200 {
 			served[kind]++
 		}
 	}
+	v.served = append(v.served, fmt.Sprintf("%d of %d requests on %s, %d of %d on the first ones", served[1], asked[1], what, served[0], asked[0]))
 	if asked[1] >= fewest && served[1]*asked[0]*share < served[0]*asked[1] {
-		return []string{fmt.Sprintf("%d of %d requests on added routes were served, %d of %d on the first ones", served[1], asked[1], served[0], asked[0])}
+		return []string{fmt.Sprintf("%d of %d requests on %s were served, %d of %d on the first ones", served[1], asked[1], what, served[0], asked[0])}
 	}
 	return nil
 }
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -226,7 +226,7 @@
 }
 
 // startHost starts the gateway with the given number, whose files are in dir.
-func startHost(t *testing.T, dir string, i int, zone, store string, env []string) *host {
+func startHost(t *testing.T, dir string, i int, zone, store string, env []string, change ...func(*gateway.Settings)) *host {
 	address := hostAddress(i)
 	h := &host{t: t, name: fmt.Sprintf("h%d", i), log: filepath.Join(dir, fmt.Sprintf("h%d.log", i)), path: filepath.Join(dir, fmt.Sprintf("h%d.json", i)), env: env}
 	h.settings = &gateway.Settings{
@@ -235,6 +235,9 @@
 		RetryShare: retryShare, RetrySlack: retrySlack, GraceSeconds: graceSeconds,
 		WithdrawWithin: settings.Duration(2 * time.Second), BalancerLag: settings.Duration(balancerLag),
 	}
+	for _, c := range change {
+		c(h.settings)
+	}
 	require.NoError(t, h.settings.Validate())
 	h.writeSettings()
 	h.start()
