fleet: a quarantined request explains the crashes of those that ran beside it

What callers saw: nothing yet. Cause: the quarantine after two crashes counts each request alone. The poison request has more crashes, as an answer voided the earlier ones of the sound request. Change: a crash does not count against a request if a quarantined one ran in it too and has more crashes without the first than the first without it. One that is excused wrongly crashes a replica alone next, and is refused then. Ruled out: excusing for any crash more, without comparing both, frees the poison request when the other one crashes alone. The check of TestSimulatedHostsAgreeOnRequests is the same, now with rare requests and a second poison request; its case of one sound request is in TestSimulatedHostsRefuseOnlyThePoisonRequest and stricter (none refused).

--- a/internal/gateway/fleet/pick.go
+++ b/internal/gateway/fleet/pick.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/origin"
-	"heatherbarrow/internal/scheduling/quarantine"
 	"heatherbarrow/internal/scheduling/requestlimit"
 )
 
@@ -159,8 +158,8 @@
 func (f *Fleet) Pick(q *Request, now time.Time) (*Lease, *Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if state, retryAfter := f.poison.UnexplainedState(q.Fingerprint, now, f.crashByPart); state == quarantine.Quarantined {
-		return nil, &Refusal{Reason: ReasonPoison, RetryAfter: retryAfter}
+	if remaining, refused := f.isQuarantined(q.Fingerprint, now); refused {
+		return nil, &Refusal{Reason: ReasonPoison, RetryAfter: remaining}
 	}
 	if expires, refused := f.refusesRequest(q.Fingerprint, now); refused {
 		return nil, &Refusal{Reason: ReasonPoison, RetryAfter: expires.Sub(now)}
--- a/internal/gateway/fleet/poisonrelease_test.go
+++ b/internal/gateway/fleet/poisonrelease_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -160,66 +161,135 @@
 	}
 }
 
-// Guards against hosts that refuse requests which others complete, and against requests that crash replicas and
-// are not refused, whatever reports are lost or late. The poison request ends the sound ones on its replica too.
-func TestSimulatedHostsAgreeOnRequests(t *testing.T) {
-	const sound, poison, hosts, delays, downtime = 5, 7, 4, 5, 1200 * time.Millisecond
-	for seed := range uint64(200) {
-		s := &simulatedHosts{random: rand.New(rand.NewPCG(seed, 0)), now: start, downUntil: map[string]time.Time{}, due: make([][]func(), delays)}
-		for range hosts {
-			s.fleets = append(s.fleets, newFleet(0))
+const simulatedHostCount = 4
+
+// outcomeOfCrashes is what became of one simulated seed.
+type outcomeOfCrashes struct {
+	late    map[uint64]int // requests that crashed a replica later than the operators allow
+	refused map[uint64]int // hosts that refuse a sound request at the end
+}
+
+// simulateCrashes lets all hosts send sound requests, each with its probability in each step, beside requests that
+// crash their replicas and end the sound ones there.
+func simulateCrashes(seed uint64, sound map[uint64]float64, poison []uint64) outcomeOfCrashes {
+	const delays, steps, downtime = 5, 320, 1200 * time.Millisecond
+	s := &simulatedHosts{random: rand.New(rand.NewPCG(seed, 0)), now: start, downUntil: map[string]time.Time{}, due: make([][]func(), delays)}
+	for range simulatedHostCount {
+		s.fleets = append(s.fleets, newFleet(0))
+	}
+	out := outcomeOfCrashes{late: map[uint64]int{}, refused: map[uint64]int{}}
+	crashes, third := map[uint64]int{}, map[uint64]time.Time{}
+	soundRequests := slices.Sorted(maps.Keys(sound))
+	for step := range steps {
+		s.now = s.now.Add(50 * time.Millisecond)
+		arrived := s.due[0]
+		s.due = append(s.due[1:], nil)
+		for _, deliver := range arrived {
+			deliver()
 		}
-		var third time.Time
-		crashes, late := 0, 0
-		for step := range 320 {
-			s.now = s.now.Add(50 * time.Millisecond)
-			arrived := s.due[0]
-			s.due = append(s.due[1:], nil)
-			for _, deliver := range arrived {
-				deliver()
-			}
-			leases := make([]*Lease, hosts)
-			for i, f := range s.fleets {
-				leases[i] = s.run(f, sound)
+		leases := make([][]*Lease, simulatedHostCount)
+		for i, f := range s.fleets {
+			for _, request := range soundRequests {
+				if s.random.Float64() < sound[request] {
+					leases[i] = append(leases[i], s.run(f, request))
+				}
 			}
-			sender := s.random.IntN(hosts)
-			var crashing *Lease
-			if step < 240 && s.random.IntN(5) == 0 {
-				crashing = s.run(s.fleets[sender], poison)
+		}
+		sender := s.random.IntN(simulatedHostCount)
+		var crashing *Lease
+		request := poison[s.random.IntN(len(poison))]
+		if step < steps*3/4 && s.random.IntN(5) == 0 {
+			crashing = s.run(s.fleets[sender], request)
+		}
+		if crashing != nil {
+			if crashes[request]++; crashes[request] == 3 {
+				third[request] = s.now
 			}
-			if crashing != nil {
-				if crashes++; crashes == 3 {
-					third = s.now
-				}
-				if crashes > 3 && s.now.Sub(third) > poisonSettle {
-					late++
-				}
-				s.downUntil[crashing.Member.ID] = s.now.Add(downtime)
-				crashing.End(ConnectionLost, s.now)
+			if crashes[request] > 3 && s.now.Sub(third[request]) > poisonSettle {
+				out.late[request]++
 			}
-			for i, f := range s.fleets {
-				crashed := crashing != nil && leases[i] != nil && leases[i].Member.ID == crashing.Member.ID
+			s.downUntil[crashing.Member.ID] = s.now.Add(downtime)
+			crashing.End(ConnectionLost, s.now)
+		}
+		for i, f := range s.fleets {
+			crashed := crashing != nil && i == sender
+			for _, l := range leases[i] {
 				switch {
-				case crashed:
-					leases[i].End(ConnectionLost, s.now)
-				case leases[i] != nil:
-					leases[i].End(Served, s.now)
-				}
-				if crashed || crashing != nil && i == sender {
-					f.RecordInspection(crashing.Member.ID, true, s.now)
+				case l == nil:
+				case crashing != nil && l.Member.ID == crashing.Member.ID:
+					l.End(ConnectionLost, s.now)
+					crashed = true
+				default:
+					l.End(Served, s.now)
 				}
 			}
-			for _, f := range s.fleets {
-				s.tell(f, step%20 == 0)
+			if crashed {
+				f.RecordInspection(crashing.Member.ID, true, s.now)
 			}
 		}
-		assert.LessOrEqual(t, late, maxLatePoison, "seed %d: the poison request reaches replicas", seed)
-		refused := 0
 		for _, f := range s.fleets {
-			if f.refusesFingerprint(sound, s.now) {
-				refused++
+			s.tell(f, step%20 == 0)
+		}
+	}
+	for _, request := range soundRequests {
+		for _, f := range s.fleets {
+			if f.refusesFingerprint(request, s.now) {
+				out.refused[request]++
+			}
+		}
+	}
+	return out
+}
+
+// Guards against hosts that refuse requests which others complete, and against ones that crash replicas and are not
+// refused, whatever reports are lost or late (soak seed 575053044204).
+func TestSimulatedHostsAgreeOnRequests(t *testing.T) {
+	for _, poison := range [][]uint64{{7}, {7, 8}} {
+		for seed := range uint64(100) {
+			o := simulateCrashes(seed, map[uint64]float64{5: 1, 6: 0.05}, poison)
+			for request, n := range o.late {
+				assert.LessOrEqual(t, n, maxLatePoison, "seed %d: request %d reaches replicas", seed, request)
+			}
+			for request, n := range o.refused {
+				assert.Equal(t, simulatedHostCount, n, "seed %d: hosts that refuse sound request %d", seed, request)
 			}
 		}
-		assert.Contains(t, []int{0, hosts}, refused, "seed %d: hosts that refuse the sound request", seed)
 	}
 }
+
+// Guards against a request that all hosts refuse because it ran beside another one that crashes replicas.
+func TestSimulatedHostsRefuseOnlyThePoisonRequest(t *testing.T) {
+	for seed := range uint64(200) {
+		o := simulateCrashes(seed, map[uint64]float64{5: 1}, []uint64{7})
+		assert.LessOrEqual(t, o.late[7], maxLatePoison, "seed %d: the poison request reaches replicas", seed)
+		assert.Empty(t, o.refused, "seed %d: hosts that refuse the sound request", seed)
+	}
+}
+
+// Guards against refusing a request for two crashes in which a refused one was in flight that has more of them, and
+// against excusing it when it crashes replicas without the other one.
+func TestRequestWithMoreCrashesExplainsThoseOfOther(t *testing.T) {
+	const victim, poison = 5, 7
+	f := newFleet(0)
+	now := start.Add(time.Minute)
+	f.ApplyCrashes([]Crash{
+		{Fingerprint: poison, Upstream: service, Replica: "s1", Age: 2 * time.Second},
+		{Fingerprint: poison, Upstream: service, Replica: "s2", Age: time.Second},
+		{Fingerprint: victim, Upstream: service, Replica: "s1", Age: 2 * time.Second},
+		{Fingerprint: victim, Upstream: service, Replica: "s2", Age: time.Second},
+	}, now)
+	assert.True(t, f.refusesFingerprint(victim, now), "both have the same crashes")
+	f.ApplyCrashes([]Crash{{Fingerprint: poison, Upstream: service, Replica: "s0", Age: 3 * time.Second}}, now)
+	assert.True(t, f.refusesFingerprint(poison, now))
+	assert.False(t, f.refusesFingerprint(victim, now))
+	crashes := 0
+	for range 10 {
+		now = now.Add(2 * outageWindow)
+		if crashIfServed(f, victim, now) {
+			crashes++
+		}
+		assert.True(t, f.refusesFingerprint(poison, now))
+	}
+	assert.LessOrEqual(t, crashes, 2)
+	assert.True(t, f.refusesFingerprint(victim, now))
+}
--- a/internal/gateway/fleet/poisonrequest.go
+++ b/internal/gateway/fleet/poisonrequest.go
@@ -46,11 +46,11 @@
 func (f *Fleet) RequestReports(all bool, now time.Time) []poisonpart.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	refused := func(fingerprint uint64) bool {
-		state, _ := f.poison.UnexplainedState(fingerprint, now, f.crashByPart)
-		return state == quarantine.Quarantined
+	quarantined := func(fingerprint uint64) bool {
+		_, refused := f.isQuarantined(fingerprint, now)
+		return refused
 	}
-	return f.requests.ReportsWith(all, refused, maxRequestReports, now)
+	return f.requests.ReportsWith(all, quarantined, maxRequestReports, now)
 }
 
 // ApplyRequestReports applies what another host, or the store, knows of suspect requests.
@@ -74,6 +74,25 @@
 	}
 }
 
+// isQuarantined reports whether a request is refused for crashes of replicas that have no other explanation, and for
+// how much longer.
+func (f *Fleet) isQuarantined(fingerprint uint64, now time.Time) (remaining time.Duration, refused bool) {
+	explained := func(id scheduling.ReplicaID, at time.Time) bool {
+		return f.crashByPart(id, at) || f.crashByRequest(fingerprint, id, at, now)
+	}
+	state, remaining := f.poison.UnexplainedState(fingerprint, now, explained)
+	return remaining, state == quarantine.Quarantined
+}
+
+// crashByRequest reports whether another request explains a crash that is counted against one: a quarantined one that
+// was in flight in it too, and in more crashes.
+func (f *Fleet) crashByRequest(fingerprint uint64, id scheduling.ReplicaID, at, now time.Time) bool {
+	return slices.ContainsFunc(f.requests.OutweighedBy(fingerprint, trackedCrash(id, at)), func(other uint64) bool {
+		state, _ := f.poison.State(other, now)
+		return state == quarantine.Quarantined
+	})
+}
+
 // trackedCrash returns the form of a crash in a Tracker.
 func trackedCrash(id scheduling.ReplicaID, at time.Time) poisonpart.Crash {
 	m := Member{ID: id.Replica}
--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -304,6 +304,21 @@
 	return count >= min(t.crashLimit, len(e.Crashes))
 }
 
+// OutweighedBy returns the parts that were in flight in a crash of the given part too, and in more crashes: of two
+// that share some, the one with more is the likely cause, and a part that is not the cause is soon found sound.
+func (t *Tracker) OutweighedBy(part uint64, c Crash) (out []uint64) {
+	e, ok := t.entries.Peek(part)
+	if !ok {
+		return nil
+	}
+	for _, o := range t.entries.Values() {
+		if o != e && slices.ContainsFunc(o.Crashes, c.same) && t.crashesWithout(o, e) > t.crashesWithout(e, o) {
+			out = append(out, o.Part)
+		}
+	}
+	return out
+}
+
 // crashesWithout counts the crashes of an entry in which the other's part was not in flight.
 func (t *Tracker) crashesWithout(e, other *localEntry) (count int) {
 	for _, c := range e.Crashes {
