--- a/internal/faults/network_test.go
+++ b/internal/faults/network_test.go
@@ -39,11 +39,6 @@
 	l.Begin(relaytest.Fault{Direction: relaytest.ToTarget, PieceSize: 1000 * kilobytesPerSecond / piecesPerSecond, PieceDelay: time.Second / piecesPerSecond})
 }
 
-// delay makes what goes in a direction late.
-func (l *link) delay(d relaytest.Direction, latency time.Duration) {
-	l.Begin(relaytest.Fault{Direction: d, Latency: latency})
-}
-
 // reaches tells whether the link leads to a replica of the zone.
 func (l *link) reaches(c *cluster, zone string) bool {
 	for _, standIns := range [][]*standIn{c.engines, c.services} {
--- a/internal/faults/order_test.go
+++ b/internal/faults/order_test.go
@@ -142,3 +142,8 @@
 		}
 	}
 }
+
+// delay makes what goes in a direction late.
+func (l *link) delay(d relaytest.Direction, latency time.Duration) {
+	l.Begin(relaytest.Fault{Direction: d, Latency: latency})
+}
