Streams: a registration that is trusted is no evidence of the process

Cause: while the registrations counted as current, a connection was taken to lead to the registered process if nothing spoke against it, and that was recorded as evidence that the process lived. A host that had no connection to a replica which another process replaced recorded that process's streams under the version of the earlier one, and went on with streams there.

Change: a registration is trusted for the beginning of a stream only. A stream that goes on is sent on a proved connection, or the process is asked on it. The origin of a stream that begins on trust is recorded as assumed, naming the registered process; as that one lived before the stream began, its later answer proves that it began the stream. It is asked when the stream breaks off, when a host looks it up, and 0.1 s after the first event while the stream lasts, unless other answers have proved the connection. No first event is delayed. Origins that no remembered stream has are forgotten, as each process may be one now.

TestProcessIsKnownOnlyWithEvidence held that a connection is known without current registrations after it had been trusted once: that was the fault. It now requires the opposite, and an answer of the process before the same checks.

Ruled out: asking nothing until the stream breaks off (a crashed process tells nothing, so that its streams would be lost with it); later events of a proved stream as evidence (they may have been sent before the process ended).

--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -22,13 +22,16 @@
 	kvCacheTokens  int
 	longAnswer     bool // mostly generates
 	ended          bool
-	fingerprint    uint64    // of the request
-	parts          []uint64  // Request.Parts
-	answering      bool      // the head of the answer has arrived
-	accepted       bool      // the replica has begun to run the request
-	process        int64     // start of the process that the request was sent to; 0 if it is not known
-	processAt      time.Time // when its connection was found to lead to that process, before the request was sent
-	retried        bool      // a replica that the request was tried on has failed
+	fingerprint    uint64           // of the request
+	parts          []uint64         // Request.Parts
+	answering      bool             // the head of the answer has arrived
+	accepted       bool             // the replica has begun to run the request
+	process        int64            // start of the process that the request was sent to; 0 if it is not known
+	processAt      time.Time        // when its connection was found to lead to that process, before the request was sent
+	openedAt       time.Time        // of that connection
+	evidence       *processEvidence // of that process
+	asked          *processEvidence // by BeginProcessQuestion
+	retried        bool             // a replica that the request was tried on has failed
 }
 
 // Result is the outcome of an attempt.
--- a/internal/gateway/fleet/process.go
+++ b/internal/gateway/fleet/process.go
@@ -17,6 +17,7 @@
 	aliveAt   time.Time // when that process was last known to live
 	doubtedAt time.Time // when a connection broke or could not be opened, as when a process ends
 	askAfter  time.Time // when it may be asked again after it has not answered
+	asking    bool      // a question beside the streams is under way
 }
 
 // processQuestionInterval is the shortest time between a question that a process has left unanswered and the next.
@@ -68,24 +69,66 @@
 }
 
 // ProcessKnown reports whether the process is known that a connection opened at the given time leads to; see
-// SoftwareVersion. registrationsCurrent means that this host's registrations are up to date, so that a process that
-// nothing speaks against is taken for the registered one.
-func (l *Lease) ProcessKnown(openedAt time.Time, registrationsCurrent bool, now time.Time) bool {
+// SoftwareVersion. trusted means that this host's registrations are up to date and that the caller may go by them: a
+// process that nothing speaks against is then taken for the registered one. That is no evidence; see ProcessProved.
+func (l *Lease) ProcessKnown(openedAt time.Time, trusted bool, now time.Time) bool {
 	f, r := l.fleet, l.replica
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := !openedAt.After(r.process.aliveAt)
-	if !known && registrationsCurrent && f.replicas[l.Member.ID] == r && !r.replaced() && !r.process.inDoubt() {
-		known = true
-		r.process.recordAlive(now)
-	}
-	l.process = 0
+	known := !openedAt.After(r.process.aliveAt) ||
+		trusted && f.replicas[l.Member.ID] == r && !r.replaced() && !r.process.inDoubt()
+	l.process, l.evidence = 0, nil
 	if known {
-		l.process, l.processAt = r.process.started, now
+		l.process, l.processAt, l.evidence, l.openedAt = r.process.started, now, r.process, openedAt
 	}
 	return known
 }
 
+// ProcessProved reports whether there is evidence that the request was sent to the process which it is taken to have been
+// sent to. It may arrive after the answer: a registered process lived before the request was sent, so that it has answered if
+// it is known to have lived after the connection was opened.
+func (l *Lease) ProcessProved() bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return l.proved()
+}
+
+func (l *Lease) proved() bool {
+	return l.evidence != nil && !l.openedAt.After(l.evidence.aliveAt)
+}
+
+// ProcessLease returns a lease for questions to the process of the replica with the given ID, or false if there is no such
+// replica. It takes no capacity, so that End need not be called.
+func (f *Fleet) ProcessLease(id string) (*Lease, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.replicas[id]
+	if !ok {
+		return nil, false
+	}
+	return &Lease{Choice: Choice{Member: r.member}, fleet: f, replica: r, ended: true}, true
+}
+
+// BeginProcessQuestion reports whether the replica's process may be asked beside the streams, as nobody does. If it
+// returns true, EndProcessQuestion must be called.
+func (l *Lease) BeginProcessQuestion() bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	p := l.replica.process
+	if p.asking {
+		return false
+	}
+	p.asking, l.asked = true, p
+	return true
+}
+
+// EndProcessQuestion ends what BeginProcessQuestion began.
+func (l *Lease) EndProcessQuestion() {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	l.asked.asking = false
+}
+
 // DoubtProcess records that a connection to the replica broke, as when its process ends.
 func (l *Lease) DoubtProcess(now time.Time) {
 	l.fleet.mu.Lock()
@@ -114,19 +157,19 @@
 	defer l.fleet.mu.Unlock()
 	r := l.replica
 	if started != r.process.started {
-		r.process = processEvidence{started: started}
+		r.process = &processEvidence{started: started}
 	}
 	r.process.askAfter = time.Time{}
 	r.process.recordAlive(askedAt)
-	l.process, l.processAt = started, askedAt
+	l.process, l.processAt, l.evidence, l.openedAt = started, askedAt, r.process, askedAt
 	return !r.replaced()
 }
 
 // recordProcessAlive records that the process which the request was sent to has answered. It lived when it was sent
 // the request; the answer may be read long after its end.
 func (l *Lease) recordProcessAlive() {
-	if p := &l.replica.process; l.process != 0 && l.process == p.started {
-		p.recordAlive(l.processAt)
+	if l.proved() {
+		l.evidence.recordAlive(l.processAt)
 	}
 }
 
--- a/internal/gateway/fleet/process_test.go
+++ b/internal/gateway/fleet/process_test.go
@@ -34,6 +34,12 @@
 	l := pick(t, f, streamRequest("v1"), at(0))
 	assert.False(t, l.ProcessKnown(at(1), false, at(1)), "nothing is known while the registrations may be out of date")
 	assert.True(t, l.ProcessKnown(at(1), true, at(2)))
+	assert.False(t, l.ProcessProved())
+	l.FirstByte(at(2))
+	assert.False(t, l.ProcessProved(), "another process may have answered")
+	assert.False(t, l.ProcessKnown(at(1), false, at(2)), "what was trusted is no evidence")
+	assert.True(t, l.RecordProcess(100, at(2)))
+	assert.True(t, l.ProcessProved())
 	assert.True(t, l.ProcessKnown(at(1), false, at(3)), "the connection was opened while the process lived")
 	assert.False(t, l.ProcessKnown(at(3), false, at(3)), "a later connection may lead to another one")
 	l.ProcessKnown(at(1), false, at(4)) // the request is sent
@@ -119,3 +125,37 @@
 	slow.End(Served, at(3300))
 	assert.False(t, next.ProcessKnown(at(3000), false, at(3400)), "nothing shows which process the connection leads to")
 }
+
+// Guards against an answer of the process that replaced the registered one, or an old one of the registered process, which
+// is taken as evidence that the registered one was sent a request.
+func TestProcessIsProvedAfterwardsByItsOwnAnswerOnly(t *testing.T) {
+	f, members := versioned("v1")
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	ask := func(started int64, ms int) {
+		l, ok := f.ProcessLease(members[0].ID)
+		require.True(t, ok)
+		l.RecordProcess(started, at(ms))
+	}
+	l := pick(t, f, streamRequest("v1"), at(0))
+	require.True(t, l.ProcessKnown(at(10), true, at(11)))
+	ask(100, 9)
+	assert.False(t, l.ProcessProved(), "the connection was opened later")
+	ask(200, 20)
+	assert.False(t, l.ProcessProved())
+	ask(200, 30)
+	assert.False(t, l.ProcessProved())
+
+	f, _ = versioned("v1")
+	l = pick(t, f, streamRequest("v1"), at(0))
+	require.True(t, l.ProcessKnown(at(10), true, at(11)))
+	ask(100, 20)
+	assert.True(t, l.ProcessProved())
+	ask(200, 30)
+	assert.True(t, l.ProcessProved(), "the process that began the stream has ended since")
+	assert.Equal(t, "v1", l.SoftwareVersion())
+	assert.True(t, l.BeginProcessQuestion())
+	other, _ := f.ProcessLease(members[0].ID)
+	assert.False(t, other.BeginProcessQuestion(), "one question at a time")
+	l.EndProcessQuestion()
+	assert.True(t, other.BeginProcessQuestion())
+}
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -85,7 +85,7 @@
 	brittle                    brittle
 	rejections                 rejections
 	limit                      *replicaLimit // nil if the replica has not stated one
-	process                    processEvidence
+	process                    *processEvidence
 	suspects                   []suspect // until the replica is inspected
 }
 
@@ -115,7 +115,7 @@
 		pending:  make(map[*Lease]struct{}),
 		peers:    make(map[string]Use),
 		slowness: 1,
-		process:  processEvidence{started: m.Started},
+		process:  &processEvidence{started: m.Started},
 	}
 	// NewLRU fails only for a size below one.
 	r.cachedParts, _ = simplelru.NewLRU(maxPartsPerReplica, func(_ uint64, part cachedPart) { r.cachedPartTokens -= part.tokens })
--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"math"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,6 +56,27 @@
 	return replicaID, started, ok && err == nil
 }
 
+// AssumedVersion stands for the version of the replica's registered process, as far as nothing shows that another one
+// began the stream. That process lived before the stream began; if it answers later, it was the one.
+func AssumedVersion(replicaID string, started int64) string {
+	return assumedPrefix + strconv.FormatInt(started, 10) + "/" + replicaID
+}
+
+// assumedPrefix begins all results of AssumedVersion, and none of ProcessVersion.
+const assumedPrefix = UnknownVersion + "?"
+
+// ParseAssumedVersion returns the arguments of AssumedVersion, or false if the version is none of its results.
+func ParseAssumedVersion(version string) (replicaID string, started int64, ok bool) {
+	text, ok := strings.CutPrefix(version, assumedPrefix)
+	if !ok {
+		return "", 0, false
+	}
+	return ParseProcessVersion(UnknownVersion + text)
+}
+
+// Assumed reports whether the version is a result of AssumedVersion.
+func Assumed(version string) bool { return strings.HasPrefix(version, assumedPrefix) }
+
 // Origin is what began a stream.
 type Origin struct {
 	Upstream string
@@ -174,9 +196,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := Entry{Stream: StreamID(attemptID), Origin: o}
+	before, _ := t.recorded(e.Stream)
 	t.put(e, now)
-	t.report(e, now)
-	t.keepOpen(e, now)
+	if !Assumed(before.Version) || Assumed(o.Version) {
+		t.report(e, now)
+		t.keepOpen(e, now)
+		return
+	}
+	t.queue(e) // other hosts have been told of what was assumed
+	if open, ok := t.open[e.Stream]; ok {
+		open.Origin = o
+		t.open[e.Stream] = open
+	}
 }
 
 // openStream is a stream of this host that has not been completed.
@@ -240,20 +271,39 @@
 	}
 }
 
-// put remembers a stream.
+// put remembers a stream. What is assumed of it does not replace what is known.
 func (t *Tracker) put(e Entry, now time.Time) {
+	if before, ok := t.recorded(e.Stream); ok && Assumed(e.Version) && !Assumed(before.Version) {
+		return
+	}
 	if now.Sub(t.rotatedAt) > Retention || len(t.current) >= maxStreams {
 		t.previous, t.current, t.rotatedAt = t.current, make(map[uint64]uint16), now
+		t.forgetOrigins()
+	}
+	if _, ok := t.indexes[e.Origin]; !ok && len(t.origins) > math.MaxUint16 {
+		return // more than a process ever meets; unknown streams are refused
 	}
-	index, ok := t.indexes[e.Origin]
+	t.current[e.Stream] = t.index(e.Origin)
+}
+
+// forgetOrigins forgets the origins that no remembered stream has: those of processes come and go. The present generation
+// must be empty.
+func (t *Tracker) forgetOrigins() {
+	before := t.origins
+	t.origins, t.indexes = nil, make(map[Origin]uint16)
+	for stream, index := range t.previous {
+		t.previous[stream] = t.index(before[index])
+	}
+}
+
+// index returns the index of an origin, for which there must be room.
+func (t *Tracker) index(o Origin) uint16 {
+	index, ok := t.indexes[o]
 	if !ok {
-		if len(t.origins) > int(^index) {
-			return // more versions than a process ever meets; unknown streams are refused
-		}
 		index = uint16(len(t.origins))
-		t.origins, t.indexes[e.Origin] = append(t.origins, e.Origin), index
+		t.origins, t.indexes[o] = append(t.origins, o), index
 	}
-	t.current[e.Stream] = index
+	return index
 }
 
 // severalVersions reports whether the origin's upstream has another version too.
@@ -268,9 +318,13 @@
 
 // report queues a stream for other hosts, if they cannot infer its origin.
 func (t *Tracker) report(e Entry, now time.Time) {
-	if !t.severalVersions(e.Origin, now) {
-		return
+	if t.severalVersions(e.Origin, now) {
+		t.queue(e)
 	}
+}
+
+// queue adds a stream to those that are reported to other hosts.
+func (t *Tracker) queue(e Entry) {
 	if len(t.pending) < maxPending {
 		t.pending = append(t.pending, e)
 	}
@@ -298,6 +352,10 @@
 func (t *Tracker) Recorded(stream uint64) (Origin, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.recorded(stream)
+}
+
+func (t *Tracker) recorded(stream uint64) (Origin, bool) {
 	index, ok := t.current[stream]
 	if !ok {
 		index, ok = t.previous[stream]
--- a/internal/gateway/origin/origin_test.go
+++ b/internal/gateway/origin/origin_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -143,3 +145,49 @@
 	_, known := tracker.Recorded(StreamID(fmt.Sprint(3*maxStreams - 1)))
 	assert.True(t, known)
 }
+
+// Guards against an origin that was found and is replaced by a late report of what had been assumed, or that is not told
+// to the hosts which know the assumption only.
+func TestKnownOriginReplacesAssumedOne(t *testing.T) {
+	tracker, now := NewTracker(), time.Unix(1000, 0)
+	known := Origin{Upstream: "pool", Version: "v1"}
+	assumed := Origin{Upstream: "pool", Version: AssumedVersion("r/0", -7)}
+	id, started, ok := ParseAssumedVersion(assumed.Version)
+	require.True(t, ok)
+	assert.Equal(t, "r/0", id)
+	assert.EqualValues(t, -7, started)
+	_, _, ok = ParseProcessVersion(assumed.Version)
+	assert.False(t, ok)
+	_, _, ok = ParseAssumedVersion(ProcessVersion("r/0", -7))
+	assert.False(t, ok)
+
+	tracker.SetInUse(map[Origin]bool{known: true}, now)
+	tracker.Record("a", assumed, now)
+	assert.Len(t, tracker.TakePending(), 1)
+	assert.Len(t, tracker.Open(now), 1)
+	tracker.Record("a", known, now)
+	assert.Equal(t, []Entry{{Stream: StreamID("a"), Origin: known}}, tracker.TakePending())
+	assert.Empty(t, tracker.Open(now), "it follows from the registrations")
+	tracker.Apply([]Entry{{Stream: StreamID("a"), Origin: assumed}}, now)
+	o, _ := tracker.Recorded(StreamID("a"))
+	assert.Equal(t, known, o)
+	tracker.Complete("a")
+	tracker.Record("b", assumed, now)
+	tracker.Complete("b")
+	tracker.Record("b", known, now)
+	assert.Empty(t, tracker.open)
+}
+
+// Guards against a host that records no more origins because processes that come and go have used up their number.
+func TestOriginsOfManyProcesses(t *testing.T) {
+	tracker, now := NewTracker(), time.Unix(1000, 0)
+	const streams, perProcess = 300_000, 4
+	for i := range streams {
+		o := Origin{Upstream: "pool", Version: AssumedVersion("r0", int64(i/perProcess))}
+		tracker.Record(strconv.Itoa(i), o, now.Add(time.Duration(i)*time.Millisecond))
+		before := max(i-1000, 0)
+		recorded, ok := tracker.Recorded(StreamID(strconv.Itoa(before)))
+		require.True(t, ok)
+		require.Equal(t, AssumedVersion("r0", int64(before/perProcess)), recorded.Version)
+	}
+}
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -299,6 +299,7 @@
 	}
 	response.MarkComplete()
 	e.endServed(response, lease)
+	p.assumed.stop()
 	if !p.headerSent {
 		e.sendStreamHeader(response, p)
 	}
--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -36,7 +36,7 @@
 func (e *exchange) findOrigin(ctx context.Context, p *progress) bool {
 	findCtx, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
-	o, err := e.server.opts.Origins.Find(findCtx, e.call.Resumes, e.route.Upstreams())
+	o, err := e.lookUpOrigin(findCtx, e.call.Resumes)
 	switch {
 	case errors.Is(err, origin.ErrUnreachable):
 		e.refuse(http.StatusServiceUnavailable, "origin_unreachable", e.boundRetryAfter(originUnreachableRetryAfter))
@@ -54,7 +54,7 @@
 func (e *exchange) originKnown(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
-	o, err := e.server.opts.Origins.Find(ctx, e.firstAttemptID(), e.route.Upstreams())
+	o, err := e.lookUpOrigin(ctx, e.firstAttemptID())
 	return err == nil && o.Version != origin.UnknownVersion
 }
 
@@ -66,14 +66,24 @@
 	}
 	if p.origin == nil {
 		p.origin = &origin.Origin{Upstream: lease.Member.Upstream, Version: lease.SoftwareVersion()}
-		if !processKnown {
+		switch {
+		case !processKnown:
 			p.origin.Version = origin.UnknownVersion
+		case e.processMatters(lease) && !lease.ProcessProved():
+			p.assumed = &assumption{
+				server: e.server, attemptID: e.firstAttemptID(), lease: lease, origin: *p.origin,
+				maxIdle: e.maxIdle(lease.Member.Upstream),
+			}
+			p.origin.Version = origin.AssumedVersion(lease.Member.ID, lease.Member.Started)
 		}
 	}
 	if !e.route.Resumable {
 		return // its caller cannot take it up
 	}
 	e.server.opts.Origins.Record(e.firstAttemptID(), *p.origin, time.Now())
+	if p.assumed != nil {
+		p.assumed.proveLater()
+	}
 }
 
 // firstAttemptID returns the ID of the attempt that brought the first event of the stream.
@@ -96,7 +106,6 @@
 // processCheck returns the check that finds which process of the replica a stream is sent to, and that a stream that
 // goes on is sent to one of its software version; nil if that does not matter.
 func (e *exchange) processCheck(lease *fleet.Lease, p *progress) *upstream.Check {
-	member := &lease.Member
 	if !e.processMatters(lease) {
 		return nil
 	}
@@ -107,24 +116,14 @@
 		Broken: func() { lease.DoubtProcess(time.Now()) },
 		Known: func(openedAt time.Time) bool {
 			current := s.opts.RegistrationsCurrent == nil || s.opts.RegistrationsCurrent()
-			return lease.ProcessKnown(openedAt, current, time.Now()) && fits()
+			return lease.ProcessKnown(openedAt, current && p.origin == nil, time.Now()) && fits()
 		},
 	}
-	check.Matches = func(status int, h http.Header) bool { return s.opts.Dialect.Reply(status, h).AttemptID == "" }
+	check.Matches = s.answersQuestion
 	check.Verify = func(askedAt time.Time, status int, body []byte) bool {
-		s.metrics.processQuestions.Inc(1)
-		started, stated := s.opts.Dialect.ProcessStarted(body)
-		if status != http.StatusOK || !stated {
-			lease.RecordProcessSilent(time.Now())
-			s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", member.ID).Int("status", status).
-				Msg("replica does not tell which process it is")
+		if _, stated := s.recordProcess(lease, e.call.AttemptID, askedAt, status, body); !stated {
 			return false
 		}
-		if !lease.RecordProcess(started, askedAt) {
-			s.metrics.replacedProcesses.Inc(1)
-			s.opts.Logger.Warn().Str("request", e.call.AttemptID).Str("replica", member.ID).Str("software", member.SoftwareVersion).
-				Int64("registered", member.Started).Int64("started", started).Msg("another process answers for the replica")
-		}
 		return fits()
 	}
 	if lease.MayAskProcess(time.Now()) {
--- a/internal/gateway/proxy/process_test.go
+++ b/internal/gateway/proxy/process_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -166,3 +167,133 @@
 	status, body, _ := g.takeUp("began", "4")
 	assert.Equal(t, http.StatusOK, status, body)
 }
+
+// registered sets the start of all replicas as they are registered; the registrations are taken for current.
+func (g *testGateway) registered(versions ...string) {
+	for i := range g.members {
+		g.members[i].Started = registeredStart
+	}
+	g.setVersions(versions...)
+}
+
+// Guards against a stream joined from two versions because a registration that the store lists, but that another process
+// has overtaken, was trusted: neither for the process that began the stream nor for the one it goes on at is the absence
+// of contrary evidence a proof.
+func TestStreamOnTrustedRegistrationIsNotJoined(t *testing.T) {
+	began := 0
+	for range 12 {
+		replaced := newProcess(registeredStart+1, events("new", 8, 3))
+		sound := newProcess(registeredStart, events("old", 8, -1))
+		g := newTestGateway(t, replaced, sound)
+		g.registered("v1", "v1")
+		response, err := g.send(t.Context(), testRequest{path: "/quote/1"})
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if response.Header.Get("Served-By") == "old" {
+			require.NoError(t, err)
+			g.origins.Record("began", origin.Origin{Upstream: "pool", Version: "v1"}, time.Now())
+			status, _, header := g.takeUp("began", "4")
+			assert.Equal(t, http.StatusOK, status)
+			assert.Equal(t, "old", header.Get("Served-By"))
+			assert.Zero(t, replaced.received.Load())
+			continue
+		}
+		began++
+		assert.Error(t, err)
+		assert.Equal(t, eventsText(3), string(body))
+		status, _, _ := g.takeUp("attempt-1", "2")
+		assert.NotEqual(t, http.StatusOK, status)
+		assert.Zero(t, sound.received.Load())
+	}
+	assert.Positive(t, began)
+}
+
+// Guards against a stream that was begun on trust and is lost when it breaks off or is taken up, although the registered
+// process still answers.
+func TestStreamOnTrustedRegistrationGoesOn(t *testing.T) {
+	for range 8 {
+		broken := newProcess(registeredStart, events("broken", 8, 3))
+		sound := newProcess(registeredStart, events("sound", 8, -1))
+		g := newTestGateway(t, broken, sound)
+		g.registered("v1", "v1")
+		status, body, _ := g.do(testRequest{path: "/quote/1"})
+		assert.Equal(t, http.StatusOK, status)
+		assert.Equal(t, eventsText(8), body)
+		status, _, _ = g.takeUp("attempt-1", "6")
+		assert.Equal(t, http.StatusOK, status)
+	}
+}
+
+// Guards against a stream that is lost with the process that began it, though that process could have been asked while it
+// ran, and against questions to a process that is known already.
+func TestStreamOnTrustedRegistrationOutlivesItsProcess(t *testing.T) {
+	const streams = 4
+	var gone atomic.Bool
+	var breaking sync.WaitGroup
+	breaking.Add(streams)
+	release := make(chan struct{})
+	p := newProcess(registeredStart, func(w http.ResponseWriter, r *http.Request) {
+		setSeal(w)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, eventsText(3))
+		_ = http.NewResponseController(w).Flush()
+		breaking.Done()
+		<-release
+		panic(http.ErrAbortHandler)
+	})
+	mortal := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if gone.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		p.ServeHTTP(w, r)
+	})
+	sound := newProcess(registeredStart, events("sound", 8, -1))
+	g := newTestGateway(t, mortal, sound)
+	g.registered("v1", "v1")
+	both := g.members
+	g.members = both[:1]
+	g.setVersions("v1")
+	var wg sync.WaitGroup
+	for i := range streams {
+		wg.Go(func() {
+			status, body, _ := g.do(testRequest{path: "/quote/1", header: map[string]string{attemptIDHeader: fmt.Sprintf("attempt-%d", i)}})
+			assert.Equal(t, http.StatusOK, status)
+			assert.Equal(t, eventsText(8), body)
+		})
+	}
+	breaking.Wait()
+	require.Eventually(t, func() bool { return p.asked.Load() > 0 }, 5*time.Second, time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	assert.EqualValues(t, 1, p.asked.Load(), "one answer shows it for all connections opened before")
+	g.members = both
+	g.setVersions("v1", "v1")
+	gone.Store(true)
+	close(release)
+	wg.Wait()
+	status, _, header := g.takeUp("attempt-1", "4")
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, "sound", header.Get("Served-By"))
+}
+
+// Guards against a host that goes on with a stream which another host began on trust, without asking the process that is
+// assumed to have begun it, and against one that refuses it although that process answers.
+func TestAssumedOriginIsInquiredWhenLookedUp(t *testing.T) {
+	first := newProcess(registeredStart, events("first", 8, -1))
+	sound := newProcess(registeredStart, events("sound", 8, -1))
+	g := newTestGateway(t, first, sound)
+	g.registered("v1", "v1")
+	for _, test := range []struct {
+		started int64
+		status  int
+	}{{registeredStart, http.StatusOK}, {registeredStart - 1, http.StatusServiceUnavailable}, {registeredStart + 1, http.StatusServiceUnavailable}} {
+		id := fmt.Sprintf("began-%d", test.started)
+		g.origins.Record(id, origin.Origin{Upstream: "pool", Version: origin.AssumedVersion(g.members[0].ID, test.started)}, time.Now())
+		asked := first.asked.Load()
+		status, _, _ := g.sibling().takeUp(id, "4")
+		assert.Equal(t, test.status, status)
+		if test.started >= registeredStart {
+			assert.Greater(t, first.asked.Load(), asked)
+		}
+	}
+}
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -46,6 +46,7 @@
 	lastEventID    string            // of the last event with an ID that the caller has
 	unidentified   bool              // the caller has events without an ID after that one
 	origin         *origin.Origin    // of the stream; nil until its first event
+	assumed        *assumption       // what origin rests on if it is assumed; nil otherwise
 	events         int               // events forwarded
 	exclude        []string          // IDs of the replicas tried
 	ran            []string          // IDs of the replicas that may have run the request
@@ -103,6 +104,7 @@
 			e.record.outcome = outcomeCallerGone
 			panic(http.ErrAbortHandler)
 		}
+		p.settleOrigin(ctx)
 		if ctx.Err() != nil || !e.mayRetry(result, &p, upstreamName) {
 			e.giveUp(ctx, &p)
 			return
--- a/internal/gateway/proxy/watchdog.go
+++ b/internal/gateway/proxy/watchdog.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 )
 
 const (
@@ -81,6 +82,10 @@
 		req.TimeLeft = e.timeLeft(time.Now())
 		if w.forwarding {
 			req.SoftwareVersion = w.software
+			if w.software != nil && origin.Assumed(*w.software) && lease.ProcessProved() {
+				version := lease.SoftwareVersion()
+				req.SoftwareVersion = &version
+			}
 		}
 		return s.opts.Fleet.CutOff() || s.opts.Fleet.Available(req, time.Now())
 	}
