Test of refused requests: the replica does not complete what it is to crash on

A trial that sends it before the refusal is stored is never refused, in 8 s. The replica breaks the request off now, as one that crashes on it would.

--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,12 +73,17 @@
 
 // Guards against hosts that forget with a restart which requests crash replicas, and send them again.
 func TestRequestRefusedBeforeRestartIsRefused(t *testing.T) {
+	const target = "/r/poison"
+	var arrived atomic.Int32
 	g := startGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == target {
+			arrived.Add(1)
+			panic(http.ErrAbortHandler) // a complete answer would show that the request is sound
+		}
 		w.Header().Set("Heatherbarrow-Server-Seal", "s")
 		w.Header().Set("Heatherbarrow-Attempt-Id", r.Header.Get("Heatherbarrow-Attempt-Id"))
 		_, _ = io.WriteString(w, "x")
 	})
-	const target = "/r/poison"
 	entry := poisonpart.Entry{Part: xxhash.Sum64String("GET " + target + "\n"), Quarantined: true, Expires: time.Now().Add(time.Minute)}
 	for i := range 3 {
 		entry.Crashes = append(entry.Crashes, poisonpart.Crash{Replica: uint64(i), At: time.Now().Add(time.Duration(i-10) * time.Second)})
@@ -95,6 +101,7 @@
 	}
 	require.Eventually(t, func() bool { return status(target) == http.StatusServiceUnavailable }, 20*time.Second, 5*time.Millisecond)
 	assert.Equal(t, http.StatusOK, status("/r/sound"))
+	sent := arrived.Load()
 
 	// The store loses what the hosts wrote there; they write it again.
 	saved := g.store.Copy()
@@ -103,6 +110,7 @@
 	require.Zero(t, g.store.Count(platform.KindRequests))
 	assert.Eventually(t, func() bool { return g.store.Count(platform.KindRequests) == 1 }, 20*time.Second, 5*time.Millisecond)
 	assert.Equal(t, http.StatusServiceUnavailable, status(target))
+	assert.Equal(t, sent, arrived.Load(), "requests reach the replica after the first refusal")
 }
 
 // Guards against hosts that forget the crashes of a part or a request with a restart before it is refused, so that it
