Router: an unframed answer is complete only if its process still answers

An answer of a plain service that has neither a length nor chunks ends with its connection, in the same way when it is whole and when its process is killed. Callers of the product's own router got parts of such answers with status 200 and "completed", and the part was kept for a repeated idempotency key, whenever something accepted connections for the ended process (the next process at its address, a relay), when all replicas ended together, or when the first other replica that was asked never answered.

Cause: the only sign of an ended process was a refused connection, with one 500 ms budget for all other replicas in turn.

Change: a service may state its process (Heatherbarrow-Boot in each answer). After an unframed answer that states one, the router requests HEAD /heatherbarrow/boot over connections of its own; the answer is complete if the same process answers. Another process, or none within 0.5 s of refusals and ends without an answer, makes it broken, silence for 2 s timed out: outcome unknown, or another attempt if the route is repeatable. A killed process cannot answer a request sent after its connection ended, whatever lies between, so that no refusal and no second replica is needed. A connection of an earlier check is kept, so that answers stay complete where new connections are refused. Services that state nothing keep the rule of the refusal: up to eight others are asked at once, again for 0.5 s; a refusal alone makes a call that may not be repeated unknown. Services that frame their answers are not asked.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -92,24 +92,31 @@
 type Client struct {
 	repeatable http.RoundTripper
 	once       http.RoundTripper // opens a connection for each request
+	process    http.RoundTripper // asks services for their process
 	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	scheme     string
 }
 
 // NewClient returns a client whose connections are made with the options.
 func NewClient(options tlsconf.TransportOptions) (*Client, error) {
+	connsPerHost := options.ConnsPerHost
 	options.WrapConn = newCountedConn
 	options.BufferBytes = connBufferBytes
 	repeatable, scheme, err := tlsconf.NewTransport(options)
 	if err != nil {
 		return nil, err
 	}
-	options.NoKeepAlive = true
+	options.ConnsPerHost, options.IdlePerHost = maxBootConns, maxBootConns
+	process, _, err := tlsconf.NewTransport(options)
+	if err != nil {
+		return nil, err
+	}
+	options.ConnsPerHost, options.NoKeepAlive = connsPerHost, true
 	once, _, err := tlsconf.NewTransport(options)
 	if err != nil {
 		return nil, err
 	}
-	return &Client{repeatable: repeatable, once: once, dial: once.DialContext, scheme: scheme}, nil
+	return &Client{repeatable: repeatable, once: once, process: process, dial: once.DialContext, scheme: scheme}, nil
 }
 
 // Chat is one attempt of a chat completion.
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -7,8 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"syscall"
-	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -90,47 +88,10 @@
 	if len(body) > maxServiceAnswerBytes {
 		return nil, false, ErrTooLarge
 	}
-	if isUnframed(response) && c.endedWithProcess(ctx, call) {
-		return nil, false, eris.Wrap(ErrBroken, "answer without a length ended with its process")
-	}
-	return &ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, false, nil
-}
-
-// isUnframed reports whether the body of an answer has neither a length nor chunks and ends with its connection.
-func isUnframed(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
-}
-
-// inspectTimeout is the time within which a live replica accepts a connection.
-const inspectTimeout = 500 * time.Millisecond
-
-// endedWithProcess reports whether an answer that ended with its connection may be incomplete, because nothing listens
-// at the replica's address any more: the kernel closes the connections of a process that was killed in the same way as
-// the replica does after the last byte. The refusal shows nothing if the service's other replicas refuse connections too.
-func (c *Client) endedWithProcess(ctx context.Context, call *ServiceCall) bool {
-	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
-	defer cancel()
-	if !errors.Is(c.connect(ctx, call.Address), syscall.ECONNREFUSED) {
-		return false
-	}
-	var others []string
-	if call.Others != nil {
-		others = call.Others()
-	}
-	for _, address := range others {
-		if c.connect(ctx, address) == nil {
-			return true
+	if isUnframed(response) {
+		if err := c.checkUnframed(ctx, call, response.Header.Get(bootHeader)); err != nil {
+			return nil, false, err
 		}
 	}
-	return len(others) == 0
-}
-
-// connect reports whether a connection to an address can be opened.
-func (c *Client) connect(ctx context.Context, address string) error {
-	conn, err := c.dial(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	_ = conn.Close() // it only served as a probe
-	return nil
+	return &ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, false, nil
 }
--- a/internal/router/services_test.go
+++ b/internal/router/services_test.go
@@ -91,6 +91,41 @@
 	}
 }
 
+// Guards against part of an answer without a length that is told to be the completed answer after the next process of
+// the service took the address, and against a whole one that is taken for a part.
+func TestUnframedAnswerIsCompletedWhileItsProcessAnswers(t *testing.T) {
+	for answering, want := range map[string]outcome.Outcome{"first": outcome.Completed, "second": outcome.Unknown} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			h := newHost(t, hostOptions{})
+			h.feed.claim.Result = rpc.ClaimResult_CLAIM_RESULT_GRANTED
+			h.service.play(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodHead {
+					w.Header().Set("Heatherbarrow-Boot", answering)
+					return
+				}
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nHeatherbarrow-Boot: first\r\n\r\nanswer")
+			})
+			request := h.order(t, t.Context())
+			if method == http.MethodGet {
+				request = h.request(t, t.Context(), method, "/services/warehouse/stock/glue", "")
+			}
+			response, body := h.send(t, request)
+			require.Equal(t, string(want), response.Header.Get(outcome.HeaderOutcome), method+body)
+			require.Equal(t, want == outcome.Completed, response.StatusCode == http.StatusOK, body)
+			require.Empty(t, response.Header.Get("Heatherbarrow-Boot"))
+			if method == http.MethodPost {
+				require.Eventually(t, func() bool { return len(h.feed.outcomes()) == 1 }, patience, time.Millisecond)
+				require.Equal(t, []string{string(want)}, h.feed.outcomes())
+			}
+		}
+	}
+}
+
 // Guards against headers that are lost between caller and service, against a
 // team's key that reaches a service, and against an outcome told by a service.
 func TestServiceHeaders(t *testing.T) {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rs/xid"
 
 	"heatherbarrow/internal/standin/admin"
 )
@@ -22,6 +23,8 @@
 
 // Server is the stand-in.
 type Server struct {
+	boot string // identifies this start
+
 	mu      sync.Mutex
 	effects map[string]int // by idempotency key
 	faults  Faults
@@ -29,12 +32,14 @@
 
 // New returns a service without effects.
 func New() *Server {
-	return &Server{effects: make(map[string]int)}
+	return &Server{boot: xid.New().String(), effects: make(map[string]int)}
 }
 
 // Handler returns the HTTP handler of the service and of its switches under /admin.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(s.stateBoot)
+	r.Head("/heatherbarrow/boot", func(http.ResponseWriter, *http.Request) {})
 	r.Put("/admin/faults", admin.Put(s.SetFaults))
 	r.Get("/admin/effects", admin.Get(s.Effects))
 	r.Get("/*", s.lookUp)
@@ -42,6 +47,14 @@
 	return r
 }
 
+// stateBoot states the process in each answer.
+func (s *Server) stateBoot(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Heatherbarrow-Boot", s.boot)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // SetFaults sets the switches.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -34,3 +34,23 @@
 	require.Equal(t, "not-run", response.Header.Get("Heatherbarrow-Outcome"))
 	require.Zero(t, s.Effects()["b"])
 }
+
+// Guards against answers that do not state the process, or state that of an earlier start.
+func TestAnswersStateTheProcess(t *testing.T) {
+	var boots []string
+	for range 2 {
+		server := httptest.NewServer(New().Handler())
+		defer server.Close()
+		answer, err := http.Get(server.URL + "/stock")
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		process, err := http.Head(server.URL + "/heatherbarrow/boot")
+		require.NoError(t, err)
+		require.NoError(t, process.Body.Close())
+		require.Equal(t, http.StatusOK, process.StatusCode)
+		require.Equal(t, answer.Header.Get("Heatherbarrow-Boot"), process.Header.Get("Heatherbarrow-Boot"))
+		boots = append(boots, process.Header.Get("Heatherbarrow-Boot"))
+	}
+	require.NotEmpty(t, boots[0])
+	require.NotEqual(t, boots[0], boots[1])
+}
