peers: reports that are read late keep the time of their crashes

A host that was paused for 4 s read the reports of suspect requests and parts that came meanwhile all at once.

Cause: a datagram tells the age of a crash when it was sent, and the receiver took the time of reading for the time of sending.

Change: heartbeats, digests and reports of suspects tell when they were sent (Beat.sent_ms, the sender's CLOCK_BOOTTIME). The receiver keeps the smallest difference to its own clock for each known sender, of the last one to two minutes because clocks drift; what a datagram exceeds it by is its delay, and ages count from then. Another start of the sender, or a difference of more than 5 minutes, starts the measurement anew. A missing field means no correction, so hosts of older builds are read as before, and they ignore the field. Relayed digests keep the time of their speaker. The delay is not part of the age that fleet.maxCrashAge bounds, as a long pause would then bring back the second count.

Tests: TestReportsOfOneCrashAfterPauseCountOnce drove only the fleet, with ages as the receiver computed them, and could not pass on the sender's time. It moves to package peers under its name: the same crash, reports each 0.5 s and pause, now as datagrams that the sender composes and the receiver handles, for requests and parts, with crashes in heartbeats, and for a pause of 100 s. It requires one known crash besides no refusal.

Remains: a sender of which nothing was read before the pause is not corrected; a speaker that was paused for more than about 3 s forwards crashes whose age other zones bound to 6 s, as before.

--- a/internal/gateway/fleet/poison.go
+++ b/internal/gateway/fleet/poison.go
@@ -34,6 +34,7 @@
 	Upstream    string
 	Replica     string
 	Age         time.Duration // when it is reported; 0 if the host that reports it does not tell
+	Delay       time.Duration // of the report, beyond the age
 
 	at time.Time
 }
@@ -172,7 +173,7 @@
 		c := crashes[i]
 		c.at = now
 		if c.Age > 0 {
-			c.at = now.Add(-min(c.Age, maxCrashAge))
+			c.at = now.Add(-min(c.Age, maxCrashAge) - c.Delay)
 			counts, quarantined := f.requests.Reported(c.Fingerprint, trackedCrash(c.id(), c.at), now)
 			f.notePartChanges(quarantined, true, true)
 			if !counts {
--- a/internal/gateway/peers/heartbeat.go
+++ b/internal/gateway/peers/heartbeat.go
@@ -130,7 +130,7 @@
 func (e *Exchange) composeHeartbeat(now time.Time) *rpc.Beat {
 	e.sequence++
 	message := &rpc.Beat{
-		Host: e.opts.Host, AvailabilityZone: e.opts.Zone, Incarnation: e.incarnation, Sequence: e.sequence,
+		Host: e.opts.Host, AvailabilityZone: e.opts.Zone, Incarnation: e.incarnation, Sequence: e.sequence, SentMs: sentMs(),
 		PullAddress: e.opts.Listen, ConfigVersion: e.opts.State.ConfigVersion(),
 		MembersEra: e.opts.State.MembersEra(), MembersRevision: e.opts.State.MembersRevision(), StoreReachable: !e.opts.State.StoreLost(),
 	}
--- a/internal/gateway/peers/messages.go
+++ b/internal/gateway/peers/messages.go
@@ -90,11 +90,13 @@
 	return reports
 }
 
-// crashesFromProto decodes the crashes that another host reports.
-func crashesFromProto(messages []*rpc.Crash) []fleet.Crash {
+// crashesFromProto decodes the crashes that another host reports. The report was delayed on its way.
+func crashesFromProto(messages []*rpc.Crash, delay time.Duration) []fleet.Crash {
 	crashes := make([]fleet.Crash, len(messages))
 	for i, c := range messages {
-		crashes[i] = fleet.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica, Age: time.Duration(c.AgeMs) * time.Millisecond}
+		crashes[i] = fleet.Crash{
+			Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica, Age: time.Duration(c.AgeMs) * time.Millisecond, Delay: delay,
+		}
 	}
 	return crashes
 }
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -119,6 +119,7 @@
 type Exchange struct {
 	opts        Options
 	incarnation int64 // start of this process in Unix milliseconds; orders heartbeats across restarts
+	created     time.Time
 	socket      *net.UDPConn
 	client      *http.Client
 
@@ -176,6 +177,7 @@
 	replyDue       bool      // a heartbeat is due in reply to its first one
 	aheadSince     time.Time // since when it announces newer state than this host's; zero if it does not
 	announced      announcement
+	transit        transit
 }
 
 // announcement is the state that a peer has, as it told last.
@@ -196,6 +198,7 @@
 	}
 	e := &Exchange{
 		opts:          opts,
+		created:       time.Now(),
 		incarnation:   time.Now().UnixMilli(),
 		peers:         make(map[string]*peer),
 		seenHosts:     map[string]struct{}{opts.Host: {}},
@@ -339,8 +342,9 @@
 // another zone.
 func (e *Exchange) handleDatagram(m *rpc.Beat, now time.Time) {
 	if len(m.SuspectParts)+len(m.SuspectRequests) > 0 {
-		e.opts.Fleet.ApplyPartReports(rpc.SuspectPartEntries(m.SuspectParts, now), now)
-		e.opts.Fleet.ApplyRequestReports(rpc.SuspectPartEntries(m.SuspectRequests, now), now)
+		sent := now.Add(-e.transitDelay(m, now))
+		e.opts.Fleet.ApplyPartReports(rpc.SuspectPartEntries(m.SuspectParts, sent), now)
+		e.opts.Fleet.ApplyRequestReports(rpc.SuspectPartEntries(m.SuspectRequests, sent), now)
 		return
 	}
 	if len(m.StreamOrigins) > 0 {
@@ -354,16 +358,17 @@
 	if m.Host == e.opts.Host || !e.recordHeartbeat(m, now) {
 		return
 	}
+	delay := e.transitDelay(m, now)
 	if m.AvailabilityZone != e.opts.Zone && e.receivesDigests(m.AvailabilityZone, now) {
 		return // the digests of its zone include its in-flight requests
 	}
 	uses, parts, tokens := usesFromProto(m.Uses, m.Prompts)
 	e.opts.Fleet.ApplyDigest(m.Host, uses, parts, tokens, now)
-	e.opts.Fleet.ApplyCrashes(crashesFromProto(m.Crashes), now)
+	e.opts.Fleet.ApplyCrashes(crashesFromProto(m.Crashes, delay), now)
 	e.opts.Fleet.ApplyClassCounts(m.Host, m.AvailabilityZone == e.opts.Zone, classCountsFromProto(m.Classes), now)
 	e.opts.Fleet.ApplySpeeds(m.Host, speedsFromProto(m.Speeds), now)
 	e.applyLimits(m.Host, m.AvailabilityZone == e.opts.Zone, m.Limits, now)
-	e.collectForDigest(m, now)
+	e.collectForDigest(m, delay, now)
 }
 
 // applyLimits applies the request limits that a host, or a zone under the given name, reports.
--- a/internal/gateway/peers/suspects.go
+++ b/internal/gateway/peers/suspects.go
@@ -27,13 +27,33 @@
 	if refusedToo {
 		*lastRefused = now
 	}
+	message := e.suspectReport(refusedToo, now)
+	if message == nil {
+		return
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		e.opts.Logger.Error().Err(err).Msg("cannot encode suspect parts")
+		return
+	}
+	for _, to := range recipients {
+		// No retry: the same is sent again with the next heartbeats.
+		if _, err := e.socket.WriteToUDP(data, to); err != nil {
+			e.opts.Logger.Debug().Err(err).Stringer("to", to).Msg("cannot send suspect parts")
+		}
+	}
+}
+
+// suspectReport returns the report of suspect parts and requests, with refusedToo also of all that are refused, or nil
+// if there is nothing to report.
+func (e *Exchange) suspectReport(refusedToo bool, now time.Time) *rpc.Beat {
 	parts, requests := e.opts.Fleet.PartReports(refusedToo, now), e.opts.Fleet.RequestReports(refusedToo, now)
 	if len(parts)+len(requests) == 0 {
-		return
+		return nil
 	}
 	// Sequence 0 makes hosts that do not know this kind of datagram ignore it as an old heartbeat.
 	message := &rpc.Beat{
-		Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen,
+		Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, SentMs: sentMs(),
 		SuspectParts: rpc.SuspectParts(parts, now), SuspectRequests: rpc.SuspectParts(requests, now),
 	}
 	for proto.Size(message) > maxDatagramBytes {
@@ -43,15 +63,5 @@
 		}
 		message.SuspectParts = message.SuspectParts[:len(message.SuspectParts)-1]
 	}
-	data, err := proto.Marshal(message)
-	if err != nil {
-		e.opts.Logger.Error().Err(err).Msg("cannot encode suspect parts")
-		return
-	}
-	for _, to := range recipients {
-		// No retry: the same is sent again with the next heartbeats.
-		if _, err := e.socket.WriteToUDP(data, to); err != nil {
-			e.opts.Logger.Debug().Err(err).Stringer("to", to).Msg("cannot send suspect parts")
-		}
-	}
+	return message
 }
--- a/internal/gateway/peers/suspects_test.go
+++ b/internal/gateway/peers/suspects_test.go
@@ -65,6 +65,97 @@
 	}
 }
 
+// applyCrash lets a host know of a crash on requests with the fingerprint, or with the part, as if it had noticed it.
+func (host *testHost) applyCrash(suspect uint64, part bool, replica string, at time.Time) {
+	apply := host.fleet.ApplyRequestReports
+	if part {
+		apply = host.fleet.ApplyPartReports
+	}
+	m := fleet.Member{ID: replica}
+	apply([]poisonpart.Entry{{Part: suspect, Crashes: []poisonpart.Crash{{Replica: m.Key(), At: at}}, Expires: at.Add(5 * time.Minute)}}, at)
+}
+
+// crashReports returns the datagrams by which a host tells of a crash at start in the seconds after it: reports of
+// the suspect and, with heartbeats, those of the crash. startMs is what the host's clock says at start.
+func (host *testHost) crashReports(t *testing.T, suspect uint64, heartbeats bool, start time.Time, length time.Duration, startMs uint64) (out []*rpc.Beat) {
+	for age := 50 * time.Millisecond; age < length; age += 500 * time.Millisecond {
+		report, beat := host.suspectReport(true, start.Add(age)), host.composeHeartbeat(start.Add(age))
+		require.NotNil(t, report)
+		require.NotZero(t, report.SentMs)
+		require.NotZero(t, beat.SentMs)
+		if heartbeats && age < fleet.CrashReportTime {
+			beat.Crashes = []*rpc.Crash{{Fingerprint: suspect, Upstream: "pool", Replica: "r1", AgeMs: uint32(age.Milliseconds())}}
+		}
+		for _, m := range []*rpc.Beat{beat, report} {
+			m.SentMs = startMs + uint64(age.Milliseconds())
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// refusesAt reports whether the host refuses requests with the fingerprint, or with the part.
+func (host *testHost) refusesAt(suspect uint64, part bool, now time.Time) bool {
+	q := &fleet.Request{Upstream: "pool", TimeLeft: time.Minute, Fingerprint: suspect}
+	if part {
+		q.Fingerprint, q.Parts = 0, []uint64{1, suspect}
+	}
+	_, refusal := host.fleet.Pick(q, now)
+	return refusal != nil && (refusal.Reason == fleet.ReasonPoison || refusal.Reason == fleet.ReasonPoisonPart)
+}
+
+// Guards against counting one crash several times, because a host gets its reports of some seconds all at once after a
+// pause: a request that ran in one crash, or whose part did, would be refused.
+func TestReportsOfOneCrashAfterPauseCountOnce(t *testing.T) {
+	const sound = 5
+	for name, c := range map[string]struct {
+		part, heartbeats bool
+		pause            time.Duration
+	}{
+		"request":                 {false, false, 4 * time.Second},
+		"request, heartbeats too": {false, true, 4 * time.Second},
+		"request, long pause":     {false, true, 100 * time.Second},
+		"part":                    {true, false, 4 * time.Second},
+		"part, long pause":        {true, false, 100 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			victim, host := newTestHost(t, "victim", "127.0.0.1:1"), newTestHost(t, "host", "127.0.0.1:2")
+			start := time.Now()
+			resumed := start.Add(c.pause)
+			const startMs = 1 << 40 // the clocks of hosts differ
+			before := victim.composeHeartbeat(start.Add(-time.Second))
+			before.SentMs = startMs - 1000
+			host.handleDatagram(before, start.Add(-time.Second))
+			victim.applyCrash(sound, c.part, "r1", start)
+			for _, m := range victim.crashReports(t, sound, c.heartbeats, start, 4*time.Second, startMs) {
+				host.handleDatagram(m, resumed)
+			}
+			known := append(host.fleet.RequestReports(true, resumed), host.fleet.PartReports(true, resumed)...)
+			require.Len(t, known, 1)
+			assert.Len(t, known[0].Crashes, 1)
+			assert.False(t, host.refusesAt(sound, c.part, resumed))
+		})
+	}
+}
+
+// Guards against reports of hosts with older builds, which do not tell when they send, that do not count.
+func TestReportsOfOlderBuildsCount(t *testing.T) {
+	const poison = 5
+	for _, part := range []bool{false, true} {
+		victim, host := newTestHost(t, "victim", "127.0.0.1:1"), newTestHost(t, "host", "127.0.0.1:2")
+		start := time.Now()
+		for i, replica := range []string{"r1", "r2", "r3"} {
+			at := start.Add(time.Duration(i) * 2 * time.Second)
+			victim.applyCrash(poison, part, replica, at)
+			for j, m := range victim.crashReports(t, poison, false, at, time.Second, 1) {
+				m.SentMs = 0
+				host.handleDatagram(m, at.Add(time.Duration(j)*250*time.Millisecond))
+			}
+		}
+		assert.True(t, host.refusesAt(poison, part, start.Add(8*time.Second)))
+	}
+}
+
 // Guards against reports that other hosts read differently.
 func TestSuspectPartsKeepTheirMeaningInTransit(t *testing.T) {
 	now := time.Now()
--- a/internal/gateway/peers/zone.go
+++ b/internal/gateway/peers/zone.go
@@ -84,6 +84,7 @@
 // reportedCrash is a crash that a host of this zone reported.
 type reportedCrash struct {
 	crash      *rpc.Crash
+	delay      time.Duration // of the report
 	reportedAt time.Time
 }
 
@@ -101,15 +102,15 @@
 }
 
 // collectForDigest stores the prompt parts and crashes of a neighbor's heartbeat for the next
-// digest if this host is the zone speaker.
-func (e *Exchange) collectForDigest(m *rpc.Beat, now time.Time) {
+// digest if this host is the zone speaker. The heartbeat was delayed on its way.
+func (e *Exchange) collectForDigest(m *rpc.Beat, delay time.Duration, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.speaker.isSelf || m.AvailabilityZone != e.opts.Zone {
 		return
 	}
 	e.speaker.addPrompts(m.Prompts)
-	e.speaker.addCrashes(m.Crashes, now)
+	e.speaker.addCrashes(m.Crashes, delay, now)
 }
 
 // addPrompts queues prompt parts for the next digest and drops the oldest if there are too many.
@@ -120,14 +121,14 @@
 	}
 }
 
-// addCrashes records crashes that are not known yet.
-func (s *zoneSpeaker) addCrashes(crashes []*rpc.Crash, now time.Time) {
+// addCrashes records crashes that are not known yet. Their report was delayed on its way.
+func (s *zoneSpeaker) addCrashes(crashes []*rpc.Crash, delay time.Duration, now time.Time) {
 	for _, c := range crashes {
 		if s.crashes == nil {
 			s.crashes = make(map[uint64]reportedCrash)
 		}
 		if _, known := s.crashes[c.Fingerprint]; !known {
-			s.crashes[c.Fingerprint] = reportedCrash{crash: c, reportedAt: now}
+			s.crashes[c.Fingerprint] = reportedCrash{crash: c, delay: delay, reportedAt: now}
 		}
 	}
 }
@@ -142,7 +143,7 @@
 			forwarded := &rpc.Crash{Fingerprint: c.crash.Fingerprint, Upstream: c.crash.Upstream, Replica: c.crash.Replica}
 			if c.crash.AgeMs > 0 {
 				// now may be before reportedAt: heartbeats arrive while a digest is composed.
-				forwarded.AgeMs = c.crash.AgeMs + uint32(max(now.Sub(c.reportedAt), 0).Milliseconds())
+				forwarded.AgeMs = c.crash.AgeMs + uint32((c.delay + max(now.Sub(c.reportedAt), 0)).Milliseconds())
 			}
 			out = append(out, forwarded)
 		}
@@ -160,7 +161,7 @@
 		return
 	}
 	e.speaker.addPrompts(prompts)
-	e.speaker.addCrashes(crashes, now)
+	e.speaker.addCrashes(crashes, 0, now)
 	if now.Before(e.nextDigest) {
 		e.mu.Unlock()
 		return
@@ -204,7 +205,7 @@
 			m.Crashes, m.Classes, m.Peers = recent, classes, addresses
 		}
 		e.sendDigestPart(targets, &rpc.Beat{
-			ZoneDigest: m, PullAddress: e.opts.Listen, ConfigVersion: e.opts.State.ConfigVersion(),
+			ZoneDigest: m, PullAddress: e.opts.Listen, SentMs: sentMs(), ConfigVersion: e.opts.State.ConfigVersion(),
 			MembersEra: e.opts.State.MembersEra(), MembersRevision: e.opts.State.MembersRevision(),
 		})
 	}
@@ -298,7 +299,7 @@
 		hosts = int(m.Hosts)
 	}
 	e.opts.Fleet.ApplyMergedDigest(name, hosts, uses, parts, tokens, now)
-	e.opts.Fleet.ApplyCrashes(crashesFromProto(m.Crashes), now)
+	e.opts.Fleet.ApplyCrashes(crashesFromProto(m.Crashes, e.transitDelay(message, now)), now)
 	e.opts.Fleet.ApplyClassCounts("zone/"+m.AvailabilityZone+"/"+m.Speaker, false, classCountsFromProto(m.Classes), now)
 	e.applyLimits("zone/"+m.AvailabilityZone+"/"+m.Speaker, false, m.Limits, now)
 	if m.Relayed {
