--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -29,6 +29,9 @@
 	maxWitnesses = 8
 )
 
+// errNoBoot means that an answer does not state its process.
+var errNoBoot = errors.New("answer states no process")
+
 // isUnframed reports whether the body of an answer has neither a length nor chunks and ends with its connection.
 func isUnframed(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
@@ -63,13 +66,13 @@
 		case ctx.Err() != nil:
 			return eris.Wrap(ErrTimeout, "answer without a length ended, and its process does not answer")
 		case time.Now().After(last):
-			return eris.Wrapf(ErrBroken, "answer without a length ended, and its process does not answer: %v", err)
+			return eris.Wrapf(ErrBroken, "answer without a length ended, and its process did not answer again: %v", err)
 		}
 		pause(ctx, inspectInterval)
 	}
 }
 
-// requestBoot returns the process that answers at an address, or "" if the answer does not state it.
+// requestBoot returns the process that answers at an address. It is empty if there is an error.
 func (c *Client) requestBoot(ctx context.Context, address string) (string, error) {
 	request := &http.Request{
 		Method: http.MethodHead, // the answer has no body, so that the connection is kept
@@ -81,7 +84,11 @@
 		return "", err
 	}
 	_ = response.Body.Close() // an answer to HEAD has none
-	return response.Header.Get(bootHeader), nil
+	boot := response.Header.Get(bootHeader)
+	if boot == "" {
+		return "", errNoBoot
+	}
+	return boot, nil
 }
 
 func pause(ctx context.Context, d time.Duration) {
