Bound the memory of all buffered answers of a host together

Other operators reported a faulty replica whose bytes without end, in a head or a body, exhausted the memory of the machine that called it, and ended the requests of other clients there.

Each answer had a bound (head 64 KB, event 1 MiB, plain answer 1 MiB), their sum had none. A head is the worst: a line of six bytes occupies over a hundred as a header entry.

TestEndlessAnswersStayWithinTheMemoryOfTheHost runs a real gateway with memory_limit_mb 189, 400 requests at once, two of two replicas faulty.

A host now has a budget for buffered answers, a fifth of the memory limit (buffer_share), and a second one for bodies of requests. Buffers take their capacity, not their length, from it as they grow. A replica may hold as much as remains free, so that n flooding replicas leave 1/(n+1) and nothing has to be taken from others: the growing answer of the replica that holds most fails first. Evicting the largest holders would need cancellation across goroutines and gives no more. The first 8 KB of an answer are free, so that common heads and events never fail.

What does not fit ends as a broken answer does, but counts as a failed answer of the replica, not as a lost connection, which is evidence of a crash. A plain answer that may not be repeated is forwarded as it arrives instead. A request whose body does not fit is refused as not run (503).

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -28,6 +28,7 @@
 	"heatherbarrow/internal/gateway/upstream"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/listen"
+	"heatherbarrow/internal/membudget"
 	"heatherbarrow/internal/objectstore"
 	"heatherbarrow/internal/scheduling/poisonpart"
 	"heatherbarrow/internal/settings"
@@ -95,6 +96,7 @@
 	fleet         *fleet.Fleet
 	budget        *proxy.Budget
 	client        *upstream.Client
+	bodyMemory    *membudget.Budget
 	origins       *origin.Tracker
 	state         *state.State
 	role          *state.Role
@@ -163,7 +165,8 @@
 	p.newEra = make(chan struct{}, 1)
 	p.fleet = fleet.New(fleet.Options{Zone: p.settings.AvailabilityZone, Model: p.settings.Engines.engineModel(), Seed: rand.Uint64()})
 	p.budget = proxy.NewBudget(clockwork.NewRealClock(), p.started, p.settings.RetryShare, p.settings.RetrySlack, minHosts)
-	p.client = upstream.NewClient(netio.Dial)
+	p.client = upstream.NewClient(netio.Dial, p.settings.bufferBudget())
+	p.bodyMemory = p.settings.bufferBudget()
 	p.origins = origin.NewTracker()
 	p.state = state.New(state.Options{
 		Bus: events, Fleet: p.fleet, Origins: p.origins, Decode: p.adapter.DecodeConfig, Logger: p.logger,
@@ -184,7 +187,7 @@
 	})
 	p.server = proxy.New(proxy.Options{
 		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client, Origins: p.peers, Helpers: p.peers,
-		Table: p.state.Table, Known: p.state.Known, RegistrationsCurrent: p.peers.RegistrationsCurrent, Logger: p.logger, Metrics: p.metrics.Scope,
+		Table: p.state.Table, Known: p.state.Known, RegistrationsCurrent: p.peers.RegistrationsCurrent, BodyMemory: p.bodyMemory, Logger: p.logger, Metrics: p.metrics.Scope,
 	})
 	p.store = p.adapter.Store(p.settings.Store, &http.Client{Transport: netio.DropIdleAfterFailure(&http.Transport{
 		DialContext: netio.Dial, MaxIdleConnsPerHost: maxIdleStoreConns, DisableCompression: true, MaxResponseHeaderBytes: netio.MaxHeaderBytes,
@@ -300,6 +303,8 @@
 	scope.Gauge("hosts_heard").Update(float64(p.fleet.Hosts()))
 	scope.Gauge("prompt_parts_refused").Update(float64(len(p.fleet.RefusedParts(time.Now()))))
 	scope.Gauge("requests_in_progress").Update(float64(p.server.Active()))
+	scope.Gauge("answer_memory_bytes").Update(float64(p.client.HeldBytes()))
+	scope.Gauge("request_body_memory_bytes").Update(float64(p.bodyMemory.Held()))
 	if t := p.state.Table(); t != nil {
 		for _, u := range t.Upstreams {
 			known, usable := p.fleet.ReplicaCounts(u.Name, time.Now())
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -12,6 +12,7 @@
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
+	"heatherbarrow/internal/membudget"
 )
 
 // maxBufferedBodyBytes is the longest non-streaming response body that is buffered
@@ -48,7 +49,7 @@
 // p.replicaFailure instead, in case another replica succeeds.
 func (e *exchange) forwardPlain(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *watchdog) attemptResult {
 	lease.FirstByte(time.Now())
-	body, complete, err := upstream.ReadAll(response.Body, maxBufferedBodyBytes)
+	body, complete, err := e.bufferBody(response)
 	switch {
 	case err != nil:
 		return e.handleUnusable(err, fleet.Truncated, lease)
@@ -71,7 +72,7 @@
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError {
 		lease.End(fleet.Failed, time.Now())
-		p.replicaFailure = buffered
+		e.keepFailure(buffered, response, p)
 		return attemptFailed
 	}
 	e.endServed(response, lease)
@@ -83,6 +84,32 @@
 	return attemptDone
 }
 
+// bufferBody reads the body of a response that is not an event stream. If there is no memory to buffer it and the request
+// must not be sent again, the body counts as one that is too long to be buffered.
+func (e *exchange) bufferBody(response *upstream.Response) (body []byte, complete bool, err error) {
+	body, complete, err = response.ReadAll(maxBufferedBodyBytes)
+	if errors.Is(err, membudget.ErrExhausted) && !e.route.Repeatable() {
+		return body, false, nil
+	}
+	return body, complete, err
+}
+
+// keepFailure keeps a replica's 5xx response in case no other attempt succeeds.
+func (e *exchange) keepFailure(failure *bufferedResponse, response *upstream.Response, p *progress) {
+	p.replicaFailure = failure
+	e.failureMemory.Close()
+	e.failureMemory = response.TakeMemory()
+}
+
+// exhausted reports whether an attempt was given up because its answer had no room in memory, and counts it.
+func (e *exchange) exhausted(err error) bool {
+	if !errors.Is(err, membudget.ErrExhausted) {
+		return false
+	}
+	e.server.metrics.exhaustedAnswers.Inc(1)
+	return true
+}
+
 // endServed ends the lease of a complete response.
 func (e *exchange) endServed(response *upstream.Response, lease *fleet.Lease) {
 	result := fleet.Served
@@ -120,6 +147,9 @@
 // seal (a header that shows that the replica itself produced the response) or is too long to
 // buffer although the caller has begun to receive a stream.
 func (e *exchange) handleUnusable(err error, leaseResult fleet.Result, lease *fleet.Lease) attemptResult {
+	if e.exhausted(err) {
+		leaseResult = fleet.Failed
+	}
 	if e.abandoned() {
 		leaseResult = fleet.Abandoned
 	}
@@ -151,6 +181,7 @@
 	e.record.responded(response.Status)
 	e.w.WriteHeader(response.Status)
 	_, writeErr := e.w.Write(bodyStart)
+	response.Drop(bodyStart)
 	_, copyErr := io.Copy(e.w, response.Body)
 	if copyErr == nil && e.endedWithProcess(response, lease) {
 		copyErr = errProcessEnded
@@ -176,7 +207,7 @@
 	if !reply.Sealed {
 		return e.handleUnusable(errors.New("stream has no server seal"), fleet.Failed, lease)
 	}
-	events := upstream.NewEventReader(response.Body)
+	events := response.Events()
 	controller := http.NewResponseController(e.w)
 	var firstEventAt time.Time
 	eventsBefore := p.events
@@ -317,7 +348,7 @@
 	}
 	leaseResult := fleet.ConnectionLost
 	switch {
-	case e.r.Context().Err() != nil:
+	case e.exhausted(err), e.r.Context().Err() != nil:
 		leaseResult = fleet.Failed
 	case errors.Is(err, upstream.ErrTruncatedEvent):
 		// A framed body that ends in the middle of an event was sent that way.
--- a/internal/gateway/proxy/assumed.go
+++ b/internal/gateway/proxy/assumed.go
@@ -144,7 +144,7 @@
 	if err == nil {
 		defer response.Close()
 		var complete bool
-		if body, complete, err = upstream.ReadAll(response.Body, maxProcessReportBytes); err == nil && complete {
+		if body, complete, err = response.ReadAll(maxProcessReportBytes); err == nil && complete {
 			status = response.Status
 			response.MarkComplete()
 		}
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -291,7 +291,7 @@
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
 		return e.forwardStream(response, reply, lease, p, watchdog)
 	}
-	body, complete, err := upstream.ReadAll(response.Body, maxBufferedBodyBytes)
+	body, complete, err := e.bufferBody(response)
 	switch {
 	case err != nil:
 		return e.handleUnusable(err, fleet.Truncated, lease)
@@ -313,7 +313,7 @@
 		e.sendBuffered(buffered)
 		return attemptDone
 	case reply.Sealed:
-		p.replicaFailure = buffered
+		e.keepFailure(buffered, response, p)
 		return attemptFailed
 	}
 	return attemptMayHaveRun
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -59,6 +59,7 @@
 	processQuestions   tally.Counter // asked replicas which process they are
 	replacedProcesses  tally.Counter // of these, answered by another one than the registered
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
+	exhaustedAnswers   tally.Counter // given up because there was no memory for them
 
 	mu        sync.Mutex
 	requests  map[requestSeries]tally.Counter
@@ -78,6 +79,7 @@
 		processQuestions:   scope.Counter("process_questions"),
 		replacedProcesses:  scope.Counter("processes_replaced"),
 		limitedAttempts:    scope.Counter("limited_attempts"),
+		exhaustedAnswers:   scope.Counter("answers_without_memory"),
 		requests:           make(map[requestSeries]tally.Counter),
 		refusals:           make(map[string]refusalCounter),
 		latencies:          make(map[latencySeries]latencyHistograms),
--- a/internal/gateway/proxy/proxy_test.go
+++ b/internal/gateway/proxy/proxy_test.go
@@ -89,7 +89,7 @@
 // restart starts the gateway's server with changed options and another way to open connections.
 func (g *testGateway) restart(change func(*proxy.Options), dial upstream.Dial) {
 	options := proxy.Options{
-		Dialect: platform.Dialect{}, Fleet: g.fleet, Client: upstream.NewClient(dial), Origins: g.origins,
+		Dialect: platform.Dialect{}, Fleet: g.fleet, Client: upstream.NewClient(dial, nil), Origins: g.origins,
 		Budget: proxy.NewBudget(clockwork.NewRealClock(), time.Now().Add(-time.Minute), 0.2, 50, 1),
 		Table:  g.table.Load, Known: func() bool { return g.table.Load() != nil }, Logger: zerolog.Nop(), Metrics: g.metrics,
 	}
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -405,6 +405,9 @@
 		p.sentAttempts++
 		e.noteRun(p, lease.Member.ID)
 	}
+	if e.exhausted(err) {
+		leaseResult = fleet.Failed
+	}
 	if e.abandoned() || errors.Is(err, upstream.ErrUnexpectedProcess) {
 		leaseResult = fleet.Abandoned
 	}
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -22,6 +22,7 @@
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
+	"heatherbarrow/internal/membudget"
 )
 
 const (
@@ -32,6 +33,9 @@
 	noConfigRetryAfter = 200 * time.Millisecond
 	// hostStopsRetryAfter is the retry time of a host that stops: the balancer sends the caller to another one.
 	hostStopsRetryAfter = 10 * time.Millisecond
+	// bodyMemoryRetryAfter is the retry time while the bodies of other requests occupy the memory set aside for them. They
+	// leave it when their requests end.
+	bodyMemoryRetryAfter = 500 * time.Millisecond
 )
 
 // Options configure a Server.
@@ -49,8 +53,10 @@
 	Known func() bool
 	// RegistrationsCurrent reports whether the registrations of the replicas are up to date; nil if they always are.
 	RegistrationsCurrent func() bool
-	Logger               zerolog.Logger
-	Metrics              tally.Scope
+	// BodyMemory is what the bodies of all requests may occupy together; nil sets no bound.
+	BodyMemory *membudget.Budget
+	Logger     zerolog.Logger
+	Metrics    tally.Scope
 }
 
 // Server forwards the requests of callers to replicas.
@@ -133,6 +139,9 @@
 	delegation *delegation // nil if the other host sent none, as its build is an earlier one
 	target     string      // path and query as the caller sent them
 
+	bodyMemory    *membudget.Account // of the request
+	failureMemory *membudget.Account // of progress.replicaFailure
+
 	record record
 }
 
@@ -154,6 +163,7 @@
 		e.w.Header().Set("Connection", "close")
 	}
 	defer e.finish()
+	defer e.releaseMemory()
 	if !e.admit() || !e.readBody() || !e.admitAtStop() {
 		return
 	}
@@ -165,6 +175,12 @@
 	e.dispatch(ctx)
 }
 
+// releaseMemory gives back the memory of what is kept until the request ends.
+func (e *exchange) releaseMemory() {
+	e.bodyMemory.Close()
+	e.failureMemory.Close()
+}
+
 // admit finds the route and team of the request and sets its deadline. If the request must
 // not be served, admit refuses it and returns false.
 func (e *exchange) admit() bool {
@@ -309,7 +325,8 @@
 		return true
 	}
 	unbound := e.server.drain.BoundRead(http.NewResponseController(e.w).SetReadDeadline, e.deadline)
-	body, complete, err := upstream.ReadAll(e.r.Body, limit)
+	e.bodyMemory = e.server.opts.BodyMemory.Open(e.teamName())
+	body, complete, err := upstream.ReadAll(e.r.Body, int(limit), e.bodyMemory)
 	unbound(err == nil && complete)
 	if err != nil || !complete {
 		// The rest of the body is not read, so the connection cannot be reused.
@@ -322,6 +339,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		e.refuse(http.StatusRequestTimeout, "body_timeout", 0)
 		return false
+	case errors.Is(err, membudget.ErrExhausted):
+		e.refuse(http.StatusServiceUnavailable, "body_memory", e.boundRetryAfter(bodyMemoryRetryAfter))
+		return false
 	case errors.Is(err, io.ErrUnexpectedEOF), err != nil && e.r.Context().Err() != nil:
 		e.record.outcome = outcomeCallerGone
 		panic(http.ErrAbortHandler)
@@ -336,6 +356,14 @@
 	return true
 }
 
+// teamName returns the name of the request's team, or "".
+func (e *exchange) teamName() string {
+	if e.team == nil {
+		return ""
+	}
+	return e.team.Name
+}
+
 // setFingerprint sets the fingerprint of the request. It covers what stays the same when the
 // caller sends the request again.
 func (e *exchange) setFingerprint() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"heatherbarrow/internal/membudget"
 	"heatherbarrow/internal/settings"
 )
 
@@ -25,6 +26,9 @@
 	Store string   `json:"store"` // IP:port of the platform's store
 	// MemoryLimitMB is the memory usage, in MiB, at which the host kills the process.
 	MemoryLimitMB int `json:"memory_limit_mb"`
+	// BufferShare is the share of the memory limit that buffered answers may occupy together, and the same for the bodies
+	// of requests. Zero means 0.2.
+	BufferShare float64 `json:"buffer_share,omitempty"`
 	// RetryShare and RetrySlack limit the retries that an upstream receives from all
 	// hosts within 10 s to RetryShare of its requests plus RetrySlack.
 	RetryShare float64 `json:"retry_share"`
@@ -80,6 +84,8 @@
 		return settings.Errorf("beat_port", "%d is not a port", s.BeatPort)
 	case s.MemoryLimitMB < 1:
 		return settings.Errorf("memory_limit_mb", "value must be at least 1")
+	case s.BufferShare < 0 || s.BufferShare > maxBufferShare:
+		return settings.Errorf("buffer_share", "value must be from 0 to %v", maxBufferShare)
 	case s.RetryShare < 0 || s.RetryShare > 1:
 		return settings.Errorf("retry_share", "value must be from 0 to 1")
 	case s.RetrySlack < 0:
@@ -113,6 +119,17 @@
 	return lapseHeartbeats * cmp.Or(s.ReplicaHeartbeat.Std(), defaultReplicaHeartbeat)
 }
 
+// Constants of bufferBudget. Both budgets and the garbage that the collector leaves beside them must fit into the limit.
+const (
+	defaultBufferShare = 0.2
+	maxBufferShare     = 0.3
+)
+
+// bufferBudget returns a budget of the memory for buffered answers, or for bodies of requests.
+func (s *Settings) bufferBudget() *membudget.Budget {
+	return membudget.New(int(cmp.Or(s.BufferShare, defaultBufferShare) * float64(s.MemoryLimitMB) * (1 << 20)))
+}
+
 // defaultConfigWithin is the value of ConfigWithin when it is not set.
 const defaultConfigWithin = 2 * time.Second
 
@@ -138,6 +155,6 @@
 func (s *Settings) sameRestartSettings(other *Settings) bool {
 	return s.Host == other.Host && s.AvailabilityZone == other.AvailabilityZone && s.Listen == other.Listen &&
 		s.ReadyListen == other.ReadyListen && s.PeerListen == other.PeerListen && s.BeatPort == other.BeatPort &&
-		s.Store == other.Store && s.MemoryLimitMB == other.MemoryLimitMB && s.GraceSeconds == other.GraceSeconds &&
+		s.Store == other.Store && s.MemoryLimitMB == other.MemoryLimitMB && s.BufferShare == other.BufferShare && s.GraceSeconds == other.GraceSeconds &&
 		s.WithdrawWithin == other.WithdrawWithin && s.ConfigWithin == other.ConfigWithin && s.ReplicaHeartbeat == other.ReplicaHeartbeat && s.BalancerLag == other.BalancerLag && s.Engines == other.Engines
 }
--- a/internal/gateway/upstream/check.go
+++ b/internal/gateway/upstream/check.go
@@ -89,7 +89,8 @@
 	if req.Check.Matches != nil {
 		question.Matches = func(status int, h http.Header, _ bool) bool { return req.Check.Matches(status, h) }
 	}
-	answer := &Response{client: c, address: req.Address, conn: connection, Reused: connection.usedBefore}
+	answer := &Response{client: c, address: req.Address, conn: connection, Reused: connection.usedBefore, memory: c.memory.Open(req.Address)}
+	defer answer.memory.Close()
 	stop := context.AfterFunc(askCtx, func() { _ = connection.abort() })
 	askedAt := time.Now()
 	err := answer.send(question)
@@ -99,7 +100,7 @@
 	var body []byte
 	complete := false
 	if err == nil {
-		body, complete, err = ReadAll(answer.Body, maxCheckBytes)
+		body, complete, err = answer.ReadAll(maxCheckBytes)
 	}
 	if !stop() || err != nil || !complete {
 		if ctx.Err() == nil { // the request that needs the answer has not ended before it
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,8 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"heatherbarrow/internal/membudget"
 )
 
 // ErrNotSent means that no byte of the request was sent, so it did not run.
@@ -60,15 +63,20 @@
 // Client sends requests to replicas and pools idle connections. It is safe for
 // concurrent use.
 type Client struct {
-	dial Dial
-	pool pool
+	dial   Dial
+	pool   pool
+	memory *membudget.Budget
 }
 
-// NewClient returns a client that opens connections with dial.
-func NewClient(dial Dial) *Client {
-	return &Client{dial: dial, pool: pool{idle: make(map[string][]*conn)}}
+// NewClient returns a client that opens connections with dial. Memory is what the answers of all replicas may occupy
+// together; nil sets no bound.
+func NewClient(dial Dial, memory *membudget.Budget) *Client {
+	return &Client{dial: dial, pool: pool{idle: make(map[string][]*conn)}, memory: memory}
 }
 
+// HeldBytes returns the memory that answers occupy now, see membudget.Budget.
+func (c *Client) HeldBytes() int { return c.memory.Held() }
+
 // Request is a request to a replica.
 type Request struct {
 	Address string // IP:port
@@ -115,6 +123,7 @@
 	bodyWritten    chan error  // result of the concurrent body write; nil if the body was written before the response was read
 	closeRequested bool        // the replica closes the connection after this response
 	bodyComplete   bool        // set by MarkComplete
+	memory         *membudget.Account
 }
 
 // CloseIdle closes the idle connections whose reuse time has expired at now. It should
@@ -129,7 +138,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	resp := &Response{client: c, address: req.Address, maxIdle: req.MaxIdle, id: req.ID, conn: connection, Reused: connection.usedBefore, Checked: checked}
+	resp := &Response{client: c, address: req.Address, maxIdle: req.MaxIdle, id: req.ID, conn: connection, Reused: connection.usedBefore, Checked: checked, memory: c.memory.Open(req.Address)}
 	resp.stop = context.AfterFunc(ctx, func() { _ = connection.abort() })
 	if err := resp.send(req); err != nil {
 		resp.Close()
@@ -255,12 +264,10 @@
 	httpRequest := &http.Request{Method: req.Method}
 	foreign, informational := 0, 0
 	for {
-		r.conn.byteLimiter.setLimit(maxHeaderBytes)
-		response, err := http.ReadResponse(r.conn.reader, httpRequest)
+		response, err := r.readHead(httpRequest)
 		if err != nil {
 			return err
 		}
-		r.conn.byteLimiter.setLimit(unlimited)
 		if response.StatusCode < http.StatusOK {
 			if informational++; informational > maxInformationalResponses {
 				return ErrResponseTooLarge
@@ -284,6 +291,46 @@
 	}
 }
 
+// headLineBytes is the memory that a header line occupies beside its text.
+const headLineBytes = 128
+
+// readHead reads a head and leaves the account with what the head occupies.
+func (r *Response) readHead(request *http.Request) (*http.Response, error) {
+	r.memory.Close()                                            // the head before has been dropped
+	received, _ := r.conn.reader.Peek(r.conn.reader.Buffered()) // never fails
+	if err := growByHead(r.memory, received); err != nil {
+		return nil, err
+	}
+	r.conn.byteLimiter.setLimit(maxHeaderBytes, r.memory)
+	response, err := http.ReadResponse(r.conn.reader, request)
+	if err != nil {
+		return nil, cmp.Or(r.conn.byteLimiter.exhausted, err) // an error of the text may hide the other
+	}
+	r.conn.byteLimiter.setLimit(unlimited, nil)
+	r.memory.Close()
+	return response, r.memory.Grow(headerBytes(response.Header))
+}
+
+// growByHead grows an account by what the head at the beginning of the received bytes occupies when it has been read. All
+// of them count if the head does not end within them.
+func growByHead(memory *membudget.Account, received []byte) error {
+	head, _, _ := bytes.Cut(received, []byte("\n\r\n"))
+	const copies = 2 // of each byte, while it is read
+	return memory.Grow(copies*len(head) + headLineBytes*bytes.Count(head, []byte{'\n'}))
+}
+
+// headerBytes returns the memory that a header occupies.
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		n += len(name)
+		for _, value := range values {
+			n += len(value) + headLineBytes
+		}
+	}
+	return n
+}
+
 // Discard reads the rest of a body that is not needed, so that the connection can be
 // reused. If the body is too long or too slow, Discard stops reading, and Close closes
 // the connection.
@@ -311,6 +358,7 @@
 // connection can be reused. A connection whose response is incomplete is reset, which
 // cancels the replica's work.
 func (r *Response) Close() {
+	r.memory.Close()
 	// If stop returns false, the context has ended and the function registered in Do
 	// closes the connection.
 	open := r.stop()
@@ -338,10 +386,38 @@
 	r.client.pool.put(r.address, r.conn, r.maxIdle)
 }
 
-// ReadAll reads a body of at most limit bytes. If the body is longer, it returns the first
-// limit+1 bytes and false; the rest can still be read from body.
-func ReadAll(body io.Reader, limit int64) ([]byte, bool, error) {
-	var b bytes.Buffer
-	n, err := b.ReadFrom(io.LimitReader(body, limit+1))
-	return b.Bytes(), n <= limit, err
+// Events returns a reader of the events of a stream, which is the body.
+func (r *Response) Events() *EventReader { return NewEventReader(r.Body, r.memory) }
+
+// ReadAll is the function ReadAll for the body.
+func (r *Response) ReadAll(limit int) ([]byte, bool, error) { return ReadAll(r.Body, limit, r.memory) }
+
+// Drop tells that the caller no longer holds what ReadAll has returned.
+func (r *Response) Drop(body []byte) { r.memory.Shrink(cap(body)) }
+
+// TakeMemory returns the account of the memory that the response occupies, for a body that is kept when the response
+// is closed. The caller must close the account.
+func (r *Response) TakeMemory() *membudget.Account {
+	taken := r.memory
+	r.memory = nil
+	return taken
+}
+
+// ReadAll reads a body of at most limit bytes, which it holds in the account. If the body is longer, it returns the first
+// limit+1 bytes and false; the rest can still be read from body. So can it if an error wraps membudget.ErrExhausted.
+func ReadAll(body io.Reader, limit int, memory *membudget.Account) (data []byte, complete bool, err error) {
+	for err == nil && len(data) <= limit {
+		if len(data) == cap(data) {
+			if data, err = memory.Enlarge(data, limit+1); err != nil {
+				return data, false, err
+			}
+		}
+		var n int
+		n, err = body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+	}
+	if err == io.EOF {
+		err = nil
+	}
+	return data, len(data) <= limit, err
 }
--- a/internal/gateway/upstream/client_test.go
+++ b/internal/gateway/upstream/client_test.go
@@ -47,7 +47,7 @@
 }
 
 func newTestClient() *Client {
-	return NewClient((&net.Dialer{Timeout: time.Second}).DialContext)
+	return NewClient((&net.Dialer{Timeout: time.Second}).DialContext, nil)
 }
 
 func readRequest(r *bufio.Reader) (*http.Request, []byte, error) {
@@ -98,7 +98,7 @@
 			request.MaxIdle = maxIdle
 			response, err := c.Do(t.Context(), request)
 			require.NoError(t, err)
-			_, _, err = ReadAll(response.Body, 1000)
+			_, _, err = response.ReadAll(1000)
 			require.NoError(t, err)
 			response.MarkComplete()
 			open = append(open, response)
@@ -126,7 +126,7 @@
 	response, err := newTestClient().Do(t.Context(), newRequest(r.address, "1"))
 	require.NoError(t, err)
 	defer response.Close()
-	body, complete, err := ReadAll(response.Body, 100)
+	body, complete, err := response.ReadAll(100)
 	require.NoError(t, err)
 	assert.True(t, complete)
 	assert.Equal(t, "answer", string(body))
@@ -182,7 +182,7 @@
 	response, err := c.Do(t.Context(), req)
 	require.NoError(t, err)
 	defer response.Close()
-	data, _, err := ReadAll(response.Body, 1000)
+	data, _, err := response.ReadAll(1000)
 	require.NoError(t, err)
 	response.MarkComplete()
 	return string(data), response.Reused
@@ -317,7 +317,7 @@
 		})
 		response, err := newTestClient().Do(t.Context(), newRequest(r.address, "1"))
 		require.NoError(t, err)
-		_, _, err = ReadAll(response.Body, 100)
+		_, _, err = response.ReadAll(100)
 		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 		response.Close()
 	}
@@ -325,7 +325,7 @@
 
 // Guards against events that are merged, split or returned incomplete.
 func TestEventReaderReturnsWholeEvents(t *testing.T) {
-	r := NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda"))
+	r := NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\nda"), nil)
 	var got []string
 	for {
 		e, err := r.Next()
@@ -336,10 +336,10 @@
 		got = append(got, e.ID+"|"+string(e.Raw))
 	}
 	assert.Equal(t, []string{"1|id: 1\ndata: a\n\n", "2|id: 2\r\ndata: b\r\n\r\n", "|data: c\n\n"}, got)
-	_, err := NewEventReader(strings.NewReader("")).Next()
+	_, err := NewEventReader(strings.NewReader(""), nil).Next()
 	assert.True(t, errors.Is(err, io.EOF))
 	long := "data: " + strings.Repeat("x", 3*readBufferBytes) + "\n\n"
-	e, err := NewEventReader(strings.NewReader(long)).Next()
+	e, err := NewEventReader(strings.NewReader(long), nil).Next()
 	require.NoError(t, err)
 	assert.Equal(t, long, string(e.Raw))
 }
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/netio"
+	"heatherbarrow/internal/membudget"
 )
 
 const (
@@ -54,10 +55,14 @@
 type byteLimiter struct {
 	source    io.Reader
 	remaining int
+	memory    *membudget.Account // of the head that is read; nil otherwise
+	exhausted error              // why the account could not hold the head
 }
 
-// setLimit sets the number of bytes that may still be read.
-func (l *byteLimiter) setLimit(bytes int) { l.remaining = bytes }
+// setLimit sets the number of bytes that may still be read, and the account that holds them if they are a head.
+func (l *byteLimiter) setLimit(bytes int, memory *membudget.Account) {
+	l.remaining, l.memory, l.exhausted = bytes, memory, nil
+}
 
 // Read implements io.Reader.
 func (l *byteLimiter) Read(p []byte) (int, error) {
@@ -68,6 +73,9 @@
 	if l.remaining != unlimited {
 		l.remaining -= n
 	}
+	if l.exhausted = growByHead(l.memory, p[:n]); l.exhausted != nil {
+		return 0, l.exhausted
+	}
 	return n, err
 }
 
--- a/internal/gateway/upstream/endless_test.go
+++ b/internal/gateway/upstream/endless_test.go
@@ -72,7 +72,7 @@
 			response, err := newTestClient().Do(t.Context(), newRequest(r.address, "1"))
 			require.NoError(t, err)
 			defer response.Close()
-			_, _, err = ReadAll(response.Body, 1<<20)
+			_, _, err = response.ReadAll(1 << 20)
 			assert.Error(t, err)
 		})
 	}
@@ -139,7 +139,7 @@
 
 // Guards against keep-alive comments that are taken for events.
 func TestEventReaderMarksCommentOnlyEvents(t *testing.T) {
-	events := NewEventReader(strings.NewReader(": wait\n\n:\n: more\n\n: with\nid: 1\ndata: x\n\ndata: y\n\n"))
+	events := NewEventReader(strings.NewReader(": wait\n\n:\n: more\n\n: with\nid: 1\ndata: x\n\ndata: y\n\n"), nil)
 	for i, want := range []Event{
 		{Raw: []byte(": wait\n\n"), CommentOnly: true}, {Raw: []byte(":\n: more\n\n"), CommentOnly: true},
 		{Raw: []byte(": with\nid: 1\ndata: x\n\n"), ID: "1"}, {Raw: []byte("data: y\n\n")},
--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -5,10 +5,19 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"heatherbarrow/internal/membudget"
 )
 
-// maxEventBytes limits the size of each event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of each event.
+	maxEventBytes = 1 << 20
+	// smallEventBytes is the size of a buffer that is kept for the next event, maxKeptEventBytes that of the largest that
+	// is kept after an event that fills at least a part of it.
+	smallEventBytes   = 4 << 10
+	maxKeptEventBytes = 32 << 10
+	keptEventDivisor  = 4
+)
 
 // ErrTruncatedEvent means that a stream ended in the middle of an event.
 var ErrTruncatedEvent = errors.New("stream ended in the middle of an event")
@@ -27,22 +36,27 @@
 type EventReader struct {
 	reader *bufio.Reader
 	buf    []byte
+	memory *membudget.Account
 }
 
-// NewEventReader returns an EventReader that reads from body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(body, readBufferBytes)}
+// NewEventReader returns an EventReader that reads from body. The account holds the events.
+func NewEventReader(body io.Reader, memory *membudget.Account) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(body, readBufferBytes), memory: memory}
 }
 
 // Next returns the next event. The error is io.EOF if the stream ended after a complete
 // event, and ErrTruncatedEvent or the read error if it broke off. An event longer than
-// maxEventBytes gives an error too.
+// maxEventBytes gives an error too, and so does one that the account cannot hold.
 func (r *EventReader) Next() (Event, error) {
 	e := Event{CommentOnly: true}
+	r.dropLargeBuffer()
 	r.buf = r.buf[:0]
 	for {
 		line, err := r.reader.ReadSlice('\n')
-		r.buf = append(r.buf, line...)
+		var exhausted error
+		if r.buf, exhausted = r.memory.Append(r.buf, line, maxEventBytes); exhausted != nil {
+			return Event{}, exhausted
+		}
 		if errors.Is(err, bufio.ErrBufferFull) && len(r.buf) < maxEventBytes {
 			continue
 		}
@@ -67,6 +81,16 @@
 	}
 }
 
+// dropLargeBuffer drops the buffer if it is much larger than most events need.
+func (r *EventReader) dropLargeBuffer() {
+	size := cap(r.buf)
+	if size <= smallEventBytes || size <= maxKeptEventBytes && len(r.buf) >= size/keptEventDivisor {
+		return
+	}
+	r.memory.Shrink(size)
+	r.buf = nil
+}
+
 // Pending reports whether the next event has been received completely.
 func (r *EventReader) Pending() bool {
 	received, _ := r.reader.Peek(r.reader.Buffered()) // never fails
--- a/internal/gateway/upstream/fuzz_test.go
+++ b/internal/gateway/upstream/fuzz_test.go
@@ -18,7 +18,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		r := NewEventReader(bytes.NewReader(text))
+		r := NewEventReader(bytes.NewReader(text), nil)
 		var passed []byte
 		for {
 			event, err := r.Next()
--- /dev/null
+++ b/internal/soak/memory_test.go
@@ -0,0 +1,301 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/gateway"
+	"heatherbarrow/platform"
+	"heatherbarrow/platform/storetest"
+)
+
+const (
+	memoryLimitMB  = 189
+	floodedAtOnce  = 400
+	floodBytes     = 1000 << 10 // a little less than the gateway's limits of an event and of a buffered answer
+	floodHeadBytes = 60 << 10   // the same for a head
+	maxFloodTime   = 10 * time.Second
+	// floodSilence is the number of steps without a byte after which the flood is complete.
+	floodSilence     = 10
+	floodSilenceStep = 50 * time.Millisecond
+	floodOrderPath   = "/bulk/"
+	maxSoundBytes    = 4 << 10
+	floodPath        = "/flood/"
+	floodPlainPath   = "/plain/"
+)
+
+// flood is an answer of a faulty replica that does not end and pauses below the gateway's limits.
+type flood struct {
+	path    string // of the requests that are answered with it
+	begin   string
+	fill    func(i int) string // piece i of what follows
+	bytes   int
+	trickle bool // sends single bytes instead of the pause
+	inHead  bool // the replica sends its own head
+}
+
+func repeated(piece string) func(int) string {
+	block := strings.Repeat(piece, max(4<<10/len(piece), 1))
+	return func(int) string { return block }
+}
+
+var floods = map[string]flood{
+	"event":    {path: floodPath, begin: "id: 0\ndata: ", fill: repeated("x"), bytes: floodBytes},
+	"trickle":  {path: floodPath, begin: "id: 0\ndata: ", fill: repeated("x"), bytes: floodBytes, trickle: true},
+	"lines":    {path: floodPath, begin: "id: 0\n", fill: repeated("data: some text\n"), bytes: floodBytes},
+	"comments": {path: floodPath, fill: repeated(": wait\n"), bytes: floodBytes},
+	"plain":    {path: floodPlainPath, fill: repeated("x"), bytes: floodBytes},
+	"order":    {path: floodOrderPath, fill: repeated("x"), bytes: floodBytes},
+	"head": {path: floodPath, begin: "HTTP/1.1 200 OK\r\n", fill: func(i int) string { return strconv.FormatInt(int64(i), 36) + ":\r\n" },
+		bytes: floodHeadBytes, inHead: true},
+}
+
+// content returns the bytes before the pause.
+func (f *flood) content() []byte {
+	var b bytes.Buffer
+	b.WriteString(f.begin)
+	for i := 0; b.Len() < f.bytes; i++ {
+		b.WriteString(f.fill(i))
+	}
+	return b.Bytes()
+}
+
+// floodingReplica answers the requests of a flood with it, and others soundly.
+type floodingReplica struct {
+	*replica
+	flood   flood
+	content []byte // of the flood
+	stop    chan struct{}
+	begun   atomic.Int64
+	sent    atomic.Int64 // bytes of content
+	faulty  bool
+}
+
+// send sends the flood until the caller has closed.
+func (r *floodingReplica) send(w io.Writer, flush func() error, gone <-chan struct{}) {
+	const pieceBytes = 16 << 10
+	for piece := range slices.Chunk(r.content, pieceBytes) {
+		if _, err := w.Write(piece); err != nil || flush() != nil {
+			return
+		}
+		r.sent.Add(int64(len(piece)))
+	}
+	for r.flood.trickle {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-gone:
+			return
+		}
+		if _, err := io.WriteString(w, "x"); err != nil || flush() != nil {
+			return
+		}
+	}
+	<-gone
+}
+
+func (r *floodingReplica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if !r.faulty || !strings.HasPrefix(q.URL.Path, r.flood.path) {
+		r.replica.ServeHTTP(w, q)
+		return
+	}
+	r.begun.Add(1)
+	gone := make(chan struct{})
+	defer context.AfterFunc(q.Context(), func() { close(gone) })()
+	if r.flood.inHead {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r.send(c, func() error { return nil }, r.stop)
+		return
+	}
+	w.Header().Set("Heatherbarrow-Attempt-Id", q.Header.Get("Heatherbarrow-Attempt-Id"))
+	w.Header().Set("Heatherbarrow-Server-Seal", "seal-"+r.id)
+	if r.flood.path == floodPath {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	r.send(w, http.NewResponseController(w).Flush, gone)
+}
+
+// floodRig is a gateway beside flooding replicas.
+type floodRig struct {
+	t        *testing.T
+	host     *host
+	replicas []*floodingReplica
+	client   *http.Client
+	next     atomic.Int64
+}
+
+// startFloodRig starts the gateway with the given number in a lane, and replicas of which some are faulty.
+func startFloodRig(t *testing.T, lane, number int, f flood, replicas, faulty int) *floodRig {
+	store := storetest.New()
+	t.Cleanup(store.Close)
+	rig := &floodRig{t: t, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}}}
+	for i := range replicas {
+		r := &floodingReplica{replica: &replica{id: fmt.Sprintf("r%d", i), ledger: &ledger{runs: make(map[string]int)}}, flood: f,
+			content: f.content(), stop: make(chan struct{}), faulty: i < faulty}
+		r.born.Store(1)
+		r.server = startServer(r)
+		t.Cleanup(r.server.CloseClientConnections)
+		t.Cleanup(func() { close(r.stop) })
+		rig.replicas = append(rig.replicas, r)
+		store.Put(platform.KindMembers, r.id, map[string]any{
+			"service": "pool", "address": r.server.Listener.Addr().String(), "zone": zoneName(0), "slots": floodedAtOnce, "state": "ready", "born": 1,
+		})
+	}
+	store.Put(platform.KindConfig, platform.NameConfig, map[string]any{
+		"version": 1, "services": []any{map[string]any{"name": "pool"}}, "routes": []any{
+			floodRoute("/lookup/", "idempotent"), floodRoute("/stream/", "streaming"),
+			floodRoute(floodPath, "streaming"), floodRoute(floodPlainPath, "idempotent"), floodRoute(floodOrderPath, "non_idempotent"),
+		},
+	})
+	rig.host = startHost(t, t.TempDir(), lane, number, zoneName(0), store.Address(), nil, func(s *gateway.Settings) { s.MemoryLimitMB = memoryLimitMB })
+	require.Eventually(t, func() bool { return rig.send("/lookup/x", "body") == nil }, callerDeadline, 20*time.Millisecond)
+	return rig
+}
+
+func floodRoute(prefix, kind string) map[string]any {
+	return map[string]any{
+		"name": prefix, "host": callerHost, "pathPrefix": prefix, "routeKind": kind, "timeoutMs": 20_000, "service": "pool", "maxAttempts": 2, "public": true,
+	}
+}
+
+// send sends a request and returns an error unless the answer is sound.
+func (rig *floodRig) send(path, body string) error {
+	id := fmt.Sprintf("flood-h-%d", rig.next.Add(1))
+	answer, err := rig.request(context.Background(), id, path, body)
+	if err == nil && !strings.Contains(answer, id) {
+		err = fmt.Errorf("answer is %q", answer)
+	}
+	return err
+}
+
+// request sends a request and returns the body of a successful answer.
+func (rig *floodRig) request(ctx context.Context, id, path, body string) (string, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+rig.host.settings.Listen+path, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	q.GetBody = nil // net/http must not send the request again by itself
+	q.Host = callerHost
+	q.Header.Set("Heatherbarrow-Attempt-Id", id)
+	q.Header.Set("Heatherbarrow-Deadline-Ms", "20000")
+	response, err := rig.client.Do(q)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer strings.Builder
+	if _, err = io.CopyN(&answer, response.Body, maxSoundBytes); err == io.EOF {
+		err = nil
+	}
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", response.StatusCode, answer.String())
+	}
+	_, _ = io.Copy(io.Discard, response.Body) // of a flood
+	return answer.String(), err
+}
+
+// residentKB returns a figure of the gateway's resident memory: VmRSS now, VmHWM at most since the start.
+func (rig *floodRig) residentKB(name string) int {
+	rig.host.mu.Lock()
+	defer rig.host.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", rig.host.cmd.Process.Pid))
+	require.NoError(rig.t, err)
+	_, rest, found := strings.Cut(string(status), name+":")
+	require.True(rig.t, found, "%s of the process", name)
+	kb, err := strconv.Atoi(strings.Fields(rest)[0])
+	require.NoError(rig.t, err)
+	return kb
+}
+
+// flood sends floodedAtOnce requests that are answered with the flood, and sound requests beside them until the former
+// have ended or bring no more bytes. It returns how many sound ones there were and those that were not served, by error.
+func (rig *floodRig) flood(path string) (sound int, failed map[string]int) {
+	failed = make(map[string]int)
+	ctx, cancel := context.WithTimeout(context.Background(), maxFloodTime)
+	defer cancel()
+	var flooded, others sync.WaitGroup
+	for i := range floodedAtOnce {
+		flooded.Go(func() {
+			_, _ = rig.request(ctx, fmt.Sprintf("faulty-h-%d", i), path+"x", "body") // how it ends is not what is tested
+		})
+	}
+	go func() {
+		flooded.Wait()
+		cancel()
+	}()
+	var mu sync.Mutex
+	for _, p := range []string{"/lookup/x", "/lookup/y", "/stream/x", "/stream/y"} {
+		others.Go(func() {
+			for first := true; first || ctx.Err() == nil; first = false {
+				err := rig.send(p, "body")
+				mu.Lock()
+				sound++
+				if err != nil {
+					failed[err.Error()]++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	rig.awaitSilence(ctx)
+	cancel()
+	flooded.Wait()
+	others.Wait()
+	return sound, failed
+}
+
+// awaitSilence returns when the replicas have sent nothing more of the flood for a while, or when ctx has ended.
+func (rig *floodRig) awaitSilence(ctx context.Context) {
+	last, silent := int64(-1), 0
+	for ctx.Err() == nil && silent < floodSilence {
+		time.Sleep(floodSilenceStep)
+		sent := int64(0)
+		for _, r := range rig.replicas {
+			sent += r.sent.Load()
+		}
+		if silent++; sent != last || sent == 0 {
+			last, silent = sent, 0
+		}
+	}
+}
+
+// Guards against faulty replicas whose answers, each within its limits, together exceed the memory of the host: the
+// process is killed, and the requests of all callers end with it.
+func TestEndlessAnswersStayWithinTheMemoryOfTheHost(t *testing.T) {
+	lane := takeLane(t)
+	number := 0
+	for name, f := range floods {
+		number++
+		t.Run(name, func(t *testing.T) {
+			rig := startFloodRig(t, lane, number, f, 2, 2)
+			before := rig.residentKB("VmRSS")
+			sound, failed := rig.flood(f.path)
+			begun := int64(0)
+			for _, r := range rig.replicas {
+				begun += r.begun.Load()
+			}
+			t.Logf("resident: %d KB before, at most %d KB; %d requests flooded; %d sound requests, failed: %v",
+				before, rig.residentKB("VmHWM"), begun, sound, failed)
+			require.GreaterOrEqual(t, begun, int64(floodedAtOnce/2), "requests that reached the faulty replicas")
+			assert.Less(t, rig.residentKB("VmHWM"), memoryLimitMB<<10, "KB resident at most")
+			assert.Empty(t, failed, "sound requests")
+		})
+	}
+}
