Bound the memory of request bodies by team; test with a real gateway

TestRequestBodiesStayWithinTheMemoryOfTheHost: 400 callers that pause after 1,000 KB of a body.

A team alone got half of the memory for bodies, as a replica does. Hosts have several replicas but often a single team, so a budget now takes how much of what remains free one source may hold: a team four times that, four fifths of the budget if it is alone.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -165,8 +165,8 @@
 	p.newEra = make(chan struct{}, 1)
 	p.fleet = fleet.New(fleet.Options{Zone: p.settings.AvailabilityZone, Model: p.settings.Engines.engineModel(), Seed: rand.Uint64()})
 	p.budget = proxy.NewBudget(clockwork.NewRealClock(), p.started, p.settings.RetryShare, p.settings.RetrySlack, minHosts)
-	p.client = upstream.NewClient(netio.Dial, p.settings.bufferBudget())
-	p.bodyMemory = p.settings.bufferBudget()
+	p.client = upstream.NewClient(netio.Dial, p.settings.bufferBudget(answerMultiple))
+	p.bodyMemory = p.settings.bufferBudget(bodyMultiple)
 	p.origins = origin.NewTracker()
 	p.state = state.New(state.Options{
 		Bus: events, Fleet: p.fleet, Origins: p.origins, Decode: p.adapter.DecodeConfig, Logger: p.logger,
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -123,11 +123,15 @@
 const (
 	defaultBufferShare = 0.2
 	maxBufferShare     = 0.3
+	// answerMultiple and bodyMultiple are how much of the memory that remains free one replica, or one team, may hold. Teams
+	// may be few, and bodies are complete before they are of use.
+	answerMultiple = 1
+	bodyMultiple   = 4
 )
 
 // bufferBudget returns a budget of the memory for buffered answers, or for bodies of requests.
-func (s *Settings) bufferBudget() *membudget.Budget {
-	return membudget.New(int(cmp.Or(s.BufferShare, defaultBufferShare) * float64(s.MemoryLimitMB) * (1 << 20)))
+func (s *Settings) bufferBudget(multiple int) *membudget.Budget {
+	return membudget.New(int(cmp.Or(s.BufferShare, defaultBufferShare)*float64(s.MemoryLimitMB)*(1<<20)), multiple)
 }
 
 // defaultConfigWithin is the value of ConfigWithin when it is not set.
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -18,20 +18,22 @@
 // ErrExhausted means that data does not fit into the memory set aside for it.
 var ErrExhausted = errors.New("memory for buffered data is exhausted")
 
-// Budget is memory that sources of data share. A source may hold as much as remains free: one source alone gets half
-// of the budget, and n that want all of it leave 1/(n+1) to others. Whatever exceeds that does not grow further, and its
-// owner gives it up, so that those that hold most give way first. A Budget is safe for concurrent use.
+// Budget is memory that sources of data share. A source may hold a multiple of what remains free. With a multiple of 1 a
+// source alone gets half of the budget, and n that want all of it leave 1/(n+1) to others. Whatever exceeds that does not
+// grow further, and its owner gives it up, so that those that hold most give way first. A Budget is safe for concurrent
+// use.
 type Budget struct {
-	limit int
+	limit    int
+	multiple int
 
 	mu       sync.Mutex
 	held     int
 	bySource map[string]int // bytes held by those that hold any
 }
 
-// New returns a budget of the given bytes.
-func New(limit int) *Budget {
-	return &Budget{limit: limit, bySource: make(map[string]int)}
+// New returns a budget of the given bytes, of which a source may hold the given multiple of what remains free.
+func New(limit, multiple int) *Budget {
+	return &Budget{limit: limit, multiple: multiple, bySource: make(map[string]int)}
 }
 
 // Held returns the bytes that all accounts hold above their allowances; 0 for a nil Budget.
@@ -50,7 +52,7 @@
 func (b *Budget) take(source string, bytes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.bySource[source]+bytes > b.limit-b.held-bytes {
+	if b.bySource[source]+bytes > b.multiple*(b.limit-b.held-bytes) {
 		return false
 	}
 	b.held += bytes
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -299,3 +299,64 @@
 		})
 	}
 }
+
+// pausingBody is the body of a request whose caller pauses before its end.
+type pausingBody struct {
+	remaining int
+	ctx       context.Context
+	paused    func()
+}
+
+// Read implements io.Reader.
+func (b *pausingBody) Read(p []byte) (int, error) {
+	if b.remaining == 0 {
+		b.paused()
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	n := min(len(p), b.remaining)
+	clear(p[:n])
+	b.remaining -= n
+	return n, nil
+}
+
+// Guards against callers whose request bodies, each within its limit, together exceed the memory of the host.
+func TestRequestBodiesStayWithinTheMemoryOfTheHost(t *testing.T) {
+	rig := startFloodRig(t, takeLane(t), 0, floods["event"], 2, 0)
+	ctx, cancel := context.WithTimeout(context.Background(), maxFloodTime)
+	defer cancel()
+	var callers sync.WaitGroup
+	var settled, refused atomic.Int64
+	for i := range floodedAtOnce {
+		callers.Go(func() {
+			settle := sync.OnceFunc(func() { settled.Add(1) })
+			defer settle()
+			q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+rig.host.settings.Listen+"/lookup/x",
+				&pausingBody{remaining: floodBytes, ctx: ctx, paused: settle})
+			if !assert.NoError(t, err) {
+				return
+			}
+			q.Host = callerHost
+			q.Header.Set("Heatherbarrow-Attempt-Id", fmt.Sprintf("body-h-%d", i))
+			response, err := rig.client.Do(q)
+			if err != nil {
+				return // the test is over, or the refusal was lost with the rest of the body
+			}
+			defer func() { _ = response.Body.Close() }()
+			if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "" {
+				refused.Add(1)
+			}
+		})
+	}
+	for settled.Load() < floodedAtOnce && ctx.Err() == nil {
+		time.Sleep(floodSilenceStep)
+	}
+	for range 10 {
+		assert.NoError(t, rig.send("/lookup/x", "body"), "sound request")
+	}
+	cancel()
+	callers.Wait()
+	t.Logf("resident: at most %d KB; %d refused", rig.residentKB("VmHWM"), refused.Load())
+	assert.Less(t, rig.residentKB("VmHWM"), memoryLimitMB<<10, "KB resident at most")
+	assert.Positive(t, refused.Load(), "refused requests")
+}
