Router: bound the memory of answers and request bodies together

The router had the cause that the gateway had: 4 MB of each answer of a service, 8 MB of each collected answer, 256 KB of each frame and the bodies of requests were bounded one by one only.

Its answers and bodies now take their buffers from budgets of the same type (internal/membudget); as it has no memory limit, buffer_mb states their size, 256 MB each by default. A frame or an answer that does not fit ends as one whose connection broke, a collected answer as one that is too long to be sent in one piece, and a request whose body does not fit is refused as not run (503, body_memory). Heads end at 64 KB.

A body of a declared length no longer gets its whole buffer before a byte of it has arrived.

--- a/internal/bench/pathcost/bed.go
+++ b/internal/bench/pathcost/bed.go
@@ -79,7 +79,7 @@
 }
 
 func (b *bed) newRouter(n network) (*router.Server, error) {
-	client, err := forward.NewClient(tlsconf.TransportOptions{IdlePerHost: idlePerHost, Dial: n.dial})
+	client, err := forward.NewClient(tlsconf.TransportOptions{IdlePerHost: idlePerHost, Dial: n.dial}, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"heatherbarrow/internal/membudget"
 	"heatherbarrow/internal/scheduling/requestlimit"
 	"heatherbarrow/internal/tlsconf"
 )
@@ -92,12 +93,14 @@
 type Client struct {
 	repeatable http.RoundTripper
 	once       http.RoundTripper // opens a connection for each request
+	memory     *membudget.Budget
 	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	scheme     string
 }
 
-// NewClient returns a client whose connections are made with the options.
-func NewClient(options tlsconf.TransportOptions) (*Client, error) {
+// NewClient returns a client whose connections are made with the options. Memory is what the answers of all replicas may
+// occupy together; nil sets no bound.
+func NewClient(options tlsconf.TransportOptions, memory *membudget.Budget) (*Client, error) {
 	options.WrapConn = newCountedConn
 	options.BufferBytes = connBufferBytes
 	repeatable, scheme, err := tlsconf.NewTransport(options)
@@ -109,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{repeatable: repeatable, once: once, dial: once.DialContext, scheme: scheme}, nil
+	return &Client{repeatable: repeatable, once: once, memory: memory, dial: once.DialContext, scheme: scheme}, nil
 }
 
 // Chat is one attempt of a chat completion.
@@ -131,7 +134,7 @@
 // attempt, and with it the work on the replica.
 func (c *Client) Chat(ctx context.Context, call Chat) (*Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := newStream(&call, cancel)
+	s := newStream(&call, c.memory.Open(call.Address), cancel)
 	response, reused, err := c.sendChat(ctx, &call)
 	if reused && errors.Is(err, ErrNotSent) && ctx.Err() == nil {
 		// The replica had closed the idle connection; nothing was written to it.
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -22,7 +22,7 @@
 const patience = 10 * time.Second
 
 func newTestClient(t *testing.T) *Client {
-	client, err := NewClient(tlsconf.TransportOptions{IdlePerHost: 8})
+	client, err := NewClient(tlsconf.TransportOptions{IdlePerHost: 8}, nil)
 	require.NoError(t, err)
 	return client
 }
@@ -32,7 +32,7 @@
 }
 
 func streamOf(text string) *Stream {
-	s := newStream(&Chat{RequestID: "id", FirstTimeout: patience, FrameTimeout: patience}, func() {})
+	s := newStream(&Chat{RequestID: "id", FirstTimeout: patience, FrameTimeout: patience}, nil, func() {})
 	s.read(io.NopCloser(strings.NewReader(text)))
 	return s
 }
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"heatherbarrow/internal/membudget"
 )
 
 // ServiceCall is one attempt of a call to a plain service.
@@ -32,14 +34,18 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	memory *membudget.Account // holds Body
 }
 
+// Release gives back the memory of the answer, whose body must not be used any more.
+func (a *ServiceAnswer) Release() { a.memory.Close() }
+
 // maxServiceAnswerBytes bounds the answer of a plain service, which is held in
 // memory because its outcome is told before its first byte.
 const maxServiceAnswerBytes = 4 << 20
 
 // Service makes a call to a plain service and returns the whole answer. An
-// answer with status 5xx or 4xx is no error. ErrRefused means that the service
+// answer with status 5xx or 4xx is no error. The caller must release the answer. ErrRefused means that the service
 // declared that it did not run the call.
 func (c *Client) Service(ctx context.Context, call ServiceCall) (*ServiceAnswer, error) {
 	path, err := url.PathUnescape(call.Path)
@@ -83,17 +89,25 @@
 	if response.Header.Get(refusalHeader) == refusalValue {
 		return nil, false, ErrRefused
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxServiceAnswerBytes+1))
+	answer := &ServiceAnswer{Status: response.StatusCode, Header: response.Header, memory: c.memory.Open(call.Address)}
+	kept := false
+	defer func() {
+		if !kept {
+			answer.Release()
+		}
+	}()
+	body, complete, err := answer.memory.ReadAll(response.Body, max(int(response.ContentLength), 0), maxServiceAnswerBytes)
 	if err != nil {
 		return nil, false, eris.Wrap(ErrBroken, err.Error())
 	}
-	if len(body) > maxServiceAnswerBytes {
+	if !complete {
 		return nil, false, ErrTooLarge
 	}
 	if isUnframed(response) && c.endedWithProcess(ctx, call) {
 		return nil, false, eris.Wrap(ErrBroken, "answer without a length ended with its process")
 	}
-	return &ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, false, nil
+	answer.Body, kept = body, true
+	return answer, false, nil
 }
 
 // isUnframed reports whether the body of an answer has neither a length nor chunks and ends with its connection.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,10 +11,14 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"heatherbarrow/internal/membudget"
 )
 
 const (
 	maxFrameBytes = 256 << 10
+	// maxKeptLineBytes is the largest buffer of a line that is kept for the next one.
+	maxKeptLineBytes = 8 << 10
 	// readBufferSize is small because it is held for every open stream; the
 	// connection below has a buffer of its own.
 	readBufferSize = 2 << 10
@@ -57,12 +61,13 @@
 	ended     bool // the proper end was read
 	trailing  int  // bytes of the frames behind the finish reason
 	lineBytes []byte
+	memory    *membudget.Account // holds lineBytes
 }
 
-func newStream(call *Chat, cancel context.CancelFunc) *Stream {
+func newStream(call *Chat, memory *membudget.Account, cancel context.CancelFunc) *Stream {
 	s := &Stream{
 		id: call.RequestID, prefix: commonPrefix(call.RequestID), next: call.ResumeFrom,
-		timeout: call.FrameTimeout,
+		timeout: call.FrameTimeout, memory: memory,
 	}
 	s.start(call.FirstTimeout, cancel)
 	return s
@@ -200,19 +205,25 @@
 }
 
 func (s *Stream) readLine() ([]byte, error) {
+	s.lineBytes = s.lineBytes[:0]
+	if cap(s.lineBytes) > maxKeptLineBytes {
+		s.memory.Shrink(cap(s.lineBytes))
+		s.lineBytes = nil
+	}
 	line, err := s.reader.ReadSlice('\n')
 	if err == nil {
 		return line, nil
 	}
-	s.lineBytes = append(s.lineBytes[:0], line...)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(s.lineBytes) > maxFrameBytes {
-			return nil, err
+	for {
+		var exhausted error
+		if s.lineBytes, exhausted = s.memory.Append(s.lineBytes, line, maxFrameBytes); exhausted != nil {
+			return nil, exhausted
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) || len(s.lineBytes) > maxFrameBytes {
+			return s.lineBytes, err
 		}
 		line, err = s.reader.ReadSlice('\n')
-		s.lineBytes = append(s.lineBytes, line...)
 	}
-	return s.lineBytes, err
 }
 
 // Buffered tells whether the next event has arrived completely, so that it is worth reading on before flushing.
@@ -238,6 +249,7 @@
 // Close ends the attempt; work still running on the replica is canceled. After
 // the proper end of the stream the connection is kept for the next request.
 func (s *Stream) Close() {
+	defer s.memory.Close()
 	if s.ended {
 		s.begin()
 		s.setLimit(endTimeout)
--- a/internal/forward/unframed_test.go
+++ b/internal/forward/unframed_test.go
@@ -63,7 +63,7 @@
 				}
 				return (&net.Dialer{}).DialContext(ctx, network, address)
 			}
-			client, err := NewClient(tlsconf.TransportOptions{Dial: dial})
+			client, err := NewClient(tlsconf.TransportOptions{Dial: dial}, nil)
 			require.NoError(t, err)
 			answer, err := client.Service(t.Context(), ServiceCall{
 				Address: answerOnce(t, c.text, c.end), Method: http.MethodGet, Path: "/x", Others: func() []string { return c.others }, Repeatable: true,
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -326,7 +326,7 @@
 	}
 	unbound := e.server.drain.BoundRead(http.NewResponseController(e.w).SetReadDeadline, e.deadline)
 	e.bodyMemory = e.server.opts.BodyMemory.Open(e.teamName())
-	body, complete, err := upstream.ReadAll(e.r.Body, int(limit), e.bodyMemory)
+	body, complete, err := e.bodyMemory.ReadAll(e.r.Body, max(int(e.r.ContentLength), 0), int(limit))
 	unbound(err == nil && complete)
 	if err != nil || !complete {
 		// The rest of the body is not read, so the connection cannot be reused.
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -389,8 +389,10 @@
 // Events returns a reader of the events of a stream, which is the body.
 func (r *Response) Events() *EventReader { return NewEventReader(r.Body, r.memory) }
 
-// ReadAll is the function ReadAll for the body.
-func (r *Response) ReadAll(limit int) ([]byte, bool, error) { return ReadAll(r.Body, limit, r.memory) }
+// ReadAll reads the body as membudget.Account.ReadAll does.
+func (r *Response) ReadAll(limit int) ([]byte, bool, error) {
+	return r.memory.ReadAll(r.Body, 0, limit)
+}
 
 // Drop tells that the caller no longer holds what ReadAll has returned.
 func (r *Response) Drop(body []byte) { r.memory.Shrink(cap(body)) }
@@ -402,22 +404,3 @@
 	r.memory = nil
 	return taken
 }
-
-// ReadAll reads a body of at most limit bytes, which it holds in the account. If the body is longer, it returns the first
-// limit+1 bytes and false; the rest can still be read from body. So can it if an error wraps membudget.ErrExhausted.
-func ReadAll(body io.Reader, limit int, memory *membudget.Account) (data []byte, complete bool, err error) {
-	for err == nil && len(data) <= limit {
-		if len(data) == cap(data) {
-			if data, err = memory.Enlarge(data, limit+1); err != nil {
-				return data, false, err
-			}
-		}
-		var n int
-		n, err = body.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-	}
-	if err == io.EOF {
-		err = nil
-	}
-	return data, len(data) <= limit, err
-}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 )
 
@@ -127,9 +128,26 @@
 	return append(buf, data...), nil
 }
 
-// Enlarge adds capacity to a buffer as Append does. The capacity must be below limit.
-func (a *Account) Enlarge(buf []byte, limit int) ([]byte, error) {
-	return a.setCapacity(buf, nextCapacity(cap(buf), cap(buf)+1, limit))
+// ReadAll reads data of at most limit bytes into a buffer whose capacity the account holds. The size that is expected may
+// be 0. If there is more data, it returns the first limit+1 bytes and false; the rest can still be read from r. So can it if
+// the error wraps ErrExhausted.
+func (a *Account) ReadAll(r io.Reader, expected, limit int) (data []byte, complete bool, err error) {
+	most := limit + 1
+	need := min(expected+1, AllowanceBytes, most)
+	for err == nil && len(data) <= limit {
+		if len(data) == cap(data) {
+			if data, err = a.setCapacity(data, nextCapacity(cap(data), max(need, cap(data)+1), most)); err != nil {
+				return data, false, err
+			}
+		}
+		var n int
+		n, err = r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+	}
+	if err == io.EOF {
+		err = nil
+	}
+	return data, len(data) <= limit, err
 }
 
 // nextCapacity doubles a capacity up to limit until it is at least need, which may be above limit.
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -36,6 +36,7 @@
 	if !ok {
 		return
 	}
+	defer e.releaseMemory()
 	request, err := parseChatRequest(e.body)
 	if err != nil {
 		e.refuse(http.StatusBadRequest, "malformed_body", "the body is not a chat completion request: "+err.Error(), 0)
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -263,7 +263,7 @@
 	b, err := bundle.Parse(fmt.Appendf(nil, testBundle, o.deadline, bundle.HashKey("key"), bundle.HashKey("other-key"), o.slots,
 		address(h.engines[0]), address(h.engines[1]), address(h.service), o.orderTimeout))
 	require.NoError(t, err)
-	client, err := forward.NewClient(tlsconf.TransportOptions{})
+	client, err := forward.NewClient(tlsconf.TransportOptions{}, nil)
 	require.NoError(t, err)
 	o.settings.setDefaults()
 	h.server = NewServer(Dependencies{
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -20,13 +20,14 @@
 }
 
 func newPlainAnswer(e *exchange, model string) *plainAnswer {
+	e.answerMemory = e.server.AnswerMemory.Open("model " + model)
 	return &plainAnswer{exchange: e, model: model}
 }
 
 func (a *plainAnswer) add(f forward.Frame) error {
 	if f.Last || f.Trailer {
 		a.held += len(f.Data)
-		if a.merged.size+a.held > maxCollectedBytes {
+		if !a.mayCollect() {
 			return errAnswerTooLong
 		}
 		a.end = append(a.end, append([]byte(nil), f.Data...))
@@ -35,7 +36,7 @@
 	if err := a.merged.add(f.Data); err != nil {
 		return forward.ErrForeignFrame
 	}
-	if a.merged.size > maxCollectedBytes {
+	if !a.mayCollect() {
 		return errAnswerTooLong
 	}
 	a.frames++
@@ -43,6 +44,13 @@
 	return nil
 }
 
+// mayCollect reports whether the frames so far may be held.
+func (a *plainAnswer) mayCollect() bool {
+	const copies = 2 // of each text: builders grow by doubling
+	size := a.merged.size + a.held
+	return size <= maxCollectedBytes && a.answerMemory.Grow(max(copies*size-a.answerMemory.Held(), 0)) == nil
+}
+
 func (a *plainAnswer) flush() (int, error) {
 	n := a.added
 	a.added = 0
@@ -64,6 +72,7 @@
 	a.merged = completion{}
 	a.dropEnd()
 	a.frames, a.added = 0, 0
+	a.answerMemory.Close()
 }
 
 func (a *plainAnswer) complete() error {
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -15,6 +15,7 @@
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/kernel"
 	"heatherbarrow/internal/listen"
+	"heatherbarrow/internal/membudget"
 	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/telemetry"
@@ -130,10 +131,11 @@
 }
 
 func (p *Program) newServer(logger zerolog.Logger, metrics *telemetry.Metrics) (*Server, error) {
+	answers := membudget.New(p.settings.BufferMB<<20, answerMultiple)
 	client, err := forward.NewClient(tlsconf.TransportOptions{
 		TLS: p.settings.UpstreamTLS, ConnsPerHost: connsPerReplica, IdlePerHost: connsPerReplica,
 		Translations: p.settings.Translations,
-	})
+	}, answers)
 	if err != nil {
 		return nil, err
 	}
@@ -149,6 +151,8 @@
 			Clock: clockwork.NewRealClock(), Seed: uint64(time.Now().UnixNano()),
 		}),
 		Forward:        client,
+		AnswerMemory:   answers,
+		BodyMemory:     membudget.New(p.settings.BufferMB<<20, bodyMultiple),
 		Feed:           rpc.NewFeedProtobufClient(internalScheme+"://"+p.settings.Control, &http.Client{Transport: internal}),
 		Metrics:        metrics.Scope,
 		MetricsHandler: metrics.Handler,
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/rs/xid"
 
 	"heatherbarrow/internal/bundle"
+	"heatherbarrow/internal/membudget"
 	"heatherbarrow/internal/outcome"
 )
 
@@ -48,6 +48,15 @@
 	outcome     outcome.Outcome
 	deadlineSet time.Time // when the write deadline was last set
 	timing      timing
+
+	bodyMemory   *membudget.Account
+	answerMemory *membudget.Account // of an answer that is collected
+}
+
+// releaseMemory gives back the memory of the request and of its answer.
+func (e *exchange) releaseMemory() {
+	e.bodyMemory.Close()
+	e.answerMemory.Close()
 }
 
 // timing is what attainment is judged by.
@@ -76,10 +85,12 @@
 		return nil, false
 	}
 	if !e.authenticate() || !e.readBody() {
+		e.releaseMemory()
 		return nil, false
 	}
 	e.deadline = e.arrived.Add(e.class.Deadline.Std())
 	if s.drain.TooLate(time.Now(), e.deadline) {
+		e.releaseMemory()
 		e.refuseAtStop()
 		return nil, false
 	}
@@ -132,51 +143,45 @@
 func (e *exchange) readBody() bool {
 	limits := &e.snapshot.Bundle.Limits
 	if e.r.ContentLength > limits.MaxBodyBytes {
-		e.refuseBody(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes")
+		e.refuseBody(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes", 0)
 		return false
 	}
 	unbound := e.server.drain.BoundRead(e.controller.SetReadDeadline, time.Now().Add(limits.BodyTimeout.Std()))
-	body, err := readAll(http.MaxBytesReader(e.w, e.r.Body, limits.MaxBodyBytes), e.r.ContentLength)
+	e.bodyMemory = e.server.BodyMemory.Open(e.team.Name)
+	// MaxBytesReader fails before the body is longer than the limit of ReadAll.
+	body, _, err := e.bodyMemory.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limits.MaxBodyBytes), max(int(e.r.ContentLength), 0), int(limits.MaxBodyBytes))
 	unbound(err == nil)
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
 	case err == nil:
+	case errors.Is(err, membudget.ErrExhausted):
+		e.refuseBody(http.StatusServiceUnavailable, "body_memory", "the bodies of other requests occupy the memory of the host", retrySoon)
+		return false
 	case errors.As(err, &tooLarge):
-		e.refuseBody(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes")
+		e.refuseBody(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(limits.MaxBodyBytes, 10)+" bytes", 0)
 		return false
 	case errors.As(err, &timeout) && timeout.Timeout() && e.server.drain.Over():
 		e.refuseAtStop()
 		return false
 	case errors.As(err, &timeout) && timeout.Timeout():
-		e.refuseBody(http.StatusRequestTimeout, "body_timeout", "the body did not arrive within "+limits.BodyTimeout.Std().String())
+		e.refuseBody(http.StatusRequestTimeout, "body_timeout", "the body did not arrive within "+limits.BodyTimeout.Std().String(), 0)
 		return false
 	default:
-		e.refuseBody(http.StatusBadRequest, "body_incomplete", "the body is not complete")
+		e.refuseBody(http.StatusBadRequest, "body_incomplete", "the body is not complete", 0)
 		return false
 	}
 	e.body = body
 	return true
 }
 
-// readAll reads a body of a known length, or of -1, without growing the buffer
-// more often than needed.
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(body)
-	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(body, data)
-	return data, err
-}
-
 // refuseBody refuses a request whose body was not read to its end, so that its
 // connection cannot be used again.
-func (e *exchange) refuseBody(status int, code, message string) {
+func (e *exchange) refuseBody(status int, code, message string, retryAfter time.Duration) {
 	if e.r.ProtoMajor == 1 {
 		e.w.Header().Set("Connection", "close")
 	}
-	e.refuse(status, code, message, 0)
+	e.refuse(status, code, message, retryAfter)
 }
 
 // refuseAtStop refuses a request that may not end before its host does. With HTTP/2 too, net/http lets the caller
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -16,6 +16,7 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/forward"
+	"heatherbarrow/internal/membudget"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/rpc"
 	"heatherbarrow/internal/scheduler"
@@ -33,11 +34,15 @@
 
 // Dependencies are what a Server works with.
 type Dependencies struct {
-	Settings       *Settings
-	Logger         zerolog.Logger
-	Scheduler      *scheduler.Scheduler
-	Forward        *forward.Client
-	Feed           rpc.Feed     // control on this host
+	Settings  *Settings
+	Logger    zerolog.Logger
+	Scheduler *scheduler.Scheduler
+	Forward   *forward.Client
+	Feed      rpc.Feed // control on this host
+	// AnswerMemory and BodyMemory are what answers that are collected, and bodies of requests, may occupy together; nil
+	// sets no bound.
+	AnswerMemory   *membudget.Budget
+	BodyMemory     *membudget.Budget
 	Metrics        tally.Scope  // nil drops all metrics
 	MetricsHandler http.Handler // nil serves no /metrics
 }
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -24,6 +24,7 @@
 	if !ok {
 		return
 	}
+	defer e.releaseMemory()
 	c, ok := e.serviceCall()
 	if !ok {
 		return
@@ -101,6 +102,7 @@
 		}
 		answer, err := c.attempt(ctx, assignment)
 		if err == nil {
+			defer answer.Release()
 			c.passOn(answer)
 			return
 		}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -12,6 +12,11 @@
 	defaultBalancerLag  = 2 * time.Second
 	defaultWriteTimeout = 30 * time.Second
 	defaultLogLevel     = "info"
+	defaultBufferMB     = 256
+	maxBufferMB         = 1 << 20
+	// answerMultiple and bodyMultiple are how much of the memory that remains free one replica, or one team, may hold.
+	answerMultiple = 1
+	bodyMultiple   = 4
 )
 
 // Settings are the static settings of heatherbarrow-router.
@@ -25,7 +30,9 @@
 	BalancerLag      settings.Duration `json:"balancer_lag,omitzero"`  // wait between not ready and drain; default 2s
 	DrainTimeout     settings.Duration `json:"drain_timeout,omitzero"` // 0 waits without bound
 	WriteTimeout     settings.Duration `json:"write_timeout,omitzero"` // greatest time that a caller may leave an answer unread; default 30s
-	TLS              tlsconf.Files     `json:"tls,omitzero"`           // callers' listener
+	// BufferMB is the memory, in MiB, that buffered answers may occupy together, and the same for the bodies of requests.
+	BufferMB int           `json:"buffer_mb,omitempty"`
+	TLS      tlsconf.Files `json:"tls,omitzero"` // callers' listener
 	// Translations give the addresses to dial for those of replicas, where address
 	// translation lies between them and this host.
 	Translations tlsconf.Translations `json:"address_translations,omitempty"`
@@ -52,6 +59,9 @@
 	if s.Listen == s.InternalListen {
 		return settings.Errorf("internal_listen", "must differ from listen")
 	}
+	if s.BufferMB < 0 || s.BufferMB > maxBufferMB {
+		return settings.Errorf("buffer_mb", "must be from 0 to %d", maxBufferMB)
+	}
 	if err := s.validateDurations(); err != nil {
 		return err
 	}
@@ -84,6 +94,9 @@
 	if s.BalancerLag == 0 {
 		s.BalancerLag = settings.Duration(defaultBalancerLag)
 	}
+	if s.BufferMB == 0 {
+		s.BufferMB = defaultBufferMB
+	}
 	if s.WriteTimeout == 0 {
 		s.WriteTimeout = settings.Duration(defaultWriteTimeout)
 	}
--- a/internal/tlsconf/http.go
+++ b/internal/tlsconf/http.go
@@ -13,6 +13,8 @@
 	handshakeTimeout = 5 * time.Second
 	keepAlive        = 15 * time.Second
 	idleLifetime     = time.Minute
+	// maxResponseHeaderBytes bounds the head of an answer, which has a few hundred bytes; net/http would read 10 MB.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // TransportOptions configure a client's transport.
@@ -44,14 +46,15 @@
 		dialer.open = (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext
 	}
 	t := &http.Transport{
-		DialContext:         dialer.dial,
-		MaxConnsPerHost:     o.ConnsPerHost,
-		MaxIdleConnsPerHost: o.IdlePerHost,
-		IdleConnTimeout:     idleLifetime,
-		DisableCompression:  !o.Compress,
-		DisableKeepAlives:   o.NoKeepAlive,
-		ReadBufferSize:      o.BufferBytes,
-		WriteBufferSize:     o.BufferBytes,
+		DialContext:            dialer.dial,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxConnsPerHost:        o.ConnsPerHost,
+		MaxIdleConnsPerHost:    o.IdlePerHost,
+		IdleConnTimeout:        idleLifetime,
+		DisableCompression:     !o.Compress,
+		DisableKeepAlives:      o.NoKeepAlive,
+		ReadBufferSize:         o.BufferBytes,
+		WriteBufferSize:        o.BufferBytes,
 	}
 	if !o.TLS.Enabled() {
 		return t, "http", nil
