--- a/internal/forward/process_test.go
+++ b/internal/forward/process_test.go
@@ -104,7 +104,7 @@
 			t.Run(name+" "+strconv.FormatBool(repeatable), func(t *testing.T) {
 				t.Parallel()
 				s := newStatingService(t, c.end)
-				client, err := NewClient(tlsconf.TransportOptions{Dial: s.dial})
+				client, err := NewClient(tlsconf.TransportOptions{Dial: s.dial}, nil)
 				require.NoError(t, err)
 				answer, err := client.Service(t.Context(), ServiceCall{
 					Address: s.address, Method: http.MethodPost, Path: "/x", Repeatable: repeatable,
@@ -125,7 +125,7 @@
 func TestUnframedAnswerIsCompleteWhileNewConnectionsAreRefused(t *testing.T) {
 	var answers atomic.Int32
 	s := newStatingService(t, func(s *statingService) { s.refuse.Store(answers.Add(1) > 1) })
-	client, err := NewClient(tlsconf.TransportOptions{Dial: s.dial, IdlePerHost: 1})
+	client, err := NewClient(tlsconf.TransportOptions{Dial: s.dial, IdlePerHost: 1}, nil)
 	require.NoError(t, err)
 	for range 2 {
 		answer, err := client.Service(t.Context(), ServiceCall{Address: s.address, Method: http.MethodPost, Path: "/x"})
@@ -172,7 +172,7 @@
 				return conn, cmp.Or(ctx.Err(), c.another(time.Since(*at)))
 			}
 			address := answerOnce(t, text, func(net.Listener) { now := time.Now(); ended.Store(&now) })
-			client, err := NewClient(tlsconf.TransportOptions{Dial: dial})
+			client, err := NewClient(tlsconf.TransportOptions{Dial: dial}, nil)
 			require.NoError(t, err)
 			_, err = client.Service(t.Context(), ServiceCall{
 				Address: address, Method: http.MethodGet, Path: "/x", Repeatable: c.repeatable,
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 )
 
@@ -18,20 +19,22 @@
 // ErrExhausted means that data does not fit into the memory set aside for it.
 var ErrExhausted = errors.New("memory for buffered data is exhausted")
 
-// Budget is memory that sources of data share. A source may hold as much as remains free: one source alone gets half
-// of the budget, and n that want all of it leave 1/(n+1) to others. Whatever exceeds that does not grow further, and its
-// owner gives it up, so that those that hold most give way first. A Budget is safe for concurrent use.
+// Budget is memory that sources of data share. A source may hold a multiple of what remains free. With a multiple of 1 a
+// source alone gets half of the budget, and n that want all of it leave 1/(n+1) to others. Whatever exceeds that does not
+// grow further, and its owner gives it up, so that those that hold most give way first. A Budget is safe for concurrent
+// use.
 type Budget struct {
-	limit int
+	limit    int
+	multiple int
 
 	mu       sync.Mutex
 	held     int
 	bySource map[string]int // bytes held by those that hold any
 }
 
-// New returns a budget of the given bytes.
-func New(limit int) *Budget {
-	return &Budget{limit: limit, bySource: make(map[string]int)}
+// New returns a budget of the given bytes, of which a source may hold the given multiple of what remains free.
+func New(limit, multiple int) *Budget {
+	return &Budget{limit: limit, multiple: multiple, bySource: make(map[string]int)}
 }
 
 // Held returns the bytes that all accounts hold above their allowances; 0 for a nil Budget.
@@ -50,7 +53,7 @@
 func (b *Budget) take(source string, bytes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.bySource[source]+bytes > b.limit-b.held-bytes {
+	if b.bySource[source]+bytes > b.multiple*(b.limit-b.held-bytes) {
 		return false
 	}
 	b.held += bytes
@@ -125,9 +128,26 @@
 	return append(buf, data...), nil
 }
 
-// Enlarge adds capacity to a buffer as Append does. The capacity must be below limit.
-func (a *Account) Enlarge(buf []byte, limit int) ([]byte, error) {
-	return a.setCapacity(buf, nextCapacity(cap(buf), cap(buf)+1, limit))
+// ReadAll reads data of at most limit bytes into a buffer whose capacity the account holds. The size that is expected may
+// be 0. If there is more data, it returns the first limit+1 bytes and false; the rest can still be read from r. So can it if
+// the error wraps ErrExhausted.
+func (a *Account) ReadAll(r io.Reader, expected, limit int) (data []byte, complete bool, err error) {
+	most := limit + 1
+	need := min(expected+1, AllowanceBytes, most)
+	for err == nil && len(data) <= limit {
+		if len(data) == cap(data) {
+			if data, err = a.setCapacity(data, nextCapacity(cap(data), max(need, cap(data)+1), most)); err != nil {
+				return data, false, err
+			}
+		}
+		var n int
+		n, err = r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+	}
+	if err == io.EOF {
+		err = nil
+	}
+	return data, len(data) <= limit, err
 }
 
 // nextCapacity doubles a capacity up to limit until it is at least need, which may be above limit.
