Gateway: an event does not end where one of its lines fills the read buffer

Callers could get two events of a stream joined to one. The reader of events gets a line that is longer than its buffer of 4 KB in parts, and took each part for a line: a last part of "\n" was the empty line that ends an event, and one that begins with "id:" gave the event another ID. An event with a line of exactly 4,096 bytes (or a multiple) thus counted as whole before its empty line had come. If the replica broke off there, another one went on after that event, and the caller read "id: 1", its data, "id: 2" and the data of the second event as one event.

Parts are now joined before a line is judged. It needs no rare timing except for the cut between the end of the line and the empty line; whether the operators' streams have lines of this length is not known.

--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -40,6 +40,7 @@
 func (r *EventReader) Next() (Event, error) {
 	e := Event{CommentOnly: true}
 	r.buf = r.buf[:0]
+	lineStart := 0
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		r.buf = append(r.buf, line...)
@@ -55,7 +56,9 @@
 		if len(r.buf) > maxEventBytes {
 			return Event{}, errors.New("event exceeds its size limit")
 		}
-		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 {
+		text := bytes.TrimRight(r.buf[lineStart:], "\r\n")
+		lineStart = len(r.buf)
+		if len(text) == 0 {
 			e.Raw = r.buf
 			return e, nil
 		} else if text[0] == ':' {
