Gateway: lines of events may end with CR alone

The standard of server-sent events lets lines end with "\r\n", "\n" or "\r". Where both kinds were mixed, the rest of an event was part of its ID, and several events counted as one with the ID of the last.

An event now ends where the caller's parser sees its end. It does not wait for a "\n" after "\r"; if one comes later, it is passed on as an event that consists of nothing. A stream that uses "\r\n" and lacks its last "\n" still counts as cut inside an event. TestLinesOfEventsMayEndWithCR and TestStreamCutBetweenCRAndLF failed before.

--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -23,10 +23,13 @@
 	CommentOnly bool
 }
 
-// EventReader splits a stream into server-sent events.
+// EventReader splits a stream into server-sent events. A "\n" that comes later than the "\r" with which an event ends is an
+// event of its own that consists of nothing.
 type EventReader struct {
-	reader *bufio.Reader
-	buf    []byte
+	reader      *bufio.Reader
+	buf         []byte
+	endedWithCR bool // the last byte read is a "\r" after which a "\n" may follow
+	usesCRLF    bool // lines have ended with "\r\n"
 }
 
 // NewEventReader returns an EventReader that reads from body.
@@ -42,13 +45,20 @@
 	r.buf = r.buf[:0]
 	lineStart := 0
 	for {
-		line, err := r.reader.ReadSlice('\n')
+		if r.restOfLineEnd() {
+			if r.buf = append(r.buf, '\n'); len(r.buf) == 1 {
+				e.Raw = r.buf
+				return e, nil
+			}
+			lineStart++
+		}
+		line, err := r.readLine()
 		r.buf = append(r.buf, line...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(r.buf) < maxEventBytes {
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(r.buf) > 0 {
+			if errors.Is(err, io.EOF) && (len(r.buf) > 0 || r.endedWithCR && r.usesCRLF) {
 				err = ErrTruncatedEvent
 			}
 			return Event{}, err
@@ -70,17 +80,71 @@
 	}
 }
 
+// lineLength returns the length of the first line of a text with its end, which is "\r\n", "\n" or "\r", or 0 if it has none.
+func lineLength(text []byte) int {
+	lf := bytes.IndexByte(text, '\n')
+	if lf >= 0 {
+		text = text[:lf]
+	}
+	if cr := bytes.IndexByte(text, '\r'); cr >= 0 && cr+1 != lf {
+		return cr + 1
+	}
+	return lf + 1
+}
+
+// readLine returns the next line with its end. It does not wait for more after "\r"; see restOfLineEnd. The line is valid
+// until the next read. The errors are those of bufio.Reader.ReadSlice.
+func (r *EventReader) readLine() ([]byte, error) {
+	for {
+		received, _ := r.reader.Peek(r.reader.Buffered()) // never fails
+		n, err := lineLength(received), error(nil)
+		switch {
+		case n > 0:
+			r.usesCRLF = r.usesCRLF || n > 1 && received[n-2] == '\r'
+			r.endedWithCR = n == len(received) && received[n-1] == '\r'
+		case len(received) == r.reader.Size():
+			n, err = len(received), bufio.ErrBufferFull
+		default:
+			if _, err = r.reader.Peek(len(received) + 1); err == nil {
+				continue
+			}
+			received, _ = r.reader.Peek(len(received))
+			n = len(received)
+		}
+		_, _ = r.reader.Discard(n) // never fails: the bytes are buffered
+		return received[:n], err
+	}
+}
+
+// restOfLineEnd skips a "\n" that belongs to the "\r" at the end of the line before it, and reports whether there was one.
+func (r *EventReader) restOfLineEnd() bool {
+	if !r.endedWithCR {
+		return false
+	}
+	next, err := r.reader.Peek(1)
+	if err != nil {
+		return false // readLine gets the error too
+	}
+	r.endedWithCR = false
+	if next[0] != '\n' {
+		return false
+	}
+	r.usesCRLF = true
+	_, _ = r.reader.Discard(1) // never fails: the byte is buffered
+	return true
+}
+
 // Pending reports whether the next event has been received completely.
 func (r *EventReader) Pending() bool {
 	received, _ := r.reader.Peek(r.reader.Buffered()) // never fails
 	for {
-		line, rest, found := bytes.Cut(received, []byte{'\n'})
-		if !found {
+		n := lineLength(received)
+		if n == 0 {
 			return false
 		}
-		if len(bytes.TrimRight(line, "\r")) == 0 {
+		if len(bytes.TrimRight(received[:n], "\r\n")) == 0 {
 			return true
 		}
-		received = rest
+		received = received[n:]
 	}
 }
--- a/internal/gateway/upstream/events_test.go
+++ b/internal/gateway/upstream/events_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -43,3 +46,52 @@
 		}
 	}
 }
+
+// Guards against events whose lines end with CR that are joined to one, held back, or have the rest of the event as ID.
+func TestLinesOfEventsMayEndWithCR(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		events := []string{": comment\n\n", "id: 1\ndata: a\n\n", "retry: 5\nid: 2\ndata: b\ndata: c\n\n", "data: d\n\n", "id: 3\n\n"}
+		for i := range events {
+			events[i] = strings.ReplaceAll(events[i], "\n", end)
+		}
+		text := strings.Join(events, "")
+		raw, ids := readEvents(t, strings.NewReader(text))
+		assert.Equal(t, events, raw, "%q", end)
+		assert.Equal(t, []string{"1", "2", "", "3"}, ids, "%q", end)
+
+		raw, ids = readEvents(t, iotest.OneByteReader(strings.NewReader(text)))
+		assert.Equal(t, text, strings.Join(raw, ""), "%q, one byte a time", end)
+		assert.Equal(t, []string{"1", "2", "", "3"}, ids, "%q, one byte a time", end)
+
+		reader, writer := io.Pipe()
+		passed := make(chan Event)
+		go func() {
+			e, _ := NewEventReader(reader).Next()
+			passed <- e
+		}()
+		_, _ = io.WriteString(writer, events[1])
+		select {
+		case e := <-passed:
+			assert.Equal(t, "1", e.ID, "%q", end)
+		case <-time.After(5 * time.Second):
+			t.Errorf("an event waits for bytes after its end: %q", end)
+		}
+		_ = reader.Close()
+	}
+}
+
+// Guards against a stream cut after a CR that is taken for one cut inside an event, or the reverse.
+func TestStreamCutBetweenCRAndLF(t *testing.T) {
+	for text, want := range map[string]error{
+		"id: 1\r\ndata: a\r\n\r": ErrTruncatedEvent, "id: 1\r\ndata: a\r\n": ErrTruncatedEvent, "id: 1\r\ndata: a\r": ErrTruncatedEvent, "id: 1\rdata: a\r\r": io.EOF,
+	} {
+		for _, from := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
+			r := NewEventReader(from)
+			var err error
+			for err == nil {
+				_, err = r.Next()
+			}
+			assert.ErrorIs(t, err, want, fmt.Sprintf("%q", text))
+		}
+	}
+}
