Gateway: a byte order mark before the first event of a stream

A stream may begin with a byte order mark, which its reader skips at the beginning only. The mark is now passed on at the beginning of an answer, and dropped where a replica goes on with events that the caller has. TestByteOrderMarkComesBeforeTheFirstEventOnly failed before.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -177,6 +177,9 @@
 		return e.handleUnusable(errors.New("stream has no server seal"), fleet.Failed, lease)
 	}
 	events := upstream.NewEventReader(response.Body)
+	if p.headerSent {
+		events.Continue()
+	}
 	controller := http.NewResponseController(e.w)
 	var firstEventAt time.Time
 	eventsBefore := p.events
--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -30,6 +30,8 @@
 	buf         []byte
 	endedWithCR bool // the last byte read is a "\r" after which a "\n" may follow
 	usesCRLF    bool // lines have ended with "\r\n"
+	begun       bool // a line has been read
+	continues   bool // see Continue
 }
 
 // NewEventReader returns an EventReader that reads from body.
@@ -37,6 +39,12 @@
 	return &EventReader{reader: bufio.NewReaderSize(body, readBufferBytes)}
 }
 
+// byteOrderMark may come before the first event. Callers skip it there only.
+var byteOrderMark = []byte("\ufeff")
+
+// Continue makes the reader drop a byte order mark, as the events follow others that the caller has. It is called before Next.
+func (r *EventReader) Continue() { r.continues = true }
+
 // Next returns the next event. The error is io.EOF if the stream ended after a complete
 // event, and ErrTruncatedEvent or the read error if it broke off. An event longer than
 // maxEventBytes gives an error too.
@@ -66,6 +74,10 @@
 		if len(r.buf) > maxEventBytes {
 			return Event{}, errors.New("event exceeds its size limit")
 		}
+		if !r.begun {
+			r.begun = true
+			lineStart = r.skipMark()
+		}
 		text := bytes.TrimRight(r.buf[lineStart:], "\r\n")
 		lineStart = len(r.buf)
 		if len(text) == 0 {
@@ -80,6 +92,19 @@
 	}
 }
 
+// skipMark returns the length of the byte order mark before the first line, or drops the mark.
+func (r *EventReader) skipMark() int {
+	rest, found := bytes.CutPrefix(r.buf, byteOrderMark)
+	switch {
+	case !found:
+		return 0
+	case r.continues:
+		r.buf = append(r.buf[:0], rest...)
+		return 0
+	}
+	return len(byteOrderMark)
+}
+
 // lineLength returns the length of the first line of a text with its end, which is "\r\n", "\n" or "\r", or 0 if it has none.
 func lineLength(text []byte) int {
 	lf := bytes.IndexByte(text, '\n')
--- a/internal/gateway/upstream/events_test.go
+++ b/internal/gateway/upstream/events_test.go
@@ -16,7 +16,11 @@
 // readEvents returns the bytes of each event up to the end of the text, and the IDs of those that are no comments.
 func readEvents(t *testing.T, from io.Reader) (raw, ids []string) {
 	t.Helper()
-	r := NewEventReader(from)
+	return readAllEvents(t, NewEventReader(from))
+}
+
+func readAllEvents(t *testing.T, r *EventReader) (raw, ids []string) {
+	t.Helper()
 	for {
 		e, err := r.Next()
 		if errors.Is(err, io.EOF) {
@@ -95,3 +99,20 @@
 		}
 	}
 }
+
+// Guards against a first event that counts as one without an ID after a byte order mark, so that no replica can go on, and against a
+// mark in the middle of what the caller gets.
+func TestByteOrderMarkComesBeforeTheFirstEventOnly(t *testing.T) {
+	const first, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: \ufeff\n\n"
+	for _, mark := range []string{"", "\ufeff"} {
+		raw, ids := readEvents(t, strings.NewReader(mark+first+rest))
+		assert.Equal(t, []string{mark + first, rest}, raw)
+		assert.Equal(t, []string{"1", "2"}, ids)
+
+		r := NewEventReader(strings.NewReader(mark + first + rest))
+		r.Continue()
+		raw, ids = readAllEvents(t, r)
+		assert.Equal(t, []string{first, rest}, raw)
+		assert.Equal(t, []string{"1", "2"}, ids)
+	}
+}
