Soak: streams under mixed faults, and in other notations

TestStreamsStayInOrder plays the size of the deployment on which operators saw streams out of order: 18 replicas with two kinds of stream and one with long events, 3 with plain answers, 4 hosts in 3 zones. Replicas end, come back at another version, fall silent and send bytes that belong to no request on kept connections; links cut, delay and reset; hosts are killed, stopped and paused; the store goes away; callers hang up, read slowly, and take streams up at another host. Each event is judged over all attempts.

TestStreamsInOtherNotations has streams with other line ends, a byte order mark, comments, and IDs that are not plain numbers.

--- /dev/null
+++ b/internal/soak/streammix_test.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"heatherbarrow/internal/gateway/netio/relaytest"
+	"heatherbarrow/platform/storetest"
+)
+
+// Guards against events that are missing, come twice or out of order, belong to another stream or run, and streams that
+// end as complete before their last event, over all attempts of their callers, while replicas, links, hosts and the store
+// fail in every way that real machines do. SECONDS is the time of each seed, SEED and SEEDS are as for TestSoak.
+func TestStreamsStayInOrder(t *testing.T) {
+	concurrently(t)
+	seeds := []uint64{1}
+	if os.Getenv("SEED") != "" || os.Getenv("SEEDS") != "" {
+		seeds = chosenSeeds(t, nil)
+	}
+	lasts := 8 * time.Second
+	if n, _ := strconv.Atoi(os.Getenv("SECONDS")); n > 0 {
+		lasts = time.Duration(n) * time.Second
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playMix(t, seed, lasts) })
+	}
+}
+
+func playMix(t *testing.T, seed uint64, lasts time.Duration) {
+	shape := rigShape{hosts: 4, zones: 3, replicas: map[string]int{"model": 18, "plain": 3}}
+	g := newStreamRig(t, shape,
+		&streamRoute{name: "draft", service: "model", kind: "streaming", resumable: true, attempts: 2, events: 58, pause: 12 * time.Millisecond},
+		&streamRoute{name: "match", service: "model", kind: "streaming", attempts: 1, events: 10, pause: 30 * time.Millisecond},
+		&streamRoute{name: "draft", service: "model", kind: "streaming", resumable: true, attempts: 2, events: 58, pause: 12 * time.Millisecond},
+		&streamRoute{name: "long", service: "model", kind: "streaming", resumable: true, attempts: 3, events: 30, pause: 5 * time.Millisecond, padding: 8 << 10},
+		&streamRoute{name: "look", service: "plain", kind: "idempotent", attempts: 2, pause: 6 * time.Millisecond},
+		&streamRoute{name: "order", service: "plain", kind: "non_idempotent", attempts: 1, pause: 6 * time.Millisecond})
+	defer g.keepLogs(seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	c := &rigCallers{g: g, every: 8 * time.Millisecond, hangUp: 0.15, slow: 0.1, random: rand.New(rand.NewPCG(seed, 1))}
+	stop := make(chan struct{})
+	var faults sync.WaitGroup
+	faults.Go(func() { g.mixFaults(random, stop) })
+	all := c.follow(lasts)
+	close(stop)
+	faults.Wait()
+	checkFollowed(t, "mixed faults", all)
+	joinedStreams, began, takenUp, wentOn := 0, 0.0, 0.0, 0.0
+	streams := 0.0
+	for _, f := range all {
+		if len(f.versions) > 1 {
+			joinedStreams++
+			t.Logf("events of two versions: %v", f)
+		}
+		if !f.route.resumable {
+			continue
+		}
+		streams++
+		if f.events > 0 {
+			began++
+		}
+		if f.takenUp {
+			takenUp++
+		}
+		if f.wentOn {
+			wentOn++
+		}
+	}
+	t.Logf("%.0f resumable streams, %.2f began, %.0f taken up, %.2f of these went on, %d joined", streams, began/streams, takenUp, wentOn/takenUp, joinedStreams)
+	assert.LessOrEqual(t, joinedStreams, maxJoinedStreams, "streams hold events of two software versions")
+	if takenUp >= minCutStreams {
+		assert.GreaterOrEqual(t, wentOn/takenUp, minTakeUpShare*began/streams, "streams that are taken up go on")
+	}
+}
+
+// mixFaults plays faults, in series and overlapping, until stopped.
+func (g *streamRig) mixFaults(random *rand.Rand, stop <-chan struct{}) {
+	var faults sync.WaitGroup
+	defer faults.Wait()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(500)) * time.Millisecond):
+		}
+		play, name := g.mixFault(random)
+		lasts := time.Duration(100+random.IntN(1400)) * time.Millisecond
+		g.t.Logf("%s %s for %v", time.Now().UTC().Format("15:04:05.000"), name, lasts)
+		faults.Go(func() { play(lasts) })
+	}
+}
+
+// mixFault draws a fault. The returned function plays it and ends it.
+func (g *streamRig) mixFault(random *rand.Rand) (play func(time.Duration), name string) {
+	r, h := g.replicas[random.IntN(len(g.replicas))], g.hosts[random.IntN(len(g.hosts))]
+	onLink := func(f relaytest.Fault) func(time.Duration) {
+		return func(lasts time.Duration) {
+			end := r.link.Begin(f)
+			time.Sleep(lasts)
+			end()
+		}
+	}
+	onHost := func(play func(time.Duration)) func(time.Duration) {
+		return func(lasts time.Duration) {
+			if h.claim() {
+				defer h.release()
+				play(lasts)
+			}
+		}
+	}
+	restart := func(s syscall.Signal) func(time.Duration) {
+		return onHost(func(lasts time.Duration) {
+			h.signal(s)
+			h.wait()
+			time.Sleep(lasts / 2)
+			h.start()
+		})
+	}
+	switch random.IntN(15) {
+	case 0:
+		return func(time.Duration) { r.end(0) }, "end of " + r.id + " whose address is taken at once"
+	case 1:
+		return func(lasts time.Duration) { r.end(lasts) }, "end of " + r.id
+	case 2:
+		version := "v" + strconv.Itoa(1+random.IntN(2))
+		return func(lasts time.Duration) {
+			r.version.Store(&version)
+			r.end(lasts / 4)
+		}, "start of " + r.id + " at " + version
+	case 3:
+		return onLink(relaytest.Fault{Direction: relaytest.FromTarget, Reset: true}), "resets by " + r.id
+	case 4:
+		return onLink(relaytest.Fault{Direction: relaytest.FromTarget, Silent: true}), "cut from " + r.id
+	case 5:
+		return onLink(relaytest.Fault{Direction: relaytest.ToTarget, Silent: true}), "cut to " + r.id
+	case 6:
+		return onLink(relaytest.Fault{Direction: relaytest.FromTarget, Latency: 150 * time.Millisecond, Jitter: 100 * time.Millisecond}), "slow link to " + r.id
+	case 7:
+		return onLink(relaytest.Fault{Direction: relaytest.FromTarget, PieceSize: 20, PieceVariation: 10, PieceDelay: 2 * time.Millisecond}), "slow drip from " + r.id
+	case 8, 9:
+		return func(lasts time.Duration) {
+			for _, each := range g.replicas {
+				each.garbles.Store(3)
+			}
+			time.Sleep(lasts)
+			for _, each := range g.replicas {
+				each.garbles.Store(0)
+			}
+		}, "bytes that belong to no request"
+	case 10:
+		return func(lasts time.Duration) {
+			r.stalled.Store(true)
+			time.Sleep(lasts)
+			r.stalled.Store(false)
+		}, "silence of " + r.id
+	case 11:
+		return restart(syscall.SIGKILL), "kill of " + h.name
+	case 12:
+		return restart(syscall.SIGTERM), "stop of " + h.name
+	case 13:
+		return onHost(func(lasts time.Duration) {
+			h.signal(syscall.SIGSTOP)
+			time.Sleep(2 * lasts)
+			h.signal(syscall.SIGCONT)
+		}), "pause of " + h.name
+	default:
+		return func(lasts time.Duration) {
+			g.store.SetFault(storetest.Down)
+			time.Sleep(lasts)
+			g.store.SetFault(storetest.None)
+		}, "store away"
+	}
+}
--- /dev/null
+++ b/internal/soak/streamnotation_test.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// notations are ways in which replicas may write the events of a stream.
+var notations = map[string]notation{
+	"lines end with CR LF, in pieces": {lineEnd: "\r\n", split: true},
+	"lines end with CR":               {lineEnd: "\r"},
+	"a byte order mark comes first":   {first: "\ufeff"},
+	"comments and retry times":        {before: func(int) string { return ": comment\n\nretry: 1000\n" }},
+	"IDs are no numbers": {
+		id: func(i int) string { return fmt.Sprintf("event-%d-%d", 7*i%11, i) },
+		parse: func(id string) int {
+			i, err := strconv.Atoi(id[strings.LastIndex(id, "-")+1:])
+			if err != nil {
+				return -1
+			}
+			return i
+		},
+	},
+	"IDs have spaces": {
+		id: func(i int) string { return "  " + strconv.Itoa(i) + " " },
+		parse: func(id string) int {
+			i, err := strconv.Atoi(strings.TrimSpace(id))
+			if err != nil {
+				return -1
+			}
+			return i
+		},
+	},
+	"IDs begin with zeros": {id: func(i int) string { return fmt.Sprintf("%06d", i) }},
+}
+
+// Guards against streams whose lines or IDs are written in another way than usual, and that are taken for broken, lose
+// events, or do not go on after the event that the caller has.
+func TestStreamsInOtherNotations(t *testing.T) {
+	concurrently(t)
+	// A stream whose process ends within its first events may not go on, so that not all are complete.
+	const begins, minCompleteShare = 1500 * time.Millisecond, 0.8
+	var routes []*streamRoute
+	for name, n := range notations {
+		routes = append(routes, &streamRoute{
+			name: strings.ReplaceAll(name, " ", "-"), service: "pool", kind: "streaming", resumable: true, attempts: 3,
+			events: longStreamEvents, pause: 15 * time.Millisecond, notation: n,
+		})
+	}
+	g := newStreamRig(t, rigShape{hosts: 3, zones: 3, replicas: map[string]int{"pool": 6}}, routes...)
+	defer g.keepLogs(1)
+	c := &rigCallers{g: g, every: 8 * time.Millisecond, hangUp: 0.2, random: rand.New(rand.NewPCG(1, 1))}
+	all := c.follow(begins / 2)
+	stop := make(chan struct{})
+	var ends sync.WaitGroup
+	ends.Go(func() {
+		g.endProcesses(&processEnd{down: 30 * time.Millisecond, every: 300 * time.Millisecond}, rand.New(rand.NewPCG(1, 0)), stop)
+	})
+	all = append(all, c.follow(begins)...)
+	close(stop)
+	ends.Wait()
+	for name := range notations {
+		route := strings.ReplaceAll(name, " ", "-")
+		var of []*followed
+		for _, f := range all {
+			if f.route.name == route {
+				of = append(of, f)
+			}
+		}
+		checkFollowed(t, name, of)
+		assert.GreaterOrEqual(t, completeShare(of), minCompleteShare, name)
+		takenUp, wentOn := 0.0, 0.0
+		for _, f := range of {
+			if f.takenUp {
+				takenUp++
+			}
+			if f.wentOn {
+				wentOn++
+			}
+		}
+		assert.GreaterOrEqual(t, wentOn, minTakeUpShare*takenUp, "%s: streams that are taken up go on", name)
+	}
+}
