--- a/internal/soak/streamcaller_test.go
+++ b/internal/soak/streamcaller_test.go
@@ -78,7 +78,7 @@
 
 func (s slowReader) Read(b []byte) (int, error) {
 	time.Sleep(5 * time.Millisecond)
-	return s.Reader.Read(b[:min(len(b), 1<<10)])
+	return s.Reader.Read(b[:min(len(b), 4<<10)])
 }
 
 // rigCallers send requests to random hosts of a rig.
@@ -164,7 +164,11 @@
 	}
 	status := 0
 	defer func() { f.attempts = append(f.attempts, fmt.Sprintf("%s from %d: %d", id, from, status)) }()
-	response, err := c.g.client.Do(q)
+	client, slow := c.g.client, f.route.events > 0 && c.float() < c.slow
+	if slow {
+		client = c.g.slow
+	}
+	response, err := client.Do(q)
 	if err != nil {
 		return false
 	}
@@ -174,7 +178,7 @@
 		return status == http.StatusServiceUnavailable
 	}
 	body := io.Reader(response.Body)
-	if f.route.events > 0 && c.float() < c.slow {
+	if slow {
 		body = slowReader{body}
 	}
 	leaves := f.route.events > 0 && c.float() < c.hangUp
--- a/internal/soak/streammix_test.go
+++ b/internal/soak/streammix_test.go
@@ -18,7 +18,8 @@
 
 // Guards against events that are missing, come twice or out of order, belong to another stream or run, and streams that
 // end as complete before their last event, over all attempts of their callers, while replicas, links, hosts and the store
-// fail in every way that real machines do. SECONDS is the time of each seed, SEED and SEEDS are as for TestSoak.
+// fail in every way that real machines do. SECONDS is the time of each seed, SEED and SEEDS are as for TestSoak. With
+// UNFRAMED, no answer has a length or chunks.
 func TestStreamsStayInOrder(t *testing.T) {
 	concurrently(t)
 	seeds := []uint64{1}
@@ -40,9 +41,14 @@
 		&streamRoute{name: "draft", service: "model", kind: "streaming", resumable: true, attempts: 2, events: 58, pause: 12 * time.Millisecond},
 		&streamRoute{name: "match", service: "model", kind: "streaming", attempts: 1, events: 10, pause: 30 * time.Millisecond},
 		&streamRoute{name: "draft", service: "model", kind: "streaming", resumable: true, attempts: 2, events: 58, pause: 12 * time.Millisecond},
-		&streamRoute{name: "long", service: "model", kind: "streaming", resumable: true, attempts: 3, events: 30, pause: 5 * time.Millisecond, padding: 8 << 10},
+		&streamRoute{name: "long", service: "model", kind: "streaming", resumable: true, attempts: 3, events: 30, pause: 5 * time.Millisecond, padding: 32 << 10},
 		&streamRoute{name: "look", service: "plain", kind: "idempotent", attempts: 2, pause: 6 * time.Millisecond},
 		&streamRoute{name: "order", service: "plain", kind: "non_idempotent", attempts: 1, pause: 6 * time.Millisecond})
+	if os.Getenv("UNFRAMED") != "" {
+		for _, r := range g.routes {
+			r.unframed = true
+		}
+	}
 	defer g.keepLogs(seed)
 	random := rand.New(rand.NewPCG(seed, 0))
 	c := &rigCallers{g: g, every: 8 * time.Millisecond, hangUp: 0.15, slow: 0.1, random: rand.New(rand.NewPCG(seed, 1))}
@@ -124,7 +130,7 @@
 			h.start()
 		})
 	}
-	switch random.IntN(15) {
+	switch random.IntN(18) {
 	case 0:
 		return func(time.Duration) { r.end(0) }, "end of " + r.id + " whose address is taken at once"
 	case 1:
@@ -171,6 +177,16 @@
 			time.Sleep(2 * lasts)
 			h.signal(syscall.SIGCONT)
 		}), "pause of " + h.name
+	case 14:
+		return func(time.Duration) { h.signal(syscall.SIGHUP) }, "reload of " + h.name
+	case 15:
+		return func(time.Duration) { g.configure() }, "new configuration"
+	case 16:
+		return func(lasts time.Duration) {
+			r.register("draining")
+			time.Sleep(lasts)
+			r.end(0)
+		}, "drain of " + r.id
 	default:
 		return func(lasts time.Duration) {
 			g.store.SetFault(storetest.Down)
--- a/internal/soak/streamrig_test.go
+++ b/internal/soak/streamrig_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -101,6 +104,7 @@
 	stalled atomic.Bool  // answers pause
 	garbles atomic.Int32 // one in so many answers is followed by bytes that belong to no request; 0 for none
 
+	ends     sync.Mutex // held while the process ends, until the next one has registered
 	mu       sync.Mutex
 	listener net.Listener
 	open     map[net.Conn]struct{}
@@ -232,6 +236,8 @@
 
 // end ends the process. Another one takes its address at once if nothing is to listen for no time.
 func (r *rigReplica) end(down time.Duration) {
+	r.ends.Lock()
+	defer r.ends.Unlock()
 	r.born.Add(1)
 	r.mu.Lock()
 	if down > 0 {
@@ -362,6 +368,7 @@
 	routes   []*streamRoute
 	replicas []*rigReplica
 	client   *http.Client
+	slow     *http.Client // whose sockets hold little
 	next     atomic.Int64
 
 	cutMu sync.Mutex
@@ -402,6 +409,7 @@
 	g := &streamRig{
 		deployment: &deployment{t: t, store: storetest.New(), ledger: &ledger{runs: make(map[string]int)}, troubles: make(map[string][]trouble)},
 		routes:     routes, cut: make(map[string]bool),
+		slow:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialSmall}},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}},
 	}
 	t.Cleanup(g.store.Close)
@@ -411,7 +419,7 @@
 			g.addReplica(fmt.Sprintf("%s%d", service, i), service, zoneName(i%shape.zones), shape.direct)
 		}
 	}
-	g.configure(shape)
+	g.configure()
 	dir := t.TempDir()
 	for i := range shape.hosts {
 		store := newRelay(t, g.store.Address())
@@ -426,6 +434,19 @@
 	return g
 }
 
+// dialSmall opens a connection that receives little more than what is read.
+func dialSmall(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		const bufferBytes = 4 << 10
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
+		})
+		return errors.Join(err, setErr)
+	}}
+	return dialer.DialContext(ctx, network, address)
+}
+
 func (g *streamRig) addReplica(id, service, zone string, direct bool) {
 	r := &rigReplica{rig: g, id: id, service: service, zone: zone, open: make(map[net.Conn]struct{}), running: make(map[string]*rigRun)}
 	r.born.Store(1)
@@ -440,21 +461,23 @@
 	g.replicas = append(g.replicas, r)
 }
 
-// configure writes the configuration of the rig.
-func (g *streamRig) configure(shape rigShape) {
-	routes, services := []any{}, []any{}
+// configure writes the next version of the configuration.
+func (g *streamRig) configure() {
+	routes, services, named := []any{}, []any{}, make(map[string]bool)
 	for _, r := range g.routes {
 		routes = append(routes, map[string]any{
 			"name": r.name, "host": callerHost, "pathPrefix": r.prefix(), "routeKind": r.kind, "timeoutMs": 8000, "goalMs": 500, "gapGoalMs": 400,
 			"service": r.service, "maxAttempts": r.attempts, "resumable": r.resumable,
 		})
+		if !named[r.service] {
+			services, named[r.service] = append(services, map[string]any{"name": r.service}), true
+		}
 	}
-	for service := range shape.replicas {
-		services = append(services, map[string]any{"name": service})
-	}
-	g.version.Store(1)
+	g.writes.Lock()
+	defer g.writes.Unlock()
+	version := g.version.Add(1)
 	g.store.Put(platform.KindConfig, platform.NameConfig, map[string]any{
-		"version": 1, "routes": routes, "services": services, "limits": map[string]any{"idleTimeoutMs": 10_000},
+		"version": version, "routes": routes, "services": services, "limits": map[string]any{"idleTimeoutMs": 10_000},
 		"tenants": []any{map[string]any{"name": "counter", "apiKeys": []string{teamKey}}},
 	})
 }
