Gateway: event IDs that contain NUL are ignored

The standard of server-sent events has readers ignore such an ID, so that the one before stays in force. The gateway took it for that of the last event and would have sent it to the next replica in a header, which no header may carry. TestIDsWithNULAreIgnored failed before.

--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -85,7 +85,7 @@
 			return e, nil
 		} else if text[0] == ':' {
 			continue
-		} else if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		} else if id, ok := bytes.CutPrefix(text, []byte("id:")); ok && bytes.IndexByte(id, 0) < 0 {
 			e.ID = string(bytes.TrimSpace(id))
 		}
 		e.CommentOnly = false
--- a/internal/gateway/upstream/events_test.go
+++ b/internal/gateway/upstream/events_test.go
@@ -116,3 +116,9 @@
 		assert.Equal(t, []string{"1", "2"}, ids)
 	}
 }
+
+// Guards against an ID that callers ignore, and that no header can carry.
+func TestIDsWithNULAreIgnored(t *testing.T) {
+	_, ids := readEvents(t, strings.NewReader("id: 1\nid: 2\x00\ndata: a\n\nid: \x00\ndata: b\n\nid: 3\n\n"))
+	assert.Equal(t, []string{"1", "", "3"}, ids)
+}
