--- a/internal/gateway/netio/relaytest/relaytest.go
+++ b/internal/gateway/netio/relaytest/relaytest.go
@@ -26,6 +26,9 @@
 	// Silent drops the bytes, and the end of the connection too. They are acknowledged, so that only a timeout shows
 	// it. The connections are closed when no fault that is Silent lasts any more, as they lack bytes.
 	Silent bool
+	// ResetAtEnd resets the connections that a Silent fault closes at its end, as an orderly end tells the peers that they
+	// have all bytes.
+	ResetAtEnd bool
 	// Reset resets a connection when bytes come.
 	Reset bool
 	// Latency delays the bytes, by up to Jitter more or less.
@@ -167,7 +170,7 @@
 	}
 	for c := range r.open {
 		if c.lacks && !c.forGood {
-			r.end(c, false)
+			r.end(c, a.ResetAtEnd)
 		}
 	}
 }
--- a/internal/gateway/netio/relaytest/relaytest_test.go
+++ b/internal/gateway/netio/relaytest/relaytest_test.go
@@ -332,3 +332,16 @@
 	}
 	require.Positive(t, last)
 }
+
+// Guards against connections that lack bytes and end in order although a reset is wanted.
+func TestSilentFaultResetsAtEnd(t *testing.T) {
+	r, target := newRelay(t)
+	p := connect(t, r, target)
+	end := r.Begin(Fault{Direction: FromTarget, Silent: true, ResetAtEnd: true})
+	_, err := io.WriteString(p.target, "lost")
+	require.NoError(t, err)
+	isQuiet(t, p.caller)
+	end()
+	assert.ErrorIs(t, ended(t, p.caller), syscall.ECONNRESET)
+	assert.ErrorIs(t, ended(t, p.target), syscall.ECONNRESET)
+}
--- a/internal/soak/streamrig_test.go
+++ b/internal/soak/streamrig_test.go
@@ -261,6 +261,19 @@
 	r.register("ready")
 }
 
+// awaitIdle returns when the replica runs no request, or after some time.
+func (r *rigReplica) awaitIdle() {
+	const patience = 3 * time.Second
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		r.mu.Lock()
+		n := len(r.running)
+		r.mu.Unlock()
+		if n == 0 {
+			return
+		}
+	}
+}
+
 func (r *rigReplica) softwareVersion() string { return *r.version.Load() }
 
 // register writes the replica's entry.
