--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -32,11 +32,16 @@
 	CommentOnly bool
 }
 
-// EventReader splits a stream into server-sent events.
+// EventReader splits a stream into server-sent events. A "\n" that comes later than the "\r" with which an event ends is an
+// event of its own that consists of nothing.
 type EventReader struct {
-	reader *bufio.Reader
-	buf    []byte
-	memory *membudget.Account
+	reader      *bufio.Reader
+	buf         []byte
+	memory      *membudget.Account
+	endedWithCR bool // the last byte read is a "\r" after which a "\n" may follow
+	usesCRLF    bool // lines have ended with "\r\n"
+	begun       bool // a line has been read
+	continues   bool // see Continue
 }
 
 // NewEventReader returns an EventReader that reads from body. The account holds the events.
@@ -44,6 +49,12 @@
 	return &EventReader{reader: bufio.NewReaderSize(body, readBufferBytes), memory: memory}
 }
 
+// byteOrderMark may come before the first event. Callers skip it there only.
+var byteOrderMark = []byte("\ufeff")
+
+// Continue makes the reader drop a byte order mark, as the events follow others that the caller has. It is called before Next.
+func (r *EventReader) Continue() { r.continues = true }
+
 // Next returns the next event. The error is io.EOF if the stream ended after a complete
 // event, and ErrTruncatedEvent or the read error if it broke off. An event longer than
 // maxEventBytes gives an error too, and so does one that the account cannot hold.
@@ -51,17 +62,27 @@
 	e := Event{CommentOnly: true}
 	r.dropLargeBuffer()
 	r.buf = r.buf[:0]
+	lineStart := 0
 	for {
-		line, err := r.reader.ReadSlice('\n')
-		var exhausted error
-		if r.buf, exhausted = r.memory.Append(r.buf, line, maxEventBytes); exhausted != nil {
+		if r.restOfLineEnd() {
+			if err := r.add([]byte{'\n'}); err != nil {
+				return Event{}, err
+			}
+			if len(r.buf) == 1 {
+				e.Raw = r.buf
+				return e, nil
+			}
+			lineStart++
+		}
+		line, err := r.readLine()
+		if exhausted := r.add(line); exhausted != nil {
 			return Event{}, exhausted
 		}
 		if errors.Is(err, bufio.ErrBufferFull) && len(r.buf) < maxEventBytes {
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(r.buf) > 0 {
+			if errors.Is(err, io.EOF) && (len(r.buf) > 0 || r.endedWithCR && r.usesCRLF) {
 				err = ErrTruncatedEvent
 			}
 			return Event{}, err
@@ -69,12 +90,18 @@
 		if len(r.buf) > maxEventBytes {
 			return Event{}, errors.New("event exceeds its size limit")
 		}
-		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 {
+		if !r.begun {
+			r.begun = true
+			lineStart = r.skipMark()
+		}
+		text := bytes.TrimRight(r.buf[lineStart:], "\r\n")
+		lineStart = len(r.buf)
+		if len(text) == 0 {
 			e.Raw = r.buf
 			return e, nil
 		} else if text[0] == ':' {
 			continue
-		} else if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		} else if id, ok := bytes.CutPrefix(text, []byte("id:")); ok && bytes.IndexByte(id, 0) < 0 {
 			e.ID = string(bytes.TrimSpace(id))
 		}
 		e.CommentOnly = false
@@ -91,17 +118,90 @@
 	r.buf = nil
 }
 
+// add appends to the buffer, whose capacity the account holds.
+func (r *EventReader) add(data []byte) (err error) {
+	r.buf, err = r.memory.Append(r.buf, data, maxEventBytes)
+	return err
+}
+
+// skipMark returns the length of the byte order mark before the first line, or drops the mark.
+func (r *EventReader) skipMark() int {
+	rest, found := bytes.CutPrefix(r.buf, byteOrderMark)
+	switch {
+	case !found:
+		return 0
+	case r.continues:
+		r.buf = append(r.buf[:0], rest...)
+		return 0
+	}
+	return len(byteOrderMark)
+}
+
+// lineLength returns the length of the first line of a text with its end, which is "\r\n", "\n" or "\r", or 0 if it has none.
+func lineLength(text []byte) int {
+	lf := bytes.IndexByte(text, '\n')
+	if lf >= 0 {
+		text = text[:lf]
+	}
+	if cr := bytes.IndexByte(text, '\r'); cr >= 0 && cr+1 != lf {
+		return cr + 1
+	}
+	return lf + 1
+}
+
+// readLine returns the next line with its end. It does not wait for more after "\r"; see restOfLineEnd. The line is valid
+// until the next read. The errors are those of bufio.Reader.ReadSlice.
+func (r *EventReader) readLine() ([]byte, error) {
+	for {
+		received, _ := r.reader.Peek(r.reader.Buffered()) // never fails
+		n, err := lineLength(received), error(nil)
+		switch {
+		case n > 0:
+			r.usesCRLF = r.usesCRLF || n > 1 && received[n-2] == '\r'
+			r.endedWithCR = n == len(received) && received[n-1] == '\r'
+		case len(received) == r.reader.Size():
+			n, err = len(received), bufio.ErrBufferFull
+		default:
+			if _, err = r.reader.Peek(len(received) + 1); err == nil {
+				continue
+			}
+			received, _ = r.reader.Peek(len(received))
+			n = len(received)
+		}
+		_, _ = r.reader.Discard(n) // never fails: the bytes are buffered
+		return received[:n], err
+	}
+}
+
+// restOfLineEnd skips a "\n" that belongs to the "\r" at the end of the line before it, and reports whether there was one.
+func (r *EventReader) restOfLineEnd() bool {
+	if !r.endedWithCR {
+		return false
+	}
+	next, err := r.reader.Peek(1)
+	if err != nil {
+		return false // readLine gets the error too
+	}
+	r.endedWithCR = false
+	if next[0] != '\n' {
+		return false
+	}
+	r.usesCRLF = true
+	_, _ = r.reader.Discard(1) // never fails: the byte is buffered
+	return true
+}
+
 // Pending reports whether the next event has been received completely.
 func (r *EventReader) Pending() bool {
 	received, _ := r.reader.Peek(r.reader.Buffered()) // never fails
 	for {
-		line, rest, found := bytes.Cut(received, []byte{'\n'})
-		if !found {
+		n := lineLength(received)
+		if n == 0 {
 			return false
 		}
-		if len(bytes.TrimRight(line, "\r")) == 0 {
+		if len(bytes.TrimRight(received[:n], "\r\n")) == 0 {
 			return true
 		}
-		received = rest
+		received = received[n:]
 	}
 }
--- /dev/null
+++ b/internal/soak/streamrig_test.go
@@ -0,0 +1,496 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/gateway"
+	"heatherbarrow/internal/gateway/netio/relaytest"
+	"heatherbarrow/platform"
+	"heatherbarrow/platform/storetest"
+)
+
+// streamRoute is a route of a rig, and what its service's replicas answer on it.
+type streamRoute struct {
+	name      string // its path is /NAME/
+	service   string
+	kind      string
+	resumable bool
+	attempts  int
+	events    int           // of each stream; 0 for a plain answer
+	pause     time.Duration // before each event, or each piece of a plain answer
+	unframed  bool          // answers have neither a length nor chunks
+	padding   int           // bytes that are added to each event
+	notation  notation      // of the events
+}
+
+// maxStall is the longest pause of a sound replica that falls silent.
+const maxStall = 1500 * time.Millisecond
+
+func (r *streamRoute) prefix() string { return "/" + r.name + "/" }
+
+// answerPieces is the number of pieces in which a plain answer is written.
+const answerPieces = 10
+
+// plainAnswer is the answer to a request for the key.
+func plainAnswer(key string) string { return strings.Repeat("piece of "+key+"\n", answerPieces) }
+
+// notation is how a route's replicas write events.
+type notation struct {
+	lineEnd string              // "\n" if empty
+	id      func(i int) string  // of the event with the number i, which counts from 0; decimal if nil
+	before  func(i int) string  // lines before the event
+	first   string              // bytes before the first event of each answer
+	parse   func(id string) int // inverse of id; -1 if it is none
+	split   bool                // each byte of an event's end is written by itself
+}
+
+func (n *notation) idOf(i int) string {
+	if n.id != nil {
+		return n.id(i)
+	}
+	return strconv.Itoa(i)
+}
+
+func (n *notation) numberOf(id string) int {
+	if n.parse != nil {
+		return n.parse(id)
+	}
+	i, err := strconv.Atoi(id)
+	if err != nil {
+		return -1
+	}
+	return i
+}
+
+func (n *notation) event(i int, data string) string {
+	text := "id: " + n.idOf(i) + "\ndata: " + data + "\n\n"
+	if n.before != nil {
+		text = n.before(i) + text
+	}
+	if n.lineEnd != "" {
+		text = strings.ReplaceAll(text, "\n", n.lineEnd)
+	}
+	return text
+}
+
+// rigReplica is a replica whose process can end and start again. Its connections end in order, as the kernel closes them.
+type rigReplica struct {
+	rig     *streamRig
+	id      string
+	service string
+	zone    string
+	version atomic.Pointer[string] // of its software
+	address string                 // where the process listens
+	link    *relaytest.Relay
+	born    atomic.Int64
+	stalled atomic.Bool  // answers pause
+	garbles atomic.Int32 // one in so many answers is followed by bytes that belong to no request; 0 for none
+
+	ends     sync.Mutex // held while the process ends, until the next one has registered
+	mu       sync.Mutex
+	listener net.Listener
+	open     map[net.Conn]struct{}
+	running  map[string]*rigRun // by ID of the attempt
+}
+
+// rigRun is a run of a request.
+type rigRun struct {
+	key     string
+	written atomic.Bool // part of the answer has been written
+}
+
+func (r *rigReplica) listen(address string) {
+	listener, err := net.Listen("tcp", address)
+	require.NoError(r.rig.t, err)
+	r.mu.Lock()
+	r.listener, r.address = listener, listener.Addr().String()
+	r.mu.Unlock()
+	go r.accept(listener)
+}
+
+func (r *rigReplica) accept(listener net.Listener) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return // the listener is closed
+		}
+		r.mu.Lock()
+		r.open[c] = struct{}{}
+		r.mu.Unlock()
+		go r.serve(c)
+	}
+}
+
+// serve answers the requests on a connection.
+func (r *rigReplica) serve(c net.Conn) {
+	defer func() {
+		r.mu.Lock()
+		delete(r.open, c)
+		r.mu.Unlock()
+		_ = c.Close()
+	}()
+	in := bufio.NewReader(c)
+	foreign := "" // bytes of no request that come before the next answer
+	for {
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err = io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		if _, err = io.WriteString(c, foreign); err != nil {
+			return
+		}
+		a := &rigAnswer{c: c}
+		if !r.respond(a, q) || a.err != nil {
+			return
+		}
+		foreign = ""
+		if n := r.garbles.Load(); n > 0 && rand.Int32N(n) == 0 {
+			foreign = garbled(a.sent.String())
+		}
+	}
+}
+
+// garbled returns bytes that a faulty replica may send after a complete answer.
+func garbled(answer string) string {
+	head, body, _ := strings.Cut(answer, "\r\n\r\n")
+	switch rand.IntN(4) {
+	case 0:
+		return answer
+	case 1: // without the ID of its request
+		lines := slices.DeleteFunc(strings.Split(head, "\r\n"), func(line string) bool { return strings.HasPrefix(line, attemptIDHeader) })
+		return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+	case 2: // without a length or chunks
+		lines := slices.DeleteFunc(strings.Split(head, "\r\n"), func(line string) bool {
+			return strings.HasPrefix(line, "Transfer-Encoding") || strings.HasPrefix(line, "Content-Length")
+		})
+		return strings.Join(lines, "\r\n") + "\r\n\r\nid: 0\ndata: of no request\n\n"
+	default:
+		return "id: 0\ndata: of no request\n\n"
+	}
+}
+
+const attemptIDHeader = "Heatherbarrow-Attempt-Id"
+
+// rigAnswer writes an answer to a connection.
+type rigAnswer struct {
+	c      net.Conn
+	framed bool         // in chunks
+	sent   bytes.Buffer // all that was written, unless it is long
+	err    error
+}
+
+func (a *rigAnswer) raw(text string) {
+	if a.err != nil {
+		return
+	}
+	if a.sent.Len() < 64<<10 {
+		a.sent.WriteString(text)
+	}
+	_, a.err = io.WriteString(a.c, text)
+}
+
+func (a *rigAnswer) write(text string) error {
+	if a.framed {
+		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	}
+	a.raw(text)
+	return a.err
+}
+
+func (a *rigAnswer) end() {
+	if a.framed {
+		a.raw("0\r\n\r\n")
+	}
+}
+
+// close ends the replica for good.
+func (r *rigReplica) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.listener.Close()
+	for c := range r.open {
+		_ = c.Close()
+	}
+}
+
+// end ends the process. Another one takes its address at once if nothing is to listen for no time.
+func (r *rigReplica) end(down time.Duration) {
+	r.ends.Lock()
+	defer r.ends.Unlock()
+	r.born.Add(1)
+	r.mu.Lock()
+	if down > 0 {
+		_ = r.listener.Close()
+	}
+	for c := range r.open {
+		_ = c.Close()
+	}
+	clear(r.open)
+	for _, run := range r.running {
+		if run.written.Load() {
+			r.rig.noteCut(run.key)
+		}
+	}
+	clear(r.running)
+	r.mu.Unlock()
+	if down > 0 {
+		time.Sleep(down)
+		r.listen(r.address)
+	}
+	r.register("ready")
+}
+
+// awaitIdle returns when the replica runs no request, or after some time.
+func (r *rigReplica) awaitIdle() {
+	const patience = 3 * time.Second
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		r.mu.Lock()
+		n := len(r.running)
+		r.mu.Unlock()
+		if n == 0 {
+			return
+		}
+	}
+}
+
+func (r *rigReplica) softwareVersion() string { return *r.version.Load() }
+
+// register writes the replica's entry.
+func (r *rigReplica) register(state string) {
+	address := r.address
+	if r.link != nil {
+		address = r.link.Address()
+	}
+	d := r.rig.deployment
+	d.writes.Lock()
+	defer d.writes.Unlock()
+	d.store.Put(platform.KindMembers, r.id, map[string]any{
+		"service": r.service, "address": address, "zone": r.zone, "slots": 400, "state": state, "born": r.born.Load(), "version": r.softwareVersion(),
+	})
+}
+
+// respond answers a request, and reports whether the connection may be used again.
+func (r *rigReplica) respond(a *rigAnswer, q *http.Request) (reusable bool) {
+	if q.URL.Path == "/v1/report" {
+		body := fmt.Sprintf(`{"born":%d}`, r.born.Load())
+		a.raw(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nKeep-Alive: timeout=4\r\n\r\n%s", len(body), body))
+		return true
+	}
+	id := q.Header.Get(attemptIDHeader)
+	if q.Header.Get("Heatherbarrow-Expect-Replica") != r.id {
+		a.raw(fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nHeatherbarrow-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", attemptIDHeader, id))
+		return true
+	}
+	name, key, _ := strings.Cut(strings.TrimPrefix(q.URL.Path, "/"), "/")
+	route := r.rig.route(name)
+	run := &rigRun{key: key}
+	r.mu.Lock()
+	r.running[id] = run
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.running[id] == run {
+			delete(r.running, id)
+		}
+	}()
+	contentType, framing := "text/plain", ""
+	if route.events > 0 {
+		contentType = "text/event-stream"
+	}
+	if a.framed = !route.unframed; a.framed {
+		framing = "Keep-Alive: timeout=4\r\nTransfer-Encoding: chunked\r\n"
+	}
+	a.raw(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nHeatherbarrow-Server-Seal: seal-%s\r\nContent-Type: %s\r\n%s\r\n", attemptIDHeader, id, r.id, contentType, framing))
+	r.answer(route, q, run, fmt.Sprintf("%s %s/%d/%s %s", key, r.id, r.born.Load(), id, r.softwareVersion()), a.write)
+	a.end()
+	return a.framed
+}
+
+// answer writes an answer in pieces. The data of each event names the run.
+func (r *rigReplica) answer(route *streamRoute, q *http.Request, run *rigRun, data string, write func(string) error) {
+	if route.events == 0 {
+		for range answerPieces {
+			time.Sleep(route.pause)
+			if write("piece of "+run.key+"\n") != nil {
+				return
+			}
+			run.written.Store(true)
+		}
+		return
+	}
+	next := 0
+	if text := q.Header.Get("Last-Event-Id"); text != "" {
+		next = route.notation.numberOf(text) + 1
+	}
+	padding := ""
+	if route.padding > 0 {
+		padding = " " + strings.Repeat("x", route.padding)
+	}
+	if route.notation.first != "" && write(route.notation.first) != nil {
+		return
+	}
+	for i := next; i < route.events; i++ {
+		time.Sleep(route.pause)
+		for waited := time.Duration(0); r.stalled.Load() && waited < maxStall; waited += route.pause {
+			time.Sleep(route.pause)
+		}
+		for _, piece := range route.notation.pieces(i, fmt.Sprintf("%d %s%s", i, data, padding)) {
+			if write(piece) != nil {
+				return
+			}
+			run.written.Store(true)
+		}
+	}
+}
+
+// pieces returns an event as it is written.
+func (n *notation) pieces(i int, data string) []string {
+	text := n.event(i, data)
+	if !n.split {
+		return []string{text}
+	}
+	at := len(strings.TrimRight(text, "\r\n"))
+	return append([]string{text[:at]}, strings.Split(text[at:], "")...)
+}
+
+// streamRig is hosts and replicas whose processes end, for the tests of streams.
+type streamRig struct {
+	*deployment
+	routes   []*streamRoute
+	replicas []*rigReplica
+	client   *http.Client
+	slow     *http.Client // whose sockets hold little
+	next     atomic.Int64
+
+	cutMu sync.Mutex
+	cut   map[string]bool // keys of requests that a process ended within an answer to
+}
+
+func (g *streamRig) noteCut(key string) {
+	g.cutMu.Lock()
+	defer g.cutMu.Unlock()
+	g.cut[key] = true
+}
+
+func (g *streamRig) wasCut(key string) bool {
+	g.cutMu.Lock()
+	defer g.cutMu.Unlock()
+	return g.cut[key]
+}
+
+func (g *streamRig) route(name string) *streamRoute {
+	for _, r := range g.routes {
+		if r.name == name {
+			return r
+		}
+	}
+	return &streamRoute{name: name}
+}
+
+// rigShape is the size of a rig.
+type rigShape struct {
+	hosts, zones int
+	replicas     map[string]int // by service
+	direct       bool           // hosts dial replicas without a relay
+}
+
+func newStreamRig(t *testing.T, shape rigShape, routes ...*streamRoute) *streamRig {
+	t.Helper()
+	lane := takeLane(t)
+	g := &streamRig{
+		deployment: &deployment{t: t, store: storetest.New(), ledger: &ledger{runs: make(map[string]int)}, troubles: make(map[string][]trouble)},
+		routes:     routes, cut: make(map[string]bool),
+		slow:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialSmall}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}},
+	}
+	t.Cleanup(g.store.Close)
+	t.Cleanup(g.client.CloseIdleConnections)
+	for service, n := range shape.replicas {
+		for i := range n {
+			g.addReplica(fmt.Sprintf("%s%d", service, i), service, zoneName(i%shape.zones), shape.direct)
+		}
+	}
+	g.configure()
+	dir := t.TempDir()
+	for i := range shape.hosts {
+		store := newRelay(t, g.store.Address())
+		h := startHost(t, dir, lane, i, zoneName(i%shape.zones), store.Address(), nil, func(s *gateway.Settings) { s.RetryShare, s.RetrySlack = 1, 1000 })
+		h.store = store
+		g.hosts = append(g.hosts, h)
+	}
+	for _, h := range g.hosts {
+		require.Eventually(t, h.ready, settleTime, 20*time.Millisecond, "%s starts", h.name)
+	}
+	time.Sleep(300 * time.Millisecond) // until all hosts know all replicas
+	return g
+}
+
+// dialSmall opens a connection that receives little more than what is read.
+func dialSmall(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		const bufferBytes = 4 << 10
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
+		})
+		return errors.Join(err, setErr)
+	}}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func (g *streamRig) addReplica(id, service, zone string, direct bool) {
+	r := &rigReplica{rig: g, id: id, service: service, zone: zone, open: make(map[net.Conn]struct{}), running: make(map[string]*rigRun)}
+	r.born.Store(1)
+	version := "v1"
+	r.version.Store(&version)
+	r.listen(otherAddress())
+	g.t.Cleanup(r.close)
+	if !direct {
+		r.link = newRelay(g.t, r.address)
+	}
+	r.register("ready")
+	g.replicas = append(g.replicas, r)
+}
+
+// configure writes the next version of the configuration.
+func (g *streamRig) configure() {
+	routes, services, named := []any{}, []any{}, make(map[string]bool)
+	for _, r := range g.routes {
+		routes = append(routes, map[string]any{
+			"name": r.name, "host": callerHost, "pathPrefix": r.prefix(), "routeKind": r.kind, "timeoutMs": 8000, "goalMs": 500, "gapGoalMs": 400,
+			"service": r.service, "maxAttempts": r.attempts, "resumable": r.resumable,
+		})
+		if !named[r.service] {
+			services, named[r.service] = append(services, map[string]any{"name": r.service}), true
+		}
+	}
+	g.writes.Lock()
+	defer g.writes.Unlock()
+	version := g.version.Add(1)
+	g.store.Put(platform.KindConfig, platform.NameConfig, map[string]any{
+		"version": version, "routes": routes, "services": services, "limits": map[string]any{"idleTimeoutMs": 10_000},
+		"tenants": []any{map[string]any{"name": "counter", "apiKeys": []string{teamKey}}},
+	})
+}
