Bound the memory of callers' heads in the gateway

Heads are counted as they are read from the connection, by the caller's address, in the budget of request bodies, which becomes that of requests. One that does not fit is refused as not run (503 with Retry-After, head_memory); net/http gives no hook for an answer there, so the connection's wrapper writes it. 8 KB of a connection's head are free as in every account, and heads of sound callers occupy less.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -96,7 +96,7 @@
 	fleet         *fleet.Fleet
 	budget        *proxy.Budget
 	client        *upstream.Client
-	bodyMemory    *membudget.Budget
+	requestMemory *membudget.Budget
 	origins       *origin.Tracker
 	state         *state.State
 	role          *state.Role
@@ -166,7 +166,7 @@
 	p.fleet = fleet.New(fleet.Options{Zone: p.settings.AvailabilityZone, Model: p.settings.Engines.engineModel(), Seed: rand.Uint64()})
 	p.budget = proxy.NewBudget(clockwork.NewRealClock(), p.started, p.settings.RetryShare, p.settings.RetrySlack, minHosts)
 	p.client = upstream.NewClient(netio.Dial, p.settings.bufferBudget(answerMultiple))
-	p.bodyMemory = p.settings.bufferBudget(bodyMultiple)
+	p.requestMemory = p.settings.bufferBudget(requestMultiple)
 	p.origins = origin.NewTracker()
 	p.state = state.New(state.Options{
 		Bus: events, Fleet: p.fleet, Origins: p.origins, Decode: p.adapter.DecodeConfig, Logger: p.logger,
@@ -187,7 +187,7 @@
 	})
 	p.server = proxy.New(proxy.Options{
 		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client, Origins: p.peers, Helpers: p.peers,
-		Table: p.state.Table, Known: p.state.Known, RegistrationsCurrent: p.peers.RegistrationsCurrent, BodyMemory: p.bodyMemory, Logger: p.logger, Metrics: p.metrics.Scope,
+		Table: p.state.Table, Known: p.state.Known, RegistrationsCurrent: p.peers.RegistrationsCurrent, RequestMemory: p.requestMemory, Logger: p.logger, Metrics: p.metrics.Scope,
 	})
 	p.store = p.adapter.Store(p.settings.Store, &http.Client{Transport: netio.DropIdleAfterFailure(&http.Transport{
 		DialContext: netio.Dial, MaxIdleConnsPerHost: maxIdleStoreConns, DisableCompression: true, MaxResponseHeaderBytes: netio.MaxHeaderBytes,
@@ -304,7 +304,7 @@
 	scope.Gauge("prompt_parts_refused").Update(float64(len(p.fleet.RefusedParts(time.Now()))))
 	scope.Gauge("requests_in_progress").Update(float64(p.server.Active()))
 	scope.Gauge("answer_memory_bytes").Update(float64(p.client.HeldBytes()))
-	scope.Gauge("request_body_memory_bytes").Update(float64(p.bodyMemory.Held()))
+	scope.Gauge("request_memory_bytes").Update(float64(p.requestMemory.Held()))
 	if t := p.state.Table(); t != nil {
 		for _, u := range t.Upstreams {
 			known, usable := p.fleet.ReplicaCounts(u.Name, time.Now())
--- a/internal/gateway/proxy/memory_test.go
+++ b/internal/gateway/proxy/memory_test.go
@@ -1,7 +1,9 @@
 package proxy_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/gateway/proxy"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
@@ -26,7 +29,7 @@
 	config.Limits.MaxBodyBytes = 2 * longBytes
 	g.table.Store(routing.Compile(config))
 	g.restart(func(o *proxy.Options) {
-		o.Client, o.BodyMemory = upstream.NewClient((&net.Dialer{}).DialContext, answers), bodies
+		o.Client, o.RequestMemory = upstream.NewClient((&net.Dialer{}).DialContext, answers), bodies
 	}, nil)
 }
 
@@ -179,3 +182,72 @@
 	assert.Equal(t, http.StatusOK, status)
 	assert.Equal(t, long, body)
 }
+
+// wrappedListener wraps the connections that it accepts.
+type wrappedListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (l wrappedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(c), nil
+}
+
+// serveWrapped serves callers as the gateway does, with the given memory for requests. It returns the address.
+func (g *testGateway) serveWrapped(requests *membudget.Budget) string {
+	g.bound(nil, requests)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(g.t, err)
+	server := g.server.HTTPServer()
+	go func() { _ = server.Serve(wrappedListener{listener, g.server.WrapTimeouts}) }()
+	g.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// Guards against heads of requests that together exceed the memory of the host, against sound requests that are refused
+// beside them, and against memory of heads that is not given back.
+func TestRequestIsRefusedWhileItsHeadHasNoMemory(t *testing.T) {
+	replica := newReplica(respondWith("x"))
+	g := newTestGateway(t, replica)
+	const begin = "POST /open/1 HTTP/1.1\r\nHost: " + requestHost + "\r\nContent-Length: 0\r\n"
+	lines := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			_, _ = fmt.Fprintf(&b, "a%d:\r\n", i)
+		}
+		return b.String()
+	}
+	for limit, want := range map[int]int{0: http.StatusServiceUnavailable, 16 << 20: http.StatusRequestHeaderFieldsTooLarge} {
+		memory := membudget.New(limit, 1)
+		address := g.serveWrapped(memory)
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		reader := bufio.NewReader(c)
+		exchange := func(request string) *http.Response {
+			_, _ = io.WriteString(c, request) // the gateway may close before it has all of it
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			return response
+		}
+		for range 3 {
+			assert.Equal(t, http.StatusOK, exchange(begin+"\r\n").StatusCode)
+		}
+		response := exchange(begin + lines(500) + "\r\n")
+		assert.Equal(t, want, response.StatusCode)
+		assert.Equal(t, want == http.StatusServiceUnavailable, response.Header.Get("Retry-After") != "")
+		if limit > 0 {
+			assert.Equal(t, http.StatusOK, exchange(begin+"\r\n").StatusCode)
+			_, err = io.WriteString(c, begin+lines(2000))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return memory.Held() > 2000*netio.HeadLineBytes }, time.Minute, time.Millisecond)
+		}
+		_ = c.Close()
+		require.Eventually(t, func() bool { return memory.Held() == 0 }, time.Minute, time.Millisecond)
+	}
+}
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -33,9 +33,9 @@
 	noConfigRetryAfter = 200 * time.Millisecond
 	// hostStopsRetryAfter is the retry time of a host that stops: the balancer sends the caller to another one.
 	hostStopsRetryAfter = 10 * time.Millisecond
-	// bodyMemoryRetryAfter is the retry time while the bodies of other requests occupy the memory set aside for them. They
+	// requestMemoryRetryAfter is the retry time while other requests occupy the memory set aside for heads and bodies. They
 	// leave it when their requests end.
-	bodyMemoryRetryAfter = 500 * time.Millisecond
+	requestMemoryRetryAfter = 500 * time.Millisecond
 )
 
 // Options configure a Server.
@@ -53,10 +53,10 @@
 	Known func() bool
 	// RegistrationsCurrent reports whether the registrations of the replicas are up to date; nil if they always are.
 	RegistrationsCurrent func() bool
-	// BodyMemory is what the bodies of all requests may occupy together; nil sets no bound.
-	BodyMemory *membudget.Budget
-	Logger     zerolog.Logger
-	Metrics    tally.Scope
+	// RequestMemory is what the heads and bodies of all requests may occupy together; nil sets no bound.
+	RequestMemory *membudget.Budget
+	Logger        zerolog.Logger
+	Metrics       tally.Scope
 }
 
 // Server forwards the requests of callers to replicas.
@@ -325,7 +325,7 @@
 		return true
 	}
 	unbound := e.server.drain.BoundRead(http.NewResponseController(e.w).SetReadDeadline, e.deadline)
-	e.bodyMemory = e.server.opts.BodyMemory.Open(e.teamName())
+	e.bodyMemory = e.server.opts.RequestMemory.Open(e.teamName())
 	body, complete, err := e.bodyMemory.ReadAll(e.r.Body, max(int(e.r.ContentLength), 0), int(limit))
 	unbound(err == nil && complete)
 	if err != nil || !complete {
@@ -340,7 +340,7 @@
 		e.refuse(http.StatusRequestTimeout, "body_timeout", 0)
 		return false
 	case errors.Is(err, membudget.ErrExhausted):
-		e.refuse(http.StatusServiceUnavailable, "body_memory", e.boundRetryAfter(bodyMemoryRetryAfter))
+		e.refuse(http.StatusServiceUnavailable, "body_memory", e.boundRetryAfter(requestMemoryRetryAfter))
 		return false
 	case errors.Is(err, io.ErrUnexpectedEOF), err != nil && e.r.Context().Err() != nil:
 		e.record.outcome = outcomeCallerGone
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,8 +26,8 @@
 	Store string   `json:"store"` // IP:port of the platform's store
 	// MemoryLimitMB is the memory usage, in MiB, at which the host kills the process.
 	MemoryLimitMB int `json:"memory_limit_mb"`
-	// BufferShare is the share of the memory limit that buffered answers may occupy together, and the same for the bodies
-	// of requests. Zero means 0.2.
+	// BufferShare is the share of the memory limit that buffered answers may occupy together, and the same for the heads
+	// and bodies of requests. Zero means 0.2.
 	BufferShare float64 `json:"buffer_share,omitempty"`
 	// RetryShare and RetrySlack limit the retries that an upstream receives from all
 	// hosts within 10 s to RetryShare of its requests plus RetrySlack.
@@ -123,13 +123,13 @@
 const (
 	defaultBufferShare = 0.2
 	maxBufferShare     = 0.3
-	// answerMultiple and bodyMultiple are how much of the memory that remains free one replica, or one team, may hold. Teams
+	// answerMultiple and requestMultiple are how much of the memory that remains free one replica, or one team, may hold. Teams
 	// may be few, and bodies are complete before they are of use.
-	answerMultiple = 1
-	bodyMultiple   = 4
+	answerMultiple  = 1
+	requestMultiple = 4
 )
 
-// bufferBudget returns a budget of the memory for buffered answers, or for bodies of requests.
+// bufferBudget returns a budget of the memory for buffered answers, or for heads and bodies of requests.
 func (s *Settings) bufferBudget(multiple int) *membudget.Budget {
 	return membudget.New(int(cmp.Or(s.BufferShare, defaultBufferShare)*float64(s.MemoryLimitMB)*(1<<20)), multiple)
 }
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -4,7 +4,6 @@
 package upstream
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -17,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/membudget"
 )
 
@@ -291,14 +291,11 @@
 	}
 }
 
-// headLineBytes is the memory that a header line occupies beside its text.
-const headLineBytes = 128
-
 // readHead reads a head and leaves the account with what the head occupies.
 func (r *Response) readHead(request *http.Request) (*http.Response, error) {
 	r.memory.Close()                                            // the head before has been dropped
 	received, _ := r.conn.reader.Peek(r.conn.reader.Buffered()) // never fails
-	if err := growByHead(r.memory, received); err != nil {
+	if err := r.memory.Grow(netio.HeadBytes(received)); err != nil {
 		return nil, err
 	}
 	r.conn.byteLimiter.setLimit(maxHeaderBytes, r.memory)
@@ -311,21 +308,13 @@
 	return response, r.memory.Grow(headerBytes(response.Header))
 }
 
-// growByHead grows an account by what the head at the beginning of the received bytes occupies when it has been read. All
-// of them count if the head does not end within them.
-func growByHead(memory *membudget.Account, received []byte) error {
-	head, _, _ := bytes.Cut(received, []byte("\n\r\n"))
-	const copies = 2 // of each byte, while it is read
-	return memory.Grow(copies*len(head) + headLineBytes*bytes.Count(head, []byte{'\n'}))
-}
-
 // headerBytes returns the memory that a header occupies.
 func headerBytes(h http.Header) int {
 	n := 0
 	for name, values := range h {
 		n += len(name)
 		for _, value := range values {
-			n += len(value) + headLineBytes
+			n += len(value) + netio.HeadLineBytes
 		}
 	}
 	return n
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -73,12 +73,20 @@
 	if l.remaining != unlimited {
 		l.remaining -= n
 	}
-	if l.exhausted = growByHead(l.memory, p[:n]); l.exhausted != nil {
+	if l.exhausted = l.growByHead(p[:n]); l.exhausted != nil {
 		return 0, l.exhausted
 	}
 	return n, err
 }
 
+// growByHead grows the account by a part of a head.
+func (l *byteLimiter) growByHead(received []byte) error {
+	if l.memory == nil {
+		return nil
+	}
+	return l.memory.Grow(netio.HeadBytes(received))
+}
+
 // abort closes the connection with a TCP reset, which drops unsent and unacknowledged
 // bytes of an abandoned request. After an orderly close the kernel would retransmit
 // them, and a replica behind a network partition would receive and run the request once
--- a/internal/gateway/upstream/memory_test.go
+++ b/internal/gateway/upstream/memory_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/membudget"
 )
 
@@ -92,7 +93,7 @@
 	response, err := client.Do(t.Context(), newRequest(r.address, "1"))
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, response.Status)
-	assert.Greater(t, client.HeldBytes(), 2000*headLineBytes)
+	assert.Greater(t, client.HeldBytes(), 2000*netio.HeadLineBytes)
 	response.Close()
 	assert.Zero(t, client.HeldBytes())
 }
--- a/internal/soak/memory_test.go
+++ b/internal/soak/memory_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -65,7 +66,7 @@
 }
 
 // content returns the bytes before the pause.
-func (f *flood) content() []byte {
+func (f flood) content() []byte {
 	var b bytes.Buffer
 	b.WriteString(f.begin)
 	for i := 0; b.Len() < f.bytes; i++ {
@@ -360,3 +361,27 @@
 	assert.Less(t, rig.residentKB("VmHWM"), memoryLimitMB<<10, "KB resident at most")
 	assert.Positive(t, refused.Load(), "refused requests")
 }
+
+// Guards against callers whose request heads, each within its limit, together exceed the memory of the host.
+func TestRequestHeadsStayWithinTheMemoryOfTheHost(t *testing.T) {
+	rig := startFloodRig(t, takeLane(t), 0, floods["event"], 2, 0)
+	const headBytes = 240 << 10
+	head := flood{begin: "POST /lookup/x HTTP/1.1\r\nHost: " + callerHost + "\r\n", fill: floods["head"].fill, bytes: headBytes}.content()
+	var callers sync.WaitGroup
+	for range floodedAtOnce {
+		callers.Go(func() {
+			c, err := net.Dial("tcp", rig.host.settings.Listen)
+			if !assert.NoError(t, err) {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			_, _ = c.Write(head) // the gateway may close the connection meanwhile
+		})
+	}
+	callers.Wait()
+	for range 10 {
+		assert.NoError(t, rig.send("/lookup/x", "body"), "sound request")
+	}
+	t.Logf("resident: at most %d KB", rig.residentKB("VmHWM"))
+	assert.Less(t, rig.residentKB("VmHWM"), memoryLimitMB<<10, "KB resident at most")
+}
