Forward a plain answer without memory as it arrives at the last attempt

A plain answer that found no room was given up whenever its route may be repeated, also when no further attempt was allowed, so that sound long answers to many slow callers ended in 502. The subtest "is forwarded as it arrives" got 502 for the repeatable route with two such replicas.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -49,7 +49,7 @@
 // p.replicaFailure instead, in case another replica succeeds.
 func (e *exchange) forwardPlain(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *watchdog) attemptResult {
 	lease.FirstByte(time.Now())
-	body, complete, err := e.bufferBody(response)
+	body, complete, err := e.bufferBody(response, p)
 	switch {
 	case err != nil:
 		return e.handleUnusable(err, fleet.Truncated, lease)
@@ -86,9 +86,9 @@
 
 // bufferBody reads the body of a response that is not an event stream. If there is no memory to buffer it and the request
 // must not be sent again, the body counts as one that is too long to be buffered.
-func (e *exchange) bufferBody(response *upstream.Response) (body []byte, complete bool, err error) {
+func (e *exchange) bufferBody(response *upstream.Response, p *progress) (body []byte, complete bool, err error) {
 	body, complete, err = response.ReadAll(maxBufferedBodyBytes)
-	if errors.Is(err, membudget.ErrExhausted) && !e.route.Repeatable() {
+	if errors.Is(err, membudget.ErrExhausted) && (!e.route.Repeatable() || p.possibleRuns >= e.maxAttempts()) {
 		return body, false, nil
 	}
 	return body, complete, err
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -291,7 +291,7 @@
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
 		return e.forwardStream(response, reply, lease, p, watchdog)
 	}
-	body, complete, err := e.bufferBody(response)
+	body, complete, err := e.bufferBody(response, p)
 	switch {
 	case err != nil:
 		return e.handleUnusable(err, fleet.Truncated, lease)
--- a/internal/gateway/proxy/memory_test.go
+++ b/internal/gateway/proxy/memory_test.go
@@ -74,11 +74,13 @@
 		assert.Equal(t, http.StatusBadGateway, status)
 	})
 	t.Run("is forwarded as it arrives", func(t *testing.T) {
-		g := newTestGateway(t, newReplica(respondWith(long)))
+		g := newTestGateway(t, newReplica(respondWith(long)), newReplica(respondWith(long)))
 		g.bound(membudget.New(0, 1), nil)
-		status, body, _ := g.do(testRequest{path: "/order/1"})
-		assert.Equal(t, http.StatusOK, status)
-		assert.Equal(t, long, body)
+		for _, path := range []string{"/order/1", "/lookup/1"} {
+			status, body, _ := g.do(testRequest{path: path})
+			assert.Equal(t, http.StatusOK, status)
+			assert.Equal(t, long, body)
+		}
 	})
 }
 
