--- a/internal/scheduling/poisonpart/reports.go
+++ b/internal/scheduling/poisonpart/reports.go
@@ -79,3 +79,74 @@
 	}
 	return entries
 }
+
+// Merge applies entries of other hosts or of a store. It returns the parts that are quarantined on
+// this host because of them, and those that this host knows to be sound.
+func (t *Tracker) Merge(entries []Entry, now time.Time) (quarantined, released []uint64) {
+	changed := false
+	for i := range entries {
+		entryChanged, sound := t.mergeEntry(&entries[i], now)
+		changed = changed || entryChanged
+		if sound {
+			released = append(released, entries[i].Part)
+		}
+	}
+	if !changed {
+		return nil, released
+	}
+	before := make([]uint64, len(t.quarantined))
+	for i, e := range t.quarantined {
+		before[i] = e.Part
+	}
+	t.classify(now)
+	for _, e := range t.quarantined {
+		if !slices.Contains(before, e.Part) {
+			quarantined = append(quarantined, e.Part)
+		}
+	}
+	return quarantined, released
+}
+
+// mergeEntry applies one entry. It reports whether this host's changed, and whether the part is
+// released again because an answer was completed after a crash that was not known yet.
+func (t *Tracker) mergeEntry(update *Entry, now time.Time) (changed, released bool) {
+	if !now.Before(update.Expires) {
+		return false, false
+	}
+	e, ok := t.entries.Get(update.Part)
+	if !ok {
+		e = &localEntry{Entry: Entry{Part: update.Part}}
+		t.entries.Add(update.Part, e)
+	}
+	changed = !ok
+	switch {
+	case update.Released < e.Released:
+		e.changedAt = now // the sender does not know of the release
+		return false, false
+	case update.Released > e.Released:
+		if ok {
+			e.releasedAt = now
+		}
+		e.Entry = Entry{Part: update.Part, Released: update.Released}
+		changed = true
+	}
+	for _, c := range update.Crashes {
+		if e.addCrash(c) {
+			t.remember(c)
+			changed = true
+		}
+	}
+	if update.Quarantined && !e.Quarantined {
+		e.Quarantined, changed = true, true
+	}
+	e.Expires = later(e.Expires, earlier(update.Expires, now.Add(max(t.duration, suspectDuration))))
+	if changed {
+		e.changedAt = now
+	}
+	if sound, ok := t.sound.Peek(e.Part); ok && len(e.Crashes) > 0 && !sound.Before(e.Crashes[0].At) {
+		released = e.release(now)
+		e.releasedAt = sound
+		return true, released
+	}
+	return changed, false
+}
