--- a/internal/scheduling/poisonpart/poisonpart.go
+++ b/internal/scheduling/poisonpart/poisonpart.go
@@ -31,6 +31,13 @@
 	// maxCrashesTogether is how often such crashes count for a part of prompts if no replica ended without the
 	// part at that moment, as in an outage, and other answers have been completed since.
 	maxCrashesTogether = 2
+	// maxManyCrashesTogether is maxCrashesTogether for a part without answers that minManyCrashes or more of such
+	// crashes have in common.
+	maxManyCrashesTogether = 3
+	minManyCrashes         = 4
+	// minAnswersSinceCrash is the number of complete answers to other requests since the latest crash of a part from
+	// which it is telling that none had the part: as sound parts of many requests are soon answered.
+	minAnswersSinceCrash = 8
 	// maxKnownCrashes is the maximum number of crashes remembered to tell outages.
 	maxKnownCrashes = 64
 	// sameCrash is the time within which hosts notice the same crash of a replica; a later one is
@@ -105,6 +112,7 @@
 	Entry
 	changedAt  time.Time
 	releasedAt time.Time // crashes until then are void, unless they are in Crashes
+	answers    uint64    // answers that the Tracker had counted when it learned of the latest crash
 }
 
 // Tracker tracks suspect parts. All parts of the requests in flight on a crashed replica are suspects.
@@ -118,7 +126,9 @@
 	duration   time.Duration
 	separation time.Duration // see crashSeparation
 	together   int           // see maxCrashesTogether
+	many       int           // see maxManyCrashesTogether
 	completed  time.Time     // when the latest complete answer ended
+	answers    uint64        // complete answers, with whatever parts
 	known      []Crash       // the latest crashes, with whatever parts
 	causes     *Tracker      // crashes that its quarantined parts explain do not count; may be nil
 	entries    *simplelru.LRU[uint64, *localEntry]
@@ -136,14 +146,14 @@
 	// NewLRU fails only for a size below one.
 	entries, _ := simplelru.NewLRU[uint64, *localEntry](maxEntries, nil)
 	sound, _ := simplelru.NewLRU[uint64, time.Time](maxSoundParts, nil)
-	return &Tracker{crashLimit: crashLimit, duration: duration, separation: crashSeparation, together: maxCrashesTogether, entries: entries, sound: sound}
+	return &Tracker{crashLimit: crashLimit, duration: duration, separation: crashSeparation, together: maxCrashesTogether, many: maxManyCrashesTogether, entries: entries, sound: sound}
 }
 
 // NewForRequests returns an empty Tracker of whole requests, each a part by its fingerprint. Crashes that
 // quarantined parts of prompts explain do not count.
 func NewForRequests(crashLimit int, duration time.Duration, parts *Tracker) *Tracker {
 	t := New(crashLimit, duration)
-	t.separation, t.together, t.causes = requestCrashSeparation, 1, parts
+	t.separation, t.together, t.many, t.causes = requestCrashSeparation, 1, 1, parts
 	return t
 }
 
@@ -171,7 +181,7 @@
 			t.entries.Add(part, e)
 		}
 		if e.addCrash(Crash{Replica: replica, At: now, Waiting: i >= len(parts), Retried: slices.Contains(retried, part)}) {
-			e.changedAt, changed = now, true
+			e.changedAt, e.answers, changed = now, t.answers, true
 			e.Expires = later(e.Expires, now.Add(suspectDuration))
 		}
 	}
@@ -186,13 +196,15 @@
 // because their crashes have no other explanation left.
 func (t *Tracker) Completed(parts []uint64, now time.Time) (released, quarantined []uint64) {
 	t.completed = later(t.completed, now)
+	t.answers++
 	for _, part := range parts {
 		t.sound.Add(part, now)
 		if e, ok := t.entries.Peek(part); ok && e.release(now) {
 			released = append(released, part)
 		}
 	}
-	if len(released) > 0 {
+	enough := func(e *localEntry) bool { return t.answers == e.answers+minAnswersSinceCrash }
+	if len(released) > 0 || slices.ContainsFunc(t.repeated, enough) {
 		quarantined = t.classify(now)
 	}
 	return released, quarantined
@@ -274,61 +286,6 @@
 	return 0, time.Time{}, false
 }
 
-// Explains reports whether a quarantined part was in flight in the crash of a replica at about the given
-// time, or at any time if that is zero.
-func (t *Tracker) Explains(replica uint64, at time.Time) bool {
-	return slices.ContainsFunc(t.upheld, func(e *localEntry) bool {
-		return slices.ContainsFunc(e.Crashes, func(c Crash) bool {
-			return c.Replica == replica && (at.IsZero() || c.same(Crash{Replica: replica, At: at}))
-		})
-	})
-}
-
-// hasCause reports whether a part that another Tracker quarantines explains the crash.
-func (t *Tracker) hasCause(c Crash) bool {
-	return t.causes != nil && t.causes.Explains(c.Replica, c.At)
-}
-
-// isUpheld reports whether the crashes of a quarantined entry have no other cause that was found later: a part that
-// another Tracker quarantines, or one here that crashed as many replicas without the entry's part.
-func (t *Tracker) isUpheld(e *localEntry) bool {
-	count := 0
-	for _, c := range e.Crashes {
-		explains := func(o *localEntry) bool {
-			return o != e && slices.ContainsFunc(o.Crashes, c.same) && t.crashesWithout(o, e) >= t.crashLimit
-		}
-		if !t.hasCause(c) && !slices.ContainsFunc(t.quarantined, explains) {
-			count++
-		}
-	}
-	return count >= min(t.crashLimit, len(e.Crashes))
-}
-
-// OutweighedBy returns the parts that were in flight in a crash of the given part too, and in more crashes: of two
-// that share some, the one with more is the likely cause, and a part that is not the cause is soon found sound.
-func (t *Tracker) OutweighedBy(part uint64, c Crash) (out []uint64) {
-	e, ok := t.entries.Peek(part)
-	if !ok {
-		return nil
-	}
-	for _, o := range t.entries.Values() {
-		if o != e && slices.ContainsFunc(o.Crashes, c.same) && t.crashesWithout(o, e) > t.crashesWithout(e, o) {
-			out = append(out, o.Part)
-		}
-	}
-	return out
-}
-
-// crashesWithout counts the crashes of an entry in which the other's part was not in flight.
-func (t *Tracker) crashesWithout(e, other *localEntry) (count int) {
-	for _, c := range e.Crashes {
-		if !slices.ContainsFunc(other.Crashes, c.same) {
-			count++
-		}
-	}
-	return count
-}
-
 // Suspect reports whether any of the parts has a crash against it.
 func (t *Tracker) Suspect(parts []uint64) bool {
 	return slices.ContainsFunc(parts, func(part uint64) bool {
@@ -337,31 +294,6 @@
 	})
 }
 
-// unexplained counts the crashes of an entry in which neither a quarantined part was in flight nor the
-// other suspect. Crashes closer together than crashSeparation count once, or up to maxCrashesTogether; those in
-// retries, which followed the others, do so apart from them.
-func (t *Tracker) unexplained(e, other *localEntry) int {
-	count, together, inRetries := 0, 0, false
-	var first time.Time // of the crashes that came together
-	for _, c := range e.Crashes {
-		inFlight := func(o *localEntry) bool { return o != e && slices.ContainsFunc(o.Crashes, c.same) }
-		if t.hasCause(c) || slices.ContainsFunc(t.upheld, inFlight) ||
-			other != nil && other != e && slices.ContainsFunc(other.Crashes, c.explainedBy) {
-			continue
-		}
-		switch {
-		case count == 0 || c.At.Sub(first) >= t.separation || c.Retried && !inRetries:
-			first, together, inRetries = c.At, 1, c.Retried
-		case together < t.together && t.completed.After(c.At) && !t.outage(e, first):
-			together++
-		default:
-			continue
-		}
-		count++
-	}
-	return count
-}
-
 // remember notes a crash, with whatever parts.
 func (t *Tracker) remember(c Crash) {
 	if slices.ContainsFunc(t.known, c.same) {
@@ -372,138 +304,6 @@
 	t.known = t.known[max(len(t.known)-maxKnownCrashes, 0):]
 }
 
-// outage reports whether a replica crashed within crashSeparation of the given time without the entry's part.
-func (t *Tracker) outage(e *localEntry, at time.Time) bool {
-	return slices.ContainsFunc(t.known, func(c Crash) bool {
-		return c.At.Sub(at).Abs() < t.separation && !slices.ContainsFunc(e.Crashes, c.same)
-	})
-}
-
-// blames reports whether an entry has enough crashes that none of the others explains alone. Several
-// others together do not count as an explanation: each of them would have to be a poison part, which is
-// less likely than one that all crashes have in common.
-func (t *Tracker) blames(e *localEntry, others []*localEntry) bool {
-	if t.unexplained(e, nil) < t.crashLimit {
-		return false
-	}
-	return !slices.ContainsFunc(others, func(o *localEntry) bool { return t.unexplained(e, o) < t.crashLimit })
-}
-
-// others returns the repeated suspects but e.
-func (t *Tracker) others(e *localEntry) []*localEntry {
-	return slices.DeleteFunc(slices.Clone(t.repeated), func(o *localEntry) bool { return o == e })
-}
-
-// classify removes expired entries, and quarantines the suspects whose crashes no other suspect
-// explains. It returns those.
-func (t *Tracker) classify(now time.Time) (quarantined []uint64) {
-	t.changes++
-	t.quarantined = t.quarantined[:0]
-	for _, part := range t.entries.Keys() {
-		e, _ := t.entries.Peek(part)
-		switch {
-		case !now.Before(e.Expires):
-			t.entries.Remove(part)
-		case e.Quarantined:
-			t.entries.Get(part) // other suspects must not displace it
-			t.quarantined = append(t.quarantined, e)
-		}
-	}
-	for {
-		t.upheld = t.upheld[:0]
-		for _, e := range t.quarantined {
-			if t.isUpheld(e) {
-				t.upheld = append(t.upheld, e)
-			}
-		}
-		t.repeated = t.repeated[:0]
-		for _, e := range t.entries.Values() {
-			if !e.Quarantined && t.unexplained(e, nil) >= minRepeatedCrashes {
-				t.repeated = append(t.repeated, e)
-			}
-		}
-		i := slices.IndexFunc(t.repeated, func(e *localEntry) bool { return t.blames(e, t.others(e)) })
-		if i < 0 {
-			return quarantined
-		}
-		e := t.repeated[i]
-		e.Quarantined, e.changedAt, e.Expires = true, now, now.Add(t.duration)
-		t.quarantined = append(t.quarantined, e)
-		quarantined = append(quarantined, e.Part)
-	}
-}
-
-// Merge applies entries of other hosts or of a store. It returns the parts that are quarantined on
-// this host because of them, and those that this host knows to be sound.
-func (t *Tracker) Merge(entries []Entry, now time.Time) (quarantined, released []uint64) {
-	changed := false
-	for i := range entries {
-		entryChanged, sound := t.mergeEntry(&entries[i], now)
-		changed = changed || entryChanged
-		if sound {
-			released = append(released, entries[i].Part)
-		}
-	}
-	if !changed {
-		return nil, released
-	}
-	before := make([]uint64, len(t.quarantined))
-	for i, e := range t.quarantined {
-		before[i] = e.Part
-	}
-	t.classify(now)
-	for _, e := range t.quarantined {
-		if !slices.Contains(before, e.Part) {
-			quarantined = append(quarantined, e.Part)
-		}
-	}
-	return quarantined, released
-}
-
-// mergeEntry applies one entry. It reports whether this host's changed, and whether the part is
-// released again because an answer was completed after a crash that was not known yet.
-func (t *Tracker) mergeEntry(update *Entry, now time.Time) (changed, released bool) {
-	if !now.Before(update.Expires) {
-		return false, false
-	}
-	e, ok := t.entries.Get(update.Part)
-	if !ok {
-		e = &localEntry{Entry: Entry{Part: update.Part}}
-		t.entries.Add(update.Part, e)
-	}
-	changed = !ok
-	switch {
-	case update.Released < e.Released:
-		e.changedAt = now // the sender does not know of the release
-		return false, false
-	case update.Released > e.Released:
-		if ok {
-			e.releasedAt = now
-		}
-		e.Entry = Entry{Part: update.Part, Released: update.Released}
-		changed = true
-	}
-	for _, c := range update.Crashes {
-		if e.addCrash(c) {
-			t.remember(c)
-			changed = true
-		}
-	}
-	if update.Quarantined && !e.Quarantined {
-		e.Quarantined, changed = true, true
-	}
-	e.Expires = later(e.Expires, earlier(update.Expires, now.Add(max(t.duration, suspectDuration))))
-	if changed {
-		e.changedAt = now
-	}
-	if sound, ok := t.sound.Peek(e.Part); ok && len(e.Crashes) > 0 && !sound.Before(e.Crashes[0].At) {
-		released = e.release(now)
-		e.releasedAt = sound
-		return true, released
-	}
-	return changed, false
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
