Unframed answers: whole only if the process that sent them lived after their end

Cause: the only sign of an ended process was a refused connection, and one witness that accepted one. A relay, a balancer or the next process accepts.

Change: after the end has been read, the process must be shown to have lived. What other answers have shown since then counts. Otherwise the replica is asked which process it is, on an idle connection if there is one. One question at a time is asked for a replica, and one serves all answers whose end was read before it began. The process that the request was sent to answers if its start is the registered one, or one that had been told before the request was sent: it lived before and lives after, so it had the address all the while. Any other start breaks the answer. A connection that is accepted and ends without an answer, or is refused, is tried again for 0.35 s, so that a process that starts meanwhile shows itself. If nothing answers, up to six other replicas are asked at once instead of one; those that tell their start must answer, since a relay accepts with nothing behind it. If one answers, the answer is broken; a refusal counts at once, as before. The host no longer takes itself for cut off because three replicas failed: the replicas that are asked show that better.

Silence, an answer that does not tell a start, and replicas registered without one are treated as before. A replica that leaves is excepted as before; one whose ID another process has registered is not taken for leaving any more unless it was known to leave or its entry had been removed (TestUnframedAnswerIsBrokenAfterTheNextProcessHasRegistered).

The same cause elsewhere: an unframed answer of another host that runs a request is never whole, as hosts mark the end of each answer. Answers to HEAD requests have no body that could be cut, and need no question.

Price: one question at most for each unframed answer, in place of the connection that was opened before. The first answer of a process that replaced the registered one while the store was away is taken for broken, as it may have begun during the answer; the next ones are not.

Tests: 26 cases of TestUnframedAnswerIsBrokenWhereConnectionsAreStillAccepted, ...GoesOnElsewhereWhereConnectionsAreStillAccepted, ...IsBrokenAfterTheNextProcessHasRegistered, ...OfAnotherHostIsBroken and ...OfReplicasThatEndTogetherAreBroken fail on the code before.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -203,6 +203,7 @@
 func (f *Fleet) update(changed []Member, removed []string) {
 	for _, id := range removed {
 		if r, ok := f.replicas[id]; ok {
+			r.removed = true
 			f.remove(r)
 		}
 	}
--- a/internal/gateway/fleet/process.go
+++ b/internal/gateway/fleet/process.go
@@ -14,6 +14,7 @@
 // processEvidence is what a host knows of the process at a replica's address. It is guarded by Fleet.mu.
 type processEvidence struct {
 	started   int64     // Member.Started, or what another process states
+	toldAt    time.Time // when the process first told its start; zero if it has not
 	aliveAt   time.Time // when that process was last known to live
 	doubtedAt time.Time // when a connection broke or could not be opened, as when a process ends
 	askAfter  time.Time // when it may be asked again after it has not answered
@@ -159,6 +160,9 @@
 	if started != r.process.started {
 		r.process = &processEvidence{started: started}
 	}
+	if r.process.toldAt.IsZero() {
+		r.process.toldAt = askedAt
+	}
 	r.process.askAfter = time.Time{}
 	r.process.recordAlive(askedAt)
 	l.process, l.processAt, l.evidence, l.openedAt = started, askedAt, r.process, askedAt
@@ -173,6 +177,34 @@
 	}
 }
 
+// ProcessAfter returns the start of the process that is known to have lived at the replica's address after the given time.
+func (l *Lease) ProcessAfter(t time.Time) (started int64, known bool) {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	r, ok := l.fleet.replicas[l.Member.ID]
+	if !ok || r.member.Address != l.Member.Address || !r.process.aliveAt.After(t) {
+		return 0, false
+	}
+	return r.process.started, true
+}
+
+// SentTo reports whether the request was sent to the process with the given start, which is known to live now: if it
+// lived before the request was sent, it has had the address all the while.
+func (l *Lease) SentTo(started int64) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	if started == l.Member.Started || started == l.process || l.replica.process.toldBefore(started, l.started) {
+		return true
+	}
+	r, ok := l.fleet.replicas[l.Member.ID]
+	return ok && r.process.toldBefore(started, l.started)
+}
+
+// toldBefore reports whether the process has the given start and has told so before the given time.
+func (p *processEvidence) toldBefore(started int64, t time.Time) bool {
+	return p.started == started && !p.toldAt.IsZero() && p.toldAt.Before(t)
+}
+
 // SoftwareVersion returns the software version of the process that ProcessKnown or RecordProcess has found, or what
 // stands for it.
 func (l *Lease) SoftwareVersion() string {
--- a/internal/gateway/fleet/reach.go
+++ b/internal/gateway/fleet/reach.go
@@ -52,26 +52,47 @@
 	return f.soundReplica(now, "")
 }
 
-// SoundReplica returns a replica other than the one with the given ID to which this host has had no failure lately.
-func (f *Fleet) SoundReplica(except string, now time.Time) (Member, bool) {
+// Others returns up to n replicas other than the one with the given ID, in random order: first those to which this host
+// has had no failure lately.
+func (f *Fleet) Others(except string, n int, now time.Time) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.soundReplica(now, except)
+	sound, failed := f.others(now, except)
+	var members []Member
+	for _, replicas := range [][]*replica{sound, failed} {
+		for _, i := range f.random.Perm(len(replicas)) {
+			if len(members) < n {
+				members = append(members, replicas[i].member)
+			}
+		}
+	}
+	return members
 }
 
 func (f *Fleet) soundReplica(now time.Time, except string) (Member, bool) {
-	var sound []*replica
-	for id, r := range f.replicas {
-		if _, failed := f.reach.failed[id]; !failed && id != except && r.member.usable(now) && r.consecutiveFailures == 0 {
-			sound = append(sound, r)
-		}
-	}
+	sound, _ := f.others(now, except)
 	if len(sound) == 0 {
 		return Member{}, false
 	}
 	return sound[f.random.IntN(len(sound))].member, true
 }
 
+// others returns the usable replicas other than the one with the given ID, parted by whether this host has had a failure
+// with them lately.
+func (f *Fleet) others(now time.Time, except string) (sound, failed []*replica) {
+	for id, r := range f.replicas {
+		if id == except || !r.member.usable(now) {
+			continue
+		}
+		if _, unreached := f.reach.failed[id]; unreached || r.consecutiveFailures > 0 {
+			failed = append(failed, r)
+		} else {
+			sound = append(sound, r)
+		}
+	}
+	return sound, failed
+}
+
 // RecordWitness notes that a replica has accepted a connection while those that had failed together were still
 // down: they have crashed.
 func (f *Fleet) RecordWitness() {
--- a/internal/gateway/fleet/replica.go
+++ b/internal/gateway/fleet/replica.go
@@ -87,6 +87,7 @@
 	limit                      *replicaLimit // nil if the replica has not stated one
 	process                    *processEvidence
 	suspects                   []suspect // until the replica is inspected
+	removed                    bool      // its registration has been removed
 }
 
 // suspect is a request whose answer ended in a way in which the crash of its replica would end it.
--- a/internal/gateway/fleet/statement.go
+++ b/internal/gateway/fleet/statement.go
@@ -36,7 +36,8 @@
 	return ok && f.recordLeaving(&r.member, now)
 }
 
-// Leaving reports whether the replica's process leaves or has left, by its registration or its own statement.
+// Leaving reports whether the replica's process leaves or has left, by its registration or its own statement. A process
+// that another one has replaced under its ID has left if it was known to leave before.
 func (l *Lease) Leaving(now time.Time) bool {
 	if l.replica == nil {
 		return false // another host runs the request
@@ -45,7 +46,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.byKey[l.replica.key]
-	return r != l.replica || !r.member.usable(now)
+	switch {
+	case r == nil:
+		return true
+	case r == l.replica || r.member.Started == l.Member.Started && r.member.Started != 0:
+		return !r.member.usable(now)
+	case l.Member.Started == 0:
+		return true // it is not known whether the registration is that of another process
+	default:
+		return l.replica.removed || !l.replica.member.usable(now)
+	}
 }
 
 // RecordRest notes that the replica rejected a request and wants none of this host for the given time. Of several
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -92,30 +91,6 @@
 	e.endLease(lease, result, time.Now())
 }
 
-// errProcessEnded means that the body of an unframed response ended with the replica's process.
-var errProcessEnded = errors.New("response without a length ended with the replica's process")
-
-// endedWithProcess reports whether a response whose body ended with its connection may be incomplete, because nothing
-// listens at the replica's address any more: the kernel closes the connections of a process that was killed in the same
-// way as the replica does after the last byte. A process that leaves ends its answers before it closes its listener.
-// The refusal shows nothing if this host opens no connection to another replica either.
-func (e *exchange) endedWithProcess(response *upstream.Response, lease *fleet.Lease) bool {
-	s := e.server
-	if !response.Unframed || lease.Leaving(time.Now()) {
-		return false
-	}
-	bound, unbind := s.drain.Bound(e.r.Context())
-	defer unbind()
-	ctx, cancel := context.WithTimeout(bound, inspectTimeout)
-	defer cancel()
-	maxIdle := e.maxIdle(lease.Member.Upstream)
-	if err := s.opts.Client.Connect(ctx, lease.Member.Address, maxIdle); !upstream.Refused(err) || s.opts.Fleet.CutOff() {
-		return false
-	}
-	other, ok := s.opts.Fleet.SoundReplica(lease.Member.ID, time.Now())
-	return !ok || s.opts.Client.Connect(ctx, other.Address, maxIdle) == nil
-}
-
 // handleUnusable ends an attempt whose response broke off, had no events, lacked the server
 // seal (a header that shows that the replica itself produced the response) or is too long to
 // buffer although the caller has begun to receive a stream.
--- a/internal/gateway/proxy/assumed.go
+++ b/internal/gateway/proxy/assumed.go
@@ -129,30 +129,37 @@
 func (s *Server) askProcess(ctx context.Context, lease *fleet.Lease, request string, maxIdle int) (started int64, stated bool) {
 	askCtx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	address := lease.Member.Address
-	var askedAt time.Time // after the connection was opened, so that the answer shows where it leads to
-	status := 0
-	var body []byte
-	response, err := s.opts.Client.Do(askCtx, &upstream.Request{
-		Address: address, Method: http.MethodGet, Target: s.opts.Dialect.ProcessTarget(), Host: address, NewConnection: true, MaxIdle: maxIdle,
+	askedAt, status, body, _ := s.question(askCtx, lease.Member.Address, maxIdle, true) // status tells of an error
+	if status == 0 && ctx.Err() != nil {
+		return 0, false // the request that needs the answer has ended before it
+	}
+	return s.recordProcess(lease, request, askedAt, status, body)
+}
+
+// question asks the process at an address which one it is. status is 0 if there is no complete answer.
+func (s *Server) question(ctx context.Context, address string, maxIdle int, newConnection bool) (askedAt time.Time, status int, body []byte, err error) {
+	// askedAt is after the connection was opened, so that the answer shows where it leads to.
+	response, err := s.opts.Client.Do(ctx, &upstream.Request{
+		Address: address, Method: http.MethodGet, Target: s.opts.Dialect.ProcessTarget(), Host: address, NewConnection: newConnection, MaxIdle: maxIdle,
 		Header: func() http.Header {
 			askedAt = time.Now()
 			return http.Header{}
 		},
 		Matches: func(status int, h http.Header, _ bool) bool { return s.answersQuestion(status, h) },
 	})
-	if err == nil {
-		defer response.Close()
-		var complete bool
-		if body, complete, err = upstream.ReadAll(response.Body, maxProcessReportBytes); err == nil && complete {
-			status = response.Status
-			response.MarkComplete()
-		}
+	if err != nil {
+		return askedAt, 0, nil, err
 	}
-	if status == 0 && ctx.Err() != nil {
-		return 0, false // the request that needs the answer has ended before it
+	defer response.Close()
+	body, complete, err := upstream.ReadAll(response.Body, maxProcessReportBytes)
+	switch {
+	case err != nil:
+		return askedAt, 0, nil, err
+	case !complete:
+		return askedAt, 0, nil, upstream.ErrResponseTooLarge
 	}
-	return s.recordProcess(lease, request, askedAt, status, body)
+	response.MarkComplete()
+	return askedAt, response.Status, body, nil
 }
 
 // answersQuestion reports whether an answer may be that to a question which process a replica is.
--- /dev/null
+++ b/internal/gateway/proxy/endofprocess_test.go
@@ -0,0 +1,495 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"heatherbarrow/internal/gateway/netio/relaytest"
+	"heatherbarrow/internal/gateway/proxy"
+)
+
+// endable is a replica whose process can end, as one that is killed does: the kernel closes its connections in order.
+type endable struct {
+	address  string // that the host connects to
+	listener net.Listener
+	server   *http.Server
+	born     atomic.Int64
+	asked    atomic.Int64 // questions which process it is
+	received atomic.Int64 // other requests
+
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+// newEndable starts a replica that handles requests with h, behind a relay if relayed is set.
+func newEndable(t *testing.T, relayed bool, h func(p *endable, w http.ResponseWriter, r *http.Request)) *endable {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &endable{listener: listener, address: listener.Addr().String()}
+	p.born.Store(registeredStart)
+	p.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/v1/report" {
+			p.asked.Add(1)
+			_, _ = fmt.Fprintf(w, `{"born":%d}`, p.born.Load())
+			return
+		}
+		p.received.Add(1)
+		h(p, w, r)
+	}), ConnState: func(c net.Conn, state http.ConnState) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if state == http.StateNew {
+			p.open = append(p.open, c)
+		}
+	}}
+	go func() { _ = p.server.Serve(listener) }()
+	t.Cleanup(func() { _ = p.server.Close() })
+	if relayed {
+		relay, err := relaytest.New(p.address)
+		require.NoError(t, err)
+		t.Cleanup(relay.Close)
+		p.address = relay.Address()
+	}
+	return p
+}
+
+// closeAll closes the connections.
+func (p *endable) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.open {
+		_ = c.Close()
+	}
+	p.open = nil
+}
+
+// end ends the process.
+func (p *endable) end() {
+	_ = p.listener.Close()
+	p.closeAll()
+}
+
+// replace ends the process, and lets the next one have its address at once.
+func (p *endable) replace() {
+	p.born.Add(1)
+	p.closeAll()
+}
+
+// restart ends the process, and lets the next one have its address after a while.
+func (p *endable) restart() {
+	const startTime = 100 * time.Millisecond
+	p.end()
+	time.AfterFunc(startTime, func() {
+		listener, err := net.Listen("tcp", p.listener.Addr().String())
+		if err == nil {
+			p.born.Add(1)
+			_ = p.server.Serve(listener) // until the test ends
+		}
+	})
+}
+
+// writeUnframed sends part of an answer that has neither a length nor chunks.
+func writeUnframed(w http.ResponseWriter, r *http.Request, contentType, text string) net.Conn {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Type: %s\r\n\r\n%s",
+		attemptIDHeader, r.Header.Get(attemptIDHeader), sealHeader, contentType, text)
+	return c
+}
+
+// answerFor returns the content type and the bytes of the answer to a request.
+func answerFor(r *http.Request) (contentType, text string) {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/match/"), strings.HasPrefix(r.URL.Path, "/quote/"):
+		after := -1
+		if id := r.Header.Get("Last-Event-Id"); id != "" {
+			_, _ = fmt.Sscan(id, &after)
+		}
+		return "text/event-stream", eventsText(4)[len(eventsText(after+1)):]
+	case strings.HasSuffix(r.URL.Path, "/long"):
+		return "text/plain", strings.Repeat("long", 1<<19)
+	default:
+		return "text/plain", "the answer"
+	}
+}
+
+// wholeAnswer answers and ends the answer with its connection.
+func wholeAnswer(_ *endable, w http.ResponseWriter, r *http.Request) {
+	contentType, text := answerFor(r)
+	_ = writeUnframed(w, r, contentType, text).Close()
+}
+
+// partOfAnswer returns a handler that sends the beginning of an answer, lasts a while and ends the process.
+func partOfAnswer(lasts time.Duration, end func(p *endable)) func(*endable, http.ResponseWriter, *http.Request) {
+	return func(p *endable, w http.ResponseWriter, r *http.Request) {
+		contentType, text := answerFor(r)
+		if contentType == "text/event-stream" {
+			text = eventsText(2)
+		} else {
+			text = text[:len(text)-1]
+		}
+		_ = writeUnframed(w, r, contentType, text)
+		time.Sleep(lasts)
+		end(p)
+	}
+}
+
+// newEndableGateway returns a gateway in front of the replicas, which are registered with their starts.
+func newEndableGateway(t *testing.T, replicas ...*endable) *testGateway {
+	t.Helper()
+	handlers, versions := make([]http.Handler, len(replicas)), make([]string, len(replicas))
+	for i := range handlers {
+		handlers[i], versions[i] = http.NotFoundHandler(), "v1"
+	}
+	g := newTestGateway(t, handlers...)
+	for i, p := range replicas {
+		g.members[i].Address = p.address
+	}
+	g.registered(versions...)
+	return g
+}
+
+// endsOfProcess are ways in which a process ends while something still accepts connections at its address.
+var endsOfProcess = map[string]struct {
+	relayed bool
+	end     func(p *endable)
+}{
+	"the next process has its address at once":                 {false, (*endable).replace},
+	"the next process has its address at once, behind a relay": {true, (*endable).replace},
+	"a relay accepts connections with nothing behind it":       {true, (*endable).end},
+	"nothing accepts connections":                              {false, (*endable).end},
+	"a relay accepts connections, and the next process starts": {true, (*endable).restart},
+}
+
+// untilEnded sends requests until one has reached the replica that ends, and returns the response to that one.
+func untilEnded(t *testing.T, g *testGateway, p *endable, path string) (body string, status int, err error) {
+	t.Helper()
+	for i := 0; p.received.Load() == 0; i++ {
+		response, sendErr := g.send(t.Context(), testRequest{path: path, header: map[string]string{attemptIDHeader: fmt.Sprintf("attempt-%d", i)}})
+		require.NoError(t, sendErr)
+		read, readErr := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		body, status, err = string(read), response.StatusCode, readErr
+	}
+	return body, status, err
+}
+
+// Guards against part of an answer without a length or chunks that is passed off as the whole answer after the process of
+// its replica ended, because something still accepts connections at the replica's address.
+func TestUnframedAnswerIsBrokenWhereConnectionsAreStillAccepted(t *testing.T) {
+	for name, way := range endsOfProcess {
+		for _, path := range []string{"/match/x", "/order/x", "/order/long"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				ending := newEndable(t, way.relayed, partOfAnswer(0, way.end))
+				g := newEndableGateway(t, ending, newEndable(t, way.relayed, wholeAnswer))
+				body, status, err := untilEnded(t, g, ending, path)
+				assert.True(t, err != nil || status == http.StatusBadGateway, "%d, %d bytes look complete", status, len(body))
+			})
+		}
+	}
+}
+
+// Guards against an answer that ends for good with the process of its replica, although another one can go on with it or
+// give it anew, because something still accepts connections at the replica's address.
+func TestUnframedAnswerGoesOnElsewhereWhereConnectionsAreStillAccepted(t *testing.T) {
+	for name, way := range endsOfProcess {
+		for path, whole := range map[string]string{"/quote/x": eventsText(4), "/lookup/x": "the answer"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				ending := newEndable(t, way.relayed, partOfAnswer(200*time.Millisecond, way.end))
+				g := newEndableGateway(t, ending, newEndable(t, way.relayed, wholeAnswer))
+				body, status, err := untilEnded(t, g, ending, path)
+				require.NoError(t, err)
+				assert.Equal(t, http.StatusOK, status)
+				assert.Equal(t, whole, body)
+			})
+		}
+	}
+}
+
+// Guards against part of an answer that another host ran, and that is passed off as the whole answer after the process of
+// that host ended: hosts mark the end of each answer.
+func TestUnframedAnswerOfAnotherHostIsBroken(t *testing.T) {
+	for _, path := range []string{"/match/x", "/order/x", "/order/long"} {
+		host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			r.URL.Path = strings.TrimPrefix(r.URL.Path, proxy.DelegatePath)
+			wholeAnswer(nil, w, r)
+		}))
+		t.Cleanup(host.Close)
+		links := &cutLinks{open: make(chan net.Conn, 100)}
+		g := newTestGateway(t, http.NotFoundHandler(), http.NotFoundHandler(), http.NotFoundHandler())
+		hosts := g.addHelpers(links)
+		hosts.addresses = []string{host.Listener.Addr().String()}
+		links.begin(refuses)
+		response, err := g.send(t.Context(), testRequest{path: path})
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		assert.True(t, err != nil || response.StatusCode == http.StatusBadGateway, "%s: %d, %d bytes look complete", path, response.StatusCode, len(body))
+	}
+}
+
+// Guards against answers without a body that are taken for broken because they have no length.
+func TestAnswerToHeadRequestNeedsNoLength(t *testing.T) {
+	p := newEndable(t, false, func(_ *endable, w http.ResponseWriter, r *http.Request) {
+		c := writeUnframed(w, r, "text/plain", "")
+		_ = c.Close()
+	})
+	g := newEndableGateway(t, p)
+	status, _, _ := g.do(testRequest{method: http.MethodHead, path: "/lookup/x"})
+	assert.Equal(t, http.StatusOK, status)
+	assert.Zero(t, p.asked.Load())
+}
+
+// wholeAnswersFrom checks that the gateway forwards whole answers from its replicas.
+func wholeAnswersFrom(t *testing.T, g *testGateway, n int) {
+	t.Helper()
+	for _, path := range []string{"/match/x", "/quote/x", "/order/x", "/lookup/x", "/order/long"} {
+		r, err := http.NewRequest(http.MethodPost, path, nil)
+		require.NoError(t, err)
+		_, whole := answerFor(r)
+		for i := range n {
+			response, err := g.send(t.Context(), testRequest{path: path, header: map[string]string{attemptIDHeader: fmt.Sprintf("attempt%s-%d", path, i)}})
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			require.NoError(t, err, path)
+			assert.Equal(t, http.StatusOK, response.StatusCode, path)
+			assert.Equal(t, whole, string(body), path)
+		}
+	}
+}
+
+// Guards against sound answers without a length or chunks that are taken for broken, and against more than one question
+// for each.
+func TestSoundUnframedAnswersStayComplete(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		p := newEndable(t, relayed, wholeAnswer)
+		g := newEndableGateway(t, p)
+		const rounds = 4
+		wholeAnswersFrom(t, g, rounds)
+		assert.LessOrEqual(t, p.asked.Load(), p.received.Load())
+	}
+}
+
+// Guards against a replica that is asked for each of many answers which end together.
+func TestAnswersThatEndTogetherShareAQuestion(t *testing.T) {
+	const answers = 40
+	var begun sync.WaitGroup
+	begun.Add(answers)
+	p := newEndable(t, false, func(_ *endable, w http.ResponseWriter, r *http.Request) {
+		c := writeUnframed(w, r, "text/plain", "the answer")
+		begun.Done()
+		begun.Wait()
+		_ = c.Close()
+	})
+	g := newEndableGateway(t, p)
+	g.members[0].Slots = answers
+	g.fleet.SetMembers(g.members)
+	var done sync.WaitGroup
+	for range answers {
+		done.Go(func() {
+			status, body, _ := g.do(testRequest{path: "/order/x"})
+			assert.Equal(t, http.StatusOK, status)
+			assert.Equal(t, "the answer", body)
+		})
+	}
+	done.Wait()
+	assert.Less(t, p.asked.Load(), int64(answers/2))
+}
+
+// Guards against sound answers that are taken for broken because their replica does not tell which process it is, or is
+// silent for a while.
+func TestUnframedAnswerOfReplicaThatDoesNotTellIsComplete(t *testing.T) {
+	for name, report := range map[string]http.HandlerFunc{
+		"not found": http.NotFound,
+		"no start":  func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"stage":"colocated"}`) },
+		"silent":    func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	} {
+		mux := http.NewServeMux()
+		mux.HandleFunc("/v1/report", report)
+		mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			wholeAnswer(nil, w, r)
+		})
+		g := newTestGateway(t, mux, newProcess(registeredStart, http.NotFound))
+		g.members = g.members[:1]
+		g.registered("")
+		began := time.Now()
+		status, body, _ := g.do(testRequest{path: "/order/x"})
+		assert.Equal(t, http.StatusOK, status, name)
+		assert.Equal(t, "the answer", body, name)
+		assert.Less(t, time.Since(began), time.Second, name)
+	}
+}
+
+// Guards against sound answers of a process that is not the registered one, as it replaced that one while the store was
+// away, being taken for broken after it has told which process it is.
+func TestUnframedAnswersOfReplacedProcessAreCompleteOnceItIsKnown(t *testing.T) {
+	p := newEndable(t, false, wholeAnswer)
+	p.born.Add(1)
+	g := newEndableGateway(t, p)
+	status, _, _ := g.do(testRequest{path: "/order/x"})
+	assert.Equal(t, http.StatusBadGateway, status, "the process may have begun during the answer")
+	time.Sleep(300 * time.Millisecond) // until the replica gets requests again
+	wholeAnswersFrom(t, g, 2)
+}
+
+// Guards against an answer that is taken for whole because the next process has registered by the time at which its end
+// is read, as if the replica had left.
+func TestUnframedAnswerIsBrokenAfterTheNextProcessHasRegistered(t *testing.T) {
+	var g *testGateway
+	var registered sync.Once
+	p := newEndable(t, false, partOfAnswer(0, func(p *endable) {
+		p.born.Add(1)
+		registered.Do(func() {
+			g.members[0].Started = p.born.Load()
+			g.fleet.SetMembers(g.members)
+		})
+		p.closeAll()
+	}))
+	g = newEndableGateway(t, p)
+	status, body, _ := g.do(testRequest{path: "/order/x"})
+	assert.Equal(t, http.StatusBadGateway, status, body)
+}
+
+// Guards against the last answers of a replica that has left, whose ID has another process by then, being taken for broken.
+func TestUnframedAnswerOfReplicaThatLeftAndIsBackIsComplete(t *testing.T) {
+	for name, leave := range map[string]func(g *testGateway){
+		"draining": func(g *testGateway) {
+			g.members[0].Leaving = true
+			g.fleet.SetMembers(g.members)
+			g.members[0].Leaving = false
+		},
+		"removed": func(g *testGateway) { g.fleet.SetMembers(nil) },
+	} {
+		var g *testGateway
+		p := newEndable(t, false, func(p *endable, w http.ResponseWriter, r *http.Request) {
+			contentType, text := answerFor(r)
+			_ = writeUnframed(w, r, contentType, text)
+			leave(g)
+			p.born.Add(1)
+			g.members[0].Started = p.born.Load()
+			g.fleet.SetMembers(g.members)
+			p.closeAll()
+		})
+		g = newEndableGateway(t, p)
+		status, body, _ := g.do(testRequest{path: "/order/x"})
+		assert.Equal(t, http.StatusOK, status, name)
+		assert.Equal(t, "the answer", body, name)
+	}
+}
+
+// Guards against sound answers that a host takes for broken while new connections to all replicas are refused to it, and
+// open ones live on or none is open.
+func TestSoundUnframedAnswersStayCompleteWhileHostIsCutOff(t *testing.T) {
+	for name, kept := range map[string]bool{"an open connection lives on": true, "none is open": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			links := &cutLinks{open: make(chan net.Conn, 100)}
+			answer := func(p *endable, w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/lookup/first" {
+					respond := newReplica(respondWith("first"))
+					respond.ServeHTTP(w, r)
+					return
+				}
+				links.begin(halfAlive)
+				wholeAnswer(p, w, r)
+			}
+			g := newEndableGateway(t, newEndable(t, false, answer), newEndable(t, false, answer), newEndable(t, false, answer))
+			g.restart(func(*proxy.Options) {}, links.dial)
+			if kept {
+				for range 12 {
+					status, _, _ := g.do(testRequest{path: "/lookup/first"})
+					require.Equal(t, http.StatusOK, status)
+				}
+			}
+			began := time.Now()
+			status, body, _ := g.do(testRequest{path: "/order/x"})
+			assert.Equal(t, http.StatusOK, status)
+			assert.Equal(t, "the answer", body)
+			assert.Less(t, time.Since(began), 700*time.Millisecond)
+		})
+	}
+}
+
+// endTogether sends requests that last until their replicas end, all but one in the same moment, and returns how many
+// callers took their answer for whole.
+func endTogether(t *testing.T, relayed bool, replicas, survivors, requests int) (complete int64) {
+	t.Helper()
+	var begun sync.WaitGroup
+	begun.Add(requests)
+	end := make(chan struct{})
+	answer := func(_ *endable, w http.ResponseWriter, r *http.Request) {
+		_ = writeUnframed(w, r, "text/event-stream", eventsText(2))
+		begun.Done()
+		<-end
+	}
+	all := make([]*endable, replicas)
+	for i := range all {
+		all[i] = newEndable(t, relayed, answer)
+	}
+	g := newEndableGateway(t, all...)
+	for i := range g.members {
+		g.members[i].Slots = requests
+	}
+	g.fleet.SetMembers(g.members)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var whole atomic.Int64
+	var done sync.WaitGroup
+	for i := range requests {
+		done.Go(func() {
+			response, err := g.send(ctx, testRequest{path: "/match/x", header: map[string]string{attemptIDHeader: fmt.Sprintf("attempt-%d", i)}})
+			if !assert.NoError(t, err) {
+				begun.Done()
+				return
+			}
+			_, err = io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if err == nil {
+				whole.Add(1)
+			}
+		})
+	}
+	begun.Wait()
+	for _, p := range all[survivors:] {
+		p.end()
+	}
+	time.AfterFunc(2*time.Second, cancel) // of the streams at the survivors
+	close(end)
+	done.Wait()
+	return whole.Load()
+}
+
+// Guards against answers that are taken for whole because other replicas ended in the same moment, so that one that is
+// asked as a witness accepts no connection either.
+func TestUnframedAnswersOfReplicasThatEndTogetherAreBroken(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		for _, survivors := range []int{1, 3} {
+			t.Run(fmt.Sprintf("relayed %v, %d of 6 survive", relayed, survivors), func(t *testing.T) {
+				t.Parallel()
+				const replicas, requests = 6, 36
+				assert.Zero(t, endTogether(t, relayed, replicas, survivors, requests))
+			})
+		}
+	}
+}
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -59,6 +59,7 @@
 	processQuestions   tally.Counter // asked replicas which process they are
 	replacedProcesses  tally.Counter // of these, answered by another one than the registered
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
+	unframedEnds       map[endOfAnswer]tally.Counter
 
 	mu        sync.Mutex
 	requests  map[requestSeries]tally.Counter
@@ -67,7 +68,12 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
+	unframedEnds := make(map[endOfAnswer]tally.Counter, len(endNames))
+	for end, name := range endNames {
+		unframedEnds[endOfAnswer(end)] = scope.Tagged(map[string]string{"seen": name}).Counter("unframed_answers")
+	}
 	return &metrics{
+		unframedEnds:       unframedEnds,
 		scope:              scope,
 		firstByte:          scope.Histogram("upstream_first_byte", latencyBuckets),
 		repeatedAttempts:   scope.Counter("repeated_attempts"),
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -60,6 +60,7 @@
 	waitEstimator waitEstimator
 	drain         *drain.Drain
 	active        atomic.Int64
+	questions     questions
 	// suspendedNanos is how long the host has been suspended since the start. The monotonic
 	// clock, which deadlines are compared with, does not advance during that time.
 	suspendedNanos atomic.Int64
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -269,7 +269,7 @@
 		}
 		if req.Matches == nil || req.Matches(response.StatusCode, response.Header, r.Reused) {
 			r.Status, r.Header, r.Body, r.closeRequested = response.StatusCode, response.Header, response.Body, response.Close
-			r.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+			r.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && req.Method != http.MethodHead
 			return nil
 		}
 		if foreign++; foreign > maxForeignResponses {
