Unframed answers: other connections tell an ended process from a host that is cut off

No witness is left then, and the answers were taken for whole, as at a host to which new connections are refused. And where a replica is full and refuses new connections, its sound answers were taken for broken as soon as another replica accepted one.

Cause: a refusal at all replicas has two meanings. The connections that are open tell them apart: they live on at a host that is cut off and at a full replica, and a process that ends loses all of them at once, in order.

Change: the client knows its open connections by address, and the ends by replicas of the last 2 s (64 for each address at most). The kernel's TCP_INFO gives their state and the time of the orderly end without reading, which would take the error from the request that uses the connection. If connections from before the end of the answer are open, the answer is whole, whatever other replicas do. If no other replica answers and connections ended within 0.1 s of the answer's own, it is broken. Ends by reset do not count, as a partition resets too, nor do those after a complete answer with a length. Connections which end with their answer anyway count from two on, since two sound answers may end in the same moment.

The other replicas are now asked from the first refusal on and again each 0.1 s, beside the replica itself, so that both have all of the 0.5 s. On a machine with a load of 30 on 8 cores, the last 0.15 s had not been enough for the witnesses in one run of 16 tests in parallel.

TestOtherConnections holds the rule itself.

--- a/internal/gateway/proxy/endofprocess_test.go
+++ b/internal/gateway/proxy/endofprocess_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/netio/relaytest"
 	"heatherbarrow/internal/gateway/proxy"
 )
@@ -28,22 +29,29 @@
 	born     atomic.Int64
 	asked    atomic.Int64 // questions which process it is
 	received atomic.Int64 // other requests
+	ended    atomic.Bool  // the process runs no more, while its connections are closed one after another
 
 	mu   sync.Mutex
 	open []net.Conn
 }
 
+// startsOfEndables makes the starts of replicas differ, as a replica of another test may get the port of one that ended.
+var startsOfEndables atomic.Int64
+
 // newEndable starts a replica that handles requests with h, behind a relay if relayed is set.
 func newEndable(t *testing.T, relayed bool, h func(p *endable, w http.ResponseWriter, r *http.Request)) *endable {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	p := &endable{listener: listener, address: listener.Addr().String()}
-	p.born.Store(registeredStart)
+	p.born.Store(registeredStart + startsOfEndables.Add(1_000))
 	p.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.URL.Path == "/v1/report" {
 			p.asked.Add(1)
+			if p.ended.Load() {
+				panic(http.ErrAbortHandler)
+			}
 			_, _ = fmt.Fprintf(w, `{"born":%d}`, p.born.Load())
 			return
 		}
@@ -79,6 +87,7 @@
 
 // end ends the process.
 func (p *endable) end() {
+	p.ended.Store(true)
 	_ = p.listener.Close()
 	p.closeAll()
 }
@@ -97,6 +106,7 @@
 		listener, err := net.Listen("tcp", p.listener.Addr().String())
 		if err == nil {
 			p.born.Add(1)
+			p.ended.Store(false)
 			_ = p.server.Serve(listener) // until the test ends
 		}
 	})
@@ -159,9 +169,9 @@
 	}
 	g := newTestGateway(t, handlers...)
 	for i, p := range replicas {
-		g.members[i].Address = p.address
+		g.members[i].Address, g.members[i].Started = p.address, p.born.Load()
 	}
-	g.registered(versions...)
+	g.setVersions(versions...)
 	return g
 }
 
@@ -345,8 +355,8 @@
 // away, being taken for broken after it has told which process it is.
 func TestUnframedAnswersOfReplacedProcessAreCompleteOnceItIsKnown(t *testing.T) {
 	p := newEndable(t, false, wholeAnswer)
-	p.born.Add(1)
 	g := newEndableGateway(t, p)
+	p.born.Add(1)
 	status, _, _ := g.do(testRequest{path: "/order/x"})
 	assert.Equal(t, http.StatusBadGateway, status, "the process may have begun during the answer")
 	time.Sleep(300 * time.Millisecond) // until the replica gets requests again
@@ -431,14 +441,99 @@
 	}
 }
 
-// endTogether sends requests that last until their replicas end, all but one in the same moment, and returns how many
-// callers took their answer for whole.
-func endTogether(t *testing.T, relayed bool, replicas, survivors, requests int) (complete int64) {
+// beginLasting sends a request to the path /order/lasting and returns when the replica has it.
+func (g *testGateway) beginLasting(p *endable) {
+	received := p.received.Load()
+	go func() {
+		response, err := g.send(g.t.Context(), testRequest{path: "/order/lasting"})
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	require.Eventually(g.t, func() bool { return p.received.Load() > received }, 5*time.Second, time.Millisecond)
+}
+
+// Guards against sound answers of a full replica, which refuses new connections while those that it has live on, being
+// taken for broken because other replicas answer.
+func TestSoundUnframedAnswersOfFullReplicaAreComplete(t *testing.T) {
+	for _, relayed := range []bool{false, true} {
+		release := make(chan struct{})
+		p := newEndable(t, relayed, func(p *endable, w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/order/lasting" {
+				<-release
+			}
+			_ = p.listener.Close()
+			wholeAnswer(p, w, r)
+		})
+		g := newEndableGateway(t, p)
+		g.beginLasting(p)
+		witness := newEndable(t, false, wholeAnswer)
+		g.members = append(g.members, fleet.Member{ID: "other", Upstream: "other", Address: witness.address, Zone: "a", Started: witness.born.Load(), Slots: 1})
+		g.fleet.SetMembers(g.members)
+		status, body, _ := g.do(testRequest{path: "/order/x"})
+		assert.Equal(t, http.StatusOK, status)
+		assert.Equal(t, "the answer", body)
+		close(release)
+	}
+}
+
+// Guards against sound answers of a host that is cut off which are taken for broken because another connection to the
+// replica ended too: with an answer that ended in the same moment, or while others live on.
+func TestSoundUnframedAnswersThatEndTogetherStayCompleteWhileHostIsCutOff(t *testing.T) {
+	for name, lasting := range map[string]bool{"none lives on": false, "another request lasts": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			links := &cutLinks{open: make(chan net.Conn, 100)}
+			var begun sync.WaitGroup
+			const answers = 2
+			begun.Add(answers)
+			release := make(chan struct{})
+			t.Cleanup(func() { close(release) })
+			p := newEndable(t, false, func(p *endable, w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/order/lasting" {
+					<-release
+					return
+				}
+				begun.Done()
+				begun.Wait()
+				links.begin(halfAlive)
+				wholeAnswer(p, w, r)
+			})
+			g := newEndableGateway(t, p, newEndable(t, false, wholeAnswer))
+			g.members = g.members[:1]
+			g.fleet.SetMembers(g.members)
+			g.restart(func(*proxy.Options) {}, links.dial)
+			g.members = append(g.members, fleet.Member{ID: "other", Upstream: "other", Address: "127.0.0.1:1", Zone: "a", Started: registeredStart, Slots: 1})
+			g.fleet.SetMembers(g.members) // a witness, which is not reached either
+			if lasting {
+				g.beginLasting(p)
+			}
+			var done sync.WaitGroup
+			for range answers {
+				done.Go(func() {
+					status, body, _ := g.do(testRequest{path: "/order/x"})
+					assert.Equal(t, http.StatusOK, status)
+					assert.Equal(t, "the answer", body)
+				})
+			}
+			done.Wait()
+		})
+	}
+}
+
+// endTogether sends requests that last until their replicas end, all but the survivors in the same moment, and returns how
+// many callers took their answer for whole. If idle is set, the host has idle connections to the replicas.
+func endTogether(t *testing.T, relayed, idle bool, replicas, survivors int) (complete int64) {
 	t.Helper()
+	const requests = 36
 	var begun sync.WaitGroup
 	begun.Add(requests)
 	end := make(chan struct{})
-	answer := func(_ *endable, w http.ResponseWriter, r *http.Request) {
+	answer := func(p *endable, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/order/x" {
+			wholeAnswer(p, w, r)
+			return
+		}
 		_ = writeUnframed(w, r, "text/event-stream", eventsText(2))
 		begun.Done()
 		<-end
@@ -452,6 +547,12 @@
 		g.members[i].Slots = requests
 	}
 	g.fleet.SetMembers(g.members)
+	for i := range all {
+		for idle && all[i].asked.Load() == 0 {
+			status, _, _ := g.do(testRequest{path: "/order/x"})
+			require.Equal(t, http.StatusOK, status)
+		}
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var whole atomic.Int64
@@ -474,9 +575,14 @@
 	for _, p := range all[survivors:] {
 		p.end()
 	}
-	time.AfterFunc(2*time.Second, cancel) // of the streams at the survivors
+	time.AfterFunc(time.Second, cancel) // of the streams at the survivors
 	close(end)
 	done.Wait()
+	for _, counter := range g.metrics.Snapshot().Counters() {
+		if counter.Name() == "unframed_answers" && counter.Value() > 0 {
+			t.Log(counter.Tags(), counter.Value())
+		}
+	}
 	return whole.Load()
 }
 
@@ -484,11 +590,17 @@
 // asked as a witness accepts no connection either.
 func TestUnframedAnswersOfReplicasThatEndTogetherAreBroken(t *testing.T) {
 	for _, relayed := range []bool{false, true} {
-		for _, survivors := range []int{1, 3} {
-			t.Run(fmt.Sprintf("relayed %v, %d of 6 survive", relayed, survivors), func(t *testing.T) {
-				t.Parallel()
-				const replicas, requests = 6, 36
-				assert.Zero(t, endTogether(t, relayed, replicas, survivors, requests))
+		for name, c := range map[string]struct {
+			idle                bool
+			replicas, survivors int
+		}{
+			"half survive":                    {false, 6, 3},
+			"one survives":                    {false, 6, 1},
+			"none survives, connections idle": {true, 6, 0},
+			"none survives":                   {false, 2, 0},
+		} {
+			t.Run(fmt.Sprintf("%s, relayed %v", name, relayed), func(t *testing.T) {
+				assert.Zero(t, endTogether(t, relayed, c.idle, c.replicas, c.survivors))
 			})
 		}
 	}
--- a/internal/gateway/proxy/questions.go
+++ b/internal/gateway/proxy/questions.go
@@ -73,6 +73,7 @@
 // askAfter returns what comes of a question to the replica that began after the given time.
 func (s *Server) askAfter(ctx context.Context, member *fleet.Member, in *inquiry) (reply, int64) {
 	key := member.ID + " " + member.Address
+	earlier := noReply
 	for {
 		current, begun := s.questions.begin(key)
 		if begun {
@@ -87,7 +88,10 @@
 		select {
 		case <-current.done:
 		case <-ctx.Done():
-			return noReply, 0
+			return earlier, 0
+		}
+		if current.reply == hungUp || current.reply == refused {
+			earlier = current.reply // nothing answers, as far as that question can tell
 		}
 		if current.begunAt.After(in.after) && current.reply != canceled {
 			return current.reply, current.started
--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
@@ -14,12 +15,12 @@
 // if its process lived after the end. A process that leaves ends its answers before it exits.
 
 const (
-	// witnessTime is the part of inspectTimeout in which other replicas are asked.
-	witnessTime = 150 * time.Millisecond
 	// maxWitnesses bounds the replicas that are asked. Half of all may have ended together.
 	maxWitnesses = 6
 	// questionPause is the time between two questions to a replica at which nothing answers.
 	questionPause = 20 * time.Millisecond
+	// witnessPause is the same for the other replicas that are asked then.
+	witnessPause = 100 * time.Millisecond
 )
 
 // endOfAnswer is what was seen at the end of an unframed answer.
@@ -31,19 +32,24 @@
 	endUntold                         // its replica answers and does not tell which process it is
 	endNoReply                        // its replica did not answer in time
 	endUnreachable                    // nothing answers, at other replicas either
-	endReplaced                       // another process answers for the replica
-	endDown                           // nothing answers for the replica, while others answer
-	endOfHost                         // another host sent it, which marks the end of each answer
+	endOthersOpen                     // nothing answers, while other connections to the replica are open
+	// From here on, the answer may be incomplete.
+
+	endReplaced    // another process answers for the replica
+	endDown        // nothing answers for the replica, while others answer
+	endOthersEnded // nothing answers, at other replicas either, and all connections to the replica ended together
+	endOfHost      // another host sent it, which marks the end of each answer
 )
 
 // endNames are the values of endOfAnswer in logs and metrics.
 var endNames = [...]string{
 	endLived: "process_lived", endLeaving: "replica_leaves", endUntold: "process_untold", endNoReply: "no_reply",
-	endUnreachable: "unreachable", endReplaced: "process_replaced", endDown: "replica_down", endOfHost: "host_ended",
+	endUnreachable: "unreachable", endOthersOpen: "connections_open", endReplaced: "process_replaced", endDown: "replica_down",
+	endOthersEnded: "connections_ended", endOfHost: "host_ended",
 }
 
 // broken reports whether the answer may be incomplete.
-func (e endOfAnswer) broken() bool { return e == endReplaced || e == endDown || e == endOfHost }
+func (e endOfAnswer) broken() bool { return e >= endReplaced }
 
 // evident reports whether it is clear that the answer is complete, as far as its replica can tell.
 func (e endOfAnswer) evident() bool { return e == endLived || e == endLeaving || e == endUntold }
@@ -63,7 +69,7 @@
 	defer unbind()
 	ctx, cancel := context.WithTimeout(bound, inspectTimeout)
 	defer cancel()
-	seen := e.inspectEnd(ctx, lease, endedAt)
+	seen := e.inspectEnd(ctx, response, lease, endedAt)
 	s.metrics.unframedEnds[seen].Inc(1)
 	if !seen.evident() {
 		s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).Str("seen", endNames[seen]).
@@ -72,42 +78,39 @@
 	return seen.broken()
 }
 
-// inspectEnd finds out whether the process that sent an unframed answer lived after its end. Nothing that answers is no
-// proof of the contrary by itself: a full replica refuses connections, and the links of this host may have failed.
-func (e *exchange) inspectEnd(ctx context.Context, lease *fleet.Lease, endedAt time.Time) endOfAnswer {
+// inspectEnd finds out whether the process that sent an unframed answer lived after its end. If nothing answers, that alone
+// does not show that it ended: a full replica refuses connections, and the links of this host may have failed.
+func (e *exchange) inspectEnd(ctx context.Context, response *upstream.Response, lease *fleet.Lease, endedAt time.Time) endOfAnswer {
 	if lease.Member.ID == "" {
 		return endOfHost
 	}
 	if lease.Leaving(endedAt) {
 		return endLeaving
 	}
-	askCtx, cancel := context.WithDeadline(ctx, endedAt.Add(inspectTimeout-witnessTime))
-	defer cancel()
 	in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(lease.Member.Upstream), after: endedAt}
-	othersAsked := false
+	var others *witnesses
 	for {
 		if started, known := lease.ProcessAfter(endedAt); known {
 			return endOfProcess(lease, started)
 		}
-		reply, started := e.server.askAfter(askCtx, &lease.Member, &in)
+		reply, started := e.server.askAfter(ctx, &lease.Member, &in)
 		switch {
 		case reply == told:
 			return endOfProcess(lease, started)
 		case reply == untold:
 			return endUntold
-		case reply == noReply && (!in.newConnection || ctx.Err() != nil):
+		case reply == noReply && others == nil:
 			return endNoReply
-		case reply == refused && !othersAsked:
-			if e.othersAnswer(askCtx, lease, endedAt) {
-				return endDown
-			}
-			othersAsked = true
+		}
+		if others == nil {
+			others = e.askOthers(ctx, lease, endedAt)
 		}
 		in.newConnection = true
-		select {
-		case <-askCtx.Done():
-			return e.inspectSilentEnd(ctx, lease, endedAt)
-		case <-time.After(questionPause):
+		if others.waitAnswer(ctx, questionPause) && reply == refused && !e.othersOpen(response, endedAt) {
+			return endDown
+		}
+		if ctx.Err() != nil {
+			return e.endWithoutReply(response, others, endedAt)
 		}
 	}
 }
@@ -120,41 +123,77 @@
 	return endReplaced
 }
 
-// inspectSilentEnd is inspectEnd for a replica at which nothing has answered.
-func (e *exchange) inspectSilentEnd(ctx context.Context, lease *fleet.Lease, endedAt time.Time) endOfAnswer {
+// othersOpen reports whether other connections to the replica live on that were opened before the end of the answer.
+func (e *exchange) othersOpen(response *upstream.Response, endedAt time.Time) bool {
+	open, _ := e.server.opts.Client.OtherConnections(response, endedAt)
+	return open
+}
+
+// endWithoutReply returns what is seen if nothing has answered at the replica's address.
+func (e *exchange) endWithoutReply(response *upstream.Response, others *witnesses, endedAt time.Time) endOfAnswer {
+	open, endedTogether := e.server.opts.Client.OtherConnections(response, endedAt)
 	switch {
-	case e.othersAnswer(ctx, lease, endedAt):
+	case open:
+		return endOthersOpen
+	case others.answered():
 		return endDown
-	case ctx.Err() != nil && e.abandoned():
+	case e.abandoned():
 		return endNoReply
+	case endedTogether:
+		return endOthersEnded
 	default:
 		return endUnreachable
 	}
 }
 
-// othersAnswer reports whether another replica answers, so that this host's links work, or whether there is no other one.
-// A replica that tells which process it is must do so: a relay accepts connections with nothing behind it.
-func (e *exchange) othersAnswer(ctx context.Context, lease *fleet.Lease, endedAt time.Time) bool {
-	s := e.server
+// witnesses are other replicas that are asked, as nothing answers for one. An answer shows that this host's links work.
+type witnesses struct{ answer chan struct{} } // closed with the first answer
+
+// answered reports whether one has answered.
+func (w *witnesses) answered() bool {
+	select {
+	case <-w.answer:
+		return true
+	default:
+		return false
+	}
+}
+
+// waitAnswer waits for the given time and reports whether a witness has answered by then.
+func (w *witnesses) waitAnswer(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return w.answered()
+}
+
+// askOthers asks other replicas until one answers or the context ends. If there is none, that counts as an answer. A
+// replica that tells which process it is must do so: a relay accepts connections with nothing behind it.
+func (e *exchange) askOthers(ctx context.Context, lease *fleet.Lease, endedAt time.Time) *witnesses {
+	s, w := e.server, &witnesses{answer: make(chan struct{})}
 	others := s.opts.Fleet.Others(lease.Member.ID, maxWitnesses, endedAt)
 	if len(others) == 0 {
-		return true
+		close(w.answer)
+		return w
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	replies := make(chan reply, len(others))
+	var answer sync.Once
 	for i := range others {
-		other := &others[i]
-		in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(other.Upstream), after: endedAt}
+		in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(others[i].Upstream), after: endedAt}
 		go func() {
-			r, _ := s.askAfter(ctx, other, &in)
-			replies <- r
+			for {
+				reply, _ := s.askAfter(ctx, &others[i], &in)
+				if reply == told || reply == untold {
+					answer.Do(func() { close(w.answer) })
+				}
+				if reply != refused && reply != hungUp || w.waitAnswer(ctx, witnessPause) || ctx.Err() != nil {
+					return
+				}
+				in.newConnection = true
+			}
 		}()
 	}
-	for range others {
-		if r := <-replies; r == told || r == untold {
-			return true
-		}
-	}
-	return false
+	return w
 }
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -62,6 +62,7 @@
 type Client struct {
 	dial Dial
 	pool pool
+	ends ends
 }
 
 // NewClient returns a client that opens connections with dial.
@@ -119,7 +120,10 @@
 
 // CloseIdle closes the idle connections whose reuse time has expired at now. It should
 // be called about once a second.
-func (c *Client) CloseIdle(now time.Time) { c.pool.closeIdle(now) }
+func (c *Client) CloseIdle(now time.Time) {
+	c.pool.closeIdle(now)
+	c.ends.prune(now)
+}
 
 // Do sends a request and returns once the head of the response has been read. The
 // connection is closed if ctx ends before Close is called. The error wraps the cause
@@ -160,11 +164,10 @@
 
 // Connect opens a connection to a replica and keeps it for the next request. maxIdle is that of Request.MaxIdle.
 func (c *Client) Connect(ctx context.Context, address string, maxIdle int) error {
-	raw, err := c.dial(ctx, "tcp", address)
+	connection, err := c.open(ctx, address)
 	if err != nil {
 		return err
 	}
-	connection := newConn(raw)
 	connection.reuseUntil = time.Now().Add(defaultIdleTimeout)
 	c.pool.put(address, connection, maxIdle)
 	return nil
@@ -181,11 +184,22 @@
 			return pooled, nil
 		}
 	}
-	raw, err := c.dial(ctx, "tcp", req.Address)
+	connection, err := c.open(ctx, req.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotConnected, err)
 	}
-	return newConn(raw), nil
+	return connection, nil
+}
+
+// open opens a connection.
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
+	raw, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	connection := newConn(raw)
+	c.ends.add(address, connection)
+	return connection, nil
 }
 
 // send writes the request. A body longer than maxInlineBodyBytes is written in a
@@ -269,6 +283,7 @@
 		}
 		if req.Matches == nil || req.Matches(response.StatusCode, response.Header, r.Reused) {
 			r.Status, r.Header, r.Body, r.closeRequested = response.StatusCode, response.Header, response.Body, response.Close
+			r.conn.tracking.endsWithReply.Store(response.Close)
 			r.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && req.Method != http.MethodHead
 			return nil
 		}
@@ -330,6 +345,7 @@
 		return
 	}
 	if r.closeRequested || reuseFor <= 0 || r.conn.reader.Buffered() > 0 {
+		r.conn.tracking.done.Store(!r.Unframed) // the end of an unframed response may be that of the process
 		_ = r.conn.Close()
 		return
 	}
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -40,6 +40,7 @@
 	reuseUntil  time.Time // the connection must not be reused after this time
 	usedBefore  bool      // it has served a request already
 	refused     []string  // IDs of the latest requests that were refused on it
+	tracking    tracking
 }
 
 func newConn(raw net.Conn) *conn {
@@ -75,7 +76,22 @@
 // bytes of an abandoned request. After an orderly close the kernel would retransmit
 // them, and a replica behind a network partition would receive and run the request once
 // the partition heals.
-func (c *conn) abort() error { return netio.Reset(c.Conn) }
+func (c *conn) abort() error {
+	c.untrack()
+	return netio.Reset(c.Conn)
+}
+
+// Close closes the connection in order.
+func (c *conn) Close() error {
+	c.untrack()
+	return c.Conn.Close()
+}
+
+func (c *conn) untrack() {
+	if c.tracking.ends != nil {
+		c.tracking.ends.remove(c, time.Now())
+	}
+}
 
 // pool holds the idle connections to each replica, most recently used last.
 type pool struct {
--- a/internal/gateway/upstream/delivery.go
+++ b/internal/gateway/upstream/delivery.go
@@ -70,26 +70,26 @@
 // its bytes were sent and not acknowledged. It returns 0 if the bytes only wait for the peer
 // to read, or if the state of the connection cannot be determined.
 func (c *conn) undeliveredBytes() int {
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0
-	}
 	undelivered := 0
-	err = raw.Control(func(fd uintptr) {
-		info, sockErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if sockErr != nil || info.Unacked == 0 {
+	c.control(func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.Unacked == 0 {
 			return
 		}
-		if queued, sockErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); sockErr == nil {
+		if queued, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
 			undelivered = queued
 		}
 	})
-	if err != nil {
-		return 0
-	}
 	return undelivered
 }
+
+// control calls f with the file descriptor of the connection, if it has one.
+func (c *conn) control(f func(fd int)) {
+	tcp, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // fails on a closed connection
+	}
+}
