Unframed answers: connections to all replicas show that all ended together

Cause: a host had one other connection to such a replica, or none, so that too few ended with the answer. But it had 20 to all replicas.

Change: if no replica answers, the connections to the replicas that were asked count too. They say that processes ended if none is open or ended later; ends that come with an answer must be two or more, and more than in the 0.4 s before, as the last of many sound answers at a host that is cut off end one after another.

TestEndsAreTogetherOnlyIfTheyAreMoreThanUsual holds the other side. The case with idle connections now sends calls that open new connections; before, its streams used the idle ones up.

--- a/internal/gateway/proxy/endofprocess_test.go
+++ b/internal/gateway/proxy/endofprocess_test.go
@@ -547,6 +547,10 @@
 		g.members[i].Slots = requests
 	}
 	g.fleet.SetMembers(g.members)
+	path := "/match/x"
+	if idle {
+		path = "/order/part" // on a new connection
+	}
 	for i := range all {
 		for idle && all[i].asked.Load() == 0 {
 			status, _, _ := g.do(testRequest{path: "/order/x"})
@@ -559,14 +563,14 @@
 	var done sync.WaitGroup
 	for i := range requests {
 		done.Go(func() {
-			response, err := g.send(ctx, testRequest{path: "/match/x", header: map[string]string{attemptIDHeader: fmt.Sprintf("attempt-%d", i)}})
+			response, err := g.send(ctx, testRequest{path: path, header: map[string]string{attemptIDHeader: fmt.Sprintf("attempt-%d", i)}})
 			if !assert.NoError(t, err) {
 				begun.Done()
 				return
 			}
 			_, err = io.ReadAll(response.Body)
 			_ = response.Body.Close()
-			if err == nil {
+			if err == nil && response.StatusCode == http.StatusOK {
 				whole.Add(1)
 			}
 		})
@@ -598,6 +602,7 @@
 			"one survives":                    {false, 6, 1},
 			"none survives, connections idle": {true, 6, 0},
 			"none survives":                   {false, 2, 0},
+			"none of many survives":           {false, 18, 0},
 		} {
 			t.Run(fmt.Sprintf("%s, relayed %v", name, relayed), func(t *testing.T) {
 				assert.Zero(t, endTogether(t, relayed, c.idle, c.replicas, c.survivors))
--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -37,7 +37,7 @@
 
 	endReplaced    // another process answers for the replica
 	endDown        // nothing answers for the replica, while others answer
-	endOthersEnded // nothing answers, at other replicas either, and all connections to the replica ended together
+	endOthersEnded // nothing answers, at other replicas either, and the connections to the replica or to all ended together
 	endOfHost      // another host sent it, which marks the end of each answer
 )
 
@@ -141,13 +141,19 @@
 		return endNoReply
 	case endedTogether:
 		return endOthersEnded
-	default:
-		return endUnreachable
 	}
+	// This host may have too few connections to one replica. All replicas may have ended together.
+	if _, endedTogether = e.server.opts.Client.OtherConnections(response, endedAt, others.addresses...); endedTogether {
+		return endOthersEnded
+	}
+	return endUnreachable
 }
 
 // witnesses are other replicas that are asked, as nothing answers for one. An answer shows that this host's links work.
-type witnesses struct{ answer chan struct{} } // closed with the first answer
+type witnesses struct {
+	answer    chan struct{} // closed with the first answer
+	addresses []string
+}
 
 // answered reports whether one has answered.
 func (w *witnesses) answered() bool {
@@ -180,6 +186,9 @@
 		return w
 	}
 	var answer sync.Once
+	for i := range others {
+		w.addresses = append(w.addresses, others[i].Address)
+	}
 	for i := range others {
 		in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(others[i].Upstream), after: endedAt}
 		go func() {
--- a/internal/gateway/upstream/ended.go
+++ b/internal/gateway/upstream/ended.go
@@ -14,6 +14,8 @@
 const (
 	// endedTogetherTime is the time in which the connections of a process that ends are seen to end.
 	endedTogetherTime = 100 * time.Millisecond
+	// usualEndsTime is how far the ends reach back that tell how many are usual.
+	usualEndsTime = 500 * time.Millisecond
 	// endRetention and maxEnds bound what is kept of the ends of connections to one replica.
 	endRetention = 2 * time.Second
 	maxEnds      = 64
@@ -123,10 +125,10 @@
 	return info
 }
 
-// OtherConnections tells what has become of the connections to the response's replica other than that of the response
-// which were opened before the given time, when the response ended: whether any is open, and whether those that were have
-// ended together with it.
-func (c *Client) OtherConnections(r *Response, endedAt time.Time) (open, endedTogether bool) {
+// OtherConnections tells what has become of the connections to the response's replica, and to those at further addresses,
+// other than that of the response which were opened before the given time, when the response ended: whether any is open,
+// and whether those that were have ended together with it.
+func (c *Client) OtherConnections(r *Response, endedAt time.Time, further ...string) (open, endedTogether bool) {
 	e, now := &c.ends, time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -135,35 +137,41 @@
 		at = end.at // the end may have been read later
 	}
 	var ends []connEnd
-	for _, end := range e.ended[r.address] {
-		if !end.openedAt.After(endedAt) {
-			ends = append(ends, end)
+	for _, address := range append([]string{r.address}, further...) {
+		for _, end := range e.ended[address] {
+			if !end.openedAt.After(endedAt) {
+				ends = append(ends, end)
+			}
 		}
-	}
-	for other := range e.open[r.address] {
-		if other == r.conn || other.openedAt.After(endedAt) {
-			continue
-		}
-		end, isOpen, isEnded := other.state(now)
-		open = open || isOpen
-		if isEnded {
-			ends = append(ends, end)
+		for other := range e.open[address] {
+			if other == r.conn || other.openedAt.After(endedAt) {
+				continue
+			}
+			end, isOpen, isEnded := other.state(now)
+			open = open || isOpen
+			if isEnded {
+				ends = append(ends, end)
+			}
 		}
 	}
 	return open, !open && together(ends, at)
 }
 
-// together reports whether connections ended at the given time, so many that a process has ended.
+// together reports whether connections ended at the given time, so many that a process has ended, and none later. Those
+// that would have ended with their answers must be more than before, as sound answers may end at any time.
 func together(ends []connEnd, at time.Time) bool {
-	expected := 0
+	unexpected, then, before := 0, 0, 0
 	for _, end := range ends {
-		if end.at.Sub(at).Abs() > endedTogetherTime {
-			continue
-		}
-		if !end.expected {
-			return true
+		switch after := end.at.Sub(at); {
+		case after > endedTogetherTime:
+			return false
+		case after >= -endedTogetherTime && !end.expected:
+			unexpected++
+		case after >= -endedTogetherTime:
+			then++
+		case after >= -usualEndsTime:
+			before++
 		}
-		expected++
 	}
-	return expected >= minExpectedEnds
+	return unexpected > 0 || then >= minExpectedEnds && then > before
 }
--- a/internal/gateway/upstream/ended_test.go
+++ b/internal/gateway/upstream/ended_test.go
@@ -24,6 +24,23 @@
 	return c
 }
 
+// Guards against sound answers that end one after another while the host is cut off, the last ones of which are taken for
+// broken.
+func TestEndsAreTogetherOnlyIfTheyAreMoreThanUsual(t *testing.T) {
+	at := time.Now()
+	const step = 40 * time.Millisecond // four others end within endedTogetherTime
+	var ends []connEnd
+	for i := range 10 {
+		ends = append(ends, connEnd{at: at.Add(-time.Duration(i) * step), expected: true})
+	}
+	assert.False(t, together(ends, at), "the last of many that end one after another")
+	assert.False(t, together(ends, at.Add(-5*step)), "others end later")
+	assert.True(t, together(ends[:3], at), "none before")
+	ends = append(ends, connEnd{at: at, expected: false})
+	assert.True(t, together(ends, at), "one ends that would have lived on")
+	assert.False(t, together(ends, at.Add(-5*step)))
+}
+
 // Guards against an answer without a length that is taken for whole although all connections to its replica ended with it,
 // and against one that is taken for broken although no other connection ended, or only others that would have anyway.
 func TestOtherConnections(t *testing.T) {
@@ -110,6 +127,11 @@
 			open, together := client.OtherConnections(response, endedAt)
 			assert.Equal(t, c.open, open, "open")
 			assert.Equal(t, c.together, together, "together")
+			open, together = client.OtherConnections(&Response{address: "127.0.0.1:1", conn: response.conn}, endedAt)
+			assert.False(t, open || together, "at an address without connections")
+			open, together = client.OtherConnections(&Response{address: "127.0.0.1:1", conn: response.conn}, endedAt, address)
+			assert.Equal(t, c.open, open, "open, at a further address")
+			assert.Equal(t, c.together, together, "together, at a further address")
 			response.Close()
 			client.CloseIdle(endedAt.Add(time.Hour))
 			assert.Empty(t, client.ends.ended)
