Unframed answers: questions at their end ask nothing that cannot be evidence

A whole answer that was ready in time was held beyond its deadline while its replica was silent. A full replica got 17 new connections for one answer, and replicas that want no requests of this host were asked as witnesses.

Cause: an answer on an open connection was taken for proof that new ones are accepted; the question had a time limit of its own; it was repeated each 20 ms.

Change: other replicas are asked on new connections, and those that rest are not asked; if all rest, there is no witness. A question has at most half of the time that the request has left. A replica at which nothing answers is asked again after 0.2 s, then after twice as long; a refusal still counts as soon as another replica answers.

--- a/internal/gateway/fleet/reach.go
+++ b/internal/gateway/fleet/reach.go
@@ -53,20 +53,20 @@
 }
 
 // Others returns up to n replicas other than the one with the given ID, in random order: first those to which this host
-// has had no failure lately.
-func (f *Fleet) Others(except string, n int, now time.Time) []Member {
+// has had no failure lately. Replicas that want no requests of this host are left out; none reports whether there are no
+// others at all.
+func (f *Fleet) Others(except string, n int, now time.Time) (members []Member, none bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	sound, failed := f.others(now, except)
-	var members []Member
 	for _, replicas := range [][]*replica{sound, failed} {
 		for _, i := range f.random.Perm(len(replicas)) {
-			if len(members) < n {
-				members = append(members, replicas[i].member)
+			if r := replicas[i]; len(members) < n && !now.Before(r.restUntil) {
+				members = append(members, r.member)
 			}
 		}
 	}
-	return members
+	return members, len(sound)+len(failed) == 0
 }
 
 func (f *Fleet) soundReplica(now time.Time, except string) (Member, bool) {
--- a/internal/gateway/proxy/questions.go
+++ b/internal/gateway/proxy/questions.go
@@ -32,15 +32,21 @@
 	started int64 // of the process, if told
 }
 
-// questions are those under way. There is one at a time for each replica.
+// questionKey tells which question serves whom.
+type questionKey struct {
+	replicaID, address string
+	newConnection      bool // an answer on an open connection does not show that new ones are accepted
+}
+
+// questions are those under way. There is one at a time for each key.
 type questions struct {
 	mu       sync.Mutex
-	underWay map[string]*question // by replica ID and address
+	underWay map[questionKey]*question
 }
 
 // begin returns the question to the replica that is under way. If there is none, it begins one that the caller asks, and
 // returns true.
-func (q *questions) begin(key string) (current *question, begun bool) {
+func (q *questions) begin(key questionKey) (current *question, begun bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if current = q.underWay[key]; current != nil {
@@ -48,14 +54,14 @@
 	}
 	current = &question{begunAt: time.Now(), done: make(chan struct{})}
 	if q.underWay == nil {
-		q.underWay = make(map[string]*question)
+		q.underWay = make(map[questionKey]*question)
 	}
 	q.underWay[key] = current
 	return current, true
 }
 
 // end ends a question.
-func (q *questions) end(key string, current *question) {
+func (q *questions) end(key questionKey, current *question) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.underWay, key)
@@ -72,7 +78,7 @@
 
 // askAfter returns what comes of a question to the replica that began after the given time.
 func (s *Server) askAfter(ctx context.Context, member *fleet.Member, in *inquiry) (reply, int64) {
-	key := member.ID + " " + member.Address
+	key := questionKey{replicaID: member.ID, address: member.Address, newConnection: in.newConnection}
 	earlier := noReply
 	for {
 		current, begun := s.questions.begin(key)
--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -17,10 +17,10 @@
 const (
 	// maxWitnesses bounds the replicas that are asked. Half of all may have ended together.
 	maxWitnesses = 6
-	// questionPause is the time between two questions to a replica at which nothing answers.
-	questionPause = 20 * time.Millisecond
-	// witnessPause is the same for the other replicas that are asked then.
-	witnessPause = 100 * time.Millisecond
+	// questionPause is the time until a replica at which nothing answers is asked again, and doubles with each question.
+	questionPause = 200 * time.Millisecond
+	// inspectTimeDivisor leaves an answer that must wait for a question the larger part of its time.
+	inspectTimeDivisor = 2
 )
 
 // endOfAnswer is what was seen at the end of an unframed answer.
@@ -67,7 +67,7 @@
 	endedAt := time.Now()
 	bound, unbind := s.drain.Bound(e.r.Context())
 	defer unbind()
-	ctx, cancel := context.WithTimeout(bound, inspectTimeout)
+	ctx, cancel := context.WithTimeout(bound, min(inspectTimeout, e.timeLeft(endedAt)/inspectTimeDivisor))
 	defer cancel()
 	seen := e.inspectEnd(ctx, response, lease, endedAt)
 	s.metrics.unframedEnds[seen].Inc(1)
@@ -89,7 +89,7 @@
 	}
 	in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(lease.Member.Upstream), after: endedAt}
 	var others *witnesses
-	for {
+	for pause := questionPause; ; pause *= 2 {
 		if started, known := lease.ProcessAfter(endedAt); known {
 			return endOfProcess(lease, started)
 		}
@@ -106,8 +106,12 @@
 			others = e.askOthers(ctx, lease, endedAt)
 		}
 		in.newConnection = true
-		if others.waitAnswer(ctx, questionPause) && reply == refused && !e.othersOpen(response, endedAt) {
-			return endDown
+		if reply == refused && !e.othersOpen(response, endedAt) {
+			if others.waitAnswer(ctx, pause) {
+				return endDown
+			}
+		} else {
+			wait(ctx, pause)
 		}
 		if ctx.Err() != nil {
 			return e.endWithoutReply(response, others, endedAt)
@@ -165,23 +169,31 @@
 	}
 }
 
-// waitAnswer waits for the given time and reports whether a witness has answered by then.
-func (w *witnesses) waitAnswer(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+// waitAnswer waits for an answer, for the given time at most, and reports whether a witness has answered.
+func (w *witnesses) waitAnswer(ctx context.Context, atMost time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, atMost)
+	defer cancel()
 	select {
-	case <-timer.C:
+	case <-w.answer:
 	case <-ctx.Done():
 	}
 	return w.answered()
 }
 
+// wait waits for the given time or until the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
+
 // askOthers asks other replicas until one answers or the context ends. If there is none, that counts as an answer. A
-// replica that tells which process it is must do so: a relay accepts connections with nothing behind it.
+// replica that tells which process it is must do so: a relay accepts connections with nothing behind it. They are asked on
+// new connections, as open ones may live on where new ones are refused.
 func (e *exchange) askOthers(ctx context.Context, lease *fleet.Lease, endedAt time.Time) *witnesses {
 	s, w := e.server, &witnesses{answer: make(chan struct{})}
-	others := s.opts.Fleet.Others(lease.Member.ID, maxWitnesses, endedAt)
-	if len(others) == 0 {
+	others, none := s.opts.Fleet.Others(lease.Member.ID, maxWitnesses, endedAt)
+	if none {
 		close(w.answer)
 		return w
 	}
@@ -190,17 +202,16 @@
 		w.addresses = append(w.addresses, others[i].Address)
 	}
 	for i := range others {
-		in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(others[i].Upstream), after: endedAt}
+		in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(others[i].Upstream), after: endedAt, newConnection: true}
 		go func() {
-			for {
+			for pause := questionPause; ; pause *= 2 {
 				reply, _ := s.askAfter(ctx, &others[i], &in)
 				if reply == told || reply == untold {
 					answer.Do(func() { close(w.answer) })
 				}
-				if reply != refused && reply != hungUp || w.waitAnswer(ctx, witnessPause) || ctx.Err() != nil {
+				if reply != refused && reply != hungUp || w.waitAnswer(ctx, pause) || ctx.Err() != nil {
 					return
 				}
-				in.newConnection = true
 			}
 		}()
 	}
