--- /dev/null
+++ b/internal/gateway/proxy/unframed.go
@@ -0,0 +1,219 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/upstream"
+)
+
+// An answer with neither a length nor chunks ends with its connection. The kernel closes the connections of a process that
+// was killed in the same way as the replica does after the last byte, so that such an answer is known to be complete only
+// if its process lived after the end. A process that leaves ends its answers before it exits.
+
+const (
+	// maxWitnesses bounds the replicas that are asked. Half of all may have ended together.
+	maxWitnesses = 6
+	// questionPause is the time until a replica at which nothing answers is asked again, and doubles with each question.
+	questionPause = 200 * time.Millisecond
+	// inspectTimeDivisor leaves an answer that must wait for a question the larger part of its time.
+	inspectTimeDivisor = 2
+)
+
+// endOfAnswer is what was seen at the end of an unframed answer.
+type endOfAnswer int
+
+const (
+	endLived       endOfAnswer = iota // its process lived afterwards
+	endLeaving                        // the replica leaves
+	endUntold                         // its replica answers and does not tell which process it is
+	endNoReply                        // its replica did not answer in time
+	endUnreachable                    // nothing answers, at other replicas either
+	endOthersOpen                     // nothing answers, while other connections to the replica are open
+	// From here on, the answer may be incomplete.
+
+	endReplaced    // another process answers for the replica
+	endDown        // nothing answers for the replica, while others answer
+	endOthersEnded // nothing answers, at other replicas either, and the connections to the replica or to all ended together
+	endOfHost      // another host sent it, which marks the end of each answer
+)
+
+// endNames are the values of endOfAnswer in logs and metrics.
+var endNames = [...]string{
+	endLived: "process_lived", endLeaving: "replica_leaves", endUntold: "process_untold", endNoReply: "no_reply",
+	endUnreachable: "unreachable", endOthersOpen: "connections_open", endReplaced: "process_replaced", endDown: "replica_down",
+	endOthersEnded: "connections_ended", endOfHost: "host_ended",
+}
+
+// broken reports whether the answer may be incomplete.
+func (e endOfAnswer) broken() bool { return e >= endReplaced }
+
+// evident reports whether it is clear that the answer is complete, as far as its replica can tell.
+func (e endOfAnswer) evident() bool { return e == endLived || e == endLeaving || e == endUntold }
+
+// errProcessEnded means that the body of an unframed response ended with the replica's process.
+var errProcessEnded = errors.New("response without a length ended with the replica's process")
+
+// endedWithProcess reports whether a response whose body ended with its connection may be incomplete, because it may have
+// ended with the replica's process. It is called when the end has been read.
+func (e *exchange) endedWithProcess(response *upstream.Response, lease *fleet.Lease) bool {
+	if !response.Unframed {
+		return false
+	}
+	s := e.server
+	endedAt := time.Now()
+	bound, unbind := s.drain.Bound(e.r.Context())
+	defer unbind()
+	ctx, cancel := context.WithTimeout(bound, min(inspectTimeout, e.timeLeft(endedAt)/inspectTimeDivisor))
+	defer cancel()
+	seen := e.inspectEnd(ctx, response, lease, endedAt)
+	s.metrics.unframedEnds[seen].Inc(1)
+	if !seen.evident() {
+		s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).Str("seen", endNames[seen]).
+			Bool("broken", seen.broken()).Dur("elapsed_ms", time.Since(endedAt)).Msg("answer without a length ended")
+	}
+	return seen.broken()
+}
+
+// inspectEnd finds out whether the process that sent an unframed answer lived after its end. If nothing answers, that alone
+// does not show that it ended: a full replica refuses connections, and the links of this host may have failed.
+func (e *exchange) inspectEnd(ctx context.Context, response *upstream.Response, lease *fleet.Lease, endedAt time.Time) endOfAnswer {
+	if lease.Member.ID == "" {
+		return endOfHost
+	}
+	if lease.Leaving(endedAt) {
+		return endLeaving
+	}
+	in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(lease.Member.Upstream), after: endedAt}
+	var others *witnesses
+	for pause := questionPause; ; pause *= 2 {
+		if started, known := lease.ProcessAfter(endedAt); known {
+			return endOfProcess(lease, started)
+		}
+		reply, started := e.server.askAfter(ctx, &lease.Member, &in)
+		switch {
+		case reply == told:
+			return endOfProcess(lease, started)
+		case reply == untold:
+			return endUntold
+		case reply == noReply && others == nil:
+			return endNoReply
+		}
+		if others == nil {
+			others = e.askOthers(ctx, lease, endedAt)
+		}
+		in.newConnection = true
+		if reply == refused && !e.othersOpen(response, endedAt) {
+			if others.waitAnswer(ctx, pause) {
+				return endDown
+			}
+		} else {
+			wait(ctx, pause)
+		}
+		if ctx.Err() != nil {
+			return e.endWithoutReply(response, others, endedAt)
+		}
+	}
+}
+
+// endOfProcess returns what it shows that the process with the given start lived after the end of an answer.
+func endOfProcess(lease *fleet.Lease, started int64) endOfAnswer {
+	if lease.SentTo(started) {
+		return endLived
+	}
+	return endReplaced
+}
+
+// othersOpen reports whether other connections to the replica live on that were opened before the end of the answer.
+func (e *exchange) othersOpen(response *upstream.Response, endedAt time.Time) bool {
+	open, _ := e.server.opts.Client.OtherConnections(response, endedAt)
+	return open
+}
+
+// endWithoutReply returns what is seen if nothing has answered at the replica's address.
+func (e *exchange) endWithoutReply(response *upstream.Response, others *witnesses, endedAt time.Time) endOfAnswer {
+	open, endedTogether := e.server.opts.Client.OtherConnections(response, endedAt)
+	switch {
+	case open:
+		return endOthersOpen
+	case others.answered():
+		return endDown
+	case e.abandoned():
+		return endNoReply
+	case endedTogether:
+		return endOthersEnded
+	}
+	// This host may have too few connections to one replica. All replicas may have ended together.
+	if _, endedTogether = e.server.opts.Client.OtherConnections(response, endedAt, others.addresses...); endedTogether {
+		return endOthersEnded
+	}
+	return endUnreachable
+}
+
+// witnesses are other replicas that are asked, as nothing answers for one. An answer shows that this host's links work.
+type witnesses struct {
+	answer    chan struct{} // closed with the first answer
+	addresses []string
+}
+
+// answered reports whether one has answered.
+func (w *witnesses) answered() bool {
+	select {
+	case <-w.answer:
+		return true
+	default:
+		return false
+	}
+}
+
+// waitAnswer waits for an answer, for the given time at most, and reports whether a witness has answered.
+func (w *witnesses) waitAnswer(ctx context.Context, atMost time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, atMost)
+	defer cancel()
+	select {
+	case <-w.answer:
+	case <-ctx.Done():
+	}
+	return w.answered()
+}
+
+// wait waits for the given time or until the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+}
+
+// askOthers asks other replicas until one answers or the context ends. If there is none, that counts as an answer. A
+// replica that tells which process it is must do so: a relay accepts connections with nothing behind it. They are asked on
+// new connections, as open ones may live on where new ones are refused.
+func (e *exchange) askOthers(ctx context.Context, lease *fleet.Lease, endedAt time.Time) *witnesses {
+	s, w := e.server, &witnesses{answer: make(chan struct{})}
+	others, none := s.opts.Fleet.Others(lease.Member.ID, maxWitnesses, endedAt)
+	if none {
+		close(w.answer)
+		return w
+	}
+	var answer sync.Once
+	for i := range others {
+		w.addresses = append(w.addresses, others[i].Address)
+	}
+	for i := range others {
+		in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(others[i].Upstream), after: endedAt, newConnection: true}
+		go func() {
+			for pause := questionPause; ; pause *= 2 {
+				reply, _ := s.askAfter(ctx, &others[i], &in)
+				if reply == told || reply == untold {
+					answer.Do(func() { close(w.answer) })
+				}
+				if reply != refused && reply != hungUp || w.waitAnswer(ctx, pause) || ctx.Err() != nil {
+					return
+				}
+			}
+		}()
+	}
+	return w
+}
