forward: one question serves all unframed answers that ended before it

200 unframed answers that ended together at a service that needs 100 ms to state its process were in part told as of unknown outcome: each of them asked by itself, over at most 4 connections, and those that did not get their turn within 2 s failed.

Cause: 200 questions of 100 ms over 4 connections take 5 s.

Change: at most 4 questions to an address are under way. Answers that end meanwhile share the next one, which is sent when one of the four ends. A question that was sent before an answer ended never serves it, so that a process that lived then is no evidence. A question has its own 2 s and does not end with the call that began it; an answer waits at most for one question that was sent before and for its own. Refusals are tried again for 0.5 s as before, counted from the first reply.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -93,6 +93,7 @@
 	repeatable http.RoundTripper
 	once       http.RoundTripper // opens a connection for each request
 	process    http.RoundTripper // asks services for their process
+	questions  questions
 	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	scheme     string
 }
@@ -116,7 +117,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{repeatable: repeatable, once: once, process: process, dial: once.DialContext, scheme: scheme}, nil
+	client := &Client{repeatable: repeatable, once: once, process: process, dial: once.DialContext, scheme: scheme}
+	client.questions.ask = client.requestBoot
+	return client, nil
 }
 
 // Chat is one attempt of a chat completion.
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -23,14 +23,21 @@
 	inspectInterval = 100 * time.Millisecond
 	// bootTimeout is the time within which a live service states its process.
 	bootTimeout = 2 * time.Second
+	// maxBootWait bounds the time for which an answer waits for its process: for a question that others have sent
+	// before and for the next one.
+	maxBootWait = 2 * bootTimeout
 	// maxBootConns bounds the connections to one replica over which its process is asked for.
 	maxBootConns = 4
 	// maxWitnesses bounds the replicas that are asked at a time whether this host can open connections.
 	maxWitnesses = 8
 )
 
-// errNoBoot means that an answer does not state its process.
-var errNoBoot = errors.New("answer states no process")
+var (
+	// errNoBoot means that an answer does not state its process.
+	errNoBoot = errors.New("answer states no process")
+	// errNoAnswer means that a question for a process was not answered in time.
+	errNoAnswer = errors.New("no answer in time")
+)
 
 // isUnframed reports whether the body of an answer has neither a length nor chunks and ends with its connection.
 func isUnframed(response *http.Response) bool {
@@ -50,20 +57,24 @@
 	return nil
 }
 
-// checkBoot returns an error unless the process still answers at the address. The requests need no new connection while
-// one of an earlier check is open. Refusals and connections that end without an answer are tried again for a while, as
-// they may come from something in between.
+// checkBoot returns an error unless the process still answers at the address. The questions need no new connection while
+// one of an earlier check is open, and serve all answers that ended before they are sent. Refusals and connections that
+// end without an answer are tried again for a while, as they may come from something in between.
 func (c *Client) checkBoot(ctx context.Context, address, boot string) error {
-	ctx, cancel := context.WithTimeout(ctx, bootTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxBootWait)
 	defer cancel()
-	for last := time.Now().Add(inspectTimeout); ; {
-		answering, err := c.requestBoot(ctx, address)
+	var last time.Time // when refusals are tried again for the last time
+	for {
+		answering, err := c.questions.askNow(ctx, address)
+		if last.IsZero() {
+			last = time.Now().Add(inspectTimeout)
+		}
 		switch {
 		case answering == boot:
 			return nil
 		case answering != "":
 			return eris.Wrap(ErrBroken, "answer without a length ended, and another process answers")
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, errors.Is(err, errNoAnswer):
 			return eris.Wrap(ErrTimeout, "answer without a length ended, and its process does not answer")
 		case time.Now().After(last):
 			return eris.Wrapf(ErrBroken, "answer without a length ended, and its process did not answer again: %v", err)
