peers: one clock for crash reports; only a paused host takes them as late

A sender whose clocks stood still for 20 s made other hosts date its crashes back by 20 s for at least a minute: answers since void such crashes, and the same crash counts again at its end.

Cause: Beat.sent_ms is CLOCK_BOOTTIME, while ages and the receiver's clock were monotonic, which stops during a suspension. Each lasting difference between the clocks was taken for a delay of the datagram.

Change: CLOCK_BOOTTIME on both sides. - boottime.Suspensions keeps when the host was suspended (it is seen as before by the offset between the two clocks; the detector moves there, and ignores readings between which the process was paused). Senders add the suspensions since a crash to its age; receivers subtract their own ones. A crash from within a suspension of the receiver keeps its age, as before. - A delay counts only up to the time for which this host itself did nothing (100 ms ticks and datagrams, gaps of 0.4 s or more), and only in the second after: then datagrams have waited here. A host that was not paused corrects nothing, so that a step of a sender's clock has no more effect than before. - If ten datagrams in a row over 3 s or more are all slow, the sender's clock has stood still, and its transit is measured anew. - Heartbeats do not report a crash that is older than CrashReportTime with suspensions included, as receivers forget after it which crashes they know. Datagrams without sent_ms are read as before.

TestCrashAfterSendersClockStoodStillCountsOnce fails with 2 crashes if delays are not bounded by the pause.

Remains, as before: delays at a paused sender (after it has stamped a datagram) or at a paused host that relays a digest are not corrected; nor is a receiver all of whose clocks stood still; a suspended speaker forwards ages that lack its suspension; a crash between the last look at the clocks (100 ms or less on a live host) and a suspension keeps its uncorrected age. No real suspension was played.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -70,13 +70,3 @@
 		assert.Equal(t, field, fieldErr.Path)
 	}
 }
-
-// Guards against a suspension that is not detected, and against counting as a suspension the
-// small difference that arises because the two clocks are not read at the same moment.
-func TestSuspensionIsMeasuredFromClockOffset(t *testing.T) {
-	s := newSuspensionDetector()
-	assert.Zero(t, s.sinceLastCall())
-	s.offset -= 3 * time.Second
-	assert.InDelta(t, 3, s.sinceLastCall().Seconds(), 0.1)
-	assert.Zero(t, s.sinceLastCall())
-}
--- a/internal/gateway/peers/heartbeat.go
+++ b/internal/gateway/peers/heartbeat.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/rpc"
 )
 
@@ -25,6 +26,7 @@
 			e.sameZone.nextSend, e.otherZones.nextSend = time.Time{}, time.Time{}
 			e.announcing = true
 		}
+		e.suspensions.Observe()
 		now := time.Now()
 		e.sendHeartbeats(now)
 		nextSend := earlier(e.sameZone.nextSend, e.otherZones.nextSend)
@@ -145,7 +147,11 @@
 		e.otherZones.addPrompt(use)
 	}
 	for _, c := range e.opts.Fleet.Crashes(now) {
-		message.Crashes = append(message.Crashes, &rpc.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica, AgeMs: uint32(max(c.Age.Milliseconds(), 1))})
+		age := e.suspensions.Age(now.Add(-c.Age), now)
+		if age > fleet.CrashReportTime {
+			continue // reports of suspects tell it: other hosts have forgotten whether they know it
+		}
+		message.Crashes = append(message.Crashes, &rpc.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica, AgeMs: uint32(max(age.Milliseconds(), 1))})
 	}
 	return message
 }
--- a/internal/gateway/peers/messages.go
+++ b/internal/gateway/peers/messages.go
@@ -90,13 +90,18 @@
 	return reports
 }
 
-// crashesFromProto decodes the crashes that another host reports. The report was delayed on its way.
-func crashesFromProto(messages []*rpc.Crash, delay time.Duration) []fleet.Crash {
+// crashesFromProto decodes the crashes that a datagram of another host reports, which is read after a delay.
+func (e *Exchange) crashesFromProto(m *rpc.Beat, messages []*rpc.Crash, delay time.Duration, now time.Time) []fleet.Crash {
 	crashes := make([]fleet.Crash, len(messages))
 	for i, c := range messages {
-		crashes[i] = fleet.Crash{
-			Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica, Age: time.Duration(c.AgeMs) * time.Millisecond, Delay: delay,
+		age := time.Duration(c.AgeMs) * time.Millisecond
+		crash := fleet.Crash{Fingerprint: c.Fingerprint, Upstream: c.Upstream, Replica: c.Replica, Age: age, Delay: delay}
+		if age > 0 && m.SentMs > 0 {
+			monotonic := e.suspensions.MonotonicAge(age+delay, now)
+			crash.Age = min(age, monotonic)
+			crash.Delay = monotonic - crash.Age
 		}
+		crashes[i] = crash
 	}
 	return crashes
 }
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -120,11 +120,12 @@
 	opts        Options
 	incarnation int64 // start of this process in Unix milliseconds; orders heartbeats across restarts
 	created     time.Time
+	suspensions *boottime.Suspensions
 	socket      *net.UDPConn
 	client      *http.Client
 
-	// mu guards peers, seenHosts, expired, zones, speaker (see zoneSpeaker), seenInZone and
-	// assumedLive.
+	// mu guards peers, seenHosts, expired, zones, speaker (see zoneSpeaker), seenInZone, assumedLive
+	// and stalls.
 	mu        sync.Mutex
 	peers     map[string]*peer    // by pull address
 	sequence  uint64              // of the last heartbeat; used only by the sending goroutine
@@ -142,6 +143,7 @@
 
 	assumedLive map[string]time.Time // registered hosts of this zone, by name, and until when they count as live
 	fullPulls   atomic.Int32         // full pulls being served
+	stalls      stalls
 
 	// The fields below are used only by the sending goroutine.
 	announcing bool           // the next heartbeat goes to all hosts of other zones
@@ -199,6 +201,7 @@
 	e := &Exchange{
 		opts:          opts,
 		created:       time.Now(),
+		suspensions:   boottime.NewSuspensions(),
 		incarnation:   time.Now().UnixMilli(),
 		peers:         make(map[string]*peer),
 		seenHosts:     map[string]struct{}{opts.Host: {}},
@@ -236,6 +239,7 @@
 	for _, seed := range e.opts.Seeds {
 		e.Add(seed)
 	}
+	go e.stallLoop(ctx)
 	go e.receiveLoop()
 	go e.sendLoop(ctx)
 	go e.originLoop(ctx)
@@ -334,6 +338,7 @@
 			e.opts.Logger.Warn().Err(err).Msg("cannot decode datagram")
 			continue
 		}
+		e.suspensions.Observe()
 		e.handleDatagram(&message, time.Now())
 	}
 }
@@ -342,9 +347,9 @@
 // another zone.
 func (e *Exchange) handleDatagram(m *rpc.Beat, now time.Time) {
 	if len(m.SuspectParts)+len(m.SuspectRequests) > 0 {
-		sent := now.Add(-e.transitDelay(m, now))
-		e.opts.Fleet.ApplyPartReports(rpc.SuspectPartEntries(m.SuspectParts, sent), now)
-		e.opts.Fleet.ApplyRequestReports(rpc.SuspectPartEntries(m.SuspectRequests, sent), now)
+		delay := e.transitDelay(m, now)
+		e.opts.Fleet.ApplyPartReports(e.suspectEntries(m, m.SuspectParts, delay, now), now)
+		e.opts.Fleet.ApplyRequestReports(e.suspectEntries(m, m.SuspectRequests, delay, now), now)
 		return
 	}
 	if len(m.StreamOrigins) > 0 {
@@ -364,7 +369,7 @@
 	}
 	uses, parts, tokens := usesFromProto(m.Uses, m.Prompts)
 	e.opts.Fleet.ApplyDigest(m.Host, uses, parts, tokens, now)
-	e.opts.Fleet.ApplyCrashes(crashesFromProto(m.Crashes, delay), now)
+	e.opts.Fleet.ApplyCrashes(e.crashesFromProto(m, m.Crashes, delay, now), now)
 	e.opts.Fleet.ApplyClassCounts(m.Host, m.AvailabilityZone == e.opts.Zone, classCountsFromProto(m.Classes), now)
 	e.opts.Fleet.ApplySpeeds(m.Host, speedsFromProto(m.Speeds), now)
 	e.applyLimits(m.Host, m.AvailabilityZone == e.opts.Zone, m.Limits, now)
--- a/internal/gateway/peers/suspects.go
+++ b/internal/gateway/peers/suspects.go
@@ -54,7 +54,7 @@
 	// Sequence 0 makes hosts that do not know this kind of datagram ignore it as an old heartbeat.
 	message := &rpc.Beat{
 		Host: e.opts.Host, Incarnation: e.incarnation, PullAddress: e.opts.Listen, SentMs: sentMs(),
-		SuspectParts: rpc.SuspectParts(parts, now), SuspectRequests: rpc.SuspectParts(requests, now),
+		SuspectParts: rpc.SuspectParts(e.trueAges(parts, now), now), SuspectRequests: rpc.SuspectParts(e.trueAges(requests, now), now),
 	}
 	for proto.Size(message) > maxDatagramBytes {
 		if len(message.SuspectRequests) > len(message.SuspectParts) {
--- a/internal/gateway/peers/suspects_test.go
+++ b/internal/gateway/peers/suspects_test.go
@@ -138,6 +138,50 @@
 	}
 }
 
+// Guards against counting one crash several times because a host was suspended: ages are counted by the monotonic clock,
+// which does not advance meanwhile, while Beat.sent_ms does.
+func TestReportsOfOneCrashAfterSuspensionCountOnce(t *testing.T) {
+	const sound, startMs, before, suspended = 5, 1 << 40, 4, 10 * time.Second
+	for name, c := range map[string]struct{ part, receiver bool }{
+		"request, receiver": {false, true}, "request, sender": {false, false}, "part, receiver": {true, true}, "part, sender": {true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			victim, host := newTestHost(t, "victim", "127.0.0.1:1"), newTestHost(t, "host", "127.0.0.1:2")
+			start := time.Now()
+			victim.applyCrash(sound, c.part, "r1", start)
+			handle := func(i int, m *rpc.Beat, late time.Duration) {
+				host.handleDatagram(m, start.Add(50*time.Millisecond+time.Duration(i/2)*500*time.Millisecond+late))
+			}
+			for i, m := range victim.crashReports(t, sound, false, start, 2*time.Second, startMs)[:before] {
+				handle(i, m, 0)
+			}
+			late := suspended // time that only the other host has counted
+			if c.receiver {
+				late = 0
+				host.suspensions.Add(start.Add(600*time.Millisecond), suspended)
+			} else {
+				victim.suspensions.Add(start.Add(600*time.Millisecond), suspended)
+			}
+			for i, m := range victim.crashReports(t, sound, false, start, 2*time.Second, startMs)[before:] {
+				m.SentMs += uint64(suspended.Milliseconds())
+				if c.receiver { // the ages of the sender, which went on
+					for _, r := range append(m.SuspectRequests, m.SuspectParts...) {
+						for _, crash := range r.Crashes {
+							crash.AgeMs += uint32(suspended.Milliseconds())
+						}
+					}
+				}
+				handle(before+i, m, late)
+			}
+			now := start.Add(3 * time.Second)
+			known := append(host.fleet.RequestReports(true, now), host.fleet.PartReports(true, now)...)
+			require.Len(t, known, 1)
+			require.Len(t, known[0].Crashes, 1)
+			assert.WithinDuration(t, start, known[0].Crashes[0].At, 100*time.Millisecond)
+		})
+	}
+}
+
 // Guards against reports of hosts with older builds, which do not tell when they send, that do not count.
 func TestReportsOfOlderBuildsCount(t *testing.T) {
 	const poison = 5
@@ -166,3 +210,27 @@
 	}
 	assert.Equal(t, sent, rpc.SuspectPartEntries(rpc.SuspectParts(sent, now), now))
 }
+
+// Guards against a crash in heartbeats that is dated before a suspension of this host that it followed, or by a wrong
+// time for hosts that do not tell when they send.
+func TestAgeOfCrashInHeartbeatAfterSuspension(t *testing.T) {
+	host := newTestHost(t, "a", "127.0.0.1:1")
+	now := time.Now()
+	host.suspensions.Add(now.Add(-time.Second), 10*time.Second)
+	for _, c := range []struct {
+		sentMs     uint64
+		age, delay time.Duration
+		want       time.Duration
+	}{
+		{1, 12 * time.Second, 0, 2 * time.Second},
+		{1, 2 * time.Second, 10 * time.Second, 2 * time.Second},
+		{1, 500 * time.Millisecond, 0, 500 * time.Millisecond},
+		{1, 2 * time.Second, 3 * time.Second, 5 * time.Second}, // during the suspension
+		{0, 12 * time.Second, 0, 12 * time.Second},
+	} {
+		messages := []*rpc.Crash{{Fingerprint: 1, AgeMs: uint32(c.age.Milliseconds())}}
+		crash := host.crashesFromProto(&rpc.Beat{SentMs: c.sentMs}, messages, c.delay, now)[0]
+		assert.Equal(t, c.want, crash.Age+crash.Delay, "%+v", c)
+		assert.GreaterOrEqual(t, crash.Delay, time.Duration(0), "%+v", c)
+	}
+}
--- a/internal/gateway/peers/transit_test.go
+++ b/internal/gateway/peers/transit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/rpc"
 )
@@ -47,3 +48,52 @@
 	assert.Zero(t, host.transitDelay(&rpc.Beat{Host: "b", Incarnation: 1, PullAddress: "127.0.0.1:2", SentMs: 1}, now.Add(time.Second)))
 	assert.Equal(t, time.Second, host.transitDelay(beat, now.Add(time.Second)), "nothing was started anew")
 }
+
+// Guards against a crash that is dated back, because the sender's clocks stood still for a while, as those of a virtual
+// machine that is paused.
+func TestTransitDelayAfterSendersClockStoodStill(t *testing.T) {
+	host := newTestHost(t, "a", "127.0.0.1:1")
+	now := time.Now()
+	beat := func(sent time.Duration) *rpc.Beat {
+		return &rpc.Beat{Host: "b", Incarnation: 2, PullAddress: "127.0.0.1:2", SentMs: uint64((time.Hour + sent).Milliseconds())}
+	}
+	host.Add(beat(0).PullAddress)
+	for at := time.Duration(0); at < 10*time.Second; at += time.Second {
+		host.transitDelay(beat(at), now.Add(at))
+	}
+	const still = 20 * time.Second
+	var last time.Duration
+	for at := 10 * time.Second; at < 40*time.Second; at += time.Second {
+		last = host.transitDelay(beat(at), now.Add(at+still))
+	}
+	assert.Less(t, last, time.Second, "30 s and 30 datagrams later")
+}
+
+// Guards against a crash that is dated back or counted twice, because a host that was not paused takes a clock of the
+// sender that stood still for datagrams that were late.
+func TestCrashAfterSendersClockStoodStillCountsOnce(t *testing.T) {
+	const sound, startMs, still = 5, 1 << 40, 20 * time.Second
+	victim, host := newTestHost(t, "victim", "127.0.0.1:1"), newTestHost(t, "host", "127.0.0.1:2")
+	start := time.Now()
+	for at := time.Duration(0); at < still+time.Second; at += stallCheckInterval {
+		if at < time.Second {
+			beat := victim.composeHeartbeat(start)
+			beat.SentMs = startMs + uint64(at.Milliseconds())
+			host.handleDatagram(beat, start.Add(at))
+		}
+		host.stalls.note(host.suspensions.Age(host.created, start.Add(at)))
+	}
+	crashed := start.Add(still + time.Second)
+	victim.applyCrash(sound, false, "r1", crashed)
+	for i, m := range victim.crashReports(t, sound, false, crashed, 4*time.Second, startMs+1000) {
+		read := crashed.Add(50*time.Millisecond + time.Duration(i/2)*500*time.Millisecond)
+		for tick := read.Add(-400 * time.Millisecond); tick.Before(read); tick = tick.Add(stallCheckInterval) {
+			host.stalls.note(host.suspensions.Age(host.created, tick))
+		}
+		host.handleDatagram(m, read)
+	}
+	known := host.fleet.RequestReports(true, crashed.Add(4*time.Second))
+	require.Len(t, known, 1)
+	require.Len(t, known[0].Crashes, 1)
+	assert.WithinDuration(t, crashed, known[0].Crashes[0].At, 600*time.Millisecond)
+}
--- a/internal/gateway/peers/zone.go
+++ b/internal/gateway/peers/zone.go
@@ -299,7 +299,7 @@
 		hosts = int(m.Hosts)
 	}
 	e.opts.Fleet.ApplyMergedDigest(name, hosts, uses, parts, tokens, now)
-	e.opts.Fleet.ApplyCrashes(crashesFromProto(m.Crashes, e.transitDelay(message, now)), now)
+	e.opts.Fleet.ApplyCrashes(e.crashesFromProto(message, m.Crashes, e.transitDelay(message, now), now), now)
 	e.opts.Fleet.ApplyClassCounts("zone/"+m.AvailabilityZone+"/"+m.Speaker, false, classCountsFromProto(m.Classes), now)
 	e.applyLimits("zone/"+m.AvailabilityZone+"/"+m.Speaker, false, m.Limits, now)
 	if m.Relayed {
--- a/internal/gateway/peers/zone_test.go
+++ b/internal/gateway/peers/zone_test.go
@@ -226,7 +226,7 @@
 	host.collectForDigest(&rpc.Beat{AvailabilityZone: "a", Crashes: []*rpc.Crash{{Fingerprint: 1, AgeMs: 700}}}, 0, now)
 	host.collectForDigest(&rpc.Beat{AvailabilityZone: "a", Crashes: []*rpc.Crash{{Fingerprint: 2}}}, 0, now)
 	for range 2 {
-		for _, c := range crashesFromProto(host.speaker.recentCrashes(now.Add(500*time.Millisecond)), 0) {
+		for _, c := range host.crashesFromProto(&rpc.Beat{}, host.speaker.recentCrashes(now.Add(500*time.Millisecond)), 0, now) {
 			want := 1200 * time.Millisecond
 			if c.Fingerprint == 2 {
 				want = 0 // a build before does not tell it
@@ -243,7 +243,7 @@
 	now := time.Now()
 	host.speaker.isSelf = true
 	host.collectForDigest(&rpc.Beat{AvailabilityZone: "a", Crashes: []*rpc.Crash{{Fingerprint: 1, AgeMs: 1}}}, 0, now.Add(3*time.Millisecond))
-	crashes := crashesFromProto(host.speaker.recentCrashes(now), 0)
+	crashes := host.crashesFromProto(&rpc.Beat{}, host.speaker.recentCrashes(now), 0, now)
 	require.Len(t, crashes, 1)
 	assert.Equal(t, time.Millisecond, crashes[0].Age)
 }
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -18,6 +18,7 @@
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/cli"
 	"heatherbarrow/internal/drain"
+	"heatherbarrow/internal/gateway/boottime"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/gateway/origin"
@@ -262,7 +263,7 @@
 func (p *Program) runHousekeeping(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
-	detector := newSuspensionDetector()
+	detector := boottime.NewDetector()
 	for {
 		select {
 		case <-ctx.Done():
@@ -270,7 +271,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if suspended := detector.sinceLastCall(); suspended > 0 {
+		if suspended := detector.SinceLastCall(); suspended > 0 {
 			p.logger.Warn().Dur("suspended_ms", suspended).Msg("host was suspended, closing idle connections that expired meanwhile")
 			now = now.Add(suspended)
 			p.server.AddSuspension(suspended)
