--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -94,6 +94,7 @@
 	repeatable http.RoundTripper
 	once       http.RoundTripper // opens a connection for each request
 	process    http.RoundTripper // asks services for their process
+	questions  questions
 	memory     *membudget.Budget
 	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	scheme     string
@@ -119,7 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Client{repeatable: repeatable, once: once, process: process, memory: memory, dial: once.DialContext, scheme: scheme}, nil
+	client := &Client{repeatable: repeatable, once: once, process: process, memory: memory, dial: once.DialContext, scheme: scheme}
+	client.questions.ask = client.requestBoot
+	return client, nil
 }
 
 // Chat is one attempt of a chat completion.
