--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,8 @@
 
 # soak plays random faults against real gateways: SEEDS=50 for many fresh seeds, SEED=n for
 # one again. Logs of failed seeds go to out/soak. With EARLIER, the path of an older gateway, hosts
-# change between both builds whenever they start.
+# change between both builds whenever they start. SOAK=TestStreamsStayInOrder plays streams, SECONDS is the time of each
+# seed; with UNFRAMED=1 no answer has a length or chunks.
 soak: SOAK ?= TestSoak
 soak:
 	@mkdir -p out
