Forward plain answers that find no memory as they arrive

Failures (5xx) of the replica still go elsewhere while another attempt is allowed, and answers without a seal as before.

An endless plain answer with a seal therefore reaches its caller broken, as one above 1 MB always did, and is not tried elsewhere.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -84,14 +84,17 @@
 	return attemptDone
 }
 
-// bufferBody reads the body of a response that is not an event stream. If there is no memory to buffer it and the request
-// must not be sent again, the body counts as one that is too long to be buffered.
+// bufferBody reads the body of a response that is not an event stream. If there is no memory to buffer it, the body counts
+// as one that is too long to be buffered, unless the response is a failure and another attempt may follow.
 func (e *exchange) bufferBody(response *upstream.Response, p *progress) (body []byte, complete bool, err error) {
 	body, complete, err = response.ReadAll(maxBufferedBodyBytes)
-	if errors.Is(err, membudget.ErrExhausted) && (!e.route.Repeatable() || p.possibleRuns >= e.maxAttempts()) {
-		return body, false, nil
+	mayFollow := e.route.Repeatable() && p.possibleRuns < e.maxAttempts()
+	if !errors.Is(err, membudget.ErrExhausted) || response.Status >= http.StatusInternalServerError && mayFollow {
+		return body, complete, err
 	}
-	return body, complete, err
+	e.server.metrics.exhaustedAnswers.Inc(1)
+	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Err(err).Msg("answer is not buffered")
+	return body, false, nil
 }
 
 // keepFailure keeps a replica's 5xx response in case no other attempt succeeds.
@@ -101,7 +104,7 @@
 	e.failureMemory = response.TakeMemory()
 }
 
-// exhausted reports whether an attempt was given up because its answer had no room in memory, and counts it.
+// exhausted reports whether an attempt is given up because its answer has no room in memory, and counts it.
 func (e *exchange) exhausted(err error) bool {
 	if !errors.Is(err, membudget.ErrExhausted) {
 		return false
--- a/internal/gateway/proxy/memory_test.go
+++ b/internal/gateway/proxy/memory_test.go
@@ -42,20 +42,41 @@
 	}
 }
 
-// Guards against an answer that finds no room in memory and is taken for the end of the request, although another replica
-// can serve it, or although it can be forwarded without being buffered.
+// Guards against an answer that finds no room in memory and is taken for the end of the request, although it can be forwarded
+// without being buffered, or another replica can serve it.
 func TestAnswerWithoutMemory(t *testing.T) {
 	long := strings.Repeat("x", longBytes)
 	t.Run("goes elsewhere", func(t *testing.T) {
-		flooding, sound := newReplica(respondWith(long)), newReplica(respondWith("sound"))
-		g := newTestGateway(t, flooding, sound)
-		g.bound(membudget.New(0, 1), nil)
-		for i := 0; flooding.received.Load() == 0; i++ {
-			status, body, _ := g.do(testRequest{path: "/lookup/1"})
-			require.Equal(t, http.StatusOK, status)
-			require.Equal(t, "sound", body)
+		for name, faulty := range map[string]http.HandlerFunc{
+			"failure": func(w http.ResponseWriter, r *http.Request) {
+				setSeal(w)
+				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(w, long)
+			},
+			"no seal": func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, long) },
+		} {
+			flooding, sound := newReplica(faulty), newReplica(respondWith("sound"))
+			g := newTestGateway(t, flooding, sound)
+			g.bound(membudget.New(0, 1), nil)
+			for flooding.received.Load() == 0 {
+				status, body, _ := g.do(testRequest{path: "/lookup/1"})
+				require.Equal(t, http.StatusOK, status, name)
+				require.Equal(t, "sound", body, name)
+			}
+			assert.Equal(t, int64(1), g.metrics.Snapshot().Counters()["answers_without_memory+"].Value(), name)
 		}
-		assert.Equal(t, int64(1), g.metrics.Snapshot().Counters()["answers_without_memory+"].Value())
+	})
+	t.Run("failure is the last attempt", func(t *testing.T) {
+		failing := newReplica(func(w http.ResponseWriter, r *http.Request) {
+			setSeal(w)
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.WriteString(w, long)
+		})
+		g := newTestGateway(t, failing)
+		g.bound(membudget.New(0, 1), nil)
+		status, body, _ := g.do(testRequest{path: "/order/1"})
+		assert.Equal(t, http.StatusInternalServerError, status)
+		assert.Equal(t, long, body)
 	})
 	t.Run("stream goes elsewhere", func(t *testing.T) {
 		flooding, sound := newReplica(sendEvent(long)), newReplica(sendEvent("sound"))
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -59,7 +59,7 @@
 	processQuestions   tally.Counter // asked replicas which process they are
 	replacedProcesses  tally.Counter // of these, answered by another one than the registered
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
-	exhaustedAnswers   tally.Counter // given up because there was no memory for them
+	exhaustedAnswers   tally.Counter // given up or not buffered because there was no memory for them
 
 	mu        sync.Mutex
 	requests  map[requestSeries]tally.Counter
