Unframed answers: a few connections that end at once suffice as evidence

Cause: as many answers had ended in the 0.4 s before as now, so that the rule took the ends for usual ones.

Change: of ends within 20 ms of each other, a quarter of those before suffices; that many sound answers rarely end at once.

--- a/internal/gateway/upstream/ended.go
+++ b/internal/gateway/upstream/ended.go
@@ -14,6 +14,10 @@
 const (
 	// endedTogetherTime is the time in which the connections of a process that ends are seen to end.
 	endedTogetherTime = 100 * time.Millisecond
+	// endedAtOnceTime is that time on an idle machine. Fewer connections suffice if they end within it: atOnceFactor is by
+	// how much they may be fewer than those that ended before.
+	endedAtOnceTime = 20 * time.Millisecond
+	atOnceFactor    = 4
 	// usualEndsTime is how far the ends reach back that tell how many are usual.
 	usualEndsTime = 500 * time.Millisecond
 	// endRetention and maxEnds bound what is kept of the ends of connections to one replica.
@@ -160,18 +164,24 @@
 // together reports whether connections ended at the given time, so many that a process has ended, and none later. Those
 // that would have ended with their answers must be more than before, as sound answers may end at any time.
 func together(ends []connEnd, at time.Time) bool {
-	unexpected, then, before := 0, 0, 0
+	unexpected, then, atOnce, before := 0, 0, 0, 0
 	for _, end := range ends {
-		switch after := end.at.Sub(at); {
-		case after > endedTogetherTime:
+		after := end.at.Sub(at)
+		if after > endedTogetherTime {
 			return false
-		case after >= -endedTogetherTime && !end.expected:
+		}
+		switch {
+		case after < -usualEndsTime:
+		case after < -endedTogetherTime:
+			before++
+		case !end.expected:
 			unexpected++
-		case after >= -endedTogetherTime:
+		default:
 			then++
-		case after >= -usualEndsTime:
-			before++
+			if after.Abs() <= endedAtOnceTime {
+				atOnce++
+			}
 		}
 	}
-	return unexpected > 0 || then >= minExpectedEnds && then > before
+	return unexpected > 0 || then >= minExpectedEnds && then > before || atOnce >= minExpectedEnds && atOnce*atOnceFactor > before
 }
