Unframed streams: a rest without events ends the stream if its process lived

Two of three streams that callers took up after their last event got 502 from each of three hosts, so that they never ended: the process of the replica that began them had ended after the last event and before the end.

Cause: a rest without events, a length or chunks was always taken for the end of another process, as nothing told the two apart. Now something does.

Change: such a rest is the end of the stream if its process is known to have lived afterwards, and broken otherwise, also where a stream with events would be taken for whole without evidence.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -195,7 +195,7 @@
 	var bufferedComments []byte // received before the first event
 	for {
 		event, err := events.Next()
-		if err == io.EOF && p.events > eventsBefore && e.endedWithProcess(response, lease) {
+		if err == io.EOF && e.streamEndedWithProcess(response, lease, p, p.events > eventsBefore) {
 			err = errProcessEnded
 		}
 		if err == io.EOF {
@@ -300,10 +300,9 @@
 }
 
 // handleStreamEnd ends an attempt whose stream ended properly. begun means that the replica sent an
-// event. The caller may have all events but not the end, so that a continuation may have none; but
-// without a length or chunks, such an end may as well be that of the replica.
+// event. The caller may have all events but not the end, so that a continuation may have none.
 func (e *exchange) handleStreamEnd(response *upstream.Response, lease *fleet.Lease, p *progress, begun bool) attemptResult {
-	if !begun && (p.lastEventID == "" || response.Unframed) {
+	if !begun && p.lastEventID == "" {
 		leaseResult := fleet.Failed
 		if response.Unframed {
 			leaseResult = fleet.Truncated
--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -60,9 +60,20 @@
 // endedWithProcess reports whether a response whose body ended with its connection may be incomplete, because it may have
 // ended with the replica's process. It is called when the end has been read.
 func (e *exchange) endedWithProcess(response *upstream.Response, lease *fleet.Lease) bool {
-	if !response.Unframed {
-		return false
+	return response.Unframed && e.endOf(response, lease).broken()
+}
+
+// streamEndedWithProcess is endedWithProcess for a stream. begun means that the replica sent an event. A continuation
+// without any is the end of the stream only if its process is known to have lived: nothing else in it shows that.
+func (e *exchange) streamEndedWithProcess(response *upstream.Response, lease *fleet.Lease, p *progress, begun bool) bool {
+	if begun {
+		return e.endedWithProcess(response, lease)
 	}
+	return response.Unframed && p.lastEventID != "" && e.endOf(response, lease) != endLived
+}
+
+// endOf finds out what the end of an unframed response was.
+func (e *exchange) endOf(response *upstream.Response, lease *fleet.Lease) endOfAnswer {
 	s := e.server
 	endedAt := time.Now()
 	bound, unbind := s.drain.Bound(e.r.Context())
@@ -75,7 +86,7 @@
 		s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).Str("seen", endNames[seen]).
 			Bool("broken", seen.broken()).Dur("elapsed_ms", time.Since(endedAt)).Msg("answer without a length ended")
 	}
-	return seen.broken()
+	return seen
 }
 
 // inspectEnd finds out whether the process that sent an unframed answer lived after its end. If nothing answers, that alone
