Gateway: the request line tells the events of a stream and the end of an unframed answer

Operators reported events out of order and could not say which: their logs, and ours, did not tell how many events a caller was sent, which ones, and by which evidence an answer without a length or chunks counted as whole.

The line of a request now has events, first_event, last_event and unframed_end. No decision changes.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -244,7 +244,7 @@
 			return e.endCallerGone(lease)
 		}
 		p.noteEvent(event.ID)
-		e.record.event(time.Now())
+		e.record.event(event.ID, time.Now())
 		e.awaitEvent(watchdog, p)
 	}
 }
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -31,6 +31,11 @@
 	firstEventAfter time.Duration // time from the arrival to the first event of a stream
 	longestPause    time.Duration // between two events of a stream
 	lastEventAt     time.Time     // of a stream
+	events          int           // of a stream, sent to the caller
+	firstEventID    string        // of these events
+	lastEventID     string        // of these events
+	unframedEnd     endOfAnswer   // what was seen at the end of an unframed answer, if unframed is set
+	unframed        bool          // the latest answer had neither a length nor chunks, and its end has been read
 }
 
 // attempt records an attempt and the choice of its replica.
@@ -49,7 +54,12 @@
 }
 
 // event records that an event of a stream was forwarded.
-func (r *record) event(now time.Time) {
+func (r *record) event(id string, now time.Time) {
+	if r.events == 0 {
+		r.firstEventID = id
+	}
+	r.events++
+	r.lastEventID = id
 	if !r.lastEventAt.IsZero() {
 		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
 	}
@@ -82,6 +92,12 @@
 	if rec.firstEventAfter > 0 {
 		entry.Dur("first_ms", rec.firstEventAfter).Dur("pause_ms", rec.longestPause)
 	}
+	if rec.events > 0 {
+		entry.Int("events", rec.events).Str("first_event", rec.firstEventID).Str("last_event", rec.lastEventID)
+	}
+	if rec.unframed {
+		entry.Str("unframed_end", endNames[rec.unframedEnd])
+	}
 	if rec.attempts > 0 {
 		picked := &rec.choice
 		entry.Int("attempts", rec.attempts).Str("replica", picked.Member.ID).Str("software", picked.Member.SoftwareVersion).Dur("expected_ms", picked.Expected).
--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -81,6 +81,7 @@
 	ctx, cancel := context.WithTimeout(bound, min(inspectTimeout, e.timeLeft(endedAt)/inspectTimeDivisor))
 	defer cancel()
 	seen := e.inspectEnd(ctx, response, lease, endedAt)
+	e.record.unframed, e.record.unframedEnd = true, seen
 	s.metrics.unframedEnds[seen].Inc(1)
 	if !seen.evident() {
 		s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).Str("seen", endNames[seen]).
