--- a/internal/gateway/upstream/ended.go
+++ b/internal/gateway/upstream/ended.go
@@ -14,8 +14,8 @@
 const (
 	// endedTogetherTime is the time in which the connections of a process that ends are seen to end.
 	endedTogetherTime = 100 * time.Millisecond
-	// endedAtOnceTime is that time on an idle machine. Fewer connections suffice if they end within it: atOnceFactor is by
-	// how much they may be fewer than those that ended before.
+	// endedAtOnceTime is that time where nothing delays the ends. Fewer connections suffice if they end within it:
+	// atOnceFactor tells by how much they may be fewer than those that ended before.
 	endedAtOnceTime = 20 * time.Millisecond
 	atOnceFactor    = 4
 	// usualEndsTime is how far the ends reach back that tell how many are usual.
