Gateway: a byte order mark without events is no part of an event

Cause: a replica that has no events left answers with the byte order mark alone, and bytes that no line end follows counted as part of an event.

Change: a stream that holds nothing but the mark has no events. TestStreamOfByteOrderMarkAloneHasNoEvents fails without the change.

--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -82,7 +82,8 @@
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && (len(r.buf) > 0 || r.endedWithCR && r.usesCRLF) {
+			markOnly := !r.begun && bytes.Equal(r.buf, byteOrderMark)
+			if errors.Is(err, io.EOF) && !markOnly && (len(r.buf) > 0 || r.endedWithCR && r.usesCRLF) {
 				err = ErrTruncatedEvent
 			}
 			return Event{}, err
--- a/internal/gateway/upstream/events_test.go
+++ b/internal/gateway/upstream/events_test.go
@@ -122,3 +122,15 @@
 	_, ids := readEvents(t, strings.NewReader("id: 1\nid: 2\x00\ndata: a\n\nid: \x00\ndata: b\n\nid: 3\n\n"))
 	assert.Equal(t, []string{"1", "", "3"}, ids)
 }
+
+// Guards against a continuation without events that is taken for a broken one, because a byte order mark comes before its end.
+func TestStreamOfByteOrderMarkAloneHasNoEvents(t *testing.T) {
+	for text, want := range map[string]error{"": io.EOF, "\ufeff": io.EOF, "\ufeff\ufeff": ErrTruncatedEvent, "\ufeffid": ErrTruncatedEvent, "id: 1\n\n\ufeff": ErrTruncatedEvent} {
+		r := NewEventReader(strings.NewReader(text), nil)
+		var err error
+		for err == nil {
+			_, err = r.Next()
+		}
+		assert.ErrorIs(t, err, want, "%q", text)
+	}
+}
