--- a/internal/gateway/upstream/suspicion.go
+++ b/internal/connends/suspicion.go
@@ -1,4 +1,4 @@
-package upstream
+package connends
 
 import (
 	"maps"
@@ -15,13 +15,16 @@
 	// minSigns is the number of moments with signs, or of addresses, that suggest it: a process that ends loses its
 	// connections in one moment and at one address.
 	minSigns = 2
+	// NearTime is the time within which the ends of connections arrive if a busy proxy cut them together.
+	NearTime = 60 * time.Millisecond
+	// SameInstant is the accuracy of the dates of ends, which the kernel counts in steps of 4 ms.
+	SameInstant = 5 * time.Millisecond
 )
 
 // CutSigns returns the addresses with a connection that ended lately, in order, as no sound replica that goes on ends it:
 // before the time that it stated, before it had answered a request, or within an answer. It returns none if all such ends came
 // in one moment at one address.
-func (c *Client) CutSigns(now time.Time) (addresses []string) {
-	e := &c.ends
+func (e *Tracker) CutSigns(now time.Time) (addresses []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pruneSigns(now)
@@ -32,31 +35,43 @@
 }
 
 // pruneSigns forgets signs that are long past. The caller holds e.mu.
-func (e *ends) pruneSigns(now time.Time) {
+func (e *Tracker) pruneSigns(now time.Time) {
 	past := func(at time.Time) bool { return now.Sub(at) > suspicionTime }
 	maps.DeleteFunc(e.signs, func(_ string, at time.Time) bool { return past(at) })
 	e.signMoments = slices.DeleteFunc(e.signMoments, past)
 }
 
-// NoteCutSign records that the response, whose connection ended in order at the given time, was not complete.
-func (c *Client) NoteCutSign(r *Response, at time.Time) {
-	c.ends.mu.Lock()
-	defer c.ends.mu.Unlock()
-	c.ends.noteSign(r.address, at)
+// NoteCutSign records that an answer from the address, whose connection ended in order at the given time, was not complete.
+func (e *Tracker) NoteCutSign(address string, at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noteSign(address, at)
 }
 
-// EndAwaited returns how long the end of the response's connection was awaited after all of its bytes had been read.
-func (r *Response) EndAwaited() time.Duration { return r.conn.byteLimiter.endAwaited }
+// near returns the number of connections that ended near the given time, of those that would have lived on, and the number of those
+// that ended in the same instant with their answers, but later than the last bytes of these.
+func near(ends []connEnd, at time.Time) (unexpected, atOnce int) {
+	for _, end := range ends {
+		after := end.at.Sub(at).Abs()
+		switch {
+		case end.expected && end.apart && after <= SameInstant:
+			atOnce++
+		case !end.expected && !end.atWill && after <= NearTime:
+			unexpected++
+		}
+	}
+	return unexpected, atOnce
+}
 
 // noteEnd records the end of a connection if it is a sign. The caller holds e.mu.
-func (e *ends) noteEnd(address string, end *connEnd) {
+func (e *Tracker) noteEnd(address string, end *connEnd) {
 	if !end.expected && !end.atWill {
 		e.noteSign(address, end.at)
 	}
 }
 
 // noteSign records a sign. The caller holds e.mu.
-func (e *ends) noteSign(address string, at time.Time) {
+func (e *Tracker) noteSign(address string, at time.Time) {
 	if e.signs == nil {
 		e.signs = make(map[string]time.Time)
 	}
--- a/internal/gateway/fleet/lease.go
+++ b/internal/gateway/fleet/lease.go
@@ -86,7 +86,7 @@
 		return
 	}
 	*f.zone(l.replica.member.Zone) = zone{}
-	f.reach.recordContact()
+	f.reach.recordContact(ContactAnswer, l.replica.member.ID, now)
 	l.replica.consecutiveConnectFailures = 0
 	l.replica.rejections.accepted(l)
 	l.recordProcessAlive()
@@ -161,7 +161,7 @@
 	switch result {
 	case Served:
 		l.recordProcessAlive()
-		f.reach.recordContact()
+		f.reach.recordContact(ContactAnswer, r.member.ID, now)
 		r.recordSuccess()
 		f.poison.Ended(l.fingerprint, true)
 		f.completeRequest(l.fingerprint, now)
@@ -192,7 +192,7 @@
 		r.recordFailure(true, now)
 		r.suspendedUntil = now.Add(maxSuspension)
 	case Rejected:
-		f.reach.recordContact()
+		f.reach.recordContact(ContactAnswer, r.member.ID, now)
 		r.brittle.recordRejection(f.hosts(), now)
 	case Abandoned:
 	}
--- a/internal/gateway/fleet/reach.go
+++ b/internal/gateway/fleet/reach.go
@@ -6,8 +6,8 @@
 	// cutOffFailures is the number of different replicas that a host must fail to reach, with no contact to
 	// any in between, before it takes itself for cut off. Fewer may have crashed together.
 	cutOffFailures = 3
-	// contactTrialInterval is the interval at which a host that is cut off tries to connect to a replica.
-	contactTrialInterval = 250 * time.Millisecond
+	// ContactTrialInterval is the interval at which a host that seems to be cut off tries to connect to replicas.
+	ContactTrialInterval = 250 * time.Millisecond
 	// failedTogetherTime is the time in which a partition that resets connections breaks all of them.
 	failedTogetherTime = 500 * time.Millisecond
 )
@@ -15,9 +15,29 @@
 // reach is what a host knows of its own links to the replicas.
 type reach struct {
 	failed    map[string]time.Time // when replicas, by ID, last could not be reached, since the last contact
+	contact   Contact              // the last one
 	nextTrial time.Time
+	confirmed bool // a trial has failed since the last contact
 }
 
+// Contact is a sign that this host reaches replicas.
+type Contact struct {
+	Sign    ContactSign
+	Replica string // its ID, or empty if it is not known
+	At      time.Time
+}
+
+// ContactSign is what showed that this host reaches replicas.
+type ContactSign string
+
+// Signs of contact.
+const (
+	// ContactAnswer is an answer, which may have arrived on a connection that had been open for long.
+	ContactAnswer ContactSign = "answer"
+	// ContactConnection is a new connection.
+	ContactConnection ContactSign = "connection"
+)
+
 // recordFailure notes that a replica could not be reached or broke its connection.
 func (r *reach) recordFailure(id string, now time.Time) {
 	if r.failed == nil {
@@ -27,7 +47,18 @@
 }
 
 // recordContact notes that a replica has accepted a connection or answered.
-func (r *reach) recordContact() { clear(r.failed) }
+func (r *reach) recordContact(sign ContactSign, id string, now time.Time) {
+	r.contact = Contact{sign, id, now}
+	r.confirmed = false
+	clear(r.failed)
+}
+
+// Reach returns how many replicas this host has not reached since the last contact to any, and that contact.
+func (f *Fleet) Reach() (unreached int, last Contact) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.reach.failed), f.reach.contact
+}
 
 // failedTogether reports whether so many replicas failed just now that this host's links are the likely cause.
 func (r *reach) failedTogether(now time.Time) bool {
@@ -78,10 +109,11 @@
 func (f *Fleet) RecordWitness() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reach.recordContact()
+	f.reach.recordContact(ContactConnection, "", time.Now())
 }
 
-// CutOff reports whether this host seems to be partitioned from all replicas.
+// CutOff reports whether this host seems to be partitioned from all replicas. Several that have crashed together look like
+// that until others have been tried.
 func (f *Fleet) CutOff() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -93,25 +125,50 @@
 	return len(f.reach.failed) >= cutOffFailures
 }
 
-// ContactTrial returns a replica that this host should try to connect to, if it is cut off and a trial is
-// due. The caller reports a success to RecordContact.
-func (f *Fleet) ContactTrial(now time.Time) (Member, bool) {
+// CutOffConfirmed reports whether this host seems to be cut off and a trial of other replicas has failed too.
+func (f *Fleet) CutOffConfirmed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cutOff() && f.reach.confirmed
+}
+
+// ContactTrial returns the replicas that this host should try to connect to, if it seems to be cut off and a trial is due. The
+// first trial is of as many as have failed, of others if there are any, as those that failed may have crashed. The caller
+// reports the outcome to RecordContactTrial.
+func (f *Fleet) ContactTrial(now time.Time) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.cutOff() || now.Before(f.reach.nextTrial) {
-		return Member{}, false
+		return nil
 	}
-	f.reach.nextTrial = now.Add(contactTrialInterval)
-	var usable []*replica
-	for _, r := range f.replicas {
-		if r.member.usable(now) {
-			usable = append(usable, r)
-		}
+	f.reach.nextTrial = now.Add(ContactTrialInterval)
+	sound, failed := f.others(now, "")
+	f.random.Shuffle(len(sound), func(i, j int) { sound[i], sound[j] = sound[j], sound[i] })
+	f.random.Shuffle(len(failed), func(i, j int) { failed[i], failed[j] = failed[j], failed[i] })
+	candidates, n := append(sound, failed...), cutOffFailures
+	if f.reach.confirmed {
+		n = 1
+		f.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	}
+	var members []Member
+	for _, r := range candidates[:min(n, len(candidates))] {
+		members = append(members, r.member)
 	}
-	if len(usable) == 0 {
-		return Member{}, false
+	return members
+}
+
+// RecordContactTrial records whether a replica of a trial has accepted a connection.
+func (f *Fleet) RecordContactTrial(reached bool, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case !reached:
+		f.reach.confirmed = f.cutOff()
+	case f.reach.confirmed:
+		f.contactRestored(now)
+	default:
+		f.reach.recordContact(ContactConnection, "", now) // those that failed have crashed
 	}
-	return usable[f.random.IntN(len(usable))].member, true
 }
 
 // RecordContact notes that a replica has accepted a connection. The failures that others have had may have
@@ -119,8 +176,13 @@
 func (f *Fleet) RecordContact(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.contactRestored(now)
+}
+
+// contactRestored is RecordContact with the lock held.
+func (f *Fleet) contactRestored(now time.Time) {
 	wasCutOff := f.cutOff()
-	f.reach.recordContact()
+	f.reach.recordContact(ContactConnection, "", now)
 	if !wasCutOff {
 		return
 	}
--- a/internal/gateway/fleet/statement.go
+++ b/internal/gateway/fleet/statement.go
@@ -73,6 +73,29 @@
 	return changed
 }
 
+// WantsFewRequests reports whether the replica, or the next one at its address, wants no requests of this host now, or states a
+// request limit.
+func (l *Lease) WantsFewRequests(now time.Time) bool {
+	if l.replica == nil {
+		return false // another host runs the request
+	}
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	if r, registered := l.fleet.replicas[l.Member.ID]; registered {
+		return r.wantsFewRequests(now)
+	}
+	for _, r := range l.fleet.replicas {
+		if r.member.Address == l.Member.Address && r.wantsFewRequests(now) {
+			return true // it has the address now
+		}
+	}
+	return l.replica.wantsFewRequests(now) // its registration may have lapsed
+}
+
+func (r *replica) wantsFewRequests(now time.Time) bool {
+	return now.Before(r.restUntil) || r.statedLimit().Limited
+}
+
 // recordLeaving marks the process that member describes as leaving.
 func (f *Fleet) recordLeaving(member *Member, now time.Time) (changed bool) {
 	s := f.statementOf(member, now)
@@ -82,12 +105,15 @@
 	return changed
 }
 
-// statementOf returns the statement of the process that member describes, and creates it if needed.
+// statementOf returns the statement of the process that member describes, and creates it if needed. That of a process which
+// another one is known to have replaced is not kept, as it would take the place of its successor's.
 func (f *Fleet) statementOf(member *Member, now time.Time) *statement {
 	s, ok := f.statements[member.ID]
 	if !ok || !s.member.SameProcess(member) {
-		s = &statement{member: *member}
-		f.statements[member.ID] = s
+		replaced := ok && s.member.Started > member.Started
+		if s = (&statement{member: *member}); !replaced {
+			f.statements[member.ID] = s
+		}
 	}
 	s.saidAt = now
 	return s
--- a/internal/gateway/netio/relaytest/relaytest.go
+++ b/internal/gateway/netio/relaytest/relaytest.go
@@ -138,15 +138,20 @@
 }
 
 // EndConnections closes a share of the open connections, chosen at random, in order, as if each side had closed them. Later
-// connections work.
-func (r *Relay) EndConnections(share float64) {
+// connections work. It returns the addresses from which the target had those that it had.
+func (r *Relay) EndConnections(share float64) (ended []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.open {
-		if rand.Float64() < share {
-			r.end(c, false)
+		if rand.Float64() >= share {
+			continue
+		}
+		if target := c.ends[1]; target != nil {
+			ended = append(ended, target.LocalAddr().String())
 		}
+		r.end(c, false)
 	}
+	return ended
 }
 
 // EndOne closes one of the open connections, chosen at random, in order. Later connections work.
--- a/internal/gateway/netio/sendbuffer.go
+++ b/internal/gateway/netio/sendbuffer.go
@@ -12,9 +12,39 @@
 // GrowSendBuffer lets the kernel use up to the given number of bytes for what the peer of a connection has not taken, or as many
 // as a process may ask for. They are never fewer than before: the kernel may have chosen more by itself.
 func GrowSendBuffer(c net.Conn, bytes int) error {
+	return control(c, func(fd int) error {
+		size, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF)
+		if err == nil && size < min(bytes, largestSendBuffer()) {
+			err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes/sendBufferOverhead)
+		}
+		return err
+	})
+}
+
+// SendBuffer returns the size of the buffer for what the peer of a connection has not taken. crowded means that about half of it
+// is in use and it may grow.
+func SendBuffer(c net.Conn) (size int, crowded bool, err error) {
+	err = control(c, func(fd int) error {
+		var sizeErr error
+		size, sizeErr = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF)
+		unread, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		crowded = 2*sendBufferOverhead*unread >= size && size < largestSendBuffer()
+		return errors.Join(sizeErr, err)
+	})
+	return size, crowded, err
+}
+
+// control calls f with the socket of a connection, which may be wrapped.
+func control(c net.Conn, f func(fd int) error) error {
 	for {
-		if raw, ok := c.(syscall.Conn); ok {
-			return growSendBuffer(raw, bytes)
+		if socket, ok := c.(syscall.Conn); ok {
+			raw, err := socket.SyscallConn()
+			if err != nil {
+				return err
+			}
+			var controlErr error
+			err = raw.Control(func(fd uintptr) { controlErr = f(int(fd)) })
+			return errors.Join(err, controlErr)
 		}
 		wrapper, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
@@ -24,22 +54,6 @@
 	}
 }
 
-func growSendBuffer(c syscall.Conn, bytes int) error {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var optionErr error
-	err = raw.Control(func(fd uintptr) {
-		var size int
-		size, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF)
-		if optionErr == nil && size < min(bytes, largestSendBuffer()) {
-			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes/sendBufferOverhead)
-		}
-	})
-	return errors.Join(err, optionErr)
-}
-
 // sendBufferOverhead is the factor by which the kernel raises a size that is asked for, to have room for its own records.
 const sendBufferOverhead = 2
 
--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -191,8 +191,11 @@
 	return known
 }
 
-// Record notes that a stream of this host has begun.
+// Record notes that a stream of this host has begun. Streams whose attempt has no ID cannot be told apart.
 func (t *Tracker) Record(attemptID string, o Origin, now time.Time) {
+	if attemptID == "" {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := Entry{Stream: StreamID(attemptID), Origin: o}
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -175,10 +175,12 @@
 	storeReachable bool      // its last call to the store did not fail, or it made none
 	lastInDigest   time.Time // when the last digest of its zone that lists it arrived
 	declinedUntil  time.Time // when it may be offered requests again
-	replyDue       bool      // a heartbeat is due in reply to its first one
-	aheadSince     time.Time // since when it announces newer state than this host's; zero if it does not
-	announced      announcement
-	transit        transit
+	// unreachableUntil is when it may be offered requests of an upstream again of which it reached no replica.
+	unreachableUntil map[string]time.Time
+	replyDue         bool      // a heartbeat is due in reply to its first one
+	aheadSince       time.Time // since when it announces newer state than this host's; zero if it does not
+	announced        announcement
+	transit          transit
 }
 
 // announcement is the state that a peer has, as it told last.
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -43,8 +43,8 @@
 	// memoryLimitFraction is the fraction of the memory limit at which the garbage
 	// collector runs more often, so that the process is not killed.
 	memoryLimitFraction = 0.7
-	// housekeepingInterval is the time between two housekeeping runs. state.State.Tick must be
-	// called several times a second, upstream.Client.CloseIdle about once.
+	// housekeepingInterval is the time between two housekeeping runs. state.State.Tick and upstream.Client.CloseIdle must be
+	// called several times a second.
 	housekeepingInterval = 500 * time.Millisecond
 	// defaultBalancerLag is how long the balancer may still send connections to a host
 	// that is no longer ready. It covers two readiness checks one second apart and one
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -4,10 +4,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"heatherbarrow/internal/connends"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
@@ -49,10 +51,11 @@
 func (e *exchange) forwardPlain(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *watchdog) attemptResult {
 	lease.FirstByte(time.Now())
 	body, complete, err := e.bufferBody(response, p)
+	e.notePlainPart(body, response.Status, reply, p)
 	switch {
 	case err != nil:
 		return e.handleUnusable(err, fleet.Truncated, lease)
-	case complete && e.mayBePart(response, lease):
+	case complete && e.mayBePart(response, lease, p):
 		return e.handleUnusable(errMayBePart, fleet.ConnectionLost, lease)
 	case !complete && p.headerSent:
 		return e.handleUnusable(errors.New("response is too long to continue a stream"), fleet.Failed, lease)
@@ -65,7 +68,7 @@
 		if !watchdog.received() {
 			return e.handleUnusable(errStalled, fleet.Failed, lease)
 		}
-		return e.sendUnbuffered(response, body, lease)
+		return e.sendUnbuffered(response, body, lease, p)
 	}
 	response.MarkComplete()
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
@@ -75,8 +78,8 @@
 		return attemptFailed
 	}
 	e.endServed(response, lease)
-	if !p.headerSent && success && e.doubts(response, lease, p) {
-		return e.doubtPlain(buffered, response, p)
+	if !p.headerSent && success && e.doubts(response, p) {
+		return e.doubtPlain(buffered, response, lease, p)
 	}
 	if p.headerSent {
 		// A plain response cannot continue the stream that the caller has begun to receive.
@@ -89,6 +92,9 @@
 		e.answerVerified(buffered, response, p)
 		return attemptDone
 	}
+	if e.route.Kind != routing.Streaming {
+		watchdog.received() // ends what runs beside this attempt before the answer is written
+	}
 	e.sendBuffered(buffered)
 	return attemptDone
 }
@@ -135,7 +141,7 @@
 // seal (a header that shows that the replica itself produced the response) or is too long to
 // buffer although the caller has begun to receive a stream.
 func (e *exchange) handleUnusable(err error, leaseResult fleet.Result, lease *fleet.Lease) attemptResult {
-	if e.exhausted(err) {
+	if e.exhausted(err) || errors.Is(err, errOutOfTime) {
 		leaseResult = fleet.Failed
 	}
 	if e.abandoned() {
@@ -165,7 +171,8 @@
 
 // sendUnbuffered forwards a response longer than maxBufferedBodyBytes as it arrives.
 // bodyStart is the part of the body that has been read already.
-func (e *exchange) sendUnbuffered(response *upstream.Response, bodyStart []byte, lease *fleet.Lease) attemptResult {
+func (e *exchange) sendUnbuffered(response *upstream.Response, bodyStart []byte, lease *fleet.Lease, p *progress) attemptResult {
+	p.headerSent = true
 	copyResponseHeader(e.w.Header(), response.Header)
 	e.record.responded(response.Status)
 	e.w.WriteHeader(response.Status)
@@ -173,7 +180,7 @@
 	_, _ = caller.Write(bodyStart) // an error is that of the copy too
 	response.Drop(bodyStart)
 	_, err := io.Copy(caller, response.Body)
-	if err == nil && e.mayBePart(response, lease) {
+	if err == nil && e.mayBePart(response, lease, p) {
 		err = errMayBePart
 	}
 	if caller.err != nil {
@@ -209,7 +216,7 @@
 	switch {
 	case e.abandoned():
 		return fleet.Abandoned
-	case !time.Now().Before(e.deadline):
+	case !time.Now().Before(e.deadline.Add(-connends.DeadlineMargin)):
 		return fleet.Failed
 	}
 	return broken
@@ -243,7 +250,7 @@
 	for {
 		event, err := events.Next()
 		begun := p.events > eventsBefore || held != nil
-		if err == io.EOF && e.streamMayBePart(response, lease, p, begun) {
+		if err == io.EOF && (e.streamMayBePart(response, lease, p, begun) || !begun && e.emptyMayBePart(response, lease, p)) {
 			err = errMayBePart
 		}
 		if err == io.EOF && held != nil {
@@ -256,7 +263,7 @@
 		}
 		if err == io.EOF {
 			lease.RecordStream(p.events-eventsBefore, time.Since(firstEventAt), time.Now())
-			if begun && e.doubts(response, lease, p) {
+			if begun && e.doubts(response, p) {
 				return e.doubtStream(response, lease, p)
 			}
 			return e.handleStreamEnd(response, lease, p, begun)
@@ -384,6 +391,27 @@
 	return attemptDone
 }
 
+// emptyMayBePart reports whether an unframed continuation without events may have been cut before the first one. Where there are
+// signs of cuts, it is the end of the stream only if a second replica has nothing to add either. If none may be asked, it is unless
+// another run has broken off within this answer: the caller can take the stream up then.
+func (e *exchange) emptyMayBePart(response *upstream.Response, lease *fleet.Lease, p *progress) bool {
+	switch {
+	case !response.Unframed, p.lastEventID == "", p.doubted != nil, p.emptyBefore, !e.server.cutSuspected():
+		return false
+	case p.possibleRuns > 1, e.delegation != nil && len(e.delegation.ran) > 0:
+	case !e.mayVerify(p):
+		return false
+	default:
+		others := e.fleetRequest(e.record.upstream, p)
+		others.Exclude = append(slices.Clone(p.exclude), lease.Member.ID)
+		if !e.server.opts.Fleet.Available(others, time.Now()) {
+			return false
+		}
+	}
+	p.emptyBefore = true
+	return true
+}
+
 // handleBrokenStream ends an attempt whose stream broke off, carried an event out of sequence,
 // or had an event or comments above a size limit. The caller receives the complete events that
 // arrived before.
@@ -398,6 +426,7 @@
 	case errors.Is(err, upstream.ErrTruncatedEvent):
 		// A framed body that ends in the middle of an event was sent that way.
 		leaseResult = fleet.Failed
+		e.notePart(p.doubted)
 		if response.Unframed {
 			leaseResult = fleet.Truncated
 			e.server.opts.Client.NoteCutSign(response, time.Now())
--- a/internal/gateway/proxy/budget_test.go
+++ b/internal/gateway/proxy/budget_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/connends"
+	"heatherbarrow/internal/gateway/upstream"
 	"heatherbarrow/internal/scheduling/retry"
 )
 
@@ -191,3 +193,20 @@
 	assert.LessOrEqual(t, float64(retries), 0.2*float64(requests)+slack/4, fmt.Sprint(requests, " requests"))
 	assert.Positive(t, retries)
 }
+
+// Guards against parts of answers that are passed off as whole ones for want of a retry, which sound answers have used that ended beside
+// nothing.
+func TestAnswerThatEndedBesideOthersIsVerifiedFirst(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	budget := NewBudget(clock, clock.Now(), 0, 5, 1) // two retries at most
+	clock.Advance(time.Hour)
+	budget.First("pool")
+	verify := func(others upstream.EndOfUnframed) bool {
+		e := &exchange{server: &Server{opts: Options{Budget: budget}}}
+		e.record.upstream = "pool"
+		return e.payVerification(&progress{doubted: &doubtedEnd{others: others}})
+	}
+	assert.True(t, verify(upstream.EndOfUnframed{}))
+	assert.False(t, verify(upstream.EndOfUnframed{}))
+	assert.True(t, verify(upstream.EndOfUnframed{EndOfAnswer: connends.EndOfAnswer{AtOnce: 1}}))
+}
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
-	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
 )
@@ -26,14 +25,22 @@
 	DelegatePath = "/delegate"
 	// declinedHeader marks the answer of a host that does not take the delegated request. Its value is declined, or
 	// declinedStopping if the host stops and takes only requests that no other host runs, which have
-	// lastResortHeader, declinedLate if it stops before the time limit of this request, and declinedBehind if its
-	// configuration is older than the version in configVersionHeader, with which the delegating host has admitted the
-	// request.
-	declinedHeader      = "Heatherbarrow-Declined"
-	declined            = "1"
-	declinedStopping    = "stopping"
-	declinedLate        = "late"
-	declinedBehind      = "behind"
+	// lastResortHeader, declinedBehind if its configuration is older than the version in configVersionHeader, with which
+	// the delegating host has admitted the request, or declinedLate if it may take the next request: it stops before the
+	// time limit of this one, or declinedForHeader tells why. Hosts of other versions take a value that they do not know
+	// for declined, so that new reasons go into declinedForHeader.
+	declinedHeader   = "Heatherbarrow-Declined"
+	declined         = "1"
+	declinedStopping = "stopping"
+	declinedLate     = "late"
+	declinedBehind   = "behind"
+	// declinedForHeader comes with declinedLate. Its value is declinedUnreachable if the host has found no replica of the
+	// request's upstream that it reaches, declinedUnreached if it has reached none that it may send this request to but
+	// may reach others, or declinedOrigin if it cannot tell now which version began the stream.
+	declinedForHeader   = "Heatherbarrow-Declined-For"
+	declinedUnreachable = "unreachable"
+	declinedUnreached   = "unreached"
+	declinedOrigin      = "origin"
 	lastResortHeader    = "Heatherbarrow-Last-Resort"
 	configVersionHeader = "Heatherbarrow-Config-Version"
 	// servedByHeader names, in the answer to a delegated request, a replica that says that it leaves.
@@ -53,10 +60,12 @@
 
 // Helpers knows the hosts that requests can be delegated to.
 type Helpers interface {
-	// Helper returns the address of a host that is not among the tried ones.
-	Helper(tried []string) (address string, ok bool)
+	// Helper returns the address of a host that is not among the tried ones and may reach replicas of the upstream.
+	Helper(upstream string, tried []string) (address string, ok bool)
 	// Declined notes that a host takes no delegated requests now.
 	Declined(address string)
+	// Unreachable notes that a host reaches no replica of the upstream now.
+	Unreachable(address, upstream string)
 }
 
 // delegation is what the host that took a request from its caller tells the one that it delegates it to. The
@@ -130,7 +139,7 @@
 		lastResort := r.Header.Get(lastResortHeader) != ""
 		decline := ""
 		switch {
-		case !s.opts.Known() || s.opts.Fleet.CutOff():
+		case !s.opts.Known() || s.cutOff():
 			decline = declined
 		case s.opts.Table().Version < configVersionOf(r):
 			decline = declinedBehind
@@ -152,6 +161,52 @@
 	})
 }
 
+// reachedNone reports whether this host runs a request for another one, has sent it to no replica, and could not connect
+// to one. A host whose kept connections live on does not take itself for cut off, although no new connection leads to a replica.
+func (e *exchange) reachedNone(p *progress, refusal *fleet.Refusal) bool {
+	if !e.delegated || p.sentAttempts > 0 {
+		return false
+	}
+	if refusal == nil {
+		return p.unconnected > 0
+	}
+	switch refusal.Reason {
+	case fleet.ReasonPoison, fleet.ReasonPoisonPart:
+		return false
+	case fleet.ReasonUnreachable:
+		return true
+	}
+	return p.unconnected > 0
+}
+
+// declineUnreached declines a request for which reachedNone holds. A software version that has crashed, or replicas with a
+// backlog, say nothing about other requests of the upstream.
+func (e *exchange) declineUnreached(p *progress, refusal *fleet.Refusal) {
+	reason := declinedUnreached
+	if p.origin == nil && (refusal == nil || refusal.Reason == fleet.ReasonUnreachable || refusal.Reason == fleet.ReasonNoReplica) {
+		reason = declinedUnreachable
+	}
+	e.decline(reason)
+}
+
+// decline lets the host that delegated the request, which is refused next, offer it to another one. The reason is a value of
+// declinedForHeader.
+func (e *exchange) decline(reason string) {
+	e.record.declined = reason
+	e.w.Header().Set(declinedHeader, declinedLate)
+	e.w.Header().Set(declinedForHeader, reason)
+}
+
+// declineOf returns why a host does not take the request, or "" if it has taken it. A reason that is not known here is
+// left out.
+func declineOf(h http.Header) (reason string) {
+	reason = h.Get(declinedHeader)
+	if known := h.Get(declinedForHeader); reason == declinedLate && slices.Contains([]string{declinedUnreachable, declinedUnreached, declinedOrigin}, known) {
+		return known
+	}
+	return reason
+}
+
 // configVersionOf returns the version of the configuration with which another host has admitted a request, or 0 if
 // that host does not tell it.
 func configVersionOf(r *http.Request) int64 {
@@ -167,12 +222,13 @@
 	if e.delegated || p.noHelper || e.server.opts.Helpers == nil {
 		return false
 	}
-	return p.delegated || p.unreachable || p.unconnected >= maxUnconnected || e.server.opts.Fleet.CutOff()
+	return p.delegated || p.originElsewhere || p.unreachable || p.unconnected >= maxUnconnected || e.server.opts.Fleet.CutOff()
 }
 
-// noteUnconnected records that an attempt could not connect to its replica.
+// noteUnconnected records that an attempt could not connect to its replica. Hosts that took no requests before it may do so now.
 func (p *progress) noteUnconnected(err error) {
 	p.unconnected++
+	p.noHelper = false
 	var timeout net.Error
 	p.unreachable = p.unreachable || errors.As(err, &timeout) && timeout.Timeout()
 }
@@ -183,7 +239,7 @@
 func (e *exchange) delegate(ctx context.Context, p *progress) (attemptResult, bool) {
 	go e.server.tryContact()
 	for len(p.helpers) < maxHelpers {
-		address, ok := e.server.opts.Helpers.Helper(p.helpers)
+		address, ok := e.server.opts.Helpers.Helper(e.record.upstream, p.helpers)
 		if !ok {
 			break
 		}
@@ -247,7 +303,7 @@
 		return attemptMayHaveRun, true
 	}
 	defer response.Close()
-	if reason := response.Header.Get(declinedHeader); reason != "" {
+	if reason := declineOf(response.Header); reason != "" {
 		response.Discard()
 		e.noteDeclined(reason, address, p)
 		return attemptNotRun, false
@@ -267,12 +323,15 @@
 	return result, true
 }
 
-// noteDeclined notes that a host does not take the request, for the reason in declinedHeader.
+// noteDeclined notes that a host does not take the request, for the reason that declineOf returned.
 func (e *exchange) noteDeclined(reason, address string, p *progress) {
+	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Str("helper", address).Str("declined", reason).Msg("host does not take the request over")
 	switch reason {
 	case declinedStopping:
 		p.stopping = append(p.stopping, address)
-	case declinedBehind, declinedLate: // it may take the next request
+	case declinedBehind, declinedLate, declinedUnreached, declinedOrigin: // it may take the next request
+	case declinedUnreachable:
+		e.server.opts.Helpers.Unreachable(address, e.record.upstream)
 	default:
 		e.server.opts.Helpers.Declined(address)
 	}
@@ -320,14 +379,14 @@
 	switch {
 	case err != nil:
 		return e.handleUnusable(err, fleet.Truncated, lease)
-	case complete && e.mayBePart(response, lease):
+	case complete && e.mayBePart(response, lease, p):
 		return e.handleUnusable(errMayBePart, fleet.ConnectionLost, lease)
 	case p.headerSent, refused && p.possibleRuns > 0:
 		return attemptFailed
 	case !complete && !watchdog.received():
 		return e.handleUnusable(errStalled, fleet.Failed, lease)
 	case !complete:
-		return e.sendUnbuffered(response, body, lease)
+		return e.sendUnbuffered(response, body, lease, p)
 	}
 	response.MarkComplete()
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
@@ -345,18 +404,3 @@
 	}
 	return attemptMayHaveRun
 }
-
-// tryContact tries to connect to a replica if this host seems to be cut off from all of them.
-func (s *Server) tryContact() {
-	member, due := s.opts.Fleet.ContactTrial(time.Now())
-	if !due {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), netio.DialTimeout)
-	defer cancel()
-	err := s.opts.Client.Connect(ctx, member.Address, 0)
-	if err == nil {
-		s.opts.Fleet.RecordContact(time.Now())
-	}
-	s.opts.Logger.Info().Str("replica", member.ID).Err(err).Msg("host cut off from replicas tried to connect")
-}
--- a/internal/gateway/proxy/handover.go
+++ b/internal/gateway/proxy/handover.go
@@ -17,7 +17,7 @@
 
 // A replica that falls silent may go on at any moment, and those that could be picked instead may refuse. The request is
 // therefore sent to another replica while the silent one still runs it, and that run is ended only when the other
-// replica has taken the request.
+// replica has taken the request, see also race.
 
 // acceptTime is the time after which a replica that has not refused a request counts as having taken it: full replicas
 // refuse at once, while others may send nothing before the first token. It bounds how long two runs may overlap, which
@@ -115,6 +115,9 @@
 // ends before the stream's time is over may not find another replica if the first one refuses it late, and offers none.
 func (e *exchange) handOver(ctx context.Context, p *progress, revived <-chan struct{}) (next *handover, left bool) {
 	s := e.server
+	if e.route.Kind != routing.Streaming {
+		return e.race(ctx, p, revived)
+	}
 	if p.headerSent && (e.cutShort() || !e.settleEarly(ctx, p)) {
 		return nil, false
 	}
@@ -172,11 +175,14 @@
 
 // payRetry takes the offer of a request out of the retry budget, unless it is paid for already. The rest of the budget is for
 // requests whose run has ended, also of those that are given up for an offer which is refused late.
-func (e *exchange) payRetry(p *progress) bool {
-	if p.paidAttempts <= p.sentAttempts && !e.server.opts.Budget.AllowOffer(e.record.upstream) {
+func (e *exchange) payRetry(p *progress) bool { return e.payOffer(p, 0) }
+
+// payOffer is payRetry beside the given number of offers that are paid for and open.
+func (e *exchange) payOffer(p *progress, open int) bool {
+	if p.paidAttempts <= p.sentAttempts+open && !e.server.opts.Budget.AllowOffer(e.record.upstream) {
 		return false
 	}
-	p.paidAttempts = p.sentAttempts + 1
+	p.paidAttempts = p.sentAttempts + open + 1
 	return true
 }
 
--- a/internal/gateway/proxy/handoverbudget_test.go
+++ b/internal/gateway/proxy/handoverbudget_test.go
@@ -174,3 +174,57 @@
 	}
 	assert.Positive(t, offered, "silent streams are offered to other replicas")
 }
+
+// Guards against a stream without an event that is answered 502 because this host gave it up for a replica which refused it late,
+// and the retry budget is empty for a moment.
+func TestStreamWithoutAnEventWaitsForTheRetryBudgetIfItWasGivenUp(t *testing.T) {
+	var open atomic.Int64
+	var mayTake atomic.Bool
+	var clock *clockwork.FakeClock
+	g := newTestGateway(t, firstThen(3, func(_ http.ResponseWriter, r *http.Request) { holdRun(&open, r) }, func(i int64, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case mayTake.Load():
+			events("b", 4, -1)(w, r)
+		case i > 1:
+			refuseAsFull(w, r)
+		default:
+			refuseLate(w, r)
+			time.AfterFunc(500*time.Millisecond, func() {
+				mayTake.Store(true)
+				clock.Advance(retry.Window)
+			})
+		}
+	})...)
+	clock = g.withOneRetry(nil)
+	status, body, _ := g.do(testRequest{path: "/quote/1"})
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, eventsText(4), body)
+}
+
+// Guards against a caller that is held for the retry budget although the latest run of its request has failed by itself.
+func TestStreamWithoutAnEventDoesNotWaitForTheRetryBudgetIfItsRunFailed(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"broken": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"failure": func(w http.ResponseWriter, _ *http.Request) {
+			setSeal(w)
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var open, failedAt atomic.Int64
+			g := newTestGateway(t, firstThen(3, func(_ http.ResponseWriter, r *http.Request) { holdRun(&open, r) }, func(_ int64, w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				time.Sleep(400 * time.Millisecond)
+				failedAt.Store(time.Now().UnixNano())
+				answer(w, r)
+			})...)
+			g.allowRuns(3)
+			g.withOneRetry(nil)
+			status, _, _ := g.do(testRequest{path: "/quote/1"})
+			assert.GreaterOrEqual(t, status, http.StatusInternalServerError)
+			require.NotZero(t, failedAt.Load(), "another replica takes it over")
+			assert.Less(t, time.Since(time.Unix(0, failedAt.Load())), 500*time.Millisecond)
+		})
+	}
+}
--- a/internal/gateway/proxy/handoverhost.go
+++ b/internal/gateway/proxy/handoverhost.go
@@ -18,7 +18,7 @@
 		return nil, false
 	}
 	if !runKnown {
-		_, ok := s.opts.Helpers.Helper(p.helpers)
+		_, ok := s.opts.Helpers.Helper(e.record.upstream, p.helpers)
 		return nil, ok && len(p.helpers) < maxHelpers && e.payRetry(p)
 	}
 	tried, ranAt := slices.Clone(p.helpers), p.ranAt
@@ -26,7 +26,7 @@
 	for ctx.Err() == nil && !closed(revived) && p.possibleRuns < e.maxAttempts() {
 		address, ok := "", false
 		if len(tried) < maxHelpers {
-			address, ok = s.opts.Helpers.Helper(tried)
+			address, ok = s.opts.Helpers.Helper(e.record.upstream, tried)
 		}
 		switch {
 		case ok:
@@ -58,7 +58,7 @@
 
 // hostTakes reports whether the host's answer goes on with the request, as far as its head shows.
 func (e *exchange) hostTakes(h *handover, p *progress) bool {
-	return h.err == nil && h.response.Header.Get(declinedHeader) == "" && e.takes(h, p)
+	return h.err == nil && declineOf(h.response.Header) == "" && e.takes(h, p)
 }
 
 // endOffer ends an attempt whose host has not taken the request.
@@ -73,7 +73,7 @@
 		return
 	}
 	defer h.response.Close()
-	if reason := h.response.Header.Get(declinedHeader); reason != "" {
+	if reason := declineOf(h.response.Header); reason != "" {
 		h.response.Discard()
 		e.noteDeclined(reason, h.helper, p)
 		return
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -57,6 +57,7 @@
 	leavingReplicas    tally.Counter // that said that they leave
 	restingReplicas    tally.Counter // that wanted no requests for a time
 	processQuestions   tally.Counter // asked replicas which process they are
+	probeQuestions     tally.Counter // of these, to keep connections open beside unframed answers
 	replacedProcesses  tally.Counter // of these, answered by another one than the registered
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
 	exhaustedAnswers   tally.Counter // given up or not buffered because there was no memory for them
@@ -83,6 +84,7 @@
 		leavingReplicas:    scope.Counter("replicas_said_leaving"),
 		restingReplicas:    scope.Counter("replicas_resting"),
 		processQuestions:   scope.Counter("process_questions"),
+		probeQuestions:     scope.Counter("probe_questions"),
 		replacedProcesses:  scope.Counter("processes_replaced"),
 		limitedAttempts:    scope.Counter("limited_attempts"),
 		exhaustedAnswers:   scope.Counter("answers_without_memory"),
--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -31,23 +31,38 @@
 	Find(ctx context.Context, attemptID string, upstreams []string) (origin.Origin, error)
 }
 
-// findOrigin sets the origin of a stream that the caller takes up. If it is not known, findOrigin refuses
-// the request and returns false: replicas of another version would go on with a text that does not fit.
-func (e *exchange) findOrigin(ctx context.Context, p *progress) bool {
+// findOrigin sets the origin of a stream that the caller takes up, and returns its upstream. If the origin is not known,
+// findOrigin refuses the request and returns false: replicas of another version would go on with a text that does not fit.
+// A process that only this host cannot ask for it may answer another one, which then runs the request.
+func (e *exchange) findOrigin(ctx context.Context, p *progress) (upstreamName string, ok bool) {
 	findCtx, cancel := context.WithTimeout(ctx, findOriginTimeout)
 	defer cancel()
 	o, err := e.lookUpOrigin(findCtx, e.call.Resumes)
+	p.lastEventID = e.call.LastEventID
 	switch {
 	case errors.Is(err, origin.ErrUnreachable):
-		e.refuse(http.StatusServiceUnavailable, "origin_unreachable", e.boundRetryAfter(originUnreachableRetryAfter))
-		return false
+		if o.Upstream != "" && !e.delegated && e.server.opts.Helpers != nil {
+			p.originElsewhere = true
+			return o.Upstream, true
+		}
+		e.refuseWithoutOrigin()
+		return "", false
 	case err != nil, o.Version == origin.UnknownVersion:
 		// No retry time: the stream cannot go on later either.
 		e.refuse(http.StatusServiceUnavailable, "unknown_origin", 0)
-		return false
+		return "", false
+	}
+	p.origin = &o
+	return o.Upstream, true
+}
+
+// refuseWithoutOrigin refuses a request whose stream's origin may be known later. A host that has delegated it offers it to
+// others.
+func (e *exchange) refuseWithoutOrigin() {
+	if e.delegated {
+		e.decline(declinedOrigin)
 	}
-	p.origin, p.lastEventID = &o, e.call.LastEventID
-	return true
+	e.refuse(http.StatusServiceUnavailable, "origin_unreachable", e.boundRetryAfter(originUnreachableRetryAfter))
 }
 
 // mayGoOnElsewhere reports whether another host can send the rest of a stream, whose beginning the caller has, to a
--- a/internal/gateway/proxy/record.go
+++ b/internal/gateway/proxy/record.go
@@ -28,6 +28,7 @@
 	refusal         *fleet.Refusal // set if the fleet picked no replica
 	attempts        int
 	helper          string                 // host that ran the request
+	declined        string                 // value of declinedForHeader in the answer to the host that delegated the request
 	choice          fleet.Choice           // of the latest attempt
 	firstEventAfter time.Duration          // time from the arrival to the first event of a stream
 	longestPause    time.Duration          // between two events of a stream
@@ -74,7 +75,7 @@
 // panic that aborts the response.
 func (e *exchange) finish() {
 	s := e.server
-	e.settleEnd(false)
+	e.settleEnd(verifiedNot)
 	elapsed := time.Since(e.arrived)
 	rec := &e.record
 	entry := s.opts.Logger.Info().Str("request", e.call.AttemptID).
@@ -102,7 +103,8 @@
 	}
 	if rec.unframed {
 		entry.Str("unframed_end", endNames[rec.unframedEnd]).Dur("end_after_ms", rec.unframedOthers.Idle).
-			Dur("end_awaited_ms", rec.unframedOthers.Awaited).Bool("cuts_suspected", rec.cutSuspected).Int("others_ended", rec.unframedOthers.Ended).Int("others_open", rec.unframedOthers.Open).Int("ended_elsewhere", rec.unframedOthers.Elsewhere)
+			Dur("end_awaited_ms", rec.unframedOthers.Awaited).Bool("cuts_suspected", rec.cutSuspected).Int("others_ended", rec.unframedOthers.Ended).Int("others_open", rec.unframedOthers.Open).Int("ended_elsewhere", rec.unframedOthers.Elsewhere).
+			Int("others_near", rec.unframedOthers.Near).Int("near_elsewhere", rec.unframedOthers.NearElsewhere).Int("others_at_once", rec.unframedOthers.AtOnce)
 	}
 	if rec.verified != "" {
 		entry.Str("end_verified", string(rec.verified))
@@ -125,6 +127,9 @@
 	if e.delegated {
 		entry.Str("delegated_by", e.r.RemoteAddr)
 	}
+	if rec.declined != "" {
+		entry.Str("declined", rec.declined)
+	}
 	if rec.attempts > 0 && rec.choice.Limit.Limited {
 		entry.Float64("limit_per_second", rec.choice.Limit.PerSecond)
 	}
@@ -134,6 +139,10 @@
 	if rec.refusal != nil {
 		entry.Dur("predicted_ms", rec.refusal.Expected).Dur("backlog_ms", rec.refusal.Backlog).
 			Dur("target_ms", e.route.Target).Dur("waited_ms", e.waitedBefore)
+		if unreached, last := s.opts.Fleet.Reach(); unreached > 0 || rec.refusal.Reason == fleet.ReasonUnreachable {
+			entry.Int("unreached", unreached).Str("contact", string(last.Sign)).Str("contact_replica", last.Replica).
+				Dur("contact_ago_ms", time.Since(last.At))
+		}
 	}
 	if rec.retryAfter > 0 {
 		entry.Dur("retry_after_ms", rec.retryAfter)
--- a/internal/gateway/proxy/room.go
+++ b/internal/gateway/proxy/room.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/routing"
 )
 
 // Replicas that are full for a moment refuse a request within a millisecond. A stream whose run has ended and that the
@@ -50,10 +51,10 @@
 	}
 }
 
-// awaitBudget waits until the retry budget allows the next attempt, and returns false if it does not in time. Only a begun stream
+// awaitBudget waits until the retry budget allows the next attempt, and returns false if it does not in time. Only a stream
 // whose run was given up for a replica that did not keep it waits: it would have gone on. Callers take up others sooner.
 func (e *exchange) awaitBudget(ctx context.Context, p *progress, allow func(upstream string) bool) bool {
-	if !p.gaveUp || !p.headerSent {
+	if !p.gaveUp || e.route.Kind != routing.Streaming {
 		return false
 	}
 	e.server.opts.Logger.Info().Str("request", e.call.AttemptID).Int("events", p.events).Msg("retry budget is empty, the stream waits")
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -10,7 +10,6 @@
 	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/gateway/fleet"
 	"heatherbarrow/internal/gateway/netio"
-	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/upstream"
 )
@@ -28,52 +27,6 @@
 	minTimeLeft = 20 * time.Millisecond
 )
 
-// progress is the state of a request between two attempts.
-type progress struct {
-	sentAttempts   int               // attempts in which the request was sent to a replica
-	triedReplicas  int               // one for each attempt, including replicas that were unreachable
-	paidAttempts   int               // of sentAttempts, those up to which the retry budget was asked
-	possibleRuns   int               // attempts in which a replica may have run the request
-	unreachable    bool              // replicas could not be connected to, or one did not answer at all when a connection was opened
-	noHelper       bool              // no other host runs the request
-	delegated      bool              // another host has run the request
-	counted        bool              // the request counts for the retry budget
-	headerSent     bool              // the response header has been sent to the caller
-	lastEventID    string            // of the last event with an ID that the caller has
-	unidentified   bool              // the caller has events without an ID after that one
-	idSteps        idSteps           // of the stream
-	origin         *origin.Origin    // of the stream; nil until its first event
-	assumed        *assumption       // what origin rests on if it is assumed; nil otherwise
-	events         int               // events forwarded
-	exclude        []string          // IDs of the replicas tried
-	ran            []string          // IDs of the replicas that may have run the request
-	unconnected    int               // replicas that no connection could be opened to
-	helpers        []string          // hosts that the request was offered to
-	ranAt          []string          // of these, hosts that may run it on another replica
-	stopping       []string          // of these, hosts that stop and take it only as a last resort
-	replicaFailure *bufferedResponse // a replica's 5xx response, forwarded if no attempt succeeds
-	doubted        *doubtedEnd       // of the answer, which may have been cut; nil if none
-	next           *handover         // attempt that has begun while the one before it still ran; nil if none
-	gaveUp         bool              // this host has ended the latest run of the request, which might have gone on
-	givenUp        []string          // IDs of the replicas of such runs, as far as they have not been tried again
-}
-
-// noteEvent records an event that is forwarded to the caller.
-func (p *progress) noteEvent(id string) {
-	p.events++
-	p.gaveUp = false
-	p.unidentified = id == ""
-	if id != "" {
-		p.lastEventID = id
-	}
-}
-
-// mayContinue reports whether another replica may go on with the stream whose beginning the caller has. Without the ID
-// of its last event or its version, none can go on where the stream broke off.
-func (p *progress) mayContinue() bool {
-	return p.lastEventID != "" && !p.unidentified && (p.origin == nil || p.origin.Version != origin.UnknownVersion)
-}
-
 // attemptResult is how an attempt ended. It decides whether the request may be sent to
 // another replica.
 type attemptResult int
@@ -92,10 +45,10 @@
 	upstreamName := e.route.PickUpstream(e.call.AttemptID)
 	p := e.newProgress()
 	if e.call.Continues() {
-		if !e.findOrigin(ctx, &p) {
+		var ok bool
+		if upstreamName, ok = e.findOrigin(ctx, &p); !ok {
 			return
 		}
-		upstreamName = p.origin.Upstream
 	}
 	e.record.upstream = upstreamName
 	defer func() { p.dropNext() }()
@@ -135,12 +88,20 @@
 			return result, false
 		}
 	}
+	if p.originElsewhere && !p.headerSent {
+		e.endWithoutOrigin(ctx, p)
+		return attemptNotRun, true
+	}
 	if p.headerSent && p.origin == nil { // only the hosts that ran the request know which replicas may go on
 		if e.awaitHosts(ctx, p) {
 			return attemptNotRun, false
 		}
 		e.abortResponse()
 	}
+	if e.reachedNone(p, nil) && s.cutOff() {
+		e.endWithoutReplica(p, &fleet.Refusal{Reason: fleet.ReasonUnreachable, RetryAfter: notAcceptedRetryAfter})
+		return attemptNotRun, true
+	}
 	if !p.counted {
 		p.counted = true
 		s.opts.Budget.First(e.record.upstream)
@@ -162,14 +123,6 @@
 	return result, false
 }
 
-// dropNext ends the attempt that has begun, as nobody goes on with it.
-func (p *progress) dropNext() {
-	if p.next != nil {
-		p.next.drop()
-		p.next = nil
-	}
-}
-
 // abandoned reports whether the caller has disconnected or this host, which stops, has ended the request.
 func (e *exchange) abandoned() bool { return e.r.Context().Err() != nil || e.server.drain.Over() }
 
@@ -242,10 +195,22 @@
 	case p.possibleRuns > 0:
 		e.failUnknown(http.StatusBadGateway, refusal.Reason)
 	default:
+		if e.reachedNone(p, refusal) {
+			e.declineUnreached(p, refusal)
+		}
 		e.refuse(http.StatusServiceUnavailable, refusal.Reason, e.boundRetryAfter(refusal.RetryAfter))
 	}
 }
 
+// endWithoutOrigin ends a request that only hosts which find the origin of its stream may run, after all have been tried.
+func (e *exchange) endWithoutOrigin(ctx context.Context, p *progress) {
+	if p.possibleRuns == 0 && p.replicaFailure == nil && ctx.Err() == nil {
+		e.refuseWithoutOrigin()
+		return
+	}
+	e.giveUp(ctx, p)
+}
+
 // boundRetryAfter limits the retry time given to the caller to a third of the caller's remaining
 // time, so that it can send the request again well before its deadline. The result is at least
 // 1 ms.
@@ -264,6 +229,9 @@
 	case p.possibleRuns == 0 && hostStops(ctx):
 		e.refuseAtStop()
 	case p.possibleRuns == 0:
+		if e.reachedNone(p, nil) {
+			e.declineUnreached(p, nil)
+		}
 		e.refuse(http.StatusServiceUnavailable, "not_accepted", e.boundRetryAfter(notAcceptedRetryAfter))
 	case hostStops(ctx):
 		e.failUnknown(http.StatusGatewayTimeout, "host_stops")
@@ -350,7 +318,15 @@
 		return e.handleNotExecuted(response, lease)
 	}
 	e.noteRun(p, lease.Member.ID)
+	p.gaveUp, e.runSentAt = false, startedAt
 	lease.HeadReceived()
+	if response.Unframed {
+		e.beginProbes(lease)
+		defer e.endProbes()
+	}
+	if response.Unframed && response.Status < http.StatusMultipleChoices {
+		response.Body = &inTimeReader{Reader: response.Body, exchange: e}
+	}
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
 		return e.forwardStream(response, reply, lease, p, watchdog)
 	}
@@ -359,7 +335,7 @@
 
 // noteHead records what the head of a response tells.
 func (e *exchange) noteHead(startedAt time.Time, response *upstream.Response, lease *fleet.Lease, p *progress) routing.Reply {
-	for _, name := range []string{declinedHeader, servedByHeader, ranHeader} {
+	for _, name := range []string{declinedHeader, declinedForHeader, servedByHeader, ranHeader} {
 		response.Header.Del(name) // only hosts set them
 	}
 	p.sentAttempts++
@@ -452,6 +428,7 @@
 	} else {
 		p.sentAttempts++
 		e.noteRun(p, lease.Member.ID)
+		p.gaveUp = false
 	}
 	if e.exhausted(err) {
 		leaseResult = fleet.Failed
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -18,6 +18,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/gateway/fleet"
@@ -72,6 +73,9 @@
 	active        atomic.Int64
 	questions     questions
 	unframedEnds  unframedEnds
+	probes        probes
+	contactTrials singleflight.Group
+	sendMemory    *membudget.Budget // nil if the kernel alone decides
 	// suspendedNanos is how long the host has been suspended since the start. The monotonic
 	// clock, which deadlines are compared with, does not advance during that time.
 	suspendedNanos atomic.Int64
@@ -79,7 +83,11 @@
 
 // New returns a Server.
 func New(opts Options) *Server {
-	return &Server{opts: opts, metrics: newMetrics(opts.Metrics), drain: drain.New()}
+	s := &Server{opts: opts, metrics: newMetrics(opts.Metrics), drain: drain.New()}
+	if opts.SendMemory > 0 {
+		s.sendMemory = membudget.New(opts.SendMemory, sendShareMultiple)
+	}
+	return s
 }
 
 // HTTPServer returns the HTTP server for callers. Its connections must be wrapped by
@@ -149,7 +157,10 @@
 	bodyMemory    *membudget.Account // of the request
 	failureMemory *membudget.Account // of progress.replicaFailure
 
-	end *verifiedEnd // of the latest unframed answer, while connections are cut; nil otherwise
+	end       *verifiedEnd // of the latest unframed answer, while connections are cut; nil otherwise
+	runSentAt time.Time    // when the latest run that was answered was sent to its replica
+	// probed is the replica from which an unframed answer arrives; nil otherwise.
+	probed *probedReplica
 
 	record record
 }
--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -13,7 +13,8 @@
 
 // An answer with neither a length nor chunks ends with its connection. The kernel closes the connections of a process that
 // was killed in the same way as the replica does after the last byte, so that such an answer is known to be complete only
-// if its process lived after the end. A process that leaves ends its answers before it exits.
+// if its process lived after the end and other connections to it did not end too. That also holds for a process that leaves: it may
+// exit before it has ended its answers.
 
 const (
 	// maxWitnesses bounds the replicas that are asked. Half of all may have ended together.
@@ -39,7 +40,6 @@
 
 const (
 	endLived       endOfAnswer = iota // its process lived afterwards
-	endLeaving                        // the replica leaves
 	endUntold                         // its replica answers and does not tell which process it is
 	endNoReply                        // its replica did not answer in time
 	endUnreachable                    // nothing answers, at other replicas either if it was refused; see broken
@@ -53,14 +53,15 @@
 	endOfHost      // another host sent it, which marks the end of each answer
 	endCut         // its process may live, and other connections to the replica ended with it
 	endCutBeside   // its process may live, and other answers that were cut ended with it
+	endSilence     // its replica did not answer in time where connections are cut, and no other one is asked
 )
 
 // endNames are the values of endOfAnswer in logs and metrics.
 var endNames = [...]string{
-	endLived: "process_lived", endLeaving: "replica_leaves", endUntold: "process_untold", endNoReply: "no_reply",
+	endLived: "process_lived", endUntold: "process_untold", endNoReply: "no_reply",
 	endUnreachable: "unreachable", endOthersOpen: "connections_open", endReplaced: "process_replaced", endDown: "replica_down",
 	endOthersEnded: "connections_ended", endStranger: "stranger_answers", endOfHost: "host_ended", endCut: "connections_cut",
-	endCutBeside: "answers_cut",
+	endCutBeside: "answers_cut", endSilence: "no_reply_where_cut",
 }
 
 // broken reports whether an answer on the route counts as incomplete. If nothing answers at any replica, all may have ended
@@ -70,15 +71,15 @@
 }
 
 // evident reports whether it is clear that the answer is complete, as far as its replica can tell.
-func (e endOfAnswer) evident() bool { return e == endLived || e == endLeaving || e == endUntold }
+func (e endOfAnswer) evident() bool { return e == endLived || e == endUntold }
 
 // errMayBePart means that the body of an unframed response may have ended early.
 var errMayBePart = errors.New("response without a length may have ended early")
 
 // mayBePart reports whether a response whose body ended with its connection may be incomplete, because it may have ended
 // with the replica's process or on the way. It is called when the end has been read.
-func (e *exchange) mayBePart(response *upstream.Response, lease *fleet.Lease) bool {
-	return response.Unframed && e.endOf(response, lease).broken(e.route)
+func (e *exchange) mayBePart(response *upstream.Response, lease *fleet.Lease, p *progress) bool {
+	return response.Unframed && e.endOf(response, lease, p).broken(e.route)
 }
 
 // streamMayBePart is mayBePart for a stream. begun means that the replica sent an event. A continuation
@@ -88,21 +89,22 @@
 		p.assumed.stop() // the replica is asked now, or by settleOrigin
 	}
 	if begun {
-		return e.mayBePart(response, lease)
+		return e.mayBePart(response, lease, p)
 	}
-	return response.Unframed && p.lastEventID != "" && e.endOf(response, lease) != endLived
+	return response.Unframed && p.lastEventID != "" && e.endOf(response, lease, p) != endLived
 }
 
 // endOf finds out what the end of an unframed response was.
-func (e *exchange) endOf(response *upstream.Response, lease *fleet.Lease) endOfAnswer {
+func (e *exchange) endOf(response *upstream.Response, lease *fleet.Lease, p *progress) endOfAnswer {
 	s := e.server
 	endedAt := time.Now()
+	e.endProbes()
 	bound, unbind := s.drain.Bound(e.r.Context())
 	defer unbind()
 	ctx, cancel := context.WithTimeout(bound, min(e.patience(), e.timeLeft(endedAt)/inspectTimeDivisor))
 	defer cancel()
 	endAt := s.opts.Client.EndedAt(response, endedAt)
-	e.noteUnframedEnd(endAt)
+	e.noteUnframedEnd(lease.Member.ID, endAt, p)
 	within := endsArriveTime
 	if e.route.Kind == routing.Streaming {
 		within = streamEndsArriveTime
@@ -110,10 +112,10 @@
 	s.opts.Client.AwaitEnds(ctx, response, endedAt, within)
 	seen := e.inspectEnd(ctx, response, lease, endedAt)
 	connections := s.opts.Client.UnframedEnd(response, endedAt)
-	if connections.Cut && !seen.broken(e.route) && !lease.Leaving(endedAt) {
+	if connections.Cut && !seen.broken(e.route) {
 		seen = endCut
 	}
-	seen = e.judgeWhereCut(bound, seen, response, lease, &connections, endAt)
+	seen = e.judgeWhereCut(bound, seen, &connections, lease.Member.ID, endAt, p)
 	e.record.unframed, e.record.unframedEnd, e.record.unframedOthers, e.record.cutSuspected = true, seen, connections, s.cutSuspected()
 	s.metrics.unframedEnds[seen].Inc(1)
 	if !seen.evident() {
@@ -138,21 +140,18 @@
 	if lease.Member.ID == "" {
 		return endOfHost
 	}
-	if lease.Leaving(endedAt) && !e.route.Repeatable() {
-		return endLeaving
-	}
 	in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(lease.Member.Upstream), after: endedAt}
 	var others *witnesses
 	hungUpOn := false // the replica reset a connection, and what that meant is not known
 	untoldOnce := false
 	for pause := questionPause; ; pause *= 2 {
 		if started, known := lease.ProcessAfter(endedAt); known {
-			return endOfProcess(response, lease, started)
+			return e.endOfProcess(response, lease, started, endedAt)
 		}
 		reply, started := e.askInTime(ctx, lease, &in)
 		switch {
 		case reply == told:
-			return endOfProcess(response, lease, started)
+			return e.endOfProcess(response, lease, started, endedAt)
 		case reply == untold && untoldOnce:
 			return endStranger
 		case reply == garbled, reply == untold && !e.mustTell(ctx, lease):
@@ -228,8 +227,9 @@
 }
 
 // endOfProcess returns what it shows that the process with the given start lived after the end of an answer. If the request
-// was sent before this host knew of that process, bytes that arrived later are from it: the one before had ended.
-func endOfProcess(response *upstream.Response, lease *fleet.Lease, started int64) endOfAnswer {
+// was sent before this host knew of that process, bytes that arrived later are from it: the one before had ended. A process that
+// leaves may live on beside its successor, with its connections.
+func (e *exchange) endOfProcess(response *upstream.Response, lease *fleet.Lease, started int64, endedAt time.Time) endOfAnswer {
 	if lease.SentTo(started) {
 		return endLived
 	}
@@ -237,6 +237,9 @@
 	if at, received := response.LastBytesAt(); known && received && at.After(since.Add(maxByteDelay)) {
 		return endLived
 	}
+	if lease.Leaving(endedAt) && e.server.opts.Client.EarlierConnectionOpen(response) {
+		return endOthersOpen
+	}
 	return endReplaced
 }
 
--- a/internal/gateway/proxy/unit_test.go
+++ b/internal/gateway/proxy/unit_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"heatherbarrow/internal/gateway/upstream"
 	"heatherbarrow/internal/scheduling/retry"
 )
 
@@ -124,3 +126,36 @@
 	}
 	assert.Zero(t, maxIdlePerHost(0, 4), "the configuration sets no bound")
 }
+
+// Guards against connections beside unframed answers that are opened and closed again and again, as no more may be idle.
+func TestNoMoreProbesThanMayBeIdle(t *testing.T) {
+	for maxIdle, count := range map[int]int{0: probesPerReplica, -1: 0, 1: 0, 2: 1, 3: 2, 16: probesPerReplica} {
+		assert.Equal(t, count, probeCount(maxIdle), "maxIdle %d", maxIdle)
+	}
+}
+
+// Guards against part of an answer that is passed off as whole beside others that were cut, because the verification of one more
+// answer of that moment takes long.
+func TestCutsBesideAnAnswerCountThoughAnotherVerificationIsSlow(t *testing.T) {
+	const rounds = 20 // the ends come in no order
+	for range rounds {
+		s, now := &Server{}, time.Now()
+		_ = s.unframedEnds.begin("slow", now)
+		for range minCutBeside {
+			s.unframedEnds.settle(s.unframedEnds.begin("other", now), verifiedPart)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		assert.True(t, (&exchange{server: s}).cutBeside(ctx, &upstream.EndOfUnframed{}, "replica", now))
+		cancel()
+	}
+}
+
+// Guards against a delegation that hosts of the build of b6fae82 have written and that is read as something else since, or
+// that they cannot read, and against one of a later build that is not read because it tells more.
+func TestDelegationOfOtherBuilds(t *testing.T) {
+	d := &delegation{runsLeft: 1, counted: true, ran: []string{"r/1", "r&2"}}
+	assert.Equal(t, "counted=1&ran=r%2F1&ran=r%262&runs=1", d.String())
+	assert.Equal(t, "runs=2", (&delegation{runsLeft: 2}).String())
+	assert.Equal(t, d, parseDelegation("counted=1&ran=r%2F1&ran=r%262&runs=1"))
+	assert.Equal(t, &delegation{runsLeft: 2}, parseDelegation("runs=2&more=1"))
+}
--- a/internal/gateway/proxy/verify_test.go
+++ b/internal/gateway/proxy/verify_test.go
@@ -52,10 +52,15 @@
 	return c
 }
 
-// sign cuts the connections of two requests without an answer, one after the other.
+// sign cuts the connections of two requests without an answer, one after the other, so that the host takes other connections for cut, too.
 func (c *lonelyCuts) sign() {
 	c.loseRequest("lasting-1")
 	c.loseRequest("lasting-2")
+	suspected := func() bool {
+		now := time.Now()
+		return c.fleet.Stays(c.client.CutSigns(now), now)
+	}
+	require.Eventually(c.t, suspected, statePatience, time.Millisecond, "the host has seen no sign of a cut")
 }
 
 // loseRequest sends a request whose connection ends without an answer, and returns when the ends of connections of that moment
--- a/internal/gateway/proxy/verifybounds_test.go
+++ b/internal/gateway/proxy/verifybounds_test.go
@@ -118,3 +118,35 @@
 	}
 	assert.EqualValues(t, answers, runs.Load())
 }
+
+// Guards against part of a stream that counts as verified, because the continuation that verified it was cut on the way before its first
+// event, although the route allows further runs.
+func TestContinuationThatIsCutBeforeItsEventsVerifiesNothing(t *testing.T) {
+	t.Parallel()
+	c := &lonelyCuts{}
+	var continuations atomic.Int64
+	for range 4 {
+		c.replicas = append(c.replicas, newEndable(t, false, func(p *endable, w http.ResponseWriter, r *http.Request) {
+			switch {
+			case r.URL.Path == "/order/lasting":
+				connection, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					time.AfterFunc(20*time.Millisecond, func() { _ = connection.Close() })
+				}
+			case r.Header.Get("Last-Event-Id") == "":
+				_ = writeUnframed(w, r, "text/event-stream", eventsText(2)).Close()
+			case continuations.Add(1) > 1:
+				wholeAnswer(p, w, r)
+			default:
+				connection := writeUnframed(w, r, "text/event-stream", "")
+				time.Sleep(40 * time.Millisecond)
+				_ = connection.Close()
+			}
+		}))
+	}
+	c.testGateway = newEndableGateway(t, c.replicas...)
+	c.allowRuns(4)
+	c.sign()
+	body, err := c.receive(map[string]string{attemptIDHeader: "attempt"})
+	assert.True(t, err != nil || body == eventsText(4), "%q looks complete after %d continuations", body, continuations.Load())
+}
--- a/internal/gateway/proxy/watchdog.go
+++ b/internal/gateway/proxy/watchdog.go
@@ -28,7 +28,8 @@
 type watchdog struct {
 	timer *time.Timer // nil if the attempt must not be given up
 	// handOver begins an attempt that goes on with the request, or returns nil. left means that the current attempt must be
-	// given up. p is the progress that the request has then. revived is closed when the replica goes on.
+	// given up; without it, next is dropped unless that attempt has ended. p is the progress that the request has then. revived
+	// is closed when the replica goes on or the attempt ends.
 	handOver func(p *progress, revived <-chan struct{}) (next *handover, left bool)
 
 	ctx    context.Context // of the attempt
@@ -38,6 +39,7 @@
 	mu       sync.Mutex
 	awaiting bool          // the response or the next event is awaited
 	canceled bool          // the attempt has been canceled
+	failed   bool          // the attempt has ended without its answer
 	stopped  bool          // the attempt has ended
 	deciding chan struct{} // closed when handOver has returned; nil if it is not running
 	revived  chan struct{} // of the running call of handOver
@@ -106,6 +108,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.failed = true
 	w.endWait()
 	paid := w.after.paidAttempts > w.after.sentAttempts
 	p.sentAttempts += w.after.sentAttempts - w.before.sentAttempts
@@ -159,9 +162,9 @@
 	defer close(deciding)
 	w.deciding, w.revived, w.after = nil, nil, after
 	switch {
-	case w.stopped && next != nil:
+	case next != nil && (w.stopped || !left && !w.failed):
 		next.drop()
-	case left:
+	case left || next != nil:
 		w.canceled, w.next = true, next
 		w.cancel()
 	case w.awaiting:
@@ -206,7 +209,7 @@
 	ctx context.Context, cancel context.CancelFunc, expected time.Duration, p *progress, given progress,
 	handOver func(*progress, <-chan struct{}) (*handover, bool),
 ) *watchdog {
-	timeout := max(expected+time.Duration(responseTimeoutTargets*float64(e.route.Target)), minResponseTimeout)
+	timeout := e.responseTimeout(expected)
 	if !e.route.Repeatable() || p.possibleRuns+1 >= e.maxAttempts() || timeout > e.timeLeft(time.Now())/2 {
 		return &watchdog{}
 	}
@@ -216,6 +219,11 @@
 	return w
 }
 
+// responseTimeout returns how long a response may take that is expected after the given time.
+func (e *exchange) responseTimeout(expected time.Duration) time.Duration {
+	return max(expected+time.Duration(responseTimeoutTargets*float64(e.route.Target)), minResponseTimeout)
+}
+
 // awaitEvent lets the watchdog wait for the next event of a stream, if the route bounds the time between events and
 // another replica may go on with the stream.
 func (e *exchange) awaitEvent(w *watchdog, p *progress) {
--- a/internal/gateway/upstream/check.go
+++ b/internal/gateway/upstream/check.go
@@ -54,7 +54,7 @@
 		if connection, err = c.connect(ctx, req); err != nil || check == nil {
 			return connection, false, err
 		}
-		if check.Known(connection.openedAt) {
+		if check.Known(connection.tracking.OpenedAt()) {
 			return connection, true, nil
 		}
 		if asked == maxChecks || check.Timeout <= 0 {
--- a/internal/gateway/upstream/client.go
+++ b/internal/gateway/upstream/client.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"heatherbarrow/internal/connends"
 	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/membudget"
 )
@@ -66,7 +67,7 @@
 	dial   Dial
 	pool   pool
 	memory *membudget.Budget
-	ends   ends
+	ends   connends.Tracker
 }
 
 // NewClient returns a client that opens connections with dial. Memory is what the answers of all replicas may occupy
@@ -93,8 +94,8 @@
 	// NewConnection prevents the use of a pooled connection. The replica may close a
 	// pooled connection just as the request is sent, and the request is then lost.
 	NewConnection bool
-	// Question means that the request asks which process the replica is. One connection to each replica is kept for
-	// questions, so that it is idle when others end: its fate tells how they ended. See Client.UnframedEnd.
+	// Question means that the request asks which process the replica is. Some connections to each replica are kept for
+	// questions, so that they are idle when others end: their fate tells how those ended. See Client.UnframedEnd.
 	Question bool
 	// MaxIdle limits the idle connections to the replica that are kept after the request, besides
 	// maxIdlePerReplica. 0 sets no further limit, a negative value keeps none.
@@ -131,11 +132,11 @@
 	memory         *membudget.Account
 }
 
-// CloseIdle closes the idle connections whose reuse time has expired at now. It should
-// be called about once a second.
+// CloseIdle closes the idle connections whose reuse time has expired at now. It must be called more often than the kernel sends
+// keep-alive probes, see connends.Tracker.Prune.
 func (c *Client) CloseIdle(now time.Time) {
 	c.pool.closeIdle(now)
-	c.ends.prune(now)
+	c.ends.Prune(now)
 }
 
 // Do sends a request and returns once the head of the response has been read. The
@@ -161,6 +162,12 @@
 	return resp, nil
 }
 
+// ReservedFor returns the number of connections to a replica that are reserved for questions, and the time for which all of them may
+// still be idle.
+func (c *Client) ReservedFor(address string, now time.Time) (idle time.Duration, reserved int) {
+	return c.pool.reservedFor(address, now)
+}
+
 // Down reports whether nothing listens at a replica's address. A replica that cannot
 // be reached, for example because its zone is partitioned, does not count as down.
 func (c *Client) Down(ctx context.Context, address string) bool {
@@ -182,7 +189,7 @@
 		return err
 	}
 	connection.reuseUntil = time.Now().Add(defaultIdleTimeout)
-	connection.tracking.idleAtWill.Store(true)
+	connection.tracking.EndAnswer(true)
 	c.pool.put(address, connection, maxIdle, false)
 	return nil
 }
@@ -217,7 +224,7 @@
 		return nil, err
 	}
 	connection := newConn(raw)
-	c.ends.add(address, connection)
+	connection.tracking = c.ends.Add(address, raw)
 	return connection, nil
 }
 
@@ -304,8 +311,7 @@
 		}
 		if req.Matches == nil || req.Matches(response.StatusCode, response.Header, r.Reused) {
 			r.Status, r.Header, r.Body, r.closeRequested = response.StatusCode, response.Header, response.Body, response.Close
-			r.conn.tracking.endsWithReply.Store(response.Close)
-			r.conn.tracking.answering.Store(true)
+			r.conn.tracking.BeginAnswer(response.Close)
 			r.Unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0 && req.Method != http.MethodHead
 			if r.Unframed && r.bodyWritten != nil {
 				r.Body = &resetDetector{Reader: r.Body, response: r}
@@ -394,21 +400,19 @@
 			complete = false
 		}
 	}
-	reuseFor := idleTimeout(r.Header)
+	reuseFor, stated := idleTimeout(r.Header)
 	if !open || !complete {
 		_ = r.conn.abort()
 		return
 	}
 	if r.closeRequested || reuseFor <= 0 || r.conn.reader.Buffered() > 0 {
-		r.conn.tracking.done.Store(!r.Unframed) // the end of an unframed response may be that of the process
+		r.conn.tracking.CloseAnswer(!r.Unframed) // the end of an unframed response may be that of the process
 		_ = r.conn.Close()
 		return
 	}
 	r.conn.usedBefore = true
 	r.conn.reuseUntil = time.Now().Add(reuseFor)
-	_, stated := keepAliveTimeout(r.Header)
-	r.conn.tracking.idleAtWill.Store(!stated)
-	r.conn.tracking.answering.Store(false)
+	r.conn.tracking.EndAnswer(!stated)
 	r.client.pool.put(r.address, r.conn, r.maxIdle, r.question)
 }
 
--- a/internal/gateway/upstream/conn.go
+++ b/internal/gateway/upstream/conn.go
@@ -9,12 +9,11 @@
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"heatherbarrow/internal/connends"
 	"heatherbarrow/internal/gateway/netio"
 	"heatherbarrow/internal/membudget"
 )
@@ -24,12 +23,10 @@
 	// defaultIdleTimeout is how long a connection may be reused if the replica announces
 	// no keep-alive timeout.
 	defaultIdleTimeout = 2 * time.Second
-	// idleTimeoutFraction is the fraction of an announced keep-alive timeout during which
-	// a connection is reused. The replica's timer starts before this host receives the
-	// response.
-	idleTimeoutFraction = 0.5
 	// maxIdlePerReplica limits the idle connections to each replica; see also Request.MaxIdle.
 	maxIdlePerReplica = 16
+	// MaxReserved limits the idle connections to each replica that are reserved for questions, see Request.Question.
+	MaxReserved = 2
 	// maxRefusedIDs bounds the refused requests that a connection remembers.
 	maxRefusedIDs = 16
 )
@@ -39,16 +36,15 @@
 	net.Conn
 	byteLimiter *byteLimiter // between the network connection and reader
 	reader      *bufio.Reader
-	openedAt    time.Time
-	reuseUntil  time.Time // the connection must not be reused after this time
-	usedBefore  bool      // it has served a request already
-	refused     []string  // IDs of the latest requests that were refused on it
-	tracking    tracking
+	reuseUntil  time.Time      // the connection must not be reused after this time
+	usedBefore  bool           // it has served a request already
+	refused     []string       // IDs of the latest requests that were refused on it
+	tracking    *connends.Conn // nil if the connection is not tracked
 }
 
 func newConn(raw net.Conn) *conn {
 	limiter := &byteLimiter{source: raw, remaining: unlimited}
-	return &conn{Conn: raw, byteLimiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), openedAt: time.Now()}
+	return &conn{Conn: raw, byteLimiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // unlimited is the byteLimiter setting that disables the limit.
@@ -118,8 +114,8 @@
 }
 
 func (c *conn) untrack() {
-	if c.tracking.ends != nil {
-		c.tracking.ends.remove(c, time.Now())
+	if c.tracking != nil {
+		c.tracking.Remove()
 	}
 }
 
@@ -127,7 +123,7 @@
 type pool struct {
 	mu       sync.Mutex
 	idle     map[string][]*conn // by address
-	reserved map[string]*conn   // by address; for questions, see Request.Question
+	reserved map[string][]*conn // by address; for questions, see Request.Question
 }
 
 // take removes and returns an idle connection that is still open and on which the request has not been
@@ -142,7 +138,7 @@
 		conns = conns[:len(conns)-1]
 		if now.Before(c.reuseUntil) && !slices.Contains(c.refused, id) {
 			if c.idleAndOpen() {
-				c.tracking.idleAtWill.Store(false)
+				c.tracking.Use()
 				p.idle[address] = conns
 				return c, broken
 			}
@@ -154,45 +150,58 @@
 	return nil, broken
 }
 
-// takeReserved is take for the connection that is reserved for questions.
-func (p *pool) takeReserved(address string, now time.Time) *conn {
+// reservedFor returns the number of connections to an address that are reserved for questions, and the time for which all of them may
+// still be idle.
+func (p *pool) reservedFor(address string, now time.Time) (idle time.Duration, reserved int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.reserved[address]
-	delete(p.reserved, address)
-	if c == nil {
-		return nil
+	for i, c := range p.reserved[address] {
+		if left := c.reuseUntil.Sub(now); i == 0 || left < idle {
+			idle = left
+		}
 	}
-	if now.Before(c.reuseUntil) && c.idleAndOpen() {
-		c.tracking.idleAtWill.Store(false)
-		return c
+	return idle, len(p.reserved[address])
+}
+
+// takeReserved is take for the connections that are reserved for questions.
+func (p *pool) takeReserved(address string, now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conns := p.reserved[address]; len(conns) > 0; {
+		c := conns[0]
+		conns = conns[1:]
+		p.reserved[address] = conns
+		if now.Before(c.reuseUntil) && c.idleAndOpen() {
+			c.tracking.Use()
+			return c
+		}
+		_ = c.Close()
 	}
-	_ = c.Close()
+	delete(p.reserved, address)
 	return nil
 }
 
 // put adds an idle connection, or closes it if the replica already has as many as maxIdle (see
 // Request.MaxIdle) and maxIdlePerReplica allow. One that served a question is reserved for the
-// next one if none is and another idle connection is allowed beside it.
+// next one unless MaxReserved are, if another idle connection is allowed beside it.
 func (p *pool) put(address string, c *conn, maxIdle int, question bool) {
 	if maxIdle == 0 {
 		maxIdle = maxIdlePerReplica
 	}
 	maxIdle = min(maxIdle, maxIdlePerReplica)
+	c.tracking.KeepUntil(c.reuseUntil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := len(p.idle[address])
-	if p.reserved[address] != nil {
-		idle++
-	}
+	reserved := len(p.reserved[address])
 	switch {
-	case idle >= maxIdle:
+	case len(p.idle[address])+reserved >= maxIdle:
 		_ = c.Close()
-	case question && maxIdle > 1 && p.reserved[address] == nil:
+	case question && reserved < min(MaxReserved, maxIdle-1):
 		if p.reserved == nil {
-			p.reserved = make(map[string]*conn)
+			p.reserved = make(map[string][]*conn)
 		}
-		p.reserved[address] = c
+		c.tracking.Reserve(time.Time{})
+		p.reserved[address] = append(p.reserved[address], c)
 	default:
 		p.idle[address] = append(p.idle[address], c)
 	}
@@ -202,13 +211,13 @@
 func (p *pool) closeIdle(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, c := range p.reserved {
-		if !now.Before(c.reuseUntil) {
-			_ = c.Close()
-			delete(p.reserved, address)
-		}
-	}
-	for address, conns := range p.idle {
+	closeExpired(p.reserved, now)
+	closeExpired(p.idle, now)
+}
+
+// closeExpired closes the connections whose reuse time has expired at now.
+func closeExpired(all map[string][]*conn, now time.Time) {
+	for address, conns := range all {
 		kept := conns[:0]
 		for _, c := range conns {
 			if now.Before(c.reuseUntil) {
@@ -218,9 +227,9 @@
 			_ = c.Close()
 		}
 		clear(conns[len(kept):])
-		p.idle[address] = kept
+		all[address] = kept
 		if len(kept) == 0 {
-			delete(p.idle, address)
+			delete(all, address)
 		}
 	}
 }
@@ -250,28 +259,10 @@
 }
 
 // idleTimeout returns how long a connection may be reused after a response with the
-// headers h.
-func idleTimeout(h http.Header) time.Duration {
-	announced, ok := keepAliveTimeout(h)
-	if !ok {
-		return defaultIdleTimeout
-	}
-	return time.Duration(idleTimeoutFraction * float64(announced))
-}
-
-// keepAliveTimeout returns the time for which the replica keeps an idle connection, if the
-// headers h state one. It is 0 if the statement is invalid.
-func keepAliveTimeout(h http.Header) (timeout time.Duration, stated bool) {
-	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		seconds, err := strconv.Atoi(value)
-		if err != nil {
-			return 0, true
-		}
-		return time.Duration(max(seconds, 0)) * time.Second, true
+// headers h, and whether the replica stated that.
+func idleTimeout(h http.Header) (idle time.Duration, stated bool) {
+	if idle, stated = connends.KeptFor(h); stated {
+		return idle, true
 	}
-	return 0, false
+	return defaultIdleTimeout, false
 }
--- a/internal/gateway/upstream/delivery.go
+++ b/internal/gateway/upstream/delivery.go
@@ -2,10 +2,11 @@
 
 import (
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"heatherbarrow/internal/connends"
 )
 
 // deliveryCheckInterval is the time between two checks of the unacknowledged bytes of a
@@ -71,7 +72,7 @@
 // to read, or if the state of the connection cannot be determined.
 func (c *conn) undeliveredBytes() int {
 	undelivered := 0
-	c.control(func(fd int) {
+	connends.Control(c.Conn, func(fd int) {
 		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err != nil || info.Unacked == 0 {
 			return
@@ -82,14 +83,3 @@
 	})
 	return undelivered
 }
-
-// control calls f with the file descriptor of the connection, if it has one.
-func (c *conn) control(f func(fd int)) {
-	tcp, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	if raw, err := tcp.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // fails on a closed connection
-	}
-}
