Scheduling: replicas that state Retry-After or that they leave are left alone

Statements of replicas are kept in internal/scheduling/statement and honored by picker and scheduler.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -109,8 +109,9 @@
 	if refused := s.picker.Refusal(r); refused != nil {
 		return refused
 	}
-	if s.poolUnreachable(p) {
-		return &scheduling.RefusedError{Reason: scheduling.ReasonNoReplica, RetryAfter: replicaGracePeriod}
+	rest, resting := s.restEnds(t)
+	if refused := s.noReplicaRefusal(t, s.poolUnreachable(p), rest, resting); refused != nil {
+		return refused
 	}
 	if t.expiresAt().Before(t.enqueuedAt) {
 		return s.newRefusal(t, scheduling.ReasonDeadline)
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -70,11 +70,11 @@
 	p.upstreams[p.byName[id.Upstream]].free++
 }
 
-func scaleFixture(b *testing.B, p scheduling.Picker) *fixture {
+func scaleFixture(b *testing.B, p Picker) *fixture {
 	return scaleFixtureWith(b, p, testBundle(scaleModels, scaleReplicas/scaleModels, scaleSlotsPerReplica, scaleTeams))
 }
 
-func scaleFixtureWith(b *testing.B, p scheduling.Picker, definition *bundle.Bundle) *fixture {
+func scaleFixtureWith(b *testing.B, p Picker, definition *bundle.Bundle) *fixture {
 	for i := range definition.Classes {
 		definition.Classes[i].MaxQueue = 1 << 20
 	}
@@ -95,7 +95,7 @@
 	return requests
 }
 
-func benchmarkFreeSlots(b *testing.B, p scheduling.Picker) {
+func benchmarkFreeSlots(b *testing.B, p Picker) {
 	f := scaleFixture(b, p)
 	requests := scaleRequests(f)
 	b.ReportAllocs()
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -12,7 +12,9 @@
 	"heatherbarrow/internal/bundle"
 	"heatherbarrow/internal/outcome"
 	"heatherbarrow/internal/scheduling"
+	"heatherbarrow/internal/scheduling/picker"
 	"heatherbarrow/internal/scheduling/requestlimit"
+	"heatherbarrow/internal/scheduling/statement"
 	"heatherbarrow/internal/settings"
 )
 
@@ -107,6 +109,14 @@
 
 func (p *fakePicker) Limits() []scheduling.ReplicaLimit { return nil }
 
+func (p *fakePicker) RecordStatement(string, statement.Statement, time.Time) statement.Change {
+	return statement.Change{}
+}
+
+func (p *fakePicker) Held(string) bool                                           { return false }
+func (p *fakePicker) HeldProcesses() []picker.HeldProcess                        { return nil }
+func (p *fakePicker) RestEnds(*scheduling.Request) (rest time.Duration, ok bool) { return 0, false }
+
 func (p *fakePicker) Refusal(r *scheduling.Request) *scheduling.RefusedError {
 	if p.quarantined[r.Fingerprint] {
 		return &scheduling.RefusedError{Reason: scheduling.ReasonQuarantined}
--- a/internal/scheduler/refuse.go
+++ b/internal/scheduler/refuse.go
@@ -59,7 +59,8 @@
 
 // refuseUnreachable refuses the requests of pools that have had no replica that can
 // serve for at least the grace period. It also refuses a restricted request when
-// none of the replicas that it does not exclude could serve for that long.
+// none of the replicas that it does not exclude could serve for that long, and at
+// once those whose replicas all rest until the request's time is over.
 func (s *Scheduler) refuseUnreachable() {
 	for _, p := range s.poolList {
 		if p.waiting == 0 {
@@ -67,21 +68,28 @@
 		}
 		unreachable := s.poolUnreachable(p)
 		for _, q := range p.queues {
-			if q != nil && q.len() > 0 && (unreachable || q.restricted) {
+			if q != nil && q.len() > 0 && (!p.unreachableSince.IsZero() || q.restricted) {
 				s.refuseUnreachableTickets(q, unreachable)
 			}
 		}
 	}
 }
 
-// refuseUnreachableTickets refuses all requests of the queue if its pool is
-// unreachable, and otherwise those that no replica could serve for at least the grace
-// period.
+// refuseUnreachableTickets refuses the requests of the queue if its pool is
+// unreachable, and otherwise the restricted ones that no replica could serve for at
+// least the grace period. While all replicas rest, it refuses only those whose time
+// ends first.
 func (s *Scheduler) refuseUnreachableTickets(q *classQueue, poolUnreachable bool) {
 	now := s.opts.Clock.Now()
+	rest, resting, known := time.Duration(0), false, false
 	for _, t := range q.tickets() {
-		if poolUnreachable || s.ticketUnreachable(t, now) {
-			s.refuse(t, &scheduling.RefusedError{Reason: scheduling.ReasonNoReplica, RetryAfter: replicaGracePeriod})
+		if !known {
+			rest, resting = s.restEnds(t)
+			known = !q.restricted // all requests of the queue have the same replicas
+		}
+		unreachable := poolUnreachable || q.restricted && s.ticketUnreachable(t, now)
+		if refusedErr := s.noReplicaRefusal(t, unreachable, rest, resting); refusedErr != nil {
+			s.refuse(t, refusedErr)
 		}
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -33,7 +33,7 @@
 	Clock            clockwork.Clock
 	Seed             uint64 // seeds the scheduler's and the picker's random numbers
 	// Picker overrides the default picker, for example in a benchmark.
-	Picker scheduling.Picker
+	Picker Picker
 }
 
 // Scheduler queues requests and assigns them to replicas. It is safe for
@@ -43,7 +43,7 @@
 	features features
 
 	mu               sync.Mutex
-	picker           scheduling.Picker
+	picker           Picker
 	estimator        *estimator.Estimator
 	limiter          *limits.Limiter
 	snapshot         *bundle.Snapshot
--- a/internal/scheduling/picker/picker.go
+++ b/internal/scheduling/picker/picker.go
@@ -17,6 +17,7 @@
 	"heatherbarrow/internal/scheduling/poisonpart"
 	"heatherbarrow/internal/scheduling/quarantine"
 	"heatherbarrow/internal/scheduling/requestlimit"
+	"heatherbarrow/internal/scheduling/statement"
 )
 
 // Options configures a Picker.
@@ -36,6 +37,7 @@
 	view          *scheduling.View // latest view; nil before the first
 	pools         []*pool          // by index of the upstream in the bundle
 	replicas      map[scheduling.ReplicaID]*Replica
+	said          map[string]*statement.State // what the processes at the bundle's addresses said of themselves
 	quarantine    *quarantine.Quarantine
 	parts         *poisonpart.Tracker
 	pendingEvents []scheduling.SuspectEvent // events that SuspectEvents has not returned yet
@@ -91,7 +93,7 @@
 	now := p.opts.Clock.Now()
 	if snapshot != nil {
 		p.snapshot = snapshot
-		p.rebuildIndex()
+		p.rebuildIndex(now)
 		p.configureQuarantine(&snapshot.Bundle.Limits)
 	}
 	if view != nil {
@@ -126,7 +128,7 @@
 // rebuildIndex indexes the replicas of a new bundle. Replicas that are also in the
 // previous bundle retain their state. Replicas that the new bundle lacks are kept until
 // their requests have ended.
-func (p *Picker) rebuildIndex() {
+func (p *Picker) rebuildIndex(now time.Time) {
 	oldReplicas := p.replicas
 	oldPools := make(map[string]*pool, len(p.pools))
 	for _, upstreamPool := range p.pools {
@@ -134,9 +136,10 @@
 	}
 	p.replicas = make(map[scheduling.ReplicaID]*Replica, len(oldReplicas))
 	p.pools = make([]*pool, len(p.snapshot.Bundle.Upstreams))
+	p.keepStatements(now)
 	for i := range p.snapshot.Bundle.Upstreams {
 		upstreamPool := newPool(p.snapshot.Bundle, &p.snapshot.Bundle.Upstreams[i], oldPools)
-		upstreamPool.addReplicas(&p.snapshot.Bundle.Upstreams[i], oldReplicas, p.replicas, p.opts.AvailabilityZone)
+		upstreamPool.addReplicas(&p.snapshot.Bundle.Upstreams[i], oldReplicas, p.replicas, p.opts.AvailabilityZone, p.said)
 		p.pools[i] = upstreamPool
 	}
 	for id, r := range oldReplicas {
--- a/internal/scheduling/picker/pool.go
+++ b/internal/scheduling/picker/pool.go
@@ -9,6 +9,7 @@
 	"heatherbarrow/internal/scheduling"
 	"heatherbarrow/internal/scheduling/health"
 	"heatherbarrow/internal/scheduling/requestlimit"
+	"heatherbarrow/internal/scheduling/statement"
 )
 
 const (
@@ -94,8 +95,8 @@
 }
 
 // addReplicas adds the upstream's replicas to the pool and to allReplicas. Replicas in
-// oldReplicas keep their state. zone is this host's zone.
-func (p *pool) addReplicas(u *bundle.Upstream, oldReplicas, allReplicas map[scheduling.ReplicaID]*Replica, zone string) {
+// oldReplicas keep their state. zone is this host's zone, said what the processes at all addresses said of themselves.
+func (p *pool) addReplicas(u *bundle.Upstream, oldReplicas, allReplicas map[scheduling.ReplicaID]*Replica, zone string, said map[string]*statement.State) {
 	for i := range u.Replicas {
 		id := scheduling.ReplicaID{Upstream: u.Name, Replica: u.Replicas[i].ID}
 		r, kept := oldReplicas[id]
@@ -110,6 +111,7 @@
 		}
 		r.pool = p
 		r.address = u.Replicas[i].Address
+		r.said = said[r.address]
 		r.inZone = u.Replicas[i].AvailabilityZone == zone
 		r.zone = p.zone(u.Replicas[i].AvailabilityZone)
 		p.suspectsInFlight += r.suspectsInFlight
--- a/internal/scheduling/picker/replica.go
+++ b/internal/scheduling/picker/replica.go
@@ -9,6 +9,7 @@
 	"heatherbarrow/internal/scheduling"
 	"heatherbarrow/internal/scheduling/health"
 	"heatherbarrow/internal/scheduling/requestlimit"
+	"heatherbarrow/internal/scheduling/statement"
 )
 
 // Replica holds this host's state for a replica: its in-flight requests, the last load
@@ -42,6 +43,8 @@
 	healthLimit        int                 // requests that this host may run on the replica in its present health
 	limit              *requestlimit.Limit // nil if the replica has not stated one
 	limitStated        bool                // an answer to this host stated or ended the limit since the last report
+	said               *statement.State    // of the process at the address, shared with replicas of other upstreams there
+	held               bool                // by what the replica said, at the last refresh
 	failedAt           time.Time           // last crash or failed connection that this host observed
 	free               [levels]int         // slots that this host may fill now
 	counted            bool                // included in the pool's slot counts
@@ -172,7 +175,7 @@
 
 // serving reports whether the replica may receive requests from this host.
 func (r *Replica) serving() bool {
-	return r.state == scheduling.ReplicaLive && r.healthLimit > 0 && !r.removed
+	return r.state == scheduling.ReplicaLive && !r.held && r.healthLimit > 0 && !r.removed
 }
 
 // load returns the estimated number of requests of all hosts on the replica.
@@ -186,6 +189,7 @@
 	}
 	r.pool.adjustCounts(r, -1)
 	r.healthLimit = r.health.Limit(now, r.pool.slotsPerReplica)
+	r.held = r.said.Held(now)
 	r.counted = r.serving()
 	withinLimit := r.withinLimit(r.pool.limitHosts, now)
 	for level := range r.free {
