Router: unframed answers of plain services are judged as in the gateway

The product's router took a process that lives, or anything that listens, for the end of a service's unframed answer, so that a part was told as completed and kept for a repeated key. It compares connections by internal/connends now, asks services for their process beside long answers, and breaks ends at the deadline. It also keeps to Retry-After and Heatherbarrow-Leaving of services.

--- a/internal/docs/callers_test.go
+++ b/internal/docs/callers_test.go
@@ -19,7 +19,7 @@
 	files, err := filepath.Glob("../router/*.go")
 	require.NoError(t, err)
 	found := 0
-	for _, file := range append(files, "../scheduling/types.go") {
+	for _, file := range append(files, "../scheduling/types.go", "../scheduler/statement.go") {
 		if strings.HasSuffix(file, "_test.go") {
 			continue
 		}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -1,22 +1,26 @@
 package forward
 
 import (
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
 	"time"
 
+	"heatherbarrow/internal/connends"
 	"heatherbarrow/internal/connreset"
 )
 
 // countedConn counts the writes to a connection, so that an attempt that failed
-// can be proven not to have sent a byte.
+// can be proven not to have sent a byte. The ends of those that serve plain services are tracked.
 type countedConn struct {
 	net.Conn
 
-	mu     sync.Mutex
-	writes uint64
-	sealed bool
+	mu      sync.Mutex
+	writes  uint64
+	sealed  bool
+	closed  bool
+	tracked trackedConn
 
 	writing sync.Mutex // held during a write
 	failed  error      // with which the connection failed, as a write was told; guarded by writing
@@ -24,6 +28,31 @@
 
 func newCountedConn(conn net.Conn) net.Conn { return &countedConn{Conn: conn} }
 
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.tracked.remove()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeLocked()
+}
+
+// closeLocked closes the connection. The caller holds c.mu.
+func (c *countedConn) closeLocked() error {
+	c.closed = true
+	c.tracked.drop()
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -65,28 +94,39 @@
 		return false
 	}
 	c.sealed = true
-	_ = c.Conn.Close()
+	_ = c.closeLocked()
 	return true
 }
 
 // sendTracker notes the connection that a request is written to.
 type sendTracker struct {
-	onSend func()
+	onSend   func()
+	mayStart MayStart
+	ends     *connends.Tracker // tracks the connection; nil for none
+	question bool              // the request asks a service for its process
+	closes   bool              // the request asks the service to close the connection
 
 	mu     sync.Mutex
 	conn   *countedConn
 	mark   uint64 // writes to conn before this request
+	use    uint64 // of conn, by this request
 	reused bool
+	held   bool // mayStart did not allow the request
 	sent   bool // a byte may have left this host and it cannot be told
 }
 
 func (t *sendTracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: t.gotConn}
+	if t.ends == nil {
+		return &httptrace.ClientTrace{GotConn: t.gotConn}
+	}
+	return &httptrace.ClientTrace{GotConn: t.gotConn, GotFirstResponseByte: t.gotFirstByte, PutIdleConn: t.putIdle}
 }
 
 // gotConn is called before the request is written to a connection.
 func (t *sendTracker) gotConn(info httptrace.GotConnInfo) {
-	if t.onSend != nil {
+	conn, known := underlying(info.Conn)
+	held := known && t.mayStart != nil && !t.mayStart()
+	if !held && t.onSend != nil {
 		t.onSend()
 	}
 	t.mu.Lock()
@@ -94,12 +134,22 @@
 	if t.conn != nil && !t.conn.seal(t.mark) {
 		t.sent = true
 	}
-	conn, ok := underlying(info.Conn)
-	if !ok {
+	if !known {
 		t.sent = true
 		return
 	}
-	t.conn, t.mark, t.reused = conn, conn.written(), info.Reused
+	t.conn, t.mark, t.reused, t.held = conn, conn.written(), info.Reused, held
+	t.use = conn.begin(t.ends)
+	if held {
+		conn.seal(t.mark) // its writes fail
+	}
+}
+
+// wasHeld reports whether the request was not allowed on the connection that it got last.
+func (t *sendTracker) wasHeld() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held
 }
 
 // notSent tells whether provably no byte of the request was written. It is
@@ -135,7 +185,7 @@
 	t.conn.mu.Lock()
 	defer t.conn.mu.Unlock()
 	t.conn.sealed = true
-	_ = t.conn.Conn.Close()
+	_ = t.conn.closeLocked()
 }
 
 func underlying(conn net.Conn) (*countedConn, bool) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"heatherbarrow/internal/connends"
 	"heatherbarrow/internal/membudget"
 	"heatherbarrow/internal/scheduling/requestlimit"
 	"heatherbarrow/internal/tlsconf"
@@ -29,6 +30,8 @@
 	ErrNotSent = errors.New("request was not sent")
 	// ErrRefused means that the replica refused the request before running it.
 	ErrRefused = errors.New("replica refused the request")
+	// ErrHeld means that MayStart did not allow the request when it had a connection. No byte of it was written.
+	ErrHeld = errors.New("replica takes no requests at present")
 	// ErrBroken means that the connection broke after the request was sent.
 	ErrBroken = errors.New("connection to the replica broke")
 	// ErrTimeout means that no frame arrived in time.
@@ -95,6 +98,8 @@
 	once       http.RoundTripper // opens a connection for each request
 	process    http.RoundTripper // asks services for their process
 	questions  questions
+	beside     besideQuestions
+	ends       connends.Tracker // of connections to services
 	memory     *membudget.Budget
 	dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	scheme     string
@@ -115,13 +120,25 @@
 	if err != nil {
 		return nil, err
 	}
+	options.ConnsPerHost, options.IdlePerHost = 1, 1
+	var besideTransports [besideConns]http.RoundTripper
+	for i := range besideTransports {
+		if besideTransports[i], _, err = tlsconf.NewTransport(options); err != nil {
+			return nil, err
+		}
+	}
 	options.ConnsPerHost, options.NoKeepAlive = connsPerHost, true
 	once, _, err := tlsconf.NewTransport(options)
 	if err != nil {
 		return nil, err
 	}
 	client := &Client{repeatable: repeatable, once: once, process: process, memory: memory, dial: once.DialContext, scheme: scheme}
-	client.questions.ask = client.requestBoot
+	client.questions.ask = func(ctx context.Context, address string) (string, error) {
+		return client.requestBoot(ctx, client.process, address)
+	}
+	client.beside.ask = func(ctx context.Context, conn int, address string) (string, error) {
+		return client.requestBoot(ctx, besideTransports[conn], address)
+	}
 	return client, nil
 }
 
@@ -137,7 +154,9 @@
 	FrameTimeout    time.Duration // greatest time between two frames
 	FirstTimeout    time.Duration // greatest time to the first frame
 	OnSend          func()        // called before the first byte may be written
+	MayStart        MayStart
 	OnLimit         OnLimit
+	OnStatement     OnStatement
 }
 
 // Chat starts a chat completion and returns its stream. ctx cancels the
@@ -182,7 +201,7 @@
 		Body:          io.NopCloser(bytes.NewReader(call.Body)),
 		ContentLength: int64(len(call.Body)),
 	}
-	tracker := &sendTracker{onSend: call.OnSend}
+	tracker := &sendTracker{onSend: call.OnSend, mayStart: call.MayStart}
 	response, err := roundTrip(ctx, c.repeatable, request, tracker)
 	if err != nil {
 		return nil, tracker.reused, err
@@ -193,6 +212,7 @@
 		return nil, false, ErrForeignAnswer
 	}
 	call.OnLimit.report(response.Header)
+	call.OnStatement.report(response, true)
 	if response.StatusCode == http.StatusOK {
 		return response, tracker.reused, nil
 	}
@@ -219,6 +239,9 @@
 		return response, nil
 	}
 	if tracker.notSent() {
+		if tracker.wasHeld() {
+			return nil, ErrHeld
+		}
 		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
 	return nil, eris.Wrap(ErrBroken, err.Error())
--- a/internal/forward/process.go
+++ b/internal/forward/process.go
@@ -5,11 +5,14 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"heatherbarrow/internal/connends"
 )
 
 const (
@@ -21,13 +24,15 @@
 	inspectTimeout = 500 * time.Millisecond
 	// inspectInterval is the time between two tries to reach a replica.
 	inspectInterval = 100 * time.Millisecond
-	// bootTimeout is the time within which a live service states its process.
+	// bootTimeout is the time within which a live service states its process, or accepts a connection although it is busy.
 	bootTimeout = 2 * time.Second
 	// maxBootWait bounds the time for which an answer waits for its process: for a question that others have sent
 	// before and for the next one.
 	maxBootWait = 2 * bootTimeout
 	// maxBootConns bounds the connections to one replica over which its process is asked for.
 	maxBootConns = 4
+	// endsArriveTime is the time within which the ends of connections that something on the way ended together arrive.
+	endsArriveTime = 10 * time.Millisecond
 	// maxWitnesses bounds the replicas that are asked at a time whether this host can open connections.
 	maxWitnesses = 8
 )
@@ -44,15 +49,30 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
 }
 
+// unframedEnd is the end of an answer without a length or chunks.
+type unframedEnd struct {
+	conn *connends.Conn // nil if unknown
+	at   time.Time      // when it was read
+	boot string         // the process that the answer states, if any
+}
+
 // checkUnframed returns an error if an answer that ended with its connection may be incomplete: the kernel closes the
-// connections of a process that was killed in the same way as the replica does after the last byte. boot is the process
-// that the answer states, if any.
-func (c *Client) checkUnframed(ctx context.Context, call *ServiceCall, boot string) error {
-	if boot != "" {
-		return c.checkBoot(ctx, call.Address, boot)
+// connections of a process that was killed in the same way as the replica does after the last byte, a replica that stops
+// work when the time of the call is over does so too, and what cuts connections on the way leaves the process alive.
+func (c *Client) checkUnframed(ctx context.Context, call *ServiceCall, end *unframedEnd) error {
+	if deadline, bounded := ctx.Deadline(); bounded && deadline.Sub(end.at) <= connends.DeadlineMargin {
+		return eris.Wrap(ErrTimeout, "answer without a length ended as its time was over")
 	}
-	if c.endedWithProcess(ctx, call) {
-		return eris.Wrap(ErrBroken, "answer without a length ended with its process")
+	check := c.checkListener
+	if end.boot != "" {
+		check = c.checkBoot
+	}
+	if err := check(ctx, call, end); err != nil || end.conn == nil {
+		return err
+	}
+	c.ends.AwaitOthers(ctx, end.conn, end.at, endsArriveTime)
+	if seen := c.ends.EndOfAnswer(end.conn, end.at); seen.Cut {
+		return eris.Wrapf(ErrBroken, "answer without a length ended together with %d other connections, and %d other replicas had such ends", seen.Ended, seen.Elsewhere)
 	}
 	return nil
 }
@@ -60,17 +80,17 @@
 // checkBoot returns an error unless the process still answers at the address. The questions need no new connection while
 // one of an earlier check is open, and serve all answers that ended before they are sent. Refusals and connections that
 // end without an answer are tried again for a while, as they may come from something in between.
-func (c *Client) checkBoot(ctx context.Context, address, boot string) error {
+func (c *Client) checkBoot(ctx context.Context, call *ServiceCall, end *unframedEnd) error {
 	ctx, cancel := context.WithTimeout(ctx, maxBootWait)
 	defer cancel()
 	var last time.Time // when refusals are tried again for the last time
 	for {
-		answering, err := c.questions.askNow(ctx, address)
+		answering, err := c.questions.askNow(ctx, call.Address)
 		if last.IsZero() {
 			last = time.Now().Add(inspectTimeout)
 		}
 		switch {
-		case answering == boot:
+		case answering == end.boot:
 			return nil
 		case answering != "":
 			return eris.Wrap(ErrBroken, "answer without a length ended, and another process answers")
@@ -84,16 +104,18 @@
 }
 
 // requestBoot returns the process that answers at an address. It is empty if there is an error.
-func (c *Client) requestBoot(ctx context.Context, address string) (string, error) {
+func (c *Client) requestBoot(ctx context.Context, transport http.RoundTripper, address string) (string, error) {
 	request := &http.Request{
 		Method: http.MethodHead, // the answer has no body, so that the connection is kept
 		URL:    &url.URL{Scheme: c.scheme, Host: address, Path: bootPath},
 		Header: make(http.Header),
 	}
-	response, err := c.process.RoundTrip(request.WithContext(ctx))
+	tracker := &sendTracker{ends: &c.ends, question: true}
+	response, err := transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, tracker.trace())))
 	if err != nil {
 		return "", err
 	}
+	tracker.gotHead(response)
 	_ = response.Body.Close() // an answer to HEAD has none
 	boot := response.Header.Get(bootHeader)
 	if boot == "" {
@@ -109,15 +131,43 @@
 	}
 }
 
-// endedWithProcess reports whether nothing listens at the replica's address any more. For a repeatable call the refusal
-// shows nothing while the service's other replicas cannot be reached either. A call that may not be made again then has
-// an unknown outcome, as its answer would be kept for the key.
-func (c *Client) endedWithProcess(ctx context.Context, call *ServiceCall) bool {
-	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
-	defer cancel()
-	if !errors.Is(c.connect(ctx, call.Address), syscall.ECONNREFUSED) {
+// checkListener returns an error unless something listens at the replica's address, or neither accepts nor refuses connections while
+// others to it live on, as of a replica that is full.
+func (c *Client) checkListener(ctx context.Context, call *ServiceCall, end *unframedEnd) error {
+	err := c.probe(ctx, call.Address)
+	switch {
+	case err == nil:
+		return nil
+	case !errors.Is(err, syscall.ECONNREFUSED) && c.othersOpen(end):
+		return nil
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return eris.Wrapf(ErrTimeout, "answer without a length ended, and its replica cannot be reached: %v", err)
+	case c.refusalShowsEnd(ctx, call):
+		return eris.Wrap(ErrBroken, "answer without a length ended with its process")
+	}
+	return nil
+}
+
+// othersOpen reports whether other connections to the replica of an answer live on that were opened before its end.
+func (c *Client) othersOpen(end *unframedEnd) bool {
+	if end.conn == nil {
 		return false
 	}
+	open, _ := c.ends.Others(end.conn, end.at, end.conn.Address())
+	return open
+}
+
+// probe opens a connection to an address, for which a live replica has as long as for an answer to a question.
+func (c *Client) probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, bootTimeout)
+	defer cancel()
+	return c.connect(ctx, address)
+}
+
+// refusalShowsEnd reports whether a refused connection shows that the replica's process ended. For a repeatable call it
+// shows nothing while the service's other replicas cannot be reached either. A call that may not be made again then has
+// an unknown outcome, as its answer would be kept for the key.
+func (c *Client) refusalShowsEnd(ctx context.Context, call *ServiceCall) bool {
 	var others []string
 	if call.Others != nil {
 		others = call.Others()
@@ -125,6 +175,8 @@
 	if !call.Repeatable || len(others) == 0 {
 		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
 	return c.anyAccepts(ctx, others)
 }
 
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -24,7 +25,10 @@
 	Others     func() []string // addresses of the service's other replicas; nil if there are none
 	Repeatable bool            // may use a connection that served another call
 	OnSend     func()          // called before the first byte may be written
+	MayStart   MayStart
 	OnLimit    OnLimit
+	// OnStatement is called with what the head of the answer says.
+	OnStatement OnStatement
 }
 
 // ServiceAnswer is the whole answer of a plain service.
@@ -77,16 +81,22 @@
 		request.Body = io.NopCloser(bytes.NewReader(call.Body))
 		request.ContentLength = int64(len(call.Body))
 	}
-	tracker := &sendTracker{onSend: call.OnSend}
+	tracker := &sendTracker{onSend: call.OnSend, mayStart: call.MayStart, ends: &c.ends, closes: !call.Repeatable}
 	response, err := roundTrip(ctx, transport, request, tracker)
 	if err != nil {
 		return nil, tracker.reused, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	tracker.gotHead(response)
 	call.OnLimit.report(response.Header)
+	call.OnStatement.report(response, false)
 	if response.Header.Get(refusalHeader) == refusalValue {
 		return nil, false, ErrRefused
 	}
+	boot := response.Header.Get(bootHeader)
+	if isUnframed(response) && boot != "" {
+		defer c.beside.begin(call.Address)()
+	}
 	answer := &ServiceAnswer{Status: response.StatusCode, Header: response.Header, memory: c.memory.Open(call.Address)}
 	kept := false
 	defer func() {
@@ -95,6 +105,7 @@
 		}
 	}()
 	body, complete, err := answer.memory.ReadAll(response.Body, max(int(response.ContentLength), 0), maxServiceAnswerBytes)
+	endedAt := time.Now()
 	if err != nil {
 		return nil, false, eris.Wrap(ErrBroken, err.Error())
 	}
@@ -105,7 +116,7 @@
 		if err := tracker.connFailure(); err != nil {
 			return nil, false, eris.Wrapf(ErrBroken, "connection failed within an answer without a length: %v", err)
 		}
-		if err := c.checkUnframed(ctx, call, response.Header.Get(bootHeader)); err != nil {
+		if err := c.checkUnframed(ctx, call, &unframedEnd{conn: tracker.endTracker(), at: endedAt, boot: boot}); err != nil {
 			return nil, false, err
 		}
 	}
--- a/internal/router/chat.go
+++ b/internal/router/chat.go
@@ -197,7 +197,9 @@
 		FirstTimeout: firstTimeout(c.class, &c.snapshot.Bundle.Limits),
 		FrameTimeout: c.snapshot.Bundle.Limits.FrameTimeout.Std(),
 		OnSend:       func() { c.server.records.Sent(c.id) },
+		MayStart:     func() bool { return !a.Held() },
 		OnLimit:      c.recordLimit(a),
+		OnStatement:  c.recordStatement(a),
 	})
 	if err == nil {
 		if before == 0 {
@@ -246,7 +248,7 @@
 	}
 	result.Outcome = outcomeOf(err)
 	result.Canceled = errors.Is(cause, errCallerGone) || errors.Is(cause, errPreempted) || errors.Is(cause, drain.ErrHostStops) || errors.Is(err, errCallerGone)
-	result.Refused = errors.Is(err, forward.ErrRefused)
+	result.Refused = errors.Is(err, forward.ErrRefused) || errors.Is(err, forward.ErrHeld)
 	result.TimedOut = errors.Is(err, forward.ErrTimeout) || errors.Is(cause, errRouteTimeout)
 	result.Crashed = cause == nil && (errors.Is(err, forward.ErrBroken) || errors.Is(err, forward.ErrMissingEnd))
 	return result
@@ -256,7 +258,7 @@
 func outcomeOf(err error) outcome.Outcome {
 	var status *forward.StatusError
 	switch {
-	case errors.Is(err, forward.ErrNotSent), errors.Is(err, forward.ErrRefused):
+	case errors.Is(err, forward.ErrNotSent), errors.Is(err, forward.ErrRefused), errors.Is(err, forward.ErrHeld):
 		return outcome.NotRun
 	case errors.As(err, &status), errors.Is(err, forward.ErrTooLarge), errors.Is(err, errAnswerTooLong):
 		return outcome.Failed
@@ -419,7 +421,7 @@
 		err = c.lastErr
 	}
 	if !c.answer.started() {
-		c.answerError(err)
+		c.answerError(err, c.retryAfter(c.schedulingRequest()))
 		return
 	}
 	c.finish(c.outcome, http.StatusOK, errorCode(err))
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -39,7 +39,7 @@
 		c.claimed = true
 		c.record(outcome.NotRun, 0)
 		if cause := ended(ctx); cause != nil {
-			c.answerError(cause)
+			c.answerError(cause, retrySoon)
 			return false
 		}
 		c.refuse(http.StatusServiceUnavailable, "claim_unavailable", "no claim could be obtained, the call was not run", retrySoon)
--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -8,6 +8,7 @@
 	"heatherbarrow/internal/drain"
 	"heatherbarrow/internal/forward"
 	"heatherbarrow/internal/outcome"
+	"heatherbarrow/internal/scheduler"
 	"heatherbarrow/internal/scheduling"
 )
 
@@ -19,8 +20,8 @@
 const retrySoon = time.Second
 
 // answerError answers a request that no attempt completed, with the outcome of
-// all its attempts.
-func (e *exchange) answerError(err error) {
+// all its attempts. retryAfter applies if nothing ran and the error has no time of its own.
+func (e *exchange) answerError(err error, retryAfter time.Duration) {
 	var refusal *scheduling.RefusedError
 	var status *forward.StatusError
 	code := errorCode(err)
@@ -31,11 +32,11 @@
 	case errors.As(err, &refusal) && notRun:
 		e.refuse(refusalStatus(refusal), code, refusal.Error(), refusal.RetryAfter)
 	case notRun && errors.Is(err, errDeadline):
-		e.refuse(http.StatusServiceUnavailable, code, "no replica was free before the deadline", retrySoon)
+		e.refuse(http.StatusServiceUnavailable, code, "no replica was free before the deadline", retryAfter)
 	case notRun && errors.Is(err, drain.ErrHostStops):
 		e.refuseAtStop()
 	case notRun:
-		e.refuse(http.StatusServiceUnavailable, code, err.Error(), retrySoon)
+		e.refuse(http.StatusServiceUnavailable, code, err.Error(), retryAfter)
 	case errors.As(err, &status) && status.Status/100 == http.StatusBadRequest/100:
 		e.fail(status.Status, e.outcome, code, err.Error())
 	case errors.Is(err, errDeadline), errors.Is(err, drain.ErrHostStops), errors.Is(err, errRouteTimeout), errors.Is(err, forward.ErrTimeout):
@@ -49,7 +50,7 @@
 	switch r.Reason {
 	case scheduling.ReasonQuarantined, scheduling.ReasonPartQuarantined:
 		return http.StatusUnprocessableEntity
-	case scheduling.ReasonNoReplica, scheduling.ReasonDeadline:
+	case scheduling.ReasonNoReplica, scheduling.ReasonDeadline, scheduler.ReasonResting:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusTooManyRequests
@@ -80,6 +81,7 @@
 		{forward.ErrTimeout, "upstream_timeout"},
 		{forward.ErrNotSent, "upstream_unreachable"},
 		{forward.ErrRefused, "upstream_refused"},
+		{forward.ErrHeld, "upstream_refused"},
 		{forward.ErrForeignFrame, "foreign_frame"},
 		{forward.ErrMissingEnd, "missing_end"},
 	} {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -33,9 +33,12 @@
 	generation tally.Gauge
 	queueWait  [bundle.MaxTier + 1]tally.Histogram
 	lost       tally.Counter
-	classes    sync.Map // class name to *classMetrics
-	refusals   sync.Map // reason to tally.Counter
-	decisions  sync.Map // reason to tally.Counter
+	// leavingReplicas and restingReplicas count what replicas said in answers to this host.
+	leavingReplicas tally.Counter
+	restingReplicas tally.Counter
+	classes         sync.Map // class name to *classMetrics
+	refusals        sync.Map // reason to tally.Counter
+	decisions       sync.Map // reason to tally.Counter
 }
 
 type classMetrics struct {
@@ -76,6 +79,9 @@
 		scope:      scope,
 		generation: scope.Gauge("bundle_generation"),
 		lost:       scope.Counter("claim_outcomes_lost"),
+
+		leavingReplicas: scope.Counter("replicas_said_leaving"),
+		restingReplicas: scope.Counter("replicas_resting"),
 	}
 	for tier := bundle.TopTier; tier <= bundle.MaxTier; tier++ {
 		tagged := scope.Tagged(map[string]string{"tier": strconv.Itoa(tier)})
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -169,6 +169,7 @@
 	go f.server.Follow(ctx)
 	go f.server.Tick(ctx)
 	go f.server.Report(ctx)
+	go f.server.AskHeld(ctx)
 	go f.server.recorder.run(ctx)
 	return nil
 }
--- a/internal/router/services.go
+++ b/internal/router/services.go
@@ -91,11 +91,10 @@
 	var lastErr error
 	var attempts attemptCount
 	for {
-		assignment, err := c.acquire(ctx, scheduling.Request{
-			ID: c.id, Class: c.classIdx, Team: c.teamIdx, Upstreams: []int{c.upstream},
-			Arrived: c.arrived, Deadline: c.deadline, Attempt: attempts.all, Exclude: c.tried,
-			Generation: c.snapshot.Generation, PreviousNotRun: lastErr != nil && outcomeOf(lastErr) == outcome.NotRun,
-		})
+		request := c.schedulingRequest()
+		request.Attempt = attempts.all
+		request.PreviousNotRun = lastErr != nil && outcomeOf(lastErr) == outcome.NotRun
+		assignment, err := c.acquire(ctx, request)
 		if err != nil {
 			c.giveUp(err)
 			return
@@ -117,6 +116,13 @@
 	}
 }
 
+func (c *serviceCall) schedulingRequest() scheduling.Request {
+	return scheduling.Request{
+		ID: c.id, Class: c.classIdx, Team: c.teamIdx, Upstreams: []int{c.upstream},
+		Arrived: c.arrived, Deadline: c.deadline, Exclude: c.tried, Generation: c.snapshot.Generation,
+	}
+}
+
 // attempt makes the call on one replica and notes the attempt's outcome.
 func (c *serviceCall) attempt(ctx context.Context, a *scheduler.Assignment) (*forward.ServiceAnswer, error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, c.route.Timeout.Std(), errRouteTimeout)
@@ -125,6 +131,7 @@
 		Address: a.Address, Method: c.r.Method, Path: c.rawPath, Query: c.r.URL.RawQuery,
 		Header: c.requestHeader(), Body: c.body, Others: func() []string { return c.otherAddresses(a.Replica) }, Repeatable: c.route.Repeatable,
 		OnSend: func() { c.server.records.Sent(c.id) }, OnLimit: c.recordLimit(a),
+		MayStart: func() bool { return !a.Held() }, OnStatement: c.recordStatement(a),
 	})
 	cause := ended(ctx)
 	a.Finish(resultOf(cause, err, 0))
@@ -178,7 +185,7 @@
 // giveUp ends a call that no attempt completed.
 func (c *serviceCall) giveUp(err error) {
 	c.record(c.outcome, http.StatusBadGateway)
-	c.answerError(err)
+	c.answerError(err, c.retryAfter(c.schedulingRequest()))
 }
 
 // passOn answers with the service's answer. The request is completed only when
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -45,6 +45,9 @@
 	faults, crashed, hasModel := s.accept(r.Header.Get("X-Request-Id"), request.Model, text)
 	switch {
 	case faults.Refuse:
+		if faults.RestSeconds > 0 {
+			w.Header().Set("Retry-After", strconv.Itoa(faults.RestSeconds))
+		}
 		refuse(w, http.StatusServiceUnavailable, "refused by a fault switch")
 		return
 	case !hasModel:
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -114,7 +114,8 @@
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Group(func(r chi.Router) {
-		r.Use(s.abortWhileCrashed)
+		r.Use(s.abortWhileCrashed, s.stateProcess)
+		r.Head("/heatherbarrow/boot", func(http.ResponseWriter, *http.Request) {})
 		r.Post("/v1/chat/completions", s.serveCompletion)
 		r.Get("/v1/load", s.serveLoad)
 		r.Get("/v1/cache-events", s.serveCacheEvents)
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -108,3 +108,20 @@
 	require.Greater(t, c.sequence, before)
 	require.Less(t, c.events[len(c.events)-1].Sequence, c.sequence)
 }
+
+// Guards against a stand-in that does not state its process, that it leaves or a time to rest as the protocol describes.
+func TestEngineStatesItsProcess(t *testing.T) {
+	s, url := startEngine(t)
+	s.SetFaults(Faults{Refuse: true, RestSeconds: 3, Leaving: true})
+	question, err := http.Head(url + "/heatherbarrow/boot")
+	require.NoError(t, err)
+	require.NoError(t, question.Body.Close())
+	response, err := http.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(`{"model":"m"}`))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.NotEmpty(t, question.Header.Get("Heatherbarrow-Boot"))
+	require.Equal(t, question.Header.Get("Heatherbarrow-Boot"), response.Header.Get("Heatherbarrow-Boot"))
+	require.Equal(t, "1", response.Header.Get("Heatherbarrow-Leaving"))
+	require.Equal(t, "3", response.Header.Get("Retry-After"))
+	require.Equal(t, "not-run", response.Header.Get("Heatherbarrow-Outcome"))
+}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -16,6 +16,8 @@
 	SlowFactor     int    `json:"slow_factor"`       // steps take this many times as long
 	ReportFrozen   bool   `json:"report_frozen"`     // keep reporting the load of this moment as fresh
 	Refuse         bool   `json:"refuse"`            // refuse requests before running them
+	RestSeconds    int    `json:"rest_seconds"`      // ask for so long without requests in these refusals
+	Leaving        bool   `json:"leaving"`           // say in all answers that the engine leaves
 	FailStatus     int    `json:"fail_status"`       // run and answer with this status
 	CutAfter       int    `json:"cut_after"`         // break the connection after this many frames
 	EndAfter       int    `json:"end_after"`         // end without a proper end after this many frames
@@ -69,3 +71,17 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// stateProcess states the process in each answer, and whether it leaves.
+func (s *Server) stateProcess(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		boot, leaving := s.boot, s.faults.Leaving
+		s.mu.Unlock()
+		w.Header().Set("Heatherbarrow-Boot", boot)
+		if leaving {
+			w.Header().Set("Heatherbarrow-Leaving", "1")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	DelayMS     int  `json:"delay_ms"`     // delay of every answer
 	LoseAnswers int  `json:"lose_answers"` // number of calls that take effect without an answer
 	Refuse      bool `json:"refuse"`       // refuse with status 503 before any effect
+	RestSeconds int  `json:"rest_seconds"` // ask for so long without calls in these refusals
+	Leaving     bool `json:"leaving"`      // say in all answers that the service leaves
 }
 
 // Server is the stand-in.
@@ -47,10 +50,16 @@
 	return r
 }
 
-// stateBoot states the process in each answer.
+// stateBoot states the process in each answer, and whether it leaves.
 func (s *Server) stateBoot(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Heatherbarrow-Boot", s.boot)
+		s.mu.Lock()
+		leaving := s.faults.Leaving
+		s.mu.Unlock()
+		if leaving {
+			w.Header().Set("Heatherbarrow-Leaving", "1")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -90,6 +99,9 @@
 	faults := s.faults
 	if faults.Refuse {
 		s.mu.Unlock()
+		if faults.RestSeconds > 0 {
+			w.Header().Set("Retry-After", strconv.Itoa(faults.RestSeconds))
+		}
 		w.Header().Set("Heatherbarrow-Outcome", "not-run")
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
