--- a/internal/soak/storefront_test.go
+++ b/internal/soak/storefront_test.go
@@ -85,3 +85,16 @@
 	w.WriteHeader(buffered.Code)
 	_, _ = f.rename.WriteString(w, buffered.Body.String())
 }
+
+// frontApart returns the address at which the first host reads the store. It finds links of its own to the replicas there.
+func (g *streamRig) frontApart() string {
+	var links []string
+	for _, r := range g.replicas {
+		links = append(links, r.link.Address())
+	}
+	front := newStoreFront(g.t, g.store, links)
+	for i, r := range g.replicas {
+		r.apart = front.links[i]
+	}
+	return front.server.Listener.Addr().String()
+}
--- a/internal/soak/streamanswer_test.go
+++ b/internal/soak/streamanswer_test.go
@@ -4,7 +4,13 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"heatherbarrow/internal/gateway/netio"
 )
 
 // rigAnswer writes an answer to a connection.
@@ -38,3 +44,59 @@
 		a.raw("0\r\n\r\n")
 	}
 }
+
+// maxQueueWait is the longest time that a request waits in the queue of a replica.
+const maxQueueWait = 1500 * time.Millisecond
+
+// refusesNow reports whether the replica refuses a request, which may wait in its queue first.
+func (r *rigReplica) refusesNow() bool {
+	if n := r.refuses.Load(); n > 0 && rand.Int32N(n) == 0 {
+		return true
+	}
+	if n := r.queues.Load(); n > 0 && rand.Int32N(n) == 0 {
+		time.Sleep(rand.N(maxQueueWait))
+		return rand.IntN(2) == 0
+	}
+	return false
+}
+
+// restHeader returns the line of a refusal that asks the host to rest, if the replica does.
+func (r *rigReplica) restHeader() string {
+	if !r.rests.Load() || rand.IntN(2) == 0 {
+		return ""
+	}
+	return "Retry-After: 0.3\r\n"
+}
+
+// resetsNow resets a new connection and returns true if the replica has too many.
+func (r *rigReplica) resetsNow(c net.Conn) bool {
+	n := r.resets.Load()
+	if n == 0 || rand.Int32N(n) != 0 {
+		return false
+	}
+	_ = netio.Reset(c)
+	r.rig.log.note("%s resets a connection from %v", r.id, c.RemoteAddr())
+	return true
+}
+
+// maxForeignDelay is how late bytes of no request come after an answer.
+const maxForeignDelay = 30 * time.Millisecond
+
+// garbled returns bytes that a faulty replica may send after a complete answer.
+func garbled(answer string) string {
+	head, body, _ := strings.Cut(answer, "\r\n\r\n")
+	switch rand.IntN(4) {
+	case 0:
+		return answer
+	case 1: // without the ID of its request
+		lines := slices.DeleteFunc(strings.Split(head, "\r\n"), func(line string) bool { return strings.HasPrefix(line, attemptIDHeader) })
+		return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+	case 2: // without a length or chunks
+		lines := slices.DeleteFunc(strings.Split(head, "\r\n"), func(line string) bool {
+			return strings.HasPrefix(line, "Transfer-Encoding") || strings.HasPrefix(line, "Content-Length")
+		})
+		return strings.Join(lines, "\r\n") + "\r\n\r\nid: 0\ndata: of no request\n\n"
+	default:
+		return "id: 0\ndata: of no request\n\n"
+	}
+}
