Tests: conditions that a busy machine does not meet are played again

TestCallsRunAtMostOnceUnderFaults and TestHungReplicaIsCalledAlone failed where the machine suspended the test's process for longer than the times that they set. They repeat a play, at most 20 times, only if it was measured that the condition was not met; the checks are the same.

--- a/internal/claims/service_test.go
+++ b/internal/claims/service_test.go
@@ -42,6 +42,7 @@
 	platform   *standin.Server
 	randSource *randSource
 	faults     atomic.Bool
+	late       atomic.Int64 // calls to the platform that outlasted their time
 	hosts      []*testHost
 }
 
@@ -160,7 +161,11 @@
 		time.Sleep(time.Duration(t.cluster.randSource.intN(20)) * time.Millisecond)
 	}
 	response, err := t.base.RoundTrip(r.WithContext(context.WithoutCancel(r.Context()))) // a write may take effect after its sender stopped waiting
-	if !t.alive.Load() || t.cluster.injectFault(30) || r.Context().Err() != nil {
+	if r.Context().Err() != nil {
+		t.cluster.late.Add(1)
+		return nil, errBroken
+	}
+	if !t.alive.Load() || t.cluster.injectFault(30) {
 		return nil, errBroken
 	}
 	return response, err
@@ -261,6 +266,20 @@
 	}
 }
 
+// sendAgain checks that the call is not refused once the faults have ended. A busy machine may suspend the process for longer than the
+// calls to the platform may take; only a refusal beside such a call is passed over.
+func (c *testCaller) sendAgain(t *testing.T) {
+	const tries = 20
+	for n := range tries {
+		late := c.cluster.late.Load()
+		if c.attempt(fmt.Sprintf("call%d-last%d", c.key, n), time.Minute) != outcome.NotRun {
+			return
+		}
+		require.Greater(t, c.cluster.late.Load(), late, "call %d is refused although no call to the platform was late", c.key)
+	}
+	require.Fail(t, "call is refused each time", "call %d", c.key)
+}
+
 // runCalls makes calls under faults. It checks that no call runs twice and that no call
 // that ran is reported as not run.
 func runCalls(t *testing.T, seed uint64, calls int) {
@@ -290,7 +309,7 @@
 	c.faults.Store(false)
 	for _, caller := range testCallers {
 		if caller.lastOutcome == outcome.NotRun { // sent again after the faults end
-			require.NotEqual(t, outcome.NotRun, caller.attempt(fmt.Sprintf("call%d-last", caller.key), time.Minute))
+			caller.sendAgain(t)
 		}
 	}
 	duplicates, falseNotRun, refused := 0, 0, 0
--- a/internal/control/observer_test.go
+++ b/internal/control/observer_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rs/zerolog"
@@ -19,6 +20,20 @@
 // Guards against a hung replica that makes the other reports of its group late or
 // lost.
 func TestHungReplicaIsCalledAlone(t *testing.T) {
+	const tries = 20
+	for range tries {
+		if groups, good, prompt := groupsAfterHungReplica(t); prompt {
+			require.Len(t, slices.Concat(groups[:]...), 1)
+			require.Equal(t, good, groups[1][0].target)
+			return
+		}
+	}
+	require.Fail(t, "a busy machine holds up each answer")
+}
+
+// groupsAfterHungReplica returns the groups of the round after one with a replica that hangs and a good one. prompt means that the good
+// one was seen to answer in time: a busy machine may hold it up for so long that it counts as slow.
+func groupsAfterHungReplica(t *testing.T) (groups [pollGroups][]*history, goodTarget Target, prompt bool) {
 	release := make(chan struct{})
 	hung := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	defer hung.Close()
@@ -43,9 +58,9 @@
 		group = append(group, o.observed[target])
 	}
 	o.observe(ctx, group)
-	require.EqualValues(t, 3, (<-got).Running)
+	seen := <-got
+	prompt = time.Since(seen.CalledAt) < slowAnswer
+	require.EqualValues(t, 3, seen.Running)
 	cancel()
-	groups := o.groups(ctx)
-	require.Len(t, slices.Concat(groups[:]...), 1)
-	require.Equal(t, targets[1], groups[1][0].target)
+	return o.groups(ctx), targets[1], prompt
 }
