--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -14,9 +14,6 @@
 	"heatherbarrow/internal/settings"
 )
 
-// Version is set at link time.
-var Version = "unknown"
-
 // Exit codes of all programs.
 const (
 	ExitOK       = 0
@@ -65,7 +62,7 @@
 		return fail(stderr, name, err)
 	}
 	if opts.Version {
-		fmt.Fprintln(stdout, name, Version)
+		fmt.Fprintln(stdout, name, Build())
 		return ExitOK
 	}
 	if opts.Config == "" {
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -100,7 +100,7 @@
 	if err := registry.Start(work); err != nil {
 		return err
 	}
-	p.logger.Info().Msg("started")
+	p.logger.Info().Str("build", cli.Build()).Msg("started")
 	<-ctx.Done()
 	p.leave(registry)
 	p.awaitRouter(ctx, registry)
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -141,7 +141,7 @@
 	if err := registry.Start(serviceCtx); err != nil {
 		return err
 	}
-	p.logger.Info().Str("listen", p.settings.Listen).Str("store", p.settings.Store).Msg("started")
+	p.logger.Info().Str("listen", p.settings.Listen).Str("store", p.settings.Store).Str("build", cli.Build()).Msg("started")
 	go p.runHousekeeping(serviceCtx)
 	for {
 		select {
--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -57,7 +58,7 @@
 		out, _, code = hbctlOutput("--replicas", g.PeerListen, "127.0.0.1:1")
 		return code == cli.ExitOK && strings.Contains(out, "no_route") && strings.Contains(out, "c0ffee")
 	}, 20*time.Second, 5*time.Millisecond)
-	assert.Regexp(t, `h +a +true +7 +store +\d+s +reached +1 +0`, out)
+	assert.Regexp(t, `h +a +true +7 +store +\d+s +reached +1 +0 +\d{4}-\d\d-\d\dT\S+Z +`+regexp.QuoteMeta(cli.Build()), out)
 	assert.Regexp(t, `h +no_route +1`, out)
 	assert.Regexp(t, `h +c0ffee +1 +true +\d+s`, out, "a part that the hosts refused before they restarted")
 	assert.Regexp(t, `h +pool +i-1 +127\.0\.0\.1:\d+ +a +ready +0 +0 ms +0\.00 +\d\.\d+ +2\.5/s`, out)
--- a/internal/hbctl/gateways.go
+++ b/internal/hbctl/gateways.go
@@ -68,7 +68,7 @@
 // printGateways returns how many gateways answered.
 func printGateways(w io.Writer, statuses []gatewayStatus) int {
 	reached := 0
-	fmt.Fprintln(w, "HOST\tZONE\tREADY\tCONFIG\tFROM\tAGE\tSTORE\tHOSTS\tIN PROGRESS")
+	fmt.Fprintln(w, "HOST\tZONE\tREADY\tCONFIG\tFROM\tAGE\tSTORE\tHOSTS\tIN PROGRESS\tSTARTED\tBUILD")
 	for _, s := range statuses {
 		if s.err != nil {
 			fmt.Fprintf(w, "%s\t%v\n", s.address, s.err)
@@ -88,8 +88,9 @@
 		case r.StoreReachable:
 			store = "reached"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%t\t%s\t%s\t%s\t%s\t%d\t%d\n",
-			r.Host, r.AvailabilityZone, r.Ready, config, r.ConfigSource, age, store, r.HostsHeard, r.RequestsInProgress)
+		fmt.Fprintf(w, "%s\t%s\t%t\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n",
+			r.Host, r.AvailabilityZone, r.Ready, config, r.ConfigSource, age, store, r.HostsHeard, r.RequestsInProgress,
+			time.UnixMilli(r.Started).UTC().Format(time.RFC3339), cmp.Or(r.Build, "-"))
 	}
 	return reached
 }
--- a/internal/hbctl/hbctl.go
+++ b/internal/hbctl/hbctl.go
@@ -142,7 +142,7 @@
 
 func (a *app) withoutCommand() error {
 	if a.opts.Version {
-		fmt.Fprintln(a.stdout, "hbctl", cli.Version)
+		fmt.Fprintln(a.stdout, "hbctl", cli.Build())
 		return nil
 	}
 	if a.opts.Check {
--- a/internal/router/program.go
+++ b/internal/router/program.go
@@ -63,7 +63,7 @@
 	if err := registry.Start(work); err != nil {
 		return err
 	}
-	logger.Info().Str("listen", p.settings.Listen).Msg("started")
+	logger.Info().Str("listen", p.settings.Listen).Str("build", cli.Build()).Msg("started")
 	select {
 	case <-ctx.Done():
 	case <-answers.Exit():
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -11,6 +11,8 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"heatherbarrow/internal/cli"
 )
 
 // reportInterval is how often tally flushes counters into the scraped registry.
@@ -51,6 +53,7 @@
 		Tags:           map[string]string{"host": host, "availability_zone": zone},
 		CachedReporter: reporter,
 	}, reportInterval)
+	scope.Tagged(map[string]string{"build": cli.Build()}).Gauge("build").Update(1)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
 
