Gateway: whatever shows a further event settles the end of a doubted stream

A verifying run that was reset within an event, whose chunks ended there, or that sent a later event than the next one had shown that the stream goes on, but only an end of the body within an event counted. The event reader also keeps the error that it meets when it looks for the rest of a line end: a body with a length tells of an early end once, and of an orderly one after.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -269,6 +269,9 @@
 			return e.handleStreamEnd(response, lease, p, begun)
 		}
 		if err != nil {
+			if events.Partial() {
+				e.notePart(p.doubted)
+			}
 			return e.handleBrokenStream(err, response, lease, p, controller)
 		}
 		if event.CommentOnly {
@@ -290,6 +293,9 @@
 		}
 		follows, step := p.judge(event.ID, held, begun)
 		if follows == outOfSequence {
+			if step > 0 {
+				e.notePart(p.doubted) // the stream has later events
+			}
 			return e.handleBrokenStream(errOutOfSequence, response, lease, p, controller)
 		}
 		if !watchdog.received() {
@@ -426,7 +432,6 @@
 	case errors.Is(err, upstream.ErrTruncatedEvent):
 		// A framed body that ends in the middle of an event was sent that way.
 		leaseResult = fleet.Failed
-		e.notePart(p.doubted)
 		if response.Unframed {
 			leaseResult = fleet.Truncated
 			e.server.opts.Client.NoteCutSign(response, time.Now())
--- a/internal/gateway/upstream/events.go
+++ b/internal/gateway/upstream/events.go
@@ -38,10 +38,11 @@
 	reader      *bufio.Reader
 	buf         []byte
 	memory      *membudget.Account
-	endedWithCR bool // the last byte read is a "\r" after which a "\n" may follow
-	usesCRLF    bool // lines have ended with "\r\n"
-	begun       bool // a line has been read
-	continues   bool // see Continue
+	endedWithCR bool  // the last byte read is a "\r" after which a "\n" may follow
+	usesCRLF    bool  // lines have ended with "\r\n"
+	begun       bool  // a line has been read
+	continues   bool  // see Continue
+	failed      error // of a look for the rest of a line end; a body may tell of an early end only once
 }
 
 // NewEventReader returns an EventReader that reads from body. The account holds the events.
@@ -156,6 +157,9 @@
 // readLine returns the next line with its end. It does not wait for more after "\r"; see restOfLineEnd. The line is valid
 // until the next read. The errors are those of bufio.Reader.ReadSlice.
 func (r *EventReader) readLine() ([]byte, error) {
+	if r.failed != nil {
+		return nil, r.failed
+	}
 	for {
 		received, _ := r.reader.Peek(r.reader.Buffered()) // never fails
 		n, err := lineLength(received), error(nil)
@@ -184,7 +188,8 @@
 	}
 	next, err := r.reader.Peek(1)
 	if err != nil {
-		return false // readLine gets the error too
+		r.failed = err
+		return false
 	}
 	r.endedWithCR = false
 	if next[0] != '\n' {
@@ -195,6 +200,9 @@
 	return true
 }
 
+// Partial reports whether part of an event, other than a comment, was received before Next returned an error.
+func (r *EventReader) Partial() bool { return len(r.buf) > 0 && r.buf[0] != ':' }
+
 // Pending reports whether the next event has been received completely.
 func (r *EventReader) Pending() bool {
 	received, _ := r.reader.Peek(r.reader.Buffered()) // never fails
