Gateway: an answer with chunks that ends as its time is over is broken

As for answers that end with their connection. A replica that is an ordinary HTTP server writes the last chunk when its handler returns at the deadline.

--- a/internal/gateway/proxy/outoftime.go
+++ b/internal/gateway/proxy/outoftime.go
@@ -8,11 +8,12 @@
 	"heatherbarrow/internal/connends"
 )
 
-// errOutOfTime means that the body of an unframed response ended when its replica's time was over.
+// errOutOfTime means that the body of a response without a length ended when its replica's time was over.
 var errOutOfTime = errors.New("response without a length ended as its time was over")
 
-// inTimeReader reads the body of an unframed response. A replica stops work when the time that it was given is over. If it
-// closes the connection in order then, its process lives on, and part of an answer looks like a whole one.
+// inTimeReader reads the body of a response that states no length. A replica stops work when the time that it was given is over. If
+// it ends the answer in order then, by its connection or, as HTTP servers do when a handler returns, by the last chunk, part of an
+// answer looks like a whole one.
 type inTimeReader struct {
 	io.Reader
 	exchange *exchange
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -324,7 +324,7 @@
 		e.beginProbes(lease)
 		defer e.endProbes()
 	}
-	if response.Unframed && response.Status < http.StatusMultipleChoices {
+	if response.Header.Get("Content-Length") == "" && response.Status < http.StatusMultipleChoices {
 		response.Body = &inTimeReader{Reader: response.Body, exchange: e}
 	}
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
