Gateway: the end of an answer is judged by the time that a suspension of the host took

Callers whose own time outlasts their route's saw part of an answer without a length as the whole one. A replica stops work when the time that it was told is over. If the host was suspended meanwhile, its steady clock has that time still ahead of it, and the suspension is noticed by a tick each 500 ms only, after the end has been read. The clocks are now compared when such an end is read.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -109,6 +110,10 @@
 	metrics       *telemetry.Metrics
 	started       time.Time
 	loggedModels  map[string]fleet.EngineModel // engine speeds logged last, by name of the upstream; used only by runHousekeeping
+
+	suspensionMu   sync.Mutex
+	suspensions    *boottime.Detector
+	suspendedTotal time.Duration // since the start
 }
 
 // NewProgram returns a program. The settings may be filled in until Run is called.
@@ -169,6 +174,7 @@
 	p.client = upstream.NewClient(netio.Dial, p.settings.bufferBudget(answerMultiple))
 	p.requestMemory = p.settings.bufferBudget(requestMultiple)
 	p.origins = origin.NewTracker()
+	p.suspensions = boottime.NewDetector()
 	p.state = state.New(state.Options{
 		Bus: events, Fleet: p.fleet, Origins: p.origins, Decode: p.adapter.DecodeConfig, Logger: p.logger,
 		MaxWithdrawTime: p.settings.WithdrawWithin.Std(), MaxConfigDelay: p.settings.configDelay(), RegistrationLapse: p.settings.registrationLapse(),
@@ -188,7 +194,8 @@
 	})
 	p.server = proxy.New(proxy.Options{
 		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client, Origins: p.peers, Helpers: p.peers,
-		Table: p.state.Table, Known: p.state.Known, RegistrationsCurrent: p.peers.RegistrationsCurrent, RequestMemory: p.requestMemory, SendMemory: p.settings.bufferBytes(), Logger: p.logger, Metrics: p.metrics.Scope,
+		Table: p.state.Table, Known: p.state.Known, RegistrationsCurrent: p.peers.RegistrationsCurrent, RequestMemory: p.requestMemory, SendMemory: p.settings.bufferBytes(),
+		ObserveSuspension: func() { p.observeSuspension() }, Logger: p.logger, Metrics: p.metrics.Scope,
 	})
 	p.store = p.adapter.Store(p.settings.Store, &http.Client{Transport: netio.DropIdleAfterFailure(&http.Transport{
 		DialContext: netio.Dial, MaxIdleConnsPerHost: maxIdleStoreConns, DisableCompression: true, MaxResponseHeaderBytes: netio.MaxHeaderBytes,
@@ -263,7 +270,7 @@
 func (p *Program) runHousekeeping(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
-	detector := boottime.NewDetector()
+	suspended := time.Duration(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -271,10 +278,9 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if suspended := detector.SinceLastCall(); suspended > 0 {
-			p.logger.Warn().Dur("suspended_ms", suspended).Msg("host was suspended, closing idle connections that expired meanwhile")
-			now = now.Add(suspended)
-			p.server.AddSuspension(suspended)
+		if total := p.observeSuspension(); total > suspended {
+			p.logger.Warn().Dur("suspended_ms", total-suspended).Msg("host was suspended, closing idle connections that expired meanwhile")
+			now, suspended = now.Add(total-suspended), total
 		}
 		p.client.CloseIdle(now)
 		p.updateGauges()
@@ -286,6 +292,17 @@
 	}
 }
 
+// observeSuspension records suspensions of the host since the previous call, and returns how long it has been suspended since the start.
+func (p *Program) observeSuspension() time.Duration {
+	p.suspensionMu.Lock()
+	defer p.suspensionMu.Unlock()
+	if suspended := p.suspensions.SinceLastCall(); suspended > 0 {
+		p.suspendedTotal += suspended
+		p.server.AddSuspension(suspended)
+	}
+	return p.suspendedTotal
+}
+
 // updateGauges reports this host's view of the configuration, the store, the hosts, the
 // replicas and the engine speeds as metrics.
 func (p *Program) updateGauges() {
--- a/internal/gateway/proxy/outoftime.go
+++ b/internal/gateway/proxy/outoftime.go
@@ -22,8 +22,14 @@
 // Read implements io.Reader.
 func (r *inTimeReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
-	if err == io.EOF && r.exchange.timeLeft(time.Now()) <= connends.DeadlineMargin {
-		err = errOutOfTime
+	if err != io.EOF {
+		return n, err
+	}
+	if observe := r.exchange.server.opts.ObserveSuspension; observe != nil {
+		observe() // the replica's clock may have gone on while this host's stood still
+	}
+	if r.exchange.timeLeft(time.Now()) <= connends.DeadlineMargin {
+		return n, errOutOfTime
 	}
 	return n, err
 }
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -60,8 +60,10 @@
 	// SendMemory is what the kernel may use for answers that callers have not read while this host stops; 0 leaves that to the
 	// kernel.
 	SendMemory int
-	Logger     zerolog.Logger
-	Metrics    tally.Scope
+	// ObserveSuspension calls Server.AddSuspension if the host was suspended lately and that is not recorded yet; nil if nothing tells.
+	ObserveSuspension func()
+	Logger            zerolog.Logger
+	Metrics           tally.Scope
 }
 
 // Server forwards the requests of callers to replicas.
