Soak: replicas end answers with chunks in order when their time is over

The rig's replicas closed the connection at the deadline that they were told. An ordinary HTTP server whose handler returns then writes the last chunk, so that no play showed that the gateway takes part of an answer with chunks for the whole one at its deadline.

--- a/internal/soak/outlast_test.go
+++ b/internal/soak/outlast_test.go
@@ -7,7 +7,7 @@
 )
 
 // Guards against part of an answer that is passed off as the whole one because it lasts longer than its route allows: its replica
-// stops work at the same moment as the host, and ends the connection in order. SECONDS is the time.
+// stops work at the same moment as the host, and ends the answer in order, by its connection or the last chunk. SECONDS is the time.
 func TestAnswersThatOutlastTheirRouteAreBroken(t *testing.T) {
 	concurrently(t)
 	lasts, _ := runTime(3 * time.Second)
--- a/internal/soak/streamanswer_test.go
+++ b/internal/soak/streamanswer_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"heatherbarrow/internal/gateway/netio"
@@ -19,6 +22,27 @@
 	framed bool         // in chunks
 	sent   bytes.Buffer // all that was written, unless it is long
 	err    error
+
+	mu    sync.Mutex // held while a piece is written
+	ended bool
+}
+
+// errTimeOver means that a replica stopped work as the time of a request was over.
+var errTimeOver = errors.New("time is over")
+
+// stop ends the answer in order where it is, as HTTP servers do when a handler returns early: one with chunks by the last one.
+func (a *rigAnswer) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.ended:
+		return
+	case a.framed:
+		a.raw("0\r\n\r\n")
+	default:
+		_ = a.c.Close()
+	}
+	a.ended, a.err = true, cmp.Or(a.err, errTimeOver)
 }
 
 func (a *rigAnswer) raw(text string) {
@@ -32,6 +56,8 @@
 }
 
 func (a *rigAnswer) write(text string) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.framed {
 		text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 	}
@@ -40,9 +66,12 @@
 }
 
 func (a *rigAnswer) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.framed {
 		a.raw("0\r\n\r\n")
 	}
+	a.ended = true
 }
 
 // maxQueueWait is the longest time that a request waits in the queue of a replica.
--- a/internal/soak/streamrig_test.go
+++ b/internal/soak/streamrig_test.go
@@ -267,11 +267,6 @@
 		}
 		r.rig.noteWork(key)
 	}()
-	if ms, err := strconv.Atoi(q.Header.Get("Heatherbarrow-Deadline-Ms")); err == nil {
-		// The replica stops work when that time is over, and ends the connection in order.
-		stop := time.AfterFunc(time.Duration(ms)*time.Millisecond, func() { _ = a.c.Close() })
-		defer stop.Stop()
-	}
 	contentType, framing := "text/plain", ""
 	if route.events > 0 {
 		contentType = "text/event-stream"
@@ -280,6 +275,10 @@
 		framing = "Keep-Alive: timeout=4\r\nTransfer-Encoding: chunked\r\n"
 	}
 	a.raw(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nHeatherbarrow-Server-Seal: seal-%s\r\nContent-Type: %s\r\n%s\r\n", attemptIDHeader, id, r.id, contentType, framing))
+	if ms, err := strconv.Atoi(q.Header.Get("Heatherbarrow-Deadline-Ms")); err == nil {
+		stop := time.AfterFunc(time.Duration(ms)*time.Millisecond, a.stop)
+		defer stop.Stop()
+	}
 	r.answer(route, q, run, fmt.Sprintf("%s %s/%d/%s %s", key, r.id, process.born, id, process.version), a.write)
 	a.end()
 	return a.framed
