Soak: the end of a stopped host is judged by its call of exit

Cause: after the gateway has called exit, the kernel ends each of its threads, and the process is gone when the last one got a processor. On a busy machine a thread may wait for that for a second. No step of the gateway was found that took longer than planned.

The platform's SIGKILL at the end of the grace period changes nothing for a process that has called exit, so that the old check also measured the machine. The tests now look at the threads of a host that stops every 50 ms (package proctest). The host is in time if a look that ended within the grace period found all of its threads ending. It is late if it exceeds the period also without the time in which a thread was ready and got no processor, the test held it beyond its share, or nobody looked. If neither holds, the play judges nothing: it keeps its logs and is played again, 5 plays at most, and the test fails if none could be judged. All other checks of each play count. A host that is gone after its grace period is logged with its threads, in TestStopsCutNoStream too.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -74,7 +74,8 @@
 	env      []string     // of the process; nil for that of the test
 	build    func() bool  // tells at each start whether the earlier build starts; nil if that changes at each start
 
-	troubled atomic.Bool // stopped or paused by a fault in play
+	troubled atomic.Bool  // stopped or paused by a fault in play
+	overheld atomic.Int64 // nanoseconds for which the processes were held beyond what their share of a processor allows
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -177,7 +178,8 @@
 	version  atomic.Int64 // of the configuration, as confirmed by the store
 	writes   sync.Mutex   // held while the operator or a replica writes to the store, and while it is restored
 
-	noteworthy bool // logs are kept though no check fails
+	noteworthy bool        // logs are kept though no check fails
+	unjudged   atomic.Bool // the machine did not let a host run at the end of its grace period
 }
 
 // lanes are the deployments that may run at the same time, by number.
