Gateway: gaps in event IDs that replicas show alike are larger steps

Cause: evenly rising IDs with a gap were proof of a missing event. Only rising IDs are promised. A gap is a reason to ask another replica, which sends the event if one is missing.

A stream with a gap still goes on at another replica from before it. The host now records whether that one shows a gap at the same place too. After three more that were shown twice than were closed, gaps in streams of that service and software version are larger steps, for ten minutes; then one must be shown twice again. The only replica of a service, by registrations that are up to date, may show a gap between two events of its own: to break the stream off brings nobody the event. The only replica of a software version beside others may not, and no first step of a replica that goes on with a stream may before its version is known.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -288,8 +288,8 @@
 			firstEventAt = time.Now()
 			lease.FirstByte(firstEventAt)
 		}
-		follows, step := p.judge(event.ID, held, begun)
-		if follows == outOfSequence {
+		follows, step := e.followStream(event.ID, held, begun, lease, p)
+		if follows == missingBefore || follows == outOfSequence {
 			return e.handleBrokenStream(errOutOfSequence, response, lease, p, controller)
 		}
 		if !watchdog.received() {
