Gateway: a continuation cut before its events verifies no stream

Cause: the end of an unframed continuation without events was proof that the replica has no more, whatever ended it.

A replica that has nothing to add mostly ends the continuation together with its head. If the end comes later than that, as the kernel dates it, one more replica is asked, if a run and a retry are left. If none can be asked, or it does not tell, the stream counts as before. The replica of the empty run is not taken for one that lost a connection.

Nothing changes without signs of cuts.

Remains: a cut that comes within some 5 ms of the head of the verifying run.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -263,8 +263,13 @@
 		}
 		if err == io.EOF {
 			lease.RecordStream(p.events-eventsBefore, time.Since(firstEventAt), time.Now())
-			if begun && e.doubts(response, p) {
+			switch {
+			case begun && e.doubts(response, p):
 				return e.doubtStream(response, lease, p)
+			case !begun && e.emptyVerifiesNothing(response, p):
+				response.MarkComplete()
+				e.endServed(response, lease)
+				return attemptDoubted
 			}
 			return e.handleStreamEnd(response, lease, p, begun)
 		}
--- a/internal/gateway/proxy/verify.go
+++ b/internal/gateway/proxy/verify.go
@@ -25,6 +25,7 @@
 	at      time.Time
 	end     *verifiedEnd // nil if none is recorded
 	part    bool         // another replica had more
+	late    bool         // another replica had nothing to add, but did not say so at once, see emptyVerifiesNothing
 	seen    endOfAnswer
 }
 
@@ -115,6 +116,17 @@
 	return attemptDoubted
 }
 
+// emptyVerifiesNothing reports whether a continuation without events, which is to verify the end of a stream, may have been cut
+// before its first event. A replica that has nothing to add mostly ends it together with its head; if it ends later, one more
+// replica is asked.
+func (e *exchange) emptyVerifiesNothing(response *upstream.Response, p *progress) bool {
+	if p.doubted == nil || p.emptyBefore || !response.Unframed || !e.record.unframedOthers.Apart {
+		return false
+	}
+	p.emptyBefore, p.doubted.late = true, true
+	return true
+}
+
 // attemptVerified is attemptOnce, and verifies the answer if its end is doubted.
 func (e *exchange) attemptVerified(ctx context.Context, p *progress) (result attemptResult, ended bool) {
 	result, ended = e.attemptOnce(ctx, p)
@@ -153,12 +165,11 @@
 			continue // the end of the continuation is doubted
 		case result == attemptDone:
 			if !doubted.part {
-				e.server.unframedEnds.settle(doubted.end, verifiedWhole)
-				e.record.verified = verifiedWhole
+				e.settleWhole(doubted.end)
 			}
 			return attemptDone
-		case result == attemptNotRun, e.record.unframedEnd.broken(e.route), result == attemptMayHaveRun && !p.gaveUp:
-			continue // the latter was cut as well, or lost its connection
+		case result == attemptNotRun, e.record.unframedEnd.broken(e.route), result == attemptMayHaveRun && !p.gaveUp, result == attemptDoubted:
+			continue // the latter two were cut as well, or lost their connection
 		}
 		failure = verifiedNot
 		break
@@ -166,6 +177,11 @@
 	if p.next != nil {
 		return attemptMayHaveRun // an attempt goes on with the request
 	}
+	if p.doubted.late && !p.doubted.part {
+		e.settleWhole(p.doubted.end)
+		e.server.opts.Origins.Complete(e.firstAttemptID())
+		return attemptDone
+	}
 	if e.record.verified == "" {
 		e.record.verified = cmp.Or(failure, verifiedNot)
 	}
@@ -184,6 +200,12 @@
 	return attemptDone
 }
 
+// settleWhole records that a doubted answer is whole.
+func (e *exchange) settleWhole(end *verifiedEnd) {
+	e.server.unframedEnds.settle(end, verifiedWhole)
+	e.record.verified = verifiedWhole
+}
+
 // pickVerifier picks a replica to verify the end of an answer. Without one it returns the reason.
 func (e *exchange) pickVerifier(ctx context.Context, p *progress) (*fleet.Lease, verification) {
 	s := e.server
