Gateway: garbled answers to two questions do not vouch for an answer that may be repeated

Cause: such bytes passed at once for a process that lives and need not tell.

If replicas of the service tell, the question is now asked once more, on a new connection. If that fails alike, the end stays unclear (answer_garbled): an answer that may be repeated is requested or goes on elsewhere, any other counts as whole, as before. A refused question (process_untold) and one whose time is over just before that of its context (no reply now) no longer count as garbled.

TestSoundUnframedAnswerIsRunOnceThoughAQuestionFails and TestQuestionThatTimesOutHasNoReply guard the new ways.

--- a/internal/gateway/proxy/questionerror_test.go
+++ b/internal/gateway/proxy/questionerror_test.go
@@ -34,3 +34,10 @@
 		assert.Equal(t, c.want, s.replyAfterReset(t.Context(), &fleet.Member{Address: "127.0.0.1:1"}, reset), name)
 	}
 }
+
+// Guards against a silent replica whose question seems to be answered by bytes that are no answer, as the time of its connection is over
+// just before that of the question.
+func TestQuestionThatTimesOutHasNoReply(t *testing.T) {
+	err := fmt.Errorf("%w: %w", upstream.ErrNoResponse, os.ErrDeadlineExceeded)
+	assert.Equal(t, noReply, replyOf(t.Context(), err))
+}
--- a/internal/gateway/proxy/questions.go
+++ b/internal/gateway/proxy/questions.go
@@ -20,6 +20,7 @@
 	noReply        reply = iota // in time, or the links failed: no evidence
 	told                        // the process told its start
 	untold                      // it answered, or accepted a connection where no more can be asked, and did not tell
+	notRun                      // it refused the question as one that was not run
 	garbled                     // what came is no answer that can be read
 	hungUp                      // the connection was accepted and ended without an answer
 	refused                     // nothing listens at the address
@@ -29,7 +30,7 @@
 )
 
 // answered reports whether something answered the question.
-func (r reply) answered() bool { return r == told || r == untold || r == garbled }
+func (r reply) answered() bool { return r == told || r == untold || r == notRun || r == garbled }
 
 // ended reports whether the process seems to have ended.
 func (r reply) ended() bool { return r == hungUp || r == refused }
@@ -177,8 +178,10 @@
 		return refused
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return hungUp
-	case errors.Is(err, upstream.ErrNotConnected):
+	case errors.Is(err, upstream.ErrNotConnected), timedOut(err):
 		return noReply
+	case errors.Is(err, errQuestionRefused):
+		return notRun
 	default:
 		return garbled
 	}
--- a/internal/gateway/proxy/stranger_test.go
+++ b/internal/gateway/proxy/stranger_test.go
@@ -89,3 +89,29 @@
 		wholeAnswersFrom(t, g, 2)
 	}
 }
+
+// Guards against whole answers that may be repeated and are run again, because the first question to their replica is answered by bytes that
+// are no answer.
+func TestSoundUnframedAnswerIsRunOnceThoughAQuestionFails(t *testing.T) {
+	for _, path := range []string{"/lookup/x", "/quote/x"} {
+		var asked atomic.Int64
+		g := startBesideTeller(t, func(w http.ResponseWriter, _ *http.Request) {
+			if asked.Add(1) > 1 {
+				_, _ = fmt.Fprintf(w, `{"born":%d}`, registeredStart)
+				return
+			}
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(c, "no answer\r\n\r\n")
+				_ = c.Close()
+			}
+		}, true)
+		status, body, _ := g.do(testRequest{path: path})
+		r, _ := http.NewRequest(http.MethodPost, path, nil)
+		_, whole := answerFor(r)
+		assert.Equal(t, http.StatusOK, status, path)
+		assert.Equal(t, whole, body, path)
+		assert.EqualValues(t, 2, asked.Load(), path)
+		assert.Zero(t, g.metrics.Snapshot().Counters()["repeated_attempts+"].Value(), path)
+	}
+}
--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -44,6 +44,7 @@
 	endNoReply                        // its replica did not answer in time
 	endUnreachable                    // nothing answers, at other replicas either if it was refused; see broken
 	endOthersOpen                     // nothing answers, while other connections to the replica are open
+	endGarbled                        // what answers for the replica sends bytes that are no answer; see broken
 	// From here on, the answer may be incomplete.
 
 	endReplaced    // another process answers for the replica
@@ -59,15 +60,16 @@
 // endNames are the values of endOfAnswer in logs and metrics.
 var endNames = [...]string{
 	endLived: "process_lived", endUntold: "process_untold", endNoReply: "no_reply",
-	endUnreachable: "unreachable", endOthersOpen: "connections_open", endReplaced: "process_replaced", endDown: "replica_down",
+	endUnreachable: "unreachable", endOthersOpen: "connections_open", endGarbled: "answer_garbled", endReplaced: "process_replaced", endDown: "replica_down",
 	endOthersEnded: "connections_ended", endStranger: "stranger_answers", endOfHost: "host_ended", endCut: "connections_cut",
 	endCutBeside: "answers_cut", endSilence: "no_reply_where_cut",
 }
 
 // broken reports whether an answer on the route counts as incomplete. If nothing answers at any replica, all may have ended
-// with the answer, or this host was cut off right after it: only what may be run again is broken then.
+// with the answer, or this host was cut off right after it: only what may be run again is broken then. So it is if bytes that are no
+// answer come twice, from the next process or from a faulty one that lives.
 func (e endOfAnswer) broken(r *routing.Route) bool {
-	return e >= endReplaced || e == endUnreachable && r.Repeatable()
+	return e >= endReplaced || (e == endUnreachable || e == endGarbled) && r.Repeatable()
 }
 
 // evident reports whether it is clear that the answer is complete, as far as its replica can tell.
@@ -143,7 +145,7 @@
 	in := inquiry{request: e.call.AttemptID, maxIdle: e.maxIdle(lease.Member.Upstream), after: endedAt}
 	var others *witnesses
 	hungUpOn := false // the replica reset a connection, and what that meant is not known
-	untoldOnce := false
+	failed := noReply // what came instead of the start of a process, if it must be told
 	for pause := questionPause; ; pause *= 2 {
 		if started, known := lease.ProcessAfter(endedAt); known {
 			return e.endOfProcess(response, lease, started, endedAt)
@@ -152,12 +154,14 @@
 		switch {
 		case reply == told:
 			return e.endOfProcess(response, lease, started, endedAt)
-		case reply == untold && untoldOnce:
+		case reply == untold && failed == untold:
 			return endStranger
-		case reply == garbled, reply == untold && !e.mustTell(ctx, lease):
+		case failed != noReply && (reply == untold || reply == garbled):
+			return endGarbled
+		case reply == notRun, (reply == untold || reply == garbled) && !e.mustTell(ctx, lease):
 			return endUntold
-		case reply == untold:
-			untoldOnce, in.newConnection = true, true
+		case reply == untold, reply == garbled:
+			failed, in.newConnection = reply, true
 			wait(ctx, questionPause) // a replica may fail to answer a question
 			continue
 		case others == nil && reply == wasReset:
