--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -263,8 +263,13 @@
 		}
 		if err == io.EOF {
 			lease.RecordStream(p.events-eventsBefore, time.Since(firstEventAt), time.Now())
-			if begun && e.doubts(response, p) {
+			switch {
+			case begun && e.doubts(response, p):
 				return e.doubtStream(response, lease, p)
+			case !begun && e.emptyVerifiesNothing(response, p):
+				response.MarkComplete()
+				e.endServed(response, lease)
+				return attemptDoubted
 			}
 			return e.handleStreamEnd(response, lease, p, begun)
 		}
@@ -291,8 +296,8 @@
 			firstEventAt = time.Now()
 			lease.FirstByte(firstEventAt)
 		}
-		follows, step := p.judge(event.ID, held, begun)
-		if follows == outOfSequence {
+		follows, step := e.followStream(event.ID, held, begun, lease, p)
+		if follows == missingBefore || follows == outOfSequence {
 			if step > 0 {
 				e.notePart(p.doubted) // the stream has later events
 			}
