Gateway: connections that outlived an unframed answer show that it is whole

What callers saw: an answer without a length or chunks that may not be run again broke off (or was answered with 502) although its replica had ended it in order and exited more than 100 ms later.

Cause: the process is asked after the end was read and others had 10 or 50 ms to arrive. On a busy machine the end was read up to 744 ms late, the wait took up to 296 ms, and one question waited 236 ms until the process exited. Nothing answered then: replica_down. The connections that are kept beside an answer were there, also where the replica's entry had been removed. Of 32 traced answers that the exit had not cut and that were taken for broken with 0 others ended and 0 open, 24 had two or more that ended 131 ms or more after them and none near: with the process, so that they counted neither as ended with the answer nor as open, and showed nothing.

Now an answer that may not be run again is whole (connections_outlived) if nothing answers and at least two connections to its process were open for more than 120 ms after its end, none of those that would have lived on ended within 120 ms of it, and nothing shows a cut. They count only if they had told that they lead to that process, were opened 120 ms before the end, and the dates of their ends cannot come from the acknowledgment of a keep-alive probe. Answers that may be run again are continued or requested elsewhere as before.

What ends a process ends these connections together. Of 677 traced answers that an exit had cut, at a load of 32 to 61, ten had a connection that ended later than that and none near: eight had two, 1,025 to 3,146 ms later, as the acknowledgments of keep-alive probes move a date, which the condition on dates is for; two had one only. Without these the largest distance was 52 ms.

TestSoundUnframedAnswerIsCompleteWhereItsProcessEndsDuringTheQuestion failed in each run before (unexpected EOF, 502) and passes.

--- a/internal/connends/conn.go
+++ b/internal/connends/conn.go
@@ -39,14 +39,17 @@
 	receivedBefore atomic.Uint64
 	// keptUntil is when the time ends for which it is idle, in Unix nanoseconds, after which the replica may close it; 0 if it is not.
 	keptUntil atomic.Int64
-	seen      atomic.Pointer[endSeen] // the replica's end of it, when that was first seen; nil before
-	end       atomic.Pointer[connEnd] // as it was when the tracking ended; nil before, or if the replica had not ended it
+	seen      atomic.Pointer[endSeen]   // the replica's end of it, when that was first seen; nil before
+	end       atomic.Pointer[connEnd]   // as it was when the tracking ended; nil before, or if the replica had not ended it
+	seenOpen  atomic.Pointer[time.Time] // when it was last seen open; nil if it was not since it was opened
+	process   atomic.Int64              // the start of the process it leads to; 0 if unknown
 }
 
 // endSeen is what the kernel told of an end when it was first seen.
 type endSeen struct {
-	at    time.Time
-	apart bool // it came later than the last bytes
+	at       time.Time
+	apart    bool // it came later than the last bytes
+	lastOpen time.Time
 }
 
 // Use records that the connection is idle no more.
@@ -129,12 +132,15 @@
 	}
 	info, now := datedTCPInfo(c.raw)
 	if info == nil || info.State != tcpCloseWait {
-		return connEnd{}, info != nil && info.State == tcpEstablished, false
+		if open = info != nil && info.State == tcpEstablished; open {
+			c.noteOpen(now)
+		}
+		return connEnd{}, open, false
 	}
 	// The end of the connection carried the replica's last acknowledgment, until the replica's kernel answers the next keep-alive
 	// probe or sends the end again.
 	sinceEnd, sinceBytes := time.Duration(info.Last_ack_recv)*time.Millisecond, time.Duration(info.Last_data_recv)*time.Millisecond
-	seen := &endSeen{at: now.Add(-sinceEnd), apart: sinceBytes-sinceEnd > SameInstant}
+	seen := &endSeen{at: now.Add(-sinceEnd), apart: sinceBytes-sinceEnd > SameInstant, lastOpen: c.lastOpen(now.Add(-sinceEnd))}
 	if !c.seen.CompareAndSwap(nil, seen) {
 		seen = c.seen.Load()
 	}
@@ -144,7 +150,7 @@
 	// An answer that ends with the connection may have begun without being noticed yet. The end itself counts as one byte.
 	begun := info.Bytes_received > c.receivedBefore.Load()+1
 	expected := c.endsWithReply.Load() || !answering && begun
-	return connEnd{conn: c, openedAt: c.openedAt, at: seen.at, expected: expected, atWill: atWill, apart: seen.apart,
+	return connEnd{conn: c, openedAt: c.openedAt, at: seen.at, expected: expected, atWill: atWill, apart: seen.apart, lastOpen: seen.lastOpen,
 		answering: answering, reserved: seen.at.UnixNano() <= c.reservedUntil.Load()}, false, true
 }
 
--- a/internal/connends/ended.go
+++ b/internal/connends/ended.go
@@ -33,11 +33,12 @@
 type connEnd struct {
 	conn         *Conn
 	openedAt, at time.Time
-	expected     bool // it would have ended with the answer on it
-	atWill       bool // it was idle, and the replica had not said for how long it keeps idle ones
-	answering    bool // part of an answer had been received on it
-	apart        bool // it came more than SameInstant after the last bytes
-	reserved     bool // it was idle and reserved for questions, and used lately
+	lastOpen     time.Time // when the connection was last known to be open
+	expected     bool      // it would have ended with the answer on it
+	atWill       bool      // it was idle, and the replica had not said for how long it keeps idle ones
+	answering    bool      // part of an answer had been received on it
+	apart        bool      // it came more than SameInstant after the last bytes
+	reserved     bool      // it was idle and reserved for questions, and used lately
 }
 
 // Tracker knows the connections of a client that are open, and those that replicas have lately ended in order, by address. Its
--- a/internal/gateway/proxy/assumed.go
+++ b/internal/gateway/proxy/assumed.go
@@ -177,6 +177,9 @@
 		return askedAt, 0, nil, upstream.ErrResponseTooLarge
 	}
 	response.MarkComplete()
+	if started, stated := s.opts.Dialect.ProcessStarted(body); stated && response.Status == http.StatusOK {
+		response.NoteProcess(started)
+	}
 	return askedAt, response.Status, body, nil
 }
 
--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 	endNoReply                        // its replica did not answer in time
 	endUnreachable                    // nothing answers, at other replicas either if it was refused; see broken
 	endOthersOpen                     // nothing answers, while other connections to the replica are open
+	endOutlived                       // nothing answers, and other connections to its process were open for long after the end
 	// From here on, the answer may be incomplete.
 
 	endReplaced    // another process answers for the replica
@@ -59,7 +61,8 @@
 // endNames are the values of endOfAnswer in logs and metrics.
 var endNames = [...]string{
 	endLived: "process_lived", endUntold: "process_untold", endNoReply: "no_reply",
-	endUnreachable: "unreachable", endOthersOpen: "connections_open", endReplaced: "process_replaced", endDown: "replica_down",
+	endUnreachable: "unreachable", endOthersOpen: "connections_open", endOutlived: "connections_outlived",
+	endReplaced: "process_replaced", endDown: "replica_down",
 	endOthersEnded: "connections_ended", endStranger: "stranger_answers", endOfHost: "host_ended", endCut: "connections_cut",
 	endCutBeside: "answers_cut", endSilence: "no_reply_where_cut",
 }
@@ -111,6 +114,9 @@
 	}
 	s.opts.Client.AwaitEnds(ctx, response, endedAt, within)
 	seen := e.inspectEnd(ctx, response, lease, endedAt)
+	if (seen == endDown || seen == endOthersEnded) && e.outlived(response, lease, endedAt) {
+		seen = endOutlived
+	}
 	connections := s.opts.Client.UnframedEnd(response, endedAt)
 	if connections.Cut && !seen.broken(e.route) {
 		seen = endCut
@@ -243,6 +249,12 @@
 	return endReplaced
 }
 
+// outlived reports whether other connections to the process of an answer that cannot be run again were open for long after its end: the process
+// has ended since.
+func (e *exchange) outlived(response *upstream.Response, lease *fleet.Lease, endedAt time.Time) bool {
+	return !e.route.Repeatable() && slices.ContainsFunc(e.server.opts.Client.Outlived(response, endedAt), lease.SentTo)
+}
+
 // othersOpen reports whether other connections to the replica live on that were opened before the end of the answer.
 func (e *exchange) othersOpen(response *upstream.Response, endedAt time.Time) bool {
 	open, _ := e.server.opts.Client.OtherConnections(response, endedAt)
--- a/internal/gateway/upstream/ended.go
+++ b/internal/gateway/upstream/ended.go
@@ -36,6 +36,15 @@
 	return EndOfUnframed{EndOfAnswer: c.ends.EndOfAnswer(r.conn.tracking, endedAt), Awaited: r.EndAwaited()}
 }
 
+// Outlived returns the starts of the processes to which other connections to the response's replica were open for long after its end,
+// which was read at the given time.
+func (c *Client) Outlived(r *Response, endedAt time.Time) []int64 {
+	return c.ends.Outlived(r.conn.tracking, endedAt)
+}
+
+// NoteProcess records that the process with the given start has sent the response.
+func (r *Response) NoteProcess(started int64) { r.conn.tracking.LeadsTo(started) }
+
 // EndedAt returns when the response's connection ended, of which the end was read at the given time.
 func (c *Client) EndedAt(r *Response, read time.Time) time.Time { return r.conn.tracking.EndedAt(read) }
 
