Gateway: log how late the end of an unframed answer was read

Whether a host or something before it was slow could not be told from the logs: an answer whose replica had ended it 1.0 s earlier reached one host late, and was read 545 to 744 ms late at others (TestUnframedAnswersOfLeavingReplicas with trace lines, load of 32 to 61). The line "answer without a length ended" now has read_after_ms, from the end of the connection as the kernel dates it until it was read.

--- a/internal/gateway/proxy/unframed.go
+++ b/internal/gateway/proxy/unframed.go
@@ -126,7 +126,7 @@
 	s.metrics.unframedEnds[seen].Inc(1)
 	if !seen.evident() {
 		s.opts.Logger.Info().Str("request", e.call.AttemptID).Str("replica", lease.Member.ID).Str("seen", endNames[seen]).
-			Bool("broken", seen.broken(e.route)).Dur("elapsed_ms", time.Since(endedAt)).Dur("end_after_ms", connections.Idle).
+			Bool("broken", seen.broken(e.route)).Dur("elapsed_ms", time.Since(endedAt)).Dur("read_after_ms", endedAt.Sub(endAt)).Dur("end_after_ms", connections.Idle).
 			Int("others_ended", connections.Ended).Int("others_open", connections.Open).Msg("answer without a length ended")
 	}
 	return seen
