Soak: replicas that close their listener for a while have addresses of their own

A run of four soaks failed once: "listen tcp 127.122.145.254:45851: address already in use" when a replica of a rig started again, and a nil pointer after it, which ends the whole package. Suspected cause, not shown by a trace: all deployments that run at the same time in one test process listened at one address, so that a port that a replica had closed for a second could be given to a relay or replica of another one. Each lane has an address for such replicas now, where nothing else listens.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -25,6 +25,9 @@
 	"heatherbarrow/platform/storetest"
 )
 
+// maxLanes is the number of deployments that may run at the same time.
+const maxLanes = 3
+
 const (
 	callerHost   = "shop.example"
 	teamName     = "counter"
@@ -184,9 +187,8 @@
 
 // lanes are the deployments that may run at the same time, by number.
 var lanes = func() chan int {
-	const most = 3
-	free := make(chan int, most)
-	for i := range most {
+	free := make(chan int, maxLanes)
+	for i := range maxLanes {
 		free <- i
 	}
 	return free
@@ -212,7 +214,13 @@
 // hostsInLane is the number of hosts for which a lane has addresses. A test with more of them runs alone.
 const hostsInLane = 80
 
-// otherAddress is where relays and replicas listen: no other process dials there, or takes the port of a
+// replicaAddress is where replicas of a lane listen that close their listener for a while. Nothing else listens there, so that
+// nothing takes the port meanwhile.
+func replicaAddress(lane int) string {
+	return net.JoinHostPort(hostAddress(maxLanes, lane), "0")
+}
+
+// otherAddress is where relays and other replicas listen: no other process dials there, or takes the port of a
 // relay that is stopped.
 func otherAddress() string { return net.JoinHostPort(processAddress(254), "0") }
 
--- a/internal/soak/streamrig_test.go
+++ b/internal/soak/streamrig_test.go
@@ -327,6 +327,7 @@
 // streamRig is hosts and replicas whose processes end, for the tests of streams.
 type streamRig struct {
 	*deployment
+	lane     int
 	routes   []*streamRoute
 	replicas []*rigReplica
 	client   *http.Client
@@ -417,6 +418,7 @@
 	t.Helper()
 	lane := takeLane(t)
 	g := &streamRig{
+		lane:       lane,
 		deployment: &deployment{t: t, store: storetest.New(), ledger: newLedger()},
 		routes:     routes, cut: make(map[string]bool), ended: make(map[string]bool), worked: make(map[string]time.Time),
 		slow:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialSmall}},
@@ -474,7 +476,7 @@
 	version := "v1"
 	r.version.Store(&version)
 	r.process = &rigProcess{born: firstBorn, version: version}
-	r.listen(otherAddress())
+	r.listen(replicaAddress(g.lane))
 	g.t.Cleanup(r.close)
 	if !direct {
 		r.link = newRelay(g.t, r.address)
