Log where the origin of a stream comes from

The line for a stream that is taken up named its software version, but not whether a record of this host, a keeper or the list of replicas told it. The three hypotheses of docs/incidents/version-inferred-after-a-cut.md could therefore not be told apart from logs. It now has the source, the store's revision that the registrations are of, and the age of the store's last answer.

--- a/internal/gateway/boottime/boottime.go
+++ b/internal/gateway/boottime/boottime.go
@@ -36,3 +36,13 @@
 	at := time.Duration(s.at.Load())
 	return ok && at > 0 && now-at <= d
 }
+
+// Age returns how long ago the recorded moment was, or a negative time if none is recorded.
+func (s *Stamp) Age() time.Duration {
+	now, ok := Now()
+	at := time.Duration(s.at.Load())
+	if !ok || at <= 0 {
+		return -1
+	}
+	return now - at
+}
--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -137,45 +137,54 @@
 
 // Find implements proxy.Origins.
 func (e *Exchange) Find(ctx context.Context, attemptID string, upstreams []string) (origin.Origin, error) {
-	o, err := e.find(ctx, origin.StreamID(attemptID), upstreams)
+	o, source, err := e.find(ctx, origin.StreamID(attemptID), upstreams)
 	if err == nil && !slices.Contains(upstreams, o.Upstream) {
 		err = origin.ErrUnknown
 	}
-	e.opts.Logger.Info().Str("resumes", attemptID).Str("upstream", o.Upstream).Str("software", o.Version).Err(err).Msg("origin of stream looked up")
+	s := e.opts.State
+	e.opts.Logger.Info().Str("resumes", attemptID).Str("upstream", o.Upstream).Str("software", o.Version).Str("source", source).
+		Uint64("era", s.MembersEra()).Uint64("as_of", s.MembersAsOf()).Dur("store_answered_ms_ago", s.StoreAnswerAge()).Err(err).Msg("origin of stream looked up")
 	return o, err
 }
 
+// Sources of the origin of a stream, as logged.
+const (
+	sourceRecord   = "record"   // of this host, which began the stream or was told of it
+	sourceKeeper   = "keeper"   // a keeper of the stream has a record
+	sourceInferred = "inferred" // the upstreams have one version only
+)
+
 // find returns the origin of a stream as this host or the stream's keepers have recorded it, or else as it follows
 // from the replica list. The keepers come before the list, which may lack a version that other hosts use already. A
 // host that has just started waits until it has read what the store keeps.
-func (e *Exchange) find(ctx context.Context, stream uint64, upstreams []string) (origin.Origin, error) {
+func (e *Exchange) find(ctx context.Context, stream uint64, upstreams []string) (o origin.Origin, source string, err error) {
 	if o, ok := e.opts.Origins.Recorded(stream); ok {
-		return o, nil
+		return o, sourceRecord, nil
 	}
 	keepersCtx, cancel := ctx, context.CancelFunc(func() {})
 	if _, ok := e.onlyOrigin(upstreams); ok {
 		keepersCtx, cancel = context.WithTimeout(ctx, maxKeeperDelay)
 	}
-	o, err := e.askKeepers(keepersCtx, stream, upstreams)
+	o, err = e.askKeepers(keepersCtx, stream, upstreams)
 	cancel()
 	if err == nil {
-		return o, nil
+		return o, sourceKeeper, nil
 	}
 	if o, ok := e.onlyOrigin(upstreams); ok {
-		return o, nil
+		return o, sourceInferred, nil
 	}
 	select {
 	case <-e.opts.Origins.Loaded():
 	case <-ctx.Done():
-		return origin.Origin{}, origin.ErrUnreachable
+		return origin.Origin{}, "", origin.ErrUnreachable
 	}
 	if o, ok := e.opts.Origins.Recorded(stream); ok {
-		return o, nil
+		return o, sourceRecord, nil
 	}
 	if o, ok := e.onlyOrigin(upstreams); ok {
-		return o, nil
+		return o, sourceInferred, nil
 	}
-	return origin.Origin{}, err
+	return origin.Origin{}, "", err
 }
 
 // onlyOrigin returns the origin of all streams of the upstreams if there is just one version. That counts only if
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -223,6 +223,10 @@
 // configuration must be in force. A host that does not follow the store makes no calls.
 func (s *State) StoreAnsweredRecently() bool { return s.storeAnswered.Within(s.opts.MaxConfigDelay) }
 
+// StoreAnswerAge returns how long ago the last call to the store succeeded, suspensions of this host included, or a
+// negative time if none did.
+func (s *State) StoreAnswerAge() time.Duration { return s.storeAnswered.Age() }
+
 func (s *State) handle(event any) {
 	now := time.Now()
 	switch e := event.(type) {
