Failing test: streams joined at a host that does not know that it is cut off

Six real gateways; the first one is cut off from the store and the datagrams, three replicas come back as v2, and the other hosts are killed or stand still, so that the host cannot ask them.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -236,12 +236,25 @@
 
 // newDeploymentWith is newDeployment with further changes to the settings of each host, by number.
 func newDeploymentWith(t *testing.T, zones, perZone int, relayBeats bool, changes func(i int) []func(*gateway.Settings)) *deployment {
+	t.Helper()
+	return startDeployment(t, zones, perZone, relayBeats, nil, changes)
+}
+
+// newDeploymentOfVersion is newDeployment with replicas of one software version from the beginning.
+func newDeploymentOfVersion(t *testing.T, zones, perZone int, relayBeats bool, version string) *deployment {
+	t.Helper()
+	return startDeployment(t, zones, perZone, relayBeats, &version, func(int) []func(*gateway.Settings) { return nil })
+}
+
+// startDeployment starts a deployment whose replicas have a software version, unless it is nil.
+func startDeployment(t *testing.T, zones, perZone int, relayBeats bool, version *string, changes func(i int) []func(*gateway.Settings)) *deployment {
 	t.Helper()
 	lane := takeLane(t)
 	d := &deployment{t: t, store: storetest.New(), ledger: newLedger()}
 	t.Cleanup(d.store.Close)
 	for i := range 2 * zones {
 		r := newReplica(fmt.Sprintf("r%d", i), d.ledger)
+		r.software.Store(version)
 		t.Cleanup(r.server.CloseClientConnections)
 		l := newRelay(t, r.server.Listener.Addr().String())
 		d.replicas, d.links = append(d.replicas, r), append(d.links, l)
--- a/internal/soak/streamcaller_test.go
+++ b/internal/soak/streamcaller_test.go
@@ -105,6 +105,7 @@
 	slow     float64       // share of the streams that are read slowly
 	old      float64       // share of the requests that are of HTTP/1.0
 	noPrompt bool          // requests don't tell their prompt
+	second   *host         // of second attempts; nil for the next one
 	random   *rand.Rand    // guarded by mu
 	mu       sync.Mutex
 	all      []*followed
@@ -137,6 +138,9 @@
 	at := int(c.float() * float64(len(c.g.hosts)))
 	for try := 0; try <= maxTakeUps && !f.complete; try++ {
 		h := c.g.hosts[(at+try)%len(c.g.hosts)]
+		if try == 1 && c.second != nil {
+			h = c.second
+		}
 		id := fmt.Sprintf("%s-%s-%d", f.key, h.name, try)
 		before := f.events
 		if before > 0 {
