Origins: infer the version of a stream only from a read that began after it

Cause: a host without a record of the stream took the only version that it knew for that of the stream, as its store had answered within 2 s or another host was heard within 1 s. A replica serves within milliseconds of its registration, so no age of that knowledge excludes a version not heard of. A zone that was cut off together inferred for ever, as its hosts heard each other and asked no others after 5 s. Class: what was true a moment ago is taken for what is true at the moment of the decision (third time).

Change: the inference needs a read of the store that began after the take-up came (Exchange.Refresh, one for all that wait); hosts that do not follow the store, or have lost it, ask one that reaches it, which reads then (Pull with current). While a host has lost the store it reports its streams to their keepers, as with several versions, since nobody can infer them. The history of versions has no unnoticed gaps: versions that came and left within an update are noted, a full list after another one reads the stored versions again, peers tell theirs with their age, and after a restored store nothing is inferred for as long as streams are remembered. The version of an ended process is inferred from registrations in the same way.

Four unit tests fail if the old condition is put back (TestStreamIsNotTakenForThatOfOnlyVersionRightAfterACut and others). Two of these existed and expected an inference where the store had answered a moment ago or no other host announced anything: that was the fault, and they now ask for a read.

--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -89,6 +89,12 @@
 	Origin
 }
 
+// Version is a software version of an upstream.
+type Version struct {
+	Origin
+	Unused time.Duration // since a replica of it was registered last; 0 if one is
+}
+
 // StreamID identifies the stream whose first event an attempt brought.
 func StreamID(attemptID string) uint64 { return xxhash.Sum64String(attemptID) }
 
@@ -104,8 +110,13 @@
 	lastInUse map[Origin]time.Time
 	inUse     map[Origin]bool
 	// completeFrom is when lastInUse holds all versions that began a stream within Retention; zero while
-	// no replicas are known.
+	// no replicas are known. missed counts the times after which it may lack some, and missedSignal wakes who can read
+	// them. lostUntil is when completeFrom may be brought forward again.
 	completeFrom time.Time
+	missed       uint64
+	missedSignal chan struct{}
+	lostUntil    time.Time
+	storeLost    bool    // this host does not reach the store
 	pending      []Entry // to be reported to other hosts
 	wake         chan struct{}
 	open         map[uint64]openStream // streams of this host that have not been completed
@@ -119,7 +130,7 @@
 	return &Tracker{
 		indexes: make(map[Origin]uint16), current: make(map[uint64]uint16), previous: make(map[uint64]uint16),
 		lastInUse: make(map[Origin]time.Time), inUse: make(map[Origin]bool), wake: make(chan struct{}, 1),
-		open: make(map[uint64]openStream), opened: make(chan struct{}, 1), loaded: make(chan struct{}),
+		open: make(map[uint64]openStream), opened: make(chan struct{}, 1), loaded: make(chan struct{}), missedSignal: make(chan struct{}, 1),
 	}
 }
 
@@ -130,54 +141,149 @@
 	for o := range t.inUse {
 		t.lastInUse[o] = now
 	}
-	reportAll := false
+	added := false
 	for o := range inUse {
-		_, known := t.lastInUse[o]
-		reportAll = reportAll || !known
-		t.lastInUse[o] = now
+		added = t.addVersion(Version{Origin: o}, now) || added
 	}
 	t.inUse = inUse
 	if t.completeFrom.IsZero() {
 		t.completeFrom = now.Add(Retention)
 	}
-	if reportAll {
-		// Streams that began while their version was the only one were not reported.
-		for stream, index := range t.current {
+	if added {
+		t.reportAll(now)
+	}
+}
+
+// addVersion notes that a version is or was in use, and returns true if it was not known.
+func (t *Tracker) addVersion(v Version, now time.Time) (added bool) {
+	if v.Unused > Retention {
+		return false
+	}
+	last, known := t.lastInUse[v.Origin]
+	if at := now.Add(-v.Unused); !known || at.After(last) {
+		t.lastInUse[v.Origin] = at
+	}
+	return !known
+}
+
+// reportAll queues the streams that were not reported as others could infer their origins, incomplete ones first.
+func (t *Tracker) reportAll(now time.Time) {
+	for stream, s := range t.open {
+		t.report(Entry{Stream: stream, Origin: s.Origin}, now)
+	}
+	for stream, index := range t.current {
+		if _, open := t.open[stream]; !open {
 			t.report(Entry{Stream: stream, Origin: t.origins[index]}, now)
 		}
 	}
 }
 
-// AddEarlier adds versions that were in use before this host started. With complete set, they are all
-// that there were.
+// SetStoreLost tells whether this host has lost the store. Meanwhile others may have lost it too. As only the store shows that
+// there is no further version, they cannot infer the origins of streams.
+func (t *Tracker) SetStoreLost(lost bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.storeLost == lost {
+		return
+	}
+	if t.storeLost = lost; lost {
+		t.reportAll(now)
+	}
+}
+
+// MissVersions notes that versions may have come and left unnoticed. Until AddEarlier adds them, Only returns none.
+func (t *Tracker) MissVersions(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.miss(now)
+}
+
+func (t *Tracker) miss(now time.Time) {
+	t.completeFrom = now.Add(Retention)
+	t.missed++
+	select {
+	case t.missedSignal <- struct{}{}:
+	default: // the last value has not been received yet
+	}
+}
+
+// LoseVersions notes that versions may have come and left that nobody can read any more, as the store has lost what hosts
+// wrote. Others cannot infer origins either until the streams of that time are over.
+func (t *Tracker) LoseVersions(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.miss(now)
+	t.lostUntil = t.completeFrom
+	t.reportAll(now)
+}
+
+// Missed returns how often MissVersions and LoseVersions were called, and a channel that receives a value when that changes.
+func (t *Tracker) Missed() (count uint64, changed <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.missed, t.missedSignal
+}
+
+// AddEarlier adds versions that were in use before this host started, or while it missed some. With complete set, they are
+// all that there were.
 func (t *Tracker) AddEarlier(versions []Origin, complete bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, o := range versions {
-		t.lastInUse[o] = now
+	earlier := make([]Version, len(versions))
+	for i, o := range versions {
+		earlier[i].Origin = o
 	}
+	t.addVersions(earlier, now)
 	if !t.isLoaded {
 		t.isLoaded = true
 		close(t.loaded)
 	}
-	if complete && (t.completeFrom.IsZero() || now.Before(t.completeFrom)) {
+	if complete && !now.Before(t.lostUntil) && (t.completeFrom.IsZero() || now.Before(t.completeFrom)) {
 		t.completeFrom = now
 	}
 }
 
-// Versions returns the versions of all upstreams that are in use or were within Retention.
-func (t *Tracker) Versions(now time.Time) map[Origin]bool {
+// AddVersions adds versions that other hosts or the store's history tell of.
+func (t *Tracker) AddVersions(versions []Version, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[Origin]bool, len(t.lastInUse))
-	for o := range t.lastInUse {
-		if t.recent(o, now) {
-			out[o] = true
+	t.addVersions(versions, now)
+}
+
+func (t *Tracker) addVersions(versions []Version, now time.Time) {
+	added := false
+	for _, v := range versions {
+		added = t.addVersion(v, now) || added
+	}
+	if added {
+		t.reportAll(now)
+	}
+}
+
+// Recent returns the versions of all upstreams that are in use or were within Retention.
+func (t *Tracker) Recent(now time.Time) (out []Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for o, at := range t.lastInUse {
+		switch {
+		case t.inUse[o]:
+			out = append(out, Version{Origin: o})
+		case t.recent(o, now):
+			out = append(out, Version{Origin: o, Unused: now.Sub(at)})
 		}
 	}
 	return out
 }
 
+// Versions returns the origins of Recent.
+func (t *Tracker) Versions(now time.Time) map[Origin]bool {
+	out := make(map[Origin]bool)
+	for _, v := range t.Recent(now) {
+		out[v.Origin] = true
+	}
+	return out
+}
+
 // recent reports whether the version is in use or was within Retention, and forgets it otherwise.
 func (t *Tracker) recent(o Origin, now time.Time) bool {
 	at, known := t.lastInUse[o]
@@ -319,9 +425,9 @@
 	return false
 }
 
-// report queues a stream for other hosts, if they cannot infer its origin.
+// report queues a stream for other hosts, if they may be unable to infer its origin.
 func (t *Tracker) report(e Entry, now time.Time) {
-	if t.severalVersions(e.Origin, now) {
+	if t.storeLost || now.Before(t.lostUntil) || t.severalVersions(e.Origin, now) {
 		t.queue(e)
 	}
 }
@@ -369,8 +475,8 @@
 	return t.origins[index], true
 }
 
-// Only returns the origin of all streams of the given upstreams, if there is just one. It must not be
-// relied on unless this host's replica list is up to date.
+// Only returns the origin of all streams of the given upstreams, if there is just one. It tells nothing of a stream that
+// began after the registrations that this host has.
 func (t *Tracker) Only(upstreams []string, now time.Time) (only Origin, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/origin/origin_test.go
+++ b/internal/gateway/origin/origin_test.go
@@ -191,3 +191,77 @@
 		require.Equal(t, AssumedVersion("r0", int64(before/perProcess)), recorded.Version)
 	}
 }
+
+// Guards against streams that nobody but their host knows when the store goes away: no other host can then infer their origins, as
+// it cannot tell that there is no further version.
+func TestStreamsAreReportedWhileTheStoreIsLost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker()
+	v1 := Origin{"pool", "v1"}
+	tracker.SetInUse(map[Origin]bool{v1: true}, now)
+	tracker.Record("before", v1, now)
+	assert.Empty(t, tracker.TakePending(), "others can infer it")
+	tracker.SetStoreLost(true, now)
+	assert.Equal(t, []Entry{{StreamID("before"), v1}}, tracker.TakePending())
+	tracker.Record("meanwhile", v1, now)
+	tracker.SetStoreLost(true, now)
+	assert.Equal(t, []Entry{{StreamID("meanwhile"), v1}}, tracker.TakePending())
+	assert.Empty(t, tracker.Open(now), "none is written to the store")
+	tracker.SetStoreLost(false, now)
+	tracker.Record("after", v1, now)
+	assert.Empty(t, tracker.TakePending())
+}
+
+// Guards against an inference from a history of versions that has a gap, until what others have stored of it was read, and against
+// one from what a restored store still has.
+func TestOriginIsNotInferredFromHistoryWithGap(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker()
+	v1 := Origin{"pool", "v1"}
+	tracker.SetInUse(map[Origin]bool{v1: true}, now)
+	tracker.AddEarlier(nil, true, now)
+	only := func() bool {
+		_, ok := tracker.Only([]string{"pool"}, now)
+		return ok
+	}
+	require.True(t, only())
+	before, changed := tracker.Missed()
+	tracker.MissVersions(now)
+	assert.False(t, only())
+	after, _ := tracker.Missed()
+	assert.Equal(t, before+1, after)
+	assert.Len(t, changed, 1)
+	tracker.AddEarlier([]Origin{v1}, true, now)
+	assert.True(t, only())
+
+	tracker.Record("before", v1, now)
+	assert.Empty(t, tracker.TakePending())
+	tracker.LoseVersions(now)
+	tracker.AddEarlier([]Origin{v1}, true, now)
+	assert.False(t, only(), "what was written last is lost")
+	assert.Len(t, tracker.TakePending(), 1, "no host can infer it")
+	now = now.Add(Retention)
+	assert.True(t, only(), "the streams of that time are over")
+}
+
+// Guards against versions that hosts tell each other of for ever after they have gone.
+func TestVersionsOfOtherHostsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v1, v2 := Origin{"pool", "v1"}, Origin{"pool", "v2"}
+	a, b := NewTracker(), NewTracker()
+	for _, tracker := range []*Tracker{a, b} {
+		tracker.SetInUse(map[Origin]bool{v1: true, v2: true}, now)
+		tracker.SetInUse(map[Origin]bool{v2: true}, now)
+	}
+	c := NewTracker()
+	c.Record("begun at v1", v1, now)
+	c.AddVersions(a.Recent(now), now)
+	assert.Len(t, c.TakePending(), 1, "another version has come")
+	for range 20 {
+		now = now.Add(Retention / 10)
+		a.AddVersions(b.Recent(now), now)
+		b.AddVersions(a.Recent(now), now)
+	}
+	assert.Equal(t, map[Origin]bool{v2: true}, a.Versions(now))
+	assert.Equal(t, map[Origin]bool{v2: true}, b.Versions(now))
+}
--- a/internal/gateway/originkeeper.go
+++ b/internal/gateway/originkeeper.go
@@ -57,6 +57,7 @@
 	ticker := time.NewTicker(versionSyncInterval)
 	defer ticker.Stop()
 	opened := k.program.origins.Opened()
+	_, missed := k.program.origins.Missed()
 	var pause <-chan time.Time // between two writes of streams
 	for {
 		if k.program.state.StoreEra() > k.era {
@@ -73,6 +74,8 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-missed:
+			k.stored = nil // it holds what this host has missed
 		case <-opened:
 			k.logError(ctx, k.writeStreams(ctx))
 			opened, pause = nil, time.After(streamsInterval(k.program.fleet.Hosts()))
@@ -98,6 +101,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
 	p := k.program
+	missedBefore, _ := p.origins.Missed()
 	streams, err := p.store.ListKind(callCtx, p.adapter.KindStreams)
 	if err != nil {
 		return err
@@ -123,7 +127,8 @@
 	}
 	k.stored, k.era = stored, list.Era
 	count := k.applyStreams(streams)
-	p.origins.AddEarlier(versions, unreadable == 0, time.Now())
+	missed, _ := p.origins.Missed()
+	p.origins.AddEarlier(versions, unreadable == 0 && missed == missedBefore, time.Now())
 	p.logger.Info().Int("versions", len(versions)).Int("streams", count).Int("unreadable", unreadable).Msg("origins of earlier streams read")
 	return nil
 }
--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -16,9 +16,9 @@
 )
 
 // A stream may be taken up at a host that never saw its beginning, after the host that did has died. While
-// an upstream has replicas of several software versions, each host therefore reports the streams that it
-// begins to a few hosts, the stream's keepers, in datagrams of their own. All hosts compute the same
-// keepers, and a host that does not know a stream asks them.
+// an upstream has replicas of several software versions, or the store is away, which shows whether it has, each host
+// therefore reports the streams that it begins to a few hosts, the stream's keepers, in datagrams of their own. All
+// hosts compute the same keepers, and a host that does not know a stream asks them.
 
 const (
 	// keepersPerZone is the number of keepers of a stream in each availability zone: one may have died
@@ -27,8 +27,9 @@
 	// originsInterval is the time in which streams are collected for a report. Each is reported twice, as a
 	// datagram may be lost.
 	originsInterval = 50 * time.Millisecond
-	// maxKeeperDelay bounds the wait for keepers while this host's replica list seems up to date and has one
-	// version: a keeper that has died would delay the stream by the time of a dial.
+	// keeperTimeout bounds the wait for keepers, which are some milliseconds away, and maxKeeperDelay that while this host knows
+	// of one version only: a keeper that has died would delay the stream by the time of a dial.
+	keeperTimeout  = 250 * time.Millisecond
 	maxKeeperDelay = 150 * time.Millisecond
 	// maxOriginsPerDatagram keeps a report within a datagram.
 	maxOriginsPerDatagram = 120
@@ -155,24 +156,22 @@
 )
 
 // find returns the origin of a stream as this host or the stream's keepers have recorded it, or else as it follows
-// from the replica list. The keepers come before the list, which may lack a version that other hosts use already. A
+// from the versions of the upstreams. The keepers come first, as a process may begin streams before it is registered. A
 // host that has just started waits until it has read what the store keeps.
 func (e *Exchange) find(ctx context.Context, stream uint64, upstreams []string) (o origin.Origin, source string, err error) {
 	if o, ok := e.opts.Origins.Recorded(stream); ok {
 		return o, sourceRecord, nil
 	}
-	keepersCtx, cancel := ctx, context.CancelFunc(func() {})
+	wait := keeperTimeout
 	if _, ok := e.onlyOrigin(upstreams); ok {
-		keepersCtx, cancel = context.WithTimeout(ctx, maxKeeperDelay)
+		wait = maxKeeperDelay
 	}
+	keepersCtx, cancel := context.WithTimeout(ctx, wait)
 	o, err = e.askKeepers(keepersCtx, stream, upstreams)
 	cancel()
 	if err == nil {
 		return o, sourceKeeper, nil
 	}
-	if o, ok := e.onlyOrigin(upstreams); ok {
-		return o, sourceInferred, nil
-	}
 	select {
 	case <-e.opts.Origins.Loaded():
 	case <-ctx.Done():
@@ -181,46 +180,43 @@
 	if o, ok := e.opts.Origins.Recorded(stream); ok {
 		return o, sourceRecord, nil
 	}
-	if o, ok := e.onlyOrigin(upstreams); ok {
+	if o, ok := e.inferOrigin(ctx, upstreams); ok {
 		return o, sourceInferred, nil
 	}
 	return origin.Origin{}, "", err
 }
 
-// onlyOrigin returns the origin of all streams of the upstreams if there is just one version. That counts only if
-// the replica list is complete and, as far as this host can tell, up to date. Its calls to the store may succeed while its
-// watch lags, so that what other hosts announce counts too.
-func (e *Exchange) onlyOrigin(upstreams []string) (origin.Origin, bool) {
-	s, now := e.opts.State, time.Now()
-	followsStore := e.opts.Role.Following() && s.StoreReachable() && s.StoreAnsweredRecently()
-	if s.MembersAsOf() == 0 || !followsStore && !e.upToDateWithPeers(false) || e.announcedNewerMembers(now) {
+// inferOrigin returns the origin of all streams of the upstreams that have begun so far, if there is just one version. What this
+// host knew before cannot exclude another one, as a replica gets requests within milliseconds of its registration. The store
+// shows, when it is read now, all versions that any host could have sent the stream to.
+func (e *Exchange) inferOrigin(ctx context.Context, upstreams []string) (origin.Origin, bool) {
+	if _, ok := e.onlyOrigin(upstreams); !ok {
 		return origin.Origin{}, false
 	}
-	return e.opts.Origins.Only(upstreams, now)
+	if err := e.Refresh(ctx); err != nil {
+		e.opts.Logger.Info().Err(err).Msg("origin of a stream cannot be inferred, as the store cannot be read")
+		return origin.Origin{}, false
+	}
+	return e.onlyOrigin(upstreams)
 }
 
-// announcedNewerMembers reports whether a host has announced replicas that this one does not know.
-func (e *Exchange) announcedNewerMembers(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, p := range e.peers {
-		if now.Sub(p.announced.at) <= silenceTimeout && e.opts.State.MembersAhead(p.announced.era, p.announced.membersRevision) {
-			return true
-		}
+// onlyOrigin returns the origin of all streams of the upstreams if this host knows of just one version.
+func (e *Exchange) onlyOrigin(upstreams []string) (origin.Origin, bool) {
+	if e.opts.State.MembersAsOf() == 0 {
+		return origin.Origin{}, false
 	}
-	return false
+	return e.opts.Origins.Only(upstreams, time.Now())
 }
 
 // RegistrationsCurrent reports whether this host's registrations are those of the store, as far as it can tell.
 func (e *Exchange) RegistrationsCurrent() bool {
 	s := e.opts.State
-	return e.opts.Role.Following() && s.StoreReachable() && s.StoreAnsweredRecently() || e.upToDateWithPeers(true)
+	return e.opts.Role.Following() && s.StoreReachable() && s.StoreAnsweredRecently() || e.upToDateWithPeers()
 }
 
-// upToDateWithPeers reports whether other hosts send heartbeats and none announces newer state. A heartbeat from
-// before a suspension of this host does not count, with storeReachable set also none of a host whose last call to the
-// store failed.
-func (e *Exchange) upToDateWithPeers(storeReachable bool) bool {
+// upToDateWithPeers reports whether other hosts that reach the store send heartbeats and none announces newer state. A
+// heartbeat from before a suspension of this host does not count.
+func (e *Exchange) upToDateWithPeers() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	heard := false
@@ -231,7 +227,7 @@
 		if !p.aheadSince.IsZero() {
 			return false
 		}
-		heard = heard || p.storeReachable || !storeReachable
+		heard = heard || p.storeReachable
 	}
 	return heard
 }
--- a/internal/gateway/peers/origins_test.go
+++ b/internal/gateway/peers/origins_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -91,75 +93,190 @@
 	assert.ErrorIs(t, err, origin.ErrUnreachable)
 }
 
+// errStoreAway is what a read of the store fails with.
+var errStoreAway = errors.New("the store does not answer")
+
+// addOnlyVersion gives a host the registration of a replica with a software version, which is the only one that it has known, as
+// from a store that has just answered.
+func (host *testHost) addOnlyVersion(t *testing.T, o origin.Origin) {
+	t.Helper()
+	require.NoError(t, host.state.Publish(state.Members{Entries: []state.Registration{registeredVersion(o, 3)}, Source: state.FromStore, Complete: true, AsOf: 3}))
+	require.NoError(t, host.state.Publish(state.StoreCall{}))
+	host.opts.Origins.AddEarlier(nil, true, time.Now())
+}
+
+func registeredVersion(o origin.Origin, revision uint64) state.Registration {
+	r := member(o.Version, revision, false)
+	r.SoftwareVersion = o.Version
+	return r
+}
+
+// readBrings makes a read of the host's store bring the registration of a replica with a software version.
+func (host *testHost) readBrings(o origin.Origin, revision uint64) {
+	host.readMembers = func(context.Context) error {
+		return host.state.Publish(state.Members{Entries: []state.Registration{registeredVersion(o, revision)}, Source: state.FromStore, AsOf: revision})
+	}
+}
+
+// find looks for the origin of a stream that was begun at another host.
+func (host *testHost) find(t *testing.T) (origin.Origin, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	return host.Find(ctx, begunElsewhere, []string{"pool"})
+}
+
+const begunElsewhere = "begun elsewhere"
+
+var v1, v2 = origin.Origin{Upstream: "pool", Version: "1"}, origin.Origin{Upstream: "pool", Version: "2"}
+
 // Guards against a stream that goes on at another software version at a host that does not know yet that replicas of
 // several versions serve: one that was suspended, or that is cut off from the store or the hosts that it pulls from.
 func TestStreamIsNotTakenForThatOfOnlyKnownVersion(t *testing.T) {
-	v1, v2 := origin.Origin{Upstream: "pool", Version: "1"}, origin.Origin{Upstream: "pool", Version: "2"}
-	const attempt = "begun elsewhere"
 	keeperHost := newTestHost(t, "keeper", "127.0.0.1:1")
-	keeperHost.opts.Origins.Apply([]origin.Entry{{Stream: origin.StreamID(attempt), Origin: v2}}, time.Now())
+	keeperHost.opts.Origins.Apply([]origin.Entry{{Stream: origin.StreamID(begunElsewhere), Origin: v2}}, time.Now())
 	behind := newTestHost(t, "behind", "127.0.0.1:2")
-	registered := member("a", 3, false)
-	registered.SoftwareVersion = v1.Version
-	require.NoError(t, behind.state.Publish(state.Members{Entries: []state.Registration{registered}, Source: state.FromStore, Complete: true, AsOf: 3}))
-	require.NoError(t, behind.state.Publish(state.StoreCall{}))
-	behind.opts.Origins.SetInUse(map[origin.Origin]bool{v1: true}, time.Now())
-	behind.opts.Origins.AddEarlier(nil, true, time.Now())
-	find := func() (origin.Origin, error) {
-		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-		defer cancel()
-		return behind.Find(ctx, attempt, []string{"pool"})
-	}
-	o, err := find()
-	require.NoError(t, err, "the store has just answered, and there are no other hosts")
+	behind.addOnlyVersion(t, v1)
+	o, err := behind.find(t)
+	require.NoError(t, err, "the store shows that there is no other version")
 	assert.Equal(t, v1, o)
 
+	behind.readMembers = func(context.Context) error { return errStoreAway }
+	_, err = behind.find(t)
+	require.Error(t, err, "what the store answered a moment ago is of before the stream began")
+
 	behind.opts.Role.Set(false)
-	_, err = find()
+	_, err = behind.find(t)
 	require.Error(t, err, "the host does not follow the store and hears nobody")
 
-	address := keeperHost.serve(t)
-	behind.Add(address)
+	behind.Add(keeperHost.serve(t))
 	behind.opts.Role.Set(true)
-	o, err = find()
+	o, err = behind.find(t)
 	require.NoError(t, err)
 	assert.Equal(t, v2, o, "the keeper knows better than the list")
 }
 
+// Guards against a stream that goes on at another software version at a host that has just been cut off from the store and from all
+// hosts: their last words are of before the stream began.
+func TestStreamIsNotTakenForThatOfOnlyVersionRightAfterACut(t *testing.T) {
+	behind := newTestHost(t, "behind", "127.0.0.1:2")
+	behind.addOnlyVersion(t, v1)
+	behind.readMembers = func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	behind.AddInZone("127.0.0.1:1", "a") // refuses connections
+	behind.recordHeartbeat(&rpc.Beat{Host: "b", Incarnation: 1, Sequence: 1, PullAddress: "127.0.0.1:1", MembersRevision: 3, StoreReachable: true}, time.Now())
+	began := time.Now()
+	_, err := behind.find(t)
+	require.ErrorIs(t, err, origin.ErrUnreachable)
+	assert.Less(t, time.Since(began), time.Second, "its caller can go elsewhere")
+}
+
 // Guards against a stream that goes on at another software version at a host that follows the store and whose watch lags
 // behind what other hosts announce.
 func TestStreamIsNotTakenForThatOfOnlyVersionWhileOthersKnowMore(t *testing.T) {
 	h := newTestHost(t, "h", "127.0.0.1:9")
-	registered := member("a", 3, false)
-	registered.SoftwareVersion = "1"
-	v1 := origin.Origin{Upstream: "pool", Version: "1"}
-	require.NoError(t, h.state.Publish(state.Members{Entries: []state.Registration{registered}, Source: state.FromStore, Complete: true, AsOf: 3}))
-	require.NoError(t, h.state.Publish(state.StoreCall{}))
-	h.opts.Origins.SetInUse(map[origin.Origin]bool{v1: true}, time.Now())
-	h.opts.Origins.AddEarlier(nil, true, time.Now())
-	find := func() (origin.Origin, error) { return h.Find(t.Context(), "begun elsewhere", []string{"pool"}) }
+	h.addOnlyVersion(t, v1)
 	sequence := uint64(0)
 	announce := func(revision uint64) {
 		sequence++
 		h.recordHeartbeat(&rpc.Beat{Host: "b", Incarnation: 1, Sequence: sequence, PullAddress: "127.0.0.1:1", MembersRevision: revision}, time.Now())
 	}
 	announce(3)
-	o, err := find()
+	o, err := h.find(t)
 	require.NoError(t, err)
 	assert.Equal(t, v1, o)
 
 	announce(4)
-	_, err = find()
-	require.Error(t, err, "the other host knows replicas that this one does not")
-
-	registered.Revision = 4
-	require.NoError(t, h.state.Publish(state.Members{Entries: []state.Registration{registered}, Source: state.FromStore, Complete: true, AsOf: 4}))
-	_, err = find()
+	h.readBrings(v1, 4)
+	o, err = h.find(t)
 	require.NoError(t, err)
+	assert.Equal(t, v1, o, "what the other host knows is of the same version")
+
+	announce(5)
+	h.readMembers = func(context.Context) error { return errStoreAway }
+	_, err = h.find(t)
+	require.Error(t, err, "the other host knows replicas that this one does not")
 	require.NoError(t, h.state.Publish(state.StoreCall{Err: objectstore.ErrUnavailable}))
 	delete(h.peers, "127.0.0.1:1")
-	_, err = find()
+	_, err = h.find(t)
 	require.Error(t, err, "the store has gone away, and no other host is heard")
+
+	require.NoError(t, h.state.Publish(state.StoreCall{}))
+	h.readBrings(v2, 5)
+	_, err = h.find(t)
+	require.Error(t, err, "the read shows another version")
+}
+
+// Guards against a host cut off from the store that refuses all streams which callers take up, though other hosts can read it, and
+// against one that trusts what another host knows without a read, as an earlier build tells it.
+func TestOtherHostReadsTheStoreForOneThatIsCutOff(t *testing.T) {
+	reader, cut := newTestHost(t, "reader", "127.0.0.1:1"), newTestHost(t, "cut", "127.0.0.1:2")
+	reader.addOnlyVersion(t, v1)
+	cut.addOnlyVersion(t, v1)
+	cut.readMembers = func(context.Context) error { return errStoreAway }
+	address := reader.serve(t)
+	cut.AddInZone(address, "a")
+	cut.recordHeartbeat(&rpc.Beat{Host: "reader", Incarnation: 1, Sequence: 1, PullAddress: address, StoreReachable: true, AvailabilityZone: "a"}, time.Now())
+	for _, lost := range []error{nil, objectstore.ErrUnavailable} {
+		require.NoError(t, cut.state.Publish(state.StoreCall{Err: lost}))
+		o, err := cut.find(t)
+		require.NoError(t, err)
+		assert.Equal(t, v1, o)
+	}
+	reader.readMembers = cut.readMembers
+	_, err := cut.find(t)
+	require.Error(t, err, "it cannot read the store either")
+	reader.readBrings(v2, 4)
+	_, err = cut.find(t)
+	require.Error(t, err, "the read shows another version")
+	assert.Len(t, cut.opts.Origins.Recent(time.Now()), 2)
+
+	earlier := httptest.NewServer(rpc.NewGatewayServer(&earlierBuild{Exchange: reader.Exchange}))
+	t.Cleanup(earlier.Close)
+	assert.ErrorIs(t, cut.pull(t.Context(), earlier.Listener.Addr().String(), true), errNotCurrent)
+}
+
+// earlierBuild is a host of a build that does not read the store for others.
+type earlierBuild struct{ *Exchange }
+
+func (b *earlierBuild) Pull(ctx context.Context, request *rpc.PullRequest) (*rpc.PullResponse, error) {
+	request.Current = false
+	return b.Exchange.Pull(ctx, request)
+}
+
+// Guards against a decision that goes by a read which began before it was asked for, and against a read for each of many that ask
+// at the same time.
+func TestReadsOfTheStoreAreSharedByThoseWhoAskedBefore(t *testing.T) {
+	began, release := make(chan int, 10), make(chan struct{})
+	calls := 0
+	c := &sharedCall{call: func(context.Context) error {
+		calls++
+		began <- calls
+		<-release
+		if calls == 1 {
+			return errStoreAway
+		}
+		return nil
+	}}
+	results := make(chan error, 10)
+	ask := func() { results <- c.do(t.Context()) }
+	go ask()
+	assert.Equal(t, 1, <-began)
+	for range 5 {
+		go ask()
+	}
+	time.Sleep(50 * time.Millisecond) // until all have asked
+	release <- struct{}{}
+	require.ErrorIs(t, <-results, errStoreAway)
+	assert.Equal(t, 2, <-began)
+	assert.Empty(t, results, "the call that had begun is not theirs")
+	close(release)
+	for range 5 {
+		require.NoError(t, <-results)
+	}
+	assert.Equal(t, 2, calls)
 }
 
 // Guards against registrations that are taken for up to date while no host that this one hears reaches the store.
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -106,6 +106,9 @@
 	// Status returns this host's view of the deployment and the requests that this host
 	// refuses, for operators.
 	Status func() *rpc.GatewayStatus
+	// ReadMembers brings the registrations up to date with the store: when it returns nil, they include all changes that the
+	// store had confirmed when it was called. If nil, the store cannot be read.
+	ReadMembers func(ctx context.Context) error
 	// Role holds whether this host follows the store itself. If nil, New creates one that is
 	// following.
 	Role *state.Role
@@ -126,6 +129,8 @@
 	wallOffset  atomic.Int64  // milliseconds by which it is behind the true time, see TrueUnixMilli
 	socket      *net.UDPConn
 	client      *http.Client
+	storeReads  sharedCall // reads of the store by this host; see Refresh
+	refresh     sharedCall // by this host or through another one
 
 	// mu guards peers, seenHosts, expired, zones, speaker (see zoneSpeaker), seenInZone, assumedLive
 	// and stalls.
@@ -224,6 +229,7 @@
 	transport := httphead.NewTransport(&http.Transport{
 		DialContext: opts.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: netio.MaxHeaderBytes, ResponseHeaderTimeout: pullAnswerTimeout,
 	})
+	e.storeReads.call, e.refresh.call = e.readStore, e.refreshMembers
 	e.client = &http.Client{Transport: netio.BoundBodies(transport, maxPullBytes), Timeout: pullTimeout}
 	return e
 }
--- a/internal/gateway/peers/peers_test.go
+++ b/internal/gateway/peers/peers_test.go
@@ -17,6 +17,7 @@
 
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/gateway/state"
 	"heatherbarrow/internal/rpc"
@@ -28,6 +29,8 @@
 	state     *state.State
 	fleet     *fleet.Fleet
 	hostCount int
+	// readMembers is the read of the store.
+	readMembers func(ctx context.Context) error
 }
 
 // newTestHost returns a host in zone "a" with the pull service at address. Its Exchange is not
@@ -36,15 +39,17 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	host := &testHost{fleet: fleet.New(fleet.Options{Zone: "a"})}
+	host := &testHost{fleet: fleet.New(fleet.Options{Zone: "a"}), readMembers: func(context.Context) error { return nil }}
+	origins := origin.NewTracker()
 	host.state = state.New(state.Options{
-		Bus: bus.New(), Fleet: host.fleet, Logger: zerolog.Nop(), MaxWithdrawTime: time.Second, MaxConfigDelay: 2 * time.Second, OnStoreChange: func() {},
+		Bus: bus.New(), Fleet: host.fleet, Origins: origins, Logger: zerolog.Nop(), MaxWithdrawTime: time.Second, MaxConfigDelay: 2 * time.Second, OnStoreChange: func() {},
 		Decode: func(raw []byte) (c routing.Config, err error) { return c, json.Unmarshal(raw, &c.Version) },
 	})
 	require.NoError(t, host.state.Start(ctx))
 	host.Exchange = New(Options{
-		Host: name, Zone: "a", Listen: address, BeatPort: 7200, Seeds: seeds, State: host.state, Fleet: host.fleet,
-		Dial: (&net.Dialer{}).DialContext, Logger: zerolog.Nop(), OnHostCount: func(hostCount int) { host.hostCount = hostCount },
+		Host: name, Zone: "a", Listen: address, BeatPort: 7200, Seeds: seeds, State: host.state, Fleet: host.fleet, Origins: origins,
+		ReadMembers: func(ctx context.Context) error { return host.readMembers(ctx) },
+		Dial:        (&net.Dialer{}).DialContext, Logger: zerolog.Nop(), OnHostCount: func(hostCount int) { host.hostCount = hostCount },
 	})
 	for _, seed := range seeds {
 		host.Add(seed)
--- a/internal/gateway/peers/pull.go
+++ b/internal/gateway/peers/pull.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/state"
 	"heatherbarrow/internal/rpc"
 )
@@ -51,12 +52,21 @@
 // pullFrom pulls from a peer the configuration and the replicas that are newer than this host's,
 // and publishes them to this host's state.
 func (e *Exchange) pullFrom(ctx context.Context, address string) error {
+	return e.pull(ctx, address, false)
+}
+
+// pull is pullFrom. With current set, the peer reads the store for that, and fails if it cannot.
+func (e *Exchange) pull(ctx context.Context, address string, current bool) error {
 	client := rpc.NewGatewayProtobufClient("http://"+address, e.client)
 	response, err := client.Pull(ctx, &rpc.PullRequest{
 		ConfigVersion: e.opts.State.ConfigVersion(), MembersEra: e.opts.State.MembersEra(), MembersAsOf: e.opts.State.MembersAsOf(),
+		Current: current,
 	})
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
+	case current && !response.Current:
+		return errNotCurrent
 	}
 	if len(response.Config) > 0 {
 		raw, err := unpackConfig(response.Config, response.ConfigCompressed)
@@ -77,9 +87,20 @@
 			Era: m.Era, Revision: m.Revision, Removed: m.Removed, PeerHold: time.Duration(m.HeldMs) * time.Millisecond,
 		}
 	}
-	return e.opts.State.Publish(state.Members{
+	var versions []origin.Version
+	for _, v := range response.Versions {
+		versions = append(versions, origin.Version{
+			Origin: origin.Origin{Upstream: v.Upstream, Version: v.SoftwareVersion}, Unused: time.Duration(v.UnusedMs) * time.Millisecond,
+		})
+	}
+	err = e.opts.State.Publish(state.Members{
 		Entries: entries, Source: state.FromPeer, Complete: response.MembersComplete, AsOf: response.MembersAsOf, Era: response.MembersEra,
+		Versions: versions,
 	})
+	if err == nil && current && (e.opts.State.MembersEra() != response.MembersEra || e.opts.State.MembersAsOf() < response.MembersAsOf) {
+		return errNotCurrent // it knows less of the store's eras than this host
+	}
+	return err
 }
 
 // Status implements rpc.Gateway.
@@ -90,16 +111,21 @@
 // Pull implements rpc.Gateway. It returns the configuration if the caller has an older one, and
 // the changes to the replica list since the revision that the caller has, or the whole list. It
 // refuses a caller that has no list (MembersAsOf is 0) while maxFullPulls such pulls are being
-// served.
-func (e *Exchange) Pull(_ context.Context, request *rpc.PullRequest) (*rpc.PullResponse, error) {
+// served, and one that asks for what the store has now if the store cannot be read.
+func (e *Exchange) Pull(ctx context.Context, request *rpc.PullRequest) (*rpc.PullResponse, error) {
 	s := e.opts.State
+	if request.Current {
+		if err := e.storeReads.do(ctx); err != nil {
+			return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		}
+	}
 	if request.MembersAsOf == 0 {
 		defer e.fullPulls.Add(-1)
 		if e.fullPulls.Add(1) > maxFullPulls {
 			return nil, twirp.NewError(twirp.ResourceExhausted, "other hosts pull everything now")
 		}
 	}
-	response := &rpc.PullResponse{ConfigVersion: s.ConfigVersion()}
+	response := &rpc.PullResponse{ConfigVersion: s.ConfigVersion(), Current: request.Current}
 	if response.ConfigVersion > request.ConfigVersion {
 		var err error
 		if response.Config, response.ConfigCompressed, err = e.packedConfig.pack(response.ConfigVersion, s.RawConfig()); err != nil {
@@ -109,6 +135,11 @@
 	now := time.Now()
 	entries, era, asOf, complete := s.MembersSince(request.MembersEra, request.MembersAsOf)
 	response.MembersEra, response.MembersAsOf, response.MembersComplete = era, asOf, complete
+	for _, v := range e.opts.Origins.Recent(now) {
+		response.Versions = append(response.Versions, &rpc.UpstreamVersion{
+			Upstream: v.Upstream, SoftwareVersion: v.Version, UnusedMs: uint32(v.Unused.Milliseconds()),
+		})
+	}
 	for i := range entries {
 		r := &entries[i]
 		response.Members = append(response.Members, &rpc.Member{
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -201,15 +201,16 @@
 	})
 	p.role = state.NewRole()
 	p.duties = newDutyService(p)
+	stored := &storeService{program: p}
 	p.peers = peers.New(peers.Options{
 		Host: p.settings.Host, Zone: p.settings.AvailabilityZone, Listen: p.settings.PeerListen,
 		BeatPort: p.settings.BeatPort, Seeds: p.settings.Seeds, State: p.state, Fleet: p.fleet, Origins: p.origins,
 		Dial: netio.Dial, Logger: p.logger, Status: p.status, OnHostCount: p.budget.SetHosts, Role: p.role,
-		Usage: p.duties.usage(),
+		Usage: p.duties.usage(), ReadMembers: stored.readMembers,
 	})
 	p.server = proxy.New(proxy.Options{
 		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client, Origins: p.peers, Helpers: p.peers,
-		Table: p.state.Table, Known: p.state.Known, RegistrationsCurrent: p.peers.RegistrationsCurrent, RequestMemory: p.requestMemory, SendMemory: p.settings.bufferBytes(),
+		Table: p.state.Table, Known: p.state.Known, RegistrationsCurrent: p.peers.RegistrationsCurrent, RefreshRegistrations: p.peers.Refresh, RequestMemory: p.requestMemory, SendMemory: p.settings.bufferBytes(),
 		ObserveSuspension: func() { p.observeSuspension() }, CountRun: p.duties.countRun(), BeginRun: p.duties.beginRun(), Logger: p.logger, Metrics: p.metrics.Scope,
 	})
 	p.store = p.adapter.Store(p.settings.Store, &http.Client{Transport: netio.DropIdleAfterFailure(httphead.NewTransport(&http.Transport{
@@ -224,7 +225,7 @@
 		events,
 		p.state,
 		p.peers,
-		&storeService{program: p},
+		stored,
 		&listen.Service{
 			ServiceName: "hosts", Address: p.settings.PeerListen, Needs: []string{"peers"}, Logger: p.logger,
 			Server: func(*kernel.Registry) (*http.Server, error) { return &http.Server{Handler: p.internalHandler()}, nil },
--- a/internal/gateway/proxy/assumed.go
+++ b/internal/gateway/proxy/assumed.go
@@ -108,10 +108,14 @@
 	if !ok {
 		return o, nil
 	}
-	if version, ended := s.opts.Fleet.EndedProcessVersion(replicaID, assumed); ended {
-		if !s.registrationsCurrent() {
+	if _, ended := s.opts.Fleet.EndedProcessVersion(replicaID, assumed); ended {
+		if s.opts.RefreshRegistrations != nil && s.opts.RefreshRegistrations(ctx) != nil {
 			return o, origin.ErrUnreachable
 		}
+		version, ended := s.opts.Fleet.EndedProcessVersion(replicaID, assumed) // now that no registration is missing
+		if !ended {
+			return o, origin.ErrUnknown
+		}
 		o.Version = version
 		s.opts.Origins.Record(attemptID, o, time.Now())
 		return o, nil
--- a/internal/gateway/proxy/origin.go
+++ b/internal/gateway/proxy/origin.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// findOriginTimeout bounds the search for the origin of a stream at other hosts, which are some
-	// milliseconds away.
-	findOriginTimeout = 250 * time.Millisecond
+	// findOriginTimeout bounds the search for the origin of a stream at other hosts and in the store. A caller that is
+	// refused waits as long before it comes back.
+	findOriginTimeout = originUnreachableRetryAfter
 	// originUnreachableRetryAfter is the retry time while hosts that may know the origin of a stream cannot be
 	// asked. They are cut off or restarting, which takes seconds.
 	originUnreachableRetryAfter = time.Second
--- a/internal/gateway/proxy/process_test.go
+++ b/internal/gateway/proxy/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -322,7 +323,15 @@
 				mortal.ServeHTTP(w, r)
 			})
 			g := newTestGateway(t, p, newProcess(registeredStart, events("sound", 8, -1)))
-			g.restart(func(o *proxy.Options) { o.RegistrationsCurrent = func() bool { return !stale.Load() } }, (&net.Dialer{}).DialContext)
+			g.restart(func(o *proxy.Options) {
+				o.RegistrationsCurrent = func() bool { return !stale.Load() }
+				o.RefreshRegistrations = func(context.Context) error {
+					if stale.Load() {
+						return errors.New("the store cannot be read")
+					}
+					return nil
+				}
+			}, (&net.Dialer{}).DialContext)
 			both := g.members
 			g.members = both[:1]
 			g.registered("v1")
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -55,6 +55,9 @@
 	Known func() bool
 	// RegistrationsCurrent reports whether the registrations of the replicas are up to date; nil if they always are.
 	RegistrationsCurrent func() bool
+	// RefreshRegistrations brings them up to date: when it returns nil, they include all changes that were confirmed when it was
+	// called. If nil, they always are.
+	RefreshRegistrations func(ctx context.Context) error
 	// RequestMemory is what the heads and bodies of all requests may occupy together; nil sets no bound.
 	RequestMemory *membudget.Budget
 	// SendMemory is what the kernel may use for answers that callers have not read while this host stops; 0 leaves that to the
--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -30,8 +30,8 @@
 	// added so that not all hosts list at once. The first hosts of a zone list 3,000
 	// replicas in about half a second.
 	minPeerUpdateWait = 1500 * time.Millisecond
-	// minWatchWait is the shortest wait of a watch.
-	minWatchWait = time.Millisecond
+	// MinWatchWait is the shortest wait of a watch.
+	MinWatchWait = time.Millisecond
 	// peerUpdatePoll is the interval at which a starting host checks for these updates.
 	peerUpdatePoll = 20 * time.Millisecond
 	// coalesceDelay is the pause between a change (or a list that returned objects) and the
@@ -162,7 +162,7 @@
 		return w.Times.Wait
 	}
 	w.seenTo = max(revision, w.reported)
-	return max(w.Times.Wait-time.Since(w.began), minWatchWait)
+	return max(w.Times.Wait-time.Since(w.began), MinWatchWait)
 }
 
 // restartWatch cancels the call in progress if it is a watch.
--- a/internal/gateway/state/registry_test.go
+++ b/internal/gateway/state/registry_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 )
 
 const (
@@ -137,3 +138,27 @@
 	assert.True(t, g.applyFullList(map[string]bool{"b": true, "c": true}, 10, false, start))
 	assert.ElementsMatch(t, []string{"b", "c", "late"}, memberIDs(g.membersInUse(start)))
 }
+
+// Guards against software versions that no host remembers though they may have begun streams: those of replicas that came and left
+// within one update, and those that a full list after an earlier one leaves out.
+func TestVersionsOfReplicasThatLeftAreTold(t *testing.T) {
+	s, _ := newTestState(t, nil)
+	s.opts.Origins = origin.NewTracker()
+	versions := func() map[origin.Origin]bool { return s.opts.Origins.Versions(time.Now()) }
+	entry := func(id, version string, revision uint64, removed bool) Registration {
+		return Registration{Member: fleet.Member{ID: id, Upstream: "pool", SoftwareVersion: version}, Revision: revision, Removed: removed}
+	}
+	v1, v2, v3 := origin.Origin{Upstream: "pool", Version: "v1"}, origin.Origin{Upstream: "pool", Version: "v2"}, origin.Origin{Upstream: "pool", Version: "v3"}
+	require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 5, Entries: []Registration{entry("a", "v1", 5, false)}}))
+	missed, _ := s.opts.Origins.Missed()
+	assert.Zero(t, missed, "it is the first list")
+	require.NoError(t, s.Publish(Members{Source: FromStore, AsOf: 7, Entries: []Registration{entry("b", "v2", 6, false), entry("b", "v2", 7, true)}}))
+	assert.Equal(t, map[origin.Origin]bool{v1: true, v2: true}, versions())
+	require.NoError(t, s.Publish(Members{Source: FromPeer, Complete: true, AsOf: 9, Entries: []Registration{entry("a", "v1", 5, false)}, Versions: []origin.Version{{Origin: v3}}}))
+	assert.Equal(t, map[origin.Origin]bool{v1: true, v2: true, v3: true}, versions())
+	missed, _ = s.opts.Origins.Missed()
+	assert.Zero(t, missed, "the peer told those that the list leaves out")
+	require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 11, Entries: []Registration{entry("a", "v1", 5, false)}}))
+	missed, _ = s.opts.Origins.Missed()
+	assert.EqualValues(t, 1, missed)
+}
--- a/internal/gateway/state/role.go
+++ b/internal/gateway/state/role.go
@@ -20,14 +20,14 @@
 }
 
 // FollowsStore reports whether a host must follow the store itself. It must if fewer than
-// FollowersPerZone neighbors that reach the store precede it in the order of compareRank, which
+// FollowersPerZone neighbors that reach the store precede it in the order of CompareRank, which
 // is the same on all hosts. If followers fail, the next hosts in this order therefore take their
 // place. Hosts that do not receive each other's heartbeats may all follow, which only costs extra
 // calls.
 func FollowsStore(host string, neighbors []Neighbor) bool {
 	higherRanked := 0
 	for _, n := range neighbors {
-		if n.StoreReachable && compareRank(n.Host, host) < 0 {
+		if n.StoreReachable && CompareRank(n.Host, host) < 0 {
 			higherRanked++
 		}
 	}
@@ -36,20 +36,20 @@
 
 // SpeaksForZone reports whether a host is the speaker of its availability zone, which sends a
 // digest of the zone's in-flight requests to the other zones. The speaker is the first of this host
-// and its neighbors in the order of compareRank. Hosts that do not receive each other's heartbeats
+// and its neighbors in the order of CompareRank. Hosts that do not receive each other's heartbeats
 // may both be speakers.
 func SpeaksForZone(host string, neighbors []Neighbor) bool {
 	for _, n := range neighbors {
-		if compareRank(n.Host, host) < 0 {
+		if CompareRank(n.Host, host) < 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// compareRank orders hosts by a hash of their names, so that hosts with consecutive names, such
+// CompareRank orders hosts by a hash of their names, so that hosts with consecutive names, such
 // as those of one rack, do not all come first.
-func compareRank(a, b string) int {
+func CompareRank(a, b string) int {
 	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 }
 
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,9 @@
 	Complete bool
 	AsOf     uint64
 	Era      uint64 // of the store's revisions, see objectstore.Revisions.Era
+	// Versions are the software versions that the peer knows of, those of replicas that have gone included; empty from the
+	// store and from an earlier build.
+	Versions []origin.Version
 }
 
 // StoreCall is the outcome of a call to the store.
@@ -294,6 +298,7 @@
 	if update.Source == FromPeer {
 		s.recordEra(update.Era, FromPeer, s.StoreEra() > 0, now)
 	}
+	s.noteVersions(&update, now)
 	changed, outdated := s.merge(update, storeUnstable, now)
 	if outdated > 0 || changed {
 		s.opts.Logger.Info().Str("source", string(update.Source)).Uint64("era", update.Era).Uint64("as_of", update.AsOf).
@@ -307,6 +312,25 @@
 	}
 }
 
+// noteVersions tells the origins which software versions an update names, also of replicas that came and left within it. A full
+// list after an earlier one leaves out those that came and left between the two.
+func (s *State) noteVersions(update *Members, now time.Time) {
+	if s.opts.Origins == nil {
+		return
+	}
+	if update.Complete && s.membersAsOf.Load() > 0 && len(update.Versions) == 0 {
+		s.opts.Origins.MissVersions(now)
+	}
+	versions := slices.Clone(update.Versions)
+	for i := range update.Entries {
+		// What a peer tells of entries that were removed long ago would keep their versions in memory for ever.
+		if r := &update.Entries[i]; r.Upstream != "" && (!r.Removed || update.Source == FromStore) {
+			versions = append(versions, origin.Version{Origin: origin.Origin{Upstream: r.Upstream, Version: r.SoftwareVersion}})
+		}
+	}
+	s.opts.Origins.AddVersions(versions, now)
+}
+
 // merge merges an update into the registry. It reports whether the registry changed, and how many
 // entries of the update are older than those that this host has.
 func (s *State) merge(update Members, storeUnstable bool, now time.Time) (changed bool, outdated int) {
@@ -377,6 +401,9 @@
 	}
 	s.lastUnstableAt = now
 	s.opts.Logger.Warn().Uint64("era", era).Uint64("before", previous).Str("source", string(source)).Msg("store came back from a copy")
+	if s.opts.Origins != nil {
+		s.opts.Origins.LoseVersions(now)
+	}
 	if s.opts.OnNewEra != nil {
 		s.opts.OnNewEra()
 	}
@@ -384,6 +411,9 @@
 
 // recordStoreCall updates the store's status after a call.
 func (s *State) recordStoreCall(err error, now time.Time) {
+	if s.opts.Origins != nil {
+		s.opts.Origins.SetStoreLost(err != nil, now)
+	}
 	if err != nil {
 		if !s.storeFailing {
 			s.opts.Logger.Warn().Err(err).Msg("store lost")
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,11 @@
 	initialHostListTimeout = 300 * time.Millisecond
 )
 
+var (
+	errMembersNotListed = errors.New("the registrations have not been listed yet")
+	errMembersEra       = errors.New("the store came back from a copy since the registrations were listed")
+)
+
 // storeService follows the configuration and the replica registrations in the store and
 // maintains the registration of this host there.
 type storeService struct {
@@ -140,17 +146,16 @@
 	update := state.Members{Source: state.FromStore, Complete: complete, AsOf: r.AsOf, Era: r.Era}
 	for _, o := range r.Objects {
 		registration := state.Registration{Member: fleet.Member{ID: o.Name}, Revision: o.Version, Removed: o.Deleted}
-		if !o.Deleted {
-			member, err := s.program.adapter.DecodeMember(o.Name, o.Value)
-			if err == nil {
-				registration.Member = member
-			} else {
-				// An entry that another writer has overwritten with an invalid value does not
-				// describe a usable replica, and the address registered before under this name
-				// may no longer be valid.
-				s.program.logger.Warn().Err(err).Str("replica", o.Name).Msg("invalid replica registration")
-				registration.Removed = true
-			}
+		member, err := s.program.adapter.DecodeMember(o.Name, o.Value)
+		switch {
+		case err == nil:
+			registration.Member = member // of a removed entry, as it was before
+		case !o.Deleted:
+			// An entry that another writer has overwritten with an invalid value does not
+			// describe a usable replica, and the address registered before under this name
+			// may no longer be valid.
+			s.program.logger.Warn().Err(err).Str("replica", o.Name).Msg("invalid replica registration")
+			registration.Removed = true
 		}
 		if registration.Removed && registration.Revision == 0 {
 			registration.Revision = r.AsOf
@@ -160,6 +165,28 @@
 	return s.program.state.Publish(update)
 }
 
+// readMembers brings the registrations up to date: when it returns nil, they include all changes that the store had confirmed when
+// it was called.
+func (s *storeService) readMembers(ctx context.Context) error {
+	p := s.program
+	era := p.state.MembersEra() // before the revision, which begins anew with the era
+	asOf := p.state.MembersAsOf()
+	if asOf == 0 {
+		return errMembersNotListed
+	}
+	r, err := p.store.WatchKind(ctx, p.adapter.KindMembers, asOf, state.MinWatchWait)
+	if err != nil {
+		return err
+	}
+	if r.Era != era {
+		return errMembersEra
+	}
+	if len(r.Objects) == 0 {
+		return nil
+	}
+	return s.applyMembers(r, false)
+}
+
 // hostRecord is the stored object that registers a host for the other hosts.
 type hostRecord struct {
 	PeerAddress      string `json:"peer_address"`
