Origins: the known version of a stream does not change

Cause: each report replaced the one before. The version that began a stream is a fact of the past; a different one that comes later is wrong. Now the first known version holds, a report that differs is neither kept nor passed on, and only what stands for a process (assumed, unregistered or unknown) is replaced.

TestKnownOriginOfStreamDoesNotChange fails before in nine checks.

--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -77,6 +77,9 @@
 // Assumed reports whether the version is a result of AssumedVersion.
 func Assumed(version string) bool { return strings.HasPrefix(version, assumedPrefix) }
 
+// standsForProcess reports whether the version is that of a process whose software version is not known yet.
+func standsForProcess(version string) bool { return strings.HasPrefix(version, UnknownVersion) }
+
 // Origin is what began a stream.
 type Origin struct {
 	Upstream string
@@ -306,7 +309,9 @@
 	defer t.mu.Unlock()
 	e := Entry{Stream: StreamID(attemptID), Origin: o}
 	before, _ := t.recorded(e.Stream)
-	t.put(e, now)
+	if !t.put(e, now) {
+		return
+	}
 	if !Assumed(before.Version) || Assumed(o.Version) {
 		t.report(e, now)
 		t.keepOpen(e, now)
@@ -380,19 +385,25 @@
 	}
 }
 
-// put remembers a stream. What is assumed of it does not replace what is known.
-func (t *Tracker) put(e Entry, now time.Time) {
-	if before, ok := t.recorded(e.Stream); ok && Assumed(e.Version) && !Assumed(before.Version) {
-		return
+// put remembers a stream, and returns false if its origin is known to be another one: it does not change, so that a host which
+// is wrong about it must not mislead the others. What stands for a process does not replace a known version either.
+func (t *Tracker) put(e Entry, now time.Time) bool {
+	before, ok := t.recorded(e.Stream)
+	if ok && before != e.Origin && !standsForProcess(before.Version) {
+		return false
+	}
+	if ok && Assumed(e.Version) && !Assumed(before.Version) {
+		return true
 	}
 	if now.Sub(t.rotatedAt) > Retention || len(t.current) >= maxStreams {
 		t.previous, t.current, t.rotatedAt = t.current, make(map[uint64]uint16), now
 		t.forgetOrigins()
 	}
 	if _, ok := t.indexes[e.Origin]; !ok && len(t.origins) > math.MaxUint16 {
-		return // more than a process ever meets; unknown streams are refused
+		return true // more than a process ever meets; unknown streams are refused
 	}
 	t.current[e.Stream] = t.index(e.Origin)
+	return true
 }
 
 // forgetOrigins forgets the origins that no remembered stream has: those of processes come and go. The present generation
--- a/internal/gateway/origin/origin_test.go
+++ b/internal/gateway/origin/origin_test.go
@@ -265,3 +265,24 @@
 	assert.Equal(t, map[Origin]bool{v2: true}, a.Versions(now))
 	assert.Equal(t, map[Origin]bool{v2: true}, b.Versions(now))
 }
+
+// Guards against a wrong report of one host that makes all others go on with a stream at another version.
+func TestKnownOriginOfStreamDoesNotChange(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v1, v2 := Origin{"pool", "v1"}, Origin{"pool", "v2"}
+	keeper := NewTracker()
+	keeper.SetInUse(map[Origin]bool{v1: true, v2: true}, now)
+	keeper.Record("a", v2, now)
+	keeper.TakePending()
+	for _, later := range []string{v1.Version, ProcessVersion("r0", 2), AssumedVersion("r0", 2), UnknownVersion} {
+		keeper.Apply([]Entry{{StreamID("a"), Origin{"pool", later}}}, now)
+		keeper.Record("a", Origin{"pool", later}, now)
+		o, _ := keeper.Recorded(StreamID("a"))
+		assert.Equal(t, v2, o, "%q", later)
+		assert.Empty(t, keeper.TakePending(), "%q", later)
+	}
+	assert.Equal(t, []Entry{{StreamID("a"), v2}}, keeper.Open(now))
+	keeper.Apply([]Entry{{StreamID("b"), Origin{"pool", ProcessVersion("r0", 2)}}, {StreamID("b"), v2}}, now)
+	o, _ := keeper.Recorded(StreamID("b"))
+	assert.Equal(t, v2, o, "the registration of the process has come")
+}
