Origins: streams are written to the store only if their process is not found out

Callers' streams begin on trust that the registered process began them, and were written to the store at once, as an assumed origin differs from each version. With one software version most are settled 0.1 s later, by the question to the process, and then need no record.

Now a host writes streams of assumed processes once they have stayed so for 0.3 s, or at once while another version is known. A write still names all open streams. What is lost: after a loss of power of all hosts, a stream younger than that, begun by a process that is not the registered one, is taken for one of the only version.

TestStreamsOfUnprovenProcessesAreStoredOnlyIfTheyStaySo is new.

--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -25,6 +25,9 @@
 	maxPending = 1 << 12
 	// maxOpen bounds the streams that are kept in the store.
 	maxOpen = 1 << 13
+	// settleTime is the time after the beginning of a stream in which it is mostly found out which process began it. It is
+	// asked after 0.1 s.
+	settleTime = 300 * time.Millisecond
 )
 
 // Errors of a search for the origin of a stream.
@@ -344,21 +347,50 @@
 	delete(t.open, StreamID(attemptID))
 }
 
-// Open returns the streams of this host that have not been completed and whose upstreams have several
-// versions.
+// Open returns the streams of this host that have not been completed and whose origins others may be unable to infer, as their
+// upstreams have several versions or it is only assumed which process began them.
 func (t *Tracker) Open(now time.Time) (out []Entry) {
+	out, unsettled := t.OpenSettled(now)
+	return append(out, unsettled...)
+}
+
+// OpenSettled returns the streams of Open, apart from those whose process may still be found out: if it is the registered one of
+// the only version, others can infer their origins.
+func (t *Tracker) OpenSettled(now time.Time) (out, unsettled []Entry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	several := make(map[string]bool) // by upstream
 	for stream, s := range t.open {
 		if now.Sub(s.begun) > Retention {
 			delete(t.open, stream)
 			continue
 		}
-		if t.severalVersions(s.Origin, now) {
-			out = append(out, Entry{Stream: stream, Origin: s.Origin})
+		if !t.severalVersions(s.Origin, now) {
+			continue
+		}
+		e := Entry{Stream: stream, Origin: s.Origin}
+		if Assumed(s.Version) && now.Sub(s.begun) < settleTime {
+			if _, ok := several[s.Upstream]; !ok {
+				several[s.Upstream] = t.versionCount(s.Upstream, now) > 1
+			}
+			if !several[s.Upstream] {
+				unsettled = append(unsettled, e)
+				continue
+			}
 		}
+		out = append(out, e)
 	}
-	return out
+	return out, unsettled
+}
+
+// versionCount returns the number of versions of an upstream that are in use or were within Retention.
+func (t *Tracker) versionCount(upstream string, now time.Time) (n int) {
+	for o := range t.lastInUse {
+		if o.Upstream == upstream && t.recent(o, now) {
+			n++
+		}
+	}
+	return n
 }
 
 // AddOpen adds streams that this host had not completed before it restarted.
--- a/internal/gateway/origin/origin_test.go
+++ b/internal/gateway/origin/origin_test.go
@@ -286,3 +286,28 @@
 	o, _ := keeper.Recorded(StreamID("b"))
 	assert.Equal(t, v2, o, "the registration of the process has come")
 }
+
+// Guards against a write to the store for each stream whose process is found out soon, and against streams that are never written
+// as their process is not.
+func TestStreamsOfUnprovenProcessesAreStoredOnlyIfTheyStaySo(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v1, v2 := Origin{"pool", "v1"}, Origin{"pool", "v2"}
+	assumed := Origin{"pool", AssumedVersion("r0", 1)}
+	tracker := NewTracker()
+	tracker.SetInUse(map[Origin]bool{v1: true}, now)
+	tracker.Record("proved", assumed, now)
+	tracker.Record("unproved", assumed, now)
+	settled, unsettled := tracker.OpenSettled(now)
+	assert.Empty(t, settled)
+	assert.Len(t, unsettled, 2)
+	tracker.Record("proved", v1, now.Add(settleTime/2))
+	settled, unsettled = tracker.OpenSettled(now.Add(settleTime))
+	assert.Equal(t, []Entry{{StreamID("unproved"), assumed}}, settled)
+	assert.Empty(t, unsettled)
+
+	tracker.Record("beside another version", assumed, now.Add(settleTime))
+	tracker.SetInUse(map[Origin]bool{v1: true, v2: true}, now.Add(settleTime))
+	settled, unsettled = tracker.OpenSettled(now.Add(settleTime))
+	assert.Len(t, settled, 3, "nobody can infer their origins")
+	assert.Empty(t, unsettled)
+}
--- a/internal/gateway/originkeeper.go
+++ b/internal/gateway/originkeeper.go
@@ -50,6 +50,8 @@
 	program *Program
 	stored  map[string][]string // versions of the stored records, by upstream; nil if they must be read
 	era     uint64              // of the store when they were read
+	// unsettled means that the last write has left out streams that may have to be written later.
+	unsettled bool
 }
 
 // run reads what is stored, and then writes versions and streams as they change, until ctx ends.
@@ -77,10 +79,11 @@
 		case <-missed:
 			k.stored = nil // it holds what this host has missed
 		case <-opened:
-			k.logError(ctx, k.writeStreams(ctx))
-			opened, pause = nil, time.After(streamsInterval(k.program.fleet.Hosts()))
+			opened, pause = nil, k.storeStreams(ctx)
 		case <-pause:
-			opened, pause = k.program.origins.Opened(), nil
+			if opened, pause = k.program.origins.Opened(), nil; k.unsettled {
+				opened, pause = nil, k.storeStreams(ctx)
+			}
 		}
 	}
 }
@@ -174,12 +177,21 @@
 	return nil
 }
 
-// writeStreams writes the streams of this host that have not been completed.
+// storeStreams writes the streams of this host and returns what tells when the next write is due.
+func (k *originKeeper) storeStreams(ctx context.Context) (due <-chan time.Time) {
+	k.logError(ctx, k.writeStreams(ctx))
+	return time.After(streamsInterval(k.program.fleet.Hosts()))
+}
+
+// writeStreams writes the streams of this host that have not been completed. A record names all that are open, so that it
+// is written only if it names one that the others cannot infer.
 func (k *originKeeper) writeStreams(ctx context.Context) error {
-	entries := k.program.origins.Open(time.Now())
+	entries, unsettled := k.program.origins.OpenSettled(time.Now())
+	k.unsettled = len(unsettled) > 0
 	if len(entries) == 0 {
 		return nil
 	}
+	entries = append(entries, unsettled...)
 	callCtx, cancel := context.WithTimeout(ctx, originCallTimeout)
 	defer cancel()
 	err := k.program.store.Replace(callCtx, k.program.adapter.KindStreams, k.program.settings.Host, newStreamsRecord(entries))
