Registrations: note the revision of a watch that ends without a change

Cause: only lists and watches with changes set State.MembersAsOf. The read for an inference watches from there, gets 410, and nothing lists again, as the watcher's own revision has risen.

The new test fails without it.

Why it works: the revision is now at most one watch old, like the watcher's own, and a read without changes raises it too.

--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -69,7 +69,7 @@
 	// does not follow gets updates from peers, and lists again when it resumes following.
 	Role *Role
 	// Apply passes the objects that a list or a watch returned to the state. complete reports
-	// whether r holds all objects of the kind rather than changes.
+	// whether r holds all objects of the kind rather than changes, which may be none up to r.AsOf.
 	Apply func(r objectstore.Revisions, complete bool) error
 
 	// Used only by Run.
@@ -346,7 +346,7 @@
 	}
 	w.era = r.Era
 	changed = len(r.Objects) > 0
-	if revision == 0 || changed {
+	if revision == 0 || changed || r.AsOf > revision {
 		if err := w.Apply(r, revision == 0); err != nil {
 			return revision, false, err
 		}
--- a/internal/gateway/state/follow_test.go
+++ b/internal/gateway/state/follow_test.go
@@ -313,3 +313,18 @@
 		assert.Equal(t, c.lists, store.listCalls("config"), name)
 	}
 }
+
+// Guards against a revision of the registrations that gets older than the store's history while nothing changes: a read from there
+// fails, and callers cannot take up streams that no host has a record of.
+func TestRevisionOfRegistrationsRisesWithoutChanges(t *testing.T) {
+	s, ctx := newTestState(t, nil)
+	store := newScriptedStore()
+	apply := func(r objectstore.Revisions, complete bool) error {
+		return s.Publish(Members{Source: FromStore, Complete: complete, AsOf: r.AsOf, Era: r.Era})
+	}
+	members := &Watcher{Store: store, Kind: "members", State: s, Logger: zerolog.Nop(), Times: WatchTimes{Wait: time.Hour}, Apply: apply}
+	go members.Run(ctx)
+	require.Eventually(t, func() bool { return s.MembersAsOf() == 5 }, 10*time.Second, time.Millisecond)
+	store.watches["members"] <- nil // ends without a change, at revision 6
+	assert.Eventually(t, func() bool { return s.MembersAsOf() == 6 }, 2*time.Second, time.Millisecond)
+}
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -181,9 +181,6 @@
 	if r.Era != era {
 		return errMembersEra
 	}
-	if len(r.Objects) == 0 {
-		return nil
-	}
 	return s.applyMembers(r, false)
 }
 
