Origins: a stream whose version cannot be read now may go on later

What callers saw: while an upstream has one version, a stream taken up at a host whose read of the store failed, as for a slow store, was refused with unknown_origin and no retry time, though the next try may go on.

Cause: find returned the error of the keepers. With one version they have no records and answer so, which is ErrUnknown; the failed read was only logged.

Evidence: the new test got ErrUnknown before, and gets ErrUnreachable with the change, and still ErrUnknown once a read shows another version.

--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
@@ -180,24 +181,31 @@
 	if o, ok := e.opts.Origins.Recorded(stream); ok {
 		return o, sourceRecord, nil
 	}
-	if o, ok := e.inferOrigin(ctx, upstreams); ok {
+	o, inferErr := e.inferOrigin(ctx, upstreams)
+	switch {
+	case inferErr == nil:
 		return o, sourceInferred, nil
+	case errors.Is(inferErr, origin.ErrUnreachable):
+		err = inferErr // a later read may tell what the keepers do not know
 	}
 	return origin.Origin{}, "", err
 }
 
 // inferOrigin returns the origin of all streams of the upstreams that have begun so far, if there is just one version. What this
 // host knew before cannot exclude another one, as a replica gets requests within milliseconds of its registration. The store
-// shows, when it is read now, all versions that any host could have sent the stream to.
-func (e *Exchange) inferOrigin(ctx context.Context, upstreams []string) (origin.Origin, bool) {
+// shows, when it is read now, all versions that any host could have sent the stream to. The errors are those of Find.
+func (e *Exchange) inferOrigin(ctx context.Context, upstreams []string) (origin.Origin, error) {
 	if _, ok := e.onlyOrigin(upstreams); !ok {
-		return origin.Origin{}, false
+		return origin.Origin{}, origin.ErrUnknown
 	}
 	if err := e.Refresh(ctx); err != nil {
 		e.opts.Logger.Info().Err(err).Msg("origin of a stream cannot be inferred, as the store cannot be read")
-		return origin.Origin{}, false
+		return origin.Origin{}, origin.ErrUnreachable
+	}
+	if o, ok := e.onlyOrigin(upstreams); ok {
+		return o, nil
 	}
-	return e.onlyOrigin(upstreams)
+	return origin.Origin{}, origin.ErrUnknown
 }
 
 // onlyOrigin returns the origin of all streams of the upstreams if this host knows of just one version.
--- a/internal/gateway/peers/origins_test.go
+++ b/internal/gateway/peers/origins_test.go
@@ -358,3 +358,17 @@
 	assert.Len(t, e.peers["10.0.0.2:1"].unreachableUntil, 1, "what is over is forgotten")
 	assert.Equal(t, map[string]bool{"a": true}, found("pool"))
 }
+
+// Guards against a caller that is told that its stream cannot go on, as the keepers know nothing of it while there is one version,
+// though only the store could not be read for a moment.
+func TestStreamMayGoOnLaterIfTheStoreCannotBeRead(t *testing.T) {
+	keeperHost, h := newTestHost(t, "keeper", "127.0.0.1:1"), newTestHost(t, "h", "127.0.0.1:2")
+	h.addOnlyVersion(t, v1)
+	h.Add(keeperHost.serve(t))
+	h.readMembers = func(context.Context) error { return errStoreAway }
+	_, err := h.find(t)
+	require.ErrorIs(t, err, origin.ErrUnreachable)
+	h.readBrings(v2, 4)
+	_, err = h.find(t)
+	require.ErrorIs(t, err, origin.ErrUnknown, "no read can tell it any more")
+}
