State: a host that stops following the store no longer counts as one that lost it

During an outage of the store, hosts of lower rank follow it in place of those that lost it. When these regained it, the others stopped following with their last call failed, made no further one, and reported all their streams to their keepers for ever (twice each, in datagrams), and read the store for no decision. With hundreds of hosts one outage leaves most of them so.

Now the state is told when the watchers pause. The host then is as one that has made no call, as after its start. TestHostThatStopsFollowingHasNotLostTheStore fails before (still reporting after 3 s).

--- a/internal/gateway/state/follow.go
+++ b/internal/gateway/state/follow.go
@@ -196,7 +196,7 @@
 		// configuration and the replicas from the store or from peers. If peers send none, it
 		// lists once itself.
 		if w.Role != nil && !w.Role.Following() && (revision > 0 || w.State.Known() || w.awaitPeerUpdates(ctx)) {
-			if !w.Role.waitFollowing(ctx) {
+			if w.State.Publish(notFollowing{}) != nil || !w.Role.waitFollowing(ctx) {
 				return
 			}
 			revision = 0
--- a/internal/gateway/state/follow_test.go
+++ b/internal/gateway/state/follow_test.go
@@ -15,6 +15,7 @@
 
 	"heatherbarrow/internal/bus"
 	"heatherbarrow/internal/gateway/fleet"
+	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/gateway/routing"
 	"heatherbarrow/internal/objectstore"
 )
@@ -328,3 +329,29 @@
 	store.watches["members"] <- nil // ends without a change, at revision 6
 	assert.Eventually(t, func() bool { return s.MembersAsOf() == 6 }, 2*time.Second, time.Millisecond)
 }
+
+// Guards against a host that reports all its streams to other hosts for ever, and asks none to read the store for it: it lost the
+// store and stopped following it when others regained it.
+func TestHostThatStopsFollowingHasNotLostTheStore(t *testing.T) {
+	s, ctx := newTestState(t, nil)
+	s.opts.Origins = origin.NewTracker()
+	store := newScriptedStore()
+	role := NewRole()
+	apply := func(objectstore.Revisions, bool) error {
+		return s.Publish(Members{Source: FromStore, Complete: true, AsOf: 5})
+	}
+	members := &Watcher{Store: store, Kind: "members", State: s, Logger: zerolog.Nop(), Times: WatchTimes{Wait: time.Hour}, Apply: apply, Role: role}
+	go members.Run(ctx)
+	require.Eventually(t, func() bool { return s.StoreReachable() }, 10*time.Second, time.Millisecond)
+	store.watches["members"] <- objectstore.ErrUnavailable
+	require.Eventually(t, s.StoreLost, 10*time.Second, time.Millisecond)
+	role.Set(false) // other hosts of the zone reach the store again
+	v1 := origin.Origin{Upstream: "pool", Version: "v1"}
+	s.opts.Origins.SetInUse(map[origin.Origin]bool{v1: true}, time.Now())
+	reports := func() int {
+		s.opts.Origins.TakePending()
+		s.opts.Origins.Record("begun now", v1, time.Now())
+		return len(s.opts.Origins.TakePending())
+	}
+	assert.Eventually(t, func() bool { return reports() == 0 }, 3*time.Second, 10*time.Millisecond)
+}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -62,6 +62,9 @@
 	Era uint64 // of the store, if Err is nil and the answer tells it
 }
 
+// notFollowing means that this host has stopped following the store.
+type notFollowing struct{}
+
 // tick is the periodic event that ends expired holds.
 type tick struct{}
 
@@ -108,7 +111,7 @@
 	membersRevision atomic.Uint64  // the highest revision of any registration of the era
 	membersAsOf     atomic.Uint64  // the store's revision up to which no change of registrations is missing
 	storeReachable  atomic.Bool    // the last call to the store succeeded; false before the first call
-	storeLost       atomic.Bool    // the last call to the store failed; false before the first call
+	storeLost       atomic.Bool    // the last call to the store failed; false before the first call and on a host that does not follow the store
 	storeAnswered   boottime.Stamp // the last successful call to the store
 	membersListed   atomic.Bool    // a full list, which may be empty, or some registrations from a peer have been received
 
@@ -244,6 +247,9 @@
 			s.recordEra(e.Era, FromStore, s.everAnswered, now)
 			s.everAnswered = true
 		}
+	case notFollowing:
+		s.setStoreLost(false, now) // it makes no calls that could show when the store is back
+		s.storeFailing = false
 	case tick:
 		s.mu.Lock()
 		expired := s.registry.expire(now)
@@ -411,9 +417,7 @@
 
 // recordStoreCall updates the store's status after a call.
 func (s *State) recordStoreCall(err error, now time.Time) {
-	if s.opts.Origins != nil {
-		s.opts.Origins.SetStoreLost(err != nil, now)
-	}
+	s.setStoreLost(err != nil, now)
 	if err != nil {
 		if !s.storeFailing {
 			s.opts.Logger.Warn().Err(err).Msg("store lost")
@@ -421,7 +425,6 @@
 		s.storeFailing = true
 		s.lastUnstableAt = now
 		s.storeReachable.Store(false)
-		s.storeLost.Store(true)
 		return
 	}
 	if s.storeFailing {
@@ -431,5 +434,11 @@
 	s.storeFailing = false
 	s.storeAnswered.Set()
 	s.storeReachable.Store(true)
-	s.storeLost.Store(false)
+}
+
+func (s *State) setStoreLost(lost bool, now time.Time) {
+	s.storeLost.Store(lost)
+	if s.opts.Origins != nil {
+		s.opts.Origins.SetStoreLost(lost, now)
+	}
 }
