Origins: gaps in the history of versions are handed on, and noticed at the start

What callers could see: a stream of a version that came and left unnoticed goes on at the only version that a host knows (ORDER).

Two ways: a host with a gap in its history (it had listed the registrations again and not read the stored versions yet) told others what it had, and these inferred from it what it did not itself; and a starting host read the stored versions before its first list, up to 3 s apart. Now a pull tells whether the history is complete, the puller notes a gap otherwise, and a first list after the stored versions counts as one.

--- a/internal/gateway/origin/origin.go
+++ b/internal/gateway/origin/origin.go
@@ -281,6 +281,17 @@
 	return out
 }
 
+// VersionsComplete reports whether Recent holds all versions that may have begun a stream which can still be taken up.
+func (t *Tracker) VersionsComplete(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.complete(now)
+}
+
+func (t *Tracker) complete(now time.Time) bool {
+	return !t.completeFrom.IsZero() && !now.Before(t.completeFrom)
+}
+
 // Versions returns the origins of Recent.
 func (t *Tracker) Versions(now time.Time) map[Origin]bool {
 	out := make(map[Origin]bool)
@@ -523,7 +534,7 @@
 func (t *Tracker) Only(upstreams []string, now time.Time) (only Origin, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.completeFrom.IsZero() || now.Before(t.completeFrom) {
+	if !t.complete(now) {
 		return Origin{}, false
 	}
 	for o := range t.lastInUse {
--- a/internal/gateway/originkeeper.go
+++ b/internal/gateway/originkeeper.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"heatherbarrow/internal/gateway/origin"
 	"heatherbarrow/internal/objectstore"
 )
@@ -61,23 +63,21 @@
 	opened := k.program.origins.Opened()
 	_, missed := k.program.origins.Missed()
 	var pause <-chan time.Time // between two writes of streams
+	// A host that starts may find a gap right after its first read. Gaps that others tell of come in series.
+	reads := rate.NewLimiter(rate.Every(versionSyncInterval), 2)
+	reads.Allow()
+	k.sync(ctx)
 	for {
-		if k.program.state.StoreEra() > k.era {
-			k.stored = nil // the store may have lost what was written
-		}
-		var err error
-		if k.stored == nil {
-			err = k.load(ctx)
-		} else if k.program.role.Following() {
-			err = k.syncVersions(ctx)
-		}
-		k.logError(ctx, err)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			k.sync(ctx)
 		case <-missed:
 			k.stored = nil // it holds what this host has missed
+			if reads.Allow() {
+				k.sync(ctx)
+			}
 		case <-opened:
 			opened, pause = nil, k.storeStreams(ctx)
 		case <-pause:
@@ -88,6 +88,20 @@
 	}
 }
 
+// sync reads what is stored, or writes the versions that have changed.
+func (k *originKeeper) sync(ctx context.Context) {
+	if k.program.state.StoreEra() > k.era {
+		k.stored = nil // the store may have lost what was written
+	}
+	var err error
+	if k.stored == nil {
+		err = k.load(ctx)
+	} else if k.program.role.Following() {
+		err = k.syncVersions(ctx)
+	}
+	k.logError(ctx, err)
+}
+
 func (k *originKeeper) logError(ctx context.Context, err error) {
 	if err != nil && ctx.Err() == nil {
 		k.program.logger.Warn().Err(err).Msg("origins of streams cannot be read from the store or written")
--- a/internal/gateway/peers/origins_test.go
+++ b/internal/gateway/peers/origins_test.go
@@ -372,3 +372,21 @@
 	_, err = h.find(t)
 	require.ErrorIs(t, err, origin.ErrUnknown, "no read can tell it any more")
 }
+
+// Guards against a gap in the history of versions that one host hands on to another: a host that has listed the registrations again
+// cannot infer, until it has read the stored versions, and one that pulled the changes from it then can.
+func TestGapInHistoryOfVersionsIsTold(t *testing.T) {
+	reader, cut := newTestHost(t, "reader", "127.0.0.1:1"), newTestHost(t, "cut", "127.0.0.1:2")
+	reader.addOnlyVersion(t, v1)
+	cut.addOnlyVersion(t, v1)
+	cut.readMembers = func(context.Context) error { return errStoreAway }
+	address := reader.serve(t)
+	cut.AddInZone(address, "a")
+	cut.recordHeartbeat(&rpc.Beat{Host: "reader", Incarnation: 1, Sequence: 1, PullAddress: address, StoreReachable: true, AvailabilityZone: "a"}, time.Now())
+	// A replica of v2 came at revision 4, began the stream at a third host and left at 5; the reader lists again.
+	require.NoError(t, reader.state.Publish(state.Members{Entries: []state.Registration{registeredVersion(v1, 3)}, Source: state.FromStore, Complete: true, AsOf: 6}))
+	_, err := reader.find(t)
+	require.Error(t, err, "versions may be missing")
+	o, err := cut.find(t)
+	require.Error(t, err, "the reader tells what it cannot rely on itself; inferred %+v", o)
+}
--- a/internal/gateway/peers/pull.go
+++ b/internal/gateway/peers/pull.go
@@ -95,7 +95,7 @@
 	}
 	err = e.opts.State.Publish(state.Members{
 		Entries: entries, Source: state.FromPeer, Complete: response.MembersComplete, AsOf: response.MembersAsOf, Era: response.MembersEra,
-		Versions: versions,
+		Versions: versions, VersionsComplete: response.VersionsComplete,
 	})
 	if err == nil && current && (e.opts.State.MembersEra() != response.MembersEra || e.opts.State.MembersAsOf() < response.MembersAsOf) {
 		return errNotCurrent // it knows less of the store's eras than this host
@@ -133,6 +133,7 @@
 		}
 	}
 	now := time.Now()
+	response.VersionsComplete = e.opts.Origins.VersionsComplete(now)
 	entries, era, asOf, complete := s.MembersSince(request.MembersEra, request.MembersAsOf)
 	response.MembersEra, response.MembersAsOf, response.MembersComplete = era, asOf, complete
 	for _, v := range e.opts.Origins.Recent(now) {
--- a/internal/gateway/state/registry_test.go
+++ b/internal/gateway/state/registry_test.go
@@ -154,7 +154,7 @@
 	assert.Zero(t, missed, "it is the first list")
 	require.NoError(t, s.Publish(Members{Source: FromStore, AsOf: 7, Entries: []Registration{entry("b", "v2", 6, false), entry("b", "v2", 7, true)}}))
 	assert.Equal(t, map[origin.Origin]bool{v1: true, v2: true}, versions())
-	require.NoError(t, s.Publish(Members{Source: FromPeer, Complete: true, AsOf: 9, Entries: []Registration{entry("a", "v1", 5, false)}, Versions: []origin.Version{{Origin: v3}}}))
+	require.NoError(t, s.Publish(Members{Source: FromPeer, Complete: true, AsOf: 9, Entries: []Registration{entry("a", "v1", 5, false)}, Versions: []origin.Version{{Origin: v3}}, VersionsComplete: true}))
 	assert.Equal(t, map[origin.Origin]bool{v1: true, v2: true, v3: true}, versions())
 	missed, _ = s.opts.Origins.Missed()
 	assert.Zero(t, missed, "the peer told those that the list leaves out")
@@ -162,3 +162,17 @@
 	missed, _ = s.opts.Origins.Missed()
 	assert.EqualValues(t, 1, missed)
 }
+
+// Guards against a history of versions with a gap between the stored versions, which a starting host reads at once, and its first
+// list of the registrations, for which it may wait seconds.
+func TestFirstListAfterStoredVersionsLeavesGap(t *testing.T) {
+	s, _ := newTestState(t, nil)
+	s.opts.Origins = origin.NewTracker()
+	s.opts.Origins.AddEarlier([]origin.Origin{{Upstream: "pool", Version: "v1"}}, true, time.Now())
+	// v2 comes, begins a stream and leaves.
+	require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 9, Entries: []Registration{
+		{Member: fleet.Member{ID: "a", Upstream: "pool", SoftwareVersion: "v1"}, Revision: 5},
+	}}))
+	_, ok := s.opts.Origins.Only([]string{"pool"}, time.Now())
+	assert.False(t, ok, "versions that left before the list are not known")
+}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -54,6 +54,8 @@
 	// Versions are the software versions that the peer knows of, those of replicas that have gone included; empty from the
 	// store and from an earlier build.
 	Versions []origin.Version
+	// VersionsComplete means that Versions holds all that may have begun a stream which can still be taken up.
+	VersionsComplete bool
 }
 
 // StoreCall is the outcome of a call to the store.
@@ -319,12 +321,23 @@
 }
 
 // noteVersions tells the origins which software versions an update names, also of replicas that came and left within it. A full
-// list after an earlier one leaves out those that came and left between the two.
+// list leaves out those that came and left since an earlier one, or since the stored versions were read.
 func (s *State) noteVersions(update *Members, now time.Time) {
 	if s.opts.Origins == nil {
 		return
 	}
-	if update.Complete && s.membersAsOf.Load() > 0 && len(update.Versions) == 0 {
+	earlierKnown := s.membersAsOf.Load() > 0
+	select {
+	case <-s.opts.Origins.Loaded():
+		earlierKnown = true
+	default: // the stored versions will be read
+	}
+	switch {
+	case update.Source == FromPeer && len(update.Versions) > 0:
+		if !update.VersionsComplete {
+			s.opts.Origins.MissVersions(now) // what the peer has missed is missing here too
+		}
+	case update.Complete && earlierKnown:
 		s.opts.Origins.MissVersions(now)
 	}
 	versions := slices.Clone(update.Versions)
--- a/internal/soak/outofstep_test.go
+++ b/internal/soak/outofstep_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"sync"
 	"syscall"
 	"testing"
@@ -102,9 +101,9 @@
 	}
 }
 
-// Guards against hosts that refuse all streams which callers take up while the store is away, though there has been one software
-// version only: nobody but the hosts can tell it.
-func TestStreamsOfOnlyVersionGoOnWhileStoreIsAway(t *testing.T) {
+// Guards against hosts that refuse all streams which callers take up while the store is away, has dropped its history or was not
+// read yet, though there has been one software version only.
+func TestStreamsOfOnlyVersionGoOn(t *testing.T) {
 	concurrently(t)
 	d := newDeploymentOfVersion(t, 3, 2, false, "v1")
 	defer d.keepLogs(1)
@@ -112,15 +111,24 @@
 	time.Sleep(500 * time.Millisecond)
 	s := d.longCallers(10 * time.Millisecond)
 	s.hangUp = 0.25
-	for _, fault := range []storetest.Fault{storetest.Down, storetest.Silent} {
-		name := fmt.Sprintf("store fault %d", fault)
-		streams := s.followBeside(6*time.Second, func() {
+	playFault := func(fault storetest.Fault) func() {
+		return func() {
 			d.store.SetFault(fault)
 			time.Sleep(2500 * time.Millisecond)
 			each(d.hosts[1:3], func(h *host) { h.restart(syscall.SIGKILL, 0) })
 			time.Sleep(time.Second)
 			d.store.SetFault(storetest.None)
-		})
+		}
+	}
+	for name, play := range map[string]func(){
+		"store down": playFault(storetest.Down), "store silent": playFault(storetest.Silent),
+		"all hosts killed": func() { killAll(d.hosts, func() {}) },
+		"history dropped": func() {
+			d.store.DropHistory()
+			each(d.hosts[1:3], func(h *host) { h.restart(syscall.SIGKILL, 0) })
+		},
+	} {
+		streams := s.followBeside(6*time.Second, play)
 		checkFollowed(t, name, streams)
 		assert.Empty(t, joined(streams), name)
 		all, began, takenUp, wentOn := shares(streams)
