Origins: registrations between two others of a replica are remembered

What callers could see: a stream whose process had ended goes on at the version of the replica's next process though one of another version had the address in between (ORDER).

The version of an ended process was told from the registrations that the fleet had got, which are the last of each update. Now all registrations of an update are noted, and a full list after an earlier one counts as a gap, across which nothing is told unless the process was still registered after it. A pull from another host still brings the last registration only.

TestProcessBetweenTwoOthersOfOneUpdateIsRemembered (from the review, with the gap) fails before: told v1.

--- a/internal/gateway/state/registry_test.go
+++ b/internal/gateway/state/registry_test.go
@@ -176,3 +176,25 @@
 	_, ok := s.opts.Origins.Only([]string{"pool"}, time.Now())
 	assert.False(t, ok, "versions that left before the list are not known")
 }
+
+// Guards against a version of an ended process that is told though another version was registered for the replica in between: its
+// process may have begun the stream. Updates bring it together with the next one.
+func TestProcessBetweenTwoOthersOfOneUpdateIsRemembered(t *testing.T) {
+	s, _ := newTestState(t, nil)
+	entry := func(version string, started int64, revision uint64) Registration {
+		return Registration{Member: fleet.Member{ID: "r", Upstream: "pool", Address: "10.0.0.1:80", SoftwareVersion: version, Started: started}, Revision: revision}
+	}
+	require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 5, Entries: []Registration{entry("v1", 1, 5)}}))
+	require.NoError(t, s.Publish(Members{Source: FromStore, AsOf: 7, Entries: []Registration{entry("v2", 2, 6), entry("v1", 3, 7)}}))
+	version, known := s.opts.Fleet.EndedProcessVersion("r", 1)
+	assert.False(t, known, "a process of v2 may have begun streams that were sent to the first one; told: %q", version)
+
+	require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 9, Entries: []Registration{entry("v1", 3, 7)}}))
+	require.NoError(t, s.Publish(Members{Source: FromStore, AsOf: 10, Entries: []Registration{entry("v1", 4, 10)}}))
+	version, known = s.opts.Fleet.EndedProcessVersion("r", 3)
+	assert.True(t, known, "it was still registered after the gap")
+	assert.Equal(t, "v1", version)
+	require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 14, Entries: []Registration{entry("v1", 6, 13)}}))
+	_, known = s.opts.Fleet.EndedProcessVersion("r", 4)
+	assert.False(t, known, "another one may have been registered between the lists")
+}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -355,6 +355,7 @@
 func (s *State) merge(update Members, storeUnstable bool, now time.Time) (changed bool, outdated int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	listedBefore := s.membersAsOf.Load() > 0
 	if update.Era == 0 {
 		update.Era = s.registry.era // from a store without eras, or from a host that does not tell them
 	}
@@ -369,6 +370,7 @@
 		s.membersAsOf.Store(0)
 	}
 	listedIDs := make(map[string]bool, len(update.Entries))
+	var processes []fleet.Member // that this host has not known to be replaced
 	for _, r := range update.Entries {
 		listedIDs[r.ID] = true
 		if update.Source == FromStore || r.Era == 0 {
@@ -376,9 +378,12 @@
 		}
 		if old, ok := s.registry.entries[r.ID]; ok && old.compare(&r) > 0 {
 			outdated++
+		} else if !r.Removed {
+			processes = append(processes, r.Member)
 		}
 		changed = s.registry.merge(r, storeUnstable, now) || changed
 	}
+	s.opts.Fleet.NoteProcesses(processes, update.Complete && listedBefore)
 	if update.Complete {
 		changed = s.registry.applyFullList(listedIDs, update.AsOf, storeUnstable, now) || changed
 	}
