State: changes from before a host's own list are not told as all changes

A host that lists as of revision 9 told a caller at 7 all changes up to 9, without a removal at 8 of an entry that it had never had. Now such a caller gets the full list.

--- a/internal/gateway/state/registry.go
+++ b/internal/gateway/state/registry.go
@@ -67,7 +67,8 @@
 	era       uint64 // of the store's last full list
 	revision  uint64 // the highest of all entries of the era
 	held      int    // number of removed entries that stay in use
-	// forgottenRevision is the highest revision of a removal that is no longer remembered.
+	// forgottenRevision is the revision up to which removals may not be known, as they were before the last full list or are no
+	// longer remembered.
 	forgottenRevision uint64
 }
 
--- a/internal/gateway/state/registry_test.go
+++ b/internal/gateway/state/registry_test.go
@@ -198,3 +198,12 @@
 	_, known = s.opts.Fleet.EndedProcessVersion("r", 4)
 	assert.False(t, known, "another one may have been registered between the lists")
 }
+
+// Guards against a host that pulls the changes since a revision from one that has listed only later, and is told neither of the
+// removals before that list nor that they are missing.
+func TestChangesFromBeforeTheFirstListAreNotTold(t *testing.T) {
+	s, _ := newTestState(t, nil)
+	require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 9, Entries: []Registration{registration("a", 3)}})) // b was removed at 8
+	_, _, asOf, complete := s.MembersSince(0, 7)
+	assert.True(t, complete, "only the full list shows that b has gone; told as all changes up to %d", asOf)
+}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -202,7 +202,7 @@
 
 // MembersSince returns the registrations that changed after a revision of an era, and the era and the
 // revision membersAsOf up to which they include all changes. If revision is 0 or of another era, or if
-// removals after it are no longer remembered, it returns all known registrations instead. complete
+// removals after it are not known or remembered, it returns all known registrations instead. complete
 // reports that these include a full list; it is false if this host has not received one yet.
 func (s *State) MembersSince(era, revision uint64) (entries []Registration, membersEra, membersAsOf uint64, complete bool) {
 	s.mu.RLock()
@@ -385,6 +385,8 @@
 	}
 	s.opts.Fleet.NoteProcesses(processes, update.Complete && listedBefore)
 	if update.Complete {
+		// Removals before the list, of entries that this host never had, are not known.
+		s.registry.forgottenRevision = max(s.registry.forgottenRevision, update.AsOf)
 		changed = s.registry.applyFullList(listedIDs, update.AsOf, storeUnstable, now) || changed
 	}
 	s.membersEra.Store(s.registry.era)
