--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -193,7 +193,8 @@
 
 // inferOrigin returns the origin of all streams of the upstreams that have begun so far, if there is just one version. What this
 // host knew before cannot exclude another one, as a replica gets requests within milliseconds of its registration. The store
-// shows, when it is read now, all versions that any host could have sent the stream to. The errors are those of Find.
+// shows, when it is read now, the versions of all registered processes that any host could have sent the stream to. The errors
+// are those of Find.
 func (e *Exchange) inferOrigin(ctx context.Context, upstreams []string) (origin.Origin, error) {
 	if _, ok := e.onlyOrigin(upstreams); !ok {
 		return origin.Origin{}, origin.ErrUnknown
--- a/internal/gateway/peers/origins_test.go
+++ b/internal/gateway/peers/origins_test.go
@@ -390,3 +390,16 @@
 	o, err := cut.find(t)
 	require.Error(t, err, "the reader tells what it cannot rely on itself; inferred %+v", o)
 }
+
+// Guards against a stream that goes on at another software version while the hosts that have a record of it cannot be asked: the
+// store does not show a process that began it before its registration.
+func TestStreamOfUnregisteredProcessIsNotInferredWhileKeepersAreUnreachable(t *testing.T) {
+	beginner, other := newTestHost(t, "beginner", "127.0.0.1:1"), newTestHost(t, "other", "127.0.0.1:2")
+	beginner.addOnlyVersion(t, v1)
+	other.addOnlyVersion(t, v1)
+	beginner.Record(begunElsewhere, origin.Origin{Upstream: "pool", Version: origin.ProcessVersion("r", 2)}, time.Now())
+	other.AddInZone("127.0.0.1:1", "a") // the beginner, which refuses connections
+	other.recordHeartbeat(&rpc.Beat{Host: "beginner", Incarnation: 1, Sequence: 1, PullAddress: "127.0.0.1:1", MembersRevision: 3, StoreReachable: true}, time.Now())
+	o, err := other.find(t)
+	require.Error(t, err, "inferred %+v", o)
+}
--- a/internal/gateway/proxy/assumed.go
+++ b/internal/gateway/proxy/assumed.go
@@ -112,7 +112,7 @@
 		if s.opts.RefreshRegistrations != nil && s.opts.RefreshRegistrations(ctx) != nil {
 			return o, origin.ErrUnreachable
 		}
-		version, ended := s.opts.Fleet.EndedProcessVersion(replicaID, assumed) // now that no registration is missing
+		version, ended := s.opts.Fleet.EndedProcessVersion(replicaID, assumed) // as of now
 		if !ended {
 			return o, origin.ErrUnknown
 		}
