Proxy: pass a gap of the only replica on only after a read of the registrations

What callers see: a stream whose replica had lost an event went on without it (ORDER), at a host that had just been cut off or stood still, though another replica had joined meanwhile that had the event.

Cause: where the service has no other replica, a gap in the IDs of events is taken for a larger step, as breaking the stream off brings nobody the event. Whether there is another one was judged by registrations that count as current for 2 s after the store's last answer, or 1 s after a heartbeat.

Change: the host reads the registrations at that moment (RefreshRegistrations, shared by all that wait) and breaks the stream off if it cannot, as it did with registrations known to be out of date.

Evidence: TestGapIsNotPassedOnBeforeTheRegistrationsAreRead fails before (events 0, 1, 2, 4, 5 where another replica has joined, and where the store cannot be read) and passes now.

--- a/internal/gateway/proxy/eventgaps_test.go
+++ b/internal/gateway/proxy/eventgaps_test.go
@@ -1,6 +1,8 @@
 package proxy_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -130,3 +132,40 @@
 	assert.Error(t, err)
 	assert.Equal(t, eventsWithIDs(-1, 0, 1, 2), text)
 }
+
+// Guards against a gap that is passed on by what was the only replica at the host's last news of the registrations: another one may
+// have joined since, which would send the missing event.
+func TestGapIsNotPassedOnBeforeTheRegistrationsAreRead(t *testing.T) {
+	ids := []int{0, 1, 2, 3, 4, 5}
+	none := func(*http.Request, int) bool { return false }
+	loses := func(_ *http.Request, id int) bool { return id == 3 }
+	for _, test := range []struct {
+		name   string
+		joined bool  // another replica has joined meanwhile
+		err    error // of the read
+		text   string
+		breaks bool
+	}{
+		{name: "joined", joined: true, text: eventsWithIDs(-1, ids...)},
+		{name: "cannot be read", err: errors.New("the store cannot be read"), text: eventsWithIDs(-1, 0, 1, 2), breaks: true},
+		{name: "alone", text: eventsWithIDs(-1, 0, 1, 2, 4, 5)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := newTestGateway(t, newReplica(withIDs(ids, loses)), newReplica(withIDs(ids, none)))
+			g.setVersions("v", "v")
+			g.fleet.SetMembers(g.members[:1])
+			g.restart(func(o *proxy.Options) {
+				o.RegistrationsCurrent = func() bool { return true } // as far as the host can tell
+				o.RefreshRegistrations = func(context.Context) error {
+					if test.joined {
+						g.fleet.SetMembers(g.members)
+					}
+					return test.err
+				}
+			}, (&net.Dialer{}).DialContext)
+			text, err := g.read("/quote/1")
+			assert.Equal(t, test.breaks, err != nil, err)
+			assert.Equal(t, test.text, text)
+		})
+	}
+}
--- a/internal/gateway/proxy/eventids.go
+++ b/internal/gateway/proxy/eventids.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -169,7 +170,7 @@
 	switch {
 	case follows != missingBefore:
 		return follows, step
-	case e.server.gaps.uneven(key, now), !continues && e.onlyReplica(lease, p, now):
+	case e.server.gaps.uneven(key, now), !continues && e.onlyReplica(lease, p):
 		p.idSteps = idSteps{uneven: true}
 		return inSequence, step
 	case !continues:
@@ -178,9 +179,19 @@
 	return missingBefore, step
 }
 
-// onlyReplica reports whether the service has no replica but that of the lease, of any software version.
-func (e *exchange) onlyReplica(lease *fleet.Lease, p *progress, now time.Time) bool {
+// onlyReplica reports whether the service has no replica but that of the lease, of any software version. As others may have joined since
+// this host's last news of them, it reads the registrations first.
+func (e *exchange) onlyReplica(lease *fleet.Lease, p *progress) bool {
 	others := e.fleetRequest(lease.Member.Upstream, p)
 	others.SoftwareVersion, others.Exclude = nil, []string{lease.Member.ID}
-	return e.server.registrationsCurrent() && !e.server.opts.Fleet.OthersMayServe(others, now)
+	s := e.server
+	if !s.registrationsCurrent() || s.opts.Fleet.OthersMayServe(others, time.Now()) {
+		return false
+	}
+	if s.opts.RefreshRegistrations == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(e.r.Context(), findOriginTimeout)
+	defer cancel()
+	return s.opts.RefreshRegistrations(ctx) == nil && !s.opts.Fleet.OthersMayServe(others, time.Now())
 }
