State: do not infer the version of an ended process across processes not seen

Cause: a stream may be recorded as begun by the process that is registered. Once that has ended, its version is that of the processes registered before and after it, if all that are known are alike. The ones known were the latest of each update: those that a peer left out, as it tells only the latest entry of a replica, or that came and left before a full list were not noted.

Change: all entries of an update from the store are noted in order. Where a peer tells of a further process, or of a removal, those before it are forgotten, unless all replicas of the upstream have been of one version, also by the versions that the peer tells. A full list keeps the history of processes that it still names and no other. Such a stream is then refused.

--- a/internal/gateway/fleet/process_test.go
+++ b/internal/gateway/fleet/process_test.go
@@ -214,3 +214,14 @@
 	assert.LessOrEqual(t, len(r.of("often")), maxProcesses)
 	assert.EqualValues(t, 4*maxProcesses-1, r.of("often")[maxProcesses-1].started)
 }
+
+// Guards against a list of the registrations that hides a process which has answered without being registered.
+func TestListKeepsProcessesThatWereNotRegistered(t *testing.T) {
+	f, members := versioned("v1")
+	pick(t, f, streamRequest("v1"), start).RecordProcess(200, start)
+	f.ListProcesses(members)
+	members[0].Started = 300
+	f.Update(members, nil)
+	version, known := f.EndedProcessVersion(members[0].ID, 100)
+	assert.False(t, known, version)
+}
--- a/internal/gateway/fleet/registrations.go
+++ b/internal/gateway/fleet/registrations.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "heatherbarrow/internal/gateway/origin"
+import (
+	"slices"
+
+	"heatherbarrow/internal/gateway/origin"
+)
 
 const (
 	// maxRegistered bounds the replica IDs of a generation of registrations.
@@ -13,14 +17,12 @@
 // generations bound it.
 type registrations struct {
 	current, previous map[string][]registration // by replica ID, oldest first
-	gaps              int                       // counts the times after which some may have been missed
 }
 
 // registration is a process that was registered, or that answered for a replica without that.
 type registration struct {
 	started int64
 	version string // origin.ProcessVersion if it was not registered
-	gaps    int    // of registrations, when the process was last registered
 }
 
 // unregistered reports whether the process was not registered.
@@ -38,13 +40,9 @@
 
 // note remembers a process. Its registration replaces what stood for its version.
 func (r *registrations) note(id string, next registration) {
-	next.gaps = r.gaps
 	processes := r.of(id)
 	if n := len(processes); n > 0 && processes[n-1].started == next.started {
 		last := &processes[n-1]
-		if !next.unregistered() {
-			last.gaps = r.gaps
-		}
 		if last.version == next.version || next.unregistered() {
 			return
 		}
@@ -62,19 +60,51 @@
 	r.current[id] = append(processes, next)
 }
 
+// NoteProcess remembers a process that was registered after those noted before, also if it has gone since.
+func (f *Fleet) NoteProcess(m *Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registrations.note(m.ID, registration{started: m.Started, version: m.SoftwareVersion})
+}
+
+// ForgetProcesses forgets the processes of a replica so far, as others may have come and left after them unnoticed.
+func (f *Fleet) ForgetProcesses(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.registrations.current, id)
+	delete(f.registrations.previous, id)
+}
+
+// ListProcesses notes all processes that are registered. Those of replicas that have gone, or have another process than was known,
+// are forgotten as by ForgetProcesses.
+func (f *Fleet) ListProcesses(members []Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.registrations
+	f.registrations = registrations{}
+	for i := range members {
+		m := &members[i]
+		listed := registration{started: m.Started, version: m.SoftwareVersion}
+		f.registrations.note(m.ID, listed)
+		if earlier := known.of(m.ID); slices.Contains(earlier, listed) {
+			f.registrations.current[m.ID] = earlier
+		}
+	}
+}
+
 // EndedProcessVersion returns the software version of what began a stream that was sent to the replica with the given ID
 // while the process with the given start was registered, if a later one has been registered. Another process may have taken its
 // place unnoticed by then; the version is therefore that of the process if all that were registered or have answered since
-// have the same one, and none may have been missed. That a registration lapsed shows nothing: what took its place may have ended unregistered.
+// have the same one. That a registration lapsed shows nothing: what took its place may have ended unregistered.
 func (f *Fleet) EndedProcessVersion(id string, started int64) (version string, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	found, ended, gaps := false, false, 0
+	found, ended := false, false
 	for _, r := range f.registrations.of(id) {
 		switch {
 		case !found:
-			found, version, gaps = r.started == started && !r.unregistered(), r.version, r.gaps
-		case r.version != version, r.gaps != gaps:
+			found, version = r.started == started && !r.unregistered(), r.version
+		case r.version != version:
 			return "", false
 		default:
 			ended = true
@@ -82,17 +112,3 @@
 	}
 	return version, found && ended
 }
-
-// NoteProcesses notes processes that were registered, oldest first, also those that are not any more. missed means that others may
-// have been registered before them unnoticed.
-func (f *Fleet) NoteProcesses(members []Member, missed bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if missed {
-		f.registrations.gaps++
-	}
-	for i := range members {
-		m := &members[i]
-		f.registrations.note(m.ID, registration{started: m.Started, version: m.SoftwareVersion})
-	}
-}
--- a/internal/gateway/state/registry_test.go
+++ b/internal/gateway/state/registry_test.go
@@ -207,3 +207,46 @@
 	_, _, asOf, complete := s.MembersSince(0, 7)
 	assert.True(t, complete, "only the full list shows that b has gone; told as all changes up to %d", asOf)
 }
+
+// Guards against a stream that is taken for one of the version of a replica's processes before and after the one that began it, which
+// this host has never seen: it came and left within an update, or between two updates that name the latest process only.
+func TestVersionOfEndedProcessIsNotInferredAcrossProcessesThatAreNotKnown(t *testing.T) {
+	entry := func(started int64, version string) Registration {
+		return Registration{Member: fleet.Member{ID: "a", Upstream: "pool", SoftwareVersion: version, Started: started}, Revision: uint64(started)}
+	}
+	v1 := origin.Version{Origin: origin.Origin{Upstream: "pool", Version: "v1"}}
+	v2 := origin.Version{Origin: origin.Origin{Upstream: "pool", Version: "v2"}, Unused: time.Second}
+	both := []origin.Version{v1, v2}
+	gone := entry(2, "v1")
+	gone.Removed = true
+	next := Members{Source: FromStore, Entries: []Registration{entry(3, "v1")}}
+	for _, test := range []struct {
+		name    string
+		updates []Members
+		known   bool
+	}{
+		{name: "next process", updates: []Members{next}, known: true},
+		{name: "removal and next process", updates: []Members{{Source: FromStore, Entries: []Registration{gone}}, next}, known: true},
+		{name: "several processes", updates: []Members{{Source: FromStore, Entries: []Registration{entry(2, "v2"), entry(3, "v1")}}}},
+		{name: "latest that a peer knows", updates: []Members{{Source: FromPeer, Entries: next.Entries, Versions: both, VersionsComplete: true}}},
+		{name: "removal that a peer knows", updates: []Members{{Source: FromPeer, Entries: []Registration{gone}, Versions: both, VersionsComplete: true}, next}},
+		{name: "one version only", updates: []Members{{Source: FromPeer, Entries: next.Entries, Versions: both[:1], VersionsComplete: true}}, known: true},
+		{name: "peer of an earlier build", updates: []Members{{Source: FromPeer, Entries: next.Entries}}},
+		{name: "full list", updates: []Members{{Source: FromStore, Complete: true, Entries: next.Entries}}},
+		{name: "full list without it", updates: []Members{{Source: FromStore, Complete: true, AsOf: 2}, next}},
+		{name: "full list with it", updates: []Members{{Source: FromStore, Complete: true, AsOf: 2, Entries: []Registration{entry(1, "v1")}}, next}, known: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, _ := newTestState(t, nil)
+			s.opts.Origins = origin.NewTracker()
+			require.NoError(t, s.Publish(Members{Source: FromStore, Complete: true, AsOf: 1, Entries: []Registration{entry(1, "v1")}}))
+			s.opts.Origins.AddEarlier(nil, true, time.Now())
+			for _, update := range test.updates {
+				update.AsOf = max(update.AsOf, 2)
+				require.NoError(t, s.Publish(update))
+			}
+			version, known := s.opts.Fleet.EndedProcessVersion("a", 1)
+			assert.Equal(t, test.known, known, version)
+		})
+	}
+}
--- a/internal/gateway/state/state.go
+++ b/internal/gateway/state/state.go
@@ -355,7 +355,6 @@
 func (s *State) merge(update Members, storeUnstable bool, now time.Time) (changed bool, outdated int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listedBefore := s.membersAsOf.Load() > 0
 	if update.Era == 0 {
 		update.Era = s.registry.era // from a store without eras, or from a host that does not tell them
 	}
@@ -370,24 +369,24 @@
 		s.membersAsOf.Store(0)
 	}
 	listedIDs := make(map[string]bool, len(update.Entries))
-	var processes []fleet.Member // that this host has not known to be replaced
 	for _, r := range update.Entries {
 		listedIDs[r.ID] = true
 		if update.Source == FromStore || r.Era == 0 {
 			r.Era = update.Era
 		}
-		if old, ok := s.registry.entries[r.ID]; ok && old.compare(&r) > 0 {
+		old := s.registry.entries[r.ID]
+		if old != nil && old.compare(&r) > 0 {
 			outdated++
-		} else if !r.Removed {
-			processes = append(processes, r.Member)
+		} else {
+			s.noteProcess(old, &r, &update, now)
 		}
 		changed = s.registry.merge(r, storeUnstable, now) || changed
 	}
-	s.opts.Fleet.NoteProcesses(processes, update.Complete && listedBefore)
 	if update.Complete {
 		// Removals before the list, of entries that this host never had, are not known.
 		s.registry.forgottenRevision = max(s.registry.forgottenRevision, update.AsOf)
 		changed = s.registry.applyFullList(listedIDs, update.AsOf, storeUnstable, now) || changed
+		s.noteListedProcesses()
 	}
 	s.membersEra.Store(s.registry.era)
 	s.membersRevision.Store(s.registry.revision)
@@ -397,6 +396,46 @@
 	return changed, outdated
 }
 
+// noteProcess tells the fleet of the process that an entry of an update names, old being the entry before it or nil. Others of the
+// update may replace it. A peer tells only the latest entry of a replica: the processes between it and the one that this host knew may
+// have been of any other version in use. For a list, see noteListedProcesses.
+func (s *State) noteProcess(old, r *Registration, update *Members, now time.Time) {
+	if update.Complete || old != nil && old.Removed == r.Removed && old.SameProcess(&r.Member) {
+		return
+	}
+	if update.Source == FromPeer && !s.onlyVersion(r, old, update, now) {
+		s.opts.Fleet.ForgetProcesses(r.ID)
+	}
+	if !r.Removed {
+		s.opts.Fleet.NoteProcess(&r.Member)
+	}
+}
+
+// noteListedProcesses tells the fleet of all registered processes. A list leaves out those that came and left before it.
+func (s *State) noteListedProcesses() {
+	members := make([]fleet.Member, 0, len(s.registry.entries))
+	for _, r := range s.registry.entries {
+		if !r.Removed {
+			members = append(members, r.Member)
+		}
+	}
+	s.opts.Fleet.ListProcesses(members)
+}
+
+// onlyVersion reports whether all replicas of an entry's upstream have been of one version for as long as streams are remembered, those
+// that came and left before the update included.
+func (s *State) onlyVersion(r, old *Registration, update *Members, now time.Time) bool {
+	upstream := r.Upstream
+	if r.Removed && old != nil {
+		upstream = old.Upstream // a removal does not tell it
+	}
+	if s.opts.Origins == nil || len(update.Versions) == 0 {
+		return false // nothing tells which versions have left
+	}
+	_, only := s.opts.Origins.Only([]string{upstream}, now)
+	return only
+}
+
 // installMembers applies changed registrations to the fleet and, when they came from the store,
 // calls Options.OnStoreChange.
 func (s *State) installMembers(reason string, source Source, now time.Time) {
