Budget: use no slack before a host knows of others

What others see: more retries than the budget allows from all hosts together (BUDGET), if hosts start while they are cut off from each other and the store.

Cause: 10 s after its start a host used its part of the slack, one of at least four, although it had heard of no other host: silence was taken for a small deployment. Twelve such hosts used 60 retries of a slack of 54 at once.

Change: the slack is withheld until another host is heard, or the store has listed the hosts, whose number counts from then on. Retries that follow from a host's own first attempts go on.

Evidence: TestHostsThatHeardOfNoOtherLeaveTheSlack; with the slack not withheld it fails (60 retries where none are due). The tests of internal/gateway pass.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -59,7 +59,7 @@
 	shutdownMargin        = 700 * time.Millisecond
 	shutdownMarginDivisor = 10
 	// minHosts is the number of hosts assumed to share the retry slack until more hosts
-	// are known.
+	// are known, once any are.
 	minHosts = 4
 	// maxIdleStoreConns limits the idle connections to the store: one for each object
 	// kind that is read.
@@ -184,6 +184,7 @@
 	p.newEra = make(chan struct{}, 1)
 	p.fleet = fleet.New(fleet.Options{Zone: p.settings.AvailabilityZone, Model: p.settings.Engines.engineModel(), Seed: rand.Uint64(), ZoneOverflow: p.settings.fleetZoneOverflow()})
 	p.budget = proxy.NewBudget(clockwork.NewRealClock(), p.started, p.settings.RetryShare, p.settings.RetrySlack, minHosts)
+	p.budget.AwaitHosts()
 	p.client = upstream.NewClient(netio.Dial, p.settings.bufferBudget(answerMultiple))
 	p.requestMemory = p.settings.bufferBudget(requestMultiple)
 	p.origins = origin.NewTracker()
--- a/internal/gateway/proxy/budget.go
+++ b/internal/gateway/proxy/budget.go
@@ -24,6 +24,7 @@
 	share     float64
 	slack     float64
 	hosts     int
+	awaited   bool // the number of hosts is not known yet
 	upstreams map[string]*retry.Account
 }
 
@@ -35,13 +36,22 @@
 	}
 }
 
+// AwaitHosts withholds the slack until SetHosts is called: a host that has heard of no other may be cut off from any number of
+// them, which use the slack too.
+func (b *Budget) AwaitHosts() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.awaited = true
+	b.applyBounds()
+}
+
 // SetHosts sets the number of hosts that divide the slack. The number never decreases: a host
 // whose heartbeats do not arrive may still use its part.
 func (b *Budget) SetHosts(hosts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if hosts > b.hosts {
-		b.hosts = hosts
+	if hosts > b.hosts || b.awaited {
+		b.hosts, b.awaited = max(b.hosts, hosts), false
 		b.applyBounds()
 	}
 }
@@ -69,7 +79,12 @@
 }
 
 // hostSlack returns this host's part of the slack. The caller must hold b.mu.
-func (b *Budget) hostSlack() float64 { return usableSlackShare * b.slack / float64(b.hosts) }
+func (b *Budget) hostSlack() float64 {
+	if b.awaited {
+		return 0
+	}
+	return usableSlackShare * b.slack / float64(b.hosts)
+}
 
 // upstream returns the account of the named upstream and creates it on first use. The
 // caller must hold b.mu.
--- a/internal/gateway/proxy/unit_test.go
+++ b/internal/gateway/proxy/unit_test.go
@@ -33,6 +33,35 @@
 	assert.Positive(t, retries)
 }
 
+// Guards against hosts that start while they are cut off from all others and take the silence for a small deployment: each would use the
+// slack of one of a few hosts.
+func TestHostsThatHeardOfNoOtherLeaveTheSlack(t *testing.T) {
+	const hosts, slack = 12, 54.0
+	clock := clockwork.NewFakeClock()
+	budgets := make([]*Budget, hosts)
+	for i := range budgets {
+		budgets[i] = NewBudget(clock, clock.Now(), 0, slack, 4)
+		budgets[i].AwaitHosts()
+	}
+	takeAll := func() (retries int) {
+		for _, b := range budgets {
+			for b.Allow("pool") {
+				retries++
+			}
+		}
+		return retries
+	}
+	clock.Advance(2 * retry.Window)
+	assert.Zero(t, takeAll(), "others may use the whole slack")
+	for _, b := range budgets {
+		b.SetHosts(hosts)
+	}
+	clock.Advance(retry.Window)
+	retries := takeAll()
+	assert.Positive(t, retries)
+	assert.LessOrEqual(t, float64(retries), slack)
+}
+
 // Guards against a host that takes a larger part of the slack when it loses contact with
 // other hosts.
 func TestSlackPerHostNeverGrows(t *testing.T) {
--- a/internal/gateway/store.go
+++ b/internal/gateway/store.go
@@ -257,6 +257,7 @@
 		}
 		records[o.Name] = record
 	}
+	s.program.budget.SetHosts(len(records))
 	return records, nil
 }
 
