Origins: a stream that an unregistered process may have begun has no known origin

Cause: the host that sent the stream assumed the registered process, asked 100 ms later or when the stream broke, and was told of another process. It kept that to itself: hosts that had not heard of that process inferred the version from the registrations before and after it.

Change: if a process that is not registered has answered by then, the origin is recorded as unknown, and keepers are told so. What the process before it began and did not finish within that time can't be told apart and isn't taken up either.

Evidence: TestStreamOfUnregisteredProcessIsNotJoinedAtAnotherHost fails before (200, the stream goes on at v1) and passes now.

--- a/internal/gateway/fleet/process.go
+++ b/internal/gateway/fleet/process.go
@@ -96,6 +96,15 @@
 	return l.proved()
 }
 
+// ProcessOvertaken reports whether another process has answered for the replica without being registered, although the request was
+// sent while the one of the lease was.
+func (l *Lease) ProcessOvertaken() bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	r, ok := l.fleet.replicas[l.Member.ID]
+	return ok && r.member.SameProcess(&l.Member) && r.replaced()
+}
+
 func (l *Lease) proved() bool {
 	return l.evidence != nil && !l.openedAt.After(l.evidence.aliveAt)
 }
--- a/internal/gateway/proxy/assumed.go
+++ b/internal/gateway/proxy/assumed.go
@@ -67,13 +67,17 @@
 	}
 }
 
-// record records the origin of the stream and returns true if the assumption holds.
+// record records the origin of the stream and returns true if the assumption holds. If a process that is not registered has answered,
+// it may have begun the stream, and only this host knows of it: no later registration tells the version.
 func (a *assumption) record() bool {
 	proved := a.lease.ProcessProved()
 	a.server.opts.Logger.Info().Str("request", a.attemptID).Str("replica", a.lease.Member.ID).Bool("proved", proved).
 		Msg("process that began the stream inquired")
-	if proved {
+	switch {
+	case proved:
 		a.server.opts.Origins.Record(a.attemptID, a.origin, time.Now())
+	case a.lease.ProcessOvertaken():
+		a.server.opts.Origins.Record(a.attemptID, origin.Origin{Upstream: a.origin.Upstream, Version: origin.UnknownVersion}, time.Now())
 	}
 	return proved
 }
--- a/internal/gateway/proxy/process_test.go
+++ b/internal/gateway/proxy/process_test.go
@@ -394,3 +394,33 @@
 	status, _, _ := g.takeUp("attempt-1", "2")
 	assert.NotEqual(t, http.StatusOK, status, "goes on at v1 what v2 began")
 }
+
+// Guards against the same where another host takes the stream up, which has not heard of that process, after the version before has come
+// back under the ID.
+func TestStreamOfUnregisteredProcessIsNotJoinedAtAnotherHost(t *testing.T) {
+	var ended atomic.Bool
+	overtaker := newProcess(registeredStart+1, events("v2", 8, 3))
+	p := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ended.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		overtaker.ServeHTTP(w, r)
+	})
+	g := newTestGateway(t, p, newProcess(registeredStart, events("v1", 8, -1)))
+	both := g.members
+	g.members = both[:1]
+	g.registered("v1")
+	response, err := g.send(t.Context(), testRequest{path: "/quote/1"})
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	require.Error(t, err)
+	require.Equal(t, eventsText(3), string(body))
+	other := g.sibling()
+	ended.Store(true)
+	both[0].Started, both[0].SoftwareVersion = registeredStart+2, "v1"
+	both[1].Started, both[1].SoftwareVersion = registeredStart, "v1"
+	other.fleet.SetMembers(both)
+	status, _, _ := other.takeUp("attempt-1", "2")
+	assert.NotEqual(t, http.StatusOK, status, "goes on at v1 what v2 began")
+}
