--- a/internal/gateway/peers/origins_test.go
+++ b/internal/gateway/peers/origins_test.go
@@ -403,3 +403,27 @@
 	o, err := other.find(t)
 	require.Error(t, err, "inferred %+v", o)
 }
+
+// Guards against a data race between the choice of hosts that read the store and heartbeats, and against readers that are far, silent
+// or without the store.
+func TestStoreReadersAreNearHostsThatReachTheStore(t *testing.T) {
+	h := newTestHost(t, "h", "127.0.0.1:9")
+	beat := func(host, zone string, sequence uint64, reachable bool) {
+		h.recordHeartbeat(&rpc.Beat{Host: host, Incarnation: 1, Sequence: sequence, PullAddress: "127.0.0.1:" + host, AvailabilityZone: zone, StoreReachable: reachable}, time.Now())
+	}
+	for i, zone := range []string{"b", "a", "b", "a", "a"} {
+		beat(fmt.Sprint(i+1), zone, 1, i != 1)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for sequence := range uint64(1000) {
+			beat("1", "b", sequence+2, true)
+		}
+	}()
+	for range 1000 {
+		assert.ElementsMatch(t, []string{"127.0.0.1:4", "127.0.0.1:5"}, h.storeReaders(time.Now()))
+	}
+	<-done
+	assert.Empty(t, h.storeReaders(time.Now().Add(silenceTimeout)), "they are silent")
+}
--- a/internal/gateway/peers/refresh.go
+++ b/internal/gateway/peers/refresh.go
@@ -131,25 +131,25 @@
 // storeReaders returns the addresses of hosts that seem to reach the store: first those of this zone that follow it.
 func (e *Exchange) storeReaders(now time.Time) (addresses []string) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	var readers []*peer
 	for _, p := range e.peers {
 		if p.storeReachable && now.Sub(later(p.lastHeartbeat, p.lastInDigest)) < silenceTimeout {
 			readers = append(readers, p)
 		}
 	}
-	e.mu.Unlock()
 	rand.Shuffle(len(readers), func(i, j int) { readers[i], readers[j] = readers[j], readers[i] })
 	slices.SortStableFunc(readers, func(a, b *peer) int {
-		near, nearB := a.zone == e.opts.Zone, b.zone == e.opts.Zone
+		nearA, nearB := a.zone == e.opts.Zone, b.zone == e.opts.Zone
 		switch {
-		case near && nearB:
+		case nearA && nearB:
 			return state.CompareRank(a.host, b.host)
-		case near == nearB:
-			return 0
-		case near:
+		case nearA:
 			return -1
+		case nearB:
+			return 1
 		}
-		return 1
+		return 0 // as shuffled
 	})
 	for _, p := range readers[:min(len(readers), maxStoreReaders)] {
 		addresses = append(addresses, p.address)
