--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -47,11 +47,18 @@
 }
 
 // onClose registers what ends something that the lab has started.
-func (l *lab) onClose(f func()) { l.closed = append(l.closed, f) }
+func (l *lab) onClose(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = append(l.closed, f)
+}
 
 func (l *lab) close() {
-	for i := len(l.closed) - 1; i >= 0; i-- {
-		l.closed[i]()
+	l.mu.Lock()
+	closed := l.closed
+	l.mu.Unlock()
+	for i := len(closed) - 1; i >= 0; i-- {
+		closed[i]()
 	}
 }
 
--- a/review/lab2/peers.go
+++ b/review/lab2/peers.go
@@ -28,29 +28,68 @@
 	// answer writes the answer to a request that the replica runs. If it returns false, the connection is closed.
 	answer func(conn net.Conn, r *http.Request, id string, body []byte) bool
 
-	mu   sync.Mutex
-	runs []run
+	// born is the start of its process in Unix milliseconds; 0 for one that does not tell it.
+	born int64
+
+	mu    sync.Mutex
+	runs  []run
+	conns map[net.Conn]struct{}
 }
 
 // startReplica starts a replica that is not registered yet.
 func (l *lab) startReplica(id string, answer func(conn net.Conn, r *http.Request, id string, body []byte) bool) *replica {
-	p := &replica{lab: l, id: id, listener: l.listen(), answer: answer}
-	go func() {
-		for {
-			conn, err := p.listener.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(conn)
-		}
-	}()
+	p := &replica{lab: l, id: id, listener: l.listen(), answer: answer, conns: make(map[net.Conn]struct{})}
+	go p.accept(p.listener)
 	return p
 }
 
+func (p *replica) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.conns[conn] = struct{}{}
+		p.mu.Unlock()
+		go p.serve(conn)
+	}
+}
+
 func (p *replica) address() string { return p.listener.Addr().String() }
 
+// crash closes the listener and resets all connections. It returns the address.
+func (p *replica) crash() string {
+	at := p.address()
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	return at
+}
+
+// restartAt lets the replica, whose process has just started, listen at the address of one that has ended.
+func (p *replica) restartAt(at string) {
+	_ = p.listener.Close()
+	listener, err := net.Listen("tcp", at)
+	if err != nil {
+		panic(err)
+	}
+	p.lab.onClose(func() { _ = listener.Close() })
+	p.listener = listener
+	go p.accept(listener)
+}
+
 func (p *replica) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	defer func() {
+		_ = conn.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.conns, conn)
+	}()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -64,7 +103,11 @@
 		id := r.Header.Get("Heatherbarrow-Attempt-Id")
 		switch {
 		case r.URL.Path == "/v1/report":
-			text := `{"stage":"colocated","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":1,"queued":0,"running":0,"kvUsed":0,"kvTotal":90000,"kvHandles":0}`
+			text := `{"stage":"colocated","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":1,"queued":0,"running":0,"kvUsed":0,"kvTotal":90000,"kvHandles":0`
+			if p.born != 0 {
+				text += `,"born":` + strconv.FormatInt(p.born, 10)
+			}
+			text += "}"
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 		case r.Header.Get("Heatherbarrow-Expect-Replica") != p.id:
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nHeatherbarrow-Attempt-Id: %s\r\nHeatherbarrow-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", id, p.id)
