--- a/review/lab2/versions.go
+++ b/review/lab2/versions.go
@@ -76,13 +76,18 @@
 			break
 		}
 		if a.status == http.StatusServiceUnavailable {
-			seconds, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
-			time.Sleep(min(time.Duration(seconds*float64(time.Second)), time.Until(until)/3))
+			time.Sleep(min(retryAfter(a), time.Until(until)/3))
 		}
 	}
 	return s
 }
 
+// retryAfter returns the time that an answer asks its client to wait.
+func retryAfter(a *answer) time.Duration {
+	seconds, _ := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // readStream sends an attempt and returns its events as NUMBER:VERSION.
 func (l *lab) readStream(g *gate, path, id, more string, deadline time.Duration) (*answer, []string) {
 	a := send(g.caller(), http.MethodPost, path, id, deadline, []byte("prompt"), more)
