Proxy: withhold refusals that do not say that the request has not run

What callers saw: a replica ran an order and answered 503 (also 408, 421 or 429) without Heatherbarrow-Not-Executed.

Cause: nothing between replica and caller asked what the status promises. All ways were concerned: buffered and unbuffered answers, event streams with a failure's status, answers of hosts that run a delegated request.

Change: forward and forwardDelegated, which all answers pass, end such an attempt of a request that must run once with 502 refusal_unproven, without the seal and with the outcome unknown; a log line and a counter tell the replica's status.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -46,7 +46,7 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// forwardPlain forwards a response that is not an event stream. A 5xx response is kept in
+// forwardPlain forwards a response that is not an event stream. A 5xx or 421 response is kept in
 // p.replicaFailure instead, in case another replica succeeds.
 func (e *exchange) forwardPlain(response *upstream.Response, reply routing.Reply, lease *fleet.Lease, p *progress, watchdog *watchdog) attemptResult {
 	lease.FirstByte(time.Now())
@@ -72,7 +72,7 @@
 	}
 	response.MarkComplete()
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
-	if response.Status >= http.StatusInternalServerError {
+	if response.Status >= http.StatusInternalServerError || response.Status == http.StatusMisdirectedRequest {
 		lease.End(fleet.Failed, time.Now())
 		e.keepFailure(buffered, response, p)
 		return attemptFailed
@@ -112,7 +112,7 @@
 	return body, false, nil
 }
 
-// keepFailure keeps a replica's 5xx response in case no other attempt succeeds.
+// keepFailure keeps a replica's 5xx or 421 response in case no other attempt succeeds.
 func (e *exchange) keepFailure(failure *bufferedResponse, response *upstream.Response, p *progress) {
 	p.replicaFailure = failure
 	e.failureMemory.Close()
--- a/internal/gateway/proxy/delegate.go
+++ b/internal/gateway/proxy/delegate.go
@@ -337,11 +337,6 @@
 	}
 }
 
-// refusedByHost reports whether a host has refused the request, so that no replica runs it.
-func refusedByHost(response *upstream.Response, reply routing.Reply) bool {
-	return response.Status == http.StatusServiceUnavailable && !reply.Sealed
-}
-
 // delegatedHeader returns the header of the caller's request as it is written to another host now.
 func (e *exchange) delegatedHeader(lastResort bool, p *progress) http.Header {
 	d := routing.Delegation{Remaining: e.timeLeft(time.Now()), LastEventID: p.lastEventID}
@@ -372,6 +367,9 @@
 	if !refused {
 		e.noteDelegatedRuns(p, response.Header)
 	}
+	if !refused && e.refusalUnproven(response.Status) {
+		return e.withholdRefusal(response, lease, p)
+	}
 	if e.route.Kind == routing.Streaming && response.Status == http.StatusOK && isEventStream(response.Header) {
 		return e.forwardStream(response, reply, lease, p, watchdog)
 	}
--- a/internal/gateway/proxy/metrics.go
+++ b/internal/gateway/proxy/metrics.go
@@ -65,6 +65,7 @@
 	replacedProcesses  tally.Counter // of these, answered by another one than the registered
 	limitedAttempts    tally.Counter // sent to replicas that state a request limit
 	exhaustedAnswers   tally.Counter // given up or not buffered because there was no memory for them
+	unprovenRefusals   tally.Counter // answers withheld by withholdRefusal
 	unframedEnds       map[endOfAnswer]tally.Counter
 	zones              zoneMetrics
 
@@ -94,6 +95,7 @@
 		replacedProcesses:  scope.Counter("processes_replaced"),
 		limitedAttempts:    scope.Counter("limited_attempts"),
 		exhaustedAnswers:   scope.Counter("answers_without_memory"),
+		unprovenRefusals:   scope.Counter("unproven_refusals"),
 		requests:           make(map[requestSeries]tally.Counter),
 		refusals:           make(map[string]refusalCounter),
 		latencies:          make(map[latencySeries]latencyHistograms),
--- a/internal/gateway/proxy/progress.go
+++ b/internal/gateway/proxy/progress.go
@@ -27,7 +27,8 @@
 	helpers         []string          // hosts that the request was offered to
 	ranAt           []string          // of these, hosts that may run it on another replica
 	stopping        []string          // of these, hosts that stop and take it only as a last resort
-	replicaFailure  *bufferedResponse // a replica's 5xx response, forwarded if no attempt succeeds
+	replicaFailure  *bufferedResponse // a replica's 5xx or 421 response, forwarded if no attempt succeeds
+	refusalUnproven bool              // a replica refused the request without saying that it has not run
 	emptyBefore     bool              // an unframed continuation had no events, see emptyMayBePart
 	doubted         *doubtedEnd       // of the answer, which may have been cut; nil if none
 	next            *handover         // attempt that has begun while the one before it still ran; nil if none
--- a/internal/gateway/proxy/run.go
+++ b/internal/gateway/proxy/run.go
@@ -234,6 +234,8 @@
 			e.declineUnreached(p, nil)
 		}
 		e.refuse(http.StatusServiceUnavailable, "not_accepted", e.boundRetryAfter(notAcceptedRetryAfter))
+	case p.refusalUnproven:
+		e.failUnknown(http.StatusBadGateway, reasonRefusalUnproven)
 	case hostStops(ctx):
 		e.failUnknown(http.StatusGatewayTimeout, "host_stops")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -340,8 +342,11 @@
 	if e.endRun != nil {
 		e.endRun()
 	}
-	if stream {
+	switch {
+	case stream:
 		return e.forwardStream(response, reply, lease, p, watchdog)
+	case e.refusalUnproven(response.Status):
+		return e.withholdRefusal(response, lease, p)
 	}
 	return e.forwardPlain(response, reply, lease, p, watchdog)
 }
