Peers: read the stored streams when a stream's keepers cannot be asked

What callers saw: 17 of 18 hosts were killed together while two software versions served.

Cause: hosts write their open streams to the store, but a host read them at its start and after a gap in its list of replicas only.

Change: find, which all take-ups pass, reads the stored streams if a keeper cannot be asked, or if none knows the stream and there are several versions. All that wait share a read; reads of a host are 0.2 s apart at least. It comes before anything is inferred.

--- a/internal/gateway/originkeeper.go
+++ b/internal/gateway/originkeeper.go
@@ -143,16 +143,16 @@
 		}
 	}
 	k.stored, k.era = stored, list.Era
-	count := k.applyStreams(streams)
+	count, own := p.applyStreams(streams)
+	p.origins.AddOpen(own, time.Now())
 	missed, _ := p.origins.Missed()
 	p.origins.AddEarlier(versions, unreadable == 0 && missed == missedBefore, time.Now())
 	p.logger.Info().Int("versions", len(versions)).Int("streams", count).Int("unreadable", unreadable).Msg("origins of earlier streams read")
 	return nil
 }
 
-// applyStreams notes the stored streams of all hosts and returns their number.
-func (k *originKeeper) applyStreams(list objectstore.Revisions) (count int) {
-	p := k.program
+// applyStreams notes the stored streams of all hosts. It returns their number and those of this host.
+func (p *Program) applyStreams(list objectstore.Revisions) (count int, own []origin.Entry) {
 	for _, o := range list.Objects {
 		var record streamsRecord
 		if err := json.Unmarshal(o.Value, &record); err != nil {
@@ -163,10 +163,21 @@
 		count += len(entries)
 		p.origins.Apply(entries, time.Now())
 		if o.Name == p.settings.Host {
-			p.origins.AddOpen(entries, time.Now())
+			own = entries
 		}
 	}
-	return count
+	return count, own
+}
+
+// readStreams adds the stored streams of all hosts to those that this host knows of.
+func (p *Program) readStreams(ctx context.Context) error {
+	list, err := p.store.ListKind(ctx, p.adapter.KindStreams)
+	if err != nil {
+		return err
+	}
+	count, _ := p.applyStreams(list)
+	p.logger.Info().Int("streams", count).Msg("streams of all hosts read for one that is taken up")
+	return nil
 }
 
 // syncVersions writes the versions of the upstreams that changed since the last call.
--- a/internal/gateway/peers/origins.go
+++ b/internal/gateway/peers/origins.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"heatherbarrow/internal/gateway/origin"
+	"heatherbarrow/internal/objectstore"
 	"heatherbarrow/internal/rendezvous"
 	"heatherbarrow/internal/rpc"
 )
@@ -153,12 +154,14 @@
 const (
 	sourceRecord   = "record"   // of this host, which began the stream or was told of it
 	sourceKeeper   = "keeper"   // a keeper of the stream has a record
+	sourceStore    = "store"    // the host that began it has written it to the store
 	sourceInferred = "inferred" // the upstreams have one version only
 )
 
 // find returns the origin of a stream as this host or the stream's keepers have recorded it, or else as it follows
-// from the versions of the upstreams. The keepers come first, as a process may begin streams before it is registered. A
-// host that has just started waits until it has read what the store keeps.
+// from the versions of the upstreams. The keepers come first, as a process may begin streams before it is registered. All of them may
+// have ended together with the host that began the stream: what that host wrote to the store comes next. A host that has just started
+// waits until it has read what the store keeps.
 func (e *Exchange) find(ctx context.Context, stream uint64, upstreams []string) (o origin.Origin, source string, err error) {
 	if o, ok := e.opts.Origins.Recorded(stream); ok {
 		return o, sourceRecord, nil
@@ -181,6 +184,15 @@
 	if o, ok := e.opts.Origins.Recorded(stream); ok {
 		return o, sourceRecord, nil
 	}
+	if _, only := e.onlyOrigin(upstreams); !only || errors.Is(err, origin.ErrUnreachable) {
+		readErr := e.readStored(ctx, stream)
+		if o, ok := e.opts.Origins.Recorded(stream); ok {
+			return o, sourceStore, nil
+		}
+		if readErr != nil && !errors.Is(readErr, errStoreLost) {
+			err = origin.ErrUnreachable // a later read may tell what the keepers do not know
+		}
+	}
 	o, inferErr := e.inferOrigin(ctx, upstreams)
 	switch {
 	case inferErr == nil:
@@ -191,6 +203,21 @@
 	return origin.Origin{}, "", err
 }
 
+// readStored reads the streams that hosts have written to the store until they include the given one, or a read that began after the
+// call has not brought it. A store that refuses reads because of their rate is asked again until ctx ends.
+func (e *Exchange) readStored(ctx context.Context, stream uint64) error {
+	e.streamReads.join(ctx)
+	for {
+		if _, ok := e.opts.Origins.Recorded(stream); ok {
+			return nil
+		}
+		err := e.streamReads.do(ctx)
+		if err == nil || ctx.Err() != nil || !errors.Is(err, objectstore.ErrRateLimited) {
+			return err
+		}
+	}
+}
+
 // inferOrigin returns the origin of all streams of the upstreams that have begun so far, if there is just one version. What this
 // host knew before cannot exclude another one, as a replica gets requests within milliseconds of its registration. The store
 // shows, when it is read now, the versions of all registered processes that any host could have sent the stream to. The errors
--- a/internal/gateway/peers/origins_test.go
+++ b/internal/gateway/peers/origins_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -251,7 +253,7 @@
 func TestReadsOfTheStoreAreSharedByThoseWhoAskedBefore(t *testing.T) {
 	began, release := make(chan int, 10), make(chan struct{})
 	calls := 0
-	c := &sharedCall{call: func(context.Context) error {
+	c := &sharedCall{pause: storeReadPause, call: func(context.Context) error {
 		calls++
 		began <- calls
 		<-release
@@ -404,6 +406,134 @@
 	require.Error(t, err, "inferred %+v", o)
 }
 
+// writtenBy makes a read of the host's store bring the open streams of another host, as that one writes them. It returns the number of reads.
+func (host *testHost) writtenBy(beginner *testHost) *atomic.Int64 {
+	reads := &atomic.Int64{}
+	host.readStreams = func(context.Context) error {
+		reads.Add(1)
+		host.opts.Origins.Apply(beginner.opts.Origins.Open(time.Now()), time.Now())
+		return nil
+	}
+	return reads
+}
+
+// addVersions gives a host the registrations of replicas with two software versions, as addOnlyVersion does with one.
+func (host *testHost) addVersions(t *testing.T) {
+	t.Helper()
+	host.addOnlyVersion(t, v1)
+	require.NoError(t, host.state.Publish(state.Members{Entries: []state.Registration{registeredVersion(v2, 4)}, Source: state.FromStore, AsOf: 4}))
+}
+
+// hear adds a host that has been heard lately and refuses connections now.
+func (host *testHost) hear(name, address string) {
+	host.AddInZone(address, "a")
+	host.recordHeartbeat(&rpc.Beat{Host: name, Incarnation: 1, Sequence: 1, PullAddress: address, MembersRevision: 4, StoreReachable: true}, time.Now())
+}
+
+// Guards against streams that are refused at the host that outlives those which began them and those which were told of them, although
+// the store has their origins, and against a read of the store for each of them.
+func TestStreamsOfHostsThatEndedTogetherAreFoundInTheStore(t *testing.T) {
+	for _, silent := range []bool{false, true} { // the hosts that ended have been noticed
+		beginner, left := newTestHost(t, "beginner", "127.0.0.1:1"), newTestHost(t, "left", "127.0.0.1:2")
+		beginner.addVersions(t)
+		left.addVersions(t)
+		if !silent {
+			left.hear("beginner", "127.0.0.1:1")
+		}
+		reads := left.writtenBy(beginner)
+		const streams = 100
+		for i := range streams {
+			beginner.Record(fmt.Sprint("stream ", i), []origin.Origin{v1, v2}[i%2], time.Now())
+		}
+		var taken sync.WaitGroup
+		for i := range streams {
+			taken.Go(func() {
+				o, err := left.Find(t.Context(), fmt.Sprint("stream ", i), []string{"pool"})
+				assert.NoError(t, err)
+				assert.Equal(t, []origin.Origin{v1, v2}[i%2], o)
+			})
+		}
+		taken.Wait()
+		assert.LessOrEqual(t, reads.Load(), int64(2), "one that was begun before some asked, and one after")
+	}
+}
+
+// Guards against a stream that is refused because it was written to the store after the read that others had asked for, and because the
+// store refused a read for its rate.
+func TestStreamWrittenAfterAReadIsFound(t *testing.T) {
+	beginner, left := newTestHost(t, "beginner", "127.0.0.1:1"), newTestHost(t, "left", "127.0.0.1:2")
+	beginner.addVersions(t)
+	left.addVersions(t)
+	left.hear("beginner", "127.0.0.1:1")
+	_ = left.writtenBy(beginner)
+	read, reads := left.readStreams, 0
+	left.readStreams = func(ctx context.Context) error {
+		if reads++; reads == 2 {
+			return objectstore.ErrRateLimited
+		}
+		return read(ctx)
+	}
+	o, err := left.find(t)
+	require.ErrorIs(t, err, origin.ErrUnreachable, "found %+v", o)
+	beginner.Record(begunElsewhere, v2, time.Now())
+	o, err = left.find(t)
+	require.NoError(t, err)
+	assert.Equal(t, v2, o)
+}
+
+// Guards against a refusal that says that a stream cannot go on, or that names another version, while the store which has its origin is away
+// or has lost it: the caller may come back.
+func TestStreamMayGoOnLaterIfItsStoreCannotBeRead(t *testing.T) {
+	for name, read := range map[string]func(context.Context) error{
+		"away": func(context.Context) error { return errStoreAway },
+		"slow": func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		},
+		"restored from a copy": func(context.Context) error { return nil },
+	} {
+		left := newTestHost(t, "left", "127.0.0.1:2")
+		left.addVersions(t)
+		left.hear("beginner", "127.0.0.1:1")
+		left.readStreams = read
+		began := time.Now()
+		o, err := left.find(t)
+		require.ErrorIs(t, err, origin.ErrUnreachable, "%s: found %+v", name, o)
+		assert.Less(t, time.Since(began), time.Second, name)
+	}
+}
+
+// Guards against a stream that a process began before its registration and that goes on at the only registered version, after the hosts
+// that knew of it have ended: the store has what they wrote.
+func TestStreamOfUnregisteredProcessIsNotInferredIfTheStoreHasIt(t *testing.T) {
+	beginner, left := newTestHost(t, "beginner", "127.0.0.1:1"), newTestHost(t, "left", "127.0.0.1:2")
+	beginner.addOnlyVersion(t, v1)
+	left.addOnlyVersion(t, v1)
+	left.hear("beginner", "127.0.0.1:1")
+	began := origin.Origin{Upstream: "pool", Version: origin.ProcessVersion("r", 2)}
+	beginner.Record(begunElsewhere, began, time.Now())
+	reads := left.writtenBy(beginner)
+	o, err := left.find(t)
+	require.NoError(t, err)
+	assert.Equal(t, began, o)
+	o, err = left.Find(t.Context(), "of the only version", []string{"pool"})
+	require.NoError(t, err)
+	assert.Equal(t, v1, o)
+	assert.EqualValues(t, 2, reads.Load())
+}
+
+// Guards against reads of the store for each stream that is taken up while all hosts live and one version serves.
+func TestStreamsOfTheOnlyVersionAreNotReadFromTheStore(t *testing.T) {
+	keeper, host := newTestHost(t, "keeper", "127.0.0.1:1"), newTestHost(t, "host", "127.0.0.1:2")
+	host.addOnlyVersion(t, v1)
+	host.hear("keeper", keeper.serve(t))
+	reads := host.writtenBy(keeper)
+	o, err := host.find(t)
+	require.NoError(t, err)
+	assert.Equal(t, v1, o)
+	assert.Zero(t, reads.Load())
+}
+
 // Guards against a data race between the choice of hosts that read the store and heartbeats, and against readers that are far, silent
 // or without the store.
 func TestStoreReadersAreNearHostsThatReachTheStore(t *testing.T) {
--- a/internal/gateway/peers/peers.go
+++ b/internal/gateway/peers/peers.go
@@ -109,6 +109,8 @@
 	// ReadMembers brings the registrations up to date with the store: when it returns nil, they include all changes that the
 	// store had confirmed when it was called. If nil, the store cannot be read.
 	ReadMembers func(ctx context.Context) error
+	// ReadStreams adds the streams that hosts have written to the store to Origins. If nil, the store cannot be read.
+	ReadStreams func(ctx context.Context) error
 	// Role holds whether this host follows the store itself. If nil, New creates one that is
 	// following.
 	Role *state.Role
@@ -131,6 +133,7 @@
 	client      *http.Client
 	storeReads  sharedCall // reads of the store by this host; see Refresh
 	refresh     sharedCall // by this host or through another one
+	streamReads sharedCall // reads of the streams in the store by this host
 
 	// mu guards peers, seenHosts, expired, zones, speaker (see zoneSpeaker), seenInZone, assumedLive
 	// and stalls.
@@ -229,7 +232,9 @@
 	transport := httphead.NewTransport(&http.Transport{
 		DialContext: opts.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: netio.MaxHeaderBytes, ResponseHeaderTimeout: pullAnswerTimeout,
 	})
-	e.storeReads.call, e.refresh.call = e.readStore, e.refreshMembers
+	e.storeReads = sharedCall{call: e.readStore, pause: storeReadPause}
+	e.refresh = sharedCall{call: e.refreshMembers, pause: storeReadPause}
+	e.streamReads = sharedCall{call: e.readStreams, pause: streamReadPause}
 	e.client = &http.Client{Transport: netio.BoundBodies(transport, maxPullBytes), Timeout: pullTimeout}
 	return e
 }
--- a/internal/gateway/peers/peers_test.go
+++ b/internal/gateway/peers/peers_test.go
@@ -31,6 +31,8 @@
 	hostCount int
 	// readMembers is the read of the store.
 	readMembers func(ctx context.Context) error
+	// readStreams is the read of the streams in the store.
+	readStreams func(ctx context.Context) error
 }
 
 // newTestHost returns a host in zone "a" with the pull service at address. Its Exchange is not
@@ -39,7 +41,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
-	host := &testHost{fleet: fleet.New(fleet.Options{Zone: "a"}), readMembers: func(context.Context) error { return nil }}
+	host := &testHost{fleet: fleet.New(fleet.Options{Zone: "a"}), readMembers: func(context.Context) error { return nil }, readStreams: func(context.Context) error { return nil }}
 	origins := origin.NewTracker()
 	host.state = state.New(state.Options{
 		Bus: bus.New(), Fleet: host.fleet, Origins: origins, Logger: zerolog.Nop(), MaxWithdrawTime: time.Second, MaxConfigDelay: 2 * time.Second, OnStoreChange: func() {},
@@ -49,6 +51,7 @@
 	host.Exchange = New(Options{
 		Host: name, Zone: "a", Listen: address, BeatPort: 7200, Seeds: seeds, State: host.state, Fleet: host.fleet, Origins: origins,
 		ReadMembers: func(ctx context.Context) error { return host.readMembers(ctx) },
+		ReadStreams: func(ctx context.Context) error { return host.readStreams(ctx) },
 		Dial:        (&net.Dialer{}).DialContext, Logger: zerolog.Nop(), OnHostCount: func(hostCount int) { host.hostCount = hostCount },
 	})
 	for _, seed := range seeds {
--- a/internal/gateway/peers/refresh.go
+++ b/internal/gateway/peers/refresh.go
@@ -19,6 +19,9 @@
 	storeReadTimeout = 400 * time.Millisecond
 	// storeReadPause is the pause between two such reads of a host. All decisions that come meanwhile share the next one.
 	storeReadPause = 20 * time.Millisecond
+	// streamReadPause is the same for reads of the streams that hosts have written. One read brings all of them, so that a further one
+	// serves only streams that were begun shortly before their host ended.
+	streamReadPause = 200 * time.Millisecond
 	// maxStoreReaders is the number of hosts that are asked to read the store for this one.
 	maxStoreReaders = 2
 )
@@ -30,10 +33,12 @@
 
 // sharedCall makes calls for all that wait for one. None waits for a call that began before it asked.
 type sharedCall struct {
-	call func(ctx context.Context) error
+	call  func(ctx context.Context) error
+	pause time.Duration // between two calls
 
 	mu      sync.Mutex
 	next    *sharedResult // of the call that begins next; nil if nobody waits for it
+	current *sharedResult // of the latest call
 	running bool
 }
 
@@ -62,12 +67,26 @@
 	}
 }
 
+// join waits for the call in progress, if there is one, or until ctx ends. It may have begun before join.
+func (c *sharedCall) join(ctx context.Context) {
+	c.mu.Lock()
+	current := c.current
+	c.mu.Unlock()
+	if current == nil {
+		return
+	}
+	select {
+	case <-current.done:
+	case <-ctx.Done():
+	}
+}
+
 // take returns the result of the next call, or nil if nobody waits for one.
 func (c *sharedCall) take() *sharedResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	result := c.next
-	c.next, c.running = nil, result != nil
+	c.next, c.current, c.running = nil, result, result != nil
 	return result
 }
 
@@ -76,7 +95,7 @@
 	for result := c.take(); result != nil; result = c.take() {
 		result.err = c.call(context.Background())
 		close(result.done)
-		time.Sleep(storeReadPause)
+		time.Sleep(c.pause)
 	}
 }
 
@@ -94,6 +113,16 @@
 	return e.opts.ReadMembers(ctx)
 }
 
+// readStreams is the call of e.streamReads.
+func (e *Exchange) readStreams(ctx context.Context) error {
+	if e.opts.ReadStreams == nil || e.opts.State.StoreLost() {
+		return errStoreLost
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	return e.opts.ReadStreams(ctx)
+}
+
 // refreshMembers is the call of e.refresh. A host that does not follow the store leaves the read to one that does, so that the
 // number of reads does not grow with that of the hosts.
 func (e *Exchange) refreshMembers(ctx context.Context) error {
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -207,7 +207,7 @@
 		Host: p.settings.Host, Zone: p.settings.AvailabilityZone, Listen: p.settings.PeerListen,
 		BeatPort: p.settings.BeatPort, Seeds: p.settings.Seeds, State: p.state, Fleet: p.fleet, Origins: p.origins,
 		Dial: netio.Dial, Logger: p.logger, Status: p.status, OnHostCount: p.budget.SetHosts, Role: p.role,
-		Usage: p.duties.usage(), ReadMembers: stored.readMembers,
+		Usage: p.duties.usage(), ReadMembers: stored.readMembers, ReadStreams: p.readStreams,
 	})
 	p.server = proxy.New(proxy.Options{
 		Dialect: p.adapter.Dialect, Fleet: p.fleet, Budget: p.budget, Client: p.client, Origins: p.peers, Helpers: p.peers,
