--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -18,7 +18,7 @@
 var refusals = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
 
 // judgeAnswers judges what callers saw beside what replicas ran (MIXED, REFUSED, DENIED), and counts the answers. The only failure
-// of a replica is status 500.
+// of a replica that callers may see is status 500.
 func (l *ledger) judgeAnswers() (cases []string, counts map[string]int) {
 	counts = make(map[string]int)
 	broken := func(r *result, what string) {
--- a/internal/soak/streamnotation_test.go
+++ b/internal/soak/streamnotation_test.go
@@ -87,6 +87,16 @@
 			return i
 		},
 	},
+	"IDs count tokens": { // of which each fifth event holds two
+		id: func(i int) string { return strconv.Itoa(i + i/4) },
+		parse: func(id string) int {
+			tokens, err := strconv.Atoi(id)
+			if err != nil {
+				return -1
+			}
+			return tokens - tokens/5
+		},
+	},
 	"IDs begin with zeros": {id: func(i int) string { return fmt.Sprintf("%06d", i) }},
 }
 
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -169,3 +169,23 @@
 		})
 	}))
 }
+
+// Guards against streams that are refused, or go on at another software version, at the only host that is left: the hosts which began them
+// and those which were told of them have ended together, and each caller tries once.
+func TestStreamsAreTakenUpAtTheOnlyHostLeft(t *testing.T) {
+	concurrently(t)
+	const hosts, down = 8, 3 * time.Second // of a zone, in which two are told of each stream
+	d := newDeployment(t, 1, hosts, false)
+	d.setVersions()
+	awaitReady(t, d.hosts)
+	time.Sleep(500 * time.Millisecond) // until all hosts know the versions
+	s := d.longCallers(10 * time.Millisecond)
+	s.second = d.hosts[hosts-1]
+	all := s.followBeside(2*time.Second, func() { killAll(d.hosts[:hosts-1], func() { time.Sleep(down) }) })
+	checkFollowed(t, "all hosts but one killed", all)
+	streams, began, takenUp, wentOn := shares(all)
+	t.Logf("%.0f streams, %.0f began, %.0f were taken up, %.0f of these went on", streams, began, takenUp, wentOn)
+	assert.Empty(t, joined(all))
+	assert.GreaterOrEqual(t, takenUp, 12.0, "too few streams were taken up to tell")
+	assert.GreaterOrEqual(t, wentOn/takenUp, minTakeUpShare*began/streams)
+}
