Router tests: a scripted replica survives a request before its script

Cause: a request reached the replica of TestOutcomeOfNonRepeatableCall before the test had set its script. The index -1 panicked with the replica's lock held, so that all later requests waited for it. The replica now answers 421 and prints the request, which shows the sender next time. Checks are unchanged.

--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -46,6 +46,13 @@
 	p := &replica{canceled: make(chan struct{}, 1024)}
 	p.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		p.mu.Lock()
+		if len(p.script) == 0 {
+			p.mu.Unlock()
+			// The test has sent nothing yet. Tests of other packages may dial a port that this replica has now.
+			fmt.Printf("request of another process: %s %s %v\n", r.Method, r.URL, r.Header)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		act := p.script[min(p.calls, len(p.script)-1)]
 		p.calls++
 		p.mu.Unlock()
